--- /dev/null
+++ b/crates/persimmon_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Seeded, counting benchmarks of the decisions, with regression bounds.
--- /dev/null
+++ b/crates/persimmon_decide/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Configuration: which record set is in force.
--- /dev/null
+++ b/crates/persimmon_decide/src/ids.rs
@@ -0,0 +1,76 @@
+//! Identifiers that requests, frames and processes carry.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Identifies one request of one caller, the same across its retries inside the fleet. Written as
+/// 32 hexadecimal digits.
+///
+/// ```
+/// use persimmon_decide::RequestId;
+///
+/// let id: RequestId = "0000000000000000000000000000002a".parse().unwrap();
+/// assert_eq!(id, RequestId(42));
+/// assert_eq!(id.to_string(), "0000000000000000000000000000002a");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestId(pub u128);
+
+/// A request id that isn't 32 hexadecimal digits.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("request id must be 32 hexadecimal digits; send the id exactly as the reply gave it")]
+pub struct RequestIdError;
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = RequestIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if !digits {
+            return Err(RequestIdError);
+        }
+        u128::from_str_radix(text, 16).map(Self).map_err(|_| RequestIdError)
+    }
+}
+
+/// Identifies one life of a process: drawn at random when it starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// Counts the times that a router has sent one request to endpoints, from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Attempt(pub u32);
+
+/// Counts the frames of an answer, from 0.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Offset(pub u64);
+
+/// Identifies the content of a request: equal for every copy that a caller sends again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// The fingerprint of a request's body as the caller sent it.
+    pub fn of(body: &[u8]) -> Self {
+        let hash = blake3::hash(body);
+        let mut prefix = [0; 8];
+        prefix.copy_from_slice(&hash.as_bytes()[..8]);
+        Self(u64::from_le_bytes(prefix))
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Placement, admission and limits: where a request goes and when it runs.
--- /dev/null
+++ b/crates/persimmon_decide/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Membership: what processes tell each other about endpoints.
--- /dev/null
+++ b/crates/persimmon_decide/src/orders/mod.rs
@@ -0,0 +1,1 @@
+//! Orders to engines: who may give them and when.
--- /dev/null
+++ b/crates/persimmon_decide/src/recovery/mod.rs
@@ -0,0 +1,1 @@
+//! Recovery: leaving, retries and requests that crash endpoints.
--- /dev/null
+++ b/crates/persimmon_records/src/workspace.rs
@@ -0,0 +1,135 @@
+//! Workspace records: one for each customer.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Class, EndpointName, KeyDigest, ModelName, PerClass, ServiceName, UnixMs, WorkspaceName,
+};
+
+/// Limits on one class of a workspace's requests, over the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Requests a second.
+    pub requests_per_second: u32,
+    /// Requests that may run or wait at once.
+    pub in_progress: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { requests_per_second: 100, in_progress: 64 }
+    }
+}
+
+/// One workspace: who may call, what they may use and until when.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// The workspace's name, unique in the set.
+    pub name: WorkspaceName,
+    /// Digests of the keys that callers may present.
+    pub key_digests: Vec<KeyDigest>,
+    /// Models that the workspace may use.
+    #[serde(default)]
+    pub models: Vec<ModelName>,
+    /// Plain services that the workspace may use.
+    #[serde(default)]
+    pub services: Vec<ServiceName>,
+    /// The only endpoints that the workspace may use; every endpoint if empty.
+    #[serde(default)]
+    pub endpoints: Vec<EndpointName>,
+    /// Limits for each class.
+    #[serde(default)]
+    pub limits: PerClass<Limits>,
+    /// The class of requests that name none.
+    #[serde(default)]
+    pub default_class: Class,
+    /// When the record ends; callers are refused from then on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expires_at: Option<UnixMs>,
+}
+
+/// Builds a [`Workspace`].
+///
+/// ```
+/// use persimmon_records::WorkspaceBuilder;
+///
+/// let workspace = WorkspaceBuilder::new("swap-desk")
+///     .with_key("wk-example")
+///     .with_model("chat-large")
+///     .build();
+/// assert_eq!(workspace.models.len(), 1);
+/// ```
+#[derive(Debug)]
+pub struct WorkspaceBuilder(Workspace);
+
+impl WorkspaceBuilder {
+    /// Starts from a workspace without keys, models or services.
+    pub fn new(name: impl Into<WorkspaceName>) -> Self {
+        Self(Workspace {
+            name: name.into(),
+            key_digests: Vec::new(),
+            models: Vec::new(),
+            services: Vec::new(),
+            endpoints: Vec::new(),
+            limits: PerClass::default(),
+            default_class: Class::default(),
+            expires_at: None,
+        })
+    }
+
+    /// Adds the digest of `key`.
+    #[must_use]
+    pub fn with_key(mut self, key: &str) -> Self {
+        self.0.key_digests.push(KeyDigest::of_key(key));
+        self
+    }
+
+    /// Adds a model.
+    #[must_use]
+    pub fn with_model(mut self, model: impl Into<ModelName>) -> Self {
+        self.0.models.push(model.into());
+        self
+    }
+
+    /// Adds a plain service.
+    #[must_use]
+    pub fn with_service(mut self, service: impl Into<ServiceName>) -> Self {
+        self.0.services.push(service.into());
+        self
+    }
+
+    /// Restricts the workspace to this endpoint and others added so.
+    #[must_use]
+    pub fn with_endpoint(mut self, endpoint: impl Into<EndpointName>) -> Self {
+        self.0.endpoints.push(endpoint.into());
+        self
+    }
+
+    /// Sets the limits of every class.
+    #[must_use]
+    pub fn with_limits(mut self, limits: PerClass<Limits>) -> Self {
+        self.0.limits = limits;
+        self
+    }
+
+    /// Sets the class of requests that name none.
+    #[must_use]
+    pub fn with_default_class(mut self, class: Class) -> Self {
+        self.0.default_class = class;
+        self
+    }
+
+    /// Sets when the record ends.
+    #[must_use]
+    pub fn with_expires_at(mut self, at: UnixMs) -> Self {
+        self.0.expires_at = Some(at);
+        self
+    }
+
+    /// The workspace as built.
+    pub fn build(self) -> Workspace {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/persimmon_wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocols between the processes of the fleet.
--- /dev/null
+++ b/crates/persimmonctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder binary entry.
+fn main() {}
