--- /dev/null
+++ b/crates/persimmon_wire/src/fleet_key.rs
@@ -0,0 +1,83 @@
+//! The key that every process of one fleet holds.
+
+use std::fmt;
+
+use thiserror::Error;
+
+/// Shortest key that is taken, in characters.
+pub const MIN_KEY_CHARS: usize = 16;
+
+const HANDSHAKE_CONTEXT: &str = "persimmonmount 2026-12 handshake";
+const DATAGRAM_CONTEXT: &str = "persimmonmount 2026-12 datagram";
+const TOKEN_CONTEXT: &str = "persimmonmount 2026-12 caller token";
+
+/// The fleet's shared key, split by use. Its text never appears in logs.
+///
+/// ```
+/// use persimmon_wire::FleetKey;
+///
+/// let key = FleetKey::new("a key of at least sixteen").unwrap();
+/// assert_eq!(format!("{key:?}"), "FleetKey(..)");
+/// ```
+#[derive(Clone)]
+pub struct FleetKey {
+    handshake: [u8; blake3::KEY_LEN],
+    datagram: [u8; blake3::KEY_LEN],
+    token: [u8; blake3::KEY_LEN],
+}
+
+/// Why a fleet key is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum FleetKeyError {
+    /// The key is too short to be secret.
+    #[error(
+        "the fleet key has {0} characters; set PERSIMMON_FLEET_KEY to at least {MIN_KEY_CHARS}"
+    )]
+    TooShort(usize),
+}
+
+impl FleetKey {
+    /// Derives the keys of each use from the fleet key's text.
+    ///
+    /// # Errors
+    ///
+    /// The text is shorter than [`MIN_KEY_CHARS`].
+    pub fn new(text: &str) -> Result<Self, FleetKeyError> {
+        let chars = text.chars().count();
+        if chars < MIN_KEY_CHARS {
+            return Err(FleetKeyError::TooShort(chars));
+        }
+        Ok(Self {
+            handshake: blake3::derive_key(HANDSHAKE_CONTEXT, text.as_bytes()),
+            datagram: blake3::derive_key(DATAGRAM_CONTEXT, text.as_bytes()),
+            token: blake3::derive_key(TOKEN_CONTEXT, text.as_bytes()),
+        })
+    }
+
+    /// The key that authenticates tokens which callers carry.
+    pub fn token_key(&self) -> &[u8; blake3::KEY_LEN] {
+        &self.token
+    }
+
+    pub(crate) fn handshake_code(&self, parts: [&[u8]; 3]) -> blake3::Hash {
+        keyed_hash(&self.handshake, &parts)
+    }
+
+    pub(crate) fn datagram_code(&self, payload: &[u8]) -> blake3::Hash {
+        keyed_hash(&self.datagram, &[payload])
+    }
+}
+
+fn keyed_hash(key: &[u8; blake3::KEY_LEN], parts: &[&[u8]]) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    for part in parts {
+        hasher.update(part);
+    }
+    hasher.finalize()
+}
+
+impl fmt::Debug for FleetKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FleetKey(..)")
+    }
+}
--- /dev/null
+++ b/crates/persimmon_wire/src/handshake.rs
@@ -0,0 +1,128 @@
+//! Proof of the fleet key at both ends of a new connection, before any frame is taken.
+//!
+//! The dialer sends a nonce, the acceptor answers with its own nonce and a code over both, and the
+//! dialer answers with its code. Each code names the side that made it, so that neither can be sent
+//! back to its maker.
+
+use std::time::Duration;
+
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::time::timeout;
+
+use crate::FleetKey;
+
+/// Time that both ends have for the whole handshake.
+pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+const PROTOCOL: &[u8; 8] = b"psmn/001";
+const NONCE_BYTES: usize = 32;
+const CODE_BYTES: usize = blake3::OUT_LEN;
+const DIALER: &[u8] = b"dialer";
+const ACCEPTOR: &[u8] = b"acceptor";
+
+/// Why a connection was refused before its first frame.
+#[derive(Debug, Error)]
+pub enum HandshakeError {
+    /// The other end speaks another protocol.
+    #[error("the peer speaks another protocol; check that the address is a persimmonmount peer")]
+    Protocol,
+    /// The other end holds another key.
+    #[error("the peer holds another fleet key; set the same PERSIMMON_FLEET_KEY on both")]
+    Key,
+    /// The other end was silent for too long.
+    #[error("the peer was silent during the handshake; check that its process runs")]
+    Timeout,
+    /// The system gave no random bytes for a nonce.
+    #[error("the system gave no random bytes; check the VM's random source")]
+    Random,
+    /// The connection broke.
+    #[error("the connection broke during the handshake ({0}); it is opened again")]
+    Io(#[from] std::io::Error),
+}
+
+/// Proves the key as the side that opened the connection.
+///
+/// # Errors
+///
+/// The peer is silent, speaks another protocol or holds another key.
+pub async fn dial_handshake<S>(stream: &mut S, key: &FleetKey) -> Result<(), HandshakeError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    timeout(HANDSHAKE_TIMEOUT, dial_steps(stream, key))
+        .await
+        .map_err(|_| HandshakeError::Timeout)?
+}
+
+/// Proves the key as the side that accepted the connection.
+///
+/// # Errors
+///
+/// The peer is silent, speaks another protocol or holds another key.
+pub async fn accept_handshake<S>(stream: &mut S, key: &FleetKey) -> Result<(), HandshakeError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    timeout(HANDSHAKE_TIMEOUT, accept_steps(stream, key))
+        .await
+        .map_err(|_| HandshakeError::Timeout)?
+}
+
+async fn dial_steps<S>(stream: &mut S, key: &FleetKey) -> Result<(), HandshakeError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let own = nonce()?;
+    stream.write_all(PROTOCOL).await?;
+    stream.write_all(&own).await?;
+    stream.flush().await?;
+    read_protocol(stream).await?;
+    let other = read_array::<_, NONCE_BYTES>(stream).await?;
+    let code = read_array::<_, CODE_BYTES>(stream).await?;
+    // `blake3::Hash` compares in constant time.
+    if blake3::Hash::from_bytes(code) != key.handshake_code([ACCEPTOR, &own, &other]) {
+        return Err(HandshakeError::Key);
+    }
+    stream.write_all(key.handshake_code([DIALER, &own, &other]).as_bytes()).await?;
+    stream.flush().await?;
+    Ok(())
+}
+
+async fn accept_steps<S>(stream: &mut S, key: &FleetKey) -> Result<(), HandshakeError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    read_protocol(stream).await?;
+    let other = read_array::<_, NONCE_BYTES>(stream).await?;
+    let own = nonce()?;
+    stream.write_all(PROTOCOL).await?;
+    stream.write_all(&own).await?;
+    stream.write_all(key.handshake_code([ACCEPTOR, &other, &own]).as_bytes()).await?;
+    stream.flush().await?;
+    let code = read_array::<_, CODE_BYTES>(stream).await?;
+    if blake3::Hash::from_bytes(code) != key.handshake_code([DIALER, &other, &own]) {
+        return Err(HandshakeError::Key);
+    }
+    Ok(())
+}
+
+fn nonce() -> Result<[u8; NONCE_BYTES], HandshakeError> {
+    let mut bytes = [0; NONCE_BYTES];
+    getrandom::fill(&mut bytes).map_err(|_| HandshakeError::Random)?;
+    Ok(bytes)
+}
+
+async fn read_protocol<S: AsyncRead + Unpin>(stream: &mut S) -> Result<(), HandshakeError> {
+    let protocol = read_array::<_, { PROTOCOL.len() }>(stream).await?;
+    if protocol == *PROTOCOL { Ok(()) } else { Err(HandshakeError::Protocol) }
+}
+
+async fn read_array<S, const N: usize>(stream: &mut S) -> Result<[u8; N], HandshakeError>
+where
+    S: AsyncRead + Unpin,
+{
+    let mut bytes = [0; N];
+    stream.read_exact(&mut bytes).await?;
+    Ok(bytes)
+}
