--- a/crates/persimmon_settings/src/setting.rs
+++ b/crates/persimmon_settings/src/setting.rs
@@ -18,6 +18,11 @@
         Self { name, placeholder, help, default: None }
     }
 
+    /// The setting's name, which is its flag without the dashes.
+    pub const fn name(&self) -> &'static str {
+        self.name
+    }
+
     /// Sets the value in force when neither flag nor variable gives one.
     #[must_use]
     pub const fn with_default(mut self, default: &'static str) -> Self {
--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -8,7 +8,7 @@
   records @0 (generation :UInt64, digest :Data) -> (update :RecordsUpdate);
   # The record set in force, if it is newer than the one given.
 
-  sidecar @1 () -> (sidecar :Sidecar, name :Text, incarnation :UInt64);
+  sidecar @1 () -> (sidecar :Sidecar, name :Text, stamp :Stamp);
   # The sidecar's own interface; a router has none and answers "unimplemented".
 }
 
@@ -22,10 +22,10 @@
 interface Sidecar {
   submit @0 (request :ModelRequest, sink :FrameSink) -> (admission :Admission);
   resume @1 (position :StreamPosition, sink :FrameSink) -> (resumption :Resumption);
-  settle @2 (requestId :Data, incarnation :UInt64) -> (settlement :Settlement);
-  cancel @3 (requestId :Data, incarnation :UInt64) -> ();
+  settle @2 (request :RequestRef) -> (settled :Settled);
+  cancel @3 (request :RequestRef) -> ();
   claim @4 (request :ClaimRequest) -> (reply :ClaimReply);
-  call @5 (request :ServiceCall) -> (reply :CallReply);
+  call @5 (call :ServiceCall) -> (reply :CallReply);
   credit @6 (request :CreditRequest) -> (batch :CreditBatch);
 }
 
@@ -40,51 +40,63 @@
   drafting @2;
 }
 
+struct Stamp {
+  incarnation @0 :UInt64;
+  issuedAtMs @1 :UInt64;
+  # By the monotonic clock of the sidecar that made the stamp.
+}
+
+struct RequestRef {
+  workspace @0 :Text;
+  requestId @1 :Data;
+  stamp @2 :Stamp;
+}
+
 struct ModelRequest {
-  requestId @0 :Data;
+  id @0 :RequestRef;
   attempt @1 :UInt32;
-  incarnation @2 :UInt64;
-  workspace @3 :Text;
-  model @4 :Text;
-  class @5 :Class;
-  chatKey @6 :UInt64;
-  fingerprint @7 :UInt64;
-  uncachedTokens @8 :UInt32;
-  maxTokens @9 :UInt32;
-  deadlineMs @10 :UInt64;
+  model @2 :Text;
+  class @3 :Class;
+  fingerprint @4 :UInt64;
+  uncachedTokens @5 :UInt32;
+  # The router's estimate of the prompt tokens that the engine's cache doesn't hold.
+  maxTokens @6 :UInt32;
+  deadlineMs @7 :UInt64;
   # Milliseconds left when the router sent the request.
-  messages @11 :Text;
+  messages @8 :Text;
   # JSON, as the engine takes it.
-  traceparent @12 :Text;
-  meanLoad @13 :Float64;
-  # The router's estimate of the mean load; negative if it holds none.
+  traceparent @9 :Text;
+  chat @10 :UInt64;
+  meanPerSlot @11 :Float64;
+  # The router's estimate of the model's mean load per slot; negative if it holds none.
 }
 
 struct Load {
-  work @0 :Float64;
+  work @0 :UInt64;
   running @1 :UInt32;
   waiting @2 :UInt32;
+  slots @3 :UInt32;
 }
 
 struct Refusal {
-  reason @0 :Text;
-  # A reason's name as the decision crate writes it.
+  kind @0 :Text;
+  # A refusal's stable kind.
   retryAfterMs @1 :UInt64;
 }
 
 struct Admission {
   load @0 :Load;
+  stamp @1 :Stamp;
   union {
-    accepted @1 :Void;
-    refused @2 :Refusal;
+    accepted @2 :Void;
+    refused @3 :Refusal;
   }
 }
 
 struct StreamPosition {
-  requestId @0 :Data;
+  id @0 :RequestRef;
   attempt @1 :UInt32;
-  incarnation @2 :UInt64;
-  offset @3 :UInt64;
+  offset @2 :UInt64;
 }
 
 struct Resumption {
@@ -94,37 +106,33 @@
   }
 }
 
-enum Settlement {
-  notRun @0;
-  started @1;
-  done @2;
+enum Settled {
+  started @0;
+  done @1;
+  notRun @2;
   unknown @3;
 }
 
+enum StreamEnd {
+  whole @0;
+  cancelled @1;
+  cut @2;
+}
+
 struct Frame {
   requestId @0 :Data;
   attempt @1 :UInt32;
   incarnation @2 :UInt64;
   offset @3 :UInt64;
   union {
-    heartbeat @4 :Void;
-    start @5 :Start;
-    token @6 :Text;
-    end @7 :End;
-    failure @8 :Text;
+    heartbeat @4 :UInt64;
+    # The time of the sidecar's stamp, in milliseconds.
+    data @5 :Data;
+    # One line of the engine's answer.
+    end @6 :StreamEnd;
   }
 }
 
-struct Start {
-  promptTokens @0 :UInt32;
-  cachedTokens @1 :UInt32;
-}
-
-struct End {
-  reason @0 :Text;
-  completionTokens @1 :UInt32;
-}
-
 struct ClaimRequest {
   workspace @0 :Text;
   service @1 :Text;
@@ -144,17 +152,15 @@
 }
 
 struct ServiceCall {
-  requestId @0 :Data;
-  incarnation @1 :UInt64;
-  workspace @2 :Text;
-  service @3 :Text;
-  claim @4 :Text;
+  id @0 :RequestRef;
+  service @1 :Text;
+  claim @2 :Text;
   # Empty for a call that may be repeated.
-  operation @5 :Text;
-  body @6 :Text;
+  operation @3 :Text;
+  body @4 :Text;
   # JSON, as the service takes it.
-  deadlineMs @7 :UInt64;
-  traceparent @8 :Text;
+  deadlineMs @5 :UInt64;
+  traceparent @6 :Text;
 }
 
 struct CallReply {
@@ -166,9 +172,8 @@
 }
 
 struct CallAnswer {
-  status @0 :UInt16;
-  body @1 :Text;
-  repeated @2 :Bool;
+  body @0 :Text;
+  repeated @1 :Bool;
   # Whether this is the recorded answer of an earlier run.
 }
 
--- a/crates/persimmon_wire/src/fleet_key.rs
+++ b/crates/persimmon_wire/src/fleet_key.rs
@@ -1,6 +1,7 @@
 //! The key that every process of one fleet holds.
 
 use std::fmt;
+use std::sync::Arc;
 
 use thiserror::Error;
 
@@ -9,7 +10,6 @@
 
 const HANDSHAKE_CONTEXT: &str = "persimmonmount 2026-12 handshake";
 const DATAGRAM_CONTEXT: &str = "persimmonmount 2026-12 datagram";
-const TOKEN_CONTEXT: &str = "persimmonmount 2026-12 caller token";
 
 /// The fleet's shared key, split by use. Its text never appears in logs.
 ///
@@ -23,7 +23,7 @@
 pub struct FleetKey {
     handshake: [u8; blake3::KEY_LEN],
     datagram: [u8; blake3::KEY_LEN],
-    token: [u8; blake3::KEY_LEN],
+    text: Arc<str>,
 }
 
 /// Why a fleet key is refused.
@@ -50,13 +50,13 @@
         Ok(Self {
             handshake: blake3::derive_key(HANDSHAKE_CONTEXT, text.as_bytes()),
             datagram: blake3::derive_key(DATAGRAM_CONTEXT, text.as_bytes()),
-            token: blake3::derive_key(TOKEN_CONTEXT, text.as_bytes()),
+            text: text.into(),
         })
     }
 
-    /// The key that authenticates tokens which callers carry.
-    pub fn token_key(&self) -> &[u8; blake3::KEY_LEN] {
-        &self.token
+    /// The key's text, from which the sealers of caller-carried tokens derive their own keys.
+    pub fn secret(&self) -> &str {
+        &self.text
     }
 
     pub(crate) fn handshake_code(&self, parts: [&[u8]; 3]) -> blake3::Hash {
--- a/crates/persimmon_wire/src/lib.rs
+++ b/crates/persimmon_wire/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod connection;
 mod convert;
-mod datagram;
 mod fleet_key;
 mod handshake;
 mod message;
@@ -20,11 +19,10 @@
 pub mod fleet_capnp;
 
 pub use connection::{Connection, dial, serve};
-pub use convert::WireError;
-pub use datagram::{Datagram, DatagramError, MAX_DATAGRAM_BYTES};
+pub use convert::{WireError, read_settled, read_stamp, write_settled, write_stamp};
 pub use fleet_key::{FleetKey, FleetKeyError};
 pub use handshake::{HandshakeError, accept_handshake, dial_handshake};
 pub use message::{
-    Admission, CallReply, ClaimReply, ClaimRequest, Frame, FrameKind, Load, ModelRequest, Refusal,
-    ServiceCall, StreamPosition,
+    Admission, CallReply, ClaimReply, ClaimRequest, Frame, FrameBody, ModelRequest, Refused,
+    RequestRef, ServiceCall, StreamPosition,
 };
--- /dev/null
+++ b/crates/persimmonmountd/src/common/mod.rs
@@ -0,0 +1,23 @@
+//! What both roles need: settings, clock, logs, traces, metrics and the operators' pages.
+
+mod clock;
+mod logging;
+mod metrics;
+mod ops;
+mod platform;
+mod ready;
+mod settings;
+mod signals;
+mod status;
+mod trace_context;
+
+pub(crate) use clock::Clock;
+pub(crate) use logging::start_logging;
+pub(crate) use metrics::Metrics;
+pub(crate) use ops::{OpsServer, Readiness};
+pub(crate) use platform::{Platform, PlatformError, VmEntry, VmList, VmRole, VmState};
+pub(crate) use ready::print_ready;
+pub(crate) use settings::{CommonSettings, RouterSettings, SidecarSettings};
+pub(crate) use signals::on_stop_signal;
+pub(crate) use status::{LoadStatus, OutcomeCounts, Status};
+pub(crate) use trace_context::TraceContext;
--- /dev/null
+++ b/crates/persimmonmountd/src/common/settings.rs
@@ -0,0 +1,209 @@
+//! The daemon's settings.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use persimmon_records::{EndpointName, ZoneName};
+use persimmon_settings::{Setting, Settings, SettingsError};
+use persimmon_wire::FleetKey;
+
+/// The environment variable that holds the fleet key. It has no flag, so that the key never shows
+/// in a list of processes.
+const FLEET_KEY_VARIABLE: &str = "PERSIMMON_FLEET_KEY";
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LogFormat {
+    /// For people.
+    Human,
+    /// One JSON object a line.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "human" => Ok(Self::Human),
+            "json" => Ok(Self::Json),
+            _ => Err("the format is unknown"),
+        }
+    }
+}
+
+const NAME: Setting = Setting::new("name", "NAME", "the process's name");
+const ZONE: Setting = Setting::new("zone", "ZONE", "the VM's availability zone");
+const PEER_LISTEN: Setting =
+    Setting::new("peer-listen", "ADDRESS", "TCP and UDP address for other processes of the fleet");
+const OPS_LISTEN: Setting =
+    Setting::new("ops-listen", "ADDRESS", "HTTP address for operators: metrics, health, status")
+        .with_default("127.0.0.1:0");
+const PLATFORM: Setting =
+    Setting::new("platform", "ADDRESS", "HTTP address of the platform's configuration service");
+const LOG: Setting =
+    Setting::new("log", "FILTER", "log filter by part and level").with_default("info");
+const LOG_FORMAT: Setting =
+    Setting::new("log-format", "human|json", "how log lines are written").with_default("human");
+const DRAIN_MS: Setting =
+    Setting::new("drain-ms", "MILLISECONDS", "longest wait for requests in progress at shutdown")
+        .with_default("600000");
+const LISTEN: Setting = Setting::new("listen", "ADDRESS", "HTTP address for callers");
+const TRAFFIC_THREADS: Setting =
+    Setting::new("traffic-threads", "COUNT", "threads that carry callers' requests, 1 to 64")
+        .with_default("2");
+const MAX_CONNECTIONS: Setting =
+    Setting::new("max-connections", "COUNT", "callers' connections open at once, 1 to 100000")
+        .with_default("4096");
+const ENDPOINT: Setting =
+    Setting::new("endpoint", "ADDRESS", "HTTP address of the endpoint beside this sidecar");
+
+/// Settings of the router role.
+pub(crate) const ROUTER_SPECS: [Setting; 11] = [
+    NAME,
+    ZONE,
+    PEER_LISTEN,
+    OPS_LISTEN,
+    PLATFORM,
+    LOG,
+    LOG_FORMAT,
+    DRAIN_MS,
+    LISTEN,
+    TRAFFIC_THREADS,
+    MAX_CONNECTIONS,
+];
+
+/// Settings of the sidecar role.
+pub(crate) const SIDECAR_SPECS: [Setting; 9] =
+    [NAME, ZONE, PEER_LISTEN, OPS_LISTEN, PLATFORM, LOG, LOG_FORMAT, DRAIN_MS, ENDPOINT];
+
+/// Settings that both roles have.
+#[derive(Debug, Clone)]
+pub(crate) struct CommonSettings {
+    pub(crate) name: EndpointName,
+    pub(crate) zone: ZoneName,
+    pub(crate) peer_listen: SocketAddr,
+    pub(crate) ops_listen: SocketAddr,
+    pub(crate) platform: SocketAddr,
+    pub(crate) fleet_key: FleetKey,
+    pub(crate) log: String,
+    pub(crate) log_format: LogFormat,
+    pub(crate) drain_ms: u64,
+}
+
+/// Settings of a router.
+#[derive(Debug, Clone)]
+pub(crate) struct RouterSettings {
+    pub(crate) common: CommonSettings,
+    pub(crate) listen: SocketAddr,
+    pub(crate) traffic_threads: usize,
+    pub(crate) max_connections: usize,
+}
+
+/// Settings of a sidecar.
+#[derive(Debug, Clone)]
+pub(crate) struct SidecarSettings {
+    pub(crate) common: CommonSettings,
+    pub(crate) endpoint: SocketAddr,
+}
+
+impl RouterSettings {
+    /// Takes the settings of a router.
+    ///
+    /// # Errors
+    ///
+    /// Every setting that is missing or can't be read.
+    pub(crate) fn take(
+        mut settings: Settings,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, SettingsError> {
+        let common = take_common(&mut settings, variable);
+        let listen = settings.required(LISTEN.name());
+        let traffic_threads = take_count(&mut settings, TRAFFIC_THREADS.name(), 64);
+        let max_connections = take_count(&mut settings, MAX_CONNECTIONS.name(), 100_000);
+        let taken = (|| {
+            Some(Self {
+                common: common?,
+                listen: listen?,
+                traffic_threads: traffic_threads?,
+                max_connections: max_connections?,
+            })
+        })();
+        finish(settings, taken)
+    }
+}
+
+impl SidecarSettings {
+    /// Takes the settings of a sidecar.
+    ///
+    /// # Errors
+    ///
+    /// Every setting that is missing or can't be read.
+    pub(crate) fn take(
+        mut settings: Settings,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, SettingsError> {
+        let common = take_common(&mut settings, variable);
+        let endpoint = settings.required(ENDPOINT.name());
+        let taken = (|| Some(Self { common: common?, endpoint: endpoint? }))();
+        finish(settings, taken)
+    }
+}
+
+fn finish<T>(settings: Settings, taken: Option<T>) -> Result<T, SettingsError> {
+    settings.finish()?;
+    // A value is absent only where a fault was noted, which `finish` reports.
+    taken.ok_or(SettingsError { faults: Vec::new() })
+}
+
+fn take_common(
+    settings: &mut Settings,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Option<CommonSettings> {
+    let name = settings.required::<String>(NAME.name());
+    let zone = settings.required::<String>(ZONE.name());
+    let peer_listen = settings.required(PEER_LISTEN.name());
+    let ops_listen = settings.required(OPS_LISTEN.name());
+    let platform = settings.required(PLATFORM.name());
+    let log = settings.required(LOG.name());
+    let log_format = settings.required(LOG_FORMAT.name());
+    let drain_ms = settings.required(DRAIN_MS.name());
+    let fleet_key = take_fleet_key(settings, variable);
+    Some(CommonSettings {
+        name: EndpointName::new(name?),
+        zone: ZoneName::new(zone?),
+        peer_listen: peer_listen?,
+        ops_listen: ops_listen?,
+        platform: platform?,
+        fleet_key: fleet_key?,
+        log: log?,
+        log_format: log_format?,
+        drain_ms: drain_ms?,
+    })
+}
+
+fn take_fleet_key(
+    settings: &mut Settings,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Option<FleetKey> {
+    let Some(text) = variable(FLEET_KEY_VARIABLE) else {
+        settings.fault(format!("{FLEET_KEY_VARIABLE} is missing; set it to the fleet's shared key"));
+        return None;
+    };
+    match FleetKey::new(&text) {
+        Ok(key) => Some(key),
+        Err(err) => {
+            settings.fault(err.to_string());
+            None
+        }
+    }
+}
+
+fn take_count(settings: &mut Settings, name: &'static str, most: usize) -> Option<usize> {
+    let count = settings.required::<usize>(name)?;
+    if (1..=most).contains(&count) {
+        return Some(count);
+    }
+    settings.fault(format!("--{name} is {count}; give a number from 1 to {most}"));
+    None
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/core.rs
@@ -0,0 +1,130 @@
+//! What every decision of a sidecar needs: its clock, its ledger, its records and whether it is
+//! leaving.
+
+use std::sync::Arc;
+
+use persimmon_decide::outcome::{Ledger, LedgerLimits, Outcome, Refusal};
+use persimmon_decide::recovery::{
+    Clocks, Hold, Leaving, LeavingSettings, NotServing, RecordsWord,
+};
+use persimmon_decide::{Incarnation, MonoMs};
+use persimmon_records::{Endpoint, EndpointName, Policy, RecordSet, Workspace, WorkspaceName};
+use persimmon_wire::Refused;
+
+use crate::common::{Clock, Metrics, OutcomeCounts};
+
+/// Delay after which a sidecar that awaits word of its records may be asked again, in milliseconds.
+const RECORDS_RETRY_MS: u64 = 1_000;
+
+/// The state that model requests and service calls share.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) name: EndpointName,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) ledger: Ledger,
+    pub(crate) leaving: Leaving,
+    records: Arc<RecordSet>,
+    endpoint: Option<Endpoint>,
+    counts: OutcomeCounts,
+}
+
+impl Core {
+    /// The state of a process that has just started.
+    pub(crate) fn new(
+        name: EndpointName,
+        clock: Clock,
+        metrics: Metrics,
+        incarnation: Incarnation,
+    ) -> Self {
+        let clocks = Clocks { mono: clock.now(), wall: clock.unix() };
+        Self {
+            name,
+            clock,
+            metrics,
+            ledger: Ledger::new(incarnation, LedgerLimits::default()),
+            leaving: Leaving::new(LeavingSettings::default(), clocks),
+            records: Arc::new(RecordSet::empty()),
+            endpoint: None,
+            counts: OutcomeCounts::default(),
+        }
+    }
+
+    /// Monotonic time.
+    pub(crate) fn now(&self) -> MonoMs {
+        self.clock.now()
+    }
+
+    /// Both clocks.
+    pub(crate) fn clocks(&self) -> Clocks {
+        Clocks { mono: self.clock.now(), wall: self.clock.unix() }
+    }
+
+    /// The records in force.
+    pub(crate) fn records(&self) -> &Arc<RecordSet> {
+        &self.records
+    }
+
+    /// The record of the endpoint beside this sidecar.
+    pub(crate) fn endpoint(&self) -> Option<&Endpoint> {
+        self.endpoint.as_ref()
+    }
+
+    /// The policy in force.
+    pub(crate) fn policy(&self) -> &Policy {
+        &self.records.policy
+    }
+
+    /// The record of a workspace that hasn't expired.
+    pub(crate) fn workspace(&self, name: &WorkspaceName) -> Option<&Workspace> {
+        let wall = self.clock.unix();
+        let found = self.records.workspaces.iter().find(|workspace| workspace.name == *name);
+        found.filter(|workspace| workspace.expires_at.is_none_or(|at| wall < at))
+    }
+
+    /// How requests ended so far.
+    pub(crate) fn counts(&self) -> OutcomeCounts {
+        self.counts
+    }
+
+    /// Puts records into force.
+    pub(crate) fn set_records(&mut self, records: Arc<RecordSet>) {
+        let clocks = self.clocks();
+        self.endpoint = records.endpoint(&self.name).cloned();
+        let word = RecordsWord::of_endpoint(self.endpoint.as_ref());
+        self.leaving.set_records(word, records.generation, clocks);
+        self.records = records;
+    }
+
+    /// Whether new work may be admitted now.
+    ///
+    /// # Errors
+    ///
+    /// A definite refusal.
+    pub(crate) fn check_serving(&self) -> Result<(), Refused> {
+        self.leaving.check(self.clocks()).map_err(|not_serving| match not_serving {
+            NotServing::Leaving(_) | NotServing::Held(Hold::NotOpened(_)) => {
+                Refused { refusal: Refusal::Leaving, retry_after_ms: 0 }
+            }
+            NotServing::Held(_) => {
+                Refused { refusal: Refusal::StaleRecords, retry_after_ms: RECORDS_RETRY_MS }
+            }
+        })
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn count_refusal(&self, refused: &Refused) {
+        self.metrics.refusals.with_label_values(&[refused.refusal.as_str()]).inc();
+    }
+
+    /// Counts how a request ended.
+    pub(crate) fn count_outcome(&mut self, outcome: Outcome) {
+        let counter = match outcome {
+            Outcome::Done => &mut self.counts.done,
+            Outcome::NotRun => &mut self.counts.not_run,
+            Outcome::Unknown => &mut self.counts.unknown,
+        };
+        *counter += 1;
+        self.metrics.outcomes.with_label_values(&[outcome.as_str()]).inc();
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/rpc.rs
@@ -0,0 +1,179 @@
+//! The sidecar's calls, answered by its control thread.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use flume::Sender;
+use persimmon_decide::outcome::{FrameId, HeartbeatLimits, LedgerKey};
+use persimmon_decide::{Attempt, RequestId};
+use persimmon_records::EndpointName;
+use persimmon_wire::fleet_capnp::{frame_sink, node, sidecar};
+use persimmon_wire::{
+    ClaimRequest, Frame, ModelRequest, RequestRef, ServiceCall, StreamPosition, write_settled,
+    write_stamp,
+};
+
+use super::command::Command;
+use super::pump::{FRAMES_WAITING, Pump};
+use crate::common::Clock;
+
+/// The sidecar as other processes call it.
+#[derive(Clone)]
+pub(crate) struct SidecarCalls {
+    pub(crate) name: EndpointName,
+    pub(crate) commands: Sender<Command>,
+    pub(crate) clock: Clock,
+    pub(crate) heartbeat: HeartbeatLimits,
+}
+
+impl SidecarCalls {
+    /// Asks the control thread and waits for its answer.
+    async fn ask<T>(&self, command: impl FnOnce(Sender<T>) -> Command) -> capnp::Result<T> {
+        let (tx, rx) = flume::bounded(1);
+        self.commands.send(command(tx)).map_err(|_| stopping())?;
+        rx.recv_async().await.map_err(|_| stopping())
+    }
+
+    fn start_pump(
+        &self,
+        request: &RequestRef,
+        attempt: Attempt,
+        frames: flume::Receiver<Frame>,
+        sink: frame_sink::Client,
+    ) {
+        let pump = Pump {
+            key: LedgerKey::of_request(&request.workspace, request.id),
+            id: frame_id(request, request.id, attempt),
+            frames,
+            sink,
+            commands: self.commands.clone(),
+            clock: self.clock,
+            limits: self.heartbeat.clone(),
+        };
+        tokio::task::spawn_local(pump.run());
+    }
+}
+
+fn frame_id(request: &RequestRef, id: RequestId, attempt: Attempt) -> FrameId {
+    FrameId { request: id, attempt, incarnation: request.stamp.incarnation }
+}
+
+fn stopping() -> capnp::Error {
+    capnp::Error::disconnected("the sidecar is stopping; try another endpoint".into())
+}
+
+impl node::Server for SidecarCalls {
+    async fn records(
+        self: Rc<Self>,
+        params: node::RecordsParams,
+        mut results: node::RecordsResults,
+    ) -> capnp::Result<()> {
+        let generation = params.get()?.get_generation();
+        let text: Option<Arc<str>> =
+            self.ask(|reply| Command::RecordsText { generation, reply }).await?;
+        let mut update = results.get().init_update();
+        match text {
+            Some(text) => update.set_text(&*text),
+            None => update.set_unchanged(()),
+        }
+        Ok(())
+    }
+
+    async fn sidecar(
+        self: Rc<Self>,
+        _params: node::SidecarParams,
+        mut results: node::SidecarResults,
+    ) -> capnp::Result<()> {
+        let stamp = self.ask(|reply| Command::Greet { reply }).await?;
+        let mut results = results.get();
+        results.set_sidecar(capnp_rpc::new_client(Self::clone(&self)));
+        results.set_name(self.name.as_str());
+        write_stamp(results.init_stamp(), stamp);
+        Ok(())
+    }
+}
+
+impl sidecar::Server for SidecarCalls {
+    async fn submit(
+        self: Rc<Self>,
+        params: sidecar::SubmitParams,
+        mut results: sidecar::SubmitResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let req = ModelRequest::read(params.get_request()?)?;
+        let sink = params.get_sink()?;
+        let (frames, rx) = flume::bounded(FRAMES_WAITING);
+        let (request, attempt) = (req.id.clone(), req.attempt);
+        let req = Box::new(req);
+        let admission = self.ask(|reply| Command::Submit { req, frames, reply }).await?;
+        admission.write(results.get().init_admission());
+        if admission.refused.is_none() {
+            self.start_pump(&request, attempt, rx, sink);
+        }
+        Ok(())
+    }
+
+    async fn resume(
+        self: Rc<Self>,
+        params: sidecar::ResumeParams,
+        mut results: sidecar::ResumeResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let position = StreamPosition::read(params.get_position()?)?;
+        let sink = params.get_sink()?;
+        let (frames, rx) = flume::bounded(FRAMES_WAITING);
+        let (request, attempt) = (position.id.clone(), position.attempt);
+        let refused = self.ask(|reply| Command::Resume { position, frames, reply }).await?;
+        let mut resumption = results.get().init_resumption();
+        match refused {
+            Some(refused) => refused.write(resumption.init_refused()),
+            None => {
+                resumption.set_resumed(());
+                self.start_pump(&request, attempt, rx, sink);
+            }
+        }
+        Ok(())
+    }
+
+    async fn settle(
+        self: Rc<Self>,
+        params: sidecar::SettleParams,
+        mut results: sidecar::SettleResults,
+    ) -> capnp::Result<()> {
+        let request = RequestRef::read(params.get()?.get_request()?)?;
+        let settled = self.ask(|reply| Command::Settle { request, reply }).await?;
+        results.get().set_settled(write_settled(settled));
+        Ok(())
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: sidecar::CancelParams,
+        _results: sidecar::CancelResults,
+    ) -> capnp::Result<()> {
+        let request = RequestRef::read(params.get()?.get_request()?)?;
+        self.commands.send(Command::Cancel { request }).map_err(|_| stopping())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: sidecar::ClaimParams,
+        mut results: sidecar::ClaimResults,
+    ) -> capnp::Result<()> {
+        let req = ClaimRequest::read(params.get()?.get_request()?)?;
+        let reply = self.ask(|reply| Command::Claim { req, reply }).await?;
+        reply.write(results.get().init_reply());
+        Ok(())
+    }
+
+    async fn call(
+        self: Rc<Self>,
+        params: sidecar::CallParams,
+        mut results: sidecar::CallResults,
+    ) -> capnp::Result<()> {
+        let call = Box::new(ServiceCall::read(params.get()?.get_call()?)?);
+        let reply = self.ask(|reply| Command::Call { call, reply }).await?;
+        reply.write(results.get().init_reply());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/service.rs
@@ -0,0 +1,106 @@
+//! The plain service beside the sidecar, over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use flume::Sender;
+use persimmon_decide::outcome::{Answer, LedgerKey};
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use super::command::Command;
+
+/// Longest answer of a service that is taken, in bytes.
+const MAX_ANSWER_BYTES: usize = 256 * 1024;
+
+/// How a call ended.
+#[derive(Debug)]
+pub(crate) enum ServiceNews {
+    /// The service answered.
+    Answered(Answer),
+    /// The call was never sent, since no connection could be opened.
+    NotSent,
+    /// The call was sent and its answer wasn't seen whole.
+    Unknown(String),
+}
+
+/// How one call ended.
+#[derive(Debug)]
+pub(crate) struct ServiceEvent {
+    pub(crate) key: LedgerKey,
+    pub(crate) news: ServiceNews,
+}
+
+/// A call as the service takes it.
+#[derive(Debug, Serialize)]
+pub(crate) struct CallBody {
+    pub(crate) key: String,
+    pub(crate) operation: String,
+    pub(crate) body: Box<RawValue>,
+}
+
+/// A call on its way to the service.
+#[derive(Debug)]
+pub(crate) struct ServiceRun {
+    pub(crate) key: LedgerKey,
+    pub(crate) body: CallBody,
+    pub(crate) traceparent: String,
+    pub(crate) timeout_s: u64,
+}
+
+/// The service as the control thread uses it.
+#[derive(Debug, Clone)]
+pub(crate) struct Service {
+    address: SocketAddr,
+    commands: Sender<Command>,
+}
+
+impl Service {
+    /// The service at `address`, whose news go to `commands`.
+    pub(crate) fn new(address: SocketAddr, commands: Sender<Command>) -> Self {
+        Self { address, commands }
+    }
+
+    /// Runs a call on a thread of its own, which reports as [`Command::Service`].
+    ///
+    /// # Errors
+    ///
+    /// The thread can't be started. Nothing was sent.
+    pub(crate) fn run(&self, run: ServiceRun) -> std::io::Result<()> {
+        let address = self.address;
+        let commands = self.commands.clone();
+        thread::Builder::new().name("service-call".into()).spawn(move || {
+            let news = call(address, &run);
+            // A closed channel means that the process has ended.
+            let _closed = commands.send(Command::Service(ServiceEvent { key: run.key, news }));
+        })?;
+        Ok(())
+    }
+}
+
+fn call(address: SocketAddr, run: &ServiceRun) -> ServiceNews {
+    let request = minreq::post(format!("http://{address}/v1/calls"))
+        .with_timeout(run.timeout_s)
+        .with_header("traceparent", run.traceparent.as_str())
+        .with_json(&run.body);
+    match request.and_then(minreq::Request::send) {
+        Ok(response) => answered(&response),
+        Err(minreq::Error::IoError(io)) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
+            ServiceNews::NotSent
+        }
+        Err(err) => ServiceNews::Unknown(format!("the service's answer was not seen: {err}")),
+    }
+}
+
+fn answered(response: &minreq::Response) -> ServiceNews {
+    let status = u16::try_from(response.status_code).unwrap_or_default();
+    let body = response.as_bytes();
+    if body.len() > MAX_ANSWER_BYTES {
+        return ServiceNews::Unknown("the service's answer is too long to keep".into());
+    }
+    if status >= 500 {
+        return ServiceNews::Unknown(format!("the service failed with status {status}"));
+    }
+    ServiceNews::Answered(Answer { status, body: Arc::from(body) })
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/subscriber.rs
@@ -0,0 +1,59 @@
+//! The router that takes an answer's frames.
+
+use flume::TrySendError;
+use persimmon_decide::Offset;
+use persimmon_decide::outcome::{Body, FrameId, RetainedOutput};
+use persimmon_wire::{Frame, FrameBody};
+
+use super::command::FrameTx;
+
+/// Where a subscriber stands after it was fed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fed {
+    /// It has everything that is kept so far, or its channel is full.
+    Waiting,
+    /// It has the end of the answer.
+    Finished,
+    /// It is gone, or asks for frames that are gone.
+    Gone,
+}
+
+/// One router that takes an answer's frames, from an offset on.
+#[derive(Debug)]
+pub(crate) struct Subscriber {
+    id: FrameId,
+    frames: FrameTx,
+    next: Offset,
+}
+
+impl Subscriber {
+    /// A subscriber that has every frame before `next`.
+    pub(crate) fn new(id: FrameId, frames: FrameTx, next: Offset) -> Self {
+        Self { id, frames, next }
+    }
+
+    /// Sends what is kept and fits the channel.
+    pub(crate) fn feed(&mut self, output: &RetainedOutput) -> Fed {
+        let Ok(kept) = output.read_from(self.next) else {
+            return Fed::Gone;
+        };
+        for (offset, body) in kept {
+            let is_end = matches!(body, Body::End(_));
+            match self.frames.try_send(self.frame(offset, body)) {
+                Ok(()) if is_end => return Fed::Finished,
+                Ok(()) => self.next = Offset(offset.0 + 1),
+                Err(TrySendError::Full(_)) => return Fed::Waiting,
+                Err(TrySendError::Disconnected(_)) => return Fed::Gone,
+            }
+        }
+        Fed::Waiting
+    }
+
+    fn frame(&self, offset: Offset, body: Body) -> Frame {
+        let body = match body {
+            Body::Data(data) => FrameBody::Data(data),
+            Body::End(end) => FrameBody::End(end),
+        };
+        Frame { id: self.id, offset, body }
+    }
+}
