Add the types that decide outcomes, streams and silence

Cause: the daemon has nothing that says what became of a request. Ruled out: an expiry on the wall clock, since it would compare clocks of two processes; each stamp is made and judged by one life of one sidecar. Change: Claim, ClaimSealer, Ledger, Dispatch, Assembly, RetainedOutput, OutputStore, Heartbeat.

--- /dev/null
+++ b/crates/persimmon_decide/src/outcome/answer.rs
@@ -0,0 +1,12 @@
+//! Recorded answers of plain services.
+
+use std::sync::Arc;
+
+/// An answer that is repeated to duplicates of its call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status of the service's reply.
+    pub status: u16,
+    /// The body of the service's reply.
+    pub body: Arc<[u8]>,
+}
--- a/crates/persimmon_decide/src/outcome/mod.rs
+++ b/crates/persimmon_decide/src/outcome/mod.rs
@@ -1,1 +1,45 @@
 //! Outcomes: what became of a request, and who may say so.
+//!
+//! The sidecar's side is [`Ledger`] (which calls began, and their answers) and [`OutputStore`]
+//! (frames kept until acknowledged). The router's side is [`Dispatch`] (one state machine for each
+//! request), [`Assembly`] (one answer from its frames) and [`Heartbeat`] (silence on connections).
+//! [`Claim`] is what a caller carries between routers for a call that may not be repeated.
+
+mod answer;
+mod assembly;
+mod bare_key;
+mod claim;
+mod dispatch;
+mod dispatch_event;
+mod frame;
+mod heartbeat;
+mod idempotency_key;
+mod ledger;
+mod ledger_entry;
+mod ledger_key;
+mod ledger_limits;
+mod output_store;
+mod refusal;
+mod retained_output;
+mod sealer;
+mod stamp;
+mod verdict;
+
+pub use answer::Answer;
+pub use assembly::{Assembly, AssemblyCounts, Dropped, RestartError, Taken};
+pub use bare_key::check_bare_key;
+pub use claim::Claim;
+pub use dispatch::{Dispatch, DispatchLimits};
+pub use dispatch_event::{Action, Cause, Event, Final};
+pub use frame::{Body, Frame, FrameId, StreamEnd};
+pub use heartbeat::{Heartbeat, HeartbeatLimits, Pulse};
+pub use idempotency_key::{IdempotencyKey, IdempotencyKeyError};
+pub use ledger::{Begin, Ledger, LedgerError};
+pub use ledger_key::LedgerKey;
+pub use ledger_limits::{LedgerCounts, LedgerLimits};
+pub use output_store::{OutputStore, StoreError, StoreLimits, Swept};
+pub use refusal::{Refusal, RetryHint};
+pub use retained_output::{OutputLimits, OutputState, PushError, ResumeError, RetainedOutput};
+pub use sealer::{ClaimError, ClaimSealer};
+pub use stamp::{Presented, Repeatability, Stamp};
+pub use verdict::{Outcome, Settled};
