Read record sets from text with every fault at once

Cause: a derived reader stops at the first fault and knows neither its record nor a remedy, and nothing checked records against each other. Change: RecordSet::parse reads field by field from borrowed text, RecordSet::check judges the typed set, to_text writes the newest schema version, Workspace::total_limits bounds all classes together. RecordSet no longer derives Deserialize, so that no unchecked set gets in.

--- /dev/null
+++ b/crates/persimmon_records/src/bounds.rs
@@ -0,0 +1,22 @@
+//! Bounds on what operators publish, so that a process knows beforehand how much it may hold.
+
+/// Bytes that one value of the platform's configuration service holds.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// Bytes of a whole record set as text, inline or joined from its parts.
+pub const MAX_SET_BYTES: usize = 8_000_000;
+
+/// Workspaces in one set: twice the 4,400 that the fleet is designed for.
+pub const MAX_WORKSPACES: usize = 8_800;
+
+/// Endpoints in one set: twice the 3,700 that the fleet is designed for.
+pub const MAX_ENDPOINTS: usize = 7_400;
+
+/// Key digests of one workspace.
+pub const MAX_WORKSPACE_KEYS: usize = 16;
+
+/// Models, services or endpoints that one workspace names.
+pub const MAX_WORKSPACE_NAMES: usize = 1_024;
+
+/// Characters of a name.
+pub const MAX_NAME_CHARS: usize = 64;
--- a/crates/persimmon_records/src/class.rs
+++ b/crates/persimmon_records/src/class.rs
@@ -51,6 +51,13 @@
     pub drafting: T,
 }
 
+impl<T: Clone> PerClass<T> {
+    /// The same value for every class.
+    pub fn all(value: T) -> Self {
+        Self { quick: value.clone(), conversation: value.clone(), drafting: value }
+    }
+}
+
 impl<T> PerClass<T> {
     /// The value for `class`.
     pub fn get(&self, class: Class) -> &T {
--- /dev/null
+++ b/crates/persimmon_records/src/fault.rs
@@ -0,0 +1,314 @@
+//! Faults of published records, each with its place and a remedy.
+
+use std::fmt;
+
+use thiserror::Error;
+
+use crate::{EndpointName, MAX_NAME_CHARS, ModelName, ServiceName, WorkspaceName};
+
+/// Characters of a published text that a fault repeats.
+const MAX_ECHO_CHARS: usize = 120;
+
+/// Faults that [`RecordErrors::summary`] writes out.
+const SUMMARY_FAULTS: usize = 3;
+
+/// The kind of record that a fault is in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RecordKind {
+    /// The set itself.
+    Set,
+    /// The head that names a set's parts and changes.
+    Head,
+    /// A part of a set.
+    Part,
+    /// A change of one record.
+    Change,
+    /// The fleet policy.
+    Policy,
+    /// A workspace.
+    Workspace,
+    /// An endpoint.
+    Endpoint,
+}
+
+impl RecordKind {
+    /// The name that the published text uses.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Set => "set",
+            Self::Head => "head",
+            Self::Part => "parts",
+            Self::Change => "changes",
+            Self::Policy => "policy",
+            Self::Workspace => "workspaces",
+            Self::Endpoint => "endpoints",
+        }
+    }
+}
+
+/// Where a fault is: written as `workspaces[3] (swap-desk), limits.quick.in_progress`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// The kind of record.
+    pub kind: RecordKind,
+    /// The record's position in its list, from 0.
+    pub index: Option<usize>,
+    /// The record's name, if it could be read.
+    pub name: Option<String>,
+    /// The field, with dots between an object and its fields; the whole record if absent.
+    pub field: Option<String>,
+}
+
+impl Place {
+    /// The whole of a record that stands alone.
+    pub fn of(kind: RecordKind) -> Self {
+        Self { kind, index: None, name: None, field: None }
+    }
+
+    /// The whole of the record at `index` of its list.
+    pub fn at(kind: RecordKind, index: usize) -> Self {
+        Self { index: Some(index), ..Self::of(kind) }
+    }
+
+    /// Adds the record's name.
+    #[must_use]
+    pub fn with_name(mut self, name: &str) -> Self {
+        self.name = Some(echo(name));
+        self
+    }
+
+    /// Narrows the place to a field.
+    #[must_use]
+    pub fn with_field(mut self, field: impl Into<String>) -> Self {
+        self.field = Some(field.into());
+        self
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.kind.as_str())?;
+        if let Some(index) = self.index {
+            write!(f, "[{index}]")?;
+        }
+        if let Some(name) = &self.name {
+            write!(f, " ({name})")?;
+        }
+        match &self.field {
+            Some(field) => write!(f, ", {field}"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// What is wrong at a place, and the remedy.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub enum FaultKind {
+    /// The text is longer than permitted.
+    #[error("has {found} bytes, over the {max} permitted; remove records that are no longer used")]
+    TooLong {
+        /// Bytes found.
+        found: usize,
+        /// Bytes permitted.
+        max: usize,
+    },
+    /// The text isn't JSON of the expected shape.
+    #[error("can't be read: {detail}; correct the JSON there")]
+    Syntax {
+        /// What the JSON reader found.
+        detail: String,
+    },
+    /// The schema version isn't known.
+    #[error("schema version isn't supported; publish schema_version 1 or 2")]
+    UnsupportedSchema,
+    /// A required field is absent.
+    #[error("is missing; add it")]
+    MissingField,
+    /// A field that this schema version doesn't have.
+    #[error("is no field of this schema version; remove it or correct its name")]
+    UnknownField,
+    /// A field that stands twice in one object.
+    #[error("stands more than once; keep one")]
+    RepeatedField,
+    /// A value of the wrong type or range.
+    #[error("can't be read ({detail}); write {expected}")]
+    WrongValue {
+        /// What the JSON reader found.
+        detail: String,
+        /// What belongs there.
+        expected: &'static str,
+    },
+    /// Something other than a key digest.
+    #[error("is no key digest; write the 64 hexadecimal digits that `persimmonctl digest` prints")]
+    NotKeyDigest,
+    /// Something other than a digest of content.
+    #[error("is no digest; write the 64 hexadecimal digits from `persimmonctl publish-form`")]
+    NotDigest,
+    /// Generation 0 stands for "no records yet".
+    #[error("is 0, which no publication may have; publish a generation above the last one")]
+    ZeroGeneration,
+    /// A list with too many entries.
+    #[error("has {found} entries, over the {max} permitted; remove those no longer used")]
+    TooMany {
+        /// Entries found.
+        found: usize,
+        /// Entries permitted.
+        max: usize,
+    },
+    /// A name that is empty or too long.
+    #[error("has {found} characters; write a name of 1 to {MAX_NAME_CHARS}")]
+    NameLength {
+        /// Characters found.
+        found: usize,
+    },
+    /// A name with characters that aren't permitted.
+    #[error(
+        "has characters that a name may not have; use letters a-z, A-Z, digits, `-`, `_` and \
+             `.`, with a letter or digit first"
+    )]
+    NameCharacters,
+    /// A name that an earlier record of the kind has.
+    #[error("is also the name of the record at [{first}]; rename one")]
+    DuplicateName {
+        /// The position of the earlier record.
+        first: usize,
+    },
+    /// A key digest that stands elsewhere already.
+    #[error("is also a key of workspace {other}; give each workspace keys of its own")]
+    DuplicateKeyDigest {
+        /// The workspace that has it too.
+        other: WorkspaceName,
+    },
+    /// An entry that stands earlier in the same list.
+    #[error("stands earlier in the list; remove one")]
+    DuplicateEntry,
+    /// An endpoint that could run nothing.
+    #[error("is 0; write how many requests the endpoint runs at once, or remove the endpoint")]
+    ZeroSlots,
+    /// An address such as 0.0.0.0 that no connection reaches.
+    #[error("names no VM; write the address at which the sidecar is reached")]
+    UnspecifiedAddress,
+    /// An address with port 0.
+    #[error("has port 0; write the port at which the sidecar listens")]
+    ZeroPort,
+    /// An address that another endpoint has.
+    #[error("is also the address of endpoint {other}; write each sidecar's own")]
+    DuplicateAddress {
+        /// The endpoint that has it too.
+        other: EndpointName,
+    },
+    /// A model that no endpoint serves.
+    #[error("names model {0}, which no endpoint serves; correct the name or add an endpoint")]
+    UnknownModel(ModelName),
+    /// A service that no endpoint serves.
+    #[error("names service {0}, which no endpoint serves; correct the name or add an endpoint")]
+    UnknownService(ServiceName),
+    /// An endpoint that the set doesn't have.
+    #[error("names endpoint {0}, which the set doesn't have; correct the name or add it")]
+    UnknownEndpoint(EndpointName),
+    /// A multiple below 1.
+    #[error("is {found}; write a number of at least 1, since some endpoint carries the mean")]
+    MultipleBelowOne {
+        /// The number found.
+        found: f64,
+    },
+    /// A share outside of 0 to 1.
+    #[error("is {found}; write a share from 0 to 1")]
+    ShareOutside {
+        /// The number found.
+        found: f64,
+    },
+    /// A load floor of 0, below which an idle fleet admits nothing.
+    #[error("is 0, so that an idle fleet would admit nothing; write at least 1")]
+    ZeroFloor,
+}
+
+impl FaultKind {
+    /// A value that `error` says can't be read as `expected`.
+    pub(crate) fn wrong_value(error: &serde_json::Error, expected: &'static str) -> Self {
+        Self::WrongValue { detail: without_position(error), expected }
+    }
+
+    /// A text that `error` says isn't JSON.
+    pub(crate) fn syntax(error: &serde_json::Error) -> Self {
+        Self::Syntax { detail: echo(&error.to_string()) }
+    }
+}
+
+/// One fault and its place.
+#[derive(Debug, Clone, PartialEq, Error)]
+#[error("{place}: {kind}")]
+pub struct Fault {
+    /// Where it is.
+    pub place: Place,
+    /// What it is.
+    pub kind: FaultKind,
+}
+
+/// Every fault of a published text, by kind of record and position.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub struct RecordErrors {
+    /// The faults, at least one.
+    pub faults: Vec<Fault>,
+}
+
+impl RecordErrors {
+    /// The first faults and how many there are, for a log line or a status page.
+    pub fn summary(&self) -> String {
+        let first: Vec<_> = self.faults.iter().take(SUMMARY_FAULTS).map(Fault::to_string).collect();
+        let shown = first.join("; also ");
+        match self.faults.len().saturating_sub(SUMMARY_FAULTS) {
+            0 => shown,
+            more => format!("{shown}; and {more} more, listed by `persimmonctl check`"),
+        }
+    }
+}
+
+impl fmt::Display for RecordErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, fault) in self.faults.iter().enumerate() {
+            if i > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Collects faults while a text is read.
+#[derive(Debug, Default)]
+pub(crate) struct Faults(Vec<Fault>);
+
+impl Faults {
+    pub(crate) fn push(&mut self, place: Place, kind: FaultKind) {
+        self.0.push(Fault { place, kind });
+    }
+
+    /// Every fault by kind and position, if there was one.
+    pub(crate) fn into_result(mut self) -> Result<(), RecordErrors> {
+        if self.0.is_empty() {
+            return Ok(());
+        }
+        self.0.sort_by_key(|fault| (fault.place.kind, fault.place.index));
+        Err(RecordErrors { faults: self.0 })
+    }
+}
+
+/// The start of a published text, short enough for a message.
+pub(crate) fn echo(text: &str) -> String {
+    text.chars().filter(|char| !char.is_control()).take(MAX_ECHO_CHARS).collect()
+}
+
+/// The start of a name, short enough for a message.
+pub(crate) fn shortened(name: &str) -> &str {
+    let end = name.char_indices().nth(MAX_NAME_CHARS).map_or(name.len(), |(at, _)| at);
+    &name[..end]
+}
+
+/// The message of `error` without its line and column, which count from the start of the field.
+fn without_position(error: &serde_json::Error) -> String {
+    let message = error.to_string();
+    let end = message.rfind(" at line ").unwrap_or(message.len());
+    echo(&message[..end])
+}
--- a/crates/persimmon_records/src/name.rs
+++ b/crates/persimmon_records/src/name.rs
@@ -22,6 +22,12 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// The shared text, to let equal names hold one copy.
+            #[allow(dead_code, reason = "a workspace's own name is shared with no other")]
+            pub(crate) fn shared_mut(&mut self) -> &mut Arc<str> {
+                &mut self.0
+            }
         }
 
         impl fmt::Display for $name {
--- /dev/null
+++ b/crates/persimmon_records/src/read/fields.rs
@@ -0,0 +1,196 @@
+//! Reads the fields of one JSON object one by one, so that a fault in one hides none in another.
+
+use std::borrow::Cow;
+use std::fmt;
+
+use serde::de::{Deserialize, Deserializer, MapAccess, Visitor};
+use serde_json::value::RawValue;
+
+use crate::fault::echo;
+use crate::{FaultKind, Place, RecordKind, fault::Faults};
+
+/// The fields of one object that haven't been taken yet.
+#[derive(Debug)]
+pub(crate) struct Fields<'a> {
+    place: Place,
+    prefix: String,
+    entries: Vec<(Cow<'a, str>, &'a RawValue)>,
+}
+
+impl<'a> Fields<'a> {
+    /// Reads the object in `text`. A text that isn't an object is a fault and gives no fields.
+    pub(crate) fn read(text: &'a str, place: Place, faults: &mut Faults) -> Option<Self> {
+        Self::read_nested(text, place, String::new(), faults)
+    }
+
+    fn read_nested(
+        text: &'a str,
+        place: Place,
+        prefix: String,
+        faults: &mut Faults,
+    ) -> Option<Self> {
+        match serde_json::from_str::<Entries<'a>>(text) {
+            Ok(entries) => Some(Self { place, prefix, entries: entries.0 }),
+            Err(error) if error.is_data() => {
+                let at = if prefix.is_empty() {
+                    place
+                } else {
+                    place.with_field(prefix.trim_end_matches('.'))
+                };
+                faults.push(at, FaultKind::wrong_value(&error, "an object"));
+                None
+            }
+            Err(error) => {
+                faults.push(place, FaultKind::syntax(&error));
+                None
+            }
+        }
+    }
+
+    /// Whether the object has a field of this name that wasn't taken.
+    pub(crate) fn has(&self, name: &str) -> bool {
+        self.entries.iter().any(|(key, _)| key == name)
+    }
+
+    /// The place of the field `name`.
+    pub(crate) fn place(&self, name: &str) -> Place {
+        self.place.clone().with_field(format!("{}{name}", self.prefix))
+    }
+
+    /// Adds the record's name to the places of later faults.
+    pub(crate) fn set_name(&mut self, name: &str) {
+        self.place = self.place.clone().with_name(name);
+    }
+
+    /// Takes the field `name` as it stands.
+    pub(crate) fn raw(&mut self, name: &str, faults: &mut Faults) -> Option<&'a RawValue> {
+        let position = self.entries.iter().position(|(key, _)| key == name)?;
+        let (_, value) = self.entries.remove(position);
+        let before = self.entries.len();
+        self.entries.retain(|(key, _)| key != name);
+        if self.entries.len() < before {
+            faults.push(self.place(name), FaultKind::RepeatedField);
+        }
+        Some(value)
+    }
+
+    /// Takes the field `name` if it stands there and can be read; `null` counts as absent.
+    pub(crate) fn optional<T: Deserialize<'a>>(
+        &mut self,
+        name: &str,
+        expected: &'static str,
+        faults: &mut Faults,
+    ) -> Option<T> {
+        let raw = self.raw(name, faults)?;
+        match serde_json::from_str::<Option<T>>(raw.get()) {
+            Ok(value) => value,
+            Err(error) => {
+                faults.push(self.place(name), FaultKind::wrong_value(&error, expected));
+                None
+            }
+        }
+    }
+
+    /// Takes the field `name`, whose absence is a fault.
+    pub(crate) fn required<T: Deserialize<'a>>(
+        &mut self,
+        name: &str,
+        expected: &'static str,
+        faults: &mut Faults,
+    ) -> Option<T> {
+        if !self.has(name) {
+            faults.push(self.place(name), FaultKind::MissingField);
+            return None;
+        }
+        let raw = self.raw(name, faults)?;
+        match serde_json::from_str(raw.get()) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                faults.push(self.place(name), FaultKind::wrong_value(&error, expected));
+                None
+            }
+        }
+    }
+
+    /// Takes the entries of the list `name`; an absent list is empty.
+    pub(crate) fn list(&mut self, name: &str, faults: &mut Faults) -> Vec<&'a RawValue> {
+        self.optional(name, "a list", faults).unwrap_or_default()
+    }
+
+    /// Takes the list `name` of values that read alike, passing over entries with faults.
+    pub(crate) fn values<T: Deserialize<'a>>(
+        &mut self,
+        name: &str,
+        expected: &'static str,
+        faults: &mut Faults,
+    ) -> Vec<T> {
+        let list = self.list(name, faults);
+        let mut values = Vec::with_capacity(list.len());
+        for (i, raw) in list.into_iter().enumerate() {
+            match serde_json::from_str(raw.get()) {
+                Ok(value) => values.push(value),
+                Err(error) => {
+                    let place = self.place(&format!("{name}[{i}]"));
+                    faults.push(place, FaultKind::wrong_value(&error, expected));
+                }
+            }
+        }
+        values
+    }
+
+    /// Takes the object `name`.
+    pub(crate) fn object(&mut self, name: &str, faults: &mut Faults) -> Option<Self> {
+        let raw = self.raw(name, faults)?;
+        let prefix = format!("{}{name}.", self.prefix);
+        Self::read_nested(raw.get(), self.place.clone(), prefix, faults)
+    }
+
+    /// Reports each field that wasn't taken.
+    pub(crate) fn close(self, faults: &mut Faults) {
+        for (name, _) in &self.entries {
+            faults.push(self.place(&echo(name)), FaultKind::UnknownField);
+        }
+    }
+}
+
+/// An object's entries in the order of the text, with repeated names kept.
+#[derive(Debug)]
+struct Entries<'a>(Vec<(Cow<'a, str>, &'a RawValue)>);
+
+/// A field's name, borrowed from the text unless it has escapes.
+#[derive(Debug, serde::Deserialize)]
+struct FieldName<'a>(#[serde(borrow)] Cow<'a, str>);
+
+impl<'de> Deserialize<'de> for Entries<'de> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(EntriesVisitor)
+    }
+}
+
+struct EntriesVisitor;
+
+impl<'de> Visitor<'de> for EntriesVisitor {
+    type Value = Entries<'de>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an object")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Self::Value, A::Error> {
+        let mut entries = Vec::new();
+        while let Some((name, value)) = map.next_entry::<FieldName<'de>, &'de RawValue>()? {
+            entries.push((name.0, value));
+        }
+        Ok(Entries(entries))
+    }
+}
+
+/// Opens the record `raw` at `index` of its list.
+pub(crate) fn record<'a>(
+    raw: &'a RawValue,
+    kind: RecordKind,
+    index: usize,
+    faults: &mut Faults,
+) -> Option<Fields<'a>> {
+    Fields::read(raw.get(), Place::at(kind, index), faults)
+}
--- a/crates/persimmon_records/src/record_set.rs
+++ b/crates/persimmon_records/src/record_set.rs
@@ -4,7 +4,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Endpoint, EndpointName, KeyDigest, Policy, Workspace};
+use crate::check::{Gaps, Positions, check_set};
+use crate::fault::Faults;
+use crate::intern::Interner;
+use crate::read::read_set;
+use crate::{
+    Endpoint, EndpointName, FaultKind, KeyDigest, MAX_SET_BYTES, Place, Policy, RecordErrors,
+    RecordKind, Workspace,
+};
 
 /// Orders record sets: a process never goes back to a lower one.
 #[derive(
@@ -51,21 +58,20 @@
 }
 
 /// Every record in force at one generation, in the newest layout.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+///
+/// Its text is read by [`RecordSet::parse`], which checks all of it, and written by
+/// [`RecordSet::to_text`].
+#[derive(Debug, Clone, PartialEq)]
 pub struct RecordSet {
     /// The layout that the set was written in.
     pub schema_version: SchemaVersion,
     /// The generation of the set.
     pub generation: Generation,
     /// Settings of the whole fleet.
-    #[serde(default)]
     pub policy: Policy,
     /// Every workspace.
-    #[serde(default)]
     pub workspaces: Vec<Workspace>,
     /// Every endpoint.
-    #[serde(default)]
     pub endpoints: Vec<Endpoint>,
 }
 
@@ -81,6 +87,71 @@
         }
     }
 
+    /// Reads a set from its text, in any supported schema version, and checks all of it. Records
+    /// come out ordered by name. An expired record is no fault: time alone ends its use.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text at once, each with its place and remedy. When the schema version is
+    /// unknown the records aren't judged.
+    ///
+    /// ```
+    /// use persimmon_records::RecordSet;
+    ///
+    /// let set = RecordSet::parse(r#"{"schema_version": 2, "generation": 1}"#).unwrap();
+    /// assert!(set.workspaces.is_empty());
+    ///
+    /// let errors = RecordSet::parse(r#"{"schema_version": 2, "generatoin": 1}"#).unwrap_err();
+    /// assert_eq!(errors.faults.len(), 2);
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, RecordErrors> {
+        let mut faults = Faults::default();
+        let found = text.len();
+        if found > MAX_SET_BYTES {
+            let kind = FaultKind::TooLong { found, max: MAX_SET_BYTES };
+            faults.push(Place::of(RecordKind::Set), kind);
+        }
+        let draft = if found > MAX_SET_BYTES { None } else { read_set(text, &mut faults) };
+        if let Some(draft) = &draft {
+            check_set(&draft.set, &draft.positions, &draft.gaps, &mut faults);
+        }
+        faults.into_result()?;
+        let mut set = draft.map_or_else(Self::empty, |draft| draft.set);
+        set.normalize();
+        Ok(set)
+    }
+
+    /// Checks a set that was built in the program, as [`RecordSet::parse`] does.
+    ///
+    /// # Errors
+    ///
+    /// Every fault at once, each with its place and remedy.
+    pub fn check(&self) -> Result<(), RecordErrors> {
+        let mut faults = Faults::default();
+        check_set(self, &Positions::default(), &Gaps::default(), &mut faults);
+        faults.into_result()
+    }
+
+    /// The set as JSON in the newest schema version, one text for equal sets whose records are
+    /// ordered by name.
+    pub fn to_text(&self) -> String {
+        let canonical = Canonical {
+            schema_version: SchemaVersion::V2,
+            generation: self.generation,
+            policy: &self.policy,
+            workspaces: &self.workspaces,
+            endpoints: &self.endpoints,
+        };
+        serde_json::to_string(&canonical).expect("records have only text keys")
+    }
+
+    /// Orders records by name and lets equal names share their text.
+    pub(crate) fn normalize(&mut self) {
+        self.workspaces.sort_by(|a, b| a.name.cmp(&b.name));
+        self.endpoints.sort_by(|a, b| a.name.cmp(&b.name));
+        Interner::default().intern(self);
+    }
+
     /// The workspace whose key has this digest.
     pub fn workspace_by_key(&self, digest: KeyDigest) -> Option<&Workspace> {
         self.workspaces.iter().find(|workspace| workspace.key_digests.contains(&digest))
@@ -91,3 +162,13 @@
         self.endpoints.iter().find(|endpoint| endpoint.name == *name)
     }
 }
+
+/// A set as [`RecordSet::to_text`] writes it.
+#[derive(Debug, Serialize)]
+struct Canonical<'a> {
+    schema_version: SchemaVersion,
+    generation: Generation,
+    policy: &'a Policy,
+    workspaces: &'a [Workspace],
+    endpoints: &'a [Endpoint],
+}
--- a/crates/persimmon_records/src/workspace.rs
+++ b/crates/persimmon_records/src/workspace.rs
@@ -42,6 +42,9 @@
     /// Limits for each class.
     #[serde(default)]
     pub limits: PerClass<Limits>,
+    /// Limits on all classes together, beside those for each class.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub total_limits: Option<Limits>,
     /// The class of requests that name none.
     #[serde(default)]
     pub default_class: Class,
@@ -74,6 +77,7 @@
             services: Vec::new(),
             endpoints: Vec::new(),
             limits: PerClass::default(),
+            total_limits: None,
             default_class: Class::default(),
             expires_at: None,
         })
@@ -114,6 +118,13 @@
         self
     }
 
+    /// Sets the limits of all classes together.
+    #[must_use]
+    pub fn with_total_limits(mut self, limits: Limits) -> Self {
+        self.0.total_limits = Some(limits);
+        self
+    }
+
     /// Sets the class of requests that name none.
     #[must_use]
     pub fn with_default_class(mut self, class: Class) -> Self {
