Add the stand-ins of the platform, engine, service and relay

Cause: no part of the path can be run or made to fail without the systems around it. Ruled out: tiny_http's own chunked answers, whose encoder keeps 8 KiB back; closing tiny_http's sockets for a crash, which it gives no handle on, so each engine and platform listens through the relay. Change: Platform, Engine, Service and Relay, in-process, on ports that the system chooses, with switches and counts.

--- /dev/null
+++ b/crates/persimmon_standins/src/engine/cache.rs
@@ -0,0 +1,187 @@
+//! The engine's prefix cache, in limited memory.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::answer::{Message, hash_message};
+
+/// Events that are kept for readers.
+const MAX_EVENTS: usize = 4_096;
+
+/// One message's part of a prompt, with the hash of the prompt up to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Link {
+    #[serde(with = "hex")]
+    pub(super) prefix: u64,
+    pub(super) tokens: u32,
+}
+
+/// What happened to a prefix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum EventKind {
+    Added,
+    Evicted,
+}
+
+/// A change of the cache, as the engine publishes it.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct Event {
+    pub(super) seq: u64,
+    #[serde(with = "hex")]
+    prefix: u64,
+    tokens: u32,
+    kind: EventKind,
+    #[serde(skip)]
+    visible_at: Instant,
+}
+
+#[derive(Debug)]
+struct Entry {
+    parent: Option<u64>,
+    tokens: u32,
+    used_at: u64,
+}
+
+/// A cache of prompt prefixes that forgets the least recently used first.
+#[derive(Debug)]
+pub(super) struct PrefixCache {
+    capacity: u64,
+    event_delay: Duration,
+    lost_event_interval: u64,
+    held: u64,
+    uses: u64,
+    entries: HashMap<u64, Entry>,
+    by_use: BTreeMap<u64, u64>,
+    next_seq: u64,
+    events: VecDeque<Event>,
+}
+
+/// The links of a prompt made of `messages`.
+pub(super) fn chain(messages: &[Message]) -> Vec<Link> {
+    let mut hasher = blake3::Hasher::new();
+    let link = |message: &Message| {
+        hash_message(&mut hasher, message);
+        let mut prefix = [0; 8];
+        prefix.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Link { prefix: u64::from_be_bytes(prefix), tokens: message.tokens() }
+    };
+    messages.iter().map(link).collect()
+}
+
+impl PrefixCache {
+    /// An empty cache of `capacity` tokens. Every `lost_event_interval`th event is lost, none if
+    /// it is 0; the others show after `event_delay`.
+    pub(super) fn new(capacity: u64, event_delay: Duration, lost_event_interval: u64) -> Self {
+        Self {
+            capacity,
+            event_delay,
+            lost_event_interval,
+            held: 0,
+            uses: 0,
+            entries: HashMap::new(),
+            by_use: BTreeMap::new(),
+            next_seq: 1,
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Tokens of the longest prefix of `chain` that is held.
+    pub(super) fn cached_tokens(&self, chain: &[Link]) -> u32 {
+        let held = chain.iter().take_while(|link| self.entries.contains_key(&link.prefix));
+        held.map(|link| link.tokens).sum()
+    }
+
+    /// Holds every prefix of `chain` as the most recently used, the shortest most recently.
+    pub(super) fn insert(&mut self, chain: &[Link]) {
+        for (index, link) in chain.iter().enumerate().rev() {
+            let parent = index.checked_sub(1).map(|index| chain[index].prefix);
+            self.use_link(*link, parent);
+        }
+        while self.held > self.capacity {
+            self.evict();
+        }
+    }
+
+    /// The links of the prompt that ends with `prefix`, if all are held.
+    pub(super) fn export(&self, prefix: u64) -> Option<Vec<Link>> {
+        let mut links = VecDeque::new();
+        let mut next = Some(prefix);
+        while let Some(prefix) = next {
+            let entry = self.entries.get(&prefix)?;
+            links.push_front(Link { prefix, tokens: entry.tokens });
+            next = entry.parent;
+        }
+        Some(links.into())
+    }
+
+    /// Forgets everything, without events.
+    pub(super) fn clear(&mut self) {
+        self.held = 0;
+        self.entries.clear();
+        self.by_use.clear();
+        self.events.clear();
+    }
+
+    /// The events after `seq` that show at `now`.
+    pub(super) fn events_after(&self, seq: u64, now: Instant) -> Vec<Event> {
+        let shown = |event: &&Event| event.seq > seq && event.visible_at <= now;
+        self.events.iter().filter(shown).cloned().collect()
+    }
+
+    fn use_link(&mut self, link: Link, parent: Option<u64>) {
+        self.uses += 1;
+        let entry = Entry { parent, tokens: link.tokens, used_at: self.uses };
+        self.by_use.insert(self.uses, link.prefix);
+        match self.entries.insert(link.prefix, entry) {
+            Some(known) => {
+                self.by_use.remove(&known.used_at);
+            }
+            None => {
+                self.held += u64::from(link.tokens);
+                self.publish(link, EventKind::Added);
+            }
+        }
+    }
+
+    fn evict(&mut self) {
+        let Some((_, prefix)) = self.by_use.pop_first() else {
+            return;
+        };
+        if let Some(entry) = self.entries.remove(&prefix) {
+            self.held -= u64::from(entry.tokens);
+            self.publish(Link { prefix, tokens: entry.tokens }, EventKind::Evicted);
+        }
+    }
+
+    fn publish(&mut self, link: Link, kind: EventKind) {
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        if self.lost_event_interval > 0 && seq.is_multiple_of(self.lost_event_interval) {
+            return;
+        }
+        let visible_at = Instant::now() + self.event_delay;
+        let Link { prefix, tokens } = link;
+        self.events.push_back(Event { seq, prefix, tokens, kind, visible_at });
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
+
+/// Prefixes as 16 hexadecimal digits.
+mod hex {
+    use serde::de::Error;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(prefix: &u64, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(&format_args!("{prefix:016x}"))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+        let text = String::deserialize(from)?;
+        u64::from_str_radix(&text, 16).map_err(D::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/engine/generate.rs
@@ -0,0 +1,240 @@
+//! Runs one request: waits for a slot, reads the prompt and streams the answer.
+
+use std::io;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+use super::answer::{MAX_ANSWER_TOKENS, Message, answer_words, prompt_tokens, token_text};
+use super::cache::chain;
+use super::state::{Run, Stopped};
+use super::{Admission, Core};
+use crate::http::{Call, Lines};
+
+/// How often a run that nothing wakes looks at the state.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Deserialize)]
+pub(super) struct GenerateBody {
+    request_id: String,
+    pub(super) model: String,
+    messages: Vec<Message>,
+    max_tokens: u32,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default)]
+    resume_from: u32,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Line {
+    Start { prompt_tokens: u32, cached_tokens: u32 },
+    Token { index: u32, text: String },
+    End { reason: EndReason, completion_tokens: u32 },
+}
+
+#[derive(Debug, Clone, Copy, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum EndReason {
+    Stop,
+    Length,
+    Cancelled,
+}
+
+/// A run in one life of the engine, which leaves its slot when dropped.
+struct Ticket<'a> {
+    core: &'a Core,
+    number: u64,
+    incarnation: u64,
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        self.core.state().leave(self.number);
+        self.core.changed.notify_all();
+    }
+}
+
+/// Why a stream has no end line.
+#[derive(Debug, Clone, Copy)]
+enum Broken {
+    Stopped(Stopped),
+    ReaderGone,
+}
+
+impl From<Stopped> for Broken {
+    fn from(stopped: Stopped) -> Self {
+        Self::Stopped(stopped)
+    }
+}
+
+impl From<io::Error> for Broken {
+    fn from(_: io::Error) -> Self {
+        Self::ReaderGone
+    }
+}
+
+impl Core {
+    /// Answers a request whose model is loaded.
+    pub(super) fn generate(&self, call: Call, body: &GenerateBody) {
+        let Some(ticket) = self.enter(body) else {
+            return call.reply_empty(503);
+        };
+        let slot = ticket.wait_for_slot(body, call.header("traceparent"));
+        if slot == Err(Stopped::Crashed) {
+            return;
+        }
+        let Ok(mut lines) = call.into_lines() else {
+            return;
+        };
+        let mut next = body.resume_from;
+        let streamed = match slot {
+            Ok(cached_tokens) => ticket.stream(body, cached_tokens, &mut next, &mut lines),
+            Err(stopped) => Err(stopped.into()),
+        };
+        let Some(end) = self.count_end(streamed, next) else {
+            return;
+        };
+        // The slot is free before the reader sees the end.
+        drop(ticket);
+        let _ = lines.send(&end).and_then(|()| lines.close());
+    }
+
+    /// Lets the request wait, unless every slot and the queue are full.
+    fn enter(&self, body: &GenerateBody) -> Option<Ticket<'_>> {
+        let mut state = self.state();
+        if state.runs.len() >= self.settings.slots + self.settings.queue {
+            state.counts.refused += 1;
+            return None;
+        }
+        let run = Run {
+            request_id: body.request_id.clone(),
+            priority: body.priority,
+            running: false,
+            cancelled: false,
+        };
+        let number = state.enter(run);
+        Some(Ticket { core: self, number, incarnation: state.incarnation })
+    }
+
+    /// Counts how a stream ended and returns its end line, if it has one.
+    fn count_end(&self, streamed: Result<(), Broken>, next: u32) -> Option<Line> {
+        let counts = &mut self.state().counts;
+        let reason = match streamed {
+            Ok(()) if next == MAX_ANSWER_TOKENS => EndReason::Stop,
+            Ok(()) => EndReason::Length,
+            Err(Broken::Stopped(Stopped::Cancelled)) => EndReason::Cancelled,
+            Err(Broken::Stopped(Stopped::Crashed)) => return None,
+            Err(Broken::ReaderGone) => {
+                counts.cut += 1;
+                return None;
+            }
+        };
+        match reason {
+            EndReason::Stop | EndReason::Length => counts.finished += 1,
+            EndReason::Cancelled => counts.cancelled += 1,
+        }
+        Some(Line::End { reason, completion_tokens: next })
+    }
+}
+
+impl Ticket<'_> {
+    /// Waits for a slot and returns how many tokens of the prompt are cached.
+    fn wait_for_slot(
+        &self,
+        body: &GenerateBody,
+        traceparent: Option<String>,
+    ) -> Result<u32, Stopped> {
+        let links = chain(&body.messages);
+        let mut state = self.core.state();
+        while !state.may_run(self.number, self.core.settings.slots) {
+            if let Some(stopped) = state.stopped(self.number, self.incarnation) {
+                return Err(stopped);
+            }
+            state = self.core.wait(state, MAX_WAIT);
+        }
+        let cached_tokens = state.cache.cached_tokens(&links);
+        let admission = Admission {
+            request_id: body.request_id.clone(),
+            traceparent,
+            at_unix_ms: unix_ms(),
+            priority: body.priority,
+            prompt_tokens: prompt_tokens(&body.messages),
+            cached_tokens,
+            resume_from: body.resume_from,
+        };
+        state.admit(self.number, admission);
+        drop(state);
+        // The next in the queue may have a slot too.
+        self.core.changed.notify_all();
+        Ok(cached_tokens)
+    }
+
+    /// Streams the answer from the token `next` on.
+    fn stream(
+        &self,
+        body: &GenerateBody,
+        cached_tokens: u32,
+        next: &mut u32,
+        lines: &mut Lines,
+    ) -> Result<(), Broken> {
+        let prompt_tokens = prompt_tokens(&body.messages);
+        lines.send(&Line::Start { prompt_tokens, cached_tokens })?;
+        let settings = &self.core.settings;
+        self.wait(settings.prefill_per_token * (prompt_tokens - cached_tokens), None)?;
+        self.crash_if_marked(body)?;
+        let words = answer_words(&body.messages, body.max_tokens);
+        let first = *next;
+        for word in words.iter().skip(first as usize) {
+            let interval = if *next == first { Duration::ZERO } else { settings.token_interval };
+            self.wait(interval, Some(*next))?;
+            lines.send(&Line::Token { index: *next, text: token_text(word) })?;
+            *next += 1;
+        }
+        self.remember(body, &words);
+        Ok(())
+    }
+
+    fn crash_if_marked(&self, body: &GenerateBody) -> Result<(), Stopped> {
+        let Some(marker) = &self.core.settings.crash_marker else {
+            return Ok(());
+        };
+        if !body.messages.iter().any(|message| message.content.contains(marker)) {
+            return Ok(());
+        }
+        self.core.crash();
+        Err(Stopped::Crashed)
+    }
+
+    /// Caches the prompt with its answer, as the chat's next turn will send them.
+    fn remember(&self, body: &GenerateBody, words: &[&str]) {
+        let answer: String = words.iter().map(|word| token_text(word)).collect();
+        let mut messages = body.messages.clone();
+        messages.push(Message::new("assistant", answer));
+        self.core.state().cache.insert(&chain(&messages));
+    }
+
+    /// Waits for `time`, and until the engine may send the token `index` if one is given.
+    fn wait(&self, time: Duration, index: Option<u32>) -> Result<(), Stopped> {
+        let started_at = Instant::now();
+        let mut state = self.core.state();
+        loop {
+            if let Some(stopped) = state.stopped(self.number, self.incarnation) {
+                return Err(stopped);
+            }
+            let left = (time * state.slowness).saturating_sub(started_at.elapsed());
+            let held = state.holds_back(index);
+            if !held && left.is_zero() {
+                return Ok(());
+            }
+            let wait = if held { MAX_WAIT } else { left.min(MAX_WAIT) };
+            state = self.core.wait(state, wait);
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/engine/state.rs
@@ -0,0 +1,206 @@
+//! What the engine holds while it runs.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::cache::PrefixCache;
+use super::{Admission, EngineCounts};
+
+/// Admissions that are kept, the newest.
+const MAX_ADMISSIONS: usize = 65_536;
+
+/// Orders that are kept, the newest.
+const MAX_ORDERS: usize = 1_024;
+
+/// Models that are loaded at once.
+const MAX_MODELS: usize = 16;
+
+/// Samples of the load that are kept, the newest.
+const MAX_LOAD_SAMPLES: usize = 4_096;
+
+/// What a cancelled, crashed or abandoned run ends with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Stopped {
+    /// It was cancelled by request id.
+    Cancelled,
+    /// The engine crashed or was closed.
+    Crashed,
+}
+
+/// A request that waits or runs.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) request_id: String,
+    pub(super) priority: u8,
+    pub(super) running: bool,
+    pub(super) cancelled: bool,
+}
+
+/// Who gives an order, and in which of its lives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub(super) struct Fence {
+    generation: u64,
+    incarnation: u64,
+}
+
+/// The load at one time.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LoadSample {
+    at: Instant,
+    pub(super) running: usize,
+    pub(super) waiting: usize,
+}
+
+/// Everything that the engine holds and counts.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) incarnation: u64,
+    pub(super) closed: bool,
+    pub(super) frozen: bool,
+    pub(super) slowness: u32,
+    pub(super) hold_after: Option<u32>,
+    pub(super) models: Vec<String>,
+    pub(super) cache: PrefixCache,
+    pub(super) fence: Fence,
+    pub(super) runs: BTreeMap<u64, Run>,
+    next_ticket: u64,
+    load: VecDeque<LoadSample>,
+    admissions: VecDeque<Admission>,
+    orders: VecDeque<serde_json::Value>,
+    pub(super) counts: EngineCounts,
+}
+
+impl State {
+    pub(super) fn new(incarnation: u64, models: Vec<String>, cache: PrefixCache) -> Self {
+        Self {
+            incarnation,
+            closed: false,
+            frozen: false,
+            slowness: 1,
+            hold_after: None,
+            models,
+            cache,
+            fence: Fence::default(),
+            runs: BTreeMap::new(),
+            next_ticket: 0,
+            load: VecDeque::new(),
+            admissions: VecDeque::new(),
+            orders: VecDeque::new(),
+            counts: EngineCounts::default(),
+        }
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.runs.values().filter(|run| run.running).count()
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.runs.len() - self.running()
+    }
+
+    /// Whether the run of `ticket` is the next to run and a slot is free for it.
+    pub(super) fn may_run(&self, ticket: u64, slots: usize) -> bool {
+        let waiting = self.runs.iter().filter(|(_, run)| !run.running);
+        let next = waiting.min_by_key(|(ticket, run)| (run.priority, **ticket));
+        !self.frozen
+            && self.running() < slots
+            && next.is_some_and(|(next_ticket, _)| *next_ticket == ticket)
+    }
+
+    /// Why the run of `ticket`, begun in the life `incarnation`, must stop.
+    pub(super) fn stopped(&self, ticket: u64, incarnation: u64) -> Option<Stopped> {
+        if self.closed || self.incarnation != incarnation {
+            return Some(Stopped::Crashed);
+        }
+        let cancelled = self.runs.get(&ticket).is_some_and(|run| run.cancelled);
+        cancelled.then_some(Stopped::Cancelled)
+    }
+
+    /// Lets `run` wait and returns its ticket.
+    pub(super) fn enter(&mut self, run: Run) -> u64 {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.runs.insert(ticket, run);
+        self.sample_load();
+        ticket
+    }
+
+    /// Starts the run of `ticket`.
+    pub(super) fn admit(&mut self, ticket: u64, admission: Admission) {
+        if let Some(run) = self.runs.get_mut(&ticket) {
+            run.running = true;
+        }
+        self.counts.most_running = self.counts.most_running.max(self.running());
+        self.admissions.push_back(admission);
+        if self.admissions.len() > MAX_ADMISSIONS {
+            self.admissions.pop_front();
+        }
+        self.sample_load();
+    }
+
+    pub(super) fn leave(&mut self, ticket: u64) {
+        self.runs.remove(&ticket);
+        self.sample_load();
+    }
+
+    /// Ends this life: everything in progress and in the cache is lost.
+    pub(super) fn crash(&mut self) {
+        self.incarnation += 1;
+        self.counts.crashes += 1;
+        self.runs.clear();
+        self.load.clear();
+        self.cache.clear();
+    }
+
+    /// Loads `model`, in place of the first that was loaded if too many are.
+    pub(super) fn load_model(&mut self, model: &str) {
+        if self.models.iter().any(|loaded| loaded == model) {
+            return;
+        }
+        if self.models.len() >= MAX_MODELS {
+            self.models.remove(0);
+        }
+        self.models.push(model.to_owned());
+    }
+
+    pub(super) fn keep_order(&mut self, order: serde_json::Value) {
+        self.orders.push_back(order);
+        if self.orders.len() > MAX_ORDERS {
+            self.orders.pop_front();
+        }
+    }
+
+    /// Whether the token `index` may not be sent yet.
+    pub(super) fn holds_back(&self, index: Option<u32>) -> bool {
+        let held = index.zip(self.hold_after).is_some_and(|(index, tokens)| index >= tokens);
+        self.frozen || held
+    }
+
+    /// The load as it was `lag` ago.
+    pub(super) fn load_before(&self, now: Instant, lag: Duration) -> (usize, usize) {
+        let known = self.load.iter().rev().find(|sample| sample.at + lag <= now);
+        known.map_or((0, 0), |sample| (sample.running, sample.waiting))
+    }
+
+    pub(super) fn counts(&self) -> EngineCounts {
+        let mut counts = self.counts.clone();
+        for admission in &self.admissions {
+            *counts.runs.entry(admission.request_id.clone()).or_default() += 1;
+        }
+        counts.admissions = self.admissions.iter().cloned().collect();
+        counts.orders = self.orders.iter().cloned().collect();
+        counts.incarnation = self.incarnation;
+        counts
+    }
+
+    fn sample_load(&mut self) {
+        let sample =
+            LoadSample { at: Instant::now(), running: self.running(), waiting: self.waiting() };
+        self.load.push_back(sample);
+        if self.load.len() > MAX_LOAD_SAMPLES {
+            self.load.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/http.rs
@@ -0,0 +1,184 @@
+//! HTTP plumbing that the stand-ins share.
+
+use std::fmt;
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::{self, JoinHandle};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use socket2::SockRef;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+/// Bytes of a request's body that a stand-in reads.
+const MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Requests that one stand-in handles at once; further ones get a 503.
+const MAX_HANDLERS: usize = 2_048;
+
+/// What a stand-in does with a request.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers `call`, on a thread of its own.
+    fn handle(&self, call: Call);
+}
+
+/// An HTTP server on a port that the system chose, with a thread for each request.
+pub(crate) struct HttpServer {
+    server: Arc<Server>,
+    address: SocketAddr,
+    accepting: JoinHandle<()>,
+}
+
+impl fmt::Debug for HttpServer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpServer").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl HttpServer {
+    /// Starts to serve `handler` on the loopback interface.
+    pub(crate) fn start<H: Handler>(handler: &Arc<H>) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        // Accepted sockets inherit it, so that no token waits for an acknowledgement.
+        SockRef::from(&listener).set_tcp_nodelay(true)?;
+        let address = listener.local_addr()?;
+        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let server = Arc::new(server);
+        let accepting = {
+            let server = Arc::clone(&server);
+            let handler = Arc::clone(handler);
+            thread::spawn(move || accept_requests(&server, &handler))
+        };
+        Ok(Self { server, address, accepting })
+    }
+
+    /// Where the server listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting; requests in progress go on.
+    pub(crate) fn close(self) {
+        self.server.unblock();
+        let _ = self.accepting.join();
+    }
+}
+
+fn accept_requests<H: Handler>(server: &Server, handler: &Arc<H>) {
+    let handling = Arc::new(AtomicUsize::new(0));
+    while let Ok(request) = server.recv() {
+        if handling.fetch_add(1, Ordering::Relaxed) >= MAX_HANDLERS {
+            handling.fetch_sub(1, Ordering::Relaxed);
+            Call(request).reply_empty(503);
+            continue;
+        }
+        let handler = Arc::clone(handler);
+        let handling = Arc::clone(&handling);
+        thread::spawn(move || {
+            handler.handle(Call(request));
+            handling.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+/// One request that awaits its answer.
+pub(crate) struct Call(Request);
+
+impl Call {
+    pub(crate) fn method(&self) -> Method {
+        self.0.method().clone()
+    }
+
+    /// The path without its query.
+    pub(crate) fn path(&self) -> String {
+        let url = self.0.url();
+        url.split_once('?').map_or(url, |(path, _)| path).to_owned()
+    }
+
+    /// The number that the query gives for `name`.
+    pub(crate) fn query_number(&self, name: &str) -> Option<u64> {
+        let (_, query) = self.0.url().split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+    }
+
+    pub(crate) fn header(&self, name: &'static str) -> Option<String> {
+        let mut headers = self.0.headers().iter();
+        let header = headers.find(|header| header.field.equiv(name))?;
+        Some(header.value.as_str().to_owned())
+    }
+
+    /// The body, up to [`MAX_BODY_BYTES`].
+    pub(crate) fn read_body(&mut self) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        self.0.as_reader().take(MAX_BODY_BYTES).read_to_end(&mut body)?;
+        Ok(body)
+    }
+
+    pub(crate) fn read_json<T: DeserializeOwned>(&mut self) -> io::Result<T> {
+        Ok(serde_json::from_slice(&self.read_body()?)?)
+    }
+
+    pub(crate) fn reply_json<T: Serialize>(self, status: u16, value: &T) {
+        match serde_json::to_vec(value) {
+            Ok(body) => self.reply_bytes(status, body),
+            Err(_) => self.reply_empty(500),
+        }
+    }
+
+    pub(crate) fn reply_bytes(self, status: u16, body: Vec<u8>) {
+        // A caller that has gone needs no answer.
+        let _ = self.0.respond(Response::from_data(body).with_status_code(status));
+    }
+
+    pub(crate) fn reply_empty(self, status: u16) {
+        let _ = self.0.respond(Response::empty(status));
+    }
+
+    /// Refuses the call and says when to come back.
+    pub(crate) fn reply_retry_after(self, status: u16, seconds: u64) {
+        let mut response = Response::empty(status);
+        if let Ok(header) = Header::from_bytes("Retry-After", seconds.to_string()) {
+            response.add_header(header);
+        }
+        let _ = self.0.respond(response);
+    }
+
+    /// Starts a chunked answer whose lines leave at once.
+    pub(crate) fn into_lines(self) -> io::Result<Lines> {
+        let mut out = self.0.into_writer();
+        out.write_all(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n\
+              Transfer-Encoding: chunked\r\n\r\n",
+        )?;
+        Ok(Lines { out, buf: Vec::new() })
+    }
+}
+
+/// A chunked answer of one JSON object a line.
+pub(crate) struct Lines {
+    out: Box<dyn Write + Send>,
+    buf: Vec<u8>,
+}
+
+impl Lines {
+    /// Sends `value` as a line of its own, at once.
+    pub(crate) fn send<T: Serialize>(&mut self, value: &T) -> io::Result<()> {
+        let mut line = serde_json::to_vec(value)?;
+        line.push(b'\n');
+        self.buf.clear();
+        write!(self.buf, "{:x}\r\n", line.len())?;
+        self.buf.extend_from_slice(&line);
+        self.buf.extend_from_slice(b"\r\n");
+        self.out.write_all(&self.buf)?;
+        self.out.flush()
+    }
+
+    /// Ends the answer.
+    pub(crate) fn close(mut self) -> io::Result<()> {
+        self.out.write_all(b"0\r\n\r\n")?;
+        self.out.flush()
+    }
+}
--- a/crates/persimmon_standins/src/lib.rs
+++ b/crates/persimmon_standins/src/lib.rs
@@ -1,1 +1,20 @@
-//! Stand-ins for the outside systems, and the demo that starts a whole fleet.
+//! Stand-ins for the outside systems that the fleet meets, for tests and for the demo.
+//!
+//! Each stand-in runs on threads of its own behind a port that the system chose, has switches that
+//! provoke failures and counts what reached it. None is part of the daemon.
+
+mod engine;
+mod http;
+mod platform;
+mod relay;
+mod service;
+
+pub use engine::{
+    Admission, Engine, EngineBuilder, EngineCounts, EngineSwitch, MAX_ANSWER_TOKENS, Message,
+    expected_answer, prompt_tokens,
+};
+pub use platform::{
+    Platform, PlatformBuilder, PlatformCounts, PlatformSwitch, Vm, VmRole, VmState,
+};
+pub use relay::{Direction, Relay, RelaySwitch};
+pub use service::{Service, ServiceCounts, ServiceSwitch};
--- /dev/null
+++ b/crates/persimmon_standins/src/platform/mod.rs
@@ -0,0 +1,268 @@
+//! The platform: published values, the list of VMs and the weight store.
+
+mod routes;
+mod state;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::http::HttpServer;
+use crate::relay::Relay;
+use state::State;
+
+/// What a VM of the system runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmRole {
+    /// A router.
+    Router,
+    /// An endpoint with its sidecar.
+    Endpoint,
+}
+
+/// Whether a VM stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// It stays.
+    Live,
+    /// It takes no new work.
+    Leaving,
+}
+
+/// One VM, as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// The name of the process of the system on the VM.
+    pub name: String,
+    /// What the VM runs.
+    pub role: VmRole,
+    /// Where the process listens for its peers.
+    pub peer: SocketAddr,
+    /// The availability zone.
+    pub zone: String,
+    /// Whether the VM stays.
+    pub state: VmState,
+}
+
+/// How the platform answers readers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(tag = "mode", rename_all = "snake_case")]
+pub enum PlatformSwitch {
+    /// At once, with the newest version.
+    #[default]
+    Up,
+    /// Connections are refused and those that are open are closed.
+    Down,
+    /// Calls are counted and never answered.
+    Silent,
+    /// With a version from before.
+    Stale {
+        /// How many versions before the newest, at most those that are kept.
+        versions_behind: usize,
+    },
+    /// Later, with the newest version.
+    Slow {
+        /// Milliseconds before each answer.
+        delay_ms: u64,
+    },
+}
+
+/// What readers asked for. A waiting watch counts as one read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PlatformCounts {
+    /// Reads of every kind.
+    pub reads: u64,
+    /// Most reads in any second since the start.
+    pub most_reads_in_a_second: u64,
+    /// Reads of values, those of unknown keys included.
+    pub values: u64,
+    /// Reads of the list of VMs.
+    pub vms: u64,
+    /// Reads of the weight store, those over its rate included.
+    pub weights: u64,
+    /// Reads of the weight store that were over its rate.
+    pub weights_refused: u64,
+}
+
+#[derive(Debug)]
+struct Core {
+    state: Mutex<State>,
+    changed: Condvar,
+    relay: OnceLock<Relay>,
+    vm_lag: Duration,
+    weights_per_second: u64,
+    weight_bytes: usize,
+    started_at: Instant,
+}
+
+/// Builds a [`Platform`].
+#[derive(Debug)]
+pub struct PlatformBuilder {
+    vm_lag: Duration,
+    weights_per_second: u64,
+    weight_bytes: usize,
+}
+
+impl Default for PlatformBuilder {
+    fn default() -> Self {
+        Self { vm_lag: Duration::ZERO, weights_per_second: 4, weight_bytes: 4_096 }
+    }
+}
+
+impl PlatformBuilder {
+    /// Sets how long after a change the list of VMs shows it.
+    #[must_use]
+    pub fn with_vm_lag(mut self, lag: Duration) -> Self {
+        self.vm_lag = lag;
+        self
+    }
+
+    /// Sets how many reads a second the weight store answers.
+    #[must_use]
+    pub fn with_weights_per_second(mut self, reads: u64) -> Self {
+        self.weights_per_second = reads;
+        self
+    }
+
+    /// Sets the size of a model's weights.
+    #[must_use]
+    pub fn with_weight_bytes(mut self, bytes: usize) -> Self {
+        self.weight_bytes = bytes;
+        self
+    }
+
+    /// Starts the platform on a port that the system chooses.
+    ///
+    /// # Errors
+    /// When no port can be bound.
+    pub fn start(self) -> io::Result<Platform> {
+        let core = Arc::new(Core {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            relay: OnceLock::new(),
+            vm_lag: self.vm_lag,
+            weights_per_second: self.weights_per_second,
+            weight_bytes: self.weight_bytes,
+            started_at: Instant::now(),
+        });
+        let server = HttpServer::start(&core)?;
+        let relay = Relay::start(server.address())?;
+        let relay = core.relay.get_or_init(|| relay).clone();
+        Ok(Platform { server, relay, core })
+    }
+}
+
+/// The platform's configuration service, list of VMs and weight store.
+///
+/// ```
+/// use persimmon_standins::Platform;
+///
+/// let platform = Platform::start().unwrap();
+/// assert_eq!(platform.publish("records", "{}"), 1);
+/// assert_eq!(platform.counts().reads, 0);
+/// platform.close();
+/// ```
+#[derive(Debug)]
+pub struct Platform {
+    server: HttpServer,
+    relay: Relay,
+    core: Arc<Core>,
+}
+
+impl Platform {
+    /// Builds a platform with settings of its own.
+    pub fn builder() -> PlatformBuilder {
+        PlatformBuilder::default()
+    }
+
+    /// Starts a platform with the default settings.
+    ///
+    /// # Errors
+    /// When no port can be bound.
+    pub fn start() -> io::Result<Self> {
+        PlatformBuilder::default().start()
+    }
+
+    /// Where readers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.relay.address()
+    }
+
+    /// Where operators publish and switch, in every mode.
+    pub fn control_address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Publishes a value and returns its version.
+    pub fn publish(&self, key: &str, value: impl Into<String>) -> u64 {
+        self.core.publish(key, value.into())
+    }
+
+    /// Replaces the list of VMs and returns its version.
+    pub fn set_vms(&self, vms: Vec<Vm>) -> u64 {
+        self.core.set_vms(vms)
+    }
+
+    /// Changes how readers are answered.
+    ///
+    /// # Errors
+    /// When the port can't be bound again.
+    pub fn switch(&self, switch: PlatformSwitch) -> io::Result<()> {
+        self.core.switch(switch)
+    }
+
+    /// What readers asked for.
+    pub fn counts(&self) -> PlatformCounts {
+        self.core.state().counts()
+    }
+
+    /// Ends the platform.
+    pub fn close(self) {
+        self.core.close();
+        self.relay.close();
+        self.server.close();
+    }
+}
+
+impl Core {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn publish(&self, key: &str, value: String) -> u64 {
+        let version = self.state().publish(key, value, Instant::now());
+        self.changed.notify_all();
+        version
+    }
+
+    fn set_vms(&self, vms: Vec<Vm>) -> u64 {
+        let visible_at = Instant::now() + self.vm_lag;
+        let version = self.state().set_vms(vms, visible_at);
+        self.changed.notify_all();
+        version
+    }
+
+    fn switch(&self, switch: PlatformSwitch) -> io::Result<()> {
+        self.state().switch = switch;
+        self.changed.notify_all();
+        let Some(relay) = self.relay.get() else {
+            return Ok(());
+        };
+        if switch != PlatformSwitch::Down {
+            return relay.accept();
+        }
+        relay.refuse();
+        relay.cut();
+        Ok(())
+    }
+
+    fn close(&self) {
+        self.state().closed = true;
+        self.changed.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/platform/state.rs
@@ -0,0 +1,128 @@
+//! What the platform holds, version by version.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+use super::{PlatformCounts, PlatformSwitch, Vm};
+
+/// Versions of a value that are kept for stale answers.
+const MAX_VERSIONS: usize = 16;
+
+/// Keys that the platform holds; publishing a further one replaces the first by name.
+const MAX_KEYS: usize = 1_024;
+
+/// One version of something published.
+#[derive(Debug, Clone)]
+pub(super) struct Version<T> {
+    pub(super) number: u64,
+    pub(super) value: T,
+    visible_at: Instant,
+}
+
+/// The newest versions of something published, the oldest first.
+#[derive(Debug)]
+pub(super) struct Versions<T>(VecDeque<Version<T>>);
+
+impl<T> Default for Versions<T> {
+    fn default() -> Self {
+        Self(VecDeque::new())
+    }
+}
+
+impl<T> Versions<T> {
+    fn push(&mut self, value: T, visible_at: Instant) -> u64 {
+        let number = self.0.back().map_or(1, |newest| newest.number + 1);
+        self.0.push_back(Version { number, value, visible_at });
+        if self.0.len() > MAX_VERSIONS {
+            self.0.pop_front();
+        }
+        number
+    }
+
+    /// The version that a reader sees at `now`.
+    pub(super) fn seen(&self, now: Instant, switch: PlatformSwitch) -> Option<&Version<T>> {
+        let visible = self.0.iter().filter(|version| version.visible_at <= now).count();
+        let behind = match switch {
+            PlatformSwitch::Stale { versions_behind } => versions_behind,
+            _ => 0,
+        };
+        self.0.get(visible.checked_sub(1)?.saturating_sub(behind))
+    }
+
+    /// When the next version shows.
+    pub(super) fn next_visible_at(&self, now: Instant) -> Option<Instant> {
+        self.0.iter().map(|version| version.visible_at).find(|at| *at > now)
+    }
+}
+
+/// What a read asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Read {
+    Value,
+    Vms,
+    Weights,
+}
+
+/// Everything that the platform holds and counts.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) switch: PlatformSwitch,
+    pub(super) closed: bool,
+    pub(super) vms: Versions<Vec<Vm>>,
+    values: BTreeMap<String, Versions<String>>,
+    counts: PlatformCounts,
+    second: u64,
+    reads_in_second: u64,
+    weights_in_second: u64,
+}
+
+impl State {
+    pub(super) fn counts(&self) -> PlatformCounts {
+        self.counts
+    }
+
+    pub(super) fn value(&self, key: &str) -> Option<&Versions<String>> {
+        self.values.get(key)
+    }
+
+    pub(super) fn publish(&mut self, key: &str, value: String, now: Instant) -> u64 {
+        if self.values.len() >= MAX_KEYS && !self.values.contains_key(key) {
+            self.values.pop_first();
+        }
+        self.values.entry(key.to_owned()).or_default().push(value, now)
+    }
+
+    pub(super) fn set_vms(&mut self, vms: Vec<Vm>, visible_at: Instant) -> u64 {
+        self.vms.push(vms, visible_at)
+    }
+
+    /// Counts a read that arrived in this second since the start.
+    pub(super) fn count(&mut self, read: Read, second: u64) {
+        if second != self.second {
+            self.second = second;
+            self.reads_in_second = 0;
+            self.weights_in_second = 0;
+        }
+        self.reads_in_second += 1;
+        let counts = &mut self.counts;
+        counts.reads += 1;
+        counts.most_reads_in_a_second = counts.most_reads_in_a_second.max(self.reads_in_second);
+        match read {
+            Read::Value => counts.values += 1,
+            Read::Vms => counts.vms += 1,
+            Read::Weights => {
+                counts.weights += 1;
+                self.weights_in_second += 1;
+            }
+        }
+    }
+
+    /// Whether the last read of the weight store is over its rate.
+    pub(super) fn over_weight_rate(&self, per_second: u64) -> bool {
+        self.weights_in_second > per_second
+    }
+
+    pub(super) fn count_refused_weights(&mut self) {
+        self.counts.weights_refused += 1;
+    }
+}
