Add the decisions of placement, admission and credits

Ruled out: a table of chats at the routers (14 million don't fit 32 MB), so the caller carries a sealed token; raw tokens as load, since one long draft alone would exceed any multiple of an ordinary mean, so a request counts for at most a minute of one stream (Work::HORIZON); a floor in fixed work units, which would let an endpoint with 16 slots run one draft at a time, so the floor is load_floor times the mean work of a request in progress. Change: ChatKey, ChatToken, rank, Directory, Placement, MeanLoad, Admission, ImportBudget, CreditHome and CreditPurse.

--- /dev/null
+++ b/crates/persimmon_decide/src/load/admission.rs
@@ -0,0 +1,323 @@
+//! Admission: what an endpoint takes, when it runs and in which order.
+
+use std::collections::BTreeMap;
+
+use persimmon_records::{Class, WorkspaceName};
+use slotmap::SlotMap;
+
+use super::waiting::Waiting;
+use super::{
+    AdmissionConfig, AdmittedKey, Decision, Due, LoadReport, MeanLoad, Offer, Queued, Refusal,
+    RefuseReason, Work,
+};
+use crate::MonoMs;
+
+#[derive(Debug)]
+struct Admitted {
+    workspace: WorkspaceName,
+    class: Class,
+    work: Work,
+    running: bool,
+}
+
+/// Decides what one endpoint takes: never more than its load bound, a share of its slots for quick
+/// requests only, turns between workspaces, and precedence for requests that have waited long.
+/// Whatever isn't taken is refused at once.
+///
+/// ```
+/// use persimmon_decide::MonoMs;
+/// use persimmon_decide::load::{Admission, AdmissionConfig, Decision, Offer, Work};
+/// use persimmon_records::Class;
+///
+/// let mut admission = Admission::new(AdmissionConfig::default().with_slots(2));
+/// let offer = Offer {
+///     workspace: "swap-desk".into(),
+///     class: Class::Conversation,
+///     work: Work(300),
+///     deadline: None,
+///     in_progress_limit: 8,
+/// };
+/// let Decision::Start(first) = admission.offer(&offer, MonoMs(0)) else { panic!() };
+/// let Decision::Wait { key, .. } = admission.offer(&offer, MonoMs(0)) else { panic!() };
+/// assert_eq!(admission.finish(first, MonoMs(9_000)).started, [key]);
+/// ```
+#[derive(Debug)]
+pub struct Admission {
+    cfg: AdmissionConfig,
+    mean: MeanLoad,
+    admitted: SlotMap<AdmittedKey, Admitted>,
+    waiting: Waiting,
+    in_progress: BTreeMap<(WorkspaceName, Class), u32>,
+    work: Work,
+    running: u32,
+    running_unreserved: u32,
+    aged_started_last: bool,
+    now: MonoMs,
+}
+
+impl Admission {
+    /// Longest time after which a refused caller is told to come back, in milliseconds.
+    pub const MAX_RETRY_AFTER_MS: u64 = 60_000;
+
+    /// Shortest time after which a refused caller is told to come back, in milliseconds.
+    pub const MIN_RETRY_AFTER_MS: u64 = 100;
+
+    /// Admission for an idle endpoint.
+    pub fn new(cfg: AdmissionConfig) -> Self {
+        Self {
+            cfg,
+            mean: MeanLoad::default(),
+            admitted: SlotMap::with_key(),
+            waiting: Waiting::default(),
+            in_progress: BTreeMap::new(),
+            work: Work::ZERO,
+            running: 0,
+            running_unreserved: 0,
+            aged_started_last: false,
+            now: MonoMs::default(),
+        }
+    }
+
+    /// Takes new settings into use. Requests that run or wait are kept.
+    pub fn set_config(&mut self, cfg: AdmissionConfig) {
+        self.cfg = cfg;
+    }
+
+    /// The estimate of the mean load, to feed it with reports of the model's other endpoints.
+    pub fn mean_mut(&mut self) -> &mut MeanLoad {
+        &mut self.mean
+    }
+
+    /// The estimate of the mean load.
+    pub fn mean(&self) -> &MeanLoad {
+        &self.mean
+    }
+
+    /// What the endpoint carries.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            work: self.work,
+            running: self.running,
+            waiting: self.waiting.len() as u32,
+            slots: self.cfg.slots(),
+        }
+    }
+
+    /// The most that the endpoint may carry.
+    pub fn bound(&self, now: MonoMs) -> Work {
+        if self.cfg.peers() == 0 {
+            return Work(u64::MAX);
+        }
+        self.mean.bound(self.cfg.policy(), self.cfg.slots(), now)
+    }
+
+    /// Answers an offer at once.
+    pub fn offer(&mut self, offer: &Offer, now: MonoMs) -> Decision {
+        self.advance(now);
+        let expected_ms = self.expected_wait_ms(offer.class);
+        if let Some(refusal) = self.refusal(offer, expected_ms) {
+            return Decision::Refuse(refusal);
+        }
+        let key = self.admit(offer);
+        if expected_ms == 0 {
+            self.run(key);
+            return Decision::Start(key);
+        }
+        let queued = Queued { key, work: offer.work, since: self.now, deadline: offer.deadline };
+        self.waiting.of(offer.class).push(&offer.workspace, queued);
+        Decision::Wait { key, expected_ms }
+    }
+
+    /// Notes how much work is left of a request that runs, as its tokens arrive. Work never grows.
+    pub fn progress(&mut self, key: AdmittedKey, left: Work) {
+        let Some(admitted) = self.admitted.get_mut(key) else { return };
+        let done = admitted.work.saturating_sub(left);
+        admitted.work = admitted.work.min(left);
+        self.work = self.work.saturating_sub(done);
+    }
+
+    /// Removes a request that ended, or that its caller gave up while it waited.
+    pub fn finish(&mut self, key: AdmittedKey, now: MonoMs) -> Due {
+        self.advance(now);
+        if let Some(ended) = self.remove(key)
+            && !ended.running
+        {
+            self.waiting.of(ended.class).remove_where(|queued| queued.key == key);
+        }
+        self.due()
+    }
+
+    /// Gives up waiting requests whose deadline has passed, and ages the estimate of the mean.
+    pub fn tick(&mut self, now: MonoMs) -> Due {
+        self.advance(now);
+        self.mean.tick(now);
+        self.due()
+    }
+
+    fn due(&mut self) -> Due {
+        let given_up = self.give_up_late();
+        Due { started: self.start_waiting(), given_up }
+    }
+
+    fn give_up_late(&mut self) -> Vec<AdmittedKey> {
+        let given_up = self.waiting.remove_late(self.now);
+        for key in &given_up {
+            self.remove(*key);
+        }
+        given_up
+    }
+
+    /// A clock that steps back is held at its latest reading.
+    fn advance(&mut self, now: MonoMs) {
+        self.now = self.now.max(now);
+    }
+
+    fn refusal(&self, offer: &Offer, expected_ms: u64) -> Option<Refusal> {
+        let (reason, retry_after_ms) = self
+            .over_workspace_limit(offer)
+            .or_else(|| self.over_bound(offer))
+            .or_else(|| self.over_queue(offer, expected_ms))
+            .or_else(|| self.over_deadline(offer, expected_ms))?;
+        let retry_after_ms =
+            retry_after_ms.clamp(Self::MIN_RETRY_AFTER_MS, Self::MAX_RETRY_AFTER_MS);
+        Some(Refusal { reason, retry_after_ms, load: self.load() })
+    }
+
+    fn over_workspace_limit(&self, offer: &Offer) -> Option<(RefuseReason, u64)> {
+        let id = (offer.workspace.clone(), offer.class);
+        let in_progress = self.in_progress.get(&id).copied().unwrap_or(0);
+        let over = in_progress >= offer.in_progress_limit;
+        over.then(|| (RefuseReason::WorkspaceLimit, self.first_end_ms(Some(&offer.workspace))))
+    }
+
+    fn over_bound(&self, offer: &Offer) -> Option<(RefuseReason, u64)> {
+        let bound = self.bound_for(offer.class);
+        let total = self.work + offer.work;
+        let excess = total.saturating_sub(bound);
+        let drain_ms = excess.0.saturating_mul(self.cfg.unit_ms()) / u64::from(self.cfg.slots());
+        (total > bound).then_some((RefuseReason::OverBound, drain_ms))
+    }
+
+    fn over_queue(&self, offer: &Offer, expected_ms: u64) -> Option<(RefuseReason, u64)> {
+        if expected_ms == 0 {
+            return None;
+        }
+        let full = self.waiting.len() >= self.cfg.places_for(offer.class) as usize;
+        if full {
+            return Some((RefuseReason::QueueFull, expected_ms));
+        }
+        let own = self.waiting_of(&offer.workspace);
+        let over = own >= self.cfg.places_per_workspace() as usize;
+        over.then_some((RefuseReason::WorkspaceLimit, expected_ms))
+    }
+
+    fn over_deadline(&self, offer: &Offer, expected_ms: u64) -> Option<(RefuseReason, u64)> {
+        let left_ms = offer.deadline?.ms_since(self.now);
+        (expected_ms > left_ms).then(|| (RefuseReason::Deadline, expected_ms - left_ms))
+    }
+
+    /// The bound for a class: quick requests have a little of it to themselves, for as long as
+    /// one request of any size still fits.
+    fn bound_for(&self, class: Class) -> Work {
+        let bound = self.bound(self.now);
+        if class == Class::Quick {
+            return bound;
+        }
+        let slots = u64::from(self.cfg.reserved_slots());
+        let kept = Work(slots * AdmissionConfig::QUICK_WORK_PER_SLOT.0);
+        bound.saturating_sub(kept).max(bound.min(Work::HORIZON))
+    }
+
+    fn has_slot(&self, class: Class) -> bool {
+        let unreserved = class != Class::Quick;
+        self.running < self.cfg.slots()
+            && (!unreserved || self.running_unreserved < self.cfg.slots_for(class))
+    }
+
+    /// Expected wait of a new request of `class` in milliseconds; zero if it can start.
+    fn expected_wait_ms(&self, class: Class) -> u64 {
+        if self.has_slot(class) {
+            return 0;
+        }
+        let before = self.waiting.work_before(class).0.saturating_mul(self.cfg.unit_ms());
+        let first = self.first_end_ms(None);
+        (first + before / u64::from(self.cfg.slots_for(class))).max(1)
+    }
+
+    /// When the first running request, of one workspace or of all, is expected to end.
+    fn first_end_ms(&self, workspace: Option<&WorkspaceName>) -> u64 {
+        let running = self.admitted.values().filter(|admitted| admitted.running);
+        let own = running.filter(|admitted| workspace.is_none_or(|own| admitted.workspace == *own));
+        let least = own.map(|admitted| admitted.work.0).min().unwrap_or(0);
+        least.saturating_mul(self.cfg.unit_ms())
+    }
+
+    fn waiting_of(&self, workspace: &WorkspaceName) -> usize {
+        let own = |admitted: &&Admitted| !admitted.running && admitted.workspace == *workspace;
+        self.admitted.values().filter(own).count()
+    }
+
+    fn admit(&mut self, offer: &Offer) -> AdmittedKey {
+        let id = (offer.workspace.clone(), offer.class);
+        *self.in_progress.entry(id).or_default() += 1;
+        self.work += offer.work;
+        self.admitted.insert(Admitted {
+            workspace: offer.workspace.clone(),
+            class: offer.class,
+            work: offer.work,
+            running: false,
+        })
+    }
+
+    fn run(&mut self, key: AdmittedKey) {
+        let admitted = &mut self.admitted[key];
+        admitted.running = true;
+        self.running += 1;
+        self.running_unreserved += u32::from(admitted.class != Class::Quick);
+    }
+
+    fn remove(&mut self, key: AdmittedKey) -> Option<Admitted> {
+        let ended = self.admitted.remove(key)?;
+        self.work = self.work.saturating_sub(ended.work);
+        if ended.running {
+            self.running -= 1;
+            self.running_unreserved -= u32::from(ended.class != Class::Quick);
+        }
+        let id = (ended.workspace.clone(), ended.class);
+        if let Some(count) = self.in_progress.get_mut(&id) {
+            *count -= 1;
+            if *count == 0 {
+                self.in_progress.remove(&id);
+            }
+        }
+        Some(ended)
+    }
+
+    fn start_waiting(&mut self) -> Vec<AdmittedKey> {
+        let mut started = Vec::new();
+        while let Some(queued) = self.next_waiting() {
+            self.run(queued.key);
+            started.push(queued.key);
+        }
+        started
+    }
+
+    /// The next request to start. A request that has waited long goes first, but only every other
+    /// time, so that many of them don't close the slots to others.
+    fn next_waiting(&mut self) -> Option<Queued> {
+        if self.has_slot(Class::Drafting) && !self.aged_started_last {
+            let before = self.now.0.checked_sub(self.cfg.ageing_ms()).map(MonoMs);
+            let aged = before.and_then(|before| self.waiting.pop_older_than(before));
+            if aged.is_some() {
+                self.aged_started_last = true;
+                return aged;
+            }
+        }
+        self.aged_started_last = false;
+        let urgent_first = Class::ALL;
+        urgent_first.into_iter().find_map(|class| {
+            let free = self.has_slot(class);
+            free.then(|| self.waiting.of(class).pop()).flatten()
+        })
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/load/credit_home.rs
@@ -0,0 +1,121 @@
+//! The home of a limit: the sidecar that grants its credits.
+
+use std::collections::BTreeMap;
+
+use super::{ChatKey, CreditDemand, CreditReply, EndpointHash, LimitKey, rendezvous_score};
+use crate::MonoMs;
+
+/// The home of a limit: the first by rendezvous over the live endpoints, or `None` without any.
+pub fn credit_home_of(
+    key: &LimitKey,
+    live: impl IntoIterator<Item = EndpointHash>,
+) -> Option<EndpointHash> {
+    let seed = ChatKey::of(&key.workspace, &"credits".into(), &[key.class.as_str()]);
+    let score = |endpoint: &EndpointHash| rendezvous_score(seed, *endpoint, 1);
+    live.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)).then(a.cmp(b)))
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    available: f64,
+    filled_at: MonoMs,
+    since: MonoMs,
+}
+
+/// Grants the credits of the limits whose home this sidecar is. Its state is soft: a new home
+/// knows nothing of what an earlier one granted, so it starts empty and fills at
+/// [`CreditHome::NEW_HOME_SHARE`] of the rate until no batch of the earlier home can be left.
+///
+/// A home that sees only part of the published endpoints alive grants only that part of the limit.
+/// The parts of a fleet that is split see no endpoint in common, so their homes together grant no
+/// more than the limit.
+///
+/// ```
+/// use persimmon_decide::MonoMs;
+/// use persimmon_decide::load::{CreditDemand, CreditHome, CreditReply, LimitKey};
+///
+/// let key = LimitKey { workspace: "swap-desk".into(), class: Default::default() };
+/// let demand = CreditDemand { key, wanted: 10 };
+/// let mut home = CreditHome::default();
+/// home.grant(&demand, 100, 1.0, MonoMs(0));
+/// let CreditReply::Batch { credits, .. } = home.grant(&demand, 100, 1.0, MonoMs(500)) else {
+///     panic!()
+/// };
+/// assert_eq!(credits, 10);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct CreditHome {
+    buckets: BTreeMap<LimitKey, Bucket>,
+}
+
+impl CreditHome {
+    /// Limits kept; beyond it the one idle for longest is forgotten and starts anew.
+    pub const MAX_LIMITS: usize = 16_384;
+
+    /// How long a batch holds, in milliseconds.
+    pub const TTL_MS: u32 = 2_000;
+
+    /// How much of the limit may be saved up, in milliseconds of its rate.
+    pub const BURST_MS: u64 = 1_000;
+
+    /// Share of the limit that a new home grants at first.
+    pub const NEW_HOME_SHARE: f64 = 0.5;
+
+    /// How long a home is new, in milliseconds.
+    pub const NEW_HOME_MS: u64 = 10_000;
+
+    /// Shortest time after which a router that got too little asks again, in milliseconds.
+    pub const MIN_MORE_AFTER_MS: u32 = 200;
+
+    /// Share of what is available that one demand may take, so that several routers get some.
+    pub const MAX_GRANT_SHARE: f64 = 0.5;
+
+    /// Grants what may be granted of `per_second`, the limit in the records, when `seen_share` of
+    /// the published endpoints are seen alive.
+    pub fn grant(
+        &mut self,
+        demand: &CreditDemand,
+        per_second: u32,
+        seen_share: f64,
+        now: MonoMs,
+    ) -> CreditReply {
+        self.make_room(&demand.key);
+        let empty = Bucket { available: 0.0, filled_at: now, since: now };
+        let bucket = self.buckets.entry(demand.key.clone()).or_insert(empty);
+        bucket.fill(f64::from(per_second) * seen_share.clamp(0.0, 1.0), now);
+        let most = (bucket.available * Self::MAX_GRANT_SHARE).max(1.0).min(bucket.available);
+        let credits = demand.wanted.min(most as u32);
+        bucket.available -= f64::from(credits);
+        let more_after_ms = bucket.more_after_ms(per_second, demand.wanted - credits);
+        CreditReply::Batch { credits, ttl_ms: Self::TTL_MS, more_after_ms }
+    }
+
+    fn make_room(&mut self, key: &LimitKey) {
+        if self.buckets.len() < Self::MAX_LIMITS || self.buckets.contains_key(key) {
+            return;
+        }
+        let idle = self.buckets.iter().min_by_key(|(_, bucket)| bucket.filled_at);
+        if let Some(key) = idle.map(|(key, _)| key.clone()) {
+            self.buckets.remove(&key);
+        }
+    }
+}
+
+impl Bucket {
+    fn fill(&mut self, per_second: f64, now: MonoMs) {
+        let is_new = now.ms_since(self.since) < CreditHome::NEW_HOME_MS;
+        let rate = if is_new { per_second * CreditHome::NEW_HOME_SHARE } else { per_second };
+        let earned = rate * now.ms_since(self.filled_at) as f64 / 1_000.0;
+        let most = (rate * CreditHome::BURST_MS as f64 / 1_000.0).max(1.0);
+        self.available = (self.available + earned).min(most);
+        self.filled_at = self.filled_at.max(now);
+    }
+
+    fn more_after_ms(&self, per_second: u32, missing: u32) -> u32 {
+        if missing == 0 {
+            return 0;
+        }
+        let until_one = 1_000 / per_second.max(1);
+        until_one.max(CreditHome::MIN_MORE_AFTER_MS)
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/load/credit_purse.rs
@@ -0,0 +1,181 @@
+//! The purse: the credits that a router holds.
+
+use std::collections::BTreeMap;
+
+use super::{CreditBatch, CreditDemand, CreditReply, LimitKey};
+use crate::MonoMs;
+
+/// What a router does with a request under a limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Spend {
+    /// Whether the request is paid for. If not and a demand is due, the router may wait for its
+    /// reply and spend again, once.
+    pub paid: bool,
+    /// A demand to send to the home now.
+    pub demand: Option<CreditDemand>,
+    /// When a request that isn't paid for may be tried again, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Account {
+    /// The batch spent now and the one after it.
+    batches: [CreditBatch; 2],
+    /// Requests in the current and in the last window of [`CreditPurse::WINDOW_MS`].
+    counted: [u32; 2],
+    window: u64,
+    asked_at: Option<MonoMs>,
+    ask_from: MonoMs,
+    home_silent: bool,
+    own: f64,
+    own_filled_at: MonoMs,
+}
+
+/// Pays for requests from batches of credits, and asks for the next batch before the last one is
+/// spent. Batches with a time to live, spent at the client's side, follow "K2 Timestamp and TSO",
+/// sections 3.3 and 3.6. While the home doesn't answer, a router pays from a small share of the
+/// limit of its own.
+///
+/// ```
+/// use persimmon_decide::MonoMs;
+/// use persimmon_decide::load::{CreditPurse, CreditReply, LimitKey};
+///
+/// let key = LimitKey { workspace: "swap-desk".into(), class: Default::default() };
+/// let mut purse = CreditPurse::new(2);
+/// let first = purse.spend(&key, 100, MonoMs(0));
+/// assert!(!first.paid && first.demand.is_some());
+/// let reply = CreditReply::Batch { credits: 4, ttl_ms: 2_000, more_after_ms: 0 };
+/// purse.receive(&key, reply, MonoMs(0), MonoMs(5));
+/// assert!(purse.spend(&key, 100, MonoMs(6)).paid);
+/// ```
+#[derive(Debug, Clone)]
+pub struct CreditPurse {
+    accounts: BTreeMap<LimitKey, Account>,
+    routers: u32,
+}
+
+impl CreditPurse {
+    /// Limits kept; beyond it the one idle for longest is forgotten with its credits.
+    pub const MAX_LIMITS: usize = 16_384;
+
+    /// Window in which requests are counted to size the next demand, in milliseconds.
+    pub const WINDOW_MS: u64 = 1_000;
+
+    /// The most credits asked for at once.
+    pub const MAX_WANTED: u32 = 10_000;
+
+    /// How long a demand may be unanswered before the home counts as silent, in milliseconds.
+    pub const ANSWER_MS: u64 = 500;
+
+    /// Share of the limit that all routers together may spend while the home is silent.
+    pub const OWN_SHARE: f64 = 0.25;
+
+    /// A purse of one of `routers` routers.
+    pub fn new(routers: u32) -> Self {
+        Self { accounts: BTreeMap::new(), routers: routers.max(1) }
+    }
+
+    /// Follows a change in the number of routers.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+    }
+
+    /// Pays for one request under a limit of `per_second`, if a credit is held.
+    pub fn spend(&mut self, key: &LimitKey, per_second: u32, now: MonoMs) -> Spend {
+        let own_rate = f64::from(per_second) * Self::OWN_SHARE / f64::from(self.routers);
+        let account = self.account(key);
+        account.count(now);
+        account.note_silence(now);
+        let paid = account.take(own_rate, now);
+        let demand = account.demand(now).map(|wanted| CreditDemand { key: key.clone(), wanted });
+        let wait_ms = account.ask_from.ms_since(now).max(Self::ANSWER_MS / 10);
+        Spend { paid, demand, retry_after_ms: if paid { 0 } else { wait_ms } }
+    }
+
+    /// Takes in the reply to a demand that was sent at `sent_at`. The batch's time to live counts
+    /// from then, so that a slow reply never lengthens it.
+    pub fn receive(&mut self, key: &LimitKey, reply: CreditReply, sent_at: MonoMs, now: MonoMs) {
+        let account = self.account(key);
+        account.asked_at = None;
+        match reply {
+            CreditReply::Batch { credits, ttl_ms, more_after_ms } => {
+                account.home_silent = false;
+                let expires_at = sent_at.plus_ms(u64::from(ttl_ms));
+                account.add(CreditBatch { credits, expires_at }, now);
+                account.ask_from = now.plus_ms(u64::from(more_after_ms));
+            }
+            CreditReply::Elsewhere(_) => account.ask_from = now,
+        }
+    }
+
+    fn account(&mut self, key: &LimitKey) -> &mut Account {
+        if self.accounts.len() >= Self::MAX_LIMITS && !self.accounts.contains_key(key) {
+            let idle = self.accounts.iter().min_by_key(|(_, account)| account.window);
+            if let Some(idle) = idle.map(|(key, _)| key.clone()) {
+                self.accounts.remove(&idle);
+            }
+        }
+        self.accounts.entry(key.clone()).or_default()
+    }
+}
+
+impl Account {
+    fn count(&mut self, now: MonoMs) {
+        let window = now.0 / CreditPurse::WINDOW_MS;
+        if window > self.window {
+            let last = if window == self.window + 1 { self.counted[0] } else { 0 };
+            self.counted = [0, last];
+            self.window = window;
+        }
+        self.counted[0] = self.counted[0].saturating_add(1);
+    }
+
+    fn note_silence(&mut self, now: MonoMs) {
+        let silent = self.asked_at.is_some_and(|at| now.ms_since(at) >= CreditPurse::ANSWER_MS);
+        if silent {
+            self.asked_at = None;
+            self.home_silent = true;
+            self.ask_from = now.plus_ms(CreditPurse::ANSWER_MS);
+        }
+    }
+
+    fn take(&mut self, own_rate: f64, now: MonoMs) -> bool {
+        let held = self.batches.iter_mut().find(|batch| batch.left(now) > 0);
+        if let Some(batch) = held {
+            batch.credits -= 1;
+            return true;
+        }
+        self.home_silent && self.take_own(own_rate, now)
+    }
+
+    /// Keeps the new batch after the younger of the two held. Credits are never carried from one
+    /// batch to another, since that would lengthen their time to live.
+    fn add(&mut self, batch: CreditBatch, now: MonoMs) {
+        let [first, second] = self.batches;
+        self.batches = if second.left(now) > 0 { [second, batch] } else { [first, batch] };
+    }
+
+    fn take_own(&mut self, rate: f64, now: MonoMs) -> bool {
+        let earned = rate * now.ms_since(self.own_filled_at) as f64 / 1_000.0;
+        self.own = (self.own + earned).min(rate.max(1.0));
+        self.own_filled_at = self.own_filled_at.max(now);
+        let paid = self.own >= 1.0;
+        if paid {
+            self.own -= 1.0;
+        }
+        paid
+    }
+
+    /// Credits to ask for now, if the batch held wouldn't last for half of its time to live.
+    fn demand(&mut self, now: MonoMs) -> Option<u32> {
+        let per_window = self.counted[0].max(self.counted[1]);
+        let wanted = per_window.saturating_mul(2).clamp(1, CreditPurse::MAX_WANTED);
+        let held: u32 = self.batches.iter().map(|batch| batch.left(now)).sum();
+        let low = held < wanted.div_ceil(2);
+        if !low || self.asked_at.is_some() || now < self.ask_from {
+            return None;
+        }
+        self.asked_at = Some(now);
+        Some(wanted - held)
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/load/directory.rs
@@ -0,0 +1,193 @@
+//! What a router knows of each endpoint.
+
+use std::collections::{BTreeMap, HashMap};
+
+use persimmon_records::{EndpointName, RecordSet, Serves};
+use slotmap::{SlotMap, new_key_type};
+use thiserror::Error;
+
+use super::{EndpointHash, LoadReport, Work};
+use crate::MonoMs;
+
+new_key_type! {
+    /// Identifies an endpoint in one process's [`Directory`].
+    pub struct EndpointKey;
+}
+
+/// What a router knows of one endpoint. All of it but the name and the slots is a hint.
+#[derive(Debug, Clone)]
+pub struct EndpointView {
+    /// The endpoint's name.
+    pub name: EndpointName,
+    /// The hash of the name.
+    pub hash: EndpointHash,
+    /// Slots, from the records.
+    pub slots: u32,
+    /// The last load reported.
+    pub load: LoadReport,
+    /// When that load was measured; `None` if none was ever reported.
+    pub reported_at: Option<MonoMs>,
+    /// Work that this router has sent since then.
+    pub sent_since: Work,
+    /// Whether the endpoint is known to be leaving.
+    pub leaving: bool,
+    /// Until when the endpoint is tried only after all others.
+    pub suspect_until: Option<MonoMs>,
+}
+
+impl EndpointView {
+    /// Age up to which a reported load is used, in milliseconds.
+    pub const LOAD_AGE_MS: u64 = 15_000;
+
+    /// The load that the endpoint is expected to have.
+    pub fn expected_work(&self, now: MonoMs) -> Work {
+        match self.reported_at {
+            Some(at) if now.ms_since(at) < Self::LOAD_AGE_MS => self.load.work + self.sent_since,
+            _ => self.sent_since,
+        }
+    }
+
+    /// The expected load for each slot.
+    pub fn expected_per_slot(&self, now: MonoMs) -> f64 {
+        self.expected_work(now).0 as f64 / f64::from(self.slots.max(1))
+    }
+
+    /// Whether the endpoint is tried only after all others.
+    pub fn is_suspect(&self, now: MonoMs) -> bool {
+        self.suspect_until.is_some_and(|until| now < until)
+    }
+}
+
+/// A record set that names more endpoints than a router keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the records name {found} endpoints, more than {max}; split the fleet")]
+pub struct DirectoryError {
+    /// Endpoints in the records.
+    pub found: usize,
+    /// Endpoints that a router keeps.
+    pub max: usize,
+}
+
+/// A router's view of every endpoint in the records in force.
+#[derive(Debug, Default)]
+pub struct Directory {
+    views: SlotMap<EndpointKey, EndpointView>,
+    by_hash: BTreeMap<EndpointHash, EndpointKey>,
+    by_target: HashMap<Serves, Vec<EndpointKey>>,
+}
+
+impl Directory {
+    /// The most endpoints kept.
+    pub const MAX_ENDPOINTS: usize = 16_384;
+
+    /// Follows a record set: adds its new endpoints, drops those that it no longer names and keeps
+    /// what is known of the others.
+    ///
+    /// # Errors
+    ///
+    /// [`DirectoryError`] if the set names too many endpoints; the directory stays as it was.
+    pub fn follow(&mut self, records: &RecordSet) -> Result<(), DirectoryError> {
+        let found = records.endpoints.len();
+        if found > Self::MAX_ENDPOINTS {
+            return Err(DirectoryError { found, max: Self::MAX_ENDPOINTS });
+        }
+        let mut kept = BTreeMap::new();
+        self.by_target.clear();
+        for endpoint in &records.endpoints {
+            let hash = EndpointHash::of(&endpoint.name);
+            let known = self.by_hash.remove(&hash);
+            let key = known.unwrap_or_else(|| self.add(&endpoint.name, hash));
+            let view = &mut self.views[key];
+            view.slots = endpoint.slots;
+            view.leaving |= endpoint.draining;
+            kept.insert(hash, key);
+            self.by_target.entry(endpoint.serves.clone()).or_default().push(key);
+        }
+        for dropped in self.by_hash.values() {
+            self.views.remove(*dropped);
+        }
+        self.by_hash = kept;
+        Ok(())
+    }
+
+    fn add(&mut self, name: &EndpointName, hash: EndpointHash) -> EndpointKey {
+        self.views.insert(EndpointView {
+            name: name.clone(),
+            hash,
+            slots: 1,
+            load: LoadReport::default(),
+            reported_at: None,
+            sent_since: Work::ZERO,
+            leaving: false,
+            suspect_until: None,
+        })
+    }
+
+    /// Takes in a load measured at `at`, from a digest, a reply or a refusal. An older one than is
+    /// held is ignored.
+    pub fn report(&mut self, endpoint: EndpointHash, load: LoadReport, at: MonoMs) {
+        let Some(view) = self.view_mut(endpoint) else { return };
+        if view.reported_at.is_none_or(|held| held <= at) {
+            view.load = load;
+            view.reported_at = Some(at);
+            view.sent_since = Work::ZERO;
+        }
+    }
+
+    /// Counts work just sent, until the next report.
+    pub fn note_sent(&mut self, endpoint: EndpointHash, work: Work) {
+        if let Some(view) = self.view_mut(endpoint) {
+            view.sent_since += work;
+        }
+    }
+
+    /// Sets whether the endpoint is leaving.
+    pub fn set_leaving(&mut self, endpoint: EndpointHash, leaving: bool) {
+        if let Some(view) = self.view_mut(endpoint) {
+            view.leaving = leaving;
+        }
+    }
+
+    /// Tries the endpoint only after all others until `until`.
+    pub fn suspect(&mut self, endpoint: EndpointHash, until: MonoMs) {
+        if let Some(view) = self.view_mut(endpoint) {
+            view.suspect_until = view.suspect_until.max(Some(until));
+        }
+    }
+
+    /// What is known of an endpoint.
+    pub fn view(&self, endpoint: EndpointHash) -> Option<&EndpointView> {
+        self.by_hash.get(&endpoint).map(|key| &self.views[*key])
+    }
+
+    /// The endpoints that serve a model or a service, in the order of the records.
+    pub fn serving(&self, target: &Serves) -> impl Iterator<Item = &EndpointView> {
+        self.by_target.get(target).into_iter().flatten().map(|key| &self.views[*key])
+    }
+
+    /// Endpoints kept.
+    pub fn len(&self) -> usize {
+        self.views.len()
+    }
+
+    /// Whether no endpoint is kept.
+    pub fn is_empty(&self) -> bool {
+        self.views.is_empty()
+    }
+
+    /// The mean expected load per slot of a target's endpoints that aren't leaving.
+    pub fn mean_per_slot(&self, target: &Serves, now: MonoMs) -> f64 {
+        let mut work = 0.0;
+        let mut slots = 0.0;
+        for view in self.serving(target).filter(|view| !view.leaving) {
+            work += view.expected_work(now).0 as f64;
+            slots += f64::from(view.slots);
+        }
+        if slots > 0.0 { work / slots } else { 0.0 }
+    }
+
+    fn view_mut(&mut self, endpoint: EndpointHash) -> Option<&mut EndpointView> {
+        let key = *self.by_hash.get(&endpoint)?;
+        self.views.get_mut(key)
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/load/fair_queue.rs
@@ -0,0 +1,159 @@
+//! Deficit round robin over workspaces.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use persimmon_records::WorkspaceName;
+use slotmap::{SlotMap, new_key_type};
+
+use super::{AdmittedKey, Work};
+use crate::MonoMs;
+
+new_key_type! {
+    /// Identifies a workspace with waiting requests in one [`FairQueue`].
+    pub struct WorkspaceKey;
+}
+
+/// A waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Queued {
+    /// The request.
+    pub key: AdmittedKey,
+    /// Its work.
+    pub work: Work,
+    /// Since when it waits.
+    pub since: MonoMs,
+    /// When it must have started, if it has a deadline.
+    pub deadline: Option<MonoMs>,
+}
+
+#[derive(Debug)]
+struct Lane {
+    workspace: WorkspaceName,
+    queue: VecDeque<Queued>,
+    deficit: Work,
+}
+
+/// The waiting requests of one class. Workspaces take turns, each by the work of its requests, so
+/// that one with many or long requests doesn't hold others back. The owner bounds its length.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    lanes: SlotMap<WorkspaceKey, Lane>,
+    by_name: BTreeMap<WorkspaceName, WorkspaceKey>,
+    turns: VecDeque<WorkspaceKey>,
+    len: usize,
+    work: Work,
+}
+
+impl FairQueue {
+    /// Work that a workspace may start in each turn.
+    pub const QUANTUM: Work = Work(256);
+
+    /// Adds a request at the end of its workspace's lane.
+    pub fn push(&mut self, workspace: &WorkspaceName, queued: Queued) {
+        let known = self.by_name.get(workspace).copied();
+        let key = known.unwrap_or_else(|| self.add_lane(workspace));
+        self.lanes[key].queue.push_back(queued);
+        self.len += 1;
+        self.work += queued.work;
+    }
+
+    /// Takes the next request by deficit round robin.
+    pub fn pop(&mut self) -> Option<Queued> {
+        loop {
+            let key = *self.turns.front()?;
+            let lane = &mut self.lanes[key];
+            let head = *lane.queue.front()?;
+            if lane.deficit >= head.work {
+                lane.deficit = lane.deficit.saturating_sub(head.work);
+                return self.take_head(key);
+            }
+            lane.deficit += Self::QUANTUM;
+            self.turns.rotate_left(1);
+        }
+    }
+
+    /// Takes the request that has waited longest, if it has waited since `before` or longer.
+    pub fn pop_older_than(&mut self, before: MonoMs) -> Option<Queued> {
+        let oldest = self.oldest()?;
+        let key = *self.turns.iter().find(|key| {
+            self.lanes[**key].queue.front().is_some_and(|head| head.key == oldest.key)
+        })?;
+        if oldest.since > before {
+            return None;
+        }
+        self.take_head(key)
+    }
+
+    /// The request that has waited longest.
+    pub fn oldest(&self) -> Option<Queued> {
+        self.lanes.values().filter_map(|lane| lane.queue.front()).min_by_key(|q| q.since).copied()
+    }
+
+    /// Takes out every request for which `gone` holds.
+    pub fn remove_where(&mut self, mut gone: impl FnMut(&Queued) -> bool) -> Vec<Queued> {
+        let mut removed = Vec::new();
+        for lane in self.lanes.values_mut() {
+            lane.queue.retain(|queued| {
+                let out = gone(queued);
+                if out {
+                    removed.push(*queued);
+                }
+                !out
+            });
+        }
+        for queued in &removed {
+            self.len -= 1;
+            self.work = self.work.saturating_sub(queued.work);
+        }
+        self.drop_empty_lanes();
+        removed
+    }
+
+    /// Waiting requests.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Work of the waiting requests.
+    pub fn work(&self) -> Work {
+        self.work
+    }
+
+    fn add_lane(&mut self, workspace: &WorkspaceName) -> WorkspaceKey {
+        let lane =
+            Lane { workspace: workspace.clone(), queue: VecDeque::new(), deficit: Work::ZERO };
+        let key = self.lanes.insert(lane);
+        self.by_name.insert(workspace.clone(), key);
+        self.turns.push_back(key);
+        key
+    }
+
+    fn take_head(&mut self, key: WorkspaceKey) -> Option<Queued> {
+        let queued = self.lanes[key].queue.pop_front()?;
+        self.len -= 1;
+        self.work = self.work.saturating_sub(queued.work);
+        if self.lanes[key].queue.is_empty() {
+            self.drop_empty_lanes();
+        }
+        Some(queued)
+    }
+
+    /// An idle workspace keeps no deficit, so that it can't save up turns.
+    fn drop_empty_lanes(&mut self) {
+        let by_name = &mut self.by_name;
+        self.lanes.retain(|_, lane| {
+            let kept = !lane.queue.is_empty();
+            if !kept {
+                by_name.remove(&lane.workspace);
+            }
+            kept
+        });
+        let lanes = &self.lanes;
+        self.turns.retain(|key| lanes.contains_key(*key));
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/load/mean_load.rs
@@ -0,0 +1,144 @@
+//! A conservative estimate of the mean load of a model's endpoints.
+
+use std::collections::BTreeMap;
+
+use persimmon_records::Policy;
+
+use super::{EndpointHash, LoadReport, Work};
+use crate::MonoMs;
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    report: LoadReport,
+    at: MonoMs,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    per_slot: f64,
+    at: MonoMs,
+}
+
+/// Estimates the mean load per slot of the endpoints of one model, from the reports of peers and
+/// from estimates that routers send along with requests. It errs downwards, so that the bound of a
+/// partitioned or newly started sidecar is too tight rather than too loose: the lower of the two
+/// estimates counts, both decay when they aren't refreshed, and with neither the estimate is zero,
+/// so that the floor holds. A sidecar doesn't count its own load: a load that raised its own bound
+/// would never be refused.
+///
+/// ```
+/// use persimmon_decide::MonoMs;
+/// use persimmon_decide::load::{EndpointHash, LoadReport, MeanLoad, Work};
+///
+/// let mut mean = MeanLoad::default();
+/// let report = LoadReport { work: Work(4_000), running: 4, waiting: 0, slots: 8 };
+/// mean.observe(EndpointHash(1), report, MonoMs(0));
+/// assert_eq!(mean.per_slot(MonoMs(0)), 500.0);
+/// assert!(mean.per_slot(MonoMs(60_000)) < 50.0);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct MeanLoad {
+    entries: BTreeMap<EndpointHash, Entry>,
+    told: Option<Told>,
+}
+
+impl MeanLoad {
+    /// Endpoints whose reports are kept.
+    pub const MAX_ENTRIES: usize = 256;
+
+    /// Age up to which a report counts in full, in milliseconds.
+    pub const FRESH_MS: u64 = 5_000;
+
+    /// Time in which a report that is no longer fresh loses half of its weight, in milliseconds.
+    pub const HALF_LIFE_MS: u64 = 5_000;
+
+    /// Age at which a report is forgotten, in milliseconds.
+    pub const FORGET_MS: u64 = 60_000;
+
+    /// Takes in an endpoint's report, measured at `at`. An older one than is held is ignored.
+    pub fn observe(&mut self, endpoint: EndpointHash, report: LoadReport, at: MonoMs) {
+        if self.entries.get(&endpoint).is_some_and(|held| held.at > at) {
+            return;
+        }
+        if self.entries.len() >= Self::MAX_ENTRIES && !self.entries.contains_key(&endpoint) {
+            self.drop_oldest();
+        }
+        self.entries.insert(endpoint, Entry { report, at });
+    }
+
+    /// Takes in the estimate of another process, in work per slot.
+    pub fn observe_told(&mut self, per_slot: f64, at: MonoMs) {
+        let valid = per_slot.is_finite() && per_slot >= 0.0;
+        if valid && self.told.is_none_or(|held| held.at <= at) {
+            self.told = Some(Told { per_slot, at });
+        }
+    }
+
+    /// Forgets an endpoint that left.
+    pub fn forget(&mut self, endpoint: EndpointHash) {
+        self.entries.remove(&endpoint);
+    }
+
+    /// Drops reports that are too old to count.
+    pub fn tick(&mut self, now: MonoMs) {
+        self.entries.retain(|_, entry| now.ms_since(entry.at) < Self::FORGET_MS);
+    }
+
+    /// The estimate in work per slot.
+    pub fn per_slot(&self, now: MonoMs) -> f64 {
+        let told = self.told.map(|told| told.per_slot * freshness(told.at, now));
+        match (self.observed_per_slot(now), told) {
+            (Some(observed), Some(told)) => observed.min(told),
+            (Some(only), None) | (None, Some(only)) => only,
+            (None, None) => 0.0,
+        }
+    }
+
+    /// The load up to which the multiple isn't applied: `load_floor` requests of the mean work of
+    /// a request in progress. Never under [`Work::HORIZON`], so that every request fits an idle
+    /// endpoint.
+    pub fn floor(&self, load_floor: u32) -> Work {
+        let least = Work::MIN_PER_FLOOR_REQUEST.0 as f64;
+        let request = self.request_work().clamp(least, Work::HORIZON.0 as f64);
+        Work((request * f64::from(load_floor)) as u64).max(Work::HORIZON)
+    }
+
+    /// The most that an endpoint with these slots may carry: `multiple` times its share of the
+    /// mean, but never under the floor.
+    pub fn bound(&self, policy: &Policy, slots: u32, now: MonoMs) -> Work {
+        let share = policy.load_multiple * self.per_slot(now) * f64::from(slots);
+        self.floor(policy.load_floor).max(Work(share as u64))
+    }
+
+    fn request_work(&self) -> f64 {
+        let work: Work = self.entries.values().map(|entry| entry.report.work).sum();
+        let requests: u64 = self.entries.values().map(|entry| entry.report.requests()).sum();
+        if requests == 0 {
+            return Work::PER_FLOOR_REQUEST.0 as f64;
+        }
+        work.0 as f64 / requests as f64
+    }
+
+    fn observed_per_slot(&self, now: MonoMs) -> Option<f64> {
+        let mut work = 0.0;
+        let mut slots = 0.0;
+        for entry in self.entries.values() {
+            work += entry.report.work.0 as f64 * freshness(entry.at, now);
+            slots += f64::from(entry.report.slots);
+        }
+        (slots > 0.0).then(|| work / slots)
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.at).map(|(key, _)| *key);
+        if let Some(key) = oldest {
+            self.entries.remove(&key);
+        }
+    }
+}
+
+/// The share at which a value of this age counts.
+fn freshness(at: MonoMs, now: MonoMs) -> f64 {
+    let stale_ms = now.ms_since(at).saturating_sub(MeanLoad::FRESH_MS);
+    0.5_f64.powf(stale_ms as f64 / MeanLoad::HALF_LIFE_MS as f64)
+}
--- a/crates/persimmon_decide/src/load/mod.rs
+++ b/crates/persimmon_decide/src/load/mod.rs
@@ -1,1 +1,40 @@
 //! Placement, admission and limits: where a request goes and when it runs.
+//!
+//! Routers rank endpoints ([`Placement`] over a [`Directory`]) and draw on credits
+//! ([`CreditPurse`]). The sidecar beside an endpoint decides what the endpoint really takes
+//! ([`Admission`]) and grants credits ([`CreditHome`]).
+
+mod admission;
+mod admission_config;
+mod chat_key;
+mod chat_token;
+mod credit;
+mod credit_home;
+mod credit_purse;
+mod directory;
+mod endpoint_hash;
+mod fair_queue;
+mod import_budget;
+mod mean_load;
+mod offer;
+mod placement;
+mod rank;
+mod waiting;
+mod work;
+
+pub use admission::Admission;
+pub use admission_config::AdmissionConfig;
+pub use chat_key::ChatKey;
+pub use chat_token::{ChatToken, ChatTokenError, Holder, TokenKey};
+pub use credit::{CreditBatch, CreditDemand, CreditReply, LimitKey};
+pub use credit_home::{CreditHome, credit_home_of};
+pub use credit_purse::{CreditPurse, Spend};
+pub use directory::{Directory, DirectoryError, EndpointKey, EndpointView};
+pub use endpoint_hash::EndpointHash;
+pub use fair_queue::{FairQueue, Queued, WorkspaceKey};
+pub use import_budget::ImportBudget;
+pub use mean_load::MeanLoad;
+pub use offer::{AdmittedKey, Decision, Due, Offer, Refusal, RefuseReason};
+pub use placement::{Candidate, PlaceRequest, Placement};
+pub use rank::{rank_by_slots, rendezvous_score};
+pub use work::{LoadReport, Work};
--- /dev/null
+++ b/crates/persimmon_decide/src/load/waiting.rs
@@ -0,0 +1,59 @@
+//! The waiting requests of every class.
+
+use persimmon_records::Class;
+
+use super::{AdmittedKey, FairQueue, Queued, Work};
+use crate::MonoMs;
+
+#[derive(Debug, Default)]
+pub(super) struct Waiting {
+    quick: FairQueue,
+    conversation: FairQueue,
+    drafting: FairQueue,
+}
+
+impl Waiting {
+    pub(super) fn of(&mut self, class: Class) -> &mut FairQueue {
+        match class {
+            Class::Quick => &mut self.quick,
+            Class::Conversation => &mut self.conversation,
+            Class::Drafting => &mut self.drafting,
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.quick.len() + self.conversation.len() + self.drafting.len()
+    }
+
+    /// Work that goes before a new request of `class`.
+    pub(super) fn work_before(&self, class: Class) -> Work {
+        match class {
+            Class::Quick => self.quick.work(),
+            Class::Conversation => self.quick.work() + self.conversation.work(),
+            Class::Drafting => self.quick.work() + self.conversation.work() + self.drafting.work(),
+        }
+    }
+
+    /// Takes out the requests whose deadline has passed.
+    pub(super) fn remove_late(&mut self, now: MonoMs) -> Vec<AdmittedKey> {
+        let late = |queued: &Queued| queued.deadline.is_some_and(|deadline| deadline <= now);
+        let mut removed = Vec::new();
+        for class in Class::ALL {
+            removed.extend(self.of(class).remove_where(late).into_iter().map(|queued| queued.key));
+        }
+        removed
+    }
+
+    /// Takes the request, of those that aren't quick, that has waited longest, if it has waited
+    /// since `before` or longer.
+    pub(super) fn pop_older_than(&mut self, before: MonoMs) -> Option<Queued> {
+        let conversation = self.conversation.oldest().map(|queued| queued.since);
+        let drafting = self.drafting.oldest().map(|queued| queued.since);
+        let draft_is_older = match (conversation, drafting) {
+            (Some(conversation), Some(drafting)) => drafting <= conversation,
+            (conversation, _) => conversation.is_none(),
+        };
+        let queue = if draft_is_older { &mut self.drafting } else { &mut self.conversation };
+        queue.pop_older_than(before)
+    }
+}
