--- a/crates/persimmon_decide/src/lib.rs
+++ b/crates/persimmon_decide/src/lib.rs
@@ -11,6 +11,8 @@
 
 mod clock;
 mod ids;
+mod sealer;
 
 pub use clock::MonoMs;
 pub use ids::{Attempt, Fingerprint, Incarnation, Offset, RequestId, RequestIdError};
+pub use sealer::{SealError, Sealer};
--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -172,8 +172,10 @@
 }
 
 struct CallAnswer {
-  body @0 :Text;
-  repeated @1 :Bool;
+  status @0 :UInt16;
+  # The HTTP status of the service's reply.
+  body @1 :Text;
+  repeated @2 :Bool;
   # Whether this is the recorded answer of an earlier run.
 }
 
--- a/crates/persimmon_wire/src/connection.rs
+++ b/crates/persimmon_wire/src/connection.rs
@@ -20,7 +20,7 @@
 use crate::{FleetKey, HandshakeError, accept_handshake, dial_handshake};
 
 /// Time that a new TCP connection may take.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Largest message that is read, in 8-byte words.
 const MAX_MESSAGE_WORDS: usize = 512 * 1024;
 
--- a/crates/persimmon_wire/src/convert.rs
+++ b/crates/persimmon_wire/src/convert.rs
@@ -393,8 +393,9 @@
     /// Writes the message.
     pub fn write(&self, mut builder: schema::call_reply::Builder<'_>) {
         match self {
-            Self::Answered { body, repeated } => {
+            Self::Answered { status, body, repeated } => {
                 let mut answered = builder.init_answered();
+                answered.set_status(*status);
                 answered.set_body(&**body);
                 answered.set_repeated(*repeated);
             }
@@ -413,6 +414,7 @@
             schema::call_reply::Answered(answered) => {
                 let answered = answered?;
                 Ok(Self::Answered {
+                    status: answered.get_status(),
                     body: Arc::from(read_text(answered.get_body()?)?),
                     repeated: answered.get_repeated(),
                 })
--- a/crates/persimmon_wire/src/fleet_key.rs
+++ b/crates/persimmon_wire/src/fleet_key.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 /// Shortest key that is taken, in characters.
-pub const MIN_KEY_CHARS: usize = 16;
+pub(crate) const MIN_KEY_CHARS: usize = 16;
 
 const HANDSHAKE_CONTEXT: &str = "persimmonmount 2026-12 handshake";
 const DATAGRAM_CONTEXT: &str = "persimmonmount 2026-12 datagram";
--- a/crates/persimmon_wire/src/handshake.rs
+++ b/crates/persimmon_wire/src/handshake.rs
@@ -13,7 +13,7 @@
 use crate::FleetKey;
 
 /// Time that both ends have for the whole handshake.
-pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(2_000);
+pub(crate) const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 const PROTOCOL: &[u8; 8] = b"psmn/001";
 const NONCE_BYTES: usize = 32;
--- a/crates/persimmon_wire/src/message.rs
+++ b/crates/persimmon_wire/src/message.rs
@@ -149,6 +149,8 @@
 pub enum CallReply {
     /// The service's answer.
     Answered {
+        /// The HTTP status of the service's reply.
+        status: u16,
         /// The service's JSON.
         body: Arc<str>,
         /// Whether it is the recorded answer of an earlier run.
--- /dev/null
+++ b/crates/persimmonmountd/src/common/peer_server.rs
@@ -0,0 +1,76 @@
+//! The TCP server for other processes of the fleet.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
+
+use persimmon_wire::fleet_capnp::node;
+use persimmon_wire::{FleetKey, serve};
+use tokio::net::TcpListener as AsyncListener;
+use tokio::task::LocalSet;
+
+/// Pause after a connection couldn't be accepted, so that a shortage of file descriptors doesn't
+/// keep a core busy.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A server that answers calls on a thread of its own.
+#[derive(Debug)]
+pub(crate) struct PeerServer {
+    address: SocketAddr,
+}
+
+impl PeerServer {
+    /// Binds `listen` and starts to answer calls with what `node` makes.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound or the thread can't be started.
+    pub(crate) fn start(
+        listen: SocketAddr,
+        key: FleetKey,
+        node: impl Fn() -> node::Client + Send + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        thread::Builder::new().name("peers".into()).spawn(move || {
+            let local = LocalSet::new();
+            local.block_on(&runtime, accept_all(listener, key, node));
+        })?;
+        Ok(Self { address })
+    }
+
+    /// Where the server listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+async fn accept_all(listener: TcpListener, key: FleetKey, node: impl Fn() -> node::Client) {
+    let listener = match AsyncListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(err) => {
+            tracing::error!("peers: the listener can't be used: {err}.");
+            return;
+        }
+    };
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let key = key.clone();
+                let bootstrap = node();
+                tokio::task::spawn_local(async move {
+                    if let Err(err) = serve(stream, &key, bootstrap).await {
+                        tracing::warn!("peers: a connection from {from} is refused: {err}.");
+                    }
+                });
+            }
+            Err(err) => {
+                tracing::warn!("peers: a connection can't be accepted: {err}.");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/persimmonmountd/src/common/platform.rs
+++ b/crates/persimmonmountd/src/common/platform.rs
@@ -60,6 +60,13 @@
     pub(crate) state: VmState,
 }
 
+impl VmEntry {
+    /// Whether the VM is about to go.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.state == VmState::Leaving
+    }
+}
+
 /// The platform's lagging list of VMs.
 #[derive(Debug, Clone, Default, Deserialize)]
 pub(crate) struct VmList {
--- /dev/null
+++ b/crates/persimmonmountd/src/router/answers.rs
@@ -0,0 +1,119 @@
+//! Answers that a caller comes back for.
+
+use std::rc::Rc;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use persimmon_decide::outcome::{
+    Dispatch, DispatchLimits, Repeatability, Stamp,
+};
+use persimmon_decide::{Attempt, Fingerprint, Offset, RequestId};
+use persimmon_records::{EndpointName, ModelName, WorkspaceName};
+use persimmon_wire::{ModelRequest, RequestRef};
+use serde::{Deserialize, Serialize};
+
+use super::body::Reply;
+use super::chat::respond;
+use super::command::Wanted;
+use super::exchange::{Exchange, ExchangeParts, PIECES_WAITING};
+use super::failure::Failure;
+use super::head::Head;
+use super::render::RenderParts;
+use super::routes::plan;
+use super::traffic::TrafficCx;
+
+/// Names an answer in progress: which sidecar keeps it, and for whom. The caller carries it sealed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct AnswerToken {
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) request_id: RequestId,
+    pub(crate) endpoint: EndpointName,
+    pub(crate) stamp: Stamp,
+    pub(crate) attempt: Attempt,
+    pub(crate) model: ModelName,
+}
+
+/// Gives the rest of an answer from an offset on, as events.
+///
+/// # Errors
+///
+/// The token is bad or belongs to another workspace, or the answer is no longer kept.
+pub(crate) async fn resume(
+    cx: &Rc<TrafficCx>,
+    req: &Request<Incoming>,
+    head: &Head,
+    token: &str,
+) -> Result<Response<Reply>, Failure> {
+    let offset = offset(req.uri().query().unwrap_or_default())?;
+    let token: AnswerToken = cx.answers.open(token).map_err(|err| {
+        let message = format!("the answer token can't be used: {err}");
+        Failure::bad_request(StatusCode::BAD_REQUEST, "bad-answer-token", message)
+    })?;
+    let plan = plan(cx, head, Wanted::Answer { endpoint: token.endpoint.clone() }).await?;
+    if plan.workspace != token.workspace {
+        return Err(Failure::bad_request(
+            StatusCode::FORBIDDEN,
+            "other-workspace",
+            "the answer belongs to another workspace; send the key that it was asked with",
+        ));
+    }
+    let (out, progress) = flume::bounded(PIECES_WAITING);
+    let limits = DispatchLimits::default();
+    let parts = ExchangeParts {
+        workspace: plan.workspace.clone(),
+        template: template(&token, head),
+        dispatch: Dispatch::new(Repeatability::Repeatable, plan.endpoints.len(), limits),
+        deadline: cx.clock.now().plus_ms(head.deadline_ms(plan.class)),
+        endpoints: plan.endpoints.clone(),
+        out,
+    };
+    let exchange = Exchange::new(cx.clone(), parts);
+    let guard = cx.in_progress.enter();
+    let stamp = token.stamp;
+    tokio::task::spawn_local(async move {
+        exchange.resume(stamp, offset).await;
+        drop(guard);
+    });
+    let render = RenderParts {
+        request_id: token.request_id.to_string(),
+        model: token.model.to_string(),
+        is_streamed: true,
+        started: cx.clock.now(),
+    };
+    let resumed = Head { request_id: token.request_id, ..head.clone() };
+    respond(cx, &resumed, &plan, progress, render).await
+}
+
+fn template(token: &AnswerToken, head: &Head) -> ModelRequest {
+    ModelRequest {
+        id: RequestRef {
+            workspace: token.workspace.clone(),
+            id: token.request_id,
+            stamp: token.stamp,
+        },
+        attempt: token.attempt,
+        model: token.model.clone(),
+        class: persimmon_records::Class::default(),
+        fingerprint: Fingerprint(0),
+        uncached_tokens: 0,
+        max_tokens: 0,
+        deadline_ms: 0,
+        messages: "".into(),
+        traceparent: head.trace.child().to_string(),
+        chat: 0,
+        mean_per_slot: None,
+    }
+}
+
+fn offset(query: &str) -> Result<Offset, Failure> {
+    let value = query.split('&').find_map(|pair| pair.strip_prefix("offset="));
+    let offset = value.map_or(Ok(0), str::parse);
+    offset.map(Offset).map_err(|_| {
+        Failure::bad_request(
+            StatusCode::BAD_REQUEST,
+            "bad-offset",
+            "offset must be a number; give the id of the last event plus one",
+        )
+    })
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/router/body.rs
@@ -0,0 +1,81 @@
+//! Bodies of requests and responses.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use flume::r#async::RecvStream;
+use futures::StreamExt;
+use futures::stream::Map;
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::{Bytes, Frame, Incoming};
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use tokio::time::timeout;
+
+use super::failure::Failure;
+
+/// Largest request body, in bytes.
+pub(crate) const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// Time that a caller has to send a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
+
+type Chunks = Map<RecvStream<'static, Bytes>, fn(Bytes) -> Result<Frame<Bytes>, Infallible>>;
+
+/// The body of a response: whole, or chunks as they come.
+pub(crate) type Reply = Either<Full<Bytes>, StreamBody<Chunks>>;
+
+/// Reads a request's body.
+///
+/// # Errors
+///
+/// The body is too large, too slow or broken.
+pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, Failure> {
+    let whole = timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await;
+    match whole {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Failure::bad_request(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body-too-large",
+            format!("the body is longer than {MAX_BODY_BYTES} bytes; send a shorter one"),
+        )),
+        Ok(Err(_)) => Err(Failure::bad_request(
+            StatusCode::BAD_REQUEST,
+            "body-broken",
+            "the body broke off; send it whole",
+        )),
+        Err(_) => Err(Failure::bad_request(
+            StatusCode::REQUEST_TIMEOUT,
+            "body-too-slow",
+            "the body didn't come in time; send it faster",
+        )),
+    }
+}
+
+/// A whole JSON response.
+pub(crate) fn json(status: StatusCode, text: String) -> Response<Reply> {
+    let mut response = Response::new(Either::Left(Full::new(Bytes::from(text))));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, JSON);
+    response
+}
+
+/// A failure as a response.
+pub(crate) fn failure(failure: &Failure) -> Response<Reply> {
+    let mut response = json(failure.status(), failure.to_json());
+    if let Some(seconds) = failure.retry_after_s() {
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// A response whose chunks are flushed to the caller as they come.
+pub(crate) fn events(chunks: flume::Receiver<Bytes>) -> Response<Reply> {
+    let frame: fn(Bytes) -> Result<Frame<Bytes>, Infallible> = |chunk| Ok(Frame::data(chunk));
+    let body = StreamBody::new(chunks.into_stream().map(frame));
+    let mut response = Response::new(Either::Right(body));
+    response.headers_mut().insert(CONTENT_TYPE, EVENTS);
+    response.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -0,0 +1,415 @@
+//! The control thread of a router: placement, budgets and what is known of endpoints.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use flume::{Receiver, RecvTimeoutError, Sender};
+use hyper::StatusCode;
+use persimmon_decide::MonoMs;
+use persimmon_decide::load::{
+    ChatKey, ChatToken, Directory, EndpointHash, PlaceRequest, Placement, TokenKey,
+};
+use persimmon_decide::outcome::Outcome;
+use persimmon_decide::recovery::RetryBudget;
+use persimmon_records::{Endpoint, EndpointName, RecordSet, Serves, Workspace};
+
+use super::command::{Command, Plan, PlanRequest, PlannedEndpoint, Wanted};
+use super::failure::Failure;
+use crate::common::{
+    Clock, LoadStatus, Metrics, OutcomeCounts, Readiness, RecordsEvent, Status, VmList,
+};
+
+/// Longest pause between two looks at what has become due.
+const TICK: Duration = Duration::from_millis(100);
+/// How long an endpoint that couldn't be reached is tried only after all others, in milliseconds.
+const SUSPECT_MS: u64 = 5_000;
+
+/// Requests in progress on the traffic threads.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct InProgress(Arc<AtomicUsize>);
+
+/// Counts one request until it's dropped.
+#[derive(Debug)]
+pub(crate) struct InProgressGuard(Arc<AtomicUsize>);
+
+impl InProgress {
+    /// Counts one more request.
+    pub(crate) fn enter(&self) -> InProgressGuard {
+        self.0.fetch_add(1, Ordering::AcqRel);
+        InProgressGuard(self.0.clone())
+    }
+
+    /// Requests in progress.
+    pub(crate) fn count(&self) -> usize {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for InProgressGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// The decisions of one router.
+pub(crate) struct Control {
+    name: EndpointName,
+    zone: String,
+    clock: Clock,
+    metrics: Metrics,
+    readiness: Readiness,
+    in_progress: InProgress,
+    token_key: TokenKey,
+    records: Arc<RecordSet>,
+    records_text: Option<Arc<str>>,
+    records_source: &'static str,
+    refused_records: Option<String>,
+    by_hash: HashMap<EndpointHash, Endpoint>,
+    directory: Directory,
+    placement: Placement,
+    budget: RetryBudget,
+    counts: OutcomeCounts,
+    draining_since: Option<MonoMs>,
+    drain_ms: u64,
+}
+
+/// What a [`Control`] is built from.
+pub(crate) struct ControlParts {
+    pub(crate) name: EndpointName,
+    pub(crate) zone: String,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) readiness: Readiness,
+    pub(crate) in_progress: InProgress,
+    pub(crate) token_key: TokenKey,
+    pub(crate) drain_ms: u64,
+}
+
+impl Control {
+    /// A router that knows no records yet.
+    pub(crate) fn new(parts: ControlParts) -> Self {
+        let records = Arc::new(RecordSet::empty());
+        Self {
+            name: parts.name,
+            zone: parts.zone,
+            clock: parts.clock,
+            metrics: parts.metrics,
+            readiness: parts.readiness,
+            in_progress: parts.in_progress,
+            token_key: parts.token_key,
+            placement: Placement::new(&records.policy),
+            budget: RetryBudget::new(records.policy.retry_share),
+            records,
+            records_text: None,
+            records_source: "none",
+            refused_records: None,
+            by_hash: HashMap::new(),
+            directory: Directory::default(),
+            counts: OutcomeCounts::default(),
+            draining_since: None,
+            drain_ms: parts.drain_ms,
+        }
+    }
+
+    /// Handles commands until the process may end.
+    pub(crate) fn run(mut self, commands: &Receiver<Command>) {
+        loop {
+            match commands.recv_timeout(TICK) {
+                Ok(command) => self.handle(command),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            if self.is_drained() {
+                tracing::info!("router: nothing is in progress; the process ends.");
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Plan { req, reply } => {
+                let plan = self.plan(*req);
+                if plan.is_ok() {
+                    self.budget.record_fresh();
+                }
+                send(&reply, plan);
+            }
+            Command::Loaded { endpoint, load } => {
+                self.directory.report(endpoint, load, self.clock.now());
+            }
+            Command::Sent { endpoint, work } => self.directory.note_sent(endpoint, work),
+            Command::Suspect { endpoint } => {
+                self.directory.suspect(endpoint, self.clock.now().plus_ms(SUSPECT_MS));
+            }
+            Command::Left { endpoint } => self.directory.set_leaving(endpoint, true),
+            Command::AskBudget { reply } => self.ask_budget(&reply),
+            Command::Ended { outcome } => self.count_outcome(outcome),
+            Command::Records(event) => self.on_records(event),
+            Command::Status { reply } => send(&reply, self.status()),
+            Command::Drain => {
+                self.draining_since.get_or_insert(self.clock.now());
+                self.update_readiness();
+            }
+            Command::RecordsText { generation, reply } => {
+                let newer = self.records.generation.0 > generation;
+                send(&reply, self.records_text.clone().filter(|_| newer));
+            }
+        }
+    }
+
+    fn plan(&self, req: PlanRequest) -> Result<Plan, Failure> {
+        if self.draining_since.is_some() {
+            return Err(Failure::bad_request(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "draining",
+                "this router is stopping; send the request again, which reaches another",
+            )
+            .with_retry_after_ms(0));
+        }
+        let workspace = self.authorize(&req)?;
+        let mut plan = Plan {
+            workspace: workspace.name.clone(),
+            class: req.class.unwrap_or(workspace.default_class),
+            chat: ChatKey(0),
+            holders: Vec::new(),
+            endpoints: Vec::new(),
+            mean_per_slot: None,
+            models: workspace.models.clone(),
+        };
+        match req.wanted {
+            Wanted::Models => {}
+            Wanted::Chat { .. } => self.plan_chat(workspace, &req.wanted, &mut plan)?,
+            Wanted::Service { service, key, owner } => {
+                if !workspace.services.contains(&service) {
+                    return Err(unknown("service", service.as_str()));
+                }
+                let target = Serves::Service(service);
+                plan.endpoints = match owner {
+                    Some(owner) => self.planned(&owner).into_iter().collect(),
+                    None => self.workers(workspace, &target, &key),
+                };
+            }
+            Wanted::Answer { endpoint } => {
+                plan.endpoints = self.planned(&endpoint).into_iter().collect();
+            }
+        }
+        Ok(plan)
+    }
+
+    fn authorize(&self, req: &PlanRequest) -> Result<&Workspace, Failure> {
+        if self.records.generation.0 == 0 {
+            return Err(Failure::bad_request(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no-records",
+                "this router has no routing records yet; retry after the given delay",
+            )
+            .with_retry_after_ms(1_000));
+        }
+        let workspace = self.records.workspace_by_key(req.key).ok_or_else(|| {
+            Failure::bad_request(
+                StatusCode::UNAUTHORIZED,
+                "unknown-workspace",
+                "the workspace key is unknown; send a key that the records hold as a bearer token",
+            )
+        })?;
+        let wall = self.clock.unix();
+        if workspace.expires_at.is_some_and(|at| wall >= at) {
+            return Err(Failure::bad_request(
+                StatusCode::FORBIDDEN,
+                "expired-record",
+                "the workspace's record has expired; ask the operators to extend it",
+            ));
+        }
+        Ok(workspace)
+    }
+
+    fn plan_chat(
+        &self,
+        workspace: &Workspace,
+        wanted: &Wanted,
+        plan: &mut Plan,
+    ) -> Result<(), Failure> {
+        let Wanted::Chat { model, opening, token, prompt_tokens, max_tokens } = wanted else {
+            return Ok(());
+        };
+        if !workspace.models.contains(model) {
+            return Err(unknown("model", model.as_str()));
+        }
+        let opening: Vec<_> = opening.iter().map(String::as_str).collect();
+        plan.chat = ChatKey::of(&workspace.name, model, &opening);
+        plan.holders = self.holders(token.as_deref(), plan.chat);
+        let target = Serves::Model(model.clone());
+        let allowed: Vec<_> = workspace.endpoints.iter().map(EndpointHash::of).collect();
+        let place = PlaceRequest {
+            chat: plan.chat,
+            target: &target,
+            holders: &plan.holders,
+            allowed: &allowed,
+            prompt_tokens: *prompt_tokens,
+            tokens_to_generate: *max_tokens,
+        };
+        let now = self.clock.now();
+        let candidates = self.placement.place(&place, &self.directory, now);
+        plan.mean_per_slot = Some(self.directory.mean_per_slot(&target, now));
+        plan.endpoints = candidates
+            .iter()
+            .filter_map(|candidate| {
+                let endpoint = self.by_hash.get(&candidate.endpoint)?;
+                Some(PlannedEndpoint {
+                    cached_tokens: candidate.cached_tokens,
+                    work: candidate.work,
+                    ..planned(endpoint)
+                })
+            })
+            .collect();
+        Ok(())
+    }
+
+    fn holders(
+        &self,
+        token: Option<&str>,
+        chat: ChatKey,
+    ) -> Vec<persimmon_decide::load::Holder> {
+        let Some(token) = token else { return Vec::new() };
+        match ChatToken::open(token, chat, &self.token_key) {
+            Ok(token) => token.holders().to_vec(),
+            Err(err) => {
+                tracing::debug!("router: a chat token is not used: {err}.");
+                Vec::new()
+            }
+        }
+    }
+
+    fn planned(&self, name: &EndpointName) -> Option<PlannedEndpoint> {
+        self.by_hash.get(&EndpointHash::of(name)).map(planned)
+    }
+
+    /// The workers of a service in the order of their rank for `key`, reachable ones first.
+    fn workers(&self, workspace: &Workspace, target: &Serves, key: &str) -> Vec<PlannedEndpoint> {
+        let now = self.clock.now();
+        let chat = ChatKey::of(&workspace.name, &"".into(), &[key]);
+        let mut ranked: Vec<_> = self
+            .directory
+            .serving(target)
+            .filter(|view| !view.leaving)
+            .filter(|view| {
+                workspace.endpoints.is_empty() || workspace.endpoints.contains(&view.name)
+            })
+            .map(|view| {
+                let score = persimmon_decide::load::rendezvous_score(chat, view.hash, view.slots);
+                (view.is_suspect(now), score, view.hash)
+            })
+            .collect();
+        ranked.sort_unstable_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)));
+        ranked.iter().filter_map(|(_, _, hash)| self.by_hash.get(hash).map(planned)).collect()
+    }
+
+    fn ask_budget(&mut self, reply: &Sender<bool>) {
+        let granted = self.budget.try_retry();
+        let result = if granted { "granted" } else { "refused" };
+        self.metrics.retries.with_label_values(&[result]).inc();
+        send(reply, granted);
+    }
+
+    fn on_records(&mut self, event: RecordsEvent) {
+        match event {
+            RecordsEvent::Adopted { records, text, source } => self.adopt(records, text, source),
+            RecordsEvent::Refused { reason } => {
+                tracing::warn!("router: published records are refused: {reason}.");
+                self.refused_records = Some(reason);
+            }
+            RecordsEvent::Confirmed { .. } => {}
+            RecordsEvent::Listed { vms } => self.on_listed(&vms),
+        }
+    }
+
+    fn adopt(&mut self, records: Arc<RecordSet>, text: Arc<str>, source: &'static str) {
+        let generation = records.generation;
+        if let Err(err) = self.directory.follow(&records) {
+            self.refused_records = Some(err.to_string());
+            return;
+        }
+        tracing::info!("router: records of generation {generation} are in force.");
+        self.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
+        self.placement = Placement::new(&records.policy);
+        self.budget.set_share(records.policy.retry_share);
+        let hashed = |endpoint: &Endpoint| (EndpointHash::of(&endpoint.name), endpoint.clone());
+        self.by_hash = records.endpoints.iter().map(hashed).collect();
+        self.records = records;
+        self.records_text = Some(text);
+        self.records_source = source;
+        self.refused_records = None;
+        self.update_readiness();
+    }
+
+    fn on_listed(&mut self, vms: &VmList) {
+        for vm in vms.vms.iter().filter(|vm| vm.is_leaving()) {
+            self.directory.set_leaving(EndpointHash::of(&vm.name), true);
+        }
+    }
+
+    fn count_outcome(&mut self, outcome: Outcome) {
+        let counter = match outcome {
+            Outcome::Done => &mut self.counts.done,
+            Outcome::NotRun => &mut self.counts.not_run,
+            Outcome::Unknown => &mut self.counts.unknown,
+        };
+        *counter += 1;
+        self.metrics.outcomes.with_label_values(&[outcome.as_str()]).inc();
+    }
+
+    fn update_readiness(&self) {
+        let has_records = self.records.generation.0 > 0;
+        self.readiness.set(has_records && self.draining_since.is_none());
+    }
+
+    fn is_drained(&self) -> bool {
+        let Some(since) = self.draining_since else { return false };
+        let waited_ms = self.clock.now().ms_since(since);
+        self.in_progress.count() == 0 || waited_ms >= self.drain_ms
+    }
+
+    fn status(&self) -> Status {
+        let running = u32::try_from(self.in_progress.count()).unwrap_or(u32::MAX);
+        Status {
+            role: "router",
+            name: self.name.to_string(),
+            zone: self.zone.clone(),
+            generation: self.records.generation.0,
+            records_source: self.records_source,
+            leaving: self.draining_since.is_some(),
+            load: LoadStatus { running, waiting: 0, mean: 0.0 },
+            quarantined: Vec::new(),
+            outcomes: self.counts,
+            refused_records: self.refused_records.clone(),
+        }
+    }
+}
+
+fn planned(endpoint: &Endpoint) -> PlannedEndpoint {
+    PlannedEndpoint {
+        name: endpoint.name.clone(),
+        hash: EndpointHash::of(&endpoint.name),
+        address: endpoint.address,
+        cached_tokens: 0,
+        work: persimmon_decide::load::Work::ZERO,
+        repeatable: endpoint.repeatable,
+    }
+}
+
+fn unknown(kind: &str, name: &str) -> Failure {
+    let (code, list) = match kind {
+        "model" => ("unknown-model", "GET /v1/models lists those that it may use"),
+        _ => ("unknown-service", "ask the operators for its name"),
+    };
+    let message = format!("the workspace has no {kind} named {name:?}; {list}");
+    Failure::bad_request(StatusCode::NOT_FOUND, code, message)
+}
+
+fn send<T>(reply: &Sender<T>, message: T) {
+    // The asker may have given up waiting.
+    let _gone = reply.try_send(message);
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/router/exchange.rs
@@ -0,0 +1,442 @@
+//! Takes one model request through its endpoints, as its dispatch decides.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use persimmon_decide::outcome::{
+    Action, Assembly, Body, Dispatch, Event, Final, Frame as AnswerFrame, FrameId, Heartbeat,
+    HeartbeatLimits, Pulse, Refusal, Stamp,
+};
+use persimmon_decide::{Attempt, MonoMs, Offset};
+use persimmon_records::WorkspaceName;
+use persimmon_wire::fleet_capnp::{frame_sink, resumption};
+use persimmon_wire::{
+    Admission, Frame, FrameBody, ModelRequest, Refused, RequestRef, StreamPosition, read_settled,
+};
+use tokio::time::{Instant, timeout};
+
+use super::command::{Command, PlannedEndpoint};
+use super::pool::Link;
+use super::sink::{FRAMES_WAITING, Hearing, Sink};
+use super::traffic::TrafficCx;
+
+/// Time that a sidecar has to answer a call on a connection that is known to work.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time that a caller has to take the next piece of its answer.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pieces that wait for the caller.
+pub(crate) const PIECES_WAITING: usize = 64;
+
+/// One piece of an answer, or how it ended.
+#[derive(Debug)]
+pub(crate) enum Progress {
+    /// A line of the engine's answer, at its place in it.
+    Line {
+        /// The place.
+        offset: Offset,
+        /// The line.
+        line: std::sync::Arc<[u8]>,
+        /// The endpoint and its stamp, for tokens that name them.
+        from: Source,
+    },
+    /// Nothing follows.
+    Final(Final),
+}
+
+/// Where a piece came from.
+#[derive(Debug, Clone)]
+pub(crate) struct Source {
+    /// The place of the endpoint in the plan.
+    pub(crate) candidate: usize,
+    /// The stamp of the sidecar when it took the request.
+    pub(crate) stamp: Stamp,
+}
+
+/// What an exchange is built from.
+pub(crate) struct ExchangeParts {
+    pub(crate) workspace: WorkspaceName,
+    /// The request, without what differs between attempts.
+    pub(crate) template: ModelRequest,
+    pub(crate) endpoints: Vec<PlannedEndpoint>,
+    pub(crate) dispatch: Dispatch,
+    pub(crate) deadline: MonoMs,
+    pub(crate) out: Sender<Progress>,
+}
+
+/// One attempt's open stream.
+struct Stream {
+    frames: Receiver<Frame>,
+    hearing: Rc<RefCell<Hearing>>,
+    source: Source,
+}
+
+/// Why an exchange stopped before its dispatch was finished.
+struct CallerGone;
+
+/// One request on its way.
+pub(crate) struct Exchange {
+    cx: Rc<TrafficCx>,
+    parts: ExchangeParts,
+    stream: Option<Stream>,
+    assembly: Option<Assembly>,
+    resume_from: Option<Offset>,
+}
+
+impl Exchange {
+    /// A request that hasn't been sent.
+    pub(crate) fn new(cx: Rc<TrafficCx>, parts: ExchangeParts) -> Self {
+        Self { cx, parts, stream: None, assembly: None, resume_from: None }
+    }
+
+    /// Runs the request, and tells its caller how it ended.
+    pub(crate) async fn run(mut self) {
+        let first = self.parts.dispatch.start();
+        self.drive(first).await;
+    }
+
+    /// Takes the rest of an answer that `stamp`'s sidecar keeps, from `offset` on.
+    pub(crate) async fn resume(mut self, stamp: Stamp, offset: Offset) {
+        self.resume_from = Some(offset);
+        let source = Source { candidate: 0, stamp };
+        let (_closed, frames) = flume::bounded(0);
+        let hearing = self.hearing(false);
+        self.stream = Some(Stream { frames, hearing, source });
+        let first = self.parts.dispatch.start_resume();
+        self.drive(first).await;
+    }
+
+    async fn drive(&mut self, first: Vec<Action>) {
+        let mut actions: VecDeque<_> = first.into();
+        loop {
+            let event = match actions.pop_front() {
+                Some(Action::Finish(end)) => return self.finish(end).await,
+                Some(action) => self.perform(action).await,
+                None => match self.next_event().await {
+                    Ok(event) => Some(event),
+                    // The sidecar keeps the answer for a while, so that the caller can resume it.
+                    Err(CallerGone) => return,
+                },
+            };
+            if let Some(event) = event {
+                actions.extend(self.parts.dispatch.handle(event));
+            }
+        }
+    }
+
+    async fn finish(&mut self, end: Final) {
+        self.cx.tell(Command::Ended { outcome: end.outcome });
+        let _gone = timeout(CALLER_TIMEOUT, self.parts.out.send_async(Progress::Final(end))).await;
+    }
+
+    async fn perform(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Submit { candidate, attempt } => Some(self.submit(candidate, attempt).await),
+            Action::Resume { candidate, attempt } => Some(self.reopen(candidate, attempt).await),
+            Action::Settle { candidate, attempt } => Some(self.settle(candidate, attempt).await),
+            Action::Cancel { candidate, attempt } => {
+                self.cancel(candidate, attempt);
+                None
+            }
+            Action::AskBudget => Some(self.ask_budget().await),
+            Action::Finish(_) => None,
+        }
+    }
+
+    async fn submit(&mut self, candidate: usize, attempt: Attempt) -> Event {
+        let Some(endpoint) = self.parts.endpoints.get(candidate).cloned() else {
+            return Event::ConnectFailed { attempt };
+        };
+        let link = match self.cx.pool.link(&endpoint).await {
+            Ok(link) => link,
+            Err(err) => {
+                tracing::warn!("router: {} can't be reached: {err}.", endpoint.name);
+                self.cx.tell(Command::Suspect { endpoint: endpoint.hash });
+                return Event::ConnectFailed { attempt };
+            }
+        };
+        match self.send(&link, &endpoint, candidate, attempt).await {
+            Some(admission) => self.on_admission(&endpoint, attempt, admission),
+            None => {
+                self.cx.pool.discard(&endpoint.name);
+                self.cx.tell(Command::Suspect { endpoint: endpoint.hash });
+                Event::Lost { attempt }
+            }
+        }
+    }
+
+    /// Sends the request; none if no reply came in time.
+    async fn send(
+        &mut self,
+        link: &Link,
+        endpoint: &PlannedEndpoint,
+        candidate: usize,
+        attempt: Attempt,
+    ) -> Option<Admission> {
+        let sink = self.open_stream(candidate, link.stamp, link.is_reused);
+        let mut call = link.sidecar.submit_request();
+        let mut params = call.get();
+        let left_ms = self.parts.deadline.ms_since(self.cx.clock.now());
+        let req = ModelRequest {
+            id: self.request_ref(link.stamp),
+            attempt,
+            uncached_tokens: self.uncached_tokens(endpoint),
+            deadline_ms: left_ms,
+            ..self.parts.template.clone()
+        };
+        req.write(params.reborrow().init_request());
+        params.set_sink(sink);
+        let limit = self.reply_limit(link);
+        let reply = timeout(limit, call.send().promise).await.ok()?.ok()?;
+        let admission = Admission::read(reply.get().ok()?.get_admission().ok()?).ok()?;
+        self.cx.pool.note_stamp(&endpoint.name, admission.stamp);
+        Some(admission)
+    }
+
+    fn on_admission(
+        &mut self,
+        endpoint: &PlannedEndpoint,
+        attempt: Attempt,
+        admission: Admission,
+    ) -> Event {
+        self.cx.tell(Command::Loaded { endpoint: endpoint.hash, load: admission.load });
+        let Some(refused) = admission.refused else {
+            self.cx.tell(Command::Sent { endpoint: endpoint.hash, work: endpoint.work });
+            return Event::Accepted { attempt };
+        };
+        self.stream = None;
+        if refused.refusal == Refusal::Leaving {
+            self.cx.tell(Command::Left { endpoint: endpoint.hash });
+        }
+        let retry_after_ms = (refused.retry_after_ms > 0).then_some(refused.retry_after_ms);
+        Event::Refused { attempt, refusal: refused.refusal, retry_after_ms }
+    }
+
+    /// Opens a new connection and goes on with the answer over it.
+    async fn reopen(&mut self, candidate: usize, attempt: Attempt) -> Event {
+        let Some((endpoint, stamp)) = self.sent_to(candidate) else {
+            return Event::ResumeRefused { attempt };
+        };
+        let Ok(link) = self.cx.pool.fresh_link(&endpoint).await else {
+            return Event::Lost { attempt };
+        };
+        let offset = self.next_offset();
+        let sink = self.open_stream(candidate, stamp, false);
+        let position = StreamPosition { id: self.request_ref(stamp), attempt, offset };
+        let mut call = link.sidecar.resume_request();
+        let mut params = call.get();
+        position.write(params.reborrow().init_position());
+        params.set_sink(sink);
+        let reply = match timeout(CALL_TIMEOUT, call.send().promise).await {
+            Ok(Ok(reply)) => reply,
+            _ => return Event::Lost { attempt },
+        };
+        let refused = reply.get().and_then(|reply| refused_resumption(reply.get_resumption()?));
+        match refused {
+            Ok(None) => Event::Resumed { attempt },
+            Ok(Some(refused)) => {
+                tracing::info!("router: an answer can't be resumed: {}.", refused.refusal);
+                Event::ResumeRefused { attempt }
+            }
+            Err(_) => Event::Lost { attempt },
+        }
+    }
+
+    async fn settle(&mut self, candidate: usize, attempt: Attempt) -> Event {
+        let Some((endpoint, stamp)) = self.sent_to(candidate) else {
+            return Event::Lost { attempt };
+        };
+        let Ok(link) = self.cx.pool.fresh_link(&endpoint).await else {
+            return Event::Lost { attempt };
+        };
+        let mut call = link.sidecar.settle_request();
+        self.request_ref(stamp).write(call.get().init_request());
+        let reply = match timeout(CALL_TIMEOUT, call.send().promise).await {
+            Ok(Ok(reply)) => reply,
+            _ => return Event::Lost { attempt },
+        };
+        match reply.get().map(|reply| reply.get_settled()) {
+            Ok(Ok(settled)) => Event::Settled { attempt, settled: read_settled(settled) },
+            _ => Event::Lost { attempt },
+        }
+    }
+
+    /// Tells a sidecar to stop the request, without waiting for its reply.
+    fn cancel(&mut self, candidate: usize, attempt: Attempt) {
+        let Some((endpoint, stamp)) = self.sent_to(candidate) else { return };
+        let request = self.request_ref(stamp);
+        let cx = self.cx.clone();
+        tracing::debug!("router: attempt {} is cancelled.", attempt.0);
+        tokio::task::spawn_local(async move {
+            let Ok(link) = cx.pool.link(&endpoint).await else { return };
+            let mut call = link.sidecar.cancel_request();
+            request.write(call.get().init_request());
+            let _lost = timeout(CALL_TIMEOUT, call.send().promise).await;
+        });
+    }
+
+    async fn ask_budget(&self) -> Event {
+        let (reply, rx) = flume::bounded(1);
+        self.cx.tell(Command::AskBudget { reply });
+        Event::Budget { granted: rx.recv_async().await.unwrap_or(false) }
+    }
+
+    /// Waits for a frame, for silence or for the deadline.
+    async fn next_event(&mut self) -> Result<Event, CallerGone> {
+        loop {
+            if let Some(event) = self.deliver().await? {
+                return Ok(event);
+            }
+            let now = self.cx.clock.now();
+            let left = Duration::from_millis(self.parts.deadline.ms_since(now));
+            if left.is_zero() {
+                return Ok(Event::DeadlinePassed);
+            }
+            let attempt = self.attempt();
+            let Some(stream) = &self.stream else { return Ok(Event::Lost { attempt }) };
+            let pulse = stream.hearing.borrow_mut().heartbeat.poll(now);
+            let until = match pulse {
+                Pulse::Silent => return Ok(Event::Lost { attempt }),
+                // The sidecar's frames are its heartbeat; the router's acknowledgements are its own.
+                Pulse::Send => {
+                    stream.hearing.borrow_mut().heartbeat.sent(now);
+                    continue;
+                }
+                Pulse::Wait(until) => Duration::from_millis(until.ms_since(now).max(1)),
+            };
+            let wake = Instant::now() + until.min(left);
+            match tokio::time::timeout_at(wake, stream.frames.recv_async()).await {
+                Ok(Ok(frame)) => self.take(frame),
+                // Every sender is gone: the connection has broken.
+                Ok(Err(_)) => return Ok(Event::Lost { attempt }),
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn take(&mut self, frame: Frame) {
+        let body = match frame.body {
+            FrameBody::Data(data) => Body::Data(data),
+            FrameBody::End(end) => Body::End(end),
+            FrameBody::Heartbeat(_) => return,
+        };
+        let Some(assembly) = &mut self.assembly else { return };
+        let frame = AnswerFrame { id: frame.id, offset: frame.offset, body };
+        if let Err(reason) = assembly.take(frame) {
+            let reason = format!("{reason:?}").to_lowercase();
+            self.cx.metrics.dropped.with_label_values(&[reason.as_str()]).inc();
+        }
+    }
+
+    /// Hands the caller what is in order.
+    async fn deliver(&mut self) -> Result<Option<Event>, CallerGone> {
+        let attempt = self.attempt();
+        loop {
+            let (Some(assembly), Some(stream)) = (&mut self.assembly, &self.stream) else {
+                return Ok(None);
+            };
+            let offset = assembly.next_offset();
+            match assembly.pop() {
+                Some(Body::Data(line)) => {
+                    let from = stream.source.clone();
+                    let piece = Progress::Line { offset, line, from };
+                    let sent = timeout(CALLER_TIMEOUT, self.parts.out.send_async(piece)).await;
+                    if !matches!(sent, Ok(Ok(()))) {
+                        return Err(CallerGone);
+                    }
+                    self.parts.dispatch.handle(Event::Delivered { attempt });
+                }
+                Some(Body::End(end)) => return Ok(Some(Event::Ended { attempt, end })),
+                None => return Ok(None),
+            }
+        }
+    }
+
+    /// Opens the stream of an attempt; frames of another one no longer reach the caller.
+    fn open_stream(
+        &mut self,
+        candidate: usize,
+        stamp: Stamp,
+        is_reused: bool,
+    ) -> frame_sink::Client {
+        let (tx, frames) = flume::bounded(FRAMES_WAITING);
+        let hearing = self.hearing(is_reused);
+        let sink = Sink { frames: tx, hearing: hearing.clone(), clock: self.cx.clock };
+        self.stream = Some(Stream { frames, hearing, source: Source { candidate, stamp } });
+        let id = FrameId {
+            request: self.parts.template.id.id,
+            attempt: Attempt(candidate as u32 + 1),
+            incarnation: stamp.incarnation,
+        };
+        match &mut self.assembly {
+            Some(assembly) if assembly.next_offset() == Offset(0) => {
+                // Nothing was given out, so the answer may start anew.
+                let _given_out = assembly.restart(id);
+            }
+            Some(_) => {}
+            None => {
+                let next = self.resume_from.unwrap_or_default();
+                self.assembly = Some(Assembly::new(id).with_next_offset(next));
+            }
+        }
+        capnp_rpc::new_client(sink)
+    }
+
+    fn hearing(&self, is_reused: bool) -> Rc<RefCell<Hearing>> {
+        let now = self.cx.clock.now();
+        let limits = HeartbeatLimits::default();
+        let heartbeat = match is_reused {
+            true => Heartbeat::on_reused(limits, now),
+            false => Heartbeat::new(limits, now),
+        };
+        Rc::new(RefCell::new(Hearing { heartbeat, stamp: None }))
+    }
+
+    /// The endpoint of an attempt and the stamp that the request was sent with.
+    fn sent_to(&self, candidate: usize) -> Option<(PlannedEndpoint, Stamp)> {
+        let stream = self.stream.as_ref()?;
+        let endpoint = self.parts.endpoints.get(candidate)?;
+        (stream.source.candidate == candidate).then(|| (endpoint.clone(), stream.source.stamp))
+    }
+
+    fn attempt(&self) -> Attempt {
+        let candidate = self.stream.as_ref().map_or(0, |stream| stream.source.candidate);
+        Attempt(candidate as u32 + 1)
+    }
+
+    fn next_offset(&self) -> Offset {
+        let next = self.assembly.as_ref().map(Assembly::next_offset);
+        next.or(self.resume_from).unwrap_or_default()
+    }
+
+    fn request_ref(&self, stamp: Stamp) -> RequestRef {
+        RequestRef {
+            workspace: self.parts.workspace.clone(),
+            id: self.parts.template.id.id,
+            stamp,
+        }
+    }
+
+    fn uncached_tokens(&self, endpoint: &PlannedEndpoint) -> u32 {
+        self.parts.template.uncached_tokens.saturating_sub(endpoint.cached_tokens)
+    }
+
+    fn reply_limit(&self, link: &Link) -> Duration {
+        if link.is_reused {
+            Duration::from_millis(HeartbeatLimits::default().first_ack_ms)
+        } else {
+            CALL_TIMEOUT
+        }
+    }
+}
+
+fn refused_resumption(
+    reader: persimmon_wire::fleet_capnp::resumption::Reader<'_>,
+) -> capnp::Result<Option<Refused>> {
+    match reader.which()? {
+        resumption::Resumed(()) => Ok(None),
+        resumption::Refused(refused) => Ok(Some(Refused::read(refused?)?)),
+    }
+}
--- a/crates/persimmonmountd/src/router/failure.rs
+++ b/crates/persimmonmountd/src/router/failure.rs
@@ -69,6 +69,13 @@
         self
     }
 
+    /// Sets what became of the request, where more is known than from the refusal alone.
+    #[must_use]
+    pub(crate) fn with_outcome(mut self, outcome: Outcome) -> Self {
+        self.outcome = outcome;
+        self
+    }
+
     /// The HTTP status.
     pub(crate) fn status(&self) -> StatusCode {
         self.status
--- /dev/null
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -0,0 +1,96 @@
+//! The router role: takes callers' requests on an entry VM and carries them to sidecars.
+
+mod answers;
+mod api;
+mod body;
+mod chat;
+mod command;
+mod control;
+mod exchange;
+mod failure;
+mod head;
+mod node;
+mod pool;
+mod render;
+mod routes;
+mod services;
+mod sink;
+mod traffic;
+
+use std::io;
+
+use persimmon_decide::load::TokenKey;
+
+use self::command::Command;
+use self::control::{Control, ControlParts, InProgress};
+use self::node::RouterCalls;
+use self::traffic::{Traffic, TrafficParts};
+use crate::common::{
+    Clock, Metrics, OpsServer, PeerServer, Platform, Readiness, RecordsWatch, RouterSettings,
+    on_stop_signal, print_ready,
+};
+
+/// Commands that wait for the control thread.
+const COMMANDS_WAITING: usize = 16_384;
+
+/// Runs a router until it has drained.
+///
+/// # Errors
+///
+/// An address can't be bound or a thread can't be started.
+pub(crate) fn run_router(settings: &RouterSettings) -> io::Result<()> {
+    let common = &settings.common;
+    let clock = Clock::start();
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let readiness = Readiness::default();
+    let in_progress = InProgress::default();
+    let (commands, rx) = flume::bounded(COMMANDS_WAITING);
+    let control = Control::new(ControlParts {
+        name: common.name.clone(),
+        zone: common.zone.to_string(),
+        clock,
+        metrics: metrics.clone(),
+        readiness: readiness.clone(),
+        in_progress: in_progress.clone(),
+        token_key: TokenKey::from_fleet_key(common.fleet_key.secret()),
+        drain_ms: common.drain_ms,
+    });
+
+    let calls = RouterCalls { commands: commands.clone() };
+    let node = move || capnp_rpc::new_client(calls.clone());
+    let peer = PeerServer::start(common.peer_listen, common.fleet_key.clone(), node)?;
+    let parts = TrafficParts {
+        commands: commands.clone(),
+        clock,
+        metrics: metrics.clone(),
+        key: common.fleet_key.clone(),
+        in_progress,
+    };
+    let traffic = Traffic::start(
+        settings.listen,
+        settings.traffic_threads,
+        settings.max_connections,
+        &parts,
+    )?;
+
+    let status_commands = commands.clone();
+    let status = move || {
+        let (reply, rx) = flume::bounded(1);
+        status_commands.send(Command::Status { reply }).ok()?;
+        rx.recv().ok()
+    };
+    let ops = OpsServer::start(common.ops_listen, metrics.clone(), readiness, status)?;
+
+    let records_commands = commands.clone();
+    let platform = Platform::new(common.platform, metrics);
+    RecordsWatch::new(platform, clock)
+        .start(move |event| records_commands.send(Command::Records(event)).is_ok())?;
+    on_stop_signal(move || {
+        let _ended = commands.send(Command::Drain);
+    })?;
+
+    let listen = Some(traffic.address());
+    print_ready("router", common.name.as_str(), listen, peer.address(), ops.address())?;
+    control.run(&rx);
+    Ok(())
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/router/pool.rs
@@ -0,0 +1,144 @@
+//! Connections of one traffic thread to sidecars.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::outcome::Stamp;
+use persimmon_records::EndpointName;
+use persimmon_wire::fleet_capnp::sidecar;
+use persimmon_wire::{Connection, FleetKey, HandshakeError, dial, read_stamp};
+use thiserror::Error;
+use tokio::time::{Duration, timeout};
+
+use super::command::PlannedEndpoint;
+use crate::common::Clock;
+
+/// Time that a sidecar has for its greeting on a new connection.
+const GREETING_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time without use after which a connection isn't used again, in milliseconds.
+const MAX_IDLE_MS: u64 = 30_000;
+/// Connections that one traffic thread keeps.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// Why no connection could be had. Nothing of any request was sent.
+#[derive(Debug, Error)]
+pub(crate) enum PoolError {
+    /// The connection or its handshake failed.
+    #[error("{0}")]
+    Dial(#[from] HandshakeError),
+    /// The greeting failed.
+    #[error("the sidecar's greeting failed ({0}); another endpoint is tried")]
+    Greeting(#[from] capnp::Error),
+    /// The greeting didn't come in time.
+    #[error("the sidecar's greeting didn't come in time; another endpoint is tried")]
+    Silent,
+    /// Another endpoint answers at the address.
+    #[error("{found} answers at the address of {expected}; publish the endpoint's new address")]
+    OtherEndpoint {
+        /// The endpoint that was meant.
+        expected: EndpointName,
+        /// The endpoint that answers.
+        found: String,
+    },
+}
+
+/// A connection to a sidecar.
+#[derive(Clone)]
+pub(crate) struct Link {
+    pub(crate) sidecar: sidecar::Client,
+    /// The newest stamp that is known of the sidecar.
+    pub(crate) stamp: Stamp,
+    /// Whether the connection was used before and may have gone silent since.
+    pub(crate) is_reused: bool,
+    connection: Connection,
+    address: SocketAddr,
+    used_at: MonoMs,
+}
+
+/// The connections of one traffic thread.
+pub(crate) struct Pool {
+    key: FleetKey,
+    clock: Clock,
+    links: RefCell<HashMap<EndpointName, Link>>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub(crate) fn new(key: FleetKey, clock: Clock) -> Self {
+        Self { key, clock, links: RefCell::new(HashMap::new()) }
+    }
+
+    /// A connection to an endpoint, an open one if there is one.
+    ///
+    /// # Errors
+    ///
+    /// No connection could be had.
+    pub(crate) async fn link(&self, endpoint: &PlannedEndpoint) -> Result<Link, PoolError> {
+        let now = self.clock.now();
+        if let Some(link) = self.links.borrow_mut().get_mut(&endpoint.name) {
+            let is_usable = !link.connection.is_closed()
+                && link.address == endpoint.address
+                && now.ms_since(link.used_at) < MAX_IDLE_MS;
+            if is_usable {
+                link.used_at = now;
+                return Ok(Link { is_reused: true, ..link.clone() });
+            }
+        }
+        self.fresh_link(endpoint).await
+    }
+
+    /// A new connection to an endpoint, which takes the place of the one kept.
+    ///
+    /// # Errors
+    ///
+    /// No connection could be had.
+    pub(crate) async fn fresh_link(&self, endpoint: &PlannedEndpoint) -> Result<Link, PoolError> {
+        let connection = dial(endpoint.address, &self.key).await?;
+        let greeting = timeout(GREETING_TIMEOUT, connection.node.sidecar_request().send().promise);
+        let greeting = greeting.await.map_err(|_| PoolError::Silent)??;
+        let greeting = greeting.get()?;
+        let found = greeting.get_name()?.to_str().unwrap_or_default();
+        if found != endpoint.name.as_str() {
+            let (expected, found) = (endpoint.name.clone(), found.to_owned());
+            connection.close();
+            return Err(PoolError::OtherEndpoint { expected, found });
+        }
+        let link = Link {
+            sidecar: greeting.get_sidecar()?,
+            stamp: read_stamp(greeting.get_stamp()?),
+            is_reused: false,
+            connection,
+            address: endpoint.address,
+            used_at: self.clock.now(),
+        };
+        self.keep(endpoint.name.clone(), link.clone());
+        Ok(link)
+    }
+
+    /// Notes a newer stamp of a sidecar.
+    pub(crate) fn note_stamp(&self, name: &EndpointName, stamp: Stamp) {
+        if let Some(link) = self.links.borrow_mut().get_mut(name)
+            && link.stamp.incarnation == stamp.incarnation
+        {
+            link.stamp = stamp;
+        }
+    }
+
+    /// Stops using a connection for new requests. Those in progress on it go on.
+    pub(crate) fn discard(&self, name: &EndpointName) {
+        self.links.borrow_mut().remove(name);
+    }
+
+    fn keep(&self, name: EndpointName, link: Link) {
+        let mut links = self.links.borrow_mut();
+        if links.len() >= MAX_CONNECTIONS {
+            let now = self.clock.now();
+            links.retain(|_, link| now.ms_since(link.used_at) < MAX_IDLE_MS);
+        }
+        if links.len() < MAX_CONNECTIONS {
+            links.insert(name, link);
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/router/routes.rs
@@ -0,0 +1,135 @@
+//! Callers' requests by path.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response, StatusCode};
+use persimmon_records::ServiceName;
+use tracing::Instrument;
+
+use super::api::{ModelEntry, ModelList};
+use super::body::{self, Reply};
+use super::command::{Command, Plan, PlanRequest, Wanted};
+use super::failure::Failure;
+use super::head::{self, Head};
+use super::traffic::TrafficCx;
+use super::{answers, chat, services};
+
+/// Longest path and query, in bytes.
+const MAX_PATH_BYTES: usize = 8 * 1024;
+
+/// What a path asks for.
+#[derive(Debug)]
+enum Route {
+    Chat,
+    Models,
+    Answer(String),
+    Claim(ServiceName),
+    Call(ServiceName),
+}
+
+/// Answers one request. Every failure is a response.
+pub(crate) async fn handle(
+    cx: Rc<TrafficCx>,
+    req: Request<Incoming>,
+) -> Result<Response<Reply>, Infallible> {
+    let response = match prepare(&req) {
+        Ok((route, head)) => {
+            let span = tracing::info_span!(
+                "request",
+                hop = "router",
+                trace_id = %head.trace.trace_id(),
+                request_id = %head.request_id,
+            );
+            answer(&cx, req, route, head).instrument(span).await
+        }
+        Err(failure) => Err(failure),
+    };
+    Ok(response.unwrap_or_else(|failure| {
+        tracing::info!("router: a request failed: {}.", failure.kind());
+        let mut response = body::failure(&failure);
+        let outcome = HeaderValue::from_static(failure.outcome().as_str());
+        response.headers_mut().insert(head::OUTCOME, outcome);
+        response
+    }))
+}
+
+fn prepare(req: &Request<Incoming>) -> Result<(Route, Head), Failure> {
+    let route = Route::of(req.method(), req.uri().path(), req.uri().to_string().len())?;
+    Ok((route, Head::of(req)?))
+}
+
+async fn answer(
+    cx: &Rc<TrafficCx>,
+    req: Request<Incoming>,
+    route: Route,
+    head: Head,
+) -> Result<Response<Reply>, Failure> {
+    match route {
+        Route::Chat => chat::complete(cx, req, head).await,
+        Route::Models => models(cx, &head).await,
+        Route::Answer(token) => answers::resume(cx, &req, &head, &token).await,
+        Route::Claim(service) => services::claim(cx, &req, &head, service).await,
+        Route::Call(service) => services::call(cx, req, &head, service).await,
+    }
+}
+
+async fn models(cx: &TrafficCx, head: &Head) -> Result<Response<Reply>, Failure> {
+    let plan = plan(cx, head, Wanted::Models).await?;
+    let entry = |name| ModelEntry { id: name, object: "model", owned_by: "persimmonmount" };
+    let data = plan.models.iter().map(|model| entry(model.as_str())).collect();
+    let list = ModelList { object: "list", data };
+    Ok(body::json(StatusCode::OK, serde_json::to_string(&list).unwrap_or_default()))
+}
+
+/// Asks the control thread where a request may go.
+pub(crate) async fn plan(cx: &TrafficCx, head: &Head, wanted: Wanted) -> Result<Plan, Failure> {
+    let (reply, rx) = flume::bounded(1);
+    let req = PlanRequest { key: head.key, class: head.class, wanted };
+    cx.tell(Command::Plan { req: Box::new(req), reply });
+    rx.recv_async().await.unwrap_or_else(|_| {
+        let failure = Failure::bad_request(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "draining",
+            "this router is stopping; send the request again, which reaches another",
+        );
+        Err(failure.with_retry_after_ms(0))
+    })
+}
+
+impl Route {
+    fn of(method: &Method, path: &str, length: usize) -> Result<Self, Failure> {
+        if length > MAX_PATH_BYTES {
+            return Err(Failure::bad_request(
+                StatusCode::URI_TOO_LONG,
+                "path-too-long",
+                format!("the path is longer than {MAX_PATH_BYTES} bytes; send a shorter one"),
+            ));
+        }
+        let parts: Vec<_> = path.trim_start_matches('/').split('/').collect();
+        let (route, expected) = match parts.as_slice() {
+            ["v1", "chat", "completions"] => (Self::Chat, Method::POST),
+            ["v1", "models"] => (Self::Models, Method::GET),
+            ["v1", "answers", token] => (Self::Answer((*token).to_owned()), Method::GET),
+            ["v1", "services", name, "claims"] => (Self::Claim((*name).into()), Method::POST),
+            ["v1", "services", name, "calls"] => (Self::Call((*name).into()), Method::POST),
+            _ => {
+                return Err(Failure::bad_request(
+                    StatusCode::NOT_FOUND,
+                    "unknown-path",
+                    "no such path; see the callers' guide for those that there are",
+                ));
+            }
+        };
+        if *method == expected {
+            return Ok(route);
+        }
+        Err(Failure::bad_request(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "unknown-method",
+            format!("this path takes {expected}; send that"),
+        ))
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/router/sink.rs
@@ -0,0 +1,51 @@
+//! Where a sidecar pushes the frames of one answer.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use flume::Sender;
+use persimmon_decide::outcome::{Heartbeat, Stamp};
+use persimmon_wire::fleet_capnp::frame_sink;
+use persimmon_wire::{Frame, FrameBody};
+
+use crate::common::Clock;
+
+/// Frames that wait for the request's task.
+pub(crate) const FRAMES_WAITING: usize = 256;
+
+/// What a sink notes besides the frames.
+#[derive(Debug)]
+pub(crate) struct Hearing {
+    /// Watches for silence.
+    pub(crate) heartbeat: Heartbeat,
+    /// The newest stamp that a heartbeat carried.
+    pub(crate) stamp: Option<Stamp>,
+}
+
+/// Takes frames from a sidecar. A data frame is acknowledged once it has room, so that a slow
+/// caller slows the sidecar down; a heartbeat is acknowledged at once.
+pub(crate) struct Sink {
+    pub(crate) frames: Sender<Frame>,
+    pub(crate) hearing: Rc<RefCell<Hearing>>,
+    pub(crate) clock: Clock,
+}
+
+impl frame_sink::Server for Sink {
+    async fn push(
+        self: Rc<Self>,
+        params: frame_sink::PushParams,
+        _results: frame_sink::PushResults,
+    ) -> capnp::Result<()> {
+        let frame = Frame::read(params.get()?.get_frame()?)?;
+        {
+            let mut hearing = self.hearing.borrow_mut();
+            hearing.heartbeat.heard(self.clock.now());
+            if let FrameBody::Heartbeat(issued_at) = frame.body {
+                hearing.stamp = Some(Stamp { incarnation: frame.id.incarnation, issued_at });
+                return Ok(());
+            }
+        }
+        let gone = |_| capnp::Error::disconnected("the request has ended".into());
+        self.frames.send_async(frame).await.map_err(gone)
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/router/traffic.rs
@@ -0,0 +1,185 @@
+//! The threads that carry callers' requests.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use persimmon_decide::Sealer;
+use persimmon_decide::load::TokenKey;
+use persimmon_decide::outcome::ClaimSealer;
+use persimmon_wire::FleetKey;
+use tokio::task::LocalSet;
+
+use super::command::Command;
+use super::control::InProgress;
+use super::pool::Pool;
+use super::routes;
+use crate::common::{Clock, Metrics};
+
+/// Time that a caller has to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Pause after a connection couldn't be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What every traffic thread is given.
+#[derive(Clone)]
+pub(crate) struct TrafficParts {
+    pub(crate) commands: Sender<Command>,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) key: FleetKey,
+    pub(crate) in_progress: InProgress,
+}
+
+/// The state of one traffic thread.
+pub(crate) struct TrafficCx {
+    pub(crate) pool: Pool,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) token_key: TokenKey,
+    pub(crate) claims: ClaimSealer,
+    pub(crate) answers: Sealer,
+    pub(crate) in_progress: InProgress,
+    commands: Sender<Command>,
+}
+
+impl TrafficCx {
+    /// Sends a message to the control thread.
+    pub(crate) fn tell(&self, command: Command) {
+        // A closed channel means that the process has ended.
+        let _ended = self.commands.send(command);
+    }
+}
+
+/// Threads that carry callers' requests, and the one that accepts their connections.
+#[derive(Debug)]
+pub(crate) struct Traffic {
+    address: SocketAddr,
+}
+
+impl Traffic {
+    /// Binds `listen` and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound or a thread can't be started.
+    pub(crate) fn start(
+        listen: SocketAddr,
+        threads: usize,
+        max_connections: usize,
+        parts: &TrafficParts,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let open = Arc::new(AtomicUsize::new(0));
+        let mut streams = Vec::new();
+        for number in 0..threads {
+            let (tx, rx) = flume::bounded(max_connections);
+            streams.push(tx);
+            start_thread(number, rx, parts.clone())?;
+        }
+        thread::Builder::new()
+            .name("accept".into())
+            .spawn(move || accept_all(&listener, &streams, &open, max_connections))?;
+        Ok(Self { address })
+    }
+
+    /// Where callers connect.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// A caller's connection, counted until it's dropped.
+struct Counted {
+    stream: TcpStream,
+    open: Arc<AtomicUsize>,
+}
+
+struct OpenGuard(Arc<AtomicUsize>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Hands connections to the traffic threads in turn. One beyond the bound is closed at once.
+fn accept_all(
+    listener: &TcpListener,
+    threads: &[Sender<Counted>],
+    open: &Arc<AtomicUsize>,
+    max_connections: usize,
+) {
+    for thread in threads.iter().cycle() {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                tracing::warn!("router: a connection can't be accepted: {err}.");
+                thread::sleep(ACCEPT_PAUSE);
+                continue;
+            }
+        };
+        if open.load(Ordering::Acquire) >= max_connections {
+            tracing::warn!("router: a connection is closed, since too many are open.");
+            continue;
+        }
+        open.fetch_add(1, Ordering::AcqRel);
+        if thread.send(Counted { stream, open: open.clone() }).is_err() {
+            return;
+        }
+    }
+}
+
+fn start_thread(number: usize, streams: Receiver<Counted>, parts: TrafficParts) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new().name(format!("traffic-{number}")).spawn(move || {
+        let secret = parts.key.secret().to_owned();
+        let cx = Rc::new(TrafficCx {
+            pool: Pool::new(parts.key, parts.clock),
+            clock: parts.clock,
+            metrics: parts.metrics,
+            token_key: TokenKey::from_fleet_key(&secret),
+            claims: ClaimSealer::new(&secret),
+            answers: Sealer::new(&secret, "persimmonmount 2026-12-03 answer token v1"),
+            in_progress: parts.in_progress,
+            commands: parts.commands,
+        });
+        let local = LocalSet::new();
+        local.block_on(&runtime, async move {
+            while let Ok(counted) = streams.recv_async().await {
+                tokio::task::spawn_local(serve(cx.clone(), counted));
+            }
+        });
+    })?;
+    Ok(())
+}
+
+async fn serve(cx: Rc<TrafficCx>, counted: Counted) {
+    let _open = OpenGuard(counted.open);
+    let stream = counted.stream;
+    let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+    let Ok(stream) = ready.and_then(|()| tokio::net::TcpStream::from_std(stream)) else {
+        return;
+    };
+    let service = service_fn(|req| routes::handle(cx.clone(), req));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(err) = served {
+        tracing::debug!("router: a caller's connection ended: {err}.");
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/calls.rs
@@ -0,0 +1,247 @@
+//! Calls to the plain service beside the sidecar: claims, the run, and the recorded answer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use flume::Sender;
+use persimmon_decide::outcome::{
+    Answer, Begin, Claim, ClaimSealer, LedgerKey, LedgerLimits, Outcome, Presented, Refusal,
+    Repeatability, check_bare_key,
+};
+use persimmon_decide::{Fingerprint, RequestId};
+use persimmon_records::{ServiceName, Serves, WorkspaceName};
+use persimmon_wire::{CallReply, ClaimReply, ClaimRequest, Refused, ServiceCall};
+
+use super::core::Core;
+use super::service::{CallBody, Service, ServiceEvent, ServiceNews, ServiceRun};
+use crate::common::random_u64;
+
+/// Duplicates of one call that wait for its answer at once.
+const MAX_ATTACHED: usize = 64;
+/// How long calls are refused once every slot is taken, in milliseconds.
+const BUSY_RETRY_MS: u64 = 500;
+
+/// Every call to the service beside this sidecar.
+#[derive(Debug)]
+pub(crate) struct Calls {
+    service: Service,
+    sealer: ClaimSealer,
+    /// The callers that wait for each call in progress.
+    waiting: BTreeMap<LedgerKey, Vec<Sender<CallReply>>>,
+}
+
+impl Calls {
+    /// No call yet.
+    pub(crate) fn new(service: Service, sealer: ClaimSealer) -> Self {
+        Self { service, sealer, waiting: BTreeMap::new() }
+    }
+
+    /// Calls in progress.
+    pub(crate) fn in_progress(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Issues a claim, which names this sidecar and its life.
+    pub(crate) fn claim(&mut self, core: &mut Core, req: ClaimRequest) -> ClaimReply {
+        match self.try_claim(core, req) {
+            Ok(claim) => {
+                let expires_in_ms = LedgerLimits::default().claim_life_ms;
+                ClaimReply::Issued { claim, expires_in_ms }
+            }
+            Err(refused) => {
+                core.count_refusal(&refused);
+                ClaimReply::Refused(refused)
+            }
+        }
+    }
+
+    /// Decides on a call and runs it, or gives the answer of an earlier run.
+    pub(crate) fn call(&mut self, core: &mut Core, call: &ServiceCall, reply: Sender<CallReply>) {
+        match self.try_call(core, call, reply.clone()) {
+            Ok(()) => {}
+            Err(refused) => {
+                core.count_refusal(&refused);
+                send(&reply, CallReply::Refused(refused));
+            }
+        }
+    }
+
+    /// Takes in how a call ended.
+    pub(crate) fn on_service(&mut self, core: &mut Core, event: ServiceEvent) {
+        let ServiceEvent { key, news } = event;
+        let now = core.now();
+        let reply = match news {
+            ServiceNews::Answered(answer) => {
+                let _not_running = core.ledger.finish(key, Some(answer.clone()), now);
+                core.count_outcome(Outcome::Done);
+                answered(&answer, false)
+            }
+            ServiceNews::NotSent => {
+                let _not_running = core.ledger.withdraw(key, now);
+                core.count_outcome(Outcome::NotRun);
+                let refused =
+                    Refused { refusal: Refusal::EndpointDown, retry_after_ms: BUSY_RETRY_MS };
+                CallReply::Refused(refused)
+            }
+            ServiceNews::Unknown(reason) => {
+                let _not_running = core.ledger.fail(key, now);
+                core.count_outcome(Outcome::Unknown);
+                CallReply::Unknown(format!("{reason}; check with the service whether it ran"))
+            }
+        };
+        for waiting in self.waiting.remove(&key).unwrap_or_default() {
+            send(&waiting, reply.clone());
+        }
+    }
+
+    fn try_claim(&mut self, core: &mut Core, req: ClaimRequest) -> Result<String, Refused> {
+        core.check_serving()?;
+        check_permitted(core, &req.workspace, &req.service)?;
+        let key = LedgerKey::of_call(&req.workspace, &req.service, &req.key);
+        let stamp = core.ledger.issue(key, core.now()).map_err(at_once)?;
+        let call_id = (u128::from(random_u64()) << 64) | u128::from(random_u64());
+        let claim = Claim {
+            workspace: req.workspace,
+            service: req.service,
+            key: req.key,
+            owner: core.name.clone(),
+            stamp,
+            call_id: RequestId(call_id),
+        };
+        self.sealer.seal(&claim).map_err(|_| at_once(Refusal::BadClaim))
+    }
+
+    fn try_call(
+        &mut self,
+        core: &mut Core,
+        call: &ServiceCall,
+        reply: Sender<CallReply>,
+    ) -> Result<(), Refused> {
+        let now = core.now();
+        let (presented, service_key) = self.present(core, call)?;
+        let key = presented.key;
+        match core.ledger.begin(&presented, now) {
+            Begin::Run => {}
+            Begin::Attach => return self.attach(key, reply),
+            Begin::Repeat(answer) => {
+                send(&reply, answered(&answer, true));
+                return Ok(());
+            }
+            Begin::RepeatStream => return Err(at_once(Refusal::AnswerNotKept)),
+            Begin::Refuse(refusal) => return Err(at_once(refusal)),
+        }
+        let run = self.admit(core, call).and_then(|()| {
+            let run = service_run(key, service_key, call);
+            run.ok_or_else(|| at_once(Refusal::NotServed))
+        });
+        match run {
+            Ok(run) => self.start(core, run, reply),
+            Err(refused) => {
+                // Nothing was sent to the service, so the refusal is definite.
+                let _not_running = core.ledger.withdraw(key, now);
+                Err(refused)
+            }
+        }
+    }
+
+    /// The call as the ledger takes it, and the key that the service sees.
+    fn present(&self, core: &Core, call: &ServiceCall) -> Result<(Presented, String), Refused> {
+        let Some(text) = &call.claim else {
+            let endpoint = core.endpoint().ok_or_else(|| at_once(Refusal::NotServed))?;
+            check_bare_key(endpoint).map_err(at_once)?;
+            let presented = Presented {
+                key: LedgerKey::of_request(&call.id.workspace, call.id.id),
+                stamp: call.id.stamp,
+                fingerprint: fingerprint_of(call),
+                repeatability: Repeatability::Repeatable,
+            };
+            return Ok((presented, call.id.id.to_string()));
+        };
+        let claim = self.sealer.open(text).map_err(|_| at_once(Refusal::BadClaim))?;
+        claim.check_use(&call.id.workspace, &call.service).map_err(at_once)?;
+        claim.check_owner(&core.name).map_err(at_once)?;
+        let presented = Presented {
+            key: claim.ledger_key(),
+            stamp: claim.stamp,
+            fingerprint: fingerprint_of(call),
+            repeatability: Repeatability::Once,
+        };
+        Ok((presented, claim.key.as_str().to_owned()))
+    }
+
+    fn admit(&self, core: &Core, call: &ServiceCall) -> Result<(), Refused> {
+        core.check_serving()?;
+        check_permitted(core, &call.id.workspace, &call.service)?;
+        let slots = core.endpoint().map_or(0, |endpoint| endpoint.slots as usize);
+        if self.waiting.len() >= slots {
+            return Err(Refused { refusal: Refusal::QueueFull, retry_after_ms: BUSY_RETRY_MS });
+        }
+        Ok(())
+    }
+
+    fn start(
+        &mut self,
+        core: &mut Core,
+        run: ServiceRun,
+        reply: Sender<CallReply>,
+    ) -> Result<(), Refused> {
+        let key = run.key;
+        if let Err(err) = self.service.run(run) {
+            tracing::error!("sidecar: a call's thread can't be started: {err}.");
+            let _not_running = core.ledger.withdraw(key, core.now());
+            return Err(Refused { refusal: Refusal::QueueFull, retry_after_ms: BUSY_RETRY_MS });
+        }
+        self.waiting.insert(key, vec![reply]);
+        Ok(())
+    }
+
+    fn attach(&mut self, key: LedgerKey, reply: Sender<CallReply>) -> Result<(), Refused> {
+        let waiting = self.waiting.entry(key).or_default();
+        if waiting.len() >= MAX_ATTACHED {
+            // The call itself is running, so nothing definite can be said to this copy.
+            return Err(at_once(Refusal::EarlierRunUnknown));
+        }
+        waiting.push(reply);
+        Ok(())
+    }
+}
+
+fn check_permitted(
+    core: &Core,
+    workspace: &WorkspaceName,
+    service: &ServiceName,
+) -> Result<(), Refused> {
+    let serves = Serves::Service(service.clone());
+    let is_served = core.endpoint().is_some_and(|endpoint| endpoint.serves == serves);
+    let workspace = core.workspace(workspace);
+    let is_permitted = workspace.is_some_and(|workspace| workspace.services.contains(service));
+    if is_served && is_permitted { Ok(()) } else { Err(at_once(Refusal::NotServed)) }
+}
+
+fn fingerprint_of(call: &ServiceCall) -> Fingerprint {
+    Fingerprint::of(format!("{}\n{}", call.operation, call.body).as_bytes())
+}
+
+fn service_run(key: LedgerKey, service_key: String, call: &ServiceCall) -> Option<ServiceRun> {
+    let body = serde_json::from_str(&call.body).ok()?;
+    Some(ServiceRun {
+        key,
+        body: CallBody { key: service_key, operation: call.operation.clone(), body },
+        traceparent: call.traceparent.clone(),
+        timeout_s: call.deadline_ms.div_ceil(1_000).max(1),
+    })
+}
+
+fn answered(answer: &Answer, repeated: bool) -> CallReply {
+    let body = String::from_utf8_lossy(&answer.body);
+    CallReply::Answered { status: answer.status, body: Arc::from(body), repeated }
+}
+
+fn at_once(refusal: Refusal) -> Refused {
+    Refused { refusal, retry_after_ms: 0 }
+}
+
+fn send(reply: &Sender<CallReply>, message: CallReply) {
+    // The router may have given up waiting; the ledger keeps the answer.
+    let _gone = reply.try_send(message);
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/mod.rs
@@ -0,0 +1,89 @@
+//! The sidecar role: the one process beside an endpoint, and the only way to it.
+
+mod calls;
+mod command;
+mod control;
+mod core;
+mod engine;
+mod pump;
+mod rpc;
+mod runs;
+mod service;
+mod subscriber;
+
+use std::io;
+
+use persimmon_decide::Incarnation;
+use persimmon_decide::outcome::{ClaimSealer, HeartbeatLimits};
+
+use self::calls::Calls;
+use self::command::Command;
+use self::control::Control;
+use self::core::Core;
+use self::engine::Engine;
+use self::rpc::SidecarCalls;
+use self::runs::Runs;
+use self::service::Service;
+use crate::common::{
+    Clock, Metrics, OpsServer, PeerServer, Platform, Readiness, RecordsWatch, SidecarSettings,
+    on_stop_signal, print_ready, random_u64,
+};
+
+/// Commands that wait for the control thread.
+const COMMANDS_WAITING: usize = 4_096;
+
+/// Runs a sidecar until it has drained.
+///
+/// # Errors
+///
+/// An address can't be bound or a thread can't be started.
+pub(crate) fn run_sidecar(settings: &SidecarSettings) -> io::Result<()> {
+    let common = &settings.common;
+    let clock = Clock::start();
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let incarnation = Incarnation(random_u64());
+    let (commands, rx) = flume::bounded(COMMANDS_WAITING);
+    let engine = Engine::start(settings.endpoint, commands.clone())?;
+    let service = Service::new(settings.endpoint, commands.clone());
+    let sealer = ClaimSealer::new(common.fleet_key.secret());
+    let readiness = Readiness::default();
+    let control = Control {
+        core: Core::new(common.name.clone(), clock, metrics.clone(), incarnation),
+        runs: Runs::new(engine),
+        calls: Calls::new(service, sealer),
+        readiness: readiness.clone(),
+        zone: common.zone.to_string(),
+        records_text: None,
+        refused_records: None,
+        records_source: "none",
+    };
+
+    let calls = SidecarCalls {
+        name: common.name.clone(),
+        commands: commands.clone(),
+        clock,
+        heartbeat: HeartbeatLimits::default(),
+    };
+    let node = move || capnp_rpc::new_client(calls.clone());
+    let peer = PeerServer::start(common.peer_listen, common.fleet_key.clone(), node)?;
+
+    let status_commands = commands.clone();
+    let status = move || {
+        let (reply, rx) = flume::bounded(1);
+        status_commands.send(Command::Status { reply }).ok()?;
+        rx.recv().ok()
+    };
+    let ops = OpsServer::start(common.ops_listen, metrics.clone(), readiness, status)?;
+
+    let records_commands = commands.clone();
+    let platform = Platform::new(common.platform, metrics);
+    RecordsWatch::new(platform, clock)
+        .start(move |event| records_commands.send(Command::Records(event)).is_ok())?;
+    on_stop_signal(move || {
+        let _ended = commands.send(Command::Drain);
+    })?;
+
+    print_ready("sidecar", common.name.as_str(), None, peer.address(), ops.address())?;
+    control.run(&rx);
+    Ok(())
+}
--- a/crates/persimmonmountd/src/sidecar/runs.rs
+++ b/crates/persimmonmountd/src/sidecar/runs.rs
@@ -5,7 +5,7 @@
 
 use flume::Sender;
 use persimmon_decide::load::{
-    Admission as Admit, AdmissionConfig, AdmittedKey, Decision, LoadReport, Offer, RefuseReason,
+    Admission as Admit, AdmissionConfig, AdmittedKey, Decision, Due, LoadReport, Offer, RefuseReason,
     Work,
 };
 use persimmon_decide::outcome::{
@@ -196,10 +196,7 @@
             self.cancel_key(core, key);
         }
         let due = self.admission.tick(now);
-        for admitted in due.given_up {
-            self.give_up(core, admitted);
-        }
-        self.start_all(core, &due.started);
+        self.follow_up(core, &due);
     }
 
     fn try_submit(
@@ -302,8 +299,12 @@
         }
     }
 
-    fn start_all(&mut self, core: &mut Core, started: &[AdmittedKey]) {
-        for admitted in started {
+    /// Starts the requests whose turn has come, and ends those that waited too long.
+    fn follow_up(&mut self, core: &mut Core, due: &Due) {
+        for admitted in &due.given_up {
+            self.give_up(core, *admitted);
+        }
+        for admitted in &due.started {
             if let Some(key) = self.by_admitted.get(*admitted).copied() {
                 self.start(core, key);
             }
@@ -407,8 +408,8 @@
         core.count_outcome(outcome);
         self.finish_output(key, end, now);
         self.by_admitted.remove(run.admitted);
-        let started = self.admission.finish(run.admitted, now);
-        self.start_all(core, &started);
+        let due = self.admission.finish(run.admitted, now);
+        self.follow_up(core, &due);
     }
 
     fn cancel_key(&mut self, core: &mut Core, key: LedgerKey) {
@@ -426,8 +427,8 @@
         let now = core.now();
         let _not_running = core.ledger.withdraw(key, now);
         self.finish_output(key, StreamEnd::Cancelled, now);
-        let started = self.admission.finish(admitted, now);
-        self.start_all(core, &started);
+        let due = self.admission.finish(admitted, now);
+        self.follow_up(core, &due);
     }
 
     fn finish_output(&mut self, key: LedgerKey, end: StreamEnd, now: MonoMs) {
