Pay for requests from fleet-wide limits, in batches of credits

Ruled out: waiting on the traffic thread by polling. Change: a new home starts with 250 ms of its rate; demands ask for a least part of the limit; the control thread answers waiting requests once the home has.

--- a/crates/persimmon_decide/src/load/credit_home.rs
+++ b/crates/persimmon_decide/src/load/credit_home.rs
@@ -23,8 +23,9 @@
 }
 
 /// Grants the credits of the limits whose home this sidecar is. Its state is soft: a new home
-/// knows nothing of what an earlier one granted, so it starts empty and fills at
-/// [`CreditHome::NEW_HOME_SHARE`] of the rate until no batch of the earlier home can be left.
+/// knows nothing of what an earlier one granted, so it starts with [`CreditHome::NEW_HOME_START_MS`]
+/// of the rate and fills at [`CreditHome::NEW_HOME_SHARE`] of it until no batch of the earlier home
+/// can be left. Each move of a home thus adds at most that start to what the limit permits.
 ///
 /// A home that sees only part of the published endpoints alive grants only that part of the limit.
 /// The parts of a fleet that is split see no endpoint in common, so their homes together grant no
@@ -61,6 +62,10 @@
     /// Share of the limit that a new home grants at first.
     pub const NEW_HOME_SHARE: f64 = 0.5;
 
+    /// What a new home grants at once, in milliseconds of the limit's rate, so that a caller isn't
+    /// refused only because its limit's home has just started.
+    pub const NEW_HOME_START_MS: u64 = 250;
+
     /// How long a home is new, in milliseconds.
     pub const NEW_HOME_MS: u64 = 10_000;
 
@@ -80,9 +85,11 @@
         now: MonoMs,
     ) -> CreditReply {
         self.make_room(&demand.key);
-        let empty = Bucket { available: 0.0, filled_at: now, since: now };
-        let bucket = self.buckets.entry(demand.key.clone()).or_insert(empty);
-        bucket.fill(f64::from(per_second) * seen_share.clamp(0.0, 1.0), now);
+        let rate = f64::from(per_second) * seen_share.clamp(0.0, 1.0);
+        let available = rate * Self::NEW_HOME_START_MS as f64 / 1_000.0;
+        let new = Bucket { available, filled_at: now, since: now };
+        let bucket = self.buckets.entry(demand.key.clone()).or_insert(new);
+        bucket.fill(rate, now);
         let most = (bucket.available * Self::MAX_GRANT_SHARE).max(1.0).min(bucket.available);
         let credits = demand.wanted.min(most as u32);
         bucket.available -= f64::from(credits);
--- a/crates/persimmon_decide/src/load/credit_purse.rs
+++ b/crates/persimmon_decide/src/load/credit_purse.rs
@@ -13,6 +13,8 @@
     pub paid: bool,
     /// A demand to send to the home now.
     pub demand: Option<CreditDemand>,
+    /// Whether a demand is under way, so that the request may soon be paid for.
+    pub awaits_home: bool,
     /// When a request that isn't paid for may be tried again, in milliseconds.
     pub retry_after_ms: u64,
 }
@@ -61,6 +63,10 @@
     /// Window in which requests are counted to size the next demand, in milliseconds.
     pub const WINDOW_MS: u64 = 1_000;
 
+    /// Part of a second's limit that is asked for at least, so that the first few requests of a
+    /// workspace don't each wait for its home.
+    pub const LEAST_DEMAND_PART: u32 = 20;
+
     /// The most credits asked for at once.
     pub const MAX_WANTED: u32 = 10_000;
 
@@ -87,9 +93,12 @@
         account.count(now);
         account.note_silence(now);
         let paid = account.take(own_rate, now);
-        let demand = account.demand(now).map(|wanted| CreditDemand { key: key.clone(), wanted });
+        let least = per_second.div_ceil(Self::LEAST_DEMAND_PART);
+        let wanted = account.demand(least, now);
+        let demand = wanted.map(|wanted| CreditDemand { key: key.clone(), wanted });
         let wait_ms = account.ask_from.ms_since(now).max(Self::ANSWER_MS / 10);
-        Spend { paid, demand, retry_after_ms: if paid { 0 } else { wait_ms } }
+        let retry_after_ms = if paid { 0 } else { wait_ms };
+        Spend { paid, demand, awaits_home: account.asked_at.is_some(), retry_after_ms }
     }
 
     /// Takes in the reply to a demand that was sent at `sent_at`. The batch's time to live counts
@@ -167,9 +176,9 @@
     }
 
     /// Credits to ask for now, if the batch held wouldn't last for half of its time to live.
-    fn demand(&mut self, now: MonoMs) -> Option<u32> {
+    fn demand(&mut self, least: u32, now: MonoMs) -> Option<u32> {
         let per_window = self.counted[0].max(self.counted[1]);
-        let wanted = per_window.saturating_mul(2).clamp(1, CreditPurse::MAX_WANTED);
+        let wanted = per_window.saturating_mul(2).max(least).clamp(1, CreditPurse::MAX_WANTED);
         let held: u32 = self.batches.iter().map(|batch| batch.left(now)).sum();
         let low = held < wanted.div_ceil(2);
         if !low || self.asked_at.is_some() || now < self.ask_from {
--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -26,7 +26,7 @@
   cancel @3 (request :RequestRef) -> ();
   claim @4 (request :ClaimRequest) -> (reply :ClaimReply);
   call @5 (call :ServiceCall) -> (reply :CallReply);
-  credit @6 (request :CreditRequest) -> (batch :CreditBatch);
+  credit @6 (demand :CreditDemand) -> (batch :CreditBatch);
 }
 
 interface FrameSink {
@@ -179,15 +179,16 @@
   # Whether this is the recorded answer of an earlier run.
 }
 
-struct CreditRequest {
+struct CreditDemand {
   workspace @0 :Text;
   class @1 :Class;
   wanted @2 :UInt32;
 }
 
 struct CreditBatch {
-  granted @0 :UInt32;
-  ttlMs @1 :UInt64;
+  credits @0 :UInt32;
+  ttlMs @1 :UInt32;
+  moreAfterMs @2 :UInt32;
 }
 
 struct Datagram {
--- a/crates/persimmon_wire/src/connection.rs
+++ b/crates/persimmon_wire/src/connection.rs
@@ -98,4 +98,3 @@
     options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
     twoparty::VatNetwork::new(BufReader::new(reader), BufWriter::new(writer), side, options)
 }
-
--- a/crates/persimmon_wire/src/convert.rs
+++ b/crates/persimmon_wire/src/convert.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use persimmon_decide::load::{LoadReport, Work};
+use persimmon_decide::load::{CreditDemand, CreditReply, LimitKey, LoadReport, Work};
 use persimmon_decide::outcome::{FrameId, IdempotencyKey, Refusal, Settled, Stamp, StreamEnd};
 use persimmon_decide::{Attempt, Fingerprint, Incarnation, MonoMs, Offset, RequestId};
 use persimmon_records::Class;
@@ -424,3 +424,41 @@
         }
     }
 }
+
+/// Writes a demand for credits.
+pub fn write_credit_demand(mut builder: schema::credit_demand::Builder<'_>, demand: &CreditDemand) {
+    builder.set_workspace(demand.key.workspace.as_str());
+    builder.set_class(write_class(demand.key.class));
+    builder.set_wanted(demand.wanted);
+}
+
+/// Reads a demand for credits.
+///
+/// # Errors
+///
+/// The message is malformed.
+pub fn read_credit_demand(
+    reader: schema::credit_demand::Reader<'_>,
+) -> Result<CreditDemand, WireError> {
+    let workspace = read_text(reader.get_workspace()?)?.as_str().into();
+    let key = LimitKey { workspace, class: read_class(reader.get_class()?) };
+    Ok(CreditDemand { key, wanted: reader.get_wanted() })
+}
+
+/// Writes a batch of credits. A home grants none for a limit that it doesn't keep.
+pub fn write_credit_batch(mut builder: schema::credit_batch::Builder<'_>, reply: CreditReply) {
+    if let CreditReply::Batch { credits, ttl_ms, more_after_ms } = reply {
+        builder.set_credits(credits);
+        builder.set_ttl_ms(ttl_ms);
+        builder.set_more_after_ms(more_after_ms);
+    }
+}
+
+/// Reads a batch of credits.
+pub fn read_credit_batch(reader: schema::credit_batch::Reader<'_>) -> CreditReply {
+    CreditReply::Batch {
+        credits: reader.get_credits(),
+        ttl_ms: reader.get_ttl_ms(),
+        more_after_ms: reader.get_more_after_ms(),
+    }
+}
--- a/crates/persimmon_wire/src/lib.rs
+++ b/crates/persimmon_wire/src/lib.rs
@@ -13,13 +13,19 @@
     unused_qualifications,
     rust_2018_idioms,
     clippy::all,
-    clippy::pedantic
+    clippy::pedantic,
+    clippy::unimplemented,
+    clippy::use_self
 )]
+#[rustfmt::skip]
 #[path = "generated/fleet_capnp.rs"]
 pub mod fleet_capnp;
 
 pub use connection::{Connection, dial, serve};
-pub use convert::{WireError, read_settled, read_stamp, write_settled, write_stamp};
+pub use convert::{
+    WireError, read_credit_batch, read_credit_demand, read_settled, read_stamp, write_credit_batch,
+    write_credit_demand, write_settled, write_stamp,
+};
 pub use fleet_key::{FleetKey, FleetKeyError};
 pub use handshake::{HandshakeError, accept_handshake, dial_handshake};
 pub use message::{
--- a/crates/persimmonmountd/src/common/mod.rs
+++ b/crates/persimmonmountd/src/common/mod.rs
@@ -18,7 +18,7 @@
 pub(crate) use metrics::Metrics;
 pub(crate) use ops::{OpsServer, Readiness};
 pub(crate) use peer_server::PeerServer;
-pub(crate) use platform::{Platform, VmList};
+pub(crate) use platform::{Platform, VmList, VmRole};
 pub(crate) use ready::print_ready;
 pub(crate) use records_watch::{RecordsEvent, RecordsWatch};
 pub(crate) use settings::{ROUTER_SPECS, RouterSettings, SIDECAR_SPECS, SidecarSettings};
--- a/crates/persimmonmountd/src/common/platform.rs
+++ b/crates/persimmonmountd/src/common/platform.rs
@@ -134,7 +134,7 @@
         let url = format!("http://{}{path}", self.address);
         let timeout_s = ANSWER_TIMEOUT_S + wait_ms.div_ceil(1_000);
         let response = minreq::get(url).with_timeout(timeout_s).send()?;
-        match u16::try_from(response.status_code).unwrap_or_default() {
+        match response.status_code {
             200 => Ok(Some(response.json()?)),
             204 | 404 => Ok(None),
             status => Err(PlatformError::Status(status)),
--- a/crates/persimmonmountd/src/common/settings.rs
+++ b/crates/persimmonmountd/src/common/settings.rs
@@ -187,7 +187,8 @@
     variable: impl Fn(&str) -> Option<String>,
 ) -> Option<FleetKey> {
     let Some(text) = variable(FLEET_KEY_VARIABLE) else {
-        settings.fault(format!("{FLEET_KEY_VARIABLE} is missing; set it to the fleet's shared key"));
+        settings
+            .fault(format!("{FLEET_KEY_VARIABLE} is missing; set it to the fleet's shared key"));
         return None;
     };
     match FleetKey::new(&text) {
--- a/crates/persimmonmountd/src/router/answers.rs
+++ b/crates/persimmonmountd/src/router/answers.rs
@@ -4,9 +4,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use persimmon_decide::outcome::{
-    Dispatch, DispatchLimits, Repeatability, Stamp,
-};
+use persimmon_decide::outcome::{Dispatch, DispatchLimits, Repeatability, Stamp};
 use persimmon_decide::{Attempt, Fingerprint, Offset, RequestId};
 use persimmon_records::{EndpointName, ModelName, WorkspaceName};
 use persimmon_wire::{ModelRequest, RequestRef};
--- a/crates/persimmonmountd/src/router/chat.rs
+++ b/crates/persimmonmountd/src/router/chat.rs
@@ -8,9 +8,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use persimmon_decide::load::{ChatToken, EndpointHash, Holder};
-use persimmon_decide::outcome::{
-    Dispatch, DispatchLimits, Outcome, Repeatability, Stamp,
-};
+use persimmon_decide::outcome::{Dispatch, DispatchLimits, Outcome, Repeatability, Stamp};
 use persimmon_decide::{Attempt, Fingerprint, Incarnation, MonoMs};
 use persimmon_wire::{ModelRequest, RequestRef};
 
@@ -18,10 +16,11 @@
 use super::api::{ChatRequest, MAX_MAX_TOKENS, MAX_MESSAGES, Piece};
 use super::body::{self, Reply};
 use super::command::{Plan, Wanted};
+use super::credit;
 use super::exchange::{Exchange, ExchangeParts, PIECES_WAITING, Progress, Source};
 use super::failure::Failure;
 use super::head::{self, Head};
-use super::render::{Renderer, RenderParts};
+use super::render::{RenderParts, Renderer};
 use super::routes::plan;
 use super::traffic::TrafficCx;
 
@@ -50,6 +49,7 @@
         max_tokens: chat.max_tokens,
     };
     let plan = plan(cx, &head, wanted).await?;
+    credit::pay(cx, &plan).await?;
     let template = template(&head, &plan, &chat, prompt_tokens, Fingerprint::of(&bytes))?;
     let (out, progress) = flume::bounded(PIECES_WAITING);
     let parts = ExchangeParts {
--- a/crates/persimmonmountd/src/router/command.rs
+++ b/crates/persimmonmountd/src/router/command.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 
 use flume::Sender;
-use persimmon_decide::load::{ChatKey, EndpointHash, Holder, LoadReport, Work};
+use persimmon_decide::MonoMs;
+use persimmon_decide::load::{
+    ChatKey, CreditDemand, CreditReply, EndpointHash, Holder, LimitKey, LoadReport, Work,
+};
 use persimmon_decide::outcome::Outcome;
 use persimmon_records::{Class, EndpointName, KeyDigest, ModelName, ServiceName, WorkspaceName};
 
@@ -65,6 +68,24 @@
     pub(crate) repeatable: bool,
 }
 
+/// Whether a request is within its workspace's limit.
+#[derive(Debug, Clone)]
+pub(crate) struct Payment {
+    /// Whether a credit paid for it.
+    pub(crate) is_paid: bool,
+    /// Credits to ask for now, and the sidecar to ask.
+    pub(crate) demand: Option<HomeDemand>,
+    /// When a request that isn't paid for may be tried again, in milliseconds.
+    pub(crate) retry_after_ms: u64,
+}
+
+/// A demand for credits and the home of its limit.
+#[derive(Debug, Clone)]
+pub(crate) struct HomeDemand {
+    pub(crate) home: PlannedEndpoint,
+    pub(crate) demand: CreditDemand,
+}
+
 /// Where a request may go.
 #[derive(Debug, Clone)]
 pub(crate) struct Plan {
@@ -78,6 +99,8 @@
     pub(crate) mean_per_slot: Option<f64>,
     /// Models that the workspace may use.
     pub(crate) models: Vec<ModelName>,
+    /// Whether the request is within the workspace's limit.
+    pub(crate) payment: Payment,
 }
 
 /// One message to the control thread.
@@ -85,6 +108,10 @@
 pub(crate) enum Command {
     /// Where a request may go.
     Plan { req: Box<PlanRequest>, reply: Sender<Result<Plan, Failure>> },
+    /// A home answered a demand that was sent at `sent_at`.
+    Credited { key: LimitKey, reply: CreditReply, sent_at: MonoMs },
+    /// Whether a request that wasn't paid for is paid for now.
+    SpendAgain { key: LimitKey, reply: Sender<Payment> },
     /// A sidecar told its load.
     Loaded { endpoint: EndpointHash, load: LoadReport },
     /// Work was sent to an endpoint.
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -9,20 +9,23 @@
 use hyper::StatusCode;
 use persimmon_decide::MonoMs;
 use persimmon_decide::load::{
-    ChatKey, ChatToken, Directory, EndpointHash, PlaceRequest, Placement, TokenKey,
+    ChatKey, ChatToken, CreditDemand, CreditPurse, Directory, EndpointHash, Holder, LimitKey,
+    PlaceRequest, Placement, TokenKey, Work, credit_home_of, rendezvous_score,
 };
 use persimmon_decide::outcome::Outcome;
 use persimmon_decide::recovery::RetryBudget;
 use persimmon_records::{Endpoint, EndpointName, RecordSet, Serves, Workspace};
 
-use super::command::{Command, Plan, PlanRequest, PlannedEndpoint, Wanted};
+use super::command::{Command, HomeDemand, Payment, Plan, PlanRequest, PlannedEndpoint, Wanted};
 use super::failure::Failure;
 use crate::common::{
-    Clock, LoadStatus, Metrics, OutcomeCounts, Readiness, RecordsEvent, Status, VmList,
+    Clock, LoadStatus, Metrics, OutcomeCounts, Readiness, RecordsEvent, Status, VmList, VmRole,
 };
 
 /// Longest pause between two looks at what has become due.
 const TICK: Duration = Duration::from_millis(100);
+/// Requests that wait for credits at once.
+const MAX_WAITING_FOR_CREDIT: usize = 4_096;
 /// How long an endpoint that couldn't be reached is tried only after all others, in milliseconds.
 const SUSPECT_MS: u64 = 5_000;
 
@@ -70,11 +73,20 @@
     directory: Directory,
     placement: Placement,
     budget: RetryBudget,
+    purse: CreditPurse,
+    waiting: Vec<WaitingForCredit>,
     counts: OutcomeCounts,
     draining_since: Option<MonoMs>,
     drain_ms: u64,
 }
 
+/// A request that waits for the home of its limit.
+struct WaitingForCredit {
+    key: LimitKey,
+    reply: Sender<Payment>,
+    until: MonoMs,
+}
+
 /// What a [`Control`] is built from.
 pub(crate) struct ControlParts {
     pub(crate) name: EndpointName,
@@ -101,6 +113,8 @@
             token_key: parts.token_key,
             placement: Placement::new(&records.policy),
             budget: RetryBudget::new(records.policy.retry_share),
+            purse: CreditPurse::new(1),
+            waiting: Vec::new(),
             records,
             records_text: None,
             records_source: "none",
@@ -121,6 +135,10 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            let now = self.clock.now();
+            if self.waiting.iter().any(|waiting| waiting.until <= now) {
+                self.pay_waiting(|waiting| waiting.until <= now);
+            }
             if self.is_drained() {
                 tracing::info!("router: nothing is in progress; the process ends.");
                 return;
@@ -131,12 +149,17 @@
     fn handle(&mut self, command: Command) {
         match command {
             Command::Plan { req, reply } => {
-                let plan = self.plan(*req);
+                let plan = self.plan(*req).map(|plan| self.paid(plan));
                 if plan.is_ok() {
                     self.budget.record_fresh();
                 }
                 send(&reply, plan);
             }
+            Command::Credited { key, reply, sent_at } => {
+                self.purse.receive(&key, reply, sent_at, self.clock.now());
+                self.pay_waiting(|waiting| waiting.key == key);
+            }
+            Command::SpendAgain { key, reply } => self.spend_again(key, reply),
             Command::Loaded { endpoint, load } => {
                 self.directory.report(endpoint, load, self.clock.now());
             }
@@ -178,6 +201,7 @@
             endpoints: Vec::new(),
             mean_per_slot: None,
             models: workspace.models.clone(),
+            payment: Payment { is_paid: true, demand: None, retry_after_ms: 0 },
         };
         match req.wanted {
             Wanted::Models => {}
@@ -199,6 +223,59 @@
         Ok(plan)
     }
 
+    /// Pays for a request that may go somewhere.
+    fn paid(&mut self, mut plan: Plan) -> Plan {
+        if !plan.endpoints.is_empty() {
+            let key = LimitKey { workspace: plan.workspace.clone(), class: plan.class };
+            (plan.payment, _) = self.pay(&key);
+        }
+        plan
+    }
+
+    /// Pays for a request now, or once the home has answered.
+    fn spend_again(&mut self, key: LimitKey, reply: Sender<Payment>) {
+        let (payment, awaits_home) = self.pay(&key);
+        if payment.is_paid || !awaits_home || self.waiting.len() >= MAX_WAITING_FOR_CREDIT {
+            send(&reply, payment);
+            return;
+        }
+        let until = self.clock.now().plus_ms(CreditPurse::ANSWER_MS);
+        self.waiting.push(WaitingForCredit { key, reply, until });
+    }
+
+    /// Answers the requests that wait for credits and match.
+    fn pay_waiting(&mut self, is_due: impl Fn(&WaitingForCredit) -> bool) {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (due, rest) = waiting.into_iter().partition(is_due);
+        self.waiting = rest;
+        for WaitingForCredit { key, reply, .. } in due {
+            let (payment, _) = self.pay(&key);
+            send(&reply, payment);
+        }
+    }
+
+    /// Spends a credit. Also says whether the home has yet to answer.
+    fn pay(&mut self, key: &LimitKey) -> (Payment, bool) {
+        let workspace = self.records.workspaces.iter().find(|one| one.name == key.workspace);
+        let per_second =
+            workspace.map_or(0, |workspace| workspace.limits.get(key.class).requests_per_second);
+        let spend = self.purse.spend(key, per_second, self.clock.now());
+        let demand = spend.demand.and_then(|demand| self.home_demand(demand));
+        let retry_after_ms = spend.retry_after_ms;
+        (Payment { is_paid: spend.paid, demand, retry_after_ms }, spend.awaits_home)
+    }
+
+    fn home_demand(&self, demand: CreditDemand) -> Option<HomeDemand> {
+        let now = self.clock.now();
+        let is_live = |hash: &EndpointHash| {
+            let view = self.directory.view(*hash);
+            view.is_some_and(|view| !view.leaving && !view.is_suspect(now))
+        };
+        let live = self.by_hash.keys().copied().filter(is_live);
+        let home = credit_home_of(&demand.key, live)?;
+        Some(HomeDemand { home: planned(self.by_hash.get(&home)?), demand })
+    }
+
     fn authorize(&self, req: &PlanRequest) -> Result<&Workspace, Failure> {
         if self.records.generation.0 == 0 {
             return Err(Failure::bad_request(
@@ -268,11 +345,7 @@
         Ok(())
     }
 
-    fn holders(
-        &self,
-        token: Option<&str>,
-        chat: ChatKey,
-    ) -> Vec<persimmon_decide::load::Holder> {
+    fn holders(&self, token: Option<&str>, chat: ChatKey) -> Vec<Holder> {
         let Some(token) = token else { return Vec::new() };
         match ChatToken::open(token, chat, &self.token_key) {
             Ok(token) => token.holders().to_vec(),
@@ -299,7 +372,7 @@
                 workspace.endpoints.is_empty() || workspace.endpoints.contains(&view.name)
             })
             .map(|view| {
-                let score = persimmon_decide::load::rendezvous_score(chat, view.hash, view.slots);
+                let score = rendezvous_score(chat, view.hash, view.slots);
                 (view.is_suspect(now), score, view.hash)
             })
             .collect();
@@ -346,6 +419,8 @@
     }
 
     fn on_listed(&mut self, vms: &VmList) {
+        let routers = vms.vms.iter().filter(|vm| vm.role == VmRole::Router).count();
+        self.purse.set_routers(u32::try_from(routers).unwrap_or(u32::MAX));
         for vm in vms.vms.iter().filter(|vm| vm.is_leaving()) {
             self.directory.set_leaving(EndpointHash::of(&vm.name), true);
         }
@@ -395,7 +470,7 @@
         hash: EndpointHash::of(&endpoint.name),
         address: endpoint.address,
         cached_tokens: 0,
-        work: persimmon_decide::load::Work::ZERO,
+        work: Work::ZERO,
         repeatable: endpoint.repeatable,
     }
 }
--- /dev/null
+++ b/crates/persimmonmountd/src/router/credit.rs
@@ -0,0 +1,78 @@
+//! Pays for requests from the workspaces' fleet-wide limits.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use persimmon_decide::load::{CreditPurse, CreditReply, LimitKey};
+use persimmon_wire::{read_credit_batch, write_credit_demand};
+use tokio::time::timeout;
+
+use super::command::{Command, HomeDemand, Payment, Plan};
+use super::failure::Failure;
+use super::traffic::TrafficCx;
+
+/// Makes sure that a planned request is within its workspace's limit, asking the limit's home for
+/// credits if need be.
+///
+/// # Errors
+///
+/// The limit is used up. Nothing was run.
+pub(crate) async fn pay(cx: &Rc<TrafficCx>, plan: &Plan) -> Result<(), Failure> {
+    let key = LimitKey { workspace: plan.workspace.clone(), class: plan.class };
+    let Payment { is_paid, demand, retry_after_ms } = plan.payment.clone();
+    match demand {
+        Some(demand) if is_paid => {
+            ask_ahead(cx, demand);
+            return Ok(());
+        }
+        None if is_paid => return Ok(()),
+        Some(demand) => ask_home(cx, demand).await,
+        None => {}
+    }
+    let (reply, rx) = flume::bounded(1);
+    cx.tell(Command::SpendAgain { key, reply });
+    let again = rx.recv_async().await;
+    let again = again.unwrap_or(Payment { is_paid: false, demand: None, retry_after_ms });
+    if let Some(demand) = again.demand {
+        ask_ahead(cx, demand);
+    }
+    if again.is_paid {
+        return Ok(());
+    }
+    Err(Failure::bad_request(
+        StatusCode::TOO_MANY_REQUESTS,
+        "limit-reached",
+        "the workspace's limit is used up; retry after the given delay",
+    )
+    .with_retry_after_ms(again.retry_after_ms))
+}
+
+/// Fetches the next batch while the last one still pays.
+fn ask_ahead(cx: &Rc<TrafficCx>, demand: HomeDemand) {
+    let cx = cx.clone();
+    tokio::task::spawn_local(async move { ask_home(&cx, demand).await });
+}
+
+/// Asks a limit's home for credits and hands them to the control thread.
+async fn ask_home(cx: &TrafficCx, demand: HomeDemand) {
+    let sent_at = cx.clock.now();
+    let limit = Duration::from_millis(CreditPurse::ANSWER_MS);
+    let batch = timeout(limit, batch_of(cx, &demand)).await.ok().flatten();
+    match batch {
+        Some(reply) => {
+            let key = demand.demand.key;
+            cx.tell(Command::Credited { key, reply, sent_at });
+        }
+        // The purse notices the silence by itself.
+        None => cx.tell(Command::Suspect { endpoint: demand.home.hash }),
+    }
+}
+
+async fn batch_of(cx: &TrafficCx, demand: &HomeDemand) -> Option<CreditReply> {
+    let link = cx.pool.link(&demand.home).await.ok()?;
+    let mut call = link.sidecar.credit_request();
+    write_credit_demand(call.get().init_demand(), &demand.demand);
+    let reply = call.send().promise.await.ok()?;
+    Some(read_credit_batch(reply.get().ok()?.get_batch().ok()?))
+}
--- a/crates/persimmonmountd/src/router/exchange.rs
+++ b/crates/persimmonmountd/src/router/exchange.rs
@@ -12,7 +12,7 @@
 };
 use persimmon_decide::{Attempt, MonoMs, Offset};
 use persimmon_records::WorkspaceName;
-use persimmon_wire::fleet_capnp::{frame_sink, resumption};
+use persimmon_wire::fleet_capnp::{frame_sink, resumption, sidecar};
 use persimmon_wire::{
     Admission, Frame, FrameBody, ModelRequest, Refused, RequestRef, StreamPosition, read_settled,
 };
@@ -229,9 +229,8 @@
         let mut params = call.get();
         position.write(params.reborrow().init_position());
         params.set_sink(sink);
-        let reply = match timeout(CALL_TIMEOUT, call.send().promise).await {
-            Ok(Ok(reply)) => reply,
-            _ => return Event::Lost { attempt },
+        let Ok(Ok(reply)) = timeout(CALL_TIMEOUT, call.send().promise).await else {
+            return Event::Lost { attempt };
         };
         let refused = reply.get().and_then(|reply| refused_resumption(reply.get_resumption()?));
         match refused {
@@ -253,11 +252,10 @@
         };
         let mut call = link.sidecar.settle_request();
         self.request_ref(stamp).write(call.get().init_request());
-        let reply = match timeout(CALL_TIMEOUT, call.send().promise).await {
-            Ok(Ok(reply)) => reply,
-            _ => return Event::Lost { attempt },
+        let Ok(Ok(reply)) = timeout(CALL_TIMEOUT, call.send().promise).await else {
+            return Event::Lost { attempt };
         };
-        match reply.get().map(|reply| reply.get_settled()) {
+        match reply.get().map(sidecar::settle_results::Reader::get_settled) {
             Ok(Ok(settled)) => Event::Settled { attempt, settled: read_settled(settled) },
             _ => Event::Lost { attempt },
         }
@@ -412,11 +410,7 @@
     }
 
     fn request_ref(&self, stamp: Stamp) -> RequestRef {
-        RequestRef {
-            workspace: self.parts.workspace.clone(),
-            id: self.parts.template.id.id,
-            stamp,
-        }
+        RequestRef { workspace: self.parts.workspace.clone(), id: self.parts.template.id.id, stamp }
     }
 
     fn uncached_tokens(&self, endpoint: &PlannedEndpoint) -> u32 {
@@ -432,9 +426,7 @@
     }
 }
 
-fn refused_resumption(
-    reader: persimmon_wire::fleet_capnp::resumption::Reader<'_>,
-) -> capnp::Result<Option<Refused>> {
+fn refused_resumption(reader: resumption::Reader<'_>) -> capnp::Result<Option<Refused>> {
     match reader.which()? {
         resumption::Resumed(()) => Ok(None),
         resumption::Refused(refused) => Ok(Some(Refused::read(refused?)?)),
--- a/crates/persimmonmountd/src/router/mod.rs
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod chat;
 mod command;
 mod control;
+mod credit;
 mod exchange;
 mod failure;
 mod head;
--- a/crates/persimmonmountd/src/router/node.rs
+++ b/crates/persimmonmountd/src/router/node.rs
@@ -23,9 +23,7 @@
         let generation = params.get()?.get_generation();
         let (reply, rx) = flume::bounded(1);
         let stopping = || capnp::Error::disconnected("the router is stopping; ask another".into());
-        self.commands
-            .send(Command::RecordsText { generation, reply })
-            .map_err(|_| stopping())?;
+        self.commands.send(Command::RecordsText { generation, reply }).map_err(|_| stopping())?;
         let text: Option<Arc<str>> = rx.recv_async().await.map_err(|_| stopping())?;
         let mut update = results.get().init_update();
         match text {
--- a/crates/persimmonmountd/src/router/render.rs
+++ b/crates/persimmonmountd/src/router/render.rs
@@ -5,8 +5,8 @@
 use flume::{Receiver, Sender};
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
-use persimmon_decide::{MonoMs, Offset};
 use persimmon_decide::outcome::Outcome;
+use persimmon_decide::{MonoMs, Offset};
 
 use super::api::{
     Chunk, ChunkChoice, Completion, CompletionChoice, Delta, Message, Piece, PromptTokensDetails,
@@ -127,12 +127,8 @@
     fn event(&mut self, offset: Offset, line: &[u8]) -> String {
         let Some(piece) = self.piece(line) else { return String::new() };
         let (delta, finish_reason, usage) = match &piece {
-            Piece::Start { .. } => {
-                (Delta { role: Some("assistant"), content: None }, None, None)
-            }
-            Piece::Token { text, .. } => {
-                (Delta { role: None, content: Some(text) }, None, None)
-            }
+            Piece::Start { .. } => (Delta { role: Some("assistant"), content: None }, None, None),
+            Piece::Token { text, .. } => (Delta { role: None, content: Some(text) }, None, None),
             Piece::End { reason, completion_tokens } => {
                 (Delta::default(), Some(reason.as_str()), Some(self.usage(*completion_tokens)))
             }
--- a/crates/persimmonmountd/src/router/services.rs
+++ b/crates/persimmonmountd/src/router/services.rs
@@ -15,6 +15,7 @@
 use super::api::{ClaimBody, ServiceRequest};
 use super::body::{self, Reply};
 use super::command::{Command, Plan, PlannedEndpoint, Wanted};
+use super::credit;
 use super::failure::Failure;
 use super::head::{self, Head};
 use super::pool::Link;
@@ -82,9 +83,11 @@
     })?;
     let _in_progress = cx.in_progress.enter();
     let owner = claim.as_ref().map(|(_, claim)| claim.owner.clone());
-    let spread = key.as_ref().map_or_else(|| head.request_id.to_string(), |key| key.as_str().into());
+    let spread =
+        key.as_ref().map_or_else(|| head.request_id.to_string(), |key| key.as_str().into());
     let wanted = Wanted::Service { service: service.clone(), key: spread, owner };
     let plan = plan(cx, head, wanted).await?;
+    credit::pay(cx, &plan).await?;
     let template = call_template(head, &plan, service, &request, claim.map(|(text, _)| text));
     let response = match template.claim.is_some() {
         true => call_owner(cx, &plan, template).await,
@@ -253,15 +256,11 @@
 fn idempotency_key(req: &Request<Incoming>) -> Result<Option<IdempotencyKey>, Failure> {
     let Some(text) = head::text(req.headers(), head::IDEMPOTENCY_KEY)? else { return Ok(None) };
     let key = IdempotencyKey::try_from(text.to_owned());
-    key.map(Some).map_err(|err| {
-        Failure::bad_request(StatusCode::BAD_REQUEST, "bad-header", err.to_string())
-    })
+    key.map(Some)
+        .map_err(|err| Failure::bad_request(StatusCode::BAD_REQUEST, "bad-header", err.to_string()))
 }
 
-fn claim_of(
-    cx: &TrafficCx,
-    req: &Request<Incoming>,
-) -> Result<Option<(String, Claim)>, Failure> {
+fn claim_of(cx: &TrafficCx, req: &Request<Incoming>) -> Result<Option<(String, Claim)>, Failure> {
     let Some(text) = head::text(req.headers(), head::CLAIM)? else { return Ok(None) };
     let claim = cx.claims.open(text).map_err(|err| {
         Failure::bad_request(StatusCode::BAD_REQUEST, "bad-claim", err.to_string())
@@ -289,8 +288,10 @@
 }
 
 fn with_trace(mut response: Response<Reply>, head: &Head) -> Response<Reply> {
-    let values =
-        [(head::REQUEST_ID, head.request_id.to_string()), (head::TRACEPARENT, head.trace.to_string())];
+    let values = [
+        (head::REQUEST_ID, head.request_id.to_string()),
+        (head::TRACEPARENT, head.trace.to_string()),
+    ];
     for (name, value) in values {
         if let Ok(value) = HeaderValue::from_str(&value) {
             response.headers_mut().insert(name, value);
--- a/crates/persimmonmountd/src/sidecar/calls.rs
+++ b/crates/persimmonmountd/src/sidecar/calls.rs
@@ -9,7 +9,7 @@
     Repeatability, check_bare_key,
 };
 use persimmon_decide::{Fingerprint, RequestId};
-use persimmon_records::{ServiceName, Serves, WorkspaceName};
+use persimmon_records::{Serves, ServiceName, WorkspaceName};
 use persimmon_wire::{CallReply, ClaimReply, ClaimRequest, Refused, ServiceCall};
 
 use super::core::Core;
@@ -56,13 +56,10 @@
     }
 
     /// Decides on a call and runs it, or gives the answer of an earlier run.
-    pub(crate) fn call(&mut self, core: &mut Core, call: &ServiceCall, reply: Sender<CallReply>) {
-        match self.try_call(core, call, reply.clone()) {
-            Ok(()) => {}
-            Err(refused) => {
-                core.count_refusal(&refused);
-                send(&reply, CallReply::Refused(refused));
-            }
+    pub(crate) fn call(&mut self, core: &mut Core, call: &ServiceCall, reply: &Sender<CallReply>) {
+        if let Err(refused) = self.try_call(core, call, reply) {
+            core.count_refusal(&refused);
+            send(reply, CallReply::Refused(refused));
         }
     }
 
@@ -115,16 +112,16 @@
         &mut self,
         core: &mut Core,
         call: &ServiceCall,
-        reply: Sender<CallReply>,
+        reply: &Sender<CallReply>,
     ) -> Result<(), Refused> {
         let now = core.now();
         let (presented, service_key) = self.present(core, call)?;
         let key = presented.key;
         match core.ledger.begin(&presented, now) {
             Begin::Run => {}
-            Begin::Attach => return self.attach(key, reply),
+            Begin::Attach => return self.attach(key, reply.clone()),
             Begin::Repeat(answer) => {
-                send(&reply, answered(&answer, true));
+                send(reply, answered(&answer, true));
                 return Ok(());
             }
             Begin::RepeatStream => return Err(at_once(Refusal::AnswerNotKept)),
@@ -135,7 +132,7 @@
             run.ok_or_else(|| at_once(Refusal::NotServed))
         });
         match run {
-            Ok(run) => self.start(core, run, reply),
+            Ok(run) => self.start(core, run, reply.clone()),
             Err(refused) => {
                 // Nothing was sent to the service, so the refusal is definite.
                 let _not_running = core.ledger.withdraw(key, now);
@@ -166,7 +163,8 @@
             fingerprint: fingerprint_of(call),
             repeatability: Repeatability::Once,
         };
-        Ok((presented, claim.key.as_str().to_owned()))
+        // Workspaces choose their keys freely, so the service sees them apart.
+        Ok((presented, format!("{}/{}", claim.workspace, claim.key.as_str())))
     }
 
     fn admit(&self, core: &Core, call: &ServiceCall) -> Result<(), Refused> {
--- a/crates/persimmonmountd/src/sidecar/command.rs
+++ b/crates/persimmonmountd/src/sidecar/command.rs
@@ -4,6 +4,7 @@
 
 use flume::Sender;
 use persimmon_decide::Offset;
+use persimmon_decide::load::{CreditDemand, CreditReply};
 use persimmon_decide::outcome::{LedgerKey, Settled, Stamp};
 use persimmon_wire::{
     Admission, CallReply, ClaimReply, ClaimRequest, Frame, ModelRequest, Refused, RequestRef,
@@ -34,6 +35,8 @@
     Claim { req: ClaimRequest, reply: Sender<ClaimReply> },
     /// A call to the plain service.
     Call { call: Box<ServiceCall>, reply: Sender<CallReply> },
+    /// Credits of a limit whose home this sidecar is.
+    Credit { demand: CreditDemand, reply: Sender<CreditReply> },
     /// A fresh stamp.
     Greet { reply: Sender<Stamp> },
     /// News from the engine.
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use flume::{Receiver, RecvTimeoutError, Sender};
+use persimmon_decide::load::{CreditDemand, CreditHome, CreditReply};
 use persimmon_decide::recovery::{Phase, Work};
 
 use super::calls::Calls;
@@ -27,6 +28,9 @@
     pub(crate) records_text: Option<Arc<str>>,
     pub(crate) refused_records: Option<String>,
     pub(crate) records_source: &'static str,
+    pub(crate) credits: CreditHome,
+    /// Share of the published endpoints that this sidecar sees alive.
+    pub(crate) seen_share: f64,
 }
 
 impl Control {
@@ -79,8 +83,9 @@
             }
             Command::Call { call, reply } => {
                 self.observe();
-                self.calls.call(&mut self.core, &call, reply);
+                self.calls.call(&mut self.core, &call, &reply);
             }
+            Command::Credit { demand, reply } => send(&reply, self.grant(&demand)),
             Command::Greet { reply } => send(&reply, self.core.ledger.stamp(self.core.now())),
             Command::Engine(event) => self.runs.on_engine(&mut self.core, event),
             Command::Service(event) => self.calls.on_service(&mut self.core, event),
@@ -94,6 +99,14 @@
         }
     }
 
+    /// Grants credits of a workspace's limit.
+    fn grant(&mut self, demand: &CreditDemand) -> CreditReply {
+        let workspace = self.core.workspace(&demand.key.workspace);
+        let per_second = workspace
+            .map_or(0, |workspace| workspace.limits.get(demand.key.class).requests_per_second);
+        self.credits.grant(demand, per_second, self.seen_share, self.core.now())
+    }
+
     /// Lets the decision on leaving see the clocks, so that a pause of the process is noticed
     /// before anything is admitted.
     fn observe(&mut self) {
--- a/crates/persimmonmountd/src/sidecar/core.rs
+++ b/crates/persimmonmountd/src/sidecar/core.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 
 use persimmon_decide::outcome::{Ledger, LedgerLimits, Outcome, Refusal};
-use persimmon_decide::recovery::{
-    Clocks, Hold, Leaving, LeavingSettings, NotServing, RecordsWord,
-};
+use persimmon_decide::recovery::{Clocks, Hold, Leaving, LeavingSettings, NotServing, RecordsWord};
 use persimmon_decide::{Incarnation, MonoMs};
 use persimmon_records::{Endpoint, EndpointName, Policy, RecordSet, Workspace, WorkspaceName};
 use persimmon_wire::Refused;
--- a/crates/persimmonmountd/src/sidecar/engine.rs
+++ b/crates/persimmonmountd/src/sidecar/engine.rs
@@ -116,10 +116,7 @@
     /// # Errors
     ///
     /// The thread can't be started.
-    pub(crate) fn start(
-        address: SocketAddr,
-        commands: Sender<Command>,
-    ) -> std::io::Result<Self> {
+    pub(crate) fn start(address: SocketAddr, commands: Sender<Command>) -> std::io::Result<Self> {
         let (cancellations, rx) = flume::bounded(MAX_WAITING_ORDERS);
         thread::Builder::new()
             .name("engine-orders".into())
@@ -175,7 +172,7 @@
         Ok(response) => response,
         Err(err) => return EngineNews::Failed(failure_before_answer(&err)),
     };
-    let status = u16::try_from(response.status_code).unwrap_or_default();
+    let status = response.status_code;
     if status != 200 {
         return EngineNews::Failed(EngineFailure::Refused(status));
     }
@@ -193,11 +190,7 @@
     }
 }
 
-fn read_lines(
-    mut reader: impl BufRead,
-    run: &EngineRun,
-    commands: &Sender<Command>,
-) -> EngineNews {
+fn read_lines(mut reader: impl BufRead, run: &EngineRun, commands: &Sender<Command>) -> EngineNews {
     loop {
         let mut line = Vec::new();
         let read = (&mut reader).take(MAX_LINE_BYTES).read_until(b'\n', &mut line);
--- a/crates/persimmonmountd/src/sidecar/mod.rs
+++ b/crates/persimmonmountd/src/sidecar/mod.rs
@@ -14,6 +14,7 @@
 use std::io;
 
 use persimmon_decide::Incarnation;
+use persimmon_decide::load::CreditHome;
 use persimmon_decide::outcome::{ClaimSealer, HeartbeatLimits};
 
 use self::calls::Calls;
@@ -56,6 +57,8 @@
         records_text: None,
         refused_records: None,
         records_source: "none",
+        credits: CreditHome::default(),
+        seen_share: 1.0,
     };
 
     let calls = SidecarCalls {
--- a/crates/persimmonmountd/src/sidecar/rpc.rs
+++ b/crates/persimmonmountd/src/sidecar/rpc.rs
@@ -9,8 +9,8 @@
 use persimmon_records::EndpointName;
 use persimmon_wire::fleet_capnp::{frame_sink, node, sidecar};
 use persimmon_wire::{
-    ClaimRequest, Frame, ModelRequest, RequestRef, ServiceCall, StreamPosition, write_settled,
-    write_stamp,
+    ClaimRequest, Frame, ModelRequest, RequestRef, ServiceCall, StreamPosition, read_credit_demand,
+    write_credit_batch, write_settled, write_stamp,
 };
 
 use super::command::Command;
@@ -176,4 +176,15 @@
         reply.write(results.get().init_reply());
         Ok(())
     }
+
+    async fn credit(
+        self: Rc<Self>,
+        params: sidecar::CreditParams,
+        mut results: sidecar::CreditResults,
+    ) -> capnp::Result<()> {
+        let demand = read_credit_demand(params.get()?.get_demand()?)?;
+        let batch = self.ask(|reply| Command::Credit { demand, reply }).await?;
+        write_credit_batch(results.get().init_batch(), batch);
+        Ok(())
+    }
 }
--- a/crates/persimmonmountd/src/sidecar/runs.rs
+++ b/crates/persimmonmountd/src/sidecar/runs.rs
@@ -5,8 +5,8 @@
 
 use flume::Sender;
 use persimmon_decide::load::{
-    Admission as Admit, AdmissionConfig, AdmittedKey, Decision, Due, LoadReport, Offer, RefuseReason,
-    Work,
+    Admission as Admit, AdmissionConfig, AdmittedKey, Decision, Due, LoadReport, Offer,
+    RefuseReason, Work,
 };
 use persimmon_decide::outcome::{
     Begin, FrameId, LedgerKey, Outcome, OutputStore, Presented, PushError, Refusal, Repeatability,
@@ -149,7 +149,8 @@
         if !own {
             return Err(at_once(Refusal::WrongIncarnation));
         }
-        self.subscribe(key, &position.id, position.attempt, frames, position.offset)
+        let id = frame_id(&position.id, position.attempt);
+        self.subscribe(key, id, frames, position.offset)
     }
 
     /// Says what became of a request, and makes sure that one that hasn't begun never will.
@@ -216,7 +217,8 @@
         match core.ledger.begin(&presented, now) {
             Begin::Run => {}
             Begin::Attach | Begin::Repeat(_) | Begin::RepeatStream => {
-                return self.subscribe(key, &req.id, req.attempt, frames, Offset(0));
+                let id = frame_id(&req.id, req.attempt);
+                return self.subscribe(key, id, frames, Offset(0));
             }
             Begin::Refuse(refusal) => return Err(at_once(refusal)),
         }
@@ -239,12 +241,7 @@
         }
     }
 
-    fn admit(
-        &mut self,
-        core: &Core,
-        req: &ModelRequest,
-        now: MonoMs,
-    ) -> Result<Decision, Refused> {
+    fn admit(&mut self, core: &Core, req: &ModelRequest, now: MonoMs) -> Result<Decision, Refused> {
         core.check_serving()?;
         let serves = Serves::Model(req.model.clone());
         let endpoint = core.endpoint().filter(|endpoint| endpoint.serves == serves);
@@ -441,8 +438,7 @@
     fn subscribe(
         &mut self,
         key: LedgerKey,
-        request: &RequestRef,
-        attempt: Attempt,
+        id: FrameId,
         frames: FrameTx,
         next: Offset,
     ) -> Result<(), Refused> {
@@ -450,7 +446,7 @@
         if !kept {
             return Err(at_once(Refusal::AnswerNotKept));
         }
-        let subscriber = Subscriber::new(frame_id(request, attempt), frames, next);
+        let subscriber = Subscriber::new(id, frames, next);
         self.subscribers.insert(key, subscriber);
         self.feed(key);
         Ok(())
--- a/crates/persimmonmountd/src/sidecar/service.rs
+++ b/crates/persimmonmountd/src/sidecar/service.rs
@@ -94,7 +94,7 @@
 }
 
 fn answered(response: &minreq::Response) -> ServiceNews {
-    let status = u16::try_from(response.status_code).unwrap_or_default();
+    let status = response.status_code;
     let body = response.as_bytes();
     if body.len() > MAX_ANSWER_BYTES {
         return ServiceNews::Unknown("the service's answer is too long to keep".into());
