Search schedules for double runs and false statements

Cause: at most once and honest outcomes were claimed by the types and shown by nothing. Change: a model of routers, sidecars, restarts, freezes and lost, doubled, delayed and crossed messages; 20,000 schedules for claims and for ordinary requests, and eight defects. Conclusion: bare keys on calls that may not be repeated are refused, since a restart or a change of records makes them run twice even after a quiet time.

--- a/crates/persimmon_decide/src/outcome/dispatch.rs
+++ b/crates/persimmon_decide/src/outcome/dispatch.rs
@@ -147,7 +147,7 @@
     }
 
     fn on_refused(&mut self, refusal: Refusal, retry_after_ms: Option<u64>) -> Vec<Action> {
-        if self.state != State::Submitted {
+        if !self.may_be_refused(refusal) {
             return Vec::new();
         }
         self.last_refusal = Some(refusal);
@@ -296,6 +296,13 @@
         self.repeatability == Repeatability::Once
     }
 
+    /// Whether a refusal still means anything: before the reply, or while the request waits at the
+    /// sidecar, which can then withdraw it for certain.
+    fn may_be_refused(&self, refusal: Refusal) -> bool {
+        let waits = self.state == State::Streaming && !self.delivered;
+        self.state == State::Submitted || (waits && refusal.is_definite())
+    }
+
     fn is_in_progress(&self) -> bool {
         let states = [State::Submitted, State::Streaming, State::Resuming, State::Settling];
         states.contains(&self.state)
--- /dev/null
+++ b/crates/persimmon_decide/tests/outcome_model/mod.rs
@@ -0,0 +1,424 @@
+//! A fleet of routers, sidecars and callers whose messages may be lost, doubled, delayed and
+//! crossed, driven by a generated schedule. It searches for runs and statements that must not be.
+
+mod op;
+mod sidecar;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use persimmon_decide::outcome::{
+    Action, Cause, Dispatch, DispatchLimits, Event, Final, IdempotencyKey, LedgerKey, Outcome,
+    Presented, Repeatability, Stamp,
+};
+use persimmon_decide::{Attempt, Fingerprint, RequestId};
+
+pub(crate) use op::{Op, schedule};
+use sidecar::Sidecar;
+
+pub(crate) const SIDECARS: usize = 3;
+const ROUTERS: usize = 3;
+const CALLS: usize = 4;
+/// Messages that may be under way at once.
+const MAX_MESSAGES: usize = 64;
+
+/// A rule of the product that the model breaks, to show that the search would see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Defect {
+    None,
+    /// The ledger is handed its own incarnation in place of the claim's.
+    IncarnationUnchecked,
+    /// A call that never began is settled as not run, and nothing is recorded.
+    SettleWithoutTombstone,
+    /// A sidecar over its bound refuses without asking the ledger.
+    RefusalWithoutTombstone,
+    /// A full ledger forgets everything.
+    ForgetsWhenFull,
+    /// A router that can't reach the claim's owner says that the call wasn't run.
+    UnreachableIsNotRun,
+    /// A router whose deadline passes says that the call wasn't run.
+    DeadlineIsNotRun,
+    /// Calls carry no claim, only a key; the sidecar that the router's view names as its owner runs
+    /// it once it has owned the key for the given time.
+    BareKey {
+        quiet_ms: u64,
+    },
+}
+
+/// What must never be found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Violation {
+    DoubleRun,
+    FalseNotRun,
+    FalseDone,
+    CrossedAnswer,
+}
+
+/// What a run is attributed to: a claim, or one exchange of an ordinary request.
+pub(crate) type Tag = u64;
+
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Submission {
+    pub(crate) presented: Presented,
+    pub(crate) tag: Tag,
+    pub(crate) call: usize,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Request {
+    Submit,
+    Settle,
+    Resume,
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Request { request: Request, to: usize, submission: Submission, reply_to: ReplyTo },
+    Reply { to: ReplyTo, reply: Reply },
+}
+
+/// What a sidecar says, with the call that the answer in it belongs to.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reply {
+    pub(crate) event: Event,
+    pub(crate) answers: Option<usize>,
+}
+
+/// The attempt of an exchange that a reply is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ReplyTo {
+    exchange: usize,
+    pub(crate) attempt: Attempt,
+}
+
+#[derive(Debug)]
+struct Exchange {
+    router: usize,
+    call: usize,
+    tag: Tag,
+    claim: Option<Stamp>,
+    fingerprint: Fingerprint,
+    candidates: Vec<usize>,
+    dispatch: Dispatch,
+}
+
+/// What a caller holds of its call.
+#[derive(Debug, Clone, Copy, Default)]
+struct Call {
+    claim: Option<(Stamp, Tag, usize)>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Model {
+    kind: Repeatability,
+    defect: Defect,
+    now_ms: u64,
+    sidecars: Vec<Sidecar>,
+    views: [usize; ROUTERS],
+    calls: [Call; CALLS],
+    exchanges: Vec<Exchange>,
+    messages: Vec<Message>,
+    runs: BTreeMap<Tag, (usize, u32)>,
+    told_not_run: Vec<Tag>,
+    told_done: Vec<Tag>,
+    crossed: bool,
+    next_tag: Tag,
+    /// Names of the refusals and settlements that the schedule led to.
+    reached: BTreeSet<String>,
+}
+
+/// What a schedule led to.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) violations: Vec<Violation>,
+    pub(crate) reached: BTreeSet<String>,
+}
+
+impl Model {
+    pub(crate) fn new(kind: Repeatability, defect: Defect) -> Self {
+        Self {
+            kind,
+            defect,
+            now_ms: 0,
+            sidecars: (0..SIDECARS).map(|_| Sidecar::new(0)).collect(),
+            views: [0; ROUTERS],
+            calls: [Call::default(); CALLS],
+            exchanges: Vec::new(),
+            messages: Vec::new(),
+            runs: BTreeMap::new(),
+            told_not_run: Vec::new(),
+            told_done: Vec::new(),
+            crossed: false,
+            next_tag: 0,
+            reached: BTreeSet::new(),
+        }
+    }
+
+    /// Plays a schedule to its end, lets everything under way arrive, and judges what happened.
+    pub(crate) fn play(mut self, ops: &[Op]) -> Report {
+        for op in ops {
+            self.step(*op);
+        }
+        self.drain();
+        Report { violations: self.violations(), reached: self.reached }
+    }
+
+    fn step(&mut self, op: Op) {
+        match op {
+            Op::Present { call, router, body } => {
+                self.present(call % CALLS, router % ROUTERS, Fingerprint(body));
+            }
+            Op::Deliver { pick, twice } => self.deliver(pick, twice),
+            Op::Lose { pick } => drop(self.take_message(pick)),
+            Op::Advance { ms } => self.now_ms += ms,
+            Op::StandStill { sidecar, ms } => self.sidecars[sidecar % SIDECARS].stand_still(ms),
+            Op::Restart { sidecar } => self.sidecars[sidecar % SIDECARS].restart(self.now_ms),
+            Op::Freeze { sidecar, on } => self.sidecars[sidecar % SIDECARS].frozen = on,
+            Op::Reach { sidecar, on } => self.sidecars[sidecar % SIDECARS].reachable = on,
+            Op::Busy { sidecar, on } => self.sidecars[sidecar % SIDECARS].busy = on,
+            Op::Sweep { sidecar } => self.sidecars[sidecar % SIDECARS].sweep(self.now_ms),
+            Op::Work { sidecar, fails } => self.work(sidecar % SIDECARS, fails),
+            Op::KillRouter { router } => self.kill_router(router % ROUTERS),
+            Op::Publish { router } => self.views[router % ROUTERS] += 1,
+            Op::Disturb { pick, lost } => self.disturb(pick, lost),
+        }
+    }
+
+    /// A caller sends its call, with the claim that it holds or with a new one.
+    fn present(&mut self, call: usize, router: usize, fingerprint: Fingerprint) {
+        let ranked: Vec<_> =
+            (0..SIDECARS).map(|k| (call + self.views[router] + k) % SIDECARS).collect();
+        let (tag, claim, candidates) = match (self.kind, self.defect) {
+            (Repeatability::Repeatable, _) => (self.new_tag(), None, ranked),
+            (Repeatability::Once, Defect::BareKey { .. }) => (call as Tag, None, vec![ranked[0]]),
+            (Repeatability::Once, _) => {
+                let Some((stamp, tag, owner)) = self.claim(call, ranked[0]) else { return };
+                (tag, Some(stamp), vec![owner])
+            }
+        };
+        let dispatch = Dispatch::new(self.kind, candidates.len(), DispatchLimits::default());
+        let exchange = Exchange { router, call, tag, claim, fingerprint, candidates, dispatch };
+        self.exchanges.push(exchange);
+        let exchange = self.exchanges.len() - 1;
+        let actions = self.exchanges[exchange].dispatch.start();
+        self.perform(exchange, actions);
+    }
+
+    /// The claim that the caller holds, or a new one from `owner` if the last was told not run.
+    fn claim(&mut self, call: usize, owner: usize) -> Option<(Stamp, Tag, usize)> {
+        let held = self.calls[call].claim.filter(|(_, tag, _)| !self.told_not_run.contains(tag));
+        if held.is_some() {
+            return held;
+        }
+        if self.sidecars[owner].frozen || !self.sidecars[owner].reachable {
+            return None;
+        }
+        let stamp = self.sidecars[owner].issue(self.kind, call, self.now_ms)?;
+        self.calls[call].claim = Some((stamp, self.new_tag(), owner));
+        self.calls[call].claim
+    }
+
+    fn new_tag(&mut self) -> Tag {
+        self.next_tag += 1;
+        self.next_tag + CALLS as Tag
+    }
+
+    fn perform(&mut self, exchange: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Submit { candidate, attempt } => {
+                    self.send(Request::Submit, exchange, candidate, attempt);
+                }
+                Action::Settle { candidate, attempt } => {
+                    self.send(Request::Settle, exchange, candidate, attempt);
+                }
+                Action::Resume { candidate, attempt } => {
+                    self.send(Request::Resume, exchange, candidate, attempt);
+                }
+                Action::Cancel { .. } => {}
+                Action::AskBudget => self.tell(exchange, Event::Budget { granted: true }),
+                Action::Finish(end) => self.note_outcome(exchange, end),
+            }
+        }
+    }
+
+    fn note_outcome(&mut self, exchange: usize, end: Final) {
+        let tag = self.exchanges[exchange].tag;
+        let outcome = match (self.defect, end.cause) {
+            (Defect::UnreachableIsNotRun, Cause::Unreachable)
+            | (Defect::DeadlineIsNotRun, Cause::DeadlinePassed) => Outcome::NotRun,
+            _ => end.outcome,
+        };
+        match outcome {
+            Outcome::Done => self.told_done.push(tag),
+            Outcome::NotRun => self.told_not_run.push(tag),
+            Outcome::Unknown => {}
+        }
+    }
+
+    fn tell(&mut self, exchange: usize, event: Event) {
+        let actions = self.exchanges[exchange].dispatch.handle(event);
+        self.perform(exchange, actions);
+    }
+
+    fn send(&mut self, request: Request, exchange: usize, candidate: usize, attempt: Attempt) {
+        let sent = &self.exchanges[exchange];
+        let (to, call, tag) = (sent.candidates[candidate], sent.call, sent.tag);
+        let sidecar = &self.sidecars[to];
+        if !sidecar.reachable {
+            let event = match request {
+                Request::Submit => Event::ConnectFailed { attempt },
+                Request::Settle | Request::Resume => Event::Lost { attempt },
+            };
+            return self.tell(exchange, event);
+        }
+        // The greeting of the connection carries a stamp; a settle must name that of the submission.
+        let greeting = sidecar.greeting(exchange, attempt, self.now_ms);
+        let stamp = sent.claim.unwrap_or(greeting);
+        self.sidecars[to].greetings.insert((exchange, attempt), greeting);
+        let presented = Presented {
+            key: key_of(self.kind, call),
+            stamp,
+            fingerprint: sent.fingerprint,
+            repeatability: self.kind,
+        };
+        let submission = Submission { presented, tag, call };
+        let reply_to = ReplyTo { exchange, attempt };
+        self.post(Message::Request { request, to, submission, reply_to });
+    }
+
+    fn post(&mut self, message: Message) {
+        if self.messages.len() < MAX_MESSAGES {
+            self.messages.push(message);
+        }
+    }
+
+    fn take_message(&mut self, pick: usize) -> Option<Message> {
+        let count = self.messages.len();
+        (count > 0).then(|| self.messages.remove(pick % count))
+    }
+
+    fn deliver(&mut self, pick: usize, twice: bool) {
+        let Some(message) = self.take_message(pick) else { return };
+        let copy = twice.then(|| message.clone());
+        self.receive(message);
+        if let Some(copy) = copy {
+            self.post(copy);
+        }
+    }
+
+    fn receive(&mut self, message: Message) {
+        match message {
+            Message::Request { to, .. } if self.sidecars[to].frozen => self.post(message),
+            Message::Request { request, to, submission, reply_to } => {
+                let sidecar = &mut self.sidecars[to];
+                let replies = match request {
+                    Request::Submit => {
+                        sidecar.on_submit(submission, reply_to, self.defect, self.now_ms)
+                    }
+                    Request::Settle => {
+                        sidecar.on_settle(submission, reply_to, self.defect, self.now_ms)
+                    }
+                    Request::Resume => sidecar.on_resume(submission, reply_to, self.now_ms),
+                };
+                for reply in replies {
+                    self.post(Message::Reply { to: reply_to, reply });
+                }
+            }
+            Message::Reply { to, reply } => self.on_reply(to, reply),
+        }
+    }
+
+    fn on_reply(&mut self, to: ReplyTo, reply: Reply) {
+        let call = self.exchanges[to.exchange].call;
+        self.crossed |= reply.answers.is_some_and(|answered| answered != call);
+        match reply.event {
+            Event::Refused { refusal, .. } => drop(self.reached.insert(refusal.as_str().into())),
+            Event::Settled { settled, .. } => drop(self.reached.insert(format!("{settled:?}"))),
+            _ => {}
+        }
+        self.tell(to.exchange, reply.event);
+    }
+
+    /// Lets the endpoint beside a sidecar run the oldest call, or end one that it runs. A sidecar
+    /// over its bound withdraws what waits.
+    fn work(&mut self, sidecar: usize, fails: bool) {
+        if self.sidecars[sidecar].frozen {
+            return;
+        }
+        if self.sidecars[sidecar].busy {
+            let withdrawn = self.sidecars[sidecar].withdraw_job(self.now_ms);
+            return self.post_replies(withdrawn);
+        }
+        if let Some((tag, call)) = self.sidecars[sidecar].send_to_endpoint() {
+            let run = self.runs.entry(tag).or_insert((call, 0));
+            run.1 += 1;
+            return;
+        }
+        let ended = self.sidecars[sidecar].end_job(fails, self.now_ms);
+        self.post_replies(ended);
+    }
+
+    fn post_replies(&mut self, replies: Vec<(ReplyTo, Reply)>) {
+        for (to, reply) in replies {
+            self.post(Message::Reply { to, reply });
+        }
+    }
+
+    fn kill_router(&mut self, router: usize) {
+        for exchange in self.exchanges.iter_mut().filter(|exchange| exchange.router == router) {
+            // A dispatch that has ended ignores what still arrives, as a router that is gone does.
+            exchange.dispatch.handle(Event::CallerGone);
+        }
+    }
+
+    /// An open exchange loses its connection or passes its deadline.
+    fn disturb(&mut self, pick: usize, lost: bool) {
+        let is_open = |exchange: &usize| !self.exchanges[*exchange].dispatch.is_finished();
+        let open: Vec<_> = (0..self.exchanges.len()).filter(is_open).collect();
+        if open.is_empty() {
+            return;
+        }
+        let exchange = open[pick % open.len()];
+        let attempt = Attempt(1 + (pick / open.len()) as u32 % SIDECARS as u32);
+        self.tell(exchange, if lost { Event::Lost { attempt } } else { Event::DeadlinePassed });
+    }
+
+    /// Wakes everything and lets all that is under way arrive and run.
+    fn drain(&mut self) {
+        for sidecar in &mut self.sidecars {
+            sidecar.frozen = false;
+            sidecar.busy = false;
+        }
+        for _ in 0..4 * MAX_MESSAGES {
+            self.deliver(0, false);
+            for sidecar in 0..SIDECARS {
+                self.work(sidecar, false);
+            }
+        }
+    }
+
+    fn violations(&self) -> Vec<Violation> {
+        let runs_of = |tag: &Tag| self.runs.get(tag).map_or(0, |run| run.1);
+        let runs_of_call =
+            |call| -> u32 { self.runs.values().filter(|run| run.0 == call).map(|run| run.1).sum() };
+        let is_once = self.kind == Repeatability::Once;
+        let checks = [
+            (Violation::DoubleRun, is_once && (0..CALLS).any(|call| runs_of_call(call) > 1)),
+            (Violation::FalseNotRun, self.told_not_run.iter().any(|tag| runs_of(tag) > 0)),
+            (Violation::FalseDone, is_once && self.told_done.iter().any(|tag| runs_of(tag) == 0)),
+            (Violation::CrossedAnswer, self.crossed),
+        ];
+        checks.into_iter().filter(|(_, found)| *found).map(|(violation, _)| violation).collect()
+    }
+}
+
+pub(crate) fn key_of(kind: Repeatability, call: usize) -> LedgerKey {
+    let workspace = "swap-desk".into();
+    match kind {
+        Repeatability::Repeatable => LedgerKey::of_request(&workspace, RequestId(call as u128)),
+        Repeatability::Once => {
+            let key = IdempotencyKey::try_from(format!("call-{call}")).expect("a valid key");
+            LedgerKey::of_call(&workspace, &"booking".into(), &key)
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/outcome_model/sidecar.rs
@@ -0,0 +1,258 @@
+//! A sidecar of the model: the product's ledger, a clock of its own and an endpoint.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use persimmon_decide::outcome::{
+    Answer, Begin, Event, Ledger, LedgerKey, LedgerLimits, Refusal, Repeatability, Settled, Stamp,
+    StreamEnd,
+};
+use persimmon_decide::{Attempt, Incarnation, MonoMs};
+
+use super::{Defect, Reply, ReplyTo, Submission, Tag, key_of};
+
+const MAX_ENTRIES: usize = 2;
+const CLAIM_LIFE_MS: u64 = 1_000;
+const REQUEST_LIFE_MS: u64 = 300;
+/// How far the clocks of two lives differ.
+const CLOCK_STEP_MS: u64 = 333;
+
+#[derive(Debug)]
+struct Job {
+    submission: Submission,
+    sent: bool,
+    waiters: Vec<ReplyTo>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Sidecar {
+    life: u64,
+    ledger: Ledger,
+    started_ms: u64,
+    pub(crate) frozen: bool,
+    pub(crate) reachable: bool,
+    pub(crate) busy: bool,
+    /// Stamps that routers hold of their connections, by exchange and attempt.
+    pub(crate) greetings: BTreeMap<(usize, Attempt), Stamp>,
+    jobs: Vec<Job>,
+    /// Calls that ever began in this life, for the settle that records nothing.
+    begun: Vec<LedgerKey>,
+}
+
+impl Sidecar {
+    pub(crate) fn new(now_ms: u64) -> Self {
+        let mut sidecar = Self {
+            life: 0,
+            ledger: ledger(0),
+            started_ms: 0,
+            frozen: false,
+            reachable: true,
+            busy: false,
+            greetings: BTreeMap::new(),
+            jobs: Vec::new(),
+            begun: Vec::new(),
+        };
+        sidecar.restart(now_ms);
+        sidecar
+    }
+
+    /// Starts a new life with an empty ledger; what was sent to the endpoint stays run.
+    pub(crate) fn restart(&mut self, now_ms: u64) {
+        self.life += 1;
+        self.ledger = ledger(self.life);
+        self.started_ms = now_ms;
+        self.frozen = false;
+        self.jobs.clear();
+        self.begun.clear();
+    }
+
+    /// The sidecar's clock doesn't advance for this long, as on a VM that is suspended.
+    pub(crate) fn stand_still(&mut self, ms: u64) {
+        self.started_ms += ms;
+    }
+
+    pub(crate) fn sweep(&mut self, now_ms: u64) {
+        let now = self.now(now_ms);
+        self.ledger.sweep(now);
+    }
+
+    pub(crate) fn issue(&mut self, kind: Repeatability, call: usize, now_ms: u64) -> Option<Stamp> {
+        let now = self.now(now_ms);
+        self.ledger.issue(key_of(kind, call), now).ok()
+    }
+
+    /// The stamp of the connection that an attempt was submitted on.
+    pub(crate) fn greeting(&self, exchange: usize, attempt: Attempt, now_ms: u64) -> Stamp {
+        let held = self.greetings.get(&(exchange, attempt)).copied();
+        held.unwrap_or_else(|| self.ledger.stamp(self.now(now_ms)))
+    }
+
+    pub(crate) fn on_submit(
+        &mut self,
+        submission: Submission,
+        reply_to: ReplyTo,
+        defect: Defect,
+        now_ms: u64,
+    ) -> Vec<Reply> {
+        let now = self.now(now_ms);
+        let attempt = reply_to.attempt;
+        if defect == Defect::RefusalWithoutTombstone && self.busy {
+            return vec![refused(attempt, Refusal::OverBound)];
+        }
+        let mut presented = submission.presented;
+        match defect {
+            Defect::IncarnationUnchecked => presented.stamp.incarnation = Incarnation(self.life),
+            Defect::BareKey { quiet_ms } if now_ms < self.started_ms + quiet_ms => {
+                return vec![refused(attempt, Refusal::NeedsClaim)];
+            }
+            Defect::BareKey { .. } => presented.stamp = self.ledger.stamp(now),
+            _ => {}
+        }
+        let mut begin = self.ledger.begin(&presented, now);
+        if defect == Defect::ForgetsWhenFull && begin == Begin::Refuse(Refusal::LedgerFull) {
+            self.ledger = ledger(self.life);
+            begin = self.ledger.begin(&presented, now);
+        }
+        self.follow(begin, submission, reply_to, now)
+    }
+
+    pub(crate) fn on_settle(
+        &mut self,
+        submission: Submission,
+        reply_to: ReplyTo,
+        defect: Defect,
+        now_ms: u64,
+    ) -> Vec<Reply> {
+        let now = self.now(now_ms);
+        let presented = submission.presented;
+        let is_own = presented.stamp.incarnation == Incarnation(self.life);
+        let never_began = is_own && !self.begun.contains(&presented.key);
+        let settled = if defect == Defect::SettleWithoutTombstone && never_began {
+            Settled::NotRun
+        } else {
+            self.ledger.settle(presented.key, presented.stamp, presented.repeatability, now)
+        };
+        vec![says(Event::Settled { attempt: reply_to.attempt, settled })]
+    }
+
+    pub(crate) fn on_resume(
+        &mut self,
+        submission: Submission,
+        reply_to: ReplyTo,
+        now_ms: u64,
+    ) -> Vec<Reply> {
+        let attempt = reply_to.attempt;
+        let presented = submission.presented;
+        let now = self.now(now_ms);
+        match self.ledger.begin(&presented, now) {
+            Begin::Attach => self.attach(submission, reply_to),
+            Begin::Repeat(answer) => vec![repeated(attempt, &answer)],
+            // Nothing else can be resumed, and what has only just begun isn't sent.
+            Begin::Run => {
+                self.ledger.withdraw(presented.key, now).expect("the call has just begun");
+                vec![says(Event::ResumeRefused { attempt })]
+            }
+            _ => vec![says(Event::ResumeRefused { attempt })],
+        }
+    }
+
+    /// Gives up the oldest call that the endpoint hasn't got yet.
+    pub(crate) fn withdraw_job(&mut self, now_ms: u64) -> Vec<(ReplyTo, Reply)> {
+        let now = self.now(now_ms);
+        let Some(place) = self.jobs.iter().position(|job| !job.sent) else { return Vec::new() };
+        let job = self.jobs.remove(place);
+        // Only a ledger that forgot everything has no entry to withdraw.
+        let _ = self.ledger.withdraw(job.submission.presented.key, now);
+        let reply = |to: ReplyTo| (to, refused(to.attempt, Refusal::DeadlineUnmeetable));
+        job.waiters.into_iter().map(reply).collect()
+    }
+
+    /// Sends the oldest call that the endpoint hasn't got yet.
+    pub(crate) fn send_to_endpoint(&mut self) -> Option<(Tag, usize)> {
+        let job = self.jobs.iter_mut().find(|job| !job.sent)?;
+        job.sent = true;
+        Some((job.submission.tag, job.submission.call))
+    }
+
+    /// Ends the oldest call that the endpoint runs.
+    pub(crate) fn end_job(&mut self, fails: bool, now_ms: u64) -> Vec<(ReplyTo, Reply)> {
+        let now = self.now(now_ms);
+        let Some(place) = self.jobs.iter().position(|job| job.sent) else { return Vec::new() };
+        let job = self.jobs.remove(place);
+        let key = job.submission.presented.key;
+        let call = job.submission.call;
+        let (ended, end) = if fails {
+            (self.ledger.fail(key, now), StreamEnd::Cut)
+        } else {
+            let answer = Answer { status: 200, body: Arc::new([call as u8]) };
+            (self.ledger.finish(key, Some(answer), now), StreamEnd::Whole)
+        };
+        if ended.is_err() {
+            // Only a ledger that forgot everything has no entry to end.
+            return Vec::new();
+        }
+        let reply = |to: ReplyTo| {
+            (to, Reply { event: Event::Ended { attempt: to.attempt, end }, answers: Some(call) })
+        };
+        job.waiters.into_iter().map(reply).collect()
+    }
+
+    fn now(&self, now_ms: u64) -> MonoMs {
+        MonoMs(now_ms.saturating_sub(self.started_ms) + self.life * CLOCK_STEP_MS)
+    }
+
+    fn attach(&mut self, submission: Submission, reply_to: ReplyTo) -> Vec<Reply> {
+        let attempt = reply_to.attempt;
+        let key = submission.presented.key;
+        let job = self.jobs.iter_mut().find(|job| job.submission.presented.key == key);
+        job.expect("a call in progress").waiters.push(reply_to);
+        vec![says(Event::Accepted { attempt }), says(Event::Resumed { attempt })]
+    }
+
+    fn follow(
+        &mut self,
+        begin: Begin,
+        submission: Submission,
+        reply_to: ReplyTo,
+        now: MonoMs,
+    ) -> Vec<Reply> {
+        let attempt = reply_to.attempt;
+        let key = submission.presented.key;
+        match begin {
+            Begin::Run if self.busy => {
+                self.ledger.withdraw(key, now).expect("the call has just begun");
+                vec![refused(attempt, Refusal::OverBound)]
+            }
+            Begin::Run => {
+                self.begun.push(key);
+                self.jobs.push(Job { submission, sent: false, waiters: vec![reply_to] });
+                vec![says(Event::Accepted { attempt })]
+            }
+            Begin::Attach => self.attach(submission, reply_to),
+            Begin::Repeat(answer) => vec![repeated(attempt, &answer)],
+            Begin::RepeatStream => panic!("no answer of the model is a stream"),
+            Begin::Refuse(refusal) => vec![refused(attempt, refusal)],
+        }
+    }
+}
+
+fn ledger(life: u64) -> Ledger {
+    let limits = LedgerLimits::default()
+        .with_max_entries(MAX_ENTRIES)
+        .with_claim_life_ms(CLAIM_LIFE_MS)
+        .with_request_life_ms(REQUEST_LIFE_MS);
+    Ledger::new(Incarnation(life), limits)
+}
+
+fn refused(attempt: Attempt, refusal: Refusal) -> Reply {
+    says(Event::Refused { attempt, refusal, retry_after_ms: None })
+}
+
+fn repeated(attempt: Attempt, answer: &Answer) -> Reply {
+    let event = Event::Ended { attempt, end: StreamEnd::Whole };
+    Reply { event, answers: Some(usize::from(answer.body[0])) }
+}
+
+fn says(event: Event) -> Reply {
+    Reply { event, answers: None }
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/outcome_search.rs
@@ -0,0 +1,75 @@
+//! Searches schedules for a double run of one call and for false statements about one.
+
+mod outcome_model;
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+
+use outcome_model::{Defect, Model, Op, Violation, schedule};
+use persimmon_decide::outcome::Repeatability;
+use proptest::test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner};
+use rstest::rstest;
+
+const SEED: u64 = 4_021;
+const CASES: u32 = 20_000;
+
+/// What a search found.
+struct Found {
+    /// The shortest schedule that leads to the violation, if any does.
+    schedule: Option<Vec<Op>>,
+    reached: BTreeSet<String>,
+}
+
+/// Searches for one violation, or for any if `wanted` is `None`.
+fn search(kind: Repeatability, defect: Defect, wanted: Option<Violation>) -> Found {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..Config::default()
+    };
+    let reached = RefCell::new(BTreeSet::new());
+    let play = |ops: Vec<Op>| {
+        let report = Model::new(kind, defect).play(&ops);
+        reached.borrow_mut().extend(report.reached);
+        let is_wanted = |found: &Violation| wanted.is_none_or(|wanted| wanted == *found);
+        match report.violations.into_iter().find(is_wanted) {
+            Some(violation) => Err(TestCaseError::fail(format!("{violation:?}"))),
+            None => Ok(()),
+        }
+    };
+    let schedule = match TestRunner::new(config).run(&schedule(), play) {
+        Ok(()) => None,
+        Err(TestError::Fail(_, ops)) => Some(ops),
+        Err(abort) => panic!("the search ended early: {abort}"),
+    };
+    Found { schedule, reached: reached.into_inner() }
+}
+
+#[rstest]
+#[case::claims(Repeatability::Once, &["wrong-incarnation", "expired-claim", "body-mismatch"])]
+#[case::ordinary(Repeatability::Repeatable, &["wrong-incarnation", "stale-stamp", "over-bound"])]
+fn search_product(#[case] kind: Repeatability, #[case] refusals: &[&str]) {
+    let found = search(kind, Defect::None, None);
+    assert_eq!(found.schedule.map(|ops| format!("{ops:?}")), None);
+    // The schedules lead to every kind of answer, so that none goes unsearched.
+    let common = ["ledger-full", "tombstoned", "Started", "Done", "NotRun", "Unknown"];
+    for name in refusals.iter().chain(&common) {
+        assert!(found.reached.contains(*name), "{name} isn't in {:?}", found.reached);
+    }
+}
+
+#[rstest]
+#[case::incarnation_unchecked(Defect::IncarnationUnchecked, Violation::DoubleRun)]
+#[case::settle_without_tombstone(Defect::SettleWithoutTombstone, Violation::FalseNotRun)]
+#[case::refusal_without_tombstone(Defect::RefusalWithoutTombstone, Violation::FalseNotRun)]
+#[case::ledger_forgets_when_full(Defect::ForgetsWhenFull, Violation::DoubleRun)]
+#[case::unreachable_is_not_run(Defect::UnreachableIsNotRun, Violation::FalseNotRun)]
+#[case::deadline_is_not_run(Defect::DeadlineIsNotRun, Violation::FalseNotRun)]
+#[case::bare_key(Defect::BareKey { quiet_ms: 0 }, Violation::DoubleRun)]
+#[case::bare_key_after_quiet_time(Defect::BareKey { quiet_ms: 600 }, Violation::DoubleRun)]
+fn search_defect(#[case] defect: Defect, #[case] wanted: Violation) {
+    let schedule = search(Repeatability::Once, defect, Some(wanted)).schedule;
+    println!("{defect:?}: {wanted:?} by {schedule:?}");
+    assert!(schedule.is_some());
+}
