Let a sidecar's load report carry its bound

Cause: a router knows few of a model's loads, so a mean of its own would err; the sidecar knows its bound. Change: LoadReport.bound, Directory::digest for reports that carry only work, and MeanLoad as the lower of the mean of all and of fresh reports, decaying when none arrives.

--- a/crates/persimmon_decide/src/load/admission.rs
+++ b/crates/persimmon_decide/src/load/admission.rs
@@ -100,6 +100,7 @@
             running: self.running,
             waiting: self.waiting.len() as u32,
             slots: self.cfg.slots(),
+            bound: self.bound_for(Class::Conversation),
         }
     }
 
--- a/crates/persimmon_decide/src/load/directory.rs
+++ b/crates/persimmon_decide/src/load/directory.rs
@@ -52,6 +52,13 @@
         self.expected_work(now).0 as f64 / f64::from(self.slots.max(1))
     }
 
+    /// Whether the endpoint would exceed its bound with `more` work, by the bound that it last
+    /// reported.
+    pub fn is_over_bound(&self, more: Work, now: MonoMs) -> bool {
+        let known = self.load.bound > Work::ZERO;
+        known && self.expected_work(now) + more > self.load.bound
+    }
+
     /// Whether the endpoint is tried only after all others.
     pub fn is_suspect(&self, now: MonoMs) -> bool {
         self.suspect_until.is_some_and(|until| now < until)
@@ -123,7 +130,7 @@
         })
     }
 
-    /// Takes in a load measured at `at`, from a digest, a reply or a refusal. An older one than is
+    /// Takes in a load measured at `at`, from a reply or a refusal. An older one than is
     /// held is ignored.
     pub fn report(&mut self, endpoint: EndpointHash, load: LoadReport, at: MonoMs) {
         let Some(view) = self.view_mut(endpoint) else { return };
@@ -134,6 +141,13 @@
         }
     }
 
+    /// Takes in the work that a digest gives for an endpoint, measured at `at`.
+    pub fn digest(&mut self, endpoint: EndpointHash, work: Work, at: MonoMs) {
+        let Some(view) = self.view(endpoint) else { return };
+        let load = LoadReport { work, ..view.load };
+        self.report(endpoint, load, at);
+    }
+
     /// Counts work just sent, until the next report.
     pub fn note_sent(&mut self, endpoint: EndpointHash, work: Work) {
         if let Some(view) = self.view_mut(endpoint) {
@@ -175,17 +189,6 @@
         self.views.is_empty()
     }
 
-    /// The mean expected load per slot of a target's endpoints that aren't leaving.
-    pub fn mean_per_slot(&self, target: &Serves, now: MonoMs) -> f64 {
-        let mut work = 0.0;
-        let mut slots = 0.0;
-        for view in self.serving(target).filter(|view| !view.leaving) {
-            work += view.expected_work(now).0 as f64;
-            slots += f64::from(view.slots);
-        }
-        if slots > 0.0 { work / slots } else { 0.0 }
-    }
-
     fn view_mut(&mut self, endpoint: EndpointHash) -> Option<&mut EndpointView> {
         let key = *self.by_hash.get(&endpoint)?;
         self.views.get_mut(key)
--- a/crates/persimmon_decide/src/load/mean_load.rs
+++ b/crates/persimmon_decide/src/load/mean_load.rs
@@ -13,25 +13,18 @@
     at: MonoMs,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Told {
-    per_slot: f64,
-    at: MonoMs,
-}
-
-/// Estimates the mean load per slot of the endpoints of one model, from the reports of peers and
-/// from estimates that routers send along with requests. It errs downwards, so that the bound of a
-/// partitioned or newly started sidecar is too tight rather than too loose: the lower of the two
-/// estimates counts, both decay when they aren't refreshed, and with neither the estimate is zero,
-/// so that the floor holds. A sidecar doesn't count its own load: a load that raised its own bound
-/// would never be refused.
+/// Estimates the mean load per slot of the endpoints of one model from the reports of peers. It
+/// errs downwards, so that the bound of a partitioned or newly started sidecar is too tight rather
+/// than too loose: of the mean of every report held and that of the fresh ones the lower counts,
+/// the estimate decays when no report arrives, and with none it is zero, so that the floor holds.
+/// A sidecar doesn't count its own load: a load that raised its own bound would never be refused.
 ///
 /// ```
 /// use persimmon_decide::MonoMs;
 /// use persimmon_decide::load::{EndpointHash, LoadReport, MeanLoad, Work};
 ///
 /// let mut mean = MeanLoad::default();
-/// let report = LoadReport { work: Work(4_000), running: 4, waiting: 0, slots: 8 };
+/// let report = LoadReport { work: Work(4_000), slots: 8, ..LoadReport::default() };
 /// mean.observe(EndpointHash(1), report, MonoMs(0));
 /// assert_eq!(mean.per_slot(MonoMs(0)), 500.0);
 /// assert!(mean.per_slot(MonoMs(60_000)) < 50.0);
@@ -39,21 +32,24 @@
 #[derive(Debug, Clone, Default)]
 pub struct MeanLoad {
     entries: BTreeMap<EndpointHash, Entry>,
-    told: Option<Told>,
+    newest: Option<MonoMs>,
 }
 
 impl MeanLoad {
     /// Endpoints whose reports are kept.
     pub const MAX_ENTRIES: usize = 256;
 
-    /// Age up to which a report counts in full, in milliseconds.
+    /// Age up to which a report is fresh, in milliseconds.
     pub const FRESH_MS: u64 = 5_000;
 
-    /// Time in which a report that is no longer fresh loses half of its weight, in milliseconds.
+    /// Fresh reports below which their mean is too uncertain to count.
+    pub const MIN_FRESH: usize = 8;
+
+    /// Time in which the estimate halves once no report is fresh, in milliseconds.
     pub const HALF_LIFE_MS: u64 = 5_000;
 
     /// Age at which a report is forgotten, in milliseconds.
-    pub const FORGET_MS: u64 = 60_000;
+    pub const FORGET_MS: u64 = 20_000;
 
     /// Takes in an endpoint's report, measured at `at`. An older one than is held is ignored.
     pub fn observe(&mut self, endpoint: EndpointHash, report: LoadReport, at: MonoMs) {
@@ -64,14 +60,7 @@
             self.drop_oldest();
         }
         self.entries.insert(endpoint, Entry { report, at });
-    }
-
-    /// Takes in the estimate of another process, in work per slot.
-    pub fn observe_told(&mut self, per_slot: f64, at: MonoMs) {
-        let valid = per_slot.is_finite() && per_slot >= 0.0;
-        if valid && self.told.is_none_or(|held| held.at <= at) {
-            self.told = Some(Told { per_slot, at });
-        }
+        self.newest = self.newest.max(Some(at));
     }
 
     /// Forgets an endpoint that left.
@@ -86,12 +75,10 @@
 
     /// The estimate in work per slot.
     pub fn per_slot(&self, now: MonoMs) -> f64 {
-        let told = self.told.map(|told| told.per_slot * freshness(told.at, now));
-        match (self.observed_per_slot(now), told) {
-            (Some(observed), Some(told)) => observed.min(told),
-            (Some(only), None) | (None, Some(only)) => only,
-            (None, None) => 0.0,
-        }
+        let Some(newest) = self.newest else { return 0.0 };
+        let stale_ms = now.ms_since(newest).saturating_sub(Self::FRESH_MS);
+        let decay = 0.5_f64.powf(stale_ms as f64 / Self::HALF_LIFE_MS as f64);
+        decay * self.lower_mean(now)
     }
 
     /// The load up to which the multiple isn't applied: `load_floor` requests of the mean work of
@@ -119,14 +106,22 @@
         work.0 as f64 / requests as f64
     }
 
-    fn observed_per_slot(&self, now: MonoMs) -> Option<f64> {
-        let mut work = 0.0;
-        let mut slots = 0.0;
+    fn lower_mean(&self, now: MonoMs) -> f64 {
+        let mut held = Totals::default();
+        let mut fresh = Totals::default();
         for entry in self.entries.values() {
-            work += entry.report.work.0 as f64 * freshness(entry.at, now);
-            slots += f64::from(entry.report.slots);
+            let age_ms = now.ms_since(entry.at);
+            if age_ms < Self::FORGET_MS {
+                held.add(&entry.report);
+            }
+            if age_ms < Self::FRESH_MS {
+                fresh.add(&entry.report);
+            }
+        }
+        if fresh.reports < Self::MIN_FRESH {
+            return held.per_slot();
         }
-        (slots > 0.0).then(|| work / slots)
+        held.per_slot().min(fresh.per_slot())
     }
 
     fn drop_oldest(&mut self) {
@@ -137,8 +132,21 @@
     }
 }
 
-/// The share at which a value of this age counts.
-fn freshness(at: MonoMs, now: MonoMs) -> f64 {
-    let stale_ms = now.ms_since(at).saturating_sub(MeanLoad::FRESH_MS);
-    0.5_f64.powf(stale_ms as f64 / MeanLoad::HALF_LIFE_MS as f64)
+#[derive(Debug, Default)]
+struct Totals {
+    reports: usize,
+    work: u64,
+    slots: u64,
+}
+
+impl Totals {
+    fn add(&mut self, report: &LoadReport) {
+        self.reports += 1;
+        self.work += report.work.0;
+        self.slots += u64::from(report.slots);
+    }
+
+    fn per_slot(&self) -> f64 {
+        self.work as f64 / self.slots.max(1) as f64
+    }
 }
--- a/crates/persimmon_decide/src/load/placement.rs
+++ b/crates/persimmon_decide/src/load/placement.rs
@@ -1,6 +1,6 @@
 //! Placement: which endpoints a router tries for a request, and in which order.
 
-use persimmon_records::{Policy, Serves};
+use persimmon_records::Serves;
 
 use super::{ChatKey, Directory, EndpointHash, EndpointView, Holder, Work, rendezvous_score};
 use crate::MonoMs;
@@ -45,7 +45,7 @@
 /// ```
 /// use persimmon_decide::MonoMs;
 /// use persimmon_decide::load::{ChatKey, Directory, PlaceRequest, Placement};
-/// use persimmon_records::{EndpointBuilder, Policy, RecordSet, Serves};
+/// use persimmon_records::{EndpointBuilder, RecordSet, Serves};
 ///
 /// let target = Serves::Model("chat-large".into());
 /// let mut records = RecordSet::empty();
@@ -63,27 +63,32 @@
 ///     prompt_tokens: 800,
 ///     tokens_to_generate: 200,
 /// };
-/// let candidates = Placement::new(&Policy::default()).place(&req, &directory, MonoMs(0));
+/// let candidates = Placement::default().place(&req, &directory, MonoMs(0));
 /// assert_eq!(candidates.len(), 2);
 /// ```
 #[derive(Debug, Clone)]
 pub struct Placement {
-    policy: Policy,
+    max_candidates: usize,
 }
 
-impl Placement {
-    /// The most endpoints tried for one request.
-    pub const MAX_CANDIDATES: usize = 8;
+impl Default for Placement {
+    fn default() -> Self {
+        Self { max_candidates: 8 }
+    }
+}
 
+impl Placement {
     /// Prompt tokens whose import costs as much as rebuilding one.
     pub const IMPORTED_TOKENS_PER_REBUILT: u32 = 4;
 
     /// Age at which a holder is taken to have evicted the prefix, in milliseconds.
     pub const HOLDER_AGE_MS: u64 = 4 * 3_600_000;
 
-    /// Placement under `policy`.
-    pub fn new(policy: &Policy) -> Self {
-        Self { policy: policy.clone() }
+    /// Sets how many endpoints are tried for one request, at least one.
+    #[must_use]
+    pub fn with_max_candidates(mut self, max_candidates: usize) -> Self {
+        self.max_candidates = max_candidates.max(1);
+        self
     }
 
     /// The endpoints to try, in order.
@@ -93,45 +98,35 @@
         directory: &Directory,
         now: MonoMs,
     ) -> Vec<Candidate> {
-        let mean = directory.mean_per_slot(req.target, now);
         let mut ranked: Vec<_> = directory
             .serving(req.target)
             .filter(|view| !view.leaving)
             .filter(|view| req.allowed.is_empty() || req.allowed.contains(&view.hash))
-            .map(|view| self.ranked(req, view, mean, now))
+            .map(|view| ranked(req, view, now))
             .collect();
-        if ranked.len() > Self::MAX_CANDIDATES {
-            ranked.select_nth_unstable_by(Self::MAX_CANDIDATES - 1, Ranked::compare);
-            ranked.truncate(Self::MAX_CANDIDATES);
+        if ranked.len() > self.max_candidates {
+            ranked.select_nth_unstable_by(self.max_candidates - 1, Ranked::compare);
+            ranked.truncate(self.max_candidates);
         }
         ranked.sort_unstable_by(Ranked::compare);
         promote_cheapest(&mut ranked);
         ranked.into_iter().map(|ranked| ranked.candidate).collect()
     }
+}
 
-    fn ranked(
-        &self,
-        req: &PlaceRequest<'_>,
-        view: &EndpointView,
-        mean: f64,
-        now: MonoMs,
-    ) -> Ranked {
-        let candidate = candidate(req, view, now);
-        let load = view.expected_work(now) + candidate.work;
-        let share = self.policy.load_multiple * mean * f64::from(view.slots);
-        let over = load.0 as f64 > share.max(Work::HORIZON.0 as f64);
-        let tier = if view.is_suspect(now) {
-            Tier::Suspect
-        } else if over {
-            Tier::OverBound
-        } else if candidate.cached_tokens > 0 {
-            Tier::Holder
-        } else {
-            Tier::Ranked
-        };
-        let score = rendezvous_score(req.chat, view.hash, view.slots);
-        Ranked { tier, score, candidate }
-    }
+fn ranked(req: &PlaceRequest<'_>, view: &EndpointView, now: MonoMs) -> Ranked {
+    let candidate = candidate(req, view, now);
+    let tier = if view.is_suspect(now) {
+        Tier::Suspect
+    } else if view.is_over_bound(candidate.work, now) {
+        Tier::OverBound
+    } else if candidate.cached_tokens > 0 {
+        Tier::Holder
+    } else {
+        Tier::Ranked
+    };
+    let score = rendezvous_score(req.chat, view.hash, view.slots);
+    Ranked { tier, score, candidate }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/persimmon_decide/src/load/work.rs
+++ b/crates/persimmon_decide/src/load/work.rs
@@ -89,6 +89,8 @@
     pub waiting: u32,
     /// Slots of the endpoint.
     pub slots: u32,
+    /// The most work that it takes now.
+    pub bound: Work,
 }
 
 impl LoadReport {
