Decide leaving and the retry budget

Cause: nothing decided yet when a process stops admitting work, nor how many retries a router adds. Change: recovery::Leaving (first reason wins and stays for the incarnation; a reason that stood before the first admission only holds; a process that was stopped, or whose view of the records is older than its lease, admits nothing before an answer asked for after waking) and recovery::RetryBudget with RetryPacer. Ruled out: letting an undone drain reopen the incarnation (peers and routers would need a version beside the leaving mark to order the two).

--- a/crates/persimmon_decide/src/recovery/mod.rs
+++ b/crates/persimmon_decide/src/recovery/mod.rs
@@ -1,1 +1,15 @@
 //! Recovery: leaving, retries and requests that crash endpoints.
+
+mod clocks;
+mod leaving;
+mod leaving_cause;
+mod leaving_settings;
+mod retry_budget;
+mod retry_pacer;
+
+pub use clocks::Clocks;
+pub use leaving::{Leaving, Phase, Work};
+pub use leaving_cause::{Hold, LeavingCause, NotServing, RecordsWord};
+pub use leaving_settings::LeavingSettings;
+pub use retry_budget::RetryBudget;
+pub use retry_pacer::RetryPacer;
