Trace the sidecar's hop; charge claims to no limit

Cause: claims asked for credits that nobody fetched, so the next call waited 500 ms for the home; and the sidecar wrote no span. Change: a plan for a claim isn't charged; the sidecar opens a span for each run and call, and hands the endpoint a child of it. Conclusion: see the spans of one trace id in router and sidecar.

--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -76,6 +76,7 @@
   running @1 :UInt32;
   waiting @2 :UInt32;
   slots @3 :UInt32;
+  bound @4 :UInt64;
 }
 
 struct Refusal {
--- a/crates/persimmon_wire/src/convert.rs
+++ b/crates/persimmon_wire/src/convert.rs
@@ -171,6 +171,7 @@
     builder.set_running(load.running);
     builder.set_waiting(load.waiting);
     builder.set_slots(load.slots);
+    builder.set_bound(load.bound.0);
 }
 
 fn read_load(reader: schema::load::Reader<'_>) -> LoadReport {
@@ -179,6 +180,7 @@
         running: reader.get_running(),
         waiting: reader.get_waiting(),
         slots: reader.get_slots(),
+        bound: Work(reader.get_bound()),
     }
 }
 
--- a/crates/persimmonmountd/src/router/command.rs
+++ b/crates/persimmonmountd/src/router/command.rs
@@ -30,6 +30,13 @@
         /// Most tokens to generate.
         max_tokens: u32,
     },
+    /// A claim for a call that may not be repeated.
+    Claim {
+        /// The service.
+        service: ServiceName,
+        /// What spreads claims over the workers: the caller's key.
+        key: String,
+    },
     /// A call to a plain service.
     Service {
         /// The service.
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -14,7 +14,7 @@
 };
 use persimmon_decide::outcome::Outcome;
 use persimmon_decide::recovery::RetryBudget;
-use persimmon_records::{Endpoint, EndpointName, RecordSet, Serves, Workspace};
+use persimmon_records::{Endpoint, EndpointName, RecordSet, Serves, ServiceName, Workspace};
 
 use super::command::{Command, HomeDemand, Payment, Plan, PlanRequest, PlannedEndpoint, Wanted};
 use super::failure::Failure;
@@ -149,7 +149,8 @@
     fn handle(&mut self, command: Command) {
         match command {
             Command::Plan { req, reply } => {
-                let plan = self.plan(*req).map(|plan| self.paid(plan));
+                let is_charged = matches!(req.wanted, Wanted::Chat { .. } | Wanted::Service { .. });
+                let plan = self.plan(*req).map(|plan| self.paid(plan, is_charged));
                 if plan.is_ok() {
                     self.budget.record_fresh();
                 }
@@ -206,15 +207,13 @@
         match req.wanted {
             Wanted::Models => {}
             Wanted::Chat { .. } => self.plan_chat(workspace, &req.wanted, &mut plan)?,
-            Wanted::Service { service, key, owner } => {
-                if !workspace.services.contains(&service) {
-                    return Err(unknown("service", service.as_str()));
-                }
-                let target = Serves::Service(service);
-                plan.endpoints = match owner {
-                    Some(owner) => self.planned(&owner).into_iter().collect(),
-                    None => self.workers(workspace, &target, &key),
-                };
+            Wanted::Claim { service, key } | Wanted::Service { service, key, owner: None } => {
+                check_service(workspace, &service)?;
+                plan.endpoints = self.workers(workspace, &Serves::Service(service), &key);
+            }
+            Wanted::Service { service, owner: Some(owner), .. } => {
+                check_service(workspace, &service)?;
+                plan.endpoints = self.planned(&owner).into_iter().collect();
             }
             Wanted::Answer { endpoint } => {
                 plan.endpoints = self.planned(&endpoint).into_iter().collect();
@@ -223,9 +222,9 @@
         Ok(plan)
     }
 
-    /// Pays for a request that may go somewhere.
-    fn paid(&mut self, mut plan: Plan) -> Plan {
-        if !plan.endpoints.is_empty() {
+    /// Pays for a request that may go somewhere, if it counts against the limit.
+    fn paid(&mut self, mut plan: Plan, is_charged: bool) -> Plan {
+        if is_charged && !plan.endpoints.is_empty() {
             let key = LimitKey { workspace: plan.workspace.clone(), class: plan.class };
             (plan.payment, _) = self.pay(&key);
         }
@@ -475,6 +474,14 @@
     }
 }
 
+fn check_service(workspace: &Workspace, service: &ServiceName) -> Result<(), Failure> {
+    if workspace.services.contains(service) {
+        Ok(())
+    } else {
+        Err(unknown("service", service.as_str()))
+    }
+}
+
 fn unknown(kind: &str, name: &str) -> Failure {
     let (code, list) = match kind {
         "model" => ("unknown-model", "GET /v1/models lists those that it may use"),
--- a/crates/persimmonmountd/src/router/services.rs
+++ b/crates/persimmonmountd/src/router/services.rs
@@ -44,8 +44,7 @@
         )
     })?;
     let _in_progress = cx.in_progress.enter();
-    let wanted =
-        Wanted::Service { service: service.clone(), key: key.as_str().to_owned(), owner: None };
+    let wanted = Wanted::Claim { service: service.clone(), key: key.as_str().to_owned() };
     let plan = plan(cx, head, wanted).await?;
     let request = ClaimRequest { workspace: plan.workspace.clone(), service, key };
     let mut last = no_worker(Outcome::NotRun);
--- a/crates/persimmonmountd/src/sidecar/calls.rs
+++ b/crates/persimmonmountd/src/sidecar/calls.rs
@@ -14,7 +14,7 @@
 
 use super::core::Core;
 use super::service::{CallBody, Service, ServiceEvent, ServiceNews, ServiceRun};
-use crate::common::random_u64;
+use crate::common::{TraceContext, random_u64};
 
 /// Duplicates of one call that wait for its answer at once.
 const MAX_ATTACHED: usize = 64;
@@ -225,7 +225,7 @@
     Some(ServiceRun {
         key,
         body: CallBody { key: service_key, operation: call.operation.clone(), body },
-        traceparent: call.traceparent.clone(),
+        trace: TraceContext::from_header(Some(&call.traceparent)),
         timeout_s: call.deadline_ms.div_ceil(1_000).max(1),
     })
 }
--- a/crates/persimmonmountd/src/sidecar/runs.rs
+++ b/crates/persimmonmountd/src/sidecar/runs.rs
@@ -16,6 +16,7 @@
 use persimmon_records::Serves;
 use persimmon_wire::{Admission, ModelRequest, Refused, RequestRef, StreamPosition};
 use slotmap::SecondaryMap;
+use tracing::Span;
 
 use super::command::FrameTx;
 use super::core::Core;
@@ -24,6 +25,7 @@
     priority_of,
 };
 use super::subscriber::{Fed, Subscriber};
+use crate::common::TraceContext;
 
 /// How long requests are refused after the engine took no connection, in milliseconds.
 const ENGINE_DOWN_MS: u64 = 500;
@@ -55,6 +57,9 @@
     /// How the run ended, while lines are still held.
     ended: Option<StreamEnd>,
     tokens: u64,
+    /// The sidecar's span of the caller's trace, closed with the run.
+    span: Span,
+    trace: TraceContext,
 }
 
 /// Every request to the engine beside this sidecar.
@@ -280,7 +285,16 @@
             Decision::Refuse(_) => return,
         };
         self.next_number += 1;
+        let trace = TraceContext::from_header(Some(&req.traceparent));
+        let span = tracing::info_span!(
+            "run",
+            hop = "sidecar",
+            trace_id = %trace.trace_id(),
+            request_id = %req.id.id,
+        );
         let run = Run {
+            span,
+            trace,
             req,
             number: self.next_number,
             admitted,
@@ -315,7 +329,9 @@
             self.on_end(core, key, StreamEnd::Cut);
             return;
         };
-        if let Err(err) = self.engine.run(engine_run) {
+        let engine = &self.engine;
+        let started = run.span.in_scope(|| engine.run(engine_run));
+        if let Err(err) = started {
             tracing::error!("sidecar: a request's thread can't be started: {err}.");
             self.on_end(core, key, StreamEnd::Cut);
         }
@@ -505,7 +521,7 @@
         key,
         run: run.number,
         body,
-        traceparent: req.traceparent.clone(),
+        traceparent: run.trace.child().to_string(),
         timeout_s: req.deadline_ms.div_ceil(1_000).max(1),
         permits: rx,
     };
--- a/crates/persimmonmountd/src/sidecar/service.rs
+++ b/crates/persimmonmountd/src/sidecar/service.rs
@@ -10,6 +10,7 @@
 use serde_json::value::RawValue;
 
 use super::command::Command;
+use crate::common::TraceContext;
 
 /// Longest answer of a service that is taken, in bytes.
 const MAX_ANSWER_BYTES: usize = 256 * 1024;
@@ -45,7 +46,7 @@
 pub(crate) struct ServiceRun {
     pub(crate) key: LedgerKey,
     pub(crate) body: CallBody,
-    pub(crate) traceparent: String,
+    pub(crate) trace: TraceContext,
     pub(crate) timeout_s: u64,
 }
 
@@ -71,7 +72,13 @@
         let address = self.address;
         let commands = self.commands.clone();
         thread::Builder::new().name("service-call".into()).spawn(move || {
-            let news = call(address, &run);
+            let span = tracing::info_span!(
+                "call",
+                hop = "sidecar",
+                trace_id = %run.trace.trace_id(),
+            );
+            let news = span.in_scope(|| call(address, &run));
+            drop(span);
             // A closed channel means that the process has ended.
             let _closed = commands.send(Command::Service(ServiceEvent { key: run.key, news }));
         })?;
@@ -82,7 +89,7 @@
 fn call(address: SocketAddr, run: &ServiceRun) -> ServiceNews {
     let request = minreq::post(format!("http://{address}/v1/calls"))
         .with_timeout(run.timeout_s)
-        .with_header("traceparent", run.traceparent.as_str())
+        .with_header("traceparent", run.trace.child().to_string())
         .with_json(&run.body);
     match request.and_then(minreq::Request::send) {
         Ok(response) => answered(&response),
