Start a fleet of daemons and stand-ins from a test

Cause: process tests need daemons as child processes that can be killed, frozen and started again. Ruled out: waiting for a fixed time; every wait is for the ready line, the generation or an end. Change: the fleet module: Fleet, Daemons, Caller and a reader of server-sent events.

--- a/crates/persimmon_standins/src/engine/builder.rs
+++ b/crates/persimmon_standins/src/engine/builder.rs
@@ -135,6 +135,16 @@
         self
     }
 
+    /// The model that was loaded first.
+    pub(crate) fn model(&self) -> String {
+        self.models[0].clone()
+    }
+
+    /// How many requests run at once.
+    pub(crate) fn slots(&self) -> u32 {
+        u32::try_from(self.settings.slots).unwrap_or(u32::MAX)
+    }
+
     pub(super) fn into_core(self) -> Core {
         let cache = PrefixCache::new(self.cache_tokens, self.event_delay, self.lost_event_interval);
         Core {
--- a/crates/persimmon_standins/src/engine/mod.rs
+++ b/crates/persimmon_standins/src/engine/mod.rs
@@ -134,6 +134,11 @@
         self.server.address()
     }
 
+    /// The relay that the sidecar's connections go through, to silence or cut them.
+    pub fn relay(&self) -> &Relay {
+        &self.relay
+    }
+
     /// What reached the engine.
     pub fn counts(&self) -> EngineCounts {
         self.core.state().counts()
--- /dev/null
+++ b/crates/persimmon_standins/src/fleet/builder.rs
@@ -0,0 +1,215 @@
+//! What a fleet is made of.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use persimmon_records::{
+    Endpoint, EndpointBuilder, Generation, Policy, RecordSet, Serves, Workspace, WorkspaceBuilder,
+};
+
+use super::{Daemons, Fleet, FleetError};
+use crate::engine::EngineBuilder;
+use crate::platform::{Platform, PlatformBuilder};
+use crate::service::Service;
+
+/// The key of the workspace that a fleet has when none is given.
+pub const CALLER_KEY: &str = "wk-for-tests-only";
+
+/// Calls that a service endpoint takes at once.
+const SERVICE_SLOTS: u32 = 16;
+
+#[derive(Debug)]
+struct Place {
+    name: String,
+    zone: String,
+}
+
+#[derive(Debug)]
+struct EnginePart {
+    place: Place,
+    engine: EngineBuilder,
+}
+
+#[derive(Debug)]
+struct ServicePart {
+    place: Place,
+    service: String,
+}
+
+/// Builds a [`Fleet`].
+#[derive(Debug)]
+pub struct FleetBuilder {
+    daemon: PathBuf,
+    platform: PlatformBuilder,
+    routers: Vec<Place>,
+    engines: Vec<EnginePart>,
+    services: Vec<ServicePart>,
+    workspaces: Vec<Workspace>,
+    policy: Policy,
+    variables: Vec<(String, String)>,
+}
+
+impl FleetBuilder {
+    pub(super) fn new(daemon: impl Into<PathBuf>) -> Self {
+        Self {
+            daemon: daemon.into(),
+            platform: Platform::builder(),
+            routers: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            workspaces: Vec::new(),
+            policy: Policy::default(),
+            variables: Vec::new(),
+        }
+    }
+
+    /// Sets how the platform behaves.
+    #[must_use]
+    pub fn with_platform(mut self, platform: PlatformBuilder) -> Self {
+        self.platform = platform;
+        self
+    }
+
+    /// Adds a router.
+    #[must_use]
+    pub fn with_router(mut self, name: &str, zone: &str) -> Self {
+        self.routers.push(Place::new(name, zone));
+        self
+    }
+
+    /// Adds an engine with its sidecar.
+    #[must_use]
+    pub fn with_engine(mut self, name: &str, zone: &str, engine: EngineBuilder) -> Self {
+        self.engines.push(EnginePart { place: Place::new(name, zone), engine });
+        self
+    }
+
+    /// Adds a worker of the plain service `service` with its sidecar.
+    #[must_use]
+    pub fn with_service(mut self, name: &str, zone: &str, service: &str) -> Self {
+        self.services
+            .push(ServicePart { place: Place::new(name, zone), service: service.to_owned() });
+        self
+    }
+
+    /// Adds a workspace, in place of the one that may use everything.
+    #[must_use]
+    pub fn with_workspace(mut self, workspace: Workspace) -> Self {
+        self.workspaces.push(workspace);
+        self
+    }
+
+    /// Sets the fleet's policy.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Sets an environment variable of the daemons.
+    #[must_use]
+    pub fn with_variable(mut self, name: &str, value: &str) -> Self {
+        self.variables.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Starts everything, publishes the records and waits until they are in force.
+    ///
+    /// # Errors
+    /// When a part can't be started or doesn't adopt the records in time.
+    pub fn start(self) -> Result<Fleet, FleetError> {
+        let workspaces = self.workspaces_or_default();
+        let platform = self.platform.start()?;
+        let mut daemons = Daemons::new(self.daemon, platform.address());
+        for (name, value) in &self.variables {
+            daemons.set_variable(name, value);
+        }
+        let mut parts = Parts { daemons, endpoints: Vec::new() };
+        let mut engines = BTreeMap::new();
+        for EnginePart { place, engine } in self.engines {
+            let (model, slots) = (engine.model(), engine.slots());
+            let engine = engine.start()?;
+            parts.daemons.start_sidecar(&place.name, &place.zone, engine.address())?;
+            parts.add_endpoint(&place, Serves::Model(model.as_str().into()), slots)?;
+            engines.insert(place.name, engine);
+        }
+        let mut services = BTreeMap::new();
+        for ServicePart { place, service } in self.services {
+            let worker = Service::start()?;
+            parts.daemons.start_sidecar(&place.name, &place.zone, worker.address())?;
+            let serves = Serves::Service(service.as_str().into());
+            parts.add_endpoint(&place, serves, SERVICE_SLOTS)?;
+            services.insert(place.name, worker);
+        }
+        for place in &self.routers {
+            parts.daemons.start_router(&place.name, &place.zone)?;
+        }
+        let records = RecordSet {
+            generation: Generation(1),
+            policy: self.policy,
+            workspaces,
+            endpoints: parts.endpoints,
+            ..RecordSet::empty()
+        };
+        let daemons = parts.daemons;
+        let leaving = Vec::new();
+        let mut fleet =
+            Fleet { daemons, platform, engines, services, records: RecordSet::empty(), leaving };
+        fleet.list_vms()?;
+        fleet.publish(records);
+        fleet.wait_in_force()?;
+        Ok(fleet)
+    }
+
+    /// The workspaces that were given, or one that may use every model and service.
+    fn workspaces_or_default(&self) -> Vec<Workspace> {
+        if !self.workspaces.is_empty() {
+            return self.workspaces.clone();
+        }
+        let mut workspace = WorkspaceBuilder::new("swap-desk").with_key(CALLER_KEY);
+        let mut models: Vec<String> = self.engines.iter().map(|part| part.engine.model()).collect();
+        models.sort();
+        models.dedup();
+        for model in &models {
+            workspace = workspace.with_model(model.as_str());
+        }
+        let mut services: Vec<&str> =
+            self.services.iter().map(|part| part.service.as_str()).collect();
+        services.sort_unstable();
+        services.dedup();
+        for service in services {
+            workspace = workspace.with_service(service);
+        }
+        vec![workspace.build()]
+    }
+}
+
+/// What has been started so far.
+struct Parts {
+    daemons: Daemons,
+    endpoints: Vec<Endpoint>,
+}
+
+impl Parts {
+    fn add_endpoint(
+        &mut self,
+        place: &Place,
+        serves: Serves,
+        slots: u32,
+    ) -> Result<(), FleetError> {
+        let address = self.daemons.peer(&place.name)?;
+        let endpoint = EndpointBuilder::new(place.name.as_str(), address)
+            .with_zone(place.zone.as_str())
+            .with_serves(serves)
+            .with_slots(slots)
+            .build();
+        self.endpoints.push(endpoint);
+        Ok(())
+    }
+}
+
+impl Place {
+    fn new(name: &str, zone: &str) -> Self {
+        Self { name: name.to_owned(), zone: zone.to_owned() }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/fleet/caller.rs
@@ -0,0 +1,229 @@
+//! A caller of a router.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+use thiserror::Error;
+
+use super::stream::ChatStream;
+use crate::engine::Message;
+
+/// Time that a call may take, in seconds.
+const CALL_TIMEOUT_S: u64 = 30;
+
+/// Tokens of an answer when a request names no number.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// Why a call has no reply.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// The connection failed or the deadline passed.
+    #[error("the router gave no whole reply ({0}); check its log")]
+    NoReply(#[from] minreq::Error),
+    /// A stream broke.
+    #[error("the stream broke ({0}); check the router's log")]
+    Broken(#[from] std::io::Error),
+}
+
+/// A failure as the router words it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Failure {
+    /// The stable kind.
+    pub kind: String,
+    /// `not-run`, `unknown` or `done`.
+    pub outcome: String,
+    /// What to do about it.
+    pub message: String,
+    /// When to come back, in seconds.
+    #[serde(default)]
+    pub retry_after_s: Option<u64>,
+}
+
+/// A whole reply.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers as the router sent them.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: String,
+}
+
+impl Reply {
+    /// The header `name`, in any case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find_header(&self.headers, name)
+    }
+
+    /// The body as JSON; null if it isn't.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+
+    /// The text of a whole chat answer.
+    pub fn text(&self) -> String {
+        self.json()["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// The failure, if the body words one.
+    pub fn failure(&self) -> Option<Failure> {
+        serde_json::from_value(self.json()["error"].clone()).ok()
+    }
+}
+
+pub(super) fn find_header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value.as_str())
+}
+
+/// One chat request.
+#[derive(Debug, Clone)]
+pub struct ChatRequest {
+    model: String,
+    messages: Vec<Message>,
+    max_tokens: u32,
+    headers: Vec<(String, String)>,
+}
+
+impl ChatRequest {
+    /// Asks `model` with one message of the user.
+    pub fn new(model: &str, content: &str) -> Self {
+        Self::with_messages(model, vec![Message::new("user", content)])
+    }
+
+    /// Asks `model` with a whole chat.
+    pub fn with_messages(model: &str, messages: Vec<Message>) -> Self {
+        Self {
+            model: model.to_owned(),
+            messages,
+            max_tokens: DEFAULT_MAX_TOKENS,
+            headers: Vec::new(),
+        }
+    }
+
+    /// Sets how many tokens the answer has.
+    #[must_use]
+    pub fn with_max_tokens(mut self, max_tokens: u32) -> Self {
+        self.max_tokens = max_tokens;
+        self
+    }
+
+    /// Adds a header, such as `Persimmon-Chat`.
+    #[must_use]
+    pub fn with_header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// The messages of the chat.
+    pub fn messages(&self) -> &[Message] {
+        &self.messages
+    }
+
+    /// The answer that the engine gives to the request.
+    pub fn expected_answer(&self) -> String {
+        crate::engine::expected_answer(&self.messages, self.max_tokens)
+    }
+
+    fn body(&self, stream: bool) -> String {
+        json!({
+            "model": self.model,
+            "messages": self.messages,
+            "max_tokens": self.max_tokens,
+            "stream": stream,
+        })
+        .to_string()
+    }
+}
+
+/// A caller of one router, with a workspace key.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    router: SocketAddr,
+    key: String,
+}
+
+impl Caller {
+    /// A caller of `router` who presents `key`.
+    pub fn new(router: SocketAddr, key: &str) -> Self {
+        Self { router, key: key.to_owned() }
+    }
+
+    /// Asks for a whole answer.
+    ///
+    /// # Errors
+    /// When no whole reply comes in time.
+    pub fn chat(&self, request: &ChatRequest) -> Result<Reply, CallError> {
+        self.send(self.chat_request(request, false))
+    }
+
+    /// Asks for a streamed answer.
+    ///
+    /// # Errors
+    /// When no reply begins in time.
+    pub fn stream(&self, request: &ChatRequest) -> Result<ChatStream, CallError> {
+        Ok(ChatStream::new(self.chat_request(request, true).send_lazy()?))
+    }
+
+    /// Resumes the answer to an earlier request.
+    ///
+    /// # Errors
+    /// When no reply begins in time.
+    pub fn resume(&self, request_id: &str, offset: u64) -> Result<ChatStream, CallError> {
+        let path = format!("/v1/answers/{request_id}?offset={offset}");
+        Ok(ChatStream::new(self.request(minreq::Method::Get, &path).send_lazy()?))
+    }
+
+    /// Obtains a claim for `key` at a service.
+    ///
+    /// # Errors
+    /// When no whole reply comes in time.
+    pub fn claim(&self, service: &str, key: &str) -> Result<Reply, CallError> {
+        let path = format!("/v1/services/{service}/claims");
+        let request = self.request(minreq::Method::Post, &path);
+        self.send(request.with_header("Idempotency-Key", key).with_body("{}"))
+    }
+
+    /// Calls a service; `header` is `Persimmon-Claim` or `Idempotency-Key` with its value.
+    ///
+    /// # Errors
+    /// When no whole reply comes in time.
+    pub fn call_service(
+        &self,
+        service: &str,
+        header: (&str, &str),
+        operation: &str,
+    ) -> Result<Reply, CallError> {
+        let path = format!("/v1/services/{service}/calls");
+        let request = self.request(minreq::Method::Post, &path);
+        let body = json!({"operation": operation, "body": {}}).to_string();
+        self.send(request.with_header(header.0, header.1).with_body(body))
+    }
+
+    /// A request of this caller, to be completed and sent with [`Self::send`].
+    pub fn request(&self, method: minreq::Method, path: &str) -> minreq::Request {
+        let url = format!("http://{}{path}", self.router);
+        minreq::Request::new(method, url)
+            .with_header("Authorization", format!("Bearer {}", self.key))
+            .with_header("Content-Type", "application/json")
+            .with_timeout(CALL_TIMEOUT_S)
+    }
+
+    /// Sends `request` and reads its whole reply.
+    ///
+    /// # Errors
+    /// When no whole reply comes in time.
+    pub fn send(&self, request: minreq::Request) -> Result<Reply, CallError> {
+        let reply = request.send()?;
+        let body = reply.as_str()?.to_owned();
+        Ok(Reply { status: reply.status_code, headers: reply.headers, body })
+    }
+
+    fn chat_request(&self, chat: &ChatRequest, stream: bool) -> minreq::Request {
+        let request = self.request(minreq::Method::Post, "/v1/chat/completions");
+        let headers = chat.headers.iter().map(|(name, value)| (name.as_str(), value.as_str()));
+        request.with_headers(headers).with_body(chat.body(stream))
+    }
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/fleet/process.rs
@@ -0,0 +1,162 @@
+//! One child process that prints a ready line, and its log.
+
+use std::collections::VecDeque;
+use std::io::{self, BufRead, BufReader, Read};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde::de::DeserializeOwned;
+
+use super::FleetError;
+use super::wait::wait_until;
+
+/// Time that a process has to print its ready line.
+const READY_DEADLINE: Duration = Duration::from_secs(10);
+
+/// Lines of a process's log that are kept, the newest.
+const MAX_LOG_LINES: usize = 20_000;
+
+/// Lines of a log that an error shows.
+const ERROR_LOG_LINES: usize = 20;
+
+/// How a process is started.
+#[derive(Debug, Clone)]
+pub(super) struct Spawn {
+    pub(super) name: String,
+    pub(super) program: PathBuf,
+    pub(super) args: Vec<String>,
+    pub(super) variables: Vec<(String, String)>,
+}
+
+/// A running process, which is killed by its id when it is dropped.
+#[derive(Debug)]
+pub(super) struct Process {
+    name: String,
+    child: Child,
+    log: Log,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Log(Arc<Mutex<VecDeque<String>>>);
+
+impl Process {
+    /// Starts a process and waits for its ready line.
+    pub(super) fn start<T: DeserializeOwned>(spawn: &Spawn) -> Result<(Self, T), FleetError> {
+        let mut command = Command::new(&spawn.program);
+        command.args(&spawn.args).envs(spawn.variables.iter().cloned());
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        let child = command.spawn().map_err(|source| FleetError::Start {
+            name: spawn.name.clone(),
+            program: spawn.program.display().to_string(),
+            source,
+        })?;
+        let mut process = Self { name: spawn.name.clone(), child, log: Log::default() };
+        let first_line = process.read_outputs();
+        let line = first_line.recv_timeout(READY_DEADLINE);
+        let line = line.map_err(|_| process.error(FleetErrorKind::NotReady))?;
+        let ready = serde_json::from_str(&line)
+            .map_err(|_| FleetError::ReadyLine { name: spawn.name.clone(), line })?;
+        Ok((process, ready))
+    }
+
+    /// The process's id.
+    pub(super) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// The lines that the process logged.
+    pub(super) fn log(&self) -> Vec<String> {
+        self.log.lines()
+    }
+
+    /// Sends `signal` to the process.
+    pub(super) fn signal(&self, signal: Signal) -> io::Result<()> {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let id = id.ok_or_else(|| io::Error::other("the process has no id"))?;
+        Ok(kill_process(id, signal)?)
+    }
+
+    /// Kills the process at once.
+    pub(super) fn kill(&mut self) -> io::Result<ExitStatus> {
+        self.child.kill()?;
+        self.child.wait()
+    }
+
+    /// Whether the process has ended.
+    pub(super) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Waits for the process to end.
+    pub(super) fn wait(&mut self, deadline: Duration) -> Result<ExitStatus, FleetError> {
+        if !wait_until(deadline, || self.has_ended()) {
+            return Err(self.error(FleetErrorKind::NotEnded));
+        }
+        Ok(self.child.wait()?)
+    }
+
+    /// The end of the log, for an error.
+    pub(super) fn log_end(&self) -> String {
+        let lines = self.log.lines();
+        let first = lines.len().saturating_sub(ERROR_LOG_LINES);
+        lines[first..].join("\n")
+    }
+
+    fn error(&self, kind: FleetErrorKind) -> FleetError {
+        let (name, log) = (self.name.clone(), self.log_end());
+        match kind {
+            FleetErrorKind::NotReady => FleetError::NotReady { name, log },
+            FleetErrorKind::NotEnded => FleetError::NotEnded { name, log },
+        }
+    }
+
+    /// Reads both outputs on threads that end with the process.
+    fn read_outputs(&mut self) -> flume::Receiver<String> {
+        let (tx, rx) = flume::bounded(1);
+        if let Some(stderr) = self.child.stderr.take() {
+            let log = self.log.clone();
+            thread::spawn(move || read_lines(stderr, |line| log.push(line)));
+        }
+        if let Some(stdout) = self.child.stdout.take() {
+            // Later lines are read too, so that the process never blocks on its output.
+            thread::spawn(move || read_lines(stdout, |line| drop(tx.try_send(line))));
+        }
+        rx
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.kill();
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum FleetErrorKind {
+    NotReady,
+    NotEnded,
+}
+
+impl Log {
+    fn push(&self, line: String) {
+        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push_back(line);
+        if lines.len() > MAX_LOG_LINES {
+            lines.pop_front();
+        }
+    }
+
+    fn lines(&self) -> Vec<String> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).iter().cloned().collect()
+    }
+}
+
+fn read_lines(from: impl Read, mut take: impl FnMut(String)) {
+    for line in BufReader::new(from).lines().map_while(Result::ok) {
+        take(line);
+    }
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/fleet/wait.rs
@@ -0,0 +1,32 @@
+//! Waiting for an observed condition.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Time between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Waits until `condition` holds, and returns whether it did within `deadline`.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use persimmon_standins::fleet::wait_until;
+///
+/// let mut looks = 0;
+/// assert!(wait_until(Duration::from_secs(1), || {
+///     looks += 1;
+///     looks == 3
+/// }));
+/// ```
+#[must_use]
+pub fn wait_until(deadline: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let ends_at = Instant::now() + deadline;
+    while !condition() {
+        if Instant::now() >= ends_at {
+            return false;
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+    true
+}
--- a/crates/persimmon_standins/src/lib.rs
+++ b/crates/persimmon_standins/src/lib.rs
@@ -3,6 +3,8 @@
 //! Each stand-in runs on threads of its own behind a port that the system chose, has switches that
 //! provoke failures and counts what reached it. None is part of the daemon.
 
+pub mod fleet;
+
 mod engine;
 mod http;
 mod platform;
