--- a/crates/persimmonmountd/src/common/platform.rs
+++ b/crates/persimmonmountd/src/common/platform.rs
@@ -60,6 +60,13 @@
     pub(crate) state: VmState,
 }
 
+impl VmEntry {
+    /// Whether the VM is about to go.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.state == VmState::Leaving
+    }
+}
+
 /// The platform's lagging list of VMs.
 #[derive(Debug, Clone, Default, Deserialize)]
 pub(crate) struct VmList {
@@ -127,7 +134,7 @@
         let url = format!("http://{}{path}", self.address);
         let timeout_s = ANSWER_TIMEOUT_S + wait_ms.div_ceil(1_000);
         let response = minreq::get(url).with_timeout(timeout_s).send()?;
-        match u16::try_from(response.status_code).unwrap_or_default() {
+        match response.status_code {
             200 => Ok(Some(response.json()?)),
             204 | 404 => Ok(None),
             status => Err(PlatformError::Status(status)),
--- a/crates/persimmonmountd/src/sidecar/runs.rs
+++ b/crates/persimmonmountd/src/sidecar/runs.rs
@@ -5,8 +5,8 @@
 
 use flume::Sender;
 use persimmon_decide::load::{
-    Admission as Admit, AdmissionConfig, AdmittedKey, Decision, LoadReport, Offer, RefuseReason,
-    Work,
+    Admission as Admit, AdmissionConfig, AdmittedKey, Decision, Due, LoadReport, Offer,
+    RefuseReason, Work,
 };
 use persimmon_decide::outcome::{
     Begin, FrameId, LedgerKey, Outcome, OutputStore, Presented, PushError, Refusal, Repeatability,
@@ -149,7 +149,8 @@
         if !own {
             return Err(at_once(Refusal::WrongIncarnation));
         }
-        self.subscribe(key, &position.id, position.attempt, frames, position.offset)
+        let id = frame_id(&position.id, position.attempt);
+        self.subscribe(key, id, frames, position.offset)
     }
 
     /// Says what became of a request, and makes sure that one that hasn't begun never will.
@@ -196,10 +197,7 @@
             self.cancel_key(core, key);
         }
         let due = self.admission.tick(now);
-        for admitted in due.given_up {
-            self.give_up(core, admitted);
-        }
-        self.start_all(core, &due.started);
+        self.follow_up(core, &due);
     }
 
     fn try_submit(
@@ -219,7 +217,8 @@
         match core.ledger.begin(&presented, now) {
             Begin::Run => {}
             Begin::Attach | Begin::Repeat(_) | Begin::RepeatStream => {
-                return self.subscribe(key, &req.id, req.attempt, frames, Offset(0));
+                let id = frame_id(&req.id, req.attempt);
+                return self.subscribe(key, id, frames, Offset(0));
             }
             Begin::Refuse(refusal) => return Err(at_once(refusal)),
         }
@@ -242,12 +241,7 @@
         }
     }
 
-    fn admit(
-        &mut self,
-        core: &Core,
-        req: &ModelRequest,
-        now: MonoMs,
-    ) -> Result<Decision, Refused> {
+    fn admit(&mut self, core: &Core, req: &ModelRequest, now: MonoMs) -> Result<Decision, Refused> {
         core.check_serving()?;
         let serves = Serves::Model(req.model.clone());
         let endpoint = core.endpoint().filter(|endpoint| endpoint.serves == serves);
@@ -302,8 +296,12 @@
         }
     }
 
-    fn start_all(&mut self, core: &mut Core, started: &[AdmittedKey]) {
-        for admitted in started {
+    /// Starts the requests whose turn has come, and ends those that waited too long.
+    fn follow_up(&mut self, core: &mut Core, due: &Due) {
+        for admitted in &due.given_up {
+            self.give_up(core, *admitted);
+        }
+        for admitted in &due.started {
             if let Some(key) = self.by_admitted.get(*admitted).copied() {
                 self.start(core, key);
             }
@@ -407,8 +405,8 @@
         core.count_outcome(outcome);
         self.finish_output(key, end, now);
         self.by_admitted.remove(run.admitted);
-        let started = self.admission.finish(run.admitted, now);
-        self.start_all(core, &started);
+        let due = self.admission.finish(run.admitted, now);
+        self.follow_up(core, &due);
     }
 
     fn cancel_key(&mut self, core: &mut Core, key: LedgerKey) {
@@ -426,8 +424,8 @@
         let now = core.now();
         let _not_running = core.ledger.withdraw(key, now);
         self.finish_output(key, StreamEnd::Cancelled, now);
-        let started = self.admission.finish(admitted, now);
-        self.start_all(core, &started);
+        let due = self.admission.finish(admitted, now);
+        self.follow_up(core, &due);
     }
 
     fn finish_output(&mut self, key: LedgerKey, end: StreamEnd, now: MonoMs) {
@@ -440,8 +438,7 @@
     fn subscribe(
         &mut self,
         key: LedgerKey,
-        request: &RequestRef,
-        attempt: Attempt,
+        id: FrameId,
         frames: FrameTx,
         next: Offset,
     ) -> Result<(), Refused> {
@@ -449,7 +446,7 @@
         if !kept {
             return Err(at_once(Refusal::AnswerNotKept));
         }
-        let subscriber = Subscriber::new(frame_id(request, attempt), frames, next);
+        let subscriber = Subscriber::new(id, frames, next);
         self.subscribers.insert(key, subscriber);
         self.feed(key);
         Ok(())
