--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -67,8 +67,6 @@
   # JSON, as the engine takes it.
   traceparent @9 :Text;
   chat @10 :UInt64;
-  meanPerSlot @11 :Float64;
-  # The router's estimate of the model's mean load per slot; negative if it holds none.
 }
 
 struct Load {
--- a/crates/persimmon_wire/src/convert.rs
+++ b/crates/persimmon_wire/src/convert.rs
@@ -119,7 +119,6 @@
         builder.set_messages(&*self.messages);
         builder.set_traceparent(self.traceparent.as_str());
         builder.set_chat(self.chat);
-        builder.set_mean_per_slot(self.mean_per_slot.unwrap_or(-1.0));
     }
 
     /// Reads the message.
@@ -128,7 +127,6 @@
     ///
     /// The message is malformed.
     pub fn read(reader: schema::model_request::Reader<'_>) -> Result<Self, WireError> {
-        let mean_per_slot = reader.get_mean_per_slot();
         Ok(Self {
             id: RequestRef::read(reader.get_id()?)?,
             attempt: Attempt(reader.get_attempt()),
@@ -141,7 +139,6 @@
             messages: read_text(reader.get_messages()?)?.into(),
             traceparent: read_text(reader.get_traceparent()?)?,
             chat: reader.get_chat(),
-            mean_per_slot: (mean_per_slot >= 0.0).then_some(mean_per_slot),
         })
     }
 }
--- a/crates/persimmon_wire/src/message.rs
+++ b/crates/persimmon_wire/src/message.rs
@@ -19,7 +19,7 @@
 }
 
 /// A request to a model engine.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ModelRequest {
     /// Names the request.
     pub id: RequestRef,
@@ -43,8 +43,6 @@
     pub traceparent: String,
     /// Identifies the chat.
     pub chat: u64,
-    /// The router's estimate of the model's mean load per slot, if it holds one.
-    pub mean_per_slot: Option<f64>,
 }
 
 /// A refusal with the delay after which retrying may help.
@@ -57,7 +55,7 @@
 }
 
 /// A sidecar's answer to a request.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Admission {
     /// The endpoint's load after the decision.
     pub load: LoadReport,
--- a/crates/persimmonmountd/src/router/answers.rs
+++ b/crates/persimmonmountd/src/router/answers.rs
@@ -100,7 +100,6 @@
         messages: "".into(),
         traceparent: head.trace.child().to_string(),
         chat: 0,
-        mean_per_slot: None,
     }
 }
 
--- a/crates/persimmonmountd/src/router/chat.rs
+++ b/crates/persimmonmountd/src/router/chat.rs
@@ -190,7 +190,6 @@
         messages: Arc::from(messages),
         traceparent: head.trace.child().to_string(),
         chat: plan.chat.0,
-        mean_per_slot: plan.mean_per_slot,
     })
 }
 
--- a/crates/persimmonmountd/src/router/command.rs
+++ b/crates/persimmonmountd/src/router/command.rs
@@ -103,7 +103,6 @@
     pub(crate) holders: Vec<Holder>,
     /// The endpoints to try, in order.
     pub(crate) endpoints: Vec<PlannedEndpoint>,
-    pub(crate) mean_per_slot: Option<f64>,
     /// Models that the workspace may use.
     pub(crate) models: Vec<ModelName>,
     /// Whether the request is within the workspace's limit.
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -111,7 +111,7 @@
             readiness: parts.readiness,
             in_progress: parts.in_progress,
             token_key: parts.token_key,
-            placement: Placement::new(&records.policy),
+            placement: Placement::default(),
             budget: RetryBudget::new(records.policy.retry_share),
             purse: CreditPurse::new(1),
             waiting: Vec::new(),
@@ -200,7 +200,6 @@
             chat: ChatKey(0),
             holders: Vec::new(),
             endpoints: Vec::new(),
-            mean_per_slot: None,
             models: workspace.models.clone(),
             payment: Payment { is_paid: true, demand: None, retry_after_ms: 0 },
         };
@@ -329,7 +328,6 @@
         };
         let now = self.clock.now();
         let candidates = self.placement.place(&place, &self.directory, now);
-        plan.mean_per_slot = Some(self.directory.mean_per_slot(&target, now));
         plan.endpoints = candidates
             .iter()
             .filter_map(|candidate| {
@@ -406,7 +404,6 @@
         }
         tracing::info!("router: records of generation {generation} are in force.");
         self.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
-        self.placement = Placement::new(&records.policy);
         self.budget.set_share(records.policy.retry_share);
         let hashed = |endpoint: &Endpoint| (EndpointHash::of(&endpoint.name), endpoint.clone());
         self.by_hash = records.endpoints.iter().map(hashed).collect();
--- a/crates/persimmonmountd/src/sidecar/runs.rs
+++ b/crates/persimmonmountd/src/sidecar/runs.rs
@@ -259,9 +259,6 @@
             let retry_after_ms = self.engine_down_until.ms_since(now);
             return Err(Refused { refusal: Refusal::EndpointDown, retry_after_ms });
         }
-        if let Some(mean) = req.mean_per_slot {
-            self.admission.mean_mut().observe_told(mean, now);
-        }
         let offer = Offer {
             workspace: req.id.workspace.clone(),
             class: req.class,
