Publish large sets as a head, parts and changes, and index adopted sets

Lookups went through every record. Ruled out: only the whole set in parts; a chain of deltas without a base; a sum of record digests (weak unless wide). Change: Head names content-addressed parts and the latest changes; ChangeSet is what processes pass on; RecordSet::apply and RecordIndex::apply take a change set whole or refuse it when the resulting digest isn't the published one; SetVersion orders by generation, then digest; Publication writes the values; RecordIndex looks up by key, name, model and service. Failed first: the newest generation was dropped from the head after a rebase, found by apply_reaches_published_set. Without the digest check apply_two_operators_never_mix fails (trial). Shown by: cargo test -p persimmon_records.

--- a/crates/persimmon_records/src/bounds.rs
+++ b/crates/persimmon_records/src/bounds.rs
@@ -20,3 +20,20 @@
 
 /// Characters of a name.
 pub const MAX_NAME_CHARS: usize = 64;
+
+/// Bytes of the records in a part as published.
+pub const PART_BYTES: usize = 900_000;
+
+/// Parts of one set.
+pub const MAX_PARTS: usize = MAX_SET_BYTES.div_ceil(PART_BYTES);
+
+/// Changes in one head or change set.
+pub const MAX_CHANGES: usize = 1_024;
+
+/// Bytes of a head as published, so that a process that watches it can read it at every change
+/// within its budget for control.
+pub const HEAD_BYTES: usize = 8_000;
+
+/// Bytes of a head whose newest generation alone changes many records. Reading it once costs less
+/// than reading the parts.
+pub const BULK_BYTES: usize = 200_000;
--- a/crates/persimmon_records/src/endpoint.rs
+++ b/crates/persimmon_records/src/endpoint.rs
@@ -7,7 +7,7 @@
 use crate::{EndpointName, LenderName, ModelName, ServiceName, UnixMs, ZoneName};
 
 /// What an endpoint serves.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Serves {
     /// A model engine with this model loaded.
--- a/crates/persimmon_records/src/fault.rs
+++ b/crates/persimmon_records/src/fault.rs
@@ -141,9 +141,6 @@
     /// Something other than a key digest.
     #[error("is no key digest; write the 64 hexadecimal digits that `persimmonctl digest` prints")]
     NotKeyDigest,
-    /// Something other than a digest of content.
-    #[error("is no digest; write the 64 hexadecimal digits from `persimmonctl publish-form`")]
-    NotDigest,
     /// Generation 0 stands for "no records yet".
     #[error("is 0, which no publication may have; publish a generation above the last one")]
     ZeroGeneration,
@@ -218,6 +215,18 @@
         /// The number found.
         found: f64,
     },
+    /// A base that the changes of its head don't reach.
+    #[error("isn't reached by the changes; publish what `persimmonctl publish-form` wrote")]
+    BaseOutOfReach,
+    /// A change whose generation is out of order.
+    #[error("is out of order; list changes from the oldest, after `after` and up to `generation`")]
+    ChangeOutOfOrder,
+    /// A change that is no known edit.
+    #[error(
+        "is no edit; write one of set_policy, upsert_workspace, remove_workspace, \
+             upsert_endpoint and remove_endpoint"
+    )]
+    UnknownEdit,
     /// A load floor of 0, below which an idle fleet admits nothing.
     #[error("is 0, so that an idle fleet would admit nothing; write at least 1")]
     ZeroFloor,
@@ -293,6 +302,15 @@
         self.0.sort_by_key(|fault| (fault.place.kind, fault.place.index));
         Err(RecordErrors { faults: self.0 })
     }
+
+    /// `value` if there was no fault; a reader that returns none has reported why.
+    pub(crate) fn finish<T>(self, value: Option<T>) -> Result<T, RecordErrors> {
+        debug_assert!(value.is_some() || !self.0.is_empty());
+        match value {
+            Some(value) => self.into_result().map(|()| value),
+            None => Err(RecordErrors { faults: self.0 }),
+        }
+    }
 }
 
 /// The start of a published text, short enough for a message.
--- a/crates/persimmon_records/src/key_digest.rs
+++ b/crates/persimmon_records/src/key_digest.rs
@@ -13,7 +13,7 @@
 /// assert_eq!(digest, KeyDigest::of_key("wk-example"));
 /// assert_ne!(digest, KeyDigest::of_key("wk-other"));
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct KeyDigest([u8; blake3::OUT_LEN]);
 
--- a/crates/persimmon_records/src/lib.rs
+++ b/crates/persimmon_records/src/lib.rs
@@ -3,30 +3,44 @@
 //! A [`RecordSet`] is the whole configuration at one [`Generation`]. Processes never go back to a
 //! lower generation.
 
+mod adopt_error;
 mod bounds;
+mod change;
 mod check;
 mod class;
+mod digest;
+mod editor;
 mod endpoint;
 mod fault;
+mod head;
+mod index;
 mod intern;
 mod key_digest;
 mod name;
 mod policy;
+mod publication;
 mod read;
 mod record_set;
+mod set_digests;
 mod time;
 mod workspace;
 
+pub use adopt_error::AdoptError;
 pub use bounds::{
-    MAX_ENDPOINTS, MAX_NAME_CHARS, MAX_SET_BYTES, MAX_VALUE_BYTES, MAX_WORKSPACE_KEYS,
-    MAX_WORKSPACE_NAMES, MAX_WORKSPACES,
+    BULK_BYTES, HEAD_BYTES, MAX_CHANGES, MAX_ENDPOINTS, MAX_NAME_CHARS, MAX_PARTS, MAX_SET_BYTES,
+    MAX_VALUE_BYTES, MAX_WORKSPACE_KEYS, MAX_WORKSPACE_NAMES, MAX_WORKSPACES, PART_BYTES,
 };
+pub use change::{Change, ChangeSet, Edit};
 pub use class::{Class, PerClass};
+pub use digest::{Digest, SetVersion};
 pub use endpoint::{Endpoint, EndpointBuilder, Fencing, Serves};
 pub use fault::{Fault, FaultKind, Place, RecordErrors, RecordKind};
+pub use head::{Head, Published, RECORDS_KEY, part_key};
+pub use index::RecordIndex;
 pub use key_digest::KeyDigest;
 pub use name::{EndpointName, LenderName, ModelName, ServiceName, WorkspaceName, ZoneName};
 pub use policy::Policy;
+pub use publication::{Part, Publication};
 pub use record_set::{Generation, RecordSet, SchemaVersion};
 pub use time::UnixMs;
 pub use workspace::{Limits, Workspace, WorkspaceBuilder};
--- /dev/null
+++ b/crates/persimmon_records/src/publication.rs
@@ -0,0 +1,138 @@
+//! Turns a set into the values that an operator publishes.
+
+use crate::{
+    AdoptError, BULK_BYTES, Change, ChangeSet, Digest, HEAD_BYTES, Head, MAX_CHANGES, PART_BYTES,
+    RecordSet, SetVersion, part_key,
+};
+
+/// One part of a set, to be published under its key before the head that names it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// The digest of the text.
+    pub digest: Digest,
+    /// The text.
+    pub text: String,
+}
+
+impl Part {
+    fn new(text: String) -> Self {
+        Self { digest: Digest::of_text(&text), text }
+    }
+
+    /// The key under which the part is published.
+    pub fn key(&self) -> String {
+        part_key(self.digest)
+    }
+}
+
+/// What an operator publishes: the parts first, then the head.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Publication {
+    /// The head.
+    pub head: Head,
+    /// Parts that the platform doesn't have yet.
+    pub new_parts: Vec<Part>,
+}
+
+impl Publication {
+    /// The first publication of a set in parts.
+    pub fn first(set: &RecordSet) -> Self {
+        let version = set.version();
+        let change_set = ChangeSet { version, after: version.generation, changes: Vec::new() };
+        Self::with_new_base(set, change_set)
+    }
+
+    /// The publication of `next` after the one of `head`, which published `set`. The changes go
+    /// into the head; once they no longer fit, new parts hold `next` and the latest changes stay
+    /// for processes that are a little behind.
+    ///
+    /// # Errors
+    ///
+    /// [`AdoptError`] if `set` isn't what `head` published, or `next` isn't newer.
+    pub fn next(head: &Head, set: &RecordSet, next: &RecordSet) -> Result<Self, AdoptError> {
+        let published = head.version();
+        let found = set.version();
+        if found != published {
+            return Err(AdoptError::Content { published, found: found.digest });
+        }
+        if next.generation <= set.generation {
+            let (published, have) = (next.generation, set.generation);
+            return Err(AdoptError::NotNewer { published, have });
+        }
+        let mut change_set = head.change_set.clone();
+        change_set.version = next.version();
+        let generation = next.generation;
+        let edits = set.edits_to(next).into_iter();
+        change_set.changes.extend(edits.map(|edit| Change { generation, edit }));
+        let extended = Head { change_set, ..head.clone() };
+        if extended.to_text().len() <= HEAD_BYTES {
+            return Ok(Self { head: extended, new_parts: Vec::new() });
+        }
+        let mut publication = Self::with_new_base(next, extended.change_set);
+        publication.head.shorten(HEAD_BYTES / 2);
+        Ok(publication)
+    }
+
+    fn with_new_base(set: &RecordSet, change_set: ChangeSet) -> Self {
+        let new_parts = split(set, change_set.version);
+        let parts = new_parts.iter().map(|part| part.digest).collect();
+        Self { head: Head { base: change_set.version, parts, change_set }, new_parts }
+    }
+}
+
+impl Head {
+    /// Drops the oldest generations of changes that the base holds, until the head's text has at
+    /// most `max_bytes`. The newest generation stays, since a process that is one behind would
+    /// otherwise read the whole set, unless its changes alone are [`BULK_BYTES`] or more.
+    fn shorten(&mut self, max_bytes: usize) {
+        let newest = self.version().generation;
+        while self.to_text().len() > max_bytes {
+            let Some(oldest) = self.change_set.changes.first() else { return };
+            let oldest = oldest.generation;
+            if oldest == newest && self.fits_bulk() {
+                return;
+            }
+            self.change_set.changes.retain(|change| change.generation > oldest);
+            self.change_set.after = oldest;
+        }
+    }
+
+    fn fits_bulk(&self) -> bool {
+        self.change_set.changes.len() <= MAX_CHANGES && self.to_text().len() < BULK_BYTES
+    }
+}
+
+/// The parts of `set`: texts of sets that hold some of its records each.
+fn split(set: &RecordSet, version: SetVersion) -> Vec<Part> {
+    let mut parts = Vec::new();
+    let empty = RecordSet {
+        generation: version.generation,
+        policy: set.policy.clone(),
+        ..RecordSet::empty()
+    };
+    let mut part = empty.clone();
+    let mut bytes = 0;
+    for endpoint in &set.endpoints {
+        bytes += record_bytes(endpoint);
+        if bytes > PART_BYTES {
+            parts.push(Part::new(std::mem::replace(&mut part, empty.clone()).to_text()));
+            bytes = record_bytes(endpoint);
+        }
+        part.endpoints.push(endpoint.clone());
+    }
+    for workspace in &set.workspaces {
+        bytes += record_bytes(workspace);
+        if bytes > PART_BYTES {
+            parts.push(Part::new(std::mem::replace(&mut part, empty.clone()).to_text()));
+            bytes = record_bytes(workspace);
+        }
+        part.workspaces.push(workspace.clone());
+    }
+    parts.push(Part::new(part.to_text()));
+    parts
+}
+
+/// Bytes of a record in a list.
+fn record_bytes<T: serde::Serialize>(record: &T) -> usize {
+    serde_json::to_string(record).expect("records have only text keys").len() + 1
+}
--- a/crates/persimmon_records/src/read/mod.rs
+++ b/crates/persimmon_records/src/read/mod.rs
@@ -2,8 +2,10 @@
 
 mod endpoint;
 mod fields;
+mod head;
 mod policy;
 mod set;
 mod workspace;
 
+pub(crate) use head::{read_change_set, read_head};
 pub(crate) use set::read_set;
--- a/crates/persimmon_records/src/read/set.rs
+++ b/crates/persimmon_records/src/read/set.rs
@@ -50,7 +50,7 @@
     Some(draft)
 }
 
-fn read_version(fields: &mut Fields<'_>, faults: &mut Faults) -> Option<SchemaVersion> {
+pub(super) fn read_version(fields: &mut Fields<'_>, faults: &mut Faults) -> Option<SchemaVersion> {
     let number: u32 = fields.required("schema_version", "1 or 2", faults)?;
     let version = SchemaVersion::try_from(number).ok();
     if version.is_none() {
--- a/crates/persimmon_records/src/record_set.rs
+++ b/crates/persimmon_records/src/record_set.rs
@@ -115,8 +115,7 @@
         if let Some(draft) = &draft {
             check_set(&draft.set, &draft.positions, &draft.gaps, &mut faults);
         }
-        faults.into_result()?;
-        let mut set = draft.map_or_else(Self::empty, |draft| draft.set);
+        let mut set = faults.finish(draft)?.set;
         set.normalize();
         Ok(set)
     }
@@ -145,6 +144,12 @@
         serde_json::to_string(&canonical).expect("records have only text keys")
     }
 
+    /// Whether records are ordered by name.
+    pub(crate) fn is_normal(&self) -> bool {
+        self.workspaces.is_sorted_by(|a, b| a.name <= b.name)
+            && self.endpoints.is_sorted_by(|a, b| a.name <= b.name)
+    }
+
     /// Orders records by name and lets equal names share their text.
     pub(crate) fn normalize(&mut self) {
         self.workspaces.sort_by(|a, b| a.name.cmp(&b.name));
