Tell a slow caller from a silent router

Change: heartbeats go on while the window is full and are acknowledged at once; only silence ends the pump.

--- a/crates/persimmonmountd/src/sidecar/pump.rs
+++ b/crates/persimmonmountd/src/sidecar/pump.rs
@@ -1,16 +1,13 @@
 //! Carries frames from the control thread to a router, with heartbeats while nothing is new.
 
-use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
-use futures::stream::{FuturesOrdered, StreamExt};
-use persimmon_decide::outcome::{FrameId, HeartbeatLimits, LedgerKey};
+use futures::stream::{FuturesUnordered, StreamExt};
+use persimmon_decide::outcome::{FrameId, Heartbeat, HeartbeatLimits, LedgerKey, Pulse};
 use persimmon_decide::{MonoMs, Offset};
 use persimmon_wire::fleet_capnp::frame_sink;
 use persimmon_wire::{Frame, FrameBody};
-use tokio::time::timeout;
 
 use super::command::Command;
 use crate::common::Clock;
@@ -39,6 +36,16 @@
     RouterGone,
 }
 
+/// What woke the pump.
+enum Woken {
+    /// The router acknowledged something.
+    Acknowledged(Result<Option<Offset>, capnp::Error>),
+    /// The control thread has another frame, or none will follow.
+    Frame(Option<Frame>),
+    /// It's time to look at the heartbeat.
+    Timer,
+}
+
 impl Pump {
     /// Runs until the answer ends or the router is gone. The answer itself is kept by the control
     /// thread, so that a router can resume it.
@@ -49,67 +56,65 @@
     }
 
     async fn carry(&self) -> Stopped {
-        let acknowledged = Rc::new(Cell::new(None));
-        let mut in_flight = FuturesOrdered::new();
-        let silent = Duration::from_millis(self.limits.silent_ms);
-        loop {
-            if in_flight.len() >= FRAMES_IN_FLIGHT {
-                match timeout(silent, in_flight.next()).await {
-                    Ok(Some(Ok(()))) => self.acknowledge(&acknowledged),
-                    _ => return Stopped::RouterGone,
+        let mut heartbeat = Heartbeat::new(self.limits.clone(), self.clock.now());
+        let mut sent = FuturesUnordered::new();
+        let mut data_in_flight = 0;
+        let mut has_more = true;
+        while has_more || data_in_flight > 0 {
+            let now = self.clock.now();
+            let wake_at = match heartbeat.poll(now) {
+                Pulse::Silent => return Stopped::RouterGone,
+                Pulse::Send => {
+                    heartbeat.sent(now);
+                    sent.push(push(&self.sink, &self.heartbeat(now)));
+                    continue;
                 }
-            }
-            tokio::select! {
+                Pulse::Wait(until) => Duration::from_millis(until.ms_since(now).max(1)),
+            };
+            let takes_frames = has_more && data_in_flight < FRAMES_IN_FLIGHT;
+            let woken = tokio::select! {
                 biased;
-                Some(done) = in_flight.next(), if !in_flight.is_empty() => {
-                    if Result::is_err(&done) {
-                        return Stopped::RouterGone;
+                Some(done) = sent.next() => Woken::Acknowledged(done),
+                frame = self.frames.recv_async(), if takes_frames => Woken::Frame(frame.ok()),
+                () = tokio::time::sleep(wake_at) => Woken::Timer,
+            };
+            match woken {
+                Woken::Acknowledged(Ok(next)) => {
+                    heartbeat.heard(self.clock.now());
+                    if let Some(next) = next {
+                        data_in_flight -= 1;
+                        self.acknowledge(next);
                     }
-                    self.acknowledge(&acknowledged);
                 }
-                frame = self.next_frame() => {
-                    let Some(frame) = frame else { break };
-                    in_flight.push_back(push(&self.sink, &frame, acknowledged.clone()));
+                Woken::Acknowledged(Err(_)) => return Stopped::RouterGone,
+                Woken::Frame(Some(frame)) => {
+                    data_in_flight += 1;
+                    heartbeat.sent(self.clock.now());
+                    sent.push(push(&self.sink, &frame));
                 }
+                Woken::Frame(None) => has_more = false,
+                Woken::Timer => {}
             }
         }
-        while let Ok(next) = timeout(silent, in_flight.next()).await {
-            match next {
-                Some(Ok(())) => self.acknowledge(&acknowledged),
-                Some(Err(_)) => return Stopped::RouterGone,
-                None => return Stopped::Finished,
-            }
-        }
-        Stopped::RouterGone
-    }
-
-    /// The next frame, or a heartbeat after an interval without one.
-    async fn next_frame(&self) -> Option<Frame> {
-        let interval = Duration::from_millis(self.limits.interval_ms);
-        match timeout(interval, self.frames.recv_async()).await {
-            Ok(frame) => frame.ok(),
-            Err(_) => Some(self.heartbeat(self.clock.now())),
-        }
+        Stopped::Finished
     }
 
     fn heartbeat(&self, now: MonoMs) -> Frame {
         Frame { id: self.id, offset: Offset(0), body: FrameBody::Heartbeat(now) }
     }
 
-    fn acknowledge(&self, acknowledged: &Cell<Option<Offset>>) {
-        if let Some(next) = acknowledged.take() {
-            // A closed channel means that the process has ended.
-            let _closed = self.commands.send(Command::Acknowledge { key: self.key, next });
-        }
+    fn acknowledge(&self, next: Offset) {
+        // A closed channel means that the process has ended.
+        let _closed = self.commands.send(Command::Acknowledge { key: self.key, next });
     }
 }
 
-/// Sends one frame and notes, once it is acknowledged, up to where the router has the answer.
+/// Sends one frame. Gives, once it is acknowledged, the offset up to which the router has the
+/// answer; none for a heartbeat.
 fn push(
     sink: &frame_sink::Client,
     frame: &Frame,
-    acknowledged: Rc<Cell<Option<Offset>>>,
-) -> impl Future<Output = Result<(), capnp::Error>> + use<> {
+) -> impl Future<Output = Result<Option<Offset>, capnp::Error>> + use<> {
     let mut request = sink.push_request();
     frame.write(request.get().init_frame());
     let next = match frame.body {
@@ -117,11 +122,5 @@
         FrameBody::Data(_) | FrameBody::End(_) => Some(Offset(frame.offset.0 + 1)),
     };
     let promise = request.send().promise;
-    async move {
-        promise.await?;
-        if next.is_some() {
-            acknowledged.set(next);
-        }
-        Ok(())
-    }
+    async move { promise.await.map(|_| next) }
 }
