Tell endpoints the mean of those that refused a request, and bench placement

Cause: at a load multiple of 1.25 the fleet jammed at the floor. Each sidecar's estimate of the mean lags, every one refused, and so the mean could never grow with the demand. Ruled out: a higher floor (2,048 and then HORIZON / (multiple - 1) alone still jammed); a smaller HORIZON alone. Skew and reuse at 1.25 don't meet their targets yet.

--- /dev/null
+++ b/crates/persimmon_bench/src/deployment.rs
@@ -0,0 +1,83 @@
+//! The deployments that the bench imitates.
+
+use persimmon_records::{Class, PerClass, Policy};
+
+/// How the requests of one class look.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Shape {
+    /// Share of the chats that start with this class, from 0 to 1.
+    pub share: f64,
+    /// Prompt tokens that each turn adds, from and to.
+    pub prompt_tokens: [u32; 2],
+    /// Tokens generated in each turn, from and to.
+    pub generated_tokens: [u32; 2],
+    /// Mean number of turns of a chat.
+    pub turns: f64,
+}
+
+/// One deployment: its policy and its workload.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// The name in reports.
+    pub name: &'static str,
+    /// Settings of the fleet.
+    pub policy: Policy,
+    /// Share of the reuse of unbounded placement that must be kept.
+    pub reuse_target: f64,
+    /// Requests of each class.
+    pub shapes: PerClass<Shape>,
+}
+
+impl Deployment {
+    /// A swap desk that weighs skew most: blurbs, replies and dossiers share engines.
+    pub fn mwakilema() -> Self {
+        Self {
+            name: "mwakilema",
+            policy: Policy { load_multiple: 1.25, ..Policy::default() },
+            reuse_target: 0.90,
+            shapes: PerClass {
+                quick: shape(0.62, [80, 200], [30, 90], 1.0),
+                conversation: shape(0.30, [40, 400], [80, 240], 6.0),
+                drafting: shape(0.08, [400, 2_000], [600, 1_600], 3.0),
+            },
+        }
+    }
+
+    /// A registry desk that weighs cache reuse most: long drafts return after pauses.
+    pub fn kalahari() -> Self {
+        Self {
+            name: "kalahari",
+            policy: Policy { load_multiple: 2.0, ..Policy::default() },
+            reuse_target: 0.95,
+            shapes: PerClass {
+                quick: shape(0.55, [60, 160], [20, 80], 1.0),
+                conversation: shape(0.25, [60, 500], [100, 300], 5.0),
+                drafting: shape(0.20, [800, 3_000], [800, 2_000], 5.0),
+            },
+        }
+    }
+
+    /// Both deployments.
+    pub fn all() -> [Self; 2] {
+        [Self::mwakilema(), Self::kalahari()]
+    }
+
+    /// The deployment of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::all().into_iter().find(|deployment| deployment.name == name)
+    }
+
+    /// The mean time that a chat keeps a slot in milliseconds, over all of its turns.
+    pub fn mean_chat_ms(&self, token_ms: f64) -> f64 {
+        let of = |class: Class| {
+            let shape = self.shapes.get(class);
+            let generated = f64::from(shape.generated_tokens[0] + shape.generated_tokens[1]) / 2.0;
+            shape.share * shape.turns * generated * token_ms
+        };
+        Class::ALL.into_iter().map(of).sum()
+    }
+}
+
+fn shape(share: f64, prompt_tokens: [u32; 2], generated_tokens: [u32; 2], turns: f64) -> Shape {
+    Shape { share, prompt_tokens, generated_tokens, turns }
+}
--- /dev/null
+++ b/crates/persimmon_bench/src/strategy.rs
@@ -0,0 +1,167 @@
+//! The ways of placing a request that the bench compares.
+
+use std::cmp::Reverse;
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::load::{
+    Candidate, Directory, EndpointHash, EndpointView, PlaceRequest, Placement, rank_by_slots,
+};
+use serde::Serialize;
+
+/// A way of placing requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Strategy {
+    /// The holder of most of the prefix, known at once, without a bound or slots. Its reuse is what
+    /// the others are measured against.
+    Reference,
+    /// The less loaded of two random endpoints, without a bound.
+    TwoChoices,
+    /// The first in rank, without a bound.
+    Rendezvous,
+    /// The next on a ring of hashes that is under its bound.
+    Ring,
+    /// The first in rank that is under its bound, without a token.
+    RankFirst,
+    /// The first in rank, then the least loaded of the next three, under the bound, without a
+    /// token.
+    RankThenLeastLoaded,
+    /// The holders that the token names, then by rank, under the bound, without imports.
+    TokenFirst,
+    /// By rank under the bound, importing from the holders that the token names.
+    RankFirstImport,
+    /// The project's choice: holders first, then by expected cost, with imports.
+    Project,
+}
+
+impl Strategy {
+    /// Every way, the reference first.
+    pub const ALL: [Self; 9] = [
+        Self::Reference,
+        Self::TwoChoices,
+        Self::Rendezvous,
+        Self::Ring,
+        Self::RankFirst,
+        Self::RankThenLeastLoaded,
+        Self::TokenFirst,
+        Self::RankFirstImport,
+        Self::Project,
+    ];
+
+    /// The name in reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Reference => "reference",
+            Self::TwoChoices => "two-choices",
+            Self::Rendezvous => "rendezvous",
+            Self::Ring => "ring",
+            Self::RankFirst => "rank-first",
+            Self::RankThenLeastLoaded => "rank-least-loaded",
+            Self::TokenFirst => "token-first",
+            Self::RankFirstImport => "rank-first-import",
+            Self::Project => "project",
+        }
+    }
+
+    /// Whether sidecars enforce the load bound.
+    pub fn is_bounded(self) -> bool {
+        !matches!(self, Self::Reference | Self::TwoChoices | Self::Rendezvous)
+    }
+
+    /// Whether a sidecar imports caches.
+    pub fn imports(self) -> bool {
+        matches!(self, Self::RankFirstImport | Self::Project)
+    }
+
+    /// The endpoints to try, in order. `draw` is a random number for those that need one.
+    pub fn place(
+        self,
+        req: &PlaceRequest<'_>,
+        directory: &Directory,
+        now: MonoMs,
+        draw: u64,
+    ) -> Vec<Candidate> {
+        let without_token = PlaceRequest { holders: &[], ..req.clone() };
+        match self {
+            Self::Project => Placement::default().place(req, directory, now),
+            Self::TokenFirst => token_first(req, ranked(req, directory)),
+            Self::RankFirstImport => import_from_token(req, ranked(req, directory)),
+            Self::RankFirst | Self::Rendezvous | Self::Reference => {
+                ranked(&without_token, directory)
+            }
+            Self::RankThenLeastLoaded => least_loaded_of_next(req, directory, now),
+            Self::Ring => ring(req, directory),
+            Self::TwoChoices => two_choices(req, directory, now, draw),
+        }
+    }
+}
+
+const TRIED: usize = 8;
+
+fn serving<'a>(
+    req: &PlaceRequest<'a>,
+    directory: &'a Directory,
+) -> impl Iterator<Item = &'a EndpointView> {
+    directory.serving(req.target).filter(|view| !view.leaving)
+}
+
+fn ranked(req: &PlaceRequest<'_>, directory: &Directory) -> Vec<Candidate> {
+    let all = serving(req, directory).map(|view| (view.hash, view.slots));
+    rank_by_slots(req.chat, all).into_iter().take(TRIED).map(Candidate::new).collect()
+}
+
+fn token_first(req: &PlaceRequest<'_>, mut ranked: Vec<Candidate>) -> Vec<Candidate> {
+    let mut holders: Vec<_> = req.holders.to_vec();
+    holders.sort_by_key(|holder| Reverse(holder.tokens));
+    ranked.retain(|candidate| holders.iter().all(|holder| holder.endpoint != candidate.endpoint));
+    let held = holders.iter().map(|holder| Candidate::new(holder.endpoint));
+    held.chain(ranked).take(TRIED).collect()
+}
+
+fn import_from_token(req: &PlaceRequest<'_>, mut ranked: Vec<Candidate>) -> Vec<Candidate> {
+    let best = req.holders.iter().max_by_key(|holder| holder.tokens).copied();
+    for candidate in &mut ranked {
+        candidate.import_from = best.filter(|best| best.endpoint != candidate.endpoint);
+    }
+    ranked
+}
+
+fn least_loaded_of_next(
+    req: &PlaceRequest<'_>,
+    directory: &Directory,
+    now: MonoMs,
+) -> Vec<Candidate> {
+    let mut order = ranked(req, directory);
+    let next = order.len().min(4);
+    let load = |candidate: &Candidate| {
+        directory.view(candidate.endpoint).map(|view| view.expected_work(now))
+    };
+    if next > 1 {
+        order[1..next].sort_by_key(load);
+    }
+    order
+}
+
+fn ring(req: &PlaceRequest<'_>, directory: &Directory) -> Vec<Candidate> {
+    let mut after: Vec<_> = serving(req, directory)
+        .map(|view| (view.hash.0.wrapping_sub(req.chat.0), view.hash))
+        .collect();
+    after.sort_unstable();
+    after.into_iter().take(TRIED).map(|(_, endpoint)| Candidate::new(endpoint)).collect()
+}
+
+fn two_choices(
+    req: &PlaceRequest<'_>,
+    directory: &Directory,
+    now: MonoMs,
+    draw: u64,
+) -> Vec<Candidate> {
+    let views: Vec<_> = serving(req, directory).collect();
+    if views.is_empty() {
+        return Vec::new();
+    }
+    let at = |number: u64| views[(number % views.len() as u64) as usize];
+    let mut two = [at(draw >> 32), at(draw & 0xffff_ffff)];
+    two.sort_by_key(|view| view.expected_work(now));
+    two.map(|view| Candidate::new(view.hash)).to_vec()
+}
--- /dev/null
+++ b/crates/persimmon_bench/src/workload.rs
@@ -0,0 +1,170 @@
+//! The generated workload: the turns of every chat, in order of time.
+
+use persimmon_decide::load::ChatKey;
+use persimmon_records::Class;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::Scenario;
+use crate::deployment::Shape;
+
+/// One turn of a chat.
+#[derive(Debug, Clone, Copy)]
+pub struct Turn {
+    /// When the caller sends it, in milliseconds.
+    pub at: u64,
+    /// The chat.
+    pub chat: ChatKey,
+    /// Number of the workspace.
+    pub workspace: usize,
+    /// Number of the model.
+    pub model: usize,
+    /// Number of the router that the platform's balancer picks.
+    pub router: usize,
+    /// The class.
+    pub class: Class,
+    /// Prompt tokens, the chat's earlier turns included.
+    pub prompt_tokens: u32,
+    /// Tokens that will be generated.
+    pub generated_tokens: u32,
+}
+
+impl Turn {
+    /// Tokens that the caller allows; fewer are generated.
+    pub fn max_tokens(&self) -> u32 {
+        self.generated_tokens + self.generated_tokens / 4
+    }
+}
+
+/// Every turn of the run. The times of a chat's turns don't depend on how it is served, so that
+/// every strategy gets the same workload.
+///
+/// ```
+/// use persimmon_bench::{Deployment, Scenario, workload};
+///
+/// let scenario = Scenario::new(Deployment::kalahari()).with_duration_s(60);
+/// let turns = workload(&scenario);
+/// assert!(turns.is_sorted_by_key(|turn| turn.at));
+/// ```
+pub fn workload(scenario: &Scenario) -> Vec<Turn> {
+    let mut turns = Vec::new();
+    let mut base = Pcg64Mcg::seed_from_u64(scenario.seed);
+    let gap_ms = 1_000.0 / scenario.chats_per_s();
+    add_chats(scenario, &mut base, gap_ms, &mut turns, |_| true, random_class);
+    if scenario.surges {
+        // A generator of its own, so that the other chats are the same with and without surges.
+        let mut surge = Pcg64Mcg::seed_from_u64(scenario.seed ^ 0x5u64.rotate_right(8));
+        let gap_ms = gap_ms / Scenario::SURGE_SHARE;
+        add_chats(scenario, &mut surge, gap_ms, &mut turns, in_surge, |_, _| Class::Drafting);
+    }
+    turns.sort_by_key(|turn| turn.at);
+    turns
+}
+
+/// Whether a surge goes on at this time in milliseconds.
+pub fn in_surge(at: u64) -> bool {
+    let into_s = (at / 1_000) % Scenario::SURGE_EVERY_S;
+    let from_s = Scenario::SURGE_EVERY_S / 2;
+    (from_s..from_s + Scenario::SURGE_S).contains(&into_s)
+}
+
+fn add_chats(
+    scenario: &Scenario,
+    rng: &mut Pcg64Mcg,
+    gap_ms: f64,
+    turns: &mut Vec<Turn>,
+    starts: impl Fn(u64) -> bool,
+    class: impl Fn(&Scenario, &mut Pcg64Mcg) -> Class,
+) {
+    let end = scenario.duration_s * 1_000;
+    let mut at = 0.0;
+    loop {
+        at += -gap_ms * (1.0 - rng.random::<f64>()).ln();
+        if at >= end as f64 {
+            return;
+        }
+        let class = class(scenario, rng);
+        if starts(at as u64) {
+            add_chat(scenario, rng, class, at as u64, turns);
+        }
+    }
+}
+
+fn random_class(scenario: &Scenario, rng: &mut Pcg64Mcg) -> Class {
+    let mut draw = rng.random::<f64>();
+    for class in Class::ALL {
+        draw -= scenario.deployment.shapes.get(class).share;
+        if draw < 0.0 {
+            return class;
+        }
+    }
+    Class::Quick
+}
+
+fn add_chat(
+    scenario: &Scenario,
+    rng: &mut Pcg64Mcg,
+    class: Class,
+    start: u64,
+    turns: &mut Vec<Turn>,
+) {
+    let shape = scenario.deployment.shapes.get(class);
+    let chat = ChatKey(rng.next_u64());
+    let workspace = workspace(rng);
+    let model = rng.random_range(0..scenario.models);
+    let mut prompt_tokens = 0;
+    let mut at = start;
+    for _ in 0..turn_count(shape, rng) {
+        if at >= scenario.duration_s * 1_000 {
+            return;
+        }
+        prompt_tokens += within(shape.prompt_tokens, rng);
+        let generated_tokens = within(shape.generated_tokens, rng);
+        let router = rng.random_range(0..scenario.routers);
+        turns.push(Turn {
+            at,
+            chat,
+            workspace,
+            model,
+            router,
+            class,
+            prompt_tokens,
+            generated_tokens,
+        });
+        prompt_tokens += generated_tokens;
+        at += u64::from(generated_tokens) * Scenario::TOKEN_MS + pause_ms(rng);
+    }
+}
+
+fn within(range: [u32; 2], rng: &mut Pcg64Mcg) -> u32 {
+    rng.random_range(range[0]..=range[1])
+}
+
+/// Geometric with the shape's mean.
+fn turn_count(shape: &Shape, rng: &mut Pcg64Mcg) -> u32 {
+    let mut turns = 1;
+    while rng.random::<f64>() < 1.0 - 1.0 / shape.turns {
+        turns += 1;
+    }
+    turns
+}
+
+/// The first two workspaces send half of all chats.
+fn workspace(rng: &mut Pcg64Mcg) -> usize {
+    if rng.random::<f64>() < 0.5 {
+        rng.random_range(0..2)
+    } else {
+        rng.random_range(2..Scenario::WORKSPACES)
+    }
+}
+
+/// Seven pauses in ten last from 5 to 60 seconds, two to 15 minutes and one to three hours.
+fn pause_ms(rng: &mut Pcg64Mcg) -> u64 {
+    let draw = rng.random::<f64>();
+    let [from, to]: [f64; 2] = match draw {
+        _ if draw < 0.7 => [5e3, 60e3],
+        _ if draw < 0.9 => [60e3, 900e3],
+        _ => [900e3, 10_800e3],
+    };
+    (from * (to / from).powf(rng.random::<f64>())) as u64
+}
--- a/crates/persimmon_decide/src/load/admission.rs
+++ b/crates/persimmon_decide/src/load/admission.rs
@@ -35,6 +35,7 @@
 ///     class: Class::Conversation,
 ///     work: Work(300),
 ///     deadline: None,
+///     told_per_slot: None,
 ///     in_progress_limit: 8,
 /// };
 /// let Decision::Start(first) = admission.offer(&offer, MonoMs(0)) else { panic!() };
@@ -100,16 +101,17 @@
             running: self.running,
             waiting: self.waiting.len() as u32,
             slots: self.cfg.slots(),
-            bound: self.bound_for(Class::Conversation),
+            bound: self.bound_for(Class::Conversation, None),
         }
     }
 
-    /// The most that the endpoint may carry.
-    pub fn bound(&self, now: MonoMs) -> Work {
+    /// The most that the endpoint may carry, given the mean load per slot that an offer tells.
+    pub fn bound(&self, told_per_slot: Option<f64>, now: MonoMs) -> Work {
         if self.cfg.peers() == 0 {
             return Work(u64::MAX);
         }
-        self.mean.bound(self.cfg.policy(), self.cfg.slots(), now)
+        let per_slot = self.mean.per_slot_told(told_per_slot, now);
+        self.mean.bound(self.cfg.policy(), self.cfg.slots(), per_slot)
     }
 
     /// Answers an offer at once.
@@ -192,7 +194,7 @@
     }
 
     fn over_bound(&self, offer: &Offer) -> Option<(RefuseReason, u64)> {
-        let bound = self.bound_for(offer.class);
+        let bound = self.bound_for(offer.class, offer.told_per_slot);
         let total = self.work + offer.work;
         let excess = total.saturating_sub(bound);
         let drain_ms = excess.0.saturating_mul(self.cfg.unit_ms()) / u64::from(self.cfg.slots());
@@ -219,8 +221,8 @@
 
     /// The bound for a class: quick requests have a little of it to themselves, for as long as
     /// one request of any size still fits.
-    fn bound_for(&self, class: Class) -> Work {
-        let bound = self.bound(self.now);
+    fn bound_for(&self, class: Class, told_per_slot: Option<f64>) -> Work {
+        let bound = self.bound(told_per_slot, self.now);
         if class == Class::Quick {
             return bound;
         }
--- a/crates/persimmon_decide/src/load/admission_config.rs
+++ b/crates/persimmon_decide/src/load/admission_config.rs
@@ -37,7 +37,7 @@
 
 impl AdmissionConfig {
     /// Work kept free for quick requests under the load bound, for each reserved slot.
-    pub const QUICK_WORK_PER_SLOT: Work = Work(64);
+    pub const QUICK_WORK_PER_SLOT: Work = Work(16);
 
     /// Sets the load multiple, the floor and the share for quick requests.
     #[must_use]
--- a/crates/persimmon_decide/src/load/import_budget.rs
+++ b/crates/persimmon_decide/src/load/import_budget.rs
@@ -31,22 +31,25 @@
         Self { tokens_per_second, available_milli, filled_at: MonoMs(0) }
     }
 
+    /// Tokens that may be imported now.
+    pub fn available(&self, now: MonoMs) -> u64 {
+        self.filled_milli(now) / 1_000
+    }
+
     /// Takes `tokens` for one import; false leaves the budget as it was, and the chat's prefix is
     /// rebuilt instead.
     pub fn take(&mut self, tokens: u64, now: MonoMs) -> bool {
-        self.fill(now);
-        let needed = tokens.saturating_mul(1_000);
-        if needed > self.available_milli {
+        if tokens > self.available(now) {
             return false;
         }
-        self.available_milli -= needed;
+        self.available_milli = self.filled_milli(now) - tokens * 1_000;
+        self.filled_at = self.filled_at.max(now);
         true
     }
 
-    fn fill(&mut self, now: MonoMs) {
+    fn filled_milli(&self, now: MonoMs) -> u64 {
         let burst = self.tokens_per_second * Self::BURST_S * 1_000;
         let earned = self.tokens_per_second.saturating_mul(now.ms_since(self.filled_at));
-        self.available_milli = self.available_milli.saturating_add(earned).min(burst);
-        self.filled_at = self.filled_at.max(now);
+        self.available_milli.saturating_add(earned).min(burst)
     }
 }
--- a/crates/persimmon_decide/src/load/mean_load.rs
+++ b/crates/persimmon_decide/src/load/mean_load.rs
@@ -49,7 +49,13 @@
     pub const HALF_LIFE_MS: u64 = 5_000;
 
     /// Age at which a report is forgotten, in milliseconds.
-    pub const FORGET_MS: u64 = 20_000;
+    pub const FORGET_MS: u64 = 10_000;
+
+    /// Least part of the load multiple above one that the floor is worked out from.
+    pub const MIN_HEADROOM: f64 = 0.05;
+
+    /// The most by which a mean told with an offer may exceed the estimate, as a multiple.
+    pub const MAX_LIFT: f64 = 1.5;
 
     /// Takes in an endpoint's report, measured at `at`. An older one than is held is ignored.
     pub fn observe(&mut self, endpoint: EndpointHash, report: LoadReport, at: MonoMs) {
@@ -81,20 +87,32 @@
         decay * self.lower_mean(now)
     }
 
+    /// The estimate in work per slot, given the mean of the endpoints that have just refused a
+    /// request. It may be higher than the reports held, which lag, but without any it doesn't
+    /// count, and an old one does no more harm than [`MeanLoad::MAX_LIFT`] allows.
+    pub fn per_slot_told(&self, told: Option<f64>, now: MonoMs) -> f64 {
+        let held = self.per_slot(now);
+        let told = told.filter(|told| told.is_finite()).unwrap_or(0.0);
+        held.max(told.min(held * Self::MAX_LIFT))
+    }
+
     /// The load up to which the multiple isn't applied: `load_floor` requests of the mean work of
-    /// a request in progress. Never under [`Work::HORIZON`], so that every request fits an idle
-    /// endpoint.
-    pub fn floor(&self, load_floor: u32) -> Work {
+    /// a request in progress, and never less than the mean above which one request of any size
+    /// stays within the multiple. Under a lower floor endpoints at the mean would refuse a large
+    /// request, and the mean could never grow with the demand.
+    pub fn floor(&self, policy: &Policy) -> Work {
         let least = Work::MIN_PER_FLOOR_REQUEST.0 as f64;
         let request = self.request_work().clamp(least, Work::HORIZON.0 as f64);
-        Work((request * f64::from(load_floor)) as u64).max(Work::HORIZON)
+        let headroom = (policy.load_multiple - 1.0).clamp(Self::MIN_HEADROOM, 1.0);
+        let one_more = Work::HORIZON.0 as f64 / headroom;
+        Work((request * f64::from(policy.load_floor)).max(one_more) as u64)
     }
 
     /// The most that an endpoint with these slots may carry: `multiple` times its share of the
-    /// mean, but never under the floor.
-    pub fn bound(&self, policy: &Policy, slots: u32, now: MonoMs) -> Work {
-        let share = policy.load_multiple * self.per_slot(now) * f64::from(slots);
-        self.floor(policy.load_floor).max(Work(share as u64))
+    /// mean per slot, but never under the floor.
+    pub fn bound(&self, policy: &Policy, slots: u32, per_slot: f64) -> Work {
+        let share = policy.load_multiple * per_slot * f64::from(slots);
+        self.floor(policy).max(Work(share as u64))
     }
 
     fn request_work(&self) -> f64 {
--- a/crates/persimmon_decide/src/load/mod.rs
+++ b/crates/persimmon_decide/src/load/mod.rs
@@ -19,6 +19,7 @@
 mod offer;
 mod placement;
 mod rank;
+mod try_order;
 mod waiting;
 mod work;
 
@@ -37,4 +38,5 @@
 pub use offer::{AdmittedKey, Decision, Due, Offer, Refusal, RefuseReason};
 pub use placement::{Candidate, PlaceRequest, Placement};
 pub use rank::{rank_by_slots, rendezvous_score};
+pub use try_order::{Try, TryOrder};
 pub use work::{LoadReport, Work};
--- a/crates/persimmon_decide/src/load/placement.rs
+++ b/crates/persimmon_decide/src/load/placement.rs
@@ -38,6 +38,13 @@
     pub cost: f64,
 }
 
+impl Candidate {
+    /// An endpoint of which nothing is expected.
+    pub fn new(endpoint: EndpointHash) -> Self {
+        Self { endpoint, cached_tokens: 0, import_from: None, work: Work::ZERO, cost: 0.0 }
+    }
+}
+
 /// Orders endpoints for a request: holders of the chat's prefix that seem to be under their bound,
 /// then the first in rank, then the next few in rank by expected cost. Endpoints that seem to be
 /// over their bound, and those that are suspect, come after all others; leaving ones are left out.
--- /dev/null
+++ b/crates/persimmon_decide/src/load/try_order.rs
@@ -0,0 +1,91 @@
+//! The endpoints that a router tries for one request, one after the other.
+
+use super::{Candidate, LoadReport};
+
+/// The next endpoint to offer a request to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Try {
+    /// The endpoint.
+    pub candidate: Candidate,
+    /// The mean load per slot of the endpoints that have just refused the request, to be sent
+    /// along with the offer, once enough of them have.
+    pub told_per_slot: Option<f64>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Refused {
+    candidate: Candidate,
+    load: LoadReport,
+}
+
+/// Walks down the candidates of one request. The refusals' loads are the latest that anybody knows
+/// of the model's endpoints, so they are told to the endpoints tried later; at last the least
+/// loaded ones are tried again with them. Without this, endpoints whose estimate of the mean lags
+/// behind a growing demand would all refuse it.
+///
+/// ```
+/// use persimmon_decide::load::{Candidate, EndpointHash, LoadReport, TryOrder, Work};
+///
+/// let candidate = Candidate::new(EndpointHash(1));
+/// let mut order = TryOrder::new(vec![candidate]);
+/// assert_eq!(order.next_try().unwrap().candidate, candidate);
+/// order.refused(LoadReport::default());
+/// assert!(order.next_try().is_none());
+/// ```
+#[derive(Debug, Clone)]
+pub struct TryOrder {
+    candidates: Vec<Candidate>,
+    tried: usize,
+    refused: Vec<Refused>,
+    tried_again: usize,
+}
+
+impl TryOrder {
+    /// Refusals from which their mean load is told.
+    pub const MIN_REFUSED: usize = 4;
+
+    /// Endpoints tried again.
+    pub const MAX_AGAIN: usize = 2;
+
+    /// Starts with the first of `candidates`.
+    pub fn new(candidates: Vec<Candidate>) -> Self {
+        Self { candidates, tried: 0, refused: Vec::new(), tried_again: 0 }
+    }
+
+    /// The next endpoint to try, or `None` if the caller has to come back.
+    pub fn next_try(&mut self) -> Option<Try> {
+        let told_per_slot = self.told_per_slot();
+        if let Some(candidate) = self.candidates.get(self.tried).copied() {
+            self.tried += 1;
+            return Some(Try { candidate, told_per_slot });
+        }
+        if told_per_slot.is_none() || self.tried_again >= Self::MAX_AGAIN {
+            return None;
+        }
+        let candidate = self.least_loaded(self.tried_again)?;
+        self.tried_again += 1;
+        Some(Try { candidate, told_per_slot })
+    }
+
+    /// Notes that the endpoint tried last refused the request for its load.
+    pub fn refused(&mut self, load: LoadReport) {
+        if self.tried_again > 0 || self.tried == 0 {
+            return;
+        }
+        let candidate = self.candidates[self.tried - 1];
+        self.refused.push(Refused { candidate, load });
+        self.refused.sort_by(|a, b| a.load.work_per_slot().total_cmp(&b.load.work_per_slot()));
+    }
+
+    fn least_loaded(&self, nth: usize) -> Option<Candidate> {
+        self.refused.get(nth).map(|refused| refused.candidate)
+    }
+
+    fn told_per_slot(&self) -> Option<f64> {
+        if self.refused.len() < Self::MIN_REFUSED {
+            return None;
+        }
+        let sum: f64 = self.refused.iter().map(|refused| refused.load.work_per_slot()).sum();
+        Some(sum / self.refused.len() as f64)
+    }
+}
