--- a/crates/persimmon_decide/src/recovery/mod.rs
+++ b/crates/persimmon_decide/src/recovery/mod.rs
@@ -13,3 +13,4 @@
 pub use leaving_settings::LeavingSettings;
 pub use retry_budget::RetryBudget;
 pub use retry_pacer::RetryPacer;
+pub(crate) use retry_pacer::scale;
