Offer a refused request again with the mean that the refusals told

Cause: the load decisions walk candidates by TryOrder and tell the mean load of those that refused; the daemon walked a plain list. Change: the exchange asks TryOrder for each attempt; a second offer to one endpoint first obtains a newer stamp, since the ledger refuses the old one.

--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -67,6 +67,9 @@
   # JSON, as the engine takes it.
   traceparent @9 :Text;
   chat @10 :UInt64;
+  toldPerSlot @11 :Float64;
+  # The mean load per slot of the endpoints that have just refused the request; negative if not
+  # enough have.
 }
 
 struct Load {
--- a/crates/persimmon_wire/src/message.rs
+++ b/crates/persimmon_wire/src/message.rs
@@ -19,7 +19,7 @@
 }
 
 /// A request to a model engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ModelRequest {
     /// Names the request.
     pub id: RequestRef,
@@ -43,6 +43,8 @@
     pub traceparent: String,
     /// Identifies the chat.
     pub chat: u64,
+    /// The mean load per slot of the endpoints that have just refused the request, if enough have.
+    pub told_per_slot: Option<f64>,
 }
 
 /// A refusal with the delay after which retrying may help.
--- a/crates/persimmonmountd/src/router/chat.rs
+++ b/crates/persimmonmountd/src/router/chat.rs
@@ -24,6 +24,8 @@
 use super::routes::plan;
 use super::traffic::TrafficCx;
 
+/// Sendings of one request.
+const MAX_ATTEMPTS: u32 = 10;
 /// Bytes of text that count as one token where nothing better is known.
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -56,8 +58,8 @@
         workspace: plan.workspace.clone(),
         dispatch: Dispatch::new(
             Repeatability::Repeatable,
-            plan.endpoints.len(),
-            DispatchLimits::default(),
+            Exchange::max_attempts(plan.endpoints.len()),
+            DispatchLimits { max_attempts: MAX_ATTEMPTS, ..DispatchLimits::default() },
         ),
         deadline: cx.clock.now().plus_ms(head.deadline_ms(plan.class)),
         endpoints: plan.endpoints.clone(),
@@ -190,6 +192,7 @@
         messages: Arc::from(messages),
         traceparent: head.trace.child().to_string(),
         chat: plan.chat.0,
+        told_per_slot: None,
     })
 }
 
@@ -198,13 +201,12 @@
     let Ok(Piece::Start { prompt_tokens, .. }) = serde_json::from_slice(line) else {
         return None;
     };
-    let endpoint = plan.endpoints.get(from.candidate)?;
     let mut token = ChatToken::new(plan.chat);
     for holder in plan.holders.iter().rev() {
         token = token.with_holder(*holder);
     }
     let holder = Holder {
-        endpoint: EndpointHash::of(&endpoint.name),
+        endpoint: EndpointHash::of(&from.endpoint),
         tokens: prompt_tokens,
         at: cx.clock.unix(),
     };
@@ -221,7 +223,7 @@
     let token = AnswerToken {
         workspace: plan.workspace.clone(),
         request_id: head.request_id,
-        endpoint: plan.endpoints.get(from.candidate)?.name.clone(),
+        endpoint: from.endpoint.clone(),
         stamp: from.stamp,
         attempt: Attempt(from.candidate as u32 + 1),
         model: model.into(),
--- a/crates/persimmonmountd/src/router/command.rs
+++ b/crates/persimmonmountd/src/router/command.rs
@@ -6,7 +6,7 @@
 use flume::Sender;
 use persimmon_decide::MonoMs;
 use persimmon_decide::load::{
-    ChatKey, CreditDemand, CreditReply, EndpointHash, Holder, LimitKey, LoadReport, Work,
+    Candidate, ChatKey, CreditDemand, CreditReply, EndpointHash, Holder, LimitKey, LoadReport, Work,
 };
 use persimmon_decide::outcome::Outcome;
 use persimmon_records::{Class, EndpointName, KeyDigest, ModelName, ServiceName, WorkspaceName};
@@ -69,8 +69,8 @@
     pub(crate) name: EndpointName,
     pub(crate) hash: EndpointHash,
     pub(crate) address: SocketAddr,
-    pub(crate) cached_tokens: u32,
-    pub(crate) work: Work,
+    /// What placement expects of it.
+    pub(crate) candidate: Candidate,
     /// Whether calls to it may be repeated.
     pub(crate) repeatable: bool,
 }
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -9,8 +9,8 @@
 use hyper::StatusCode;
 use persimmon_decide::MonoMs;
 use persimmon_decide::load::{
-    ChatKey, ChatToken, CreditDemand, CreditPurse, Directory, EndpointHash, Holder, LimitKey,
-    PlaceRequest, Placement, TokenKey, Work, credit_home_of, rendezvous_score,
+    Candidate, ChatKey, ChatToken, CreditDemand, CreditPurse, Directory, EndpointHash, Holder,
+    LimitKey, PlaceRequest, Placement, TokenKey, credit_home_of, rendezvous_score,
 };
 use persimmon_decide::outcome::Outcome;
 use persimmon_decide::recovery::RetryBudget;
@@ -332,11 +332,7 @@
             .iter()
             .filter_map(|candidate| {
                 let endpoint = self.by_hash.get(&candidate.endpoint)?;
-                Some(PlannedEndpoint {
-                    cached_tokens: candidate.cached_tokens,
-                    work: candidate.work,
-                    ..planned(endpoint)
-                })
+                Some(PlannedEndpoint { candidate: *candidate, ..planned(endpoint) })
             })
             .collect();
         Ok(())
@@ -465,8 +461,7 @@
         name: endpoint.name.clone(),
         hash: EndpointHash::of(&endpoint.name),
         address: endpoint.address,
-        cached_tokens: 0,
-        work: Work::ZERO,
+        candidate: Candidate::new(EndpointHash::of(&endpoint.name)),
         repeatable: endpoint.repeatable,
     }
 }
--- a/crates/persimmonmountd/src/router/exchange.rs
+++ b/crates/persimmonmountd/src/router/exchange.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
+use persimmon_decide::load::TryOrder;
 use persimmon_decide::outcome::{
     Action, Assembly, Body, Dispatch, Event, Final, Frame as AnswerFrame, FrameId, Heartbeat,
     HeartbeatLimits, Pulse, Refusal, Stamp,
 };
 use persimmon_decide::{Attempt, MonoMs, Offset};
-use persimmon_records::WorkspaceName;
+use persimmon_records::{EndpointName, WorkspaceName};
 use persimmon_wire::fleet_capnp::{frame_sink, resumption, sidecar};
 use persimmon_wire::{
     Admission, Frame, FrameBody, ModelRequest, Refused, RequestRef, StreamPosition, read_settled,
@@ -49,8 +50,10 @@
 /// Where a piece came from.
 #[derive(Debug, Clone)]
 pub(crate) struct Source {
-    /// The place of the endpoint in the plan.
+    /// The place of the endpoint among those tried.
     pub(crate) candidate: usize,
+    /// The endpoint.
+    pub(crate) endpoint: EndpointName,
     /// The stamp of the sidecar when it took the request.
     pub(crate) stamp: Stamp,
 }
@@ -80,6 +83,9 @@
 pub(crate) struct Exchange {
     cx: Rc<TrafficCx>,
     parts: ExchangeParts,
+    order: TryOrder,
+    /// The endpoints tried so far, in the order of the attempts.
+    tried: Vec<PlannedEndpoint>,
     stream: Option<Stream>,
     assembly: Option<Assembly>,
     resume_from: Option<Offset>,
@@ -88,7 +94,22 @@
 impl Exchange {
     /// A request that hasn't been sent.
     pub(crate) fn new(cx: Rc<TrafficCx>, parts: ExchangeParts) -> Self {
-        Self { cx, parts, stream: None, assembly: None, resume_from: None }
+        let candidates = parts.endpoints.iter().map(|endpoint| endpoint.candidate).collect();
+        let order = TryOrder::new(candidates);
+        Self {
+            cx,
+            parts,
+            order,
+            tried: Vec::new(),
+            stream: None,
+            assembly: None,
+            resume_from: None,
+        }
+    }
+
+    /// Attempts that a request with this many endpoints may take.
+    pub(crate) fn max_attempts(endpoints: usize) -> usize {
+        endpoints + TryOrder::MAX_AGAIN
     }
 
     /// Runs the request, and tells its caller how it ended.
@@ -100,7 +121,10 @@
     /// Takes the rest of an answer that `stamp`'s sidecar keeps, from `offset` on.
     pub(crate) async fn resume(mut self, stamp: Stamp, offset: Offset) {
         self.resume_from = Some(offset);
-        let source = Source { candidate: 0, stamp };
+        self.tried = self.parts.endpoints.clone();
+        let endpoint = self.tried.first().map(|endpoint| endpoint.name.clone());
+        let endpoint = endpoint.unwrap_or_else(|| "".into());
+        let source = Source { candidate: 0, endpoint, stamp };
         let (_closed, frames) = flume::bounded(0);
         let hearing = self.hearing(false);
         self.stream = Some(Stream { frames, hearing, source });
@@ -146,10 +170,17 @@
     }
 
     async fn submit(&mut self, candidate: usize, attempt: Attempt) -> Event {
-        let Some(endpoint) = self.parts.endpoints.get(candidate).cloned() else {
+        let Some((endpoint, told_per_slot)) = self.next_endpoint() else {
             return Event::ConnectFailed { attempt };
         };
-        let link = match self.cx.pool.link(&endpoint).await {
+        let was_tried = self.tried.iter().any(|tried| tried.hash == endpoint.hash);
+        self.tried.push(endpoint.clone());
+        self.parts.template.told_per_slot = told_per_slot;
+        let link = match was_tried {
+            true => self.cx.pool.restamped_link(&endpoint).await,
+            false => self.cx.pool.link(&endpoint).await,
+        };
+        let link = match link {
             Ok(link) => link,
             Err(err) => {
                 tracing::warn!("router: {} can't be reached: {err}.", endpoint.name);
@@ -167,6 +198,14 @@
         }
     }
 
+    /// The next endpoint to try, and the mean load to tell it.
+    fn next_endpoint(&mut self) -> Option<(PlannedEndpoint, Option<f64>)> {
+        let next = self.order.next_try()?;
+        let is_next = |endpoint: &&PlannedEndpoint| endpoint.hash == next.candidate.endpoint;
+        let endpoint = self.parts.endpoints.iter().find(is_next)?.clone();
+        Some((endpoint, next.told_per_slot))
+    }
+
     /// Sends the request; none if no reply came in time.
     async fn send(
         &mut self,
@@ -203,10 +242,14 @@
     ) -> Event {
         self.cx.tell(Command::Loaded { endpoint: endpoint.hash, load: admission.load });
         let Some(refused) = admission.refused else {
-            self.cx.tell(Command::Sent { endpoint: endpoint.hash, work: endpoint.work });
+            let work = endpoint.candidate.work;
+            self.cx.tell(Command::Sent { endpoint: endpoint.hash, work });
             return Event::Accepted { attempt };
         };
         self.stream = None;
+        if refused.refusal == Refusal::OverBound {
+            self.order.refused(admission.load);
+        }
         if refused.refusal == Refusal::Leaving {
             self.cx.tell(Command::Left { endpoint: endpoint.hash });
         }
@@ -362,7 +405,10 @@
         let (tx, frames) = flume::bounded(FRAMES_WAITING);
         let hearing = self.hearing(is_reused);
         let sink = Sink { frames: tx, hearing: hearing.clone(), clock: self.cx.clock };
-        self.stream = Some(Stream { frames, hearing, source: Source { candidate, stamp } });
+        let endpoint = self.tried.get(candidate).map(|endpoint| endpoint.name.clone());
+        let endpoint = endpoint.unwrap_or_else(|| "".into());
+        let source = Source { candidate, endpoint, stamp };
+        self.stream = Some(Stream { frames, hearing, source });
         let id = FrameId {
             request: self.parts.template.id.id,
             attempt: Attempt(candidate as u32 + 1),
@@ -395,7 +441,7 @@
     /// The endpoint of an attempt and the stamp that the request was sent with.
     fn sent_to(&self, candidate: usize) -> Option<(PlannedEndpoint, Stamp)> {
         let stream = self.stream.as_ref()?;
-        let endpoint = self.parts.endpoints.get(candidate)?;
+        let endpoint = self.tried.get(candidate)?;
         (stream.source.candidate == candidate).then(|| (endpoint.clone(), stream.source.stamp))
     }
 
@@ -414,7 +460,7 @@
     }
 
     fn uncached_tokens(&self, endpoint: &PlannedEndpoint) -> u32 {
-        self.parts.template.uncached_tokens.saturating_sub(endpoint.cached_tokens)
+        self.parts.template.uncached_tokens.saturating_sub(endpoint.candidate.cached_tokens)
     }
 
     fn reply_limit(&self, link: &Link) -> Duration {
--- a/crates/persimmonmountd/src/router/pool.rs
+++ b/crates/persimmonmountd/src/router/pool.rs
@@ -17,6 +17,8 @@
 
 /// Time that a sidecar has for its greeting on a new connection.
 const GREETING_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause before a stamp that has to be newer than a refusal; stamps count milliseconds.
+const STAMP_AGE: Duration = Duration::from_millis(2);
 /// Time without use after which a connection isn't used again, in milliseconds.
 const MAX_IDLE_MS: u64 = 30_000;
 /// Connections that one traffic thread keeps.
@@ -117,6 +119,26 @@
         Ok(link)
     }
 
+    /// A connection to an endpoint with a stamp that is newer than any refusal that this thread
+    /// has seen of it, so that a request which it refused can be offered to it again.
+    ///
+    /// # Errors
+    ///
+    /// No connection could be had.
+    pub(crate) async fn restamped_link(
+        &self,
+        endpoint: &PlannedEndpoint,
+    ) -> Result<Link, PoolError> {
+        let link = self.link(endpoint).await?;
+        tokio::time::sleep(STAMP_AGE).await;
+        let greeting =
+            timeout(GREETING_TIMEOUT, link.connection.node.sidecar_request().send().promise);
+        let greeting = greeting.await.map_err(|_| PoolError::Silent)??;
+        let stamp = read_stamp(greeting.get()?.get_stamp()?);
+        self.note_stamp(&endpoint.name, stamp);
+        Ok(Link { stamp, is_reused: false, ..link })
+    }
+
     /// Notes a newer stamp of a sidecar.
     pub(crate) fn note_stamp(&self, name: &EndpointName, stamp: Stamp) {
         if let Some(link) = self.links.borrow_mut().get_mut(name)
