Test the ledger, claims, dispatch and streams, and mend what that found

A claim presented for another workspace was answered as not run, which says too much of a claim that its own workspace may have run. Change: nothing is submitted once a piece was delivered; bad-claim is unknown.

--- a/crates/persimmon_decide/src/outcome/dispatch.rs
+++ b/crates/persimmon_decide/src/outcome/dispatch.rs
@@ -173,10 +173,11 @@
         Vec::new()
     }
 
+    /// A piece may reach the caller before the reply that the request was taken on.
     fn on_delivered(&mut self) -> Vec<Action> {
         self.delivered = true;
         self.reconnects = 0;
-        Vec::new()
+        self.enter_streaming(State::Submitted)
     }
 
     fn on_ended(&mut self, end: StreamEnd) -> Vec<Action> {
@@ -221,6 +222,9 @@
 
     /// Sends the request to the next candidate, or gives up if none is left.
     fn try_next(&mut self) -> Vec<Action> {
+        if self.delivered {
+            return self.finish(Outcome::Unknown, Cause::Broken);
+        }
         let tried = self.attempt;
         if tried as usize >= self.candidates || tried >= self.limits.max_attempts {
             return self.finish_untried();
--- a/crates/persimmon_decide/src/outcome/refusal.rs
+++ b/crates/persimmon_decide/src/outcome/refusal.rs
@@ -86,10 +86,14 @@
     #[error("the claim or request id was used with another body; send the body it was used with")]
     BodyMismatch,
     /// The answer was seen whole but is no longer kept.
-    #[error("the call is done but its answer is no longer kept; look it up at the service")]
+    #[error(
+        "it is done but its answer is no longer kept; look it up, or ask with a new request id"
+    )]
     AnswerNotKept,
     /// The claim is malformed, forged, or made for another workspace or service.
-    #[error("the claim isn't valid for this workspace and service; obtain a new one")]
+    ///
+    /// Nothing is said about the claim itself: it may have run for whoever may present it.
+    #[error("the claim isn't valid here; send it as it was given, to its service, with its key")]
     BadClaim,
     /// The service's calls may not be repeated, and the caller presented no claim.
     #[error("this service needs a claim; use the claim exchange with the Idempotency-Key")]
@@ -111,9 +115,9 @@
             | Self::NotServed
             | Self::LedgerFull
             | Self::Tombstoned
-            | Self::BadClaim
             | Self::NeedsClaim => Outcome::NotRun,
-            Self::StaleStamp
+            Self::BadClaim
+            | Self::StaleStamp
             | Self::WrongIncarnation
             | Self::WrongOwner
             | Self::ExpiredClaim
@@ -142,13 +146,15 @@
             | Self::Tombstoned
             | Self::StaleStamp => RetryHint::Elsewhere,
             Self::WrongOwner => RetryHint::SameClaim,
-            Self::BadClaim | Self::NeedsClaim => RetryHint::NewClaim,
+            Self::NeedsClaim => RetryHint::NewClaim,
             Self::WrongIncarnation | Self::ExpiredClaim | Self::EarlierRunUnknown => {
                 RetryHint::CheckFirst
             }
-            Self::LimitReached | Self::Quarantined | Self::BodyMismatch | Self::AnswerNotKept => {
-                RetryHint::Mend
-            }
+            Self::LimitReached
+            | Self::Quarantined
+            | Self::BadClaim
+            | Self::BodyMismatch
+            | Self::AnswerNotKept => RetryHint::Mend,
         }
     }
 
--- /dev/null
+++ b/crates/persimmon_decide/tests/outcome_claims.rs
@@ -0,0 +1,239 @@
+//! Claims, their seals, and the ledger that they are presented to.
+
+use persimmon_decide::outcome::{
+    Answer, Begin, Claim, ClaimError, ClaimSealer, IdempotencyKey, Ledger, LedgerError, LedgerKey,
+    LedgerLimits, Presented, Refusal, Repeatability, Settled, Stamp, check_bare_key,
+};
+use persimmon_decide::{Fingerprint, Incarnation, MonoMs, RequestId};
+use persimmon_records::EndpointBuilder;
+use rstest::rstest;
+
+const LIFE: Incarnation = Incarnation(7);
+const CLAIM_LIFE_MS: u64 = 1_000;
+
+fn claim(key: &str) -> Claim {
+    Claim {
+        workspace: "swap-desk".into(),
+        service: "booking".into(),
+        key: IdempotencyKey::try_from(key.to_owned()).unwrap(),
+        owner: "booking-1".into(),
+        stamp: Stamp { incarnation: LIFE, issued_at: MonoMs(0) },
+        call_id: RequestId(42),
+    }
+}
+
+fn ledger(max_entries: usize) -> Ledger {
+    let limits = LedgerLimits::default()
+        .with_max_entries(max_entries)
+        .with_max_answer_bytes(8)
+        .with_claim_life_ms(CLAIM_LIFE_MS)
+        .with_request_life_ms(300);
+    Ledger::new(LIFE, limits)
+}
+
+fn answer(bytes: usize) -> Answer {
+    Answer { status: 200, body: vec![b'a'; bytes].into() }
+}
+
+fn call(key: &str) -> Presented {
+    claim(key).present(b"body")
+}
+
+#[test]
+fn seal_opened() {
+    let sealer = ClaimSealer::new("a fleet key of the operators");
+    let text = sealer.seal(&claim("week-11")).unwrap();
+    assert_eq!(sealer.open(&text), Ok(claim("week-11")));
+    assert_eq!(ClaimSealer::new("another fleet key").open(&text), Err(ClaimError::Forged));
+    assert!(!format!("{sealer:?}").contains("key"), "no key reaches a log");
+}
+
+#[rstest]
+#[case::empty("", ClaimError::Malformed)]
+#[case::no_seal("pc1.7b7d", ClaimError::Malformed)]
+#[case::odd_digits("pc1.7b7.00", ClaimError::Malformed)]
+#[case::not_ascii("pc1.ééé.00", ClaimError::Malformed)]
+#[case::too_long(&"p".repeat(ClaimSealer::MAX_CHARS + 1), ClaimError::TooLong)]
+fn open_malformed(#[case] text: &str, #[case] expected: ClaimError) {
+    assert_eq!(ClaimSealer::new("a fleet key of the operators").open(text), Err(expected));
+}
+
+#[test]
+fn open_tampered() {
+    let sealer = ClaimSealer::new("a fleet key of the operators");
+    let text = sealer.seal(&claim("week-11")).unwrap();
+    for place in 4..text.len() {
+        let mut bytes = text.clone().into_bytes();
+        bytes[place] = if bytes[place] == b'0' { b'1' } else { b'0' };
+        let tampered = String::from_utf8(bytes).unwrap();
+        assert!(sealer.open(&tampered).is_err(), "place {place}");
+    }
+}
+
+#[rstest]
+#[case::own("swap-desk", "booking", Ok(()))]
+#[case::other_workspace("registry-desk", "booking", Err(Refusal::BadClaim))]
+#[case::other_service("swap-desk", "registry", Err(Refusal::BadClaim))]
+fn check_use(
+    #[case] workspace: &str,
+    #[case] service: &str,
+    #[case] expected: Result<(), Refusal>,
+) {
+    assert_eq!(claim("week-11").check_use(&workspace.into(), &service.into()), expected);
+}
+
+#[test]
+fn ledger_key_of_parts() {
+    let key = IdempotencyKey::try_from("k".to_owned()).unwrap();
+    let one = LedgerKey::of_call(&"ab".into(), &"c".into(), &key);
+    assert_ne!(one, LedgerKey::of_call(&"a".into(), &"bc".into(), &key));
+}
+
+#[rstest]
+#[case::repeatable(true, Ok(()))]
+#[case::not_repeatable(false, Err(Refusal::NeedsClaim))]
+fn bare_key(#[case] repeatable: bool, #[case] expected: Result<(), Refusal>) {
+    let address = "127.0.0.1:7000".parse().unwrap();
+    let endpoint = EndpointBuilder::new("booking-1", address).with_repeatable(repeatable).build();
+    assert_eq!(check_bare_key(&endpoint), expected);
+}
+
+/// What was done with a call before it is presented again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Before {
+    Nothing,
+    Begun,
+    Finished(usize),
+    Failed,
+    Withdrawn,
+    Settled,
+}
+
+fn prepared(before: Before) -> Ledger {
+    let mut ledger = ledger(4);
+    let (call, now) = (call("week-11"), MonoMs(10));
+    match before {
+        Before::Nothing => return ledger,
+        Before::Settled => {
+            let settled = ledger.settle(call.key, call.stamp, call.repeatability, now);
+            assert_eq!(settled, Settled::NotRun);
+            return ledger;
+        }
+        _ => assert_eq!(ledger.begin(&call, now), Begin::Run),
+    }
+    match before {
+        Before::Finished(bytes) => ledger.finish(call.key, Some(answer(bytes)), now).unwrap(),
+        Before::Failed => ledger.fail(call.key, now).unwrap(),
+        Before::Withdrawn => ledger.withdraw(call.key, now).unwrap(),
+        Before::Nothing | Before::Begun | Before::Settled => {}
+    }
+    ledger
+}
+
+#[rstest]
+#[case::begun(Before::Begun, Begin::Attach, Settled::Started)]
+#[case::finished(Before::Finished(8), Begin::Repeat(answer(8)), Settled::Done)]
+#[case::not_kept(Before::Finished(9), Begin::Refuse(Refusal::AnswerNotKept), Settled::Done)]
+#[case::failed(Before::Failed, Begin::Refuse(Refusal::EarlierRunUnknown), Settled::Unknown)]
+#[case::withdrawn(Before::Withdrawn, Begin::Refuse(Refusal::Tombstoned), Settled::NotRun)]
+#[case::settled(Before::Settled, Begin::Refuse(Refusal::Tombstoned), Settled::NotRun)]
+#[case::nothing(Before::Nothing, Begin::Run, Settled::Started)]
+fn present_again(#[case] before: Before, #[case] begin: Begin, #[case] settled: Settled) {
+    let mut ledger = prepared(before);
+    let call = call("week-11");
+    assert_eq!(ledger.begin(&call, MonoMs(20)), begin);
+    assert_eq!(ledger.settle(call.key, call.stamp, call.repeatability, MonoMs(21)), settled);
+    // A body other than the first is refused, and never run.
+    let other = Presented { fingerprint: Fingerprint::of(b"other"), ..call };
+    let tombstoned = begin == Begin::Refuse(Refusal::Tombstoned);
+    let expected = if tombstoned { Refusal::Tombstoned } else { Refusal::BodyMismatch };
+    assert_eq!(ledger.begin(&other, MonoMs(22)), Begin::Refuse(expected));
+}
+
+#[rstest]
+#[case::in_time(LIFE, 0, CLAIM_LIFE_MS, Begin::Run, Settled::NotRun)]
+#[case::expired(LIFE, 0, 1_001, Begin::Refuse(Refusal::ExpiredClaim), Settled::Unknown)]
+#[case::earlier_life(
+    Incarnation(6),
+    0,
+    1,
+    Begin::Refuse(Refusal::WrongIncarnation),
+    Settled::Unknown
+)]
+#[case::from_the_future(LIFE, 9, 1, Begin::Refuse(Refusal::WrongIncarnation), Settled::Unknown)]
+fn present_stamp(
+    #[case] incarnation: Incarnation,
+    #[case] issued_at: u64,
+    #[case] now: u64,
+    #[case] begin: Begin,
+    #[case] settled: Settled,
+) {
+    let stamp = Stamp { incarnation, issued_at: MonoMs(issued_at) };
+    let call = Presented { stamp, ..call("week-11") };
+    assert_eq!(ledger(4).begin(&call, MonoMs(now)), begin);
+    assert_eq!(ledger(4).settle(call.key, stamp, call.repeatability, MonoMs(now)), settled);
+}
+
+#[test]
+fn begin_when_full() {
+    let mut ledger = ledger(1);
+    assert_eq!(ledger.begin(&call("week-11"), MonoMs(1)), Begin::Run);
+    ledger.finish(call("week-11").key, Some(answer(1)), MonoMs(2)).unwrap();
+    assert_eq!(ledger.begin(&call("week-12"), MonoMs(3)), Begin::Refuse(Refusal::LedgerFull));
+    assert_eq!(ledger.issue(call("week-13").key, MonoMs(3)), Err(Refusal::LedgerFull));
+    // The first call is still remembered; it makes room once no claim for it can be presented.
+    assert_eq!(ledger.begin(&call("week-11"), MonoMs(4)), Begin::Repeat(answer(1)));
+    let later = MonoMs(CLAIM_LIFE_MS + 3);
+    let stamp = ledger.issue(call("week-12").key, later).unwrap();
+    assert_eq!(ledger.begin(&Presented { stamp, ..call("week-12") }, later), Begin::Run);
+}
+
+#[test]
+fn begin_after_refusal_when_full() {
+    let mut ledger = ledger(1);
+    assert_eq!(ledger.begin(&call("week-11"), MonoMs(1)), Begin::Run);
+    ledger.finish(call("week-11").key, None, MonoMs(2)).unwrap();
+    let stamp = ledger.stamp(MonoMs(900));
+    let late = Presented { stamp, ..call("week-12") };
+    assert_eq!(ledger.begin(&late, MonoMs(903)), Begin::Refuse(Refusal::LedgerFull));
+    // There is room again, and the claim hasn't expired; but its caller was told that it isn't run.
+    assert_eq!(ledger.sweep(MonoMs(1_003)), 1);
+    assert_eq!(ledger.begin(&late, MonoMs(1_004)), Begin::Refuse(Refusal::Tombstoned));
+    let stamp = ledger.stamp(MonoMs(1_005));
+    assert_eq!(ledger.begin(&Presented { stamp, ..late }, MonoMs(1_005)), Begin::Run);
+}
+
+#[test]
+fn issue_keeps_call() {
+    let mut ledger = prepared(Before::Finished(1));
+    let stamp = ledger.issue(call("week-11").key, MonoMs(1_005)).unwrap();
+    assert_eq!(ledger.sweep(MonoMs(1_500)), 0, "the second claim can still be presented");
+    let again = Presented { stamp, ..call("week-11") };
+    assert_eq!(ledger.begin(&again, MonoMs(1_500)), Begin::Repeat(answer(1)));
+    assert_eq!(ledger.sweep(MonoMs(2_006)), 1);
+    assert_eq!(ledger.counts().answer_bytes, 0);
+}
+
+#[test]
+fn begin_repeatable_again() {
+    let mut ledger = ledger(4);
+    let at = |ledger: &Ledger, ms| Presented {
+        stamp: ledger.stamp(MonoMs(ms)),
+        repeatability: Repeatability::Repeatable,
+        ..call("lookup")
+    };
+    let first = at(&ledger, 0);
+    assert_eq!(ledger.begin(&first, MonoMs(1)), Begin::Run);
+    ledger.withdraw(first.key, MonoMs(2)).unwrap();
+    assert_eq!(ledger.begin(&first, MonoMs(3)), Begin::Refuse(Refusal::Tombstoned));
+    let second = at(&ledger, 3);
+    assert_eq!(ledger.begin(&second, MonoMs(4)), Begin::Run);
+    ledger.fail(second.key, MonoMs(5)).unwrap();
+    let third = at(&ledger, 6);
+    assert_eq!(ledger.begin(&third, MonoMs(6)), Begin::Run);
+    ledger.withdraw(third.key, MonoMs(7)).unwrap();
+    // The second run may have happened, so nothing definite is said any more.
+    let settled = ledger.settle(second.key, second.stamp, second.repeatability, MonoMs(8));
+    assert_eq!(settled, Settled::Unknown);
+    assert_eq!(ledger.finish(third.key, None, MonoMs(9)), Err(LedgerError));
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/stream_model/mod.rs
@@ -0,0 +1,252 @@
+//! Answers on their way from sidecars to routers, over connections that lose, double, delay and
+//! cross frames, driven by a generated schedule.
+
+use std::sync::Arc;
+
+use persimmon_decide::outcome::{
+    Assembly, Body, Frame, FrameId, OutputLimits, PushError, ResumeError, RetainedOutput, StreamEnd,
+};
+use persimmon_decide::{Attempt, Incarnation, MonoMs, Offset, RequestId};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const REQUESTS: usize = 2;
+const FRAMES_PER_ANSWER: u64 = 7;
+const MAX_FRAMES_UNDER_WAY: usize = 48;
+const MAX_KEPT_FRAMES: usize = 3;
+/// Rounds in which every answer must be over once nothing disturbs it.
+const ROUNDS_TO_END: usize = 40;
+
+/// A rule of the product that the model breaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Defect {
+    None,
+    /// Every frame counts as one of the answer that is awaited.
+    IdsUnchecked,
+    /// Frames of an earlier life of the sidecar count as the present one's.
+    IncarnationUnchecked,
+    /// The end counts wherever it arrives.
+    EndWithoutPlace,
+    /// Another run goes on where the first was lost.
+    RestartAfterDelivery,
+}
+
+/// One step; indices are taken modulo what there is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Op {
+    Produce { request: usize },
+    Send { request: usize },
+    Deliver { pick: usize, twice: bool },
+    Lose { pick: usize },
+    Acknowledge { request: usize },
+    Restart { request: usize },
+}
+
+pub(crate) fn schedule() -> impl Strategy<Value = Vec<Op>> {
+    let request = 0..REQUESTS;
+    let pick = 0..1_000_usize;
+    let op = prop_oneof![
+        6 => request.clone().prop_map(|request| Op::Produce { request }),
+        4 => request.clone().prop_map(|request| Op::Send { request }),
+        12 => (pick.clone(), prop::bool::weighted(0.25))
+            .prop_map(|(pick, twice)| Op::Deliver { pick, twice }),
+        2 => pick.prop_map(|pick| Op::Lose { pick }),
+        4 => request.clone().prop_map(|request| Op::Acknowledge { request }),
+        1 => request.prop_map(|request| Op::Restart { request }),
+    ];
+    vec(op, 1..80)
+}
+
+/// One answer: the output at the sidecar and the assembly at the router.
+#[derive(Debug)]
+struct Answer {
+    life: u64,
+    output: RetainedOutput,
+    assembly: Assembly,
+    attempt: u32,
+    received: u64,
+    /// The run that the first piece came from; every other must come from it as well.
+    run: Option<u64>,
+    failed: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Model {
+    defect: Defect,
+    answers: Vec<Answer>,
+    under_way: Vec<Frame>,
+}
+
+impl Model {
+    pub(crate) fn new(defect: Defect) -> Self {
+        let answer = |request| Answer {
+            life: 1,
+            output: output(),
+            assembly: Assembly::new(frame_id(request, 1, 1)),
+            attempt: 1,
+            received: 0,
+            run: None,
+            failed: false,
+        };
+        let answers = (0..REQUESTS).map(answer).collect();
+        Self { defect, answers, under_way: Vec::new() }
+    }
+
+    /// Plays a schedule, then lets every answer end undisturbed.
+    pub(crate) fn play(mut self, ops: &[Op]) -> Result<(), String> {
+        for op in ops {
+            self.step(*op)?;
+        }
+        for _ in 0..ROUNDS_TO_END {
+            for request in 0..REQUESTS {
+                self.produce(request);
+                self.send(request);
+                while !self.under_way.is_empty() {
+                    self.deliver(0, false)?;
+                }
+                self.acknowledge(request);
+            }
+        }
+        let is_over = |answer: &Answer| answer.failed || answer.assembly.is_whole();
+        if self.answers.iter().all(is_over) { Ok(()) } else { Err("an answer never ends".into()) }
+    }
+
+    fn step(&mut self, op: Op) -> Result<(), String> {
+        match op {
+            Op::Produce { request } => self.produce(request),
+            Op::Send { request } => self.send(request),
+            Op::Deliver { pick, twice } => return self.deliver(pick, twice),
+            Op::Lose { pick } => drop(self.take_frame(pick)),
+            Op::Acknowledge { request } => self.acknowledge(request),
+            Op::Restart { request } => self.restart(request),
+        }
+        Ok(())
+    }
+
+    /// The engine gives another frame, or the end.
+    fn produce(&mut self, request: usize) {
+        let answer = &mut self.answers[request];
+        let next = answer.output.next_offset();
+        if next.0 == FRAMES_PER_ANSWER {
+            return answer.output.finish(StreamEnd::Whole, MonoMs(0));
+        }
+        let pushed = answer.output.push(content(request, answer.life, next), MonoMs(0));
+        assert!(matches!(pushed, Ok(_) | Err(PushError::Full)), "{pushed:?}");
+    }
+
+    /// The router resumes on a new connection; earlier ones may still deliver.
+    fn send(&mut self, request: usize) {
+        let answer = &mut self.answers[request];
+        let id = frame_id(request, answer.attempt, answer.life);
+        let frames: Vec<_> = match answer.output.read_from(answer.assembly.next_offset()) {
+            Ok(kept) => kept.map(|(offset, body)| Frame { id, offset, body }).collect(),
+            Err(ResumeError::Gone { .. }) => {
+                answer.failed = true;
+                return;
+            }
+            Err(ResumeError::Ahead { .. }) => return,
+        };
+        for frame in frames {
+            self.post(frame);
+        }
+    }
+
+    fn post(&mut self, frame: Frame) {
+        if self.under_way.len() < MAX_FRAMES_UNDER_WAY {
+            self.under_way.push(frame);
+        }
+    }
+
+    fn take_frame(&mut self, pick: usize) -> Option<Frame> {
+        let count = self.under_way.len();
+        (count > 0).then(|| self.under_way.remove(pick % count))
+    }
+
+    /// A frame reaches a router, which may hold several answers: every one is shown it.
+    fn deliver(&mut self, pick: usize, twice: bool) -> Result<(), String> {
+        let Some(frame) = self.take_frame(pick) else { return Ok(()) };
+        for request in 0..REQUESTS {
+            self.show(request, frame.clone())?;
+        }
+        if twice {
+            self.post(frame);
+        }
+        Ok(())
+    }
+
+    fn show(&mut self, request: usize, mut frame: Frame) -> Result<(), String> {
+        let defect = self.defect;
+        let answer = &mut self.answers[request];
+        if answer.failed {
+            return Ok(());
+        }
+        let id = frame_id(request, answer.attempt, answer.life);
+        match defect {
+            Defect::IdsUnchecked => frame.id = id,
+            Defect::IncarnationUnchecked if frame.id.request == id.request => frame.id = id,
+            Defect::EndWithoutPlace if matches!(frame.body, Body::End(_)) => {
+                frame.offset = answer.assembly.next_offset();
+            }
+            _ => {}
+        }
+        // What is dropped is counted by the assembly.
+        let _ = answer.assembly.take(frame);
+        while let Some(body) = answer.assembly.pop() {
+            if let Body::Data(data) = body {
+                let run = *answer.run.get_or_insert(answer.life);
+                if data != content(request, run, Offset(answer.received)) {
+                    return Err(format!("a frame of answer {request} isn't its own"));
+                }
+                answer.received += 1;
+            }
+        }
+        let is_short = answer.received < FRAMES_PER_ANSWER;
+        if answer.assembly.is_whole() && is_short {
+            return Err(format!("answer {request} is truncated"));
+        }
+        Ok(())
+    }
+
+    fn acknowledge(&mut self, request: usize) {
+        let answer = &mut self.answers[request];
+        answer.output.acknowledge(answer.assembly.next_offset(), MonoMs(0));
+    }
+
+    /// The sidecar restarts and runs the request anew; the router follows if it may.
+    fn restart(&mut self, request: usize) {
+        let defect = self.defect;
+        let answer = &mut self.answers[request];
+        if answer.failed || answer.assembly.is_whole() {
+            return;
+        }
+        let id = frame_id(request, answer.attempt + 1, answer.life + 1);
+        let next = answer.assembly.next_offset();
+        if defect == Defect::RestartAfterDelivery {
+            answer.assembly = Assembly::new(id).with_next_offset(next);
+        } else if answer.assembly.restart(id).is_err() {
+            answer.failed = true;
+            return;
+        }
+        answer.output = output();
+        answer.attempt += 1;
+        answer.life += 1;
+    }
+}
+
+fn output() -> RetainedOutput {
+    let limits = OutputLimits { max_frames: MAX_KEPT_FRAMES, ..OutputLimits::default() };
+    RetainedOutput::new(limits, MonoMs(0))
+}
+
+fn frame_id(request: usize, attempt: u32, life: u64) -> FrameId {
+    FrameId {
+        request: RequestId(request as u128),
+        attempt: Attempt(attempt),
+        incarnation: Incarnation(life),
+    }
+}
+
+/// Names its request, its run and its place, so that a crossed frame shows.
+fn content(request: usize, life: u64, offset: Offset) -> Arc<[u8]> {
+    format!("{request}/{life}/{}", offset.0).into_bytes().into()
+}
