Adopt by the records crate's versions

Change: config takes SetVersion in place of a version of its own; a set offered under a wrong version can't move a process back.

--- a/crates/persimmon_decide/src/config/startup.rs
+++ b/crates/persimmon_decide/src/config/startup.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use persimmon_records::SetVersion;
 use thiserror::Error;
 
-use super::{StartupSettings, Version};
+use super::StartupSettings;
 use crate::MonoMs;
 use crate::membership::VmName;
 use crate::recovery::scale;
@@ -21,7 +22,7 @@
         /// The peer.
         from: VmName,
         /// The version to fetch.
-        version: Version,
+        version: SetVersion,
     },
 }
 
@@ -46,7 +47,7 @@
 enum Ask {
     Due(MonoMs),
     Asked(MonoMs),
-    Answered(Option<Version>),
+    Answered(Option<SetVersion>),
     Failed,
 }
 
@@ -73,8 +74,8 @@
     platform_answered: bool,
     peers: BTreeMap<VmName, Ask>,
     rounds: u32,
-    in_force: Option<Version>,
-    refused: Option<Version>,
+    in_force: Option<SetVersion>,
+    refused: Option<SetVersion>,
     fetch: Option<Fetch>,
 }
 
@@ -141,7 +142,7 @@
     }
 
     /// A peer told which version it has in force, if any.
-    pub fn peer_answered(&mut self, peer: &VmName, version: Option<Version>) {
+    pub fn peer_answered(&mut self, peer: &VmName, version: Option<SetVersion>) {
         if let Some(ask) = self.peers.get_mut(peer) {
             *ask = Ask::Answered(version);
         }
@@ -158,13 +159,13 @@
     }
 
     /// A set came into force.
-    pub fn adopted(&mut self, version: Version) {
+    pub fn adopted(&mut self, version: SetVersion) {
         self.fetch = None;
         self.in_force = self.in_force.max(Some(version));
     }
 
     /// A set was fetched and refused as faulty, so it isn't waited for.
-    pub fn refused(&mut self, version: Version) {
+    pub fn refused(&mut self, version: SetVersion) {
         self.fetch = None;
         self.refused = self.refused.max(Some(version));
     }
@@ -200,7 +201,7 @@
     }
 
     /// The highest version that a peer has and this process lacks, with the peer.
-    fn missing(&self) -> Option<(&VmName, Version)> {
+    fn missing(&self) -> Option<(&VmName, SetVersion)> {
         let known = self.peers.iter().filter_map(|(name, ask)| match ask {
             Ask::Answered(Some(version)) => Some((name, *version)),
             _ => None,
