Adopt record sets with their lookups

Cause: adoption held a plain set, so that each process would build and keep its lookups beside it. Change: adoption holds the index.

--- a/crates/persimmon_decide/src/config/adoption.rs
+++ b/crates/persimmon_decide/src/config/adoption.rs
@@ -3,7 +3,7 @@
 use std::fmt::Display;
 use std::sync::Arc;
 
-use persimmon_records::{RecordSet, SetVersion};
+use persimmon_records::{RecordIndex, SetVersion};
 use thiserror::Error;
 
 use crate::membership::VmName;
@@ -22,8 +22,8 @@
 pub struct InForce {
     /// The set's place in the order of sets.
     pub version: SetVersion,
-    /// The set.
-    pub set: Arc<RecordSet>,
+    /// The set with its lookups.
+    pub set: Arc<RecordIndex>,
     /// Where it was read.
     pub read_from: Source,
 }
@@ -100,11 +100,11 @@
 impl<E: Display> Adoption<E> {
     /// Adopts an offered set if it is higher than the one in force and `read` finds the whole of it
     /// free of faults. `read` isn't called for a set that is known, older or refused before.
-    pub fn offer(
+    pub fn offer<S: Into<Arc<RecordIndex>>>(
         &mut self,
         source: Source,
         version: SetVersion,
-        read: impl FnOnce() -> Result<RecordSet, E>,
+        read: impl FnOnce() -> Result<S, E>,
     ) -> Verdict {
         self.note_version(version);
         if self.version() == Some(version) {
@@ -117,7 +117,7 @@
             return Verdict::Refused;
         }
         match read() {
-            Ok(set) => self.adopt(source, set),
+            Ok(set) => self.adopt(source, set.into()),
             Err(error) => {
                 self.refuse(source, Some(version), error);
                 Verdict::Refused
@@ -172,7 +172,7 @@
 
     /// Takes the version from the set itself, so that an offer under a wrong version can't move
     /// the process back.
-    fn adopt(&mut self, source: Source, set: RecordSet) -> Verdict {
+    fn adopt(&mut self, source: Source, set: Arc<RecordIndex>) -> Verdict {
         let version = set.version();
         let held = self.version();
         if held >= Some(version) {
@@ -182,7 +182,7 @@
             self.conflict = None;
         }
         self.refused = None;
-        self.in_force = Some(InForce { version, set: Arc::new(set), read_from: source });
+        self.in_force = Some(InForce { version, set, read_from: source });
         Verdict::Adopted
     }
 }
--- a/crates/persimmon_records/src/index.rs
+++ b/crates/persimmon_records/src/index.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::fmt;
+use std::sync::Arc;
 
 use crate::editor::Editor;
 use crate::{
@@ -9,6 +10,12 @@
     ServiceName, SetVersion, Workspace, WorkspaceName,
 };
 
+impl From<RecordSet> for Arc<RecordIndex> {
+    fn from(set: RecordSet) -> Self {
+        Self::new(RecordIndex::new(set))
+    }
+}
+
 /// Where a key digest stands in the set.
 #[derive(Debug, Clone, Copy)]
 struct KeyPosition {
