Say unknown of an expired claim also after a full ledger refused calls

Cause: a ledger that has been full refuses calls without an entry up to a stamp as not run. A call that ran, ended and was forgotten after its claim had expired was refused so as well: a false "not run". Change: expiry is judged first; calls of the model share an owner, and time jumps beyond a life.

--- a/crates/persimmon_decide/src/outcome/ledger.rs
+++ b/crates/persimmon_decide/src/outcome/ledger.rs
@@ -117,21 +117,19 @@
         if !self.is_own(presented.stamp, now) {
             return Begin::Refuse(Refusal::WrongIncarnation);
         }
-        match self.entries.get(&presented.key) {
-            Some(entry) => {
-                if let Some(begin) = known(entry, presented) {
-                    return begin;
-                }
-            }
-            None => {
-                if self.refused_through.is_some_and(|at| presented.stamp.issued_at <= at) {
-                    return Begin::Refuse(Refusal::Tombstoned);
-                }
-            }
+        let entry = self.entries.get(&presented.key);
+        if let Some(begin) = entry.and_then(|entry| known(entry, presented)) {
+            return begin;
         }
+        // Expiry goes before the bound of refused stamps: an expired call may have run and have
+        // been forgotten, so nothing definite can be said about it.
         if self.has_expired(presented.stamp, presented.repeatability, now) {
             return Begin::Refuse(expiry_refusal(presented.repeatability));
         }
+        let is_new = !self.entries.contains_key(&presented.key);
+        if is_new && self.refused_through.is_some_and(|at| presented.stamp.issued_at <= at) {
+            return Begin::Refuse(Refusal::Tombstoned);
+        }
         self.admit(presented, now)
     }
 
--- a/crates/persimmon_decide/tests/outcome_claims.rs
+++ b/crates/persimmon_decide/tests/outcome_claims.rs
@@ -203,6 +203,18 @@
     assert_eq!(ledger.begin(&Presented { stamp, ..late }, MonoMs(1_005)), Begin::Run);
 }
 
+#[test]
+fn begin_forgotten_after_refusal_when_full() {
+    let mut ledger = ledger(1);
+    assert_eq!(ledger.begin(&call("week-11"), MonoMs(1)), Begin::Run);
+    ledger.finish(call("week-11").key, None, MonoMs(2)).unwrap();
+    assert_eq!(ledger.begin(&call("week-12"), MonoMs(3)), Begin::Refuse(Refusal::LedgerFull));
+    assert_eq!(ledger.sweep(MonoMs(1_003)), 1);
+    // It ran, so it must not be refused as not run like the calls that were never begun.
+    let again = ledger.begin(&call("week-11"), MonoMs(1_003));
+    assert_eq!(again, Begin::Refuse(Refusal::ExpiredClaim));
+}
+
 #[test]
 fn issue_keeps_call() {
     let mut ledger = prepared(Before::Finished(1));
--- a/crates/persimmon_decide/tests/outcome_model/mod.rs
+++ b/crates/persimmon_decide/tests/outcome_model/mod.rs
@@ -119,8 +119,9 @@
 
     /// A caller sends its call, with the claim that it holds or with a new one.
     fn present(&mut self, call: usize, router: usize, fingerprint: Fingerprint) {
-        let ranked: Vec<_> =
-            (0..SIDECARS).map(|k| (call + self.views[router] + k) % SIDECARS).collect();
+        // Most calls have one owner, so that its ledger fills.
+        let first = call / (CALLS - 1) + self.views[router];
+        let ranked: Vec<_> = (0..SIDECARS).map(|k| (first + k) % SIDECARS).collect();
         let (tag, claim, candidates) = match (self.kind, self.defect) {
             (Repeatability::Repeatable, _) => (self.new_tag(), None, ranked),
             (Repeatability::Once, Defect::BareKey { .. }) => (call as Tag, None, vec![ranked[0]]),
--- a/crates/persimmon_decide/tests/outcome_model/op.rs
+++ b/crates/persimmon_decide/tests/outcome_model/op.rs
@@ -22,6 +22,9 @@
     Disturb { pick: usize, lost: bool },
 }
 
+/// Just longer than a claim of the model can be presented.
+const JUST_BEYOND_LIFE_MS: u64 = 1_001;
+
 /// Schedules of up to 80 steps.
 pub(crate) fn schedule() -> impl Strategy<Value = Vec<Op>> {
     vec(op(), 1..80)
@@ -38,7 +41,8 @@
         14 => (pick.clone(), prop::bool::weighted(0.25))
             .prop_map(|(pick, twice)| Op::Deliver { pick, twice }),
         2 => pick.clone().prop_map(|pick| Op::Lose { pick }),
-        3 => (0..700_u64).prop_map(|ms| Op::Advance { ms }),
+        2 => (0..700_u64).prop_map(|ms| Op::Advance { ms }),
+        2 => Just(Op::Advance { ms: JUST_BEYOND_LIFE_MS }),
         1 => (index.clone(), 0..700_u64)
             .prop_map(|(sidecar, ms)| Op::StandStill { sidecar, ms }),
         1 => index.clone().prop_map(|sidecar| Op::Restart { sidecar }),
