--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/pump.rs
@@ -0,0 +1,126 @@
+//! Carries frames from the control thread to a router, with heartbeats while nothing is new.
+
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use futures::stream::{FuturesUnordered, StreamExt};
+use persimmon_decide::outcome::{FrameId, Heartbeat, HeartbeatLimits, LedgerKey, Pulse};
+use persimmon_decide::{MonoMs, Offset};
+use persimmon_wire::fleet_capnp::frame_sink;
+use persimmon_wire::{Frame, FrameBody};
+
+use super::command::Command;
+use crate::common::Clock;
+
+/// Frames that wait for the pump.
+pub(crate) const FRAMES_WAITING: usize = 64;
+/// Frames sent and not yet acknowledged.
+const FRAMES_IN_FLIGHT: usize = 32;
+
+/// One answer on its way to one router.
+pub(crate) struct Pump {
+    pub(crate) key: LedgerKey,
+    pub(crate) id: FrameId,
+    pub(crate) frames: Receiver<Frame>,
+    pub(crate) sink: frame_sink::Client,
+    pub(crate) commands: Sender<Command>,
+    pub(crate) clock: Clock,
+    pub(crate) limits: HeartbeatLimits,
+}
+
+/// Why a pump stopped.
+enum Stopped {
+    /// Every frame was sent and acknowledged.
+    Finished,
+    /// The router is gone or silent.
+    RouterGone,
+}
+
+/// What woke the pump.
+enum Woken {
+    /// The router acknowledged something.
+    Acknowledged(Result<Option<Offset>, capnp::Error>),
+    /// The control thread has another frame, or none will follow.
+    Frame(Option<Frame>),
+    /// It's time to look at the heartbeat.
+    Timer,
+}
+
+impl Pump {
+    /// Runs until the answer ends or the router is gone. The answer itself is kept by the control
+    /// thread, so that a router can resume it.
+    pub(crate) async fn run(self) {
+        if matches!(self.carry().await, Stopped::RouterGone) {
+            tracing::debug!("sidecar: a router stopped taking frames.");
+        }
+    }
+
+    async fn carry(&self) -> Stopped {
+        let mut heartbeat = Heartbeat::new(self.limits.clone(), self.clock.now());
+        let mut sent = FuturesUnordered::new();
+        let mut data_in_flight = 0;
+        let mut has_more = true;
+        while has_more || data_in_flight > 0 {
+            let now = self.clock.now();
+            let wake_at = match heartbeat.poll(now) {
+                Pulse::Silent => return Stopped::RouterGone,
+                Pulse::Send => {
+                    heartbeat.sent(now);
+                    sent.push(push(&self.sink, &self.heartbeat(now)));
+                    continue;
+                }
+                Pulse::Wait(until) => Duration::from_millis(until.ms_since(now).max(1)),
+            };
+            let takes_frames = has_more && data_in_flight < FRAMES_IN_FLIGHT;
+            let woken = tokio::select! {
+                biased;
+                Some(done) = sent.next() => Woken::Acknowledged(done),
+                frame = self.frames.recv_async(), if takes_frames => Woken::Frame(frame.ok()),
+                () = tokio::time::sleep(wake_at) => Woken::Timer,
+            };
+            match woken {
+                Woken::Acknowledged(Ok(next)) => {
+                    heartbeat.heard(self.clock.now());
+                    if let Some(next) = next {
+                        data_in_flight -= 1;
+                        self.acknowledge(next);
+                    }
+                }
+                Woken::Acknowledged(Err(_)) => return Stopped::RouterGone,
+                Woken::Frame(Some(frame)) => {
+                    data_in_flight += 1;
+                    heartbeat.sent(self.clock.now());
+                    sent.push(push(&self.sink, &frame));
+                }
+                Woken::Frame(None) => has_more = false,
+                Woken::Timer => {}
+            }
+        }
+        Stopped::Finished
+    }
+
+    fn heartbeat(&self, now: MonoMs) -> Frame {
+        Frame { id: self.id, offset: Offset(0), body: FrameBody::Heartbeat(now) }
+    }
+
+    fn acknowledge(&self, next: Offset) {
+        // A closed channel means that the process has ended.
+        let _closed = self.commands.send(Command::Acknowledge { key: self.key, next });
+    }
+}
+
+/// Sends one frame. Gives, once it is acknowledged, the offset up to which the router has the
+/// answer; none for a heartbeat.
+fn push(
+    sink: &frame_sink::Client,
+    frame: &Frame,
+) -> impl Future<Output = Result<Option<Offset>, capnp::Error>> + use<> {
+    let mut request = sink.push_request();
+    frame.write(request.get().init_frame());
+    let next = match frame.body {
+        FrameBody::Heartbeat(_) => None,
+        FrameBody::Data(_) | FrameBody::End(_) => Some(Offset(frame.offset.0 + 1)),
+    };
+    let promise = request.send().promise;
+    async move { promise.await.map(|_| next) }
+}
