Judge expiry before tombstones

Cause: a tombstone for a later claim of the same key, or the bound of a full ledger, refused an expired claim as not run although its entry had been forgotten: it may have run. Before: present_expired_beside_tombstone failed (Tombstoned for ExpiredClaim). After: passes.

--- a/crates/persimmon_decide/src/outcome/ledger.rs
+++ b/crates/persimmon_decide/src/outcome/ledger.rs
@@ -118,19 +118,20 @@
             return Begin::Refuse(Refusal::WrongIncarnation);
         }
         let entry = self.entries.get(&presented.key);
-        if let Some(begin) = entry.and_then(|entry| known(entry, presented)) {
-            return begin;
-        }
-        // Expiry goes before the bound of refused stamps: an expired call may have run and have
-        // been forgotten, so nothing definite can be said about it.
-        if self.has_expired(presented.stamp, presented.repeatability, now) {
-            return Begin::Refuse(expiry_refusal(presented.repeatability));
-        }
-        let is_new = !self.entries.contains_key(&presented.key);
-        if is_new && self.refused_through.is_some_and(|at| presented.stamp.issued_at <= at) {
-            return Begin::Refuse(Refusal::Tombstoned);
+        let begin = match entry {
+            Some(entry) => known(entry, presented),
+            None if self.is_refused(presented.stamp) => Some(Begin::Refuse(Refusal::Tombstoned)),
+            None => None,
+        };
+        let expired = self.has_expired(presented.stamp, presented.repeatability, now);
+        match begin {
+            // An expired call may have run and have been forgotten: nothing definite can be said.
+            None | Some(Begin::Refuse(Refusal::Tombstoned)) if expired => {
+                Begin::Refuse(expiry_refusal(presented.repeatability))
+            }
+            None => self.admit(presented, now),
+            Some(begin) => begin,
         }
-        self.admit(presented, now)
     }
 
     /// Records that the call's whole answer was seen; `None` for an answer that is a stream.
@@ -195,15 +196,18 @@
         if !self.is_own(stamp, now) {
             return Settled::Unknown;
         }
+        let expired = self.has_expired(stamp, repeatability, now);
         let life_ms = self.limits.life_ms(repeatability);
-        if let Some(entry) = self.entries.get_mut(&key) {
-            return settle_known(entry, stamp, now, life_ms);
-        }
-        if self.has_expired(stamp, repeatability, now) {
-            return Settled::Unknown;
-        }
-        self.refuse_later(key, repeatability, now);
-        Settled::NotRun
+        let settled = match self.entries.get_mut(&key) {
+            Some(entry) => settle_known(entry, stamp, now, life_ms),
+            None if expired => return Settled::Unknown,
+            None => {
+                self.refuse_later(key, repeatability, now);
+                return Settled::NotRun;
+            }
+        };
+        let is_definite = settled != Settled::NotRun || !expired;
+        if is_definite { settled } else { Settled::Unknown }
     }
 
     /// Forgets what can no longer be presented, and returns how many entries that were.
@@ -234,6 +238,11 @@
         now > stamp.issued_at.plus_ms(self.limits.life_ms(repeatability))
     }
 
+    /// Whether calls without an entry are refused up to this stamp.
+    fn is_refused(&self, stamp: Stamp) -> bool {
+        self.refused_through.is_some_and(|through| stamp.issued_at <= through)
+    }
+
     /// Whether another entry fits, after forgetting what may be forgotten.
     fn make_room(&mut self, now: MonoMs) -> bool {
         let full = self.entries.len() >= self.limits.max_entries;
--- a/crates/persimmon_decide/tests/outcome_claims.rs
+++ b/crates/persimmon_decide/tests/outcome_claims.rs
@@ -215,6 +215,21 @@
     assert_eq!(again, Begin::Refuse(Refusal::ExpiredClaim));
 }
 
+#[test]
+fn present_expired_beside_tombstone() {
+    let mut ledger = prepared(Before::Finished(1));
+    let first = call("week-11");
+    assert_eq!(ledger.sweep(MonoMs(CLAIM_LIFE_MS + 11)), 1);
+    let stamp = ledger.issue(first.key, MonoMs(CLAIM_LIFE_MS + 11)).unwrap();
+    let second = Presented { stamp, ..first };
+    let now = MonoMs(CLAIM_LIFE_MS + 12);
+    assert_eq!(ledger.settle(second.key, stamp, second.repeatability, now), Settled::NotRun);
+    // The tombstone is for the second claim; the first one ran.
+    assert_eq!(ledger.begin(&first, now), Begin::Refuse(Refusal::ExpiredClaim));
+    let settled = ledger.settle(first.key, first.stamp, first.repeatability, now);
+    assert_eq!(settled, Settled::Unknown);
+}
+
 #[test]
 fn issue_keeps_call() {
     let mut ledger = prepared(Before::Finished(1));
