--- a/crates/persimmon_bench/src/bench.rs
+++ b/crates/persimmon_bench/src/bench.rs
@@ -67,12 +67,13 @@
         )?;
         writeln!(
             f,
-            "  {:<18} {:>7} {:>8} {:>9} {:>7} {:>9} {:>9} {:>8} {:>9} {:>8} {:>5}",
+            "  {:<18} {:>7} {:>8} {:>9} {:>7} {:>7} {:>9} {:>9} {:>8} {:>9} {:>8} {:>5}",
             "strategy",
             "reuse",
             "imported",
             "skew max",
             "% over",
+            "samples",
             "quick p95",
             "draft p95",
             "refused",
@@ -87,12 +88,13 @@
 fn write_row(f: &mut fmt::Formatter<'_>, figures: &Figures) -> fmt::Result {
     writeln!(
         f,
-        "  {:<18} {:>6.1}% {:>7.1}% {:>9.3} {:>6.1}% {:>6} ms {:>6} ms {:>8.2} {:>9} {:>8} {:>5}",
+        "  {:<18} {:>6.1}% {:>7.1}% {:>9.3} {:>6.1}% {:>7} {:>6} ms {:>6} ms {:>8.2} {:>9} {:>8} {:>5}",
         figures.strategy.as_str(),
         100.0 * figures.reuse,
         100.0 * figures.imported,
         figures.skew.max,
         100.0 * figures.skew.share_over,
+        figures.skew.samples,
         figures.quick_p95_ms,
         figures.drafting_p95_ms,
         figures.refusals,
--- a/crates/persimmon_bench/src/lib.rs
+++ b/crates/persimmon_bench/src/lib.rs
@@ -4,8 +4,11 @@
 //! sidecars and routers in memory that use the decisions of `persimmon_decide`.
 
 mod bench;
+mod credits;
 mod deployment;
 mod fleet;
+mod place_cost;
+mod plot;
 mod prefix_cache;
 mod run;
 mod scenario;
@@ -15,8 +18,11 @@
 mod workload;
 
 pub use bench::{Comparison, compare};
+pub use credits::{CreditFigures, CreditWay, Trouble, credit_figures};
 pub use deployment::{Deployment, Shape};
 pub use fleet::Fleet;
+pub use place_cost::{PlaceCost, place_cost};
+pub use plot::{PlotError, plot};
 pub use prefix_cache::PrefixCache;
 pub use run::run;
 pub use scenario::Scenario;
--- a/crates/persimmon_bench/src/scenario.rs
+++ b/crates/persimmon_bench/src/scenario.rs
@@ -59,14 +59,15 @@
     /// Workspaces.
     pub const WORKSPACES: usize = 10;
 
-    /// Time between surges and their length, in seconds.
+    /// Time between the starts of surges, in seconds.
     pub const SURGE_EVERY_S: u64 = 600;
 
     /// Length of a surge in seconds.
     pub const SURGE_S: u64 = 120;
 
-    /// Drafting chats in a surge, as a multiple of all chats without one.
-    pub const SURGE_SHARE: f64 = 0.25;
+    /// Drafting chats that a surge adds, as a share of all chats without one: enough to fill every
+    /// slot that drafting may use.
+    pub const SURGE_SHARE: f64 = 0.1;
 
     /// Part of the run that isn't measured, so that the fleet has filled, in seconds.
     pub const WARM_UP_S: u64 = 120;
@@ -79,7 +80,7 @@
             models: 1,
             routers: 4,
             duration_s: 1_800,
-            in_progress: 9.0,
+            in_progress: 8.0,
             surges: true,
             churn: 0.1,
             digest_lag_s: 2,
--- a/crates/persimmon_bench/src/strategy.rs
+++ b/crates/persimmon_bench/src/strategy.rs
@@ -4,7 +4,7 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::load::{
-    Candidate, Directory, EndpointHash, EndpointView, PlaceRequest, Placement, rank_by_slots,
+    Candidate, Directory, EndpointView, PlaceRequest, Placement, rank_by_slots,
 };
 use serde::Serialize;
 
--- a/crates/persimmon_bench/src/workload.rs
+++ b/crates/persimmon_bench/src/workload.rs
@@ -47,15 +47,18 @@
 /// assert!(turns.is_sorted_by_key(|turn| turn.at));
 /// ```
 pub fn workload(scenario: &Scenario) -> Vec<Turn> {
-    let mut turns = Vec::new();
     let mut base = Pcg64Mcg::seed_from_u64(scenario.seed);
     let gap_ms = 1_000.0 / scenario.chats_per_s();
-    add_chats(scenario, &mut base, gap_ms, &mut turns, |_| true, random_class);
+    let mut turns: Vec<_> = starts(scenario, &mut base, gap_ms)
+        .into_iter()
+        .flat_map(|at| chat(scenario, &mut base, None, at))
+        .collect();
     if scenario.surges {
         // A generator of its own, so that the other chats are the same with and without surges.
         let mut surge = Pcg64Mcg::seed_from_u64(scenario.seed ^ 0x5u64.rotate_right(8));
         let gap_ms = gap_ms / Scenario::SURGE_SHARE;
-        add_chats(scenario, &mut surge, gap_ms, &mut turns, in_surge, |_, _| Class::Drafting);
+        let times = starts(scenario, &mut surge, gap_ms).into_iter().filter(|at| in_surge(*at));
+        turns.extend(times.flat_map(|at| chat(scenario, &mut surge, Some(Class::Drafting), at)));
     }
     turns.sort_by_key(|turn| turn.at);
     turns
@@ -68,25 +71,17 @@
     (from_s..from_s + Scenario::SURGE_S).contains(&into_s)
 }
 
-fn add_chats(
-    scenario: &Scenario,
-    rng: &mut Pcg64Mcg,
-    gap_ms: f64,
-    turns: &mut Vec<Turn>,
-    starts: impl Fn(u64) -> bool,
-    class: impl Fn(&Scenario, &mut Pcg64Mcg) -> Class,
-) {
+/// Times at which chats start, in milliseconds, with this mean gap.
+fn starts(scenario: &Scenario, rng: &mut Pcg64Mcg, gap_ms: f64) -> Vec<u64> {
     let end = scenario.duration_s * 1_000;
+    let mut times = Vec::new();
     let mut at = 0.0;
     loop {
         at += -gap_ms * (1.0 - rng.random::<f64>()).ln();
         if at >= end as f64 {
-            return;
-        }
-        let class = class(scenario, rng);
-        if starts(at as u64) {
-            add_chat(scenario, rng, class, at as u64, turns);
+            return times;
         }
+        times.push(at as u64);
     }
 }
 
@@ -101,23 +96,17 @@
     Class::Quick
 }
 
-fn add_chat(
-    scenario: &Scenario,
-    rng: &mut Pcg64Mcg,
-    class: Class,
-    start: u64,
-    turns: &mut Vec<Turn>,
-) {
+/// The turns of one chat, of a random class if none is given.
+fn chat(scenario: &Scenario, rng: &mut Pcg64Mcg, class: Option<Class>, start: u64) -> Vec<Turn> {
+    let class = class.unwrap_or_else(|| random_class(scenario, rng));
     let shape = scenario.deployment.shapes.get(class);
     let chat = ChatKey(rng.next_u64());
     let workspace = workspace(rng);
     let model = rng.random_range(0..scenario.models);
+    let mut turns = Vec::new();
     let mut prompt_tokens = 0;
     let mut at = start;
     for _ in 0..turn_count(shape, rng) {
-        if at >= scenario.duration_s * 1_000 {
-            return;
-        }
         prompt_tokens += within(shape.prompt_tokens, rng);
         let generated_tokens = within(shape.generated_tokens, rng);
         let router = rng.random_range(0..scenario.routers);
@@ -134,6 +123,8 @@
         prompt_tokens += generated_tokens;
         at += u64::from(generated_tokens) * Scenario::TOKEN_MS + pause_ms(rng);
     }
+    turns.retain(|turn| turn.at < scenario.duration_s * 1_000);
+    turns
 }
 
 fn within(range: [u32; 2], rng: &mut Pcg64Mcg) -> u32 {
--- a/crates/persimmon_decide/src/load/admission.rs
+++ b/crates/persimmon_decide/src/load/admission.rs
@@ -110,8 +110,7 @@
         if self.cfg.peers() == 0 {
             return Work(u64::MAX);
         }
-        let per_slot = self.mean.per_slot_told(told_per_slot, now);
-        self.mean.bound(self.cfg.policy(), self.cfg.slots(), per_slot)
+        self.mean.bound(self.cfg.policy(), self.cfg.slots(), told_per_slot, now)
     }
 
     /// Answers an offer at once.
--- a/crates/persimmon_decide/src/load/directory.rs
+++ b/crates/persimmon_decide/src/load/directory.rs
@@ -39,6 +39,10 @@
     /// Age up to which a reported load is used, in milliseconds.
     pub const LOAD_AGE_MS: u64 = 15_000;
 
+    /// Age up to which a reported bound is believed, in milliseconds. A refusal costs a hop, but
+    /// leaving out a holder that has room again costs its cache.
+    pub const BOUND_AGE_MS: u64 = 250;
+
     /// The load that the endpoint is expected to have.
     pub fn expected_work(&self, now: MonoMs) -> Work {
         match self.reported_at {
@@ -52,11 +56,11 @@
         self.expected_work(now).0 as f64 / f64::from(self.slots.max(1))
     }
 
-    /// Whether the endpoint would exceed its bound with `more` work, by the bound that it last
-    /// reported.
+    /// Whether the endpoint would exceed its bound with `more` work, by a report so fresh that
+    /// asking the endpoint itself isn't worth the hop.
     pub fn is_over_bound(&self, more: Work, now: MonoMs) -> bool {
-        let known = self.load.bound > Work::ZERO;
-        known && self.expected_work(now) + more > self.load.bound
+        let fresh = self.reported_at.is_some_and(|at| now.ms_since(at) < Self::BOUND_AGE_MS);
+        fresh && self.expected_work(now) + more > self.load.bound
     }
 
     /// Whether the endpoint is tried only after all others.
--- a/crates/persimmon_decide/src/load/mean_load.rs
+++ b/crates/persimmon_decide/src/load/mean_load.rs
@@ -54,6 +54,9 @@
     /// Least part of the load multiple above one that the floor is worked out from.
     pub const MIN_HEADROOM: f64 = 0.05;
 
+    /// Part of the load multiple above one that is used on a mean that lags.
+    pub const USED_HEADROOM: f64 = 0.8;
+
     /// The most by which a mean told with an offer may exceed the estimate, as a multiple.
     pub const MAX_LIFT: f64 = 1.5;
 
@@ -87,13 +90,21 @@
         decay * self.lower_mean(now)
     }
 
-    /// The estimate in work per slot, given the mean of the endpoints that have just refused a
-    /// request. It may be higher than the reports held, which lag, but without any it doesn't
-    /// count, and an old one does no more harm than [`MeanLoad::MAX_LIFT`] allows.
-    pub fn per_slot_told(&self, told: Option<f64>, now: MonoMs) -> f64 {
+    /// The most that an endpoint with these slots may carry: the load multiple times its share of
+    /// the mean, but never under the floor.
+    ///
+    /// A part of the multiple is kept back, since the mean may fall faster than the load of one
+    /// endpoint. `told_per_slot` is the mean of the endpoints that have just refused a request. It
+    /// doesn't lag, so the whole multiple of it holds; but without reports it doesn't count, and
+    /// an old one does no more harm than [`MeanLoad::MAX_LIFT`] allows.
+    pub fn bound(&self, policy: &Policy, slots: u32, told: Option<f64>, now: MonoMs) -> Work {
         let held = self.per_slot(now);
         let told = told.filter(|told| told.is_finite()).unwrap_or(0.0);
-        held.max(told.min(held * Self::MAX_LIFT))
+        let told = told.min(held * Self::MAX_LIFT);
+        let above_one = policy.load_multiple - 1.0;
+        let usual = held * (1.0 + above_one * Self::USED_HEADROOM);
+        let per_slot = usual.max(told * policy.load_multiple);
+        self.floor(policy).max(Work((per_slot * f64::from(slots)) as u64))
     }
 
     /// The load up to which the multiple isn't applied: `load_floor` requests of the mean work of
@@ -108,13 +119,6 @@
         Work((request * f64::from(policy.load_floor)).max(one_more) as u64)
     }
 
-    /// The most that an endpoint with these slots may carry: `multiple` times its share of the
-    /// mean per slot, but never under the floor.
-    pub fn bound(&self, policy: &Policy, slots: u32, per_slot: f64) -> Work {
-        let share = policy.load_multiple * per_slot * f64::from(slots);
-        self.floor(policy).max(Work(share as u64))
-    }
-
     fn request_work(&self) -> f64 {
         let work: Work = self.entries.values().map(|entry| entry.report.work).sum();
         let requests: u64 = self.entries.values().map(|entry| entry.report.requests()).sum();
--- a/crates/persimmon_decide/src/load/placement.rs
+++ b/crates/persimmon_decide/src/load/placement.rs
@@ -46,7 +46,7 @@
 }
 
 /// Orders endpoints for a request: holders of the chat's prefix that seem to be under their bound,
-/// then the first in rank, then the next few in rank by expected cost. Endpoints that seem to be
+/// then the first few in rank by expected cost, then the others in rank. Endpoints that seem to be
 /// over their bound, and those that are suspect, come after all others; leaving ones are left out.
 ///
 /// ```
@@ -88,8 +88,8 @@
     /// Prompt tokens whose import costs as much as rebuilding one.
     pub const IMPORTED_TOKENS_PER_REBUILT: u32 = 4;
 
-    /// Age at which a holder is taken to have evicted the prefix, in milliseconds.
-    pub const HOLDER_AGE_MS: u64 = 4 * 3_600_000;
+    /// Endpoints in rank of which the cheapest is tried first.
+    pub const SPREAD: usize = 4;
 
     /// Sets how many endpoints are tried for one request, at least one.
     #[must_use]
@@ -163,15 +163,13 @@
     }
 }
 
-/// Orders the endpoints that stand after the first in rank by cost.
+/// Orders the first few in rank, which stand after the holders, by cost.
 fn promote_cheapest(ranked: &mut [Ranked]) {
     let start = ranked.partition_point(|ranked| ranked.tier < Tier::Ranked);
     let end = ranked.partition_point(|ranked| ranked.tier <= Tier::Ranked);
-    let first_is_holder = start > 0;
-    let spill = if first_is_holder { start } else { (start + 1).min(end) };
-    ranked[spill..end].sort_unstable_by(|a, b| a.candidate.cost.total_cmp(&b.candidate.cost));
+    let spread = end.min(start + Placement::SPREAD);
+    ranked[start..spread].sort_unstable_by(|a, b| a.candidate.cost.total_cmp(&b.candidate.cost));
 }
-
 fn candidate(req: &PlaceRequest<'_>, view: &EndpointView, now: MonoMs) -> Candidate {
     let held = |holder: &&Holder| holder.endpoint == view.hash;
     let cached_tokens = req.holders.iter().find(held).map_or(0, |holder| holder.tokens);
--- a/crates/persimmon_decide/src/load/try_order.rs
+++ b/crates/persimmon_decide/src/load/try_order.rs
@@ -8,7 +8,7 @@
     /// The endpoint.
     pub candidate: Candidate,
     /// The mean load per slot of the endpoints that have just refused the request, to be sent
-    /// along with the offer, once enough of them have.
+    /// along with the offer.
     pub told_per_slot: Option<f64>,
 }
 
@@ -19,8 +19,8 @@
 }
 
 /// Walks down the candidates of one request. The refusals' loads are the latest that anybody knows
-/// of the model's endpoints, so they are told to the endpoints tried later; at last the least
-/// loaded ones are tried again with them. Without this, endpoints whose estimate of the mean lags
+/// of the model's endpoints: when every candidate has refused, the least loaded are tried again and
+/// told the mean of those loads. Without this, endpoints whose estimate of the mean lags
 /// behind a growing demand would all refuse it.
 ///
 /// ```
@@ -54,15 +54,15 @@
 
     /// The next endpoint to try, or `None` if the caller has to come back.
     pub fn next_try(&mut self) -> Option<Try> {
-        let told_per_slot = self.told_per_slot();
         if let Some(candidate) = self.candidates.get(self.tried).copied() {
             self.tried += 1;
-            return Some(Try { candidate, told_per_slot });
+            return Some(Try { candidate, told_per_slot: None });
         }
+        let told_per_slot = self.mean_of_refused();
         if told_per_slot.is_none() || self.tried_again >= Self::MAX_AGAIN {
             return None;
         }
-        let candidate = self.least_loaded(self.tried_again)?;
+        let candidate = self.refused.get(self.tried_again)?.candidate;
         self.tried_again += 1;
         Some(Try { candidate, told_per_slot })
     }
@@ -77,11 +77,7 @@
         self.refused.sort_by(|a, b| a.load.work_per_slot().total_cmp(&b.load.work_per_slot()));
     }
 
-    fn least_loaded(&self, nth: usize) -> Option<Candidate> {
-        self.refused.get(nth).map(|refused| refused.candidate)
-    }
-
-    fn told_per_slot(&self) -> Option<f64> {
+    fn mean_of_refused(&self) -> Option<f64> {
         if self.refused.len() < Self::MIN_REFUSED {
             return None;
         }
--- a/crates/persimmon_decide/src/load/work.rs
+++ b/crates/persimmon_decide/src/load/work.rs
@@ -28,10 +28,10 @@
     /// a prompt in parallel but generate one token at a time.
     pub const PROMPT_TOKENS_PER_UNIT: u64 = 8;
 
-    /// The most that one request counts for, about 15 s of one stream at 30 ms a token. A stream
+    /// The most that one request counts for, about 23 s of one stream at 30 ms a token. A stream
     /// that runs for longer burdens its engine for longer, not more, and without this cap one long
     /// draft alone would exceed every multiple of an ordinary mean.
-    pub const HORIZON: Self = Self(512);
+    pub const HORIZON: Self = Self(768);
 
     /// Work that one request of `policy.load_floor` stands for while no peer's report is held.
     pub const PER_FLOOR_REQUEST: Self = Self(256);
