--- a/crates/persimmon_decide/src/membership/mod.rs
+++ b/crates/persimmon_decide/src/membership/mod.rs
@@ -1,7 +1,20 @@
 //! Membership: what processes tell each other about endpoints.
 
+mod digest;
+mod group;
+mod mark;
+#[expect(clippy::module_inception, reason = "the module's main type has its name")]
+mod membership;
 mod node_id;
+mod node_table;
+mod peer_choice;
+mod trust;
+mod urgent_budget;
 mod vm_list;
 
+pub use digest::{Digest, DigestEntry};
+pub use group::GroupId;
+pub use membership::{Membership, Outgoing, OwnState, Received, ToldLoad, incarnation_at};
 pub use node_id::NodeId;
+pub use trust::{Standing, Trust};
 pub use vm_list::{Vm, VmList, VmName, VmRole, VmState};
--- a/crates/persimmon_decide/src/recovery/mod.rs
+++ b/crates/persimmon_decide/src/recovery/mod.rs
@@ -6,6 +6,7 @@
 mod leaving_settings;
 mod retry_budget;
 mod retry_pacer;
+mod suspect_mark;
 
 pub use clocks::Clocks;
 pub use leaving::{Leaving, Phase, Work};
@@ -14,3 +15,4 @@
 pub use retry_budget::RetryBudget;
 pub use retry_pacer::RetryPacer;
 pub(crate) use retry_pacer::scale;
+pub use suspect_mark::{SuspectMark, Suspicion, Verdict};
--- a/crates/persimmon_decide/tests/config_adoption.rs
+++ b/crates/persimmon_decide/tests/config_adoption.rs
@@ -100,7 +100,8 @@
         faulty.sort_unstable();
         let is_good = |set: &RecordSet| !faulty.contains(&set.version());
         let sets: Vec<_> = published.into_iter().map(|(set, _)| set).collect();
-        let good: Vec<_> = sets.iter().filter(|set| is_good(set)).map(|set| set.version()).collect();
+        let good: Vec<_> =
+            sets.iter().filter(|set| is_good(set)).map(RecordSet::version).collect();
         let winner = good.iter().max().copied();
         for order in orders {
             let mut adoption = Adoption::<&str>::default();
--- /dev/null
+++ b/crates/persimmon_decide/tests/membership_spread.rs
@@ -0,0 +1,111 @@
+//! How fast marks spread, what they cost, and partitions that heal.
+
+mod membership_fleet;
+
+use membership_fleet::{Fleet, TODAY, name};
+use persimmon_decide::membership::{Digest, NodeId, VmState};
+use persimmon_records::Generation;
+use rstest::rstest;
+
+/// Control traffic that a node may send, in bytes a second.
+const MAX_BYTES_PER_S: u64 = 3_000;
+/// Time within which a leaving endpoint gets no new work, in milliseconds.
+const LEAVING_MS: u64 = 3_000;
+/// Time within which records are in force everywhere, in milliseconds.
+const RECORDS_MS: u64 = 5_000;
+
+#[rstest]
+fn leaving_reaches_every_router(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut fleet = Fleet::new(TODAY, seed);
+    fleet.run_ms(10_000);
+    let left = TODAY.routers + seed as usize;
+    fleet.leave(left);
+    let took = fleet.run_until(LEAVING_MS, |fleet| fleet.informed_routers(left) == TODAY.routers);
+    assert!(took.is_some(), "{} of {} know", fleet.informed_routers(left), TODAY.routers);
+}
+
+#[rstest]
+fn records_reach_everyone(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut fleet = Fleet::new(TODAY, seed);
+    fleet.run_ms(10_000);
+    let mut records = TODAY.records();
+    records.generation = Generation(2);
+    let version = records.version();
+    fleet.adopt(seed as usize, version);
+    let took = fleet.run_until(RECORDS_MS, |fleet| {
+        fleet.states.iter().all(|state| state.records == Some(version))
+    });
+    assert!(took.is_some());
+}
+
+#[test]
+fn traffic_stays_within_limit_while_all_leave() {
+    let mut fleet = Fleet::new(TODAY, 6);
+    for index in 0..TODAY.nodes() {
+        fleet.leave(index);
+        fleet.run_ms(1_000);
+    }
+    let most = fleet.sent_bytes.iter().max().unwrap() / TODAY.nodes() as u64;
+    assert!(most <= MAX_BYTES_PER_S, "{most} B/s");
+}
+
+#[test]
+fn sidecar_knows_fresh_loads_of_its_group() {
+    const FRESH_MS: u64 = 5_000;
+    const WANTED: usize = 8;
+    let mut fleet = Fleet::new(TODAY, 7);
+    fleet.run_ms(20_000);
+    for observer in TODAY.routers..TODAY.nodes() {
+        let is_peer =
+            |index: &usize| *index != observer && TODAY.model(*index) == TODAY.model(observer);
+        let load = |index| fleet.nodes[observer].load(NodeId::of(&name(index)));
+        let loads = (TODAY.routers..TODAY.nodes()).filter(is_peer).filter_map(load);
+        let fresh = loads.filter(|load| fleet.now.ms_since(load.measured_at) <= FRESH_MS).count();
+        assert!(fresh >= WANTED, "node {observer} knows {fresh}");
+    }
+}
+
+/// The two halves lose each other, one endpoint leaves in each, and the halves meet again.
+#[rstest]
+#[case::short(30_000)]
+#[case::longer_than_changes_are_told(120_000)]
+fn partition_converges_when_healed(#[case] parted_ms: u64) {
+    let mut fleet = Fleet::new(TODAY, 8);
+    fleet.run_ms(10_000);
+    fleet.side = Some(|index| index % 2 == 0);
+    let (even, odd) = (TODAY.routers + 1, TODAY.routers + 2);
+    fleet.leave(even);
+    fleet.leave(odd);
+    fleet.run_ms(parted_ms);
+    let knows = |fleet: &Fleet, left| {
+        (0..TODAY.nodes()).filter(|node| *node != left && fleet.knows_left(*node, left)).count()
+    };
+    assert!(knows(&fleet, even) < TODAY.nodes() - 1, "the halves weren't parted");
+
+    fleet.side = None;
+    let took = fleet.run_until(15_000, |fleet| {
+        [even, odd].iter().all(|left| knows(fleet, *left) == TODAY.nodes() - 1)
+    });
+    assert!(took.is_some(), "{} and {} know", knows(&fleet, even), knows(&fleet, odd));
+}
+
+#[test]
+fn vm_lists_merge_upwards() {
+    let mut fleet = Fleet::new(TODAY, 9);
+    let left = TODAY.routers;
+    let mut newer = TODAY.vms(3);
+    newer.vms[left].state = VmState::Leaving;
+    fleet.nodes[0].follow_vms(newer.clone(), fleet.now);
+    assert!(fleet.knows_left(0, left));
+    fleet.nodes[0].follow_vms(TODAY.vms(2), fleet.now);
+    assert!(fleet.knows_left(0, left), "a stale list undid a newer one");
+
+    let digest = |fleet: &mut Fleet, index: usize| -> Digest {
+        let state = fleet.states[index];
+        fleet.nodes[index].tick(state, fleet.now, 1).unwrap().digest
+    };
+    let ahead = digest(&mut fleet, 0);
+    let behind = digest(&mut fleet, 1);
+    assert!(fleet.nodes[1].receive(&ahead, fleet.now).has_newer_vms);
+    assert!(!fleet.nodes[0].receive(&behind, fleet.now).has_newer_vms);
+}
