--- a/crates/persimmon_records/src/lib.rs
+++ b/crates/persimmon_records/src/lib.rs
@@ -23,6 +23,7 @@
 mod record_set;
 mod set_digests;
 mod time;
+mod warning;
 mod workspace;
 
 pub use adopt_error::AdoptError;
@@ -43,4 +44,5 @@
 pub use publication::{Part, Publication};
 pub use record_set::{Generation, RecordSet, SchemaVersion};
 pub use time::UnixMs;
+pub use warning::{Warning, WarningKind};
 pub use workspace::{Limits, Workspace, WorkspaceBuilder};
--- /dev/null
+++ b/crates/persimmon_records/src/warning.rs
@@ -0,0 +1,131 @@
+//! What an operator probably didn't mean, though it is no fault of the set.
+
+use std::collections::HashSet;
+use std::fmt;
+
+use thiserror::Error;
+
+use crate::{
+    Class, Endpoint, EndpointName, Place, RecordKind, RecordSet, Serves, UnixMs, Workspace,
+};
+
+/// What a warning is about, and the remedy.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum WarningKind {
+    /// The workspace's record has ended.
+    #[error("has passed, so its callers are refused; extend it or remove the workspace")]
+    Expired,
+    /// The endpoint's loan has ended.
+    #[error("has passed, so the endpoint takes no work; extend the loan or remove the endpoint")]
+    LoanEnded,
+    /// Nobody can call as the workspace.
+    #[error("is empty, so nobody can call; add a digest from `persimmonctl digest`")]
+    NoKeys,
+    /// The workspace may use nothing.
+    #[error("may use no model and no service; add one or remove the workspace")]
+    NothingToUse,
+    /// A limit of 0 closes a class, or the whole workspace.
+    #[error("is 0, so its requests are refused; raise it if that isn't meant")]
+    Closed,
+    /// No endpoint that takes work serves this to the workspace.
+    #[error("{0} has no endpoint that takes work from this workspace; add one or extend a loan")]
+    Unserved(String),
+}
+
+/// A warning and its place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Warning {
+    /// Where it is.
+    pub place: Place,
+    /// What it is.
+    pub kind: WarningKind,
+}
+
+impl fmt::Display for Warning {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.kind)
+    }
+}
+
+impl RecordSet {
+    /// What an operator probably didn't mean, judged at `now`.
+    pub fn warnings(&self, now: UnixMs) -> Vec<Warning> {
+        let mut warnings = Vec::new();
+        let ended = |endpoint: &Endpoint| endpoint.loan_ends_at.is_some_and(|ends| ends <= now);
+        for endpoint in self.endpoints.iter().filter(|endpoint| ended(endpoint)) {
+            let place = Place::of(RecordKind::Endpoint).with_name(endpoint.name.as_str());
+            let place = place.with_field("loan_ends_at");
+            warnings.push(Warning { place, kind: WarningKind::LoanEnded });
+        }
+        let takes_work = |endpoint: &&Endpoint| !endpoint.draining && !ended(endpoint);
+        let serving: Vec<_> = self.endpoints.iter().filter(takes_work).collect();
+        let offered = serving.iter().map(|endpoint| &endpoint.serves).collect();
+        for workspace in &self.workspaces {
+            let place = Place::of(RecordKind::Workspace).with_name(workspace.name.as_str());
+            let mut judge = Judge { place, warnings: &mut warnings };
+            judge.workspace(workspace, now);
+            judge.targets(workspace, &serving, &offered);
+        }
+        warnings
+    }
+}
+
+/// Judges one workspace.
+struct Judge<'a> {
+    place: Place,
+    warnings: &'a mut Vec<Warning>,
+}
+
+impl Judge<'_> {
+    fn warn(&mut self, field: &str, kind: WarningKind) {
+        let place = self.place.clone().with_field(field);
+        self.warnings.push(Warning { place, kind });
+    }
+
+    fn workspace(&mut self, workspace: &Workspace, now: UnixMs) {
+        if workspace.expires_at.is_some_and(|at| at <= now) {
+            self.warn("expires_at", WarningKind::Expired);
+        }
+        if workspace.key_digests.is_empty() {
+            self.warn("key_digests", WarningKind::NoKeys);
+        }
+        if workspace.models.is_empty() && workspace.services.is_empty() {
+            self.warn("models", WarningKind::NothingToUse);
+        }
+        for class in Class::ALL {
+            if workspace.limits.get(class).is_closed() {
+                self.warn(&format!("limits.{}", class.as_str()), WarningKind::Closed);
+            }
+        }
+        if workspace.total_limits.is_some_and(|limits| limits.is_closed()) {
+            self.warn("total_limits", WarningKind::Closed);
+        }
+    }
+
+    fn targets(
+        &mut self,
+        workspace: &Workspace,
+        serving: &[&Endpoint],
+        offered: &HashSet<&Serves>,
+    ) {
+        let models = workspace.models.iter().cloned().map(Serves::Model);
+        let services = workspace.services.iter().cloned().map(Serves::Service);
+        let allowed: HashSet<&EndpointName> = workspace.endpoints.iter().collect();
+        for target in models.chain(services) {
+            let served = if allowed.is_empty() {
+                offered.contains(&target)
+            } else {
+                let mut usable = serving.iter().filter(|endpoint| allowed.contains(&endpoint.name));
+                usable.any(|endpoint| endpoint.serves == target)
+            };
+            if served {
+                continue;
+            }
+            let (field, name) = match &target {
+                Serves::Model(model) => ("models", model.as_str()),
+                Serves::Service(service) => ("services", service.as_str()),
+            };
+            self.warn(field, WarningKind::Unserved(name.to_owned()));
+        }
+    }
+}
--- a/crates/persimmon_records/src/workspace.rs
+++ b/crates/persimmon_records/src/workspace.rs
@@ -16,6 +16,13 @@
     pub in_progress: u32,
 }
 
+impl Limits {
+    /// Whether nothing gets through.
+    pub fn is_closed(&self) -> bool {
+        self.requests_per_second == 0 || self.in_progress == 0
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self { requests_per_second: 100, in_progress: 64 }
--- /dev/null
+++ b/crates/persimmonctl/src/fleet.rs
@@ -0,0 +1,140 @@
+//! Asks processes of the fleet for their status.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::num::NonZeroUsize;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Processes asked at once.
+const ASKED_AT_ONCE: NonZeroUsize = NonZeroUsize::new(16).unwrap();
+
+/// Bytes of one status page.
+const MAX_STATUS_BYTES: u64 = 262_144;
+
+/// Bytes of the head of one status page.
+const MAX_HEAD_BYTES: usize = 16_384;
+
+/// What one process says of itself.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct ProcessStatus {
+    pub(crate) role: String,
+    pub(crate) name: String,
+    pub(crate) zone: String,
+    pub(crate) generation: u64,
+    pub(crate) records_source: String,
+    pub(crate) leaving: bool,
+    pub(crate) load: Load,
+    #[serde(default)]
+    pub(crate) quarantined: Vec<String>,
+    pub(crate) outcomes: Outcomes,
+    #[serde(default)]
+    pub(crate) refused_records: Option<String>,
+}
+
+/// The load of one process.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Load {
+    pub(crate) running: u64,
+    pub(crate) waiting: u64,
+    pub(crate) mean: f64,
+}
+
+/// How requests ended in one process.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Outcomes {
+    pub(crate) done: u64,
+    pub(crate) not_run: u64,
+    pub(crate) unknown: u64,
+}
+
+/// Why a process gave no status.
+#[derive(Debug, Error)]
+pub(crate) enum AskError {
+    /// No answer came.
+    #[error("no answer: {0}; check that the process runs and that this is its ops address")]
+    NoAnswer(#[from] minreq::Error),
+    /// The answer isn't a status page.
+    #[error("answered with HTTP status {0}; check that this is its ops address")]
+    Refused(u16),
+    /// The page can't be read.
+    #[error("its status page can't be read: {0}; check that tool and daemon are of one version")]
+    Unreadable(String),
+}
+
+/// The answers of the fleet at one time, by address.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) answers: BTreeMap<SocketAddr, Result<ProcessStatus, AskError>>,
+}
+
+impl Fleet {
+    /// Asks every process at `addresses`, each for at most `timeout_s` seconds.
+    pub(crate) fn ask(addresses: &[SocketAddr], timeout_s: u64) -> Self {
+        let next = AtomicUsize::new(0);
+        let ask_some = || {
+            let mut answers = Vec::new();
+            while let Some(address) = addresses.get(next.fetch_add(1, Ordering::Relaxed)) {
+                answers.push((*address, ask_one(*address, timeout_s)));
+            }
+            answers
+        };
+        let workers = ASKED_AT_ONCE.get().min(addresses.len());
+        let answers = thread::scope(|scope| {
+            let threads: Vec<_> = (0..workers).map(|_| scope.spawn(ask_some)).collect();
+            threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
+        });
+        Self { answers }
+    }
+
+    /// The processes that answered.
+    pub(crate) fn processes(&self) -> impl Iterator<Item = &ProcessStatus> {
+        self.answers.values().flatten()
+    }
+
+    /// The processes that didn't, and why.
+    pub(crate) fn unreachable(&self) -> impl Iterator<Item = (&SocketAddr, &AskError)> {
+        self.answers.iter().filter_map(|(address, answer)| Some((address, answer.as_ref().err()?)))
+    }
+
+    /// What operators should look at, one sentence each.
+    pub(crate) fn findings(&self) -> Vec<String> {
+        let mut findings = Vec::new();
+        let newest = self.processes().map(|process| process.generation).max().unwrap_or(0);
+        for process in self.processes() {
+            let name = &process.name;
+            if process.generation < newest {
+                let generation = process.generation;
+                findings.push(format!("{name} has generation {generation} in force, not {newest}"));
+            }
+            if let Some(reason) = &process.refused_records {
+                findings.push(format!("{name} refused records: {reason}"));
+            }
+            if !process.quarantined.is_empty() {
+                let count = process.quarantined.len();
+                findings.push(format!("{name} quarantines {count} request(s)"));
+            }
+        }
+        findings
+    }
+}
+
+fn ask_one(address: SocketAddr, timeout_s: u64) -> Result<ProcessStatus, AskError> {
+    let response = minreq::get(format!("http://{address}/status"))
+        .with_timeout(timeout_s)
+        .with_max_headers_size(MAX_HEAD_BYTES)
+        .with_max_status_line_length(MAX_HEAD_BYTES)
+        .with_follow_redirects(false)
+        .send_lazy()?;
+    if response.status_code != 200 {
+        return Err(AskError::Refused(response.status_code as u16));
+    }
+    let mut page = Vec::new();
+    let read = response.take(MAX_STATUS_BYTES).read_to_end(&mut page);
+    read.map_err(|err| AskError::Unreadable(err.to_string()))?;
+    serde_json::from_slice(&page).map_err(|err| AskError::Unreadable(err.to_string()))
+}
--- /dev/null
+++ b/crates/persimmonctl/src/publish_form.rs
@@ -0,0 +1,91 @@
+//! `publish-form`: writes the values that an operator publishes for a record set.
+
+use std::fs;
+use std::path::Path;
+
+use persimmon_records::{Head, Publication, RECORDS_KEY, RecordSet};
+
+use crate::args::{Args, Flag};
+use crate::command::{Command, CommandError};
+use crate::records_file::{HEAD_FILE, PARTS_DIRECTORY, RecordsFile, part_file};
+use crate::report::Report;
+
+/// The command.
+pub(crate) const COMMAND: Command = Command {
+    name: "publish-form",
+    operands: &["FILE"],
+    summary: "writes the head and parts of a set to a directory, to be published by other means",
+    flags: &[
+        Flag::value("out", "DIRECTORY", "an existing directory to write head.json and parts/ to"),
+        Flag::value("previous", "DIRECTORY", "the directory of the publication now in force"),
+    ],
+    run,
+};
+
+fn run(mut args: Args) -> Result<Report, CommandError> {
+    let file = args.operand("FILE");
+    let out: Option<String> = args.required("out");
+    let previous: Option<String> = args.optional("previous");
+    let (file, out) = args.finish(file.zip(out))?;
+    let set = RecordsFile::read(&file)?.set;
+    let publication = match &previous {
+        None => Publication::first(&set),
+        Some(previous) => follow(previous, &set)?,
+    };
+    verify(&publication.head, Path::new(&file))?;
+    let report = write(&publication, Path::new(&out))?;
+    if let Some(previous) = previous {
+        keep_parts(&publication.head, Path::new(&previous), Path::new(&out))?;
+    }
+    Ok(report)
+}
+
+/// Copies the parts that the head still names, so that `out` holds the whole publication.
+fn keep_parts(head: &Head, previous: &Path, out: &Path) -> Result<(), CommandError> {
+    for digest in &head.parts {
+        let (from, to) = (part_file(previous, digest), part_file(out, digest));
+        if !to.exists() {
+            fs::copy(&from, &to).map_err(|source| CommandError::Write { path: to, source })?;
+        }
+    }
+    Ok(())
+}
+
+/// The publication of `set` after the one in `directory`.
+fn follow(directory: &str, set: &RecordSet) -> Result<Publication, CommandError> {
+    let path = Path::new(directory).join(HEAD_FILE);
+    let previous = RecordsFile::read(&path.to_string_lossy())?;
+    let Some(head) = previous.head else {
+        let message = format!("{} holds a whole set; leave --previous out", path.display());
+        return Err(CommandError::Mismatch(message));
+    };
+    Publication::next(&head, &previous.set, set)
+        .map_err(|source| CommandError::Adopt { path, source })
+}
+
+/// Reads the head as a process will, so that nothing is written that the fleet would refuse.
+fn verify(head: &Head, path: &Path) -> Result<(), CommandError> {
+    let read = Head::parse(&head.to_text());
+    read.map(drop).map_err(|errors| CommandError::Records { path: path.into(), errors })
+}
+
+fn write(publication: &Publication, out: &Path) -> Result<Report, CommandError> {
+    let parts = out.join(PARTS_DIRECTORY);
+    fs::create_dir_all(&parts)
+        .map_err(|source| CommandError::Write { path: parts.clone(), source })?;
+    let mut text = "publish in this order, each file as the value of its key:\n".to_owned();
+    for part in &publication.new_parts {
+        let file = part_file(out, part.digest);
+        write_file(&file, &part.text)?;
+        text.push_str(&format!("{} <- {}\n", part.key(), file.display()));
+    }
+    let file = out.join(HEAD_FILE);
+    let head = publication.head.to_text();
+    write_file(&file, &head)?;
+    text.push_str(&format!("{RECORDS_KEY} <- {} ({} bytes)\n", file.display(), head.len()));
+    Ok(Report::ok(text))
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), CommandError> {
+    fs::write(path, text).map_err(|source| CommandError::Write { path: path.into(), source })
+}
