--- a/crates/persimmon_records/examples/letter_size.rs
+++ b/crates/persimmon_records/examples/letter_size.rs
@@ -36,6 +36,8 @@
 
     let (digest, digest_ms) = timed(|| set.digest());
     println!("digest of the whole set {} in {digest_ms:.2} ms", digest.short());
+    println!("copy of the index in {:.2} ms", timed(|| black_box(index.clone())).1);
+    println!("check of the whole set in {:.2} ms", timed(|| set.check().expect("sound")).1);
     let lookups = timed(|| look_up(&index)).1 * 1e6 / LOOKUPS as f64;
     println!("look-up by key: {lookups:.0} ns");
 
