Bound what reading a faulty text keeps

Cause: a text of many tiny fields, entries or faults made a process keep far more than the text's own size, beside a budget of 32 MB. Change: at most 64 fields of an object, 8,800 entries of a list and 1,000 faults are kept; the others are counted and reported as such.

--- a/crates/persimmon_records/examples/letter_size.rs
+++ b/crates/persimmon_records/examples/letter_size.rs
@@ -29,6 +29,7 @@
     let (index, parse_ms) = timed(|| RecordIndex::new(RecordSet::parse(&text).expect("sound")));
     println!("read, checked and indexed in {parse_ms:.1} ms");
     println!("resident bytes grown by reading and indexing: {}", resident_bytes() - before);
+    println!("  at the peak: {}", peak_bytes() - before);
     let copies: Vec<_> = (0..COPIES).map(|_| index.clone()).collect();
     let grown = resident_bytes() - before;
     println!("resident bytes of each of {COPIES} copies: {}", grown / (COPIES + 1));
@@ -137,8 +138,17 @@
 
 /// The process's resident memory as the kernel counts it.
 fn resident_bytes() -> usize {
+    kernel_figure("VmRSS:")
+}
+
+/// The most resident memory that the process ever had.
+fn peak_bytes() -> usize {
+    kernel_figure("VmHWM:")
+}
+
+fn kernel_figure(name: &str) -> usize {
     let status = std::fs::read_to_string("/proc/self/status").expect("a Linux machine");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("a resident size");
+    let line = status.lines().find(|line| line.starts_with(name)).expect("a resident size");
     let kib = line.split_whitespace().nth(1).and_then(|kib| kib.parse::<usize>().ok());
     kib.expect("a number") * 1024
 }
--- a/crates/persimmon_records/src/bounds.rs
+++ b/crates/persimmon_records/src/bounds.rs
@@ -37,3 +37,12 @@
 /// Bytes of a head whose newest generation alone changes many records. Reading it once costs less
 /// than reading the parts.
 pub const BULK_BYTES: usize = 200_000;
+
+/// Faults that one reading keeps; the others are counted.
+pub const MAX_FAULTS: usize = 1_000;
+
+/// Fields of one object that are read.
+pub(crate) const MAX_FIELDS: usize = 64;
+
+/// Entries of one list that are read; no list may have more.
+pub(crate) const MAX_LIST_ENTRIES: usize = MAX_WORKSPACES;
--- a/crates/persimmon_records/src/fault.rs
+++ b/crates/persimmon_records/src/fault.rs
@@ -4,7 +4,7 @@
 
 use thiserror::Error;
 
-use crate::{EndpointName, MAX_NAME_CHARS, ModelName, ServiceName, WorkspaceName};
+use crate::{EndpointName, MAX_FAULTS, MAX_NAME_CHARS, ModelName, ServiceName, WorkspaceName};
 
 /// Characters of a published text that a fault repeats.
 const MAX_ECHO_CHARS: usize = 120;
@@ -257,8 +257,10 @@
 /// Every fault of a published text, by kind of record and position.
 #[derive(Debug, Clone, PartialEq, Error)]
 pub struct RecordErrors {
-    /// The faults, at least one.
+    /// The faults, at least one and at most [`MAX_FAULTS`].
     pub faults: Vec<Fault>,
+    /// Faults beyond those.
+    pub omitted: usize,
 }
 
 impl RecordErrors {
@@ -266,7 +268,7 @@
     pub fn summary(&self) -> String {
         let first: Vec<_> = self.faults.iter().take(SUMMARY_FAULTS).map(Fault::to_string).collect();
         let shown = first.join("; also ");
-        match self.faults.len().saturating_sub(SUMMARY_FAULTS) {
+        match self.faults.len().saturating_sub(SUMMARY_FAULTS) + self.omitted {
             0 => shown,
             more => format!("{shown}; and {more} more, listed by `persimmonctl check`"),
         }
@@ -281,36 +283,47 @@
             }
             write!(f, "{fault}")?;
         }
+        if self.omitted > 0 {
+            write!(f, "\nand {} more faults; correct these first", self.omitted)?;
+        }
         Ok(())
     }
 }
 
 /// Collects faults while a text is read.
 #[derive(Debug, Default)]
-pub(crate) struct Faults(Vec<Fault>);
+pub(crate) struct Faults {
+    faults: Vec<Fault>,
+    omitted: usize,
+}
 
 impl Faults {
     pub(crate) fn push(&mut self, place: Place, kind: FaultKind) {
-        self.0.push(Fault { place, kind });
+        if self.faults.len() < MAX_FAULTS {
+            self.faults.push(Fault { place, kind });
+        } else {
+            self.omitted += 1;
+        }
     }
 
     /// Every fault by kind and position, if there was one.
-    pub(crate) fn into_result(mut self) -> Result<(), RecordErrors> {
-        if self.0.is_empty() {
-            return Ok(());
-        }
-        self.0.sort_by_key(|fault| (fault.place.kind, fault.place.index));
-        Err(RecordErrors { faults: self.0 })
+    pub(crate) fn into_result(self) -> Result<(), RecordErrors> {
+        if self.faults.is_empty() { Ok(()) } else { Err(self.into_errors()) }
     }
 
     /// `value` if there was no fault; a reader that returns none has reported why.
     pub(crate) fn finish<T>(self, value: Option<T>) -> Result<T, RecordErrors> {
-        debug_assert!(value.is_some() || !self.0.is_empty());
+        debug_assert!(value.is_some() || !self.faults.is_empty());
         match value {
-            Some(value) => self.into_result().map(|()| value),
-            None => Err(RecordErrors { faults: self.0 }),
+            Some(value) if self.faults.is_empty() => Ok(value),
+            _ => Err(self.into_errors()),
         }
     }
+
+    fn into_errors(mut self) -> RecordErrors {
+        self.faults.sort_by_key(|fault| (fault.place.kind, fault.place.index));
+        RecordErrors { faults: self.faults, omitted: self.omitted }
+    }
 }
 
 /// The start of a published text, short enough for a message.
--- a/crates/persimmon_records/src/read/fields.rs
+++ b/crates/persimmon_records/src/read/fields.rs
@@ -3,11 +3,12 @@
 use std::borrow::Cow;
 use std::fmt;
 
-use serde::de::{Deserialize, Deserializer, MapAccess, Visitor};
+use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
 use serde_json::value::RawValue;
 
-use crate::fault::echo;
-use crate::{FaultKind, Place, RecordKind, fault::Faults};
+use crate::bounds::{MAX_FIELDS, MAX_LIST_ENTRIES};
+use crate::fault::{Faults, echo};
+use crate::{FaultKind, Place, RecordKind};
 
 /// The fields of one object that haven't been taken yet.
 #[derive(Debug)]
@@ -30,13 +31,15 @@
         faults: &mut Faults,
     ) -> Option<Self> {
         match serde_json::from_str::<Entries<'a>>(text) {
-            Ok(entries) => Some(Self { place, prefix, entries: entries.0 }),
+            Ok(Entries { entries, found }) => {
+                if found > MAX_FIELDS {
+                    let kind = FaultKind::TooMany { found, max: MAX_FIELDS };
+                    faults.push(object_place(place.clone(), &prefix), kind);
+                }
+                Some(Self { place, prefix, entries })
+            }
             Err(error) if error.is_data() => {
-                let at = if prefix.is_empty() {
-                    place
-                } else {
-                    place.with_field(prefix.trim_end_matches('.'))
-                };
+                let at = object_place(place, &prefix);
                 faults.push(at, FaultKind::wrong_value(&error, "an object"));
                 None
             }
@@ -112,19 +115,33 @@
         }
     }
 
-    /// Takes the entries of the list `name`; an absent list is empty.
-    pub(crate) fn list(&mut self, name: &str, faults: &mut Faults) -> Vec<&'a RawValue> {
-        self.optional(name, "a list", faults).unwrap_or_default()
+    /// Takes the entries of the list `name`, the first `max` of them if there are more, which is a
+    /// fault; an absent list is empty.
+    pub(crate) fn list(
+        &mut self,
+        name: &str,
+        max: usize,
+        faults: &mut Faults,
+    ) -> Vec<&'a RawValue> {
+        let Some(mut list) = self.optional::<List<'a>>(name, "a list", faults) else {
+            return Vec::new();
+        };
+        if list.found > max {
+            faults.push(self.place(name), FaultKind::TooMany { found: list.found, max });
+            list.entries.truncate(max);
+        }
+        list.entries
     }
 
     /// Takes the list `name` of values that read alike, passing over entries with faults.
     pub(crate) fn values<T: Deserialize<'a>>(
         &mut self,
         name: &str,
+        max: usize,
         expected: &'static str,
         faults: &mut Faults,
     ) -> Vec<T> {
-        let list = self.list(name, faults);
+        let list = self.list(name, max, faults);
         let mut values = Vec::with_capacity(list.len());
         for (i, raw) in list.into_iter().enumerate() {
             match serde_json::from_str(raw.get()) {
@@ -153,14 +170,22 @@
     }
 }
 
-/// An object's entries in the order of the text, with repeated names kept.
-#[derive(Debug)]
-struct Entries<'a>(Vec<(Cow<'a, str>, &'a RawValue)>);
+/// The place of the object whose fields begin with `prefix`.
+fn object_place(place: Place, prefix: &str) -> Place {
+    if prefix.is_empty() { place } else { place.with_field(prefix.trim_end_matches('.')) }
+}
 
 /// A field's name, borrowed from the text unless it has escapes.
 #[derive(Debug, serde::Deserialize)]
 struct FieldName<'a>(#[serde(borrow)] Cow<'a, str>);
 
+/// An object's first entries in the order of the text, with repeated names kept.
+#[derive(Debug)]
+struct Entries<'a> {
+    entries: Vec<(Cow<'a, str>, &'a RawValue)>,
+    found: usize,
+}
+
 impl<'de> Deserialize<'de> for Entries<'de> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         deserializer.deserialize_map(EntriesVisitor)
@@ -178,10 +203,49 @@
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Self::Value, A::Error> {
         let mut entries = Vec::new();
+        let mut found = 0;
         while let Some((name, value)) = map.next_entry::<FieldName<'de>, &'de RawValue>()? {
-            entries.push((name.0, value));
+            found += 1;
+            if found <= MAX_FIELDS {
+                entries.push((name.0, value));
+            }
+        }
+        Ok(Entries { entries, found })
+    }
+}
+
+/// A list's first entries.
+#[derive(Debug)]
+struct List<'a> {
+    entries: Vec<&'a RawValue>,
+    found: usize,
+}
+
+impl<'de> Deserialize<'de> for List<'de> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_seq(ListVisitor)
+    }
+}
+
+struct ListVisitor;
+
+impl<'de> Visitor<'de> for ListVisitor {
+    type Value = List<'de>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a list")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+        let mut entries = Vec::new();
+        let mut found = 0;
+        while let Some(entry) = seq.next_element::<&'de RawValue>()? {
+            found += 1;
+            if found <= MAX_LIST_ENTRIES {
+                entries.push(entry);
+            }
         }
-        Ok(Entries(entries))
+        Ok(List { entries, found })
     }
 }
 
--- a/crates/persimmon_records/src/read/head.rs
+++ b/crates/persimmon_records/src/read/head.rs
@@ -48,14 +48,10 @@
 }
 
 fn read_parts(fields: &mut Fields<'_>, faults: &mut Faults) -> Vec<Digest> {
-    let parts: Vec<Digest> = fields.values("parts", "64 hexadecimal digits", faults);
-    let found = parts.len();
-    if found == 0 {
+    let parts: Vec<Digest> = fields.values("parts", MAX_PARTS, "64 hexadecimal digits", faults);
+    if parts.is_empty() {
         faults.push(fields.place("parts"), FaultKind::MissingField);
     }
-    if found > MAX_PARTS {
-        faults.push(fields.place("parts"), FaultKind::TooMany { found, max: MAX_PARTS });
-    }
     parts
 }
 
@@ -75,12 +71,7 @@
     }
     let version = read_set_version(fields, faults);
     let after: Option<Generation> = fields.required("after", "a whole number", faults);
-    let list = fields.list("changes", faults);
-    if list.len() > MAX_CHANGES {
-        let kind = FaultKind::TooMany { found: list.len(), max: MAX_CHANGES };
-        faults.push(fields.place("changes"), kind);
-        return None;
-    }
+    let list = fields.list("changes", MAX_CHANGES, faults);
     let mut changes = Vec::with_capacity(list.len());
     for (i, raw) in list.into_iter().enumerate() {
         changes.extend(read_change(raw, i, faults));
--- a/crates/persimmon_records/src/read/set.rs
+++ b/crates/persimmon_records/src/read/set.rs
@@ -44,8 +44,8 @@
     {
         draft.set.policy = read_policy(policy, faults);
     }
-    draft.read_endpoints(bounded_list(&mut fields, "endpoints", MAX_ENDPOINTS, faults), faults);
-    draft.read_workspaces(bounded_list(&mut fields, "workspaces", MAX_WORKSPACES, faults), faults);
+    draft.read_endpoints(fields.list("endpoints", MAX_ENDPOINTS, faults), faults);
+    draft.read_workspaces(fields.list("workspaces", MAX_WORKSPACES, faults), faults);
     fields.close(faults);
     Some(draft)
 }
@@ -59,21 +59,6 @@
     version
 }
 
-/// The list `name`, cut at `max` entries with a fault if it is longer.
-fn bounded_list<'a>(
-    fields: &mut Fields<'a>,
-    name: &str,
-    max: usize,
-    faults: &mut Faults,
-) -> Vec<&'a RawValue> {
-    let mut list = fields.list(name, faults);
-    if list.len() > max {
-        faults.push(fields.place(name), FaultKind::TooMany { found: list.len(), max });
-        list.truncate(max);
-    }
-    list
-}
-
 impl SetDraft {
     fn read_endpoints(&mut self, list: Vec<&RawValue>, faults: &mut Faults) {
         for (i, raw) in list.into_iter().enumerate() {
--- a/crates/persimmon_records/src/read/workspace.rs
+++ b/crates/persimmon_records/src/read/workspace.rs
@@ -2,7 +2,10 @@
 
 use crate::fault::Faults;
 use crate::read::fields::Fields;
-use crate::{FaultKind, KeyDigest, Limits, PerClass, SchemaVersion, Workspace, WorkspaceName};
+use crate::{
+    FaultKind, KeyDigest, Limits, MAX_WORKSPACE_KEYS, MAX_WORKSPACE_NAMES, PerClass, SchemaVersion,
+    Workspace, WorkspaceName,
+};
 
 /// Limits of a workspace as the domain types hold them.
 #[derive(Debug, Default)]
@@ -23,9 +26,10 @@
         fields.set_name(name.as_str());
     }
     let key_digests = read_key_digests(&mut fields, faults);
-    let models = fields.values("models", "the name of a model", faults);
-    let services = fields.values("services", "the name of a service", faults);
-    let endpoints = fields.values("endpoints", "the name of an endpoint", faults);
+    let models = fields.values("models", MAX_WORKSPACE_NAMES, "the name of a model", faults);
+    let services = fields.values("services", MAX_WORKSPACE_NAMES, "the name of a service", faults);
+    let endpoints =
+        fields.values("endpoints", MAX_WORKSPACE_NAMES, "the name of an endpoint", faults);
     let limits = match version {
         SchemaVersion::V1 => read_limits_v1(&mut fields, faults),
         SchemaVersion::V2 => read_limits_v2(&mut fields, faults),
@@ -51,7 +55,7 @@
     if !fields.has("key_digests") {
         faults.push(fields.place("key_digests"), FaultKind::MissingField);
     }
-    let list = fields.list("key_digests", faults);
+    let list = fields.list("key_digests", MAX_WORKSPACE_KEYS, faults);
     let mut digests = Vec::with_capacity(list.len());
     for (i, raw) in list.into_iter().enumerate() {
         match serde_json::from_str(raw.get()) {
--- a/crates/persimmon_records/tests/parse.rs
+++ b/crates/persimmon_records/tests/parse.rs
@@ -1,9 +1,9 @@
 //! Reading record sets: each fault with its place, both schema versions, arbitrary text.
 
 use persimmon_records::{
-    Class, EndpointBuilder, FaultKind, Generation, Limits, MAX_ENDPOINTS, MAX_SET_BYTES,
-    MAX_WORKSPACE_KEYS, MAX_WORKSPACES, Policy, RecordErrors, RecordSet, SchemaVersion, Serves,
-    WorkspaceBuilder,
+    Class, EndpointBuilder, FaultKind, Generation, Limits, MAX_ENDPOINTS, MAX_FAULTS,
+    MAX_SET_BYTES, MAX_WORKSPACE_KEYS, MAX_WORKSPACES, Policy, RecordErrors, RecordSet,
+    SchemaVersion, Serves, WorkspaceBuilder,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -182,7 +182,7 @@
         .collect();
     let parsed = RecordSet::parse(&set.to_text()).unwrap_err();
     let checked = set.check().unwrap_err();
-    for RecordErrors { faults } in [parsed, checked] {
+    for RecordErrors { faults, .. } in [parsed, checked] {
         let too_many = |fault: &&_| matches!(fault, FaultKind::TooMany { .. });
         assert_eq!(faults.iter().map(|fault| &fault.kind).filter(too_many).count(), 2);
         assert_eq!(faults.len(), 2);
@@ -242,6 +242,28 @@
     assert!(RecordSet::parse(&set_of("", workspace, "")).is_ok());
 }
 
+/// Faults, fields and entries that are kept stay bounded, and those beyond are counted.
+#[test]
+fn parse_bounds_what_it_keeps() {
+    let endpoints = vec!["{}"; MAX_ENDPOINTS].join(",");
+    let errors = RecordSet::parse(&set_of("", "", &endpoints)).unwrap_err();
+    let required = ["name", "address", "zone", "serves", "slots", "lender"].len();
+    assert_eq!(errors.faults.len(), MAX_FAULTS);
+    assert_eq!(errors.faults.len() + errors.omitted, required * MAX_ENDPOINTS);
+    assert!(errors.to_string().ends_with("more faults; correct these first"));
+
+    let entries = vec!["1"; 1_000_000].join(",");
+    let found = faults(&set_of("", &entries, ""));
+    assert!(found.contains(&format!(
+        "set, workspaces: has 1000000 entries, over the {MAX_WORKSPACES} permitted; remove those \
+         no longer used"
+    )));
+
+    let fields = vec![r#""x":1"#; 1_000_000].join(",");
+    let found = faults(&set_of(&fields, "", ""));
+    assert_eq!(found.len(), 65, "the surplus and each unknown field that was read");
+}
+
 fn runner() -> TestRunner {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     TestRunner::new_with_rng(
--- a/crates/persimmonctl/src/command.rs
+++ b/crates/persimmonctl/src/command.rs
@@ -58,7 +58,7 @@
         source: io::Error,
     },
     /// The records have faults.
-    #[error("{}: the records have {} fault(s):\n{errors}", path.display(), errors.faults.len())]
+    #[error("{}: the records have {} fault(s):\n{errors}", path.display(), errors.faults.len() + errors.omitted)]
     Records {
         /// The file.
         path: PathBuf,
