--- a/crates/persimmonmountd/src/sidecar/runs.rs
+++ b/crates/persimmonmountd/src/sidecar/runs.rs
@@ -259,14 +259,12 @@
             let retry_after_ms = self.engine_down_until.ms_since(now);
             return Err(Refused { refusal: Refusal::EndpointDown, retry_after_ms });
         }
-        if let Some(mean) = req.mean_per_slot {
-            self.admission.mean_mut().observe_told(mean, now);
-        }
         let offer = Offer {
             workspace: req.id.workspace.clone(),
             class: req.class,
             work: Work::of_request(req.uncached_tokens.into(), req.max_tokens.into()),
             deadline: Some(now.plus_ms(req.deadline_ms)),
+            told_per_slot: req.told_per_slot,
             in_progress_limit: workspace.limits.get(req.class).in_progress,
         };
         match self.admission.offer(&offer, now) {
