--- a/crates/persimmon_standins/src/engine/mod.rs
+++ b/crates/persimmon_standins/src/engine/mod.rs
@@ -84,8 +84,8 @@
     pub cut: u64,
     /// Requests refused since every slot and the queue were full.
     pub refused: u64,
-    /// Calls of any kind but those to the stand-in itself.
-    pub calls: u64,
+    /// Requests to generate that arrived, those that were refused included.
+    pub generate_calls: u64,
     /// Crashes.
     pub crashes: u64,
     /// The orders that were obeyed.
--- a/crates/persimmon_standins/src/engine/routes.rs
+++ b/crates/persimmon_standins/src/engine/routes.rs
@@ -10,7 +10,7 @@
 use super::Core;
 use super::cache::{Event, Link};
 use super::generate::GenerateBody;
-use super::state::Fence;
+use super::state::{Fence, State};
 use crate::http::{Call, Handler};
 
 #[derive(Debug, Deserialize)]
@@ -86,15 +86,15 @@
         }
     }
 
-    /// Counts a call and keeps it while the engine is frozen.
+    /// Keeps a call while the engine is frozen.
     fn wait_while_frozen(&self) {
-        let mut state = self.state();
-        state.counts.calls += 1;
-        let waited = self.changed.wait_while(state, |state| state.frozen && !state.closed);
+        let frozen = |state: &mut State| state.frozen && !state.closed;
+        let waited = self.changed.wait_while(self.state(), frozen);
         drop(waited.unwrap_or_else(PoisonError::into_inner));
     }
 
     fn post_generate(&self, mut call: Call) {
+        self.state().counts.generate_calls += 1;
         let Ok(body) = call.read_json::<GenerateBody>() else {
             return call.reply_empty(400);
         };
--- a/crates/persimmon_standins/src/service.rs
+++ b/crates/persimmon_standins/src/service.rs
@@ -38,6 +38,8 @@
 pub struct ServiceCounts {
     /// How often each key ran.
     pub runs: BTreeMap<String, u64>,
+    /// Calls that arrived, those that didn't run included.
+    pub calls: u64,
     /// The `traceparent` that each key came with last.
     pub traceparents: BTreeMap<String, String>,
 }
@@ -128,6 +130,7 @@
     }
 
     fn call(&self, mut call: Call) {
+        self.state().counts.calls += 1;
         let Ok(service_call) = call.read_json::<ServiceCall>() else {
             return call.reply_empty(400);
         };
