Run stand-ins as processes and show a whole fleet in a demo

Cause: the README promises one command that starts everything and says what it observed. Ruled out: stand-ins inside the demo's process, which would not show separate processes. Change: persimmon-standin, persimmon-demo, StandIn and RelayControl.

--- /dev/null
+++ b/crates/persimmon_standins/src/bin/persimmon-demo/leaving.rs
@@ -0,0 +1,147 @@
+//! An endpoint leaves while callers keep asking.
+
+use std::error::Error;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use persimmon_standins::EngineCounts;
+use persimmon_standins::fleet::{Caller, ChatRequest};
+
+use crate::report::{Observation, Observed};
+use crate::stage::{MODEL, Stage};
+use crate::steps::{first_token, request_id};
+
+/// Callers that ask at once.
+const CALLERS: usize = 6;
+
+/// Tokens of each answer under load.
+const TOKENS: u32 = 40;
+
+/// Tokens of the answer that is in progress when the endpoint leaves.
+const LONG_TOKENS: u32 = 500;
+
+/// Time in which a leaving endpoint may still receive new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time of load after the limit.
+const LOAD_AFTER_LIMIT: Duration = Duration::from_secs(3);
+
+/// How the requests of the load ended.
+#[derive(Debug, Default, Clone, Copy)]
+struct LoadCounts {
+    whole: usize,
+    refused: usize,
+    broken: usize,
+}
+
+/// An endpoint leaves under load, with an answer in progress.
+pub(crate) fn leaving_under_load(stage: &Stage) -> Observed {
+    let stopping = Arc::new(AtomicBool::new(false));
+    let callers = start_load(stage, &stopping)?;
+    let observed = leave(stage);
+    stopping.store(true, Ordering::SeqCst);
+    let mut load = LoadCounts::default();
+    for caller in callers {
+        let counts = caller.join().map_err(|_| "a caller's thread panicked")?;
+        load.whole += counts.whole;
+        load.refused += counts.refused;
+        load.broken += counts.broken;
+    }
+    let left = observed?;
+    let cut: u64 = stage.engine_counts()?.values().map(|counts| counts.cut).sum();
+    let observed = format!(
+        "{} left: {} new requests later than {} s ({} elsewhere), its long answer whole: {}; \
+         load: {} whole, {} refused as not run, {} broken, {cut} cut",
+        left.engine,
+        left.late_here,
+        LEAVING_LIMIT.as_secs(),
+        left.late_elsewhere,
+        left.long_whole,
+        load.whole,
+        load.refused,
+        load.broken
+    );
+    let is_right = left.late_here == 0
+        && left.late_elsewhere > 0
+        && left.long_whole
+        && load.whole > 0
+        && load.broken == 0
+        && cut == 0;
+    Ok(Observation::new(observed, is_right))
+}
+
+/// What was seen of the endpoint that left.
+struct Left {
+    engine: String,
+    late_here: usize,
+    late_elsewhere: usize,
+    long_whole: bool,
+}
+
+fn leave(stage: &Stage) -> Result<Left, Box<dyn Error>> {
+    let request = ChatRequest::new(MODEL, "a very long dossier").with_max_tokens(LONG_TOKENS);
+    let mut stream = stage.caller("router-1")?.stream(&request)?;
+    let mut text = first_token(&mut stream)?;
+    let engine = stage.engine_of(&request_id(&stream)?)?;
+    let left_at = unix_ms();
+    stage.list_vms(Some(&engine))?;
+    let rest = thread::spawn(move || stream.read_rest());
+    thread::sleep(LEAVING_LIMIT + LOAD_AFTER_LIMIT);
+    let rest = rest.join().map_err(|_| "the reader's thread panicked")?;
+    text.push_str(&rest.text);
+    let limit_ms = left_at + u64::try_from(LEAVING_LIMIT.as_millis())?;
+    let late = |counts: &EngineCounts| {
+        counts.admissions.iter().filter(|one| one.at_unix_ms > limit_ms).count()
+    };
+    let counts = stage.engine_counts()?;
+    let late_here = counts.get(&engine).map_or(0, late);
+    let late_everywhere: usize = counts.values().map(late).sum();
+    Ok(Left {
+        engine,
+        late_here,
+        late_elsewhere: late_everywhere - late_here,
+        long_whole: rest.done && text == request.expected_answer(),
+    })
+}
+
+fn start_load(
+    stage: &Stage,
+    stopping: &Arc<AtomicBool>,
+) -> Result<Vec<JoinHandle<LoadCounts>>, Box<dyn Error>> {
+    let start = |index: usize| {
+        let caller = stage.caller(if index.is_multiple_of(2) { "router-1" } else { "router-2" })?;
+        let stopping = Arc::clone(stopping);
+        Ok(thread::spawn(move || ask_until(&caller, index, &stopping)))
+    };
+    (0..CALLERS).map(start).collect()
+}
+
+fn ask_until(caller: &Caller, index: usize, stopping: &AtomicBool) -> LoadCounts {
+    let mut counts = LoadCounts::default();
+    for turn in 0.. {
+        if stopping.load(Ordering::SeqCst) {
+            break;
+        }
+        let content = format!("caller {index}, question {turn}");
+        let request = ChatRequest::new(MODEL, &content).with_max_tokens(TOKENS);
+        let Ok(reply) = caller.chat(&request) else {
+            counts.broken += 1;
+            continue;
+        };
+        if reply.text() == request.expected_answer() {
+            counts.whole += 1;
+        } else if reply.failure().is_some_and(|failure| failure.outcome == "not-run") {
+            counts.refused += 1;
+        } else {
+            counts.broken += 1;
+        }
+    }
+    counts
+}
+
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/bin/persimmon-demo/main.rs
@@ -0,0 +1,95 @@
+//! Starts a whole fleet as separate processes, uses it and prints what it observed.
+
+mod leaving;
+mod programs;
+mod report;
+mod shutdown;
+mod stage;
+mod steps;
+
+use std::error::Error;
+use std::process::ExitCode;
+
+use getopts::Options;
+
+use programs::Programs;
+use report::Report;
+use stage::Stage;
+
+/// Exit code when an observation was wrong or the fleet couldn't be started.
+const EXIT_WRONG: u8 = 1;
+
+/// Exit code when the command line can't be read.
+const EXIT_USAGE: u8 = 2;
+
+const USAGE: &str = "Usage: cargo demo [--keep]
+
+Builds the daemon, starts stand-ins, two routers and five sidecars as separate processes, uses them
+and prints what it observed. Exit codes: 0 every observation was right, 1 one was wrong or the
+fleet couldn't be started, 2 the command line can't be read.";
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optflag("", "keep", "leaves the fleet running until Ctrl-C and prints curl lines");
+    options.optflag("h", "help", "prints this help");
+    options.optflag("V", "version", "prints the version");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) if matches.free.is_empty() => matches,
+        Ok(matches) => return fail(EXIT_USAGE, &format!("{:?} means nothing here", matches.free)),
+        Err(error) => return fail(EXIT_USAGE, &error.to_string()),
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage(USAGE));
+        return ExitCode::SUCCESS;
+    }
+    if matches.opt_present("version") {
+        println!("persimmon-demo {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match run(matches.opt_present("keep")) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => fail(EXIT_WRONG, "an observation was wrong; see the table"),
+        Err(error) => fail(EXIT_WRONG, &error.to_string()),
+    }
+}
+
+fn fail(code: u8, message: &str) -> ExitCode {
+    eprintln!("persimmon-demo: {message}; see --help");
+    ExitCode::from(code)
+}
+
+/// Runs the demo and returns whether every observation was right.
+fn run(keep: bool) -> Result<bool, Box<dyn Error>> {
+    println!("Building the daemon and the stand-ins.");
+    let programs = Programs::build()?;
+    println!("Starting the fleet.");
+    let mut stage = Stage::start(&programs)?;
+    let report = observe(&mut stage);
+    println!("{report}");
+    if keep {
+        stage.start_again()?;
+        stage.print_curl_lines()?;
+        wait_for_interrupt()?;
+    }
+    Ok(report.is_right())
+}
+
+fn observe(stage: &mut Stage) -> Report {
+    let mut report = Report::default();
+    report.add("streamed chat", steps::streamed_chat(stage));
+    report.add("returning chat through the other router", steps::returning_chat(stage));
+    let (booking, claim) = steps::booking(stage);
+    report.add("booking", booking);
+    report.add("same booking through the other router", steps::same_booking(stage, &claim));
+    report.add("leaving endpoint under load", leaving::leaving_under_load(stage));
+    report.add("router shut down under a stream", shutdown::router_under_stream(stage));
+    report.add("sidecar shut down under a stream", shutdown::sidecar_under_stream(stage));
+    report
+}
+
+/// Waits for SIGINT, so that every process is ended before this one.
+fn wait_for_interrupt() -> Result<(), Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(tokio::signal::ctrl_c())?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/bin/persimmon-demo/shutdown.rs
@@ -0,0 +1,59 @@
+//! Processes are shut down while they carry a stream.
+
+use std::error::Error;
+use std::thread;
+use std::time::Duration;
+
+use persimmon_standins::fleet::{ChatRequest, ChatStream};
+
+use crate::report::{Observation, Observed};
+use crate::stage::{MODEL, Stage};
+use crate::steps::{first_token, request_id};
+
+/// Tokens of the stream under which a process is shut down.
+const TOKENS: u32 = 200;
+
+/// Time that a process has to end once its stream has ended.
+const END_DEADLINE: Duration = Duration::from_secs(20);
+
+/// The second router is shut down while it carries a stream.
+pub(crate) fn router_under_stream(stage: &mut Stage) -> Observed {
+    let (request, stream, text) = begin(stage, "router-2", "a draft for router-2")?;
+    shut_down(stage, "router-2", &request, stream, text)
+}
+
+/// A sidecar is shut down while it carries a stream.
+pub(crate) fn sidecar_under_stream(stage: &mut Stage) -> Observed {
+    let (request, stream, text) = begin(stage, "router-1", "a draft for a sidecar")?;
+    let engine = stage.engine_of(&request_id(&stream)?)?;
+    shut_down(stage, &engine, &request, stream, text)
+}
+
+/// Asks for a stream and reads its first token.
+fn begin(
+    stage: &Stage,
+    router: &str,
+    content: &str,
+) -> Result<(ChatRequest, ChatStream, String), Box<dyn Error>> {
+    let request = ChatRequest::new(MODEL, content).with_max_tokens(TOKENS);
+    let mut stream = stage.caller(router)?.stream(&request)?;
+    let text = first_token(&mut stream)?;
+    Ok((request, stream, text))
+}
+
+fn shut_down(
+    stage: &mut Stage,
+    name: &str,
+    request: &ChatRequest,
+    stream: ChatStream,
+    mut text: String,
+) -> Observed {
+    stage.daemons.terminate(name)?;
+    let rest = thread::spawn(move || stream.read_rest());
+    let status = stage.daemons.wait_ended(name, END_DEADLINE)?;
+    let rest = rest.join().map_err(|_| "the reader's thread panicked")?;
+    text.push_str(&rest.text);
+    let whole = rest.done && text == request.expected_answer();
+    let observed = format!("{name} ended with {status}, the stream's answer whole: {whole}");
+    Ok(Observation::new(observed, whole && status.success()))
+}
--- /dev/null
+++ b/crates/persimmon_standins/src/bin/persimmon-demo/steps.rs
@@ -0,0 +1,122 @@
+//! Steps with one request at a time.
+
+use std::error::Error;
+use std::time::Instant;
+
+use persimmon_standins::fleet::{CallError, ChatRequest, ChatStream};
+use persimmon_standins::{Message, prompt_tokens};
+
+use crate::report::{Observation, Observed};
+use crate::stage::{MODEL, SERVICE, Stage};
+
+/// Tokens of the streamed chat.
+const STREAMED_TOKENS: u32 = 50;
+
+/// Least share of a stream's time that passes after its first token, in percent, if no token is
+/// kept back on the way.
+const SPREAD_PERCENT: u128 = 80;
+
+/// Reads events up to the first text and returns it.
+pub(crate) fn first_token(stream: &mut ChatStream) -> Result<String, Box<dyn Error>> {
+    loop {
+        let event = stream.next_event()?.ok_or("the stream ended before its first token")?;
+        if !event.text().is_empty() {
+            return Ok(event.text());
+        }
+    }
+}
+
+/// The id that the router gave to the request of `stream`.
+pub(crate) fn request_id(stream: &ChatStream) -> Result<String, Box<dyn Error>> {
+    let id = stream.header("Persimmon-Request-Id");
+    Ok(id.ok_or_else(|| format!("status {} without a request id", stream.status()))?.to_owned())
+}
+
+/// A streamed chat through the first router.
+pub(crate) fn streamed_chat(stage: &Stage) -> Observed {
+    let request = ChatRequest::new(MODEL, "a week in a guesthouse on the coast")
+        .with_max_tokens(STREAMED_TOKENS);
+    let asked_at = Instant::now();
+    let mut stream = stage.caller("router-1")?.stream(&request)?;
+    let mut text = first_token(&mut stream)?;
+    let first = asked_at.elapsed();
+    let rest = stream.read_rest();
+    let last = asked_at.elapsed();
+    text.push_str(&rest.text);
+    let whole = rest.done && text == request.expected_answer();
+    let spread = (last - first).as_millis() * 100 >= last.as_millis() * SPREAD_PERCENT;
+    let observed = format!(
+        "{STREAMED_TOKENS} tokens, whole: {whole}, first after {} ms, last after {} ms",
+        first.as_millis(),
+        last.as_millis()
+    );
+    Ok(Observation::new(observed, whole && spread))
+}
+
+/// A chat that returns through the other router and finds its prefix cached.
+pub(crate) fn returning_chat(stage: &Stage) -> Observed {
+    let first = ChatRequest::new(MODEL, "a long dossier about a house on the coast and its keys");
+    let reply = stage.caller("router-1")?.chat(&first)?;
+    let chat = reply.header("Persimmon-Chat").ok_or("the first reply has no chat token")?;
+    let mut messages = first.messages().to_vec();
+    messages.push(Message::new("assistant", reply.text()));
+    let known_tokens = prompt_tokens(&messages);
+    messages.push(Message::new("user", "and the keys?"));
+    let second = ChatRequest::with_messages(MODEL, messages).with_header("Persimmon-Chat", chat);
+    let reply = stage.caller("router-2")?.chat(&second)?;
+    let request_id = reply.header("Persimmon-Request-Id").ok_or("no request id")?;
+    let counts = stage.engine_counts()?;
+    let mut admissions = counts.values().flat_map(|counts| &counts.admissions);
+    let admission = admissions.find(|one| one.request_id == request_id);
+    let admission = admission.ok_or("no engine ran the second turn")?;
+    let whole = reply.text() == second.expected_answer();
+    let observed = format!(
+        "{} of {} prompt tokens cached, {known_tokens} expected, whole: {whole}",
+        admission.cached_tokens, admission.prompt_tokens
+    );
+    Ok(Observation::new(observed, whole && admission.cached_tokens == known_tokens))
+}
+
+/// A booking through the first router, with its claim for the next step.
+pub(crate) fn booking(stage: &Stage) -> (Observed, Option<Booked>) {
+    match book(stage) {
+        Ok((observation, booked)) => (Ok(observation), Some(booked)),
+        Err(error) => (Err(error), None),
+    }
+}
+
+/// A claim and what its call was confirmed with.
+#[derive(Debug)]
+pub(crate) struct Booked {
+    claim: String,
+    confirmation: String,
+}
+
+fn book(stage: &Stage) -> Result<(Observation, Booked), Box<dyn Error>> {
+    let caller = stage.caller("router-1")?;
+    let reply = caller.claim(SERVICE, "week-14")?;
+    let claim = reply.json()["claim"].as_str().map(str::to_owned);
+    let claim = claim.ok_or_else(|| format!("no claim: {} {}", reply.status, reply.body))?;
+    let confirmation = confirm(stage, "router-1", &claim)?;
+    let runs = stage.service_runs()?;
+    let observed = format!("confirmed as {confirmation}, ran {runs} time(s)");
+    Ok((Observation::new(observed, runs == 1), Booked { claim, confirmation }))
+}
+
+/// The same booking with the same claim through the other router.
+pub(crate) fn same_booking(stage: &Stage, booked: &Option<Booked>) -> Observed {
+    let booked = booked.as_ref().ok_or("there is no booking to send again")?;
+    let confirmation = confirm(stage, "router-2", &booked.claim)?;
+    let runs = stage.service_runs()?;
+    let observed = format!("confirmed as {confirmation}, ran {runs} time(s) in all");
+    Ok(Observation::new(observed, runs == 1 && confirmation == booked.confirmation))
+}
+
+fn confirm(stage: &Stage, router: &str, claim: &str) -> Result<String, Box<dyn Error>> {
+    let caller = stage.caller(router)?;
+    let reply: Result<_, CallError> =
+        caller.call_service(SERVICE, ("Persimmon-Claim", claim), "book");
+    let reply = reply?;
+    let confirmation = reply.json()["confirmation"].as_str().map(str::to_owned);
+    Ok(confirmation.ok_or_else(|| format!("not confirmed: {} {}", reply.status, reply.body))?)
+}
--- a/crates/persimmon_standins/src/fleet/mod.rs
+++ b/crates/persimmon_standins/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod daemons;
 mod error;
 mod process;
+mod stand_in;
 mod stream;
 mod wait;
 
@@ -21,6 +22,7 @@
 pub use caller::{CallError, Caller, ChatRequest, Failure, Reply};
 pub use daemons::Daemons;
 pub use error::FleetError;
+pub use stand_in::StandIn;
 pub use stream::{ChatStream, SseEvent, StreamedAnswer};
 pub use wait::wait_until;
 
--- a/crates/persimmon_standins/src/lib.rs
+++ b/crates/persimmon_standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod http;
 mod platform;
 mod relay;
+mod relay_control;
 mod service;
 
 pub use engine::{
@@ -19,4 +20,5 @@
     Platform, PlatformBuilder, PlatformCounts, PlatformSwitch, Vm, VmRole, VmState,
 };
 pub use relay::{Direction, Relay, RelaySwitch};
+pub use relay_control::RelayControl;
 pub use service::{Service, ServiceCounts, ServiceSwitch};
--- a/crates/persimmonmountd/tests/process_path.rs
+++ b/crates/persimmonmountd/tests/process_path.rs
@@ -62,7 +62,8 @@
 fn chats_at_once_each_get_their_own_answer() {
     let fleet = start_fleet();
     let ask = |index: usize| {
-        let caller = fleet.caller(if index % 2 == 0 { "router-1" } else { "router-2" }).unwrap();
+        let caller =
+            fleet.caller(if index.is_multiple_of(2) { "router-1" } else { "router-2" }).unwrap();
         let request = ChatRequest::new(MODEL, &format!("chat {index}")).with_max_tokens(64);
         move || (caller.stream(&request).unwrap().read_rest().text, request.expected_answer())
     };
