--- a/crates/persimmon_records/src/intern.rs
+++ b/crates/persimmon_records/src/intern.rs
@@ -32,6 +32,7 @@
     }
 
     fn intern_workspace(&mut self, workspace: &mut Workspace) {
+        self.share(workspace.name.shared_mut());
         for model in &mut workspace.models {
             self.share(model.shared_mut());
         }
--- a/crates/persimmon_records/src/name.rs
+++ b/crates/persimmon_records/src/name.rs
@@ -24,7 +24,6 @@
             }
 
             /// The shared text, to let equal names hold one copy.
-            #[allow(dead_code, reason = "a workspace's own name is shared with no other")]
             pub(crate) fn shared_mut(&mut self) -> &mut Arc<str> {
                 &mut self.0
             }
--- a/crates/persimmon_records/src/record_set.rs
+++ b/crates/persimmon_records/src/record_set.rs
@@ -157,12 +157,13 @@
         Interner::default().intern(self);
     }
 
-    /// The workspace whose key has this digest.
+    /// The workspace whose key has this digest, by a search through every record; adopted sets are
+    /// asked through [`RecordIndex`](crate::RecordIndex).
     pub fn workspace_by_key(&self, digest: KeyDigest) -> Option<&Workspace> {
         self.workspaces.iter().find(|workspace| workspace.key_digests.contains(&digest))
     }
 
-    /// The endpoint of this name.
+    /// The endpoint of this name, by a search through every record.
     pub fn endpoint(&self, name: &EndpointName) -> Option<&Endpoint> {
         self.endpoints.iter().find(|endpoint| endpoint.name == *name)
     }
--- a/crates/persimmonctl/src/publish_form.rs
+++ b/crates/persimmonctl/src/publish_form.rs
@@ -16,7 +16,7 @@
     operands: &["FILE"],
     summary: "writes the head and parts of a set to a directory, to be published by other means",
     flags: &[
-        Flag::value("out", "DIRECTORY", "an existing directory to write head.json and parts/ to"),
+        Flag::value("out", "DIRECTORY", "the directory to write head.json and parts/ to"),
         Flag::value("previous", "DIRECTORY", "the directory of the publication now in force"),
     ],
     run,
