Add persimmon_measure, which measures running processes

Cause: no command gave added time, throughput or the cost of control of real processes. Ruled out: processor time from stat (steps of 10 ms, as long as an idle daemon runs in a window). Change: first-token, throughput and control, with least squares and percentiles under test.

--- /dev/null
+++ b/crates/persimmon_measure/src/bin/persimmon-measure.rs
@@ -0,0 +1,161 @@
+//! Prints figures of running processes: added time, throughput, the cost of control.
+
+use std::fmt::Display;
+use std::process::ExitCode;
+use std::str::FromStr;
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+use persimmon_measure::{
+    ControlSettings, FirstTokenSettings, Growth, MeasureError, Programs, Shape, ThroughputSettings,
+    measure_control, measure_first_token, measure_throughput,
+};
+use serde::Serialize;
+use thiserror::Error;
+
+const USAGE: &str = "Usage: cargo measure <first-token|throughput|control> [options]
+
+  first-token  time that router and sidecar add to a streamed request, asked in turns
+  throughput   tokens a second through one router, then through one sidecar
+  control      memory, processor time, control bytes and platform reads of a router and a sidecar
+               without traffic, as peers, workspaces, endpoints and chats grow
+
+Exit codes: 0 measured, 1 a target isn't met, 2 no figure or a command line that can't be read.";
+
+/// Exit code when a target isn't met.
+const EXIT_MISSED: u8 = 1;
+
+/// Exit code when there is no figure.
+const EXIT_NO_FIGURE: u8 = 2;
+
+/// Time before the window of throughput.
+const THROUGHPUT_WARM_UP: Duration = Duration::from_secs(2);
+
+/// Routers and sidecars: one router before four sidecars, then three before one sidecar.
+const SHAPES: [(Shape, usize); 2] =
+    [(Shape { routers: 1, sidecars: 4 }, 96), (Shape { routers: 3, sidecars: 1 }, 32)];
+
+#[derive(Debug, Error)]
+enum CommandError {
+    #[error("{0}; see --help")]
+    Usage(#[from] getopts::Fail),
+    #[error("--{flag} takes a whole number above 0; see --help")]
+    Number { flag: &'static str },
+    #[error("give one of first-token, throughput, control; see --help")]
+    Command,
+    #[error("nothing grows that is named {0}; take peers, workspaces, endpoints or chats")]
+    Growth(String),
+    #[error("{0}")]
+    Measure(#[from] MeasureError),
+    #[error("can't write JSON: {0}; report this as a fault")]
+    Json(#[from] serde_json::Error),
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_MISSED),
+        Err(err) => {
+            eprintln!("persimmon-measure: {err}");
+            ExitCode::from(EXIT_NO_FIGURE)
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "pairs", "first-token: pairs of requests (400)", "N");
+    options.optopt("", "only", "control: peers, workspaces, endpoints or chats", "NAME");
+    options.optopt("", "warm-up-s", "control: seconds before the window (4)", "S");
+    options.optopt("", "window-s", "control and throughput: seconds measured (8)", "S");
+    options.optflag("", "json", "print JSON, one object a line");
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+/// Measures and returns whether every target is met.
+fn run() -> Result<bool, CommandError> {
+    let matches = options().parse(std::env::args().skip(1))?;
+    if matches.opt_present("help") {
+        print!("{}", options().usage(USAGE));
+        return Ok(true);
+    }
+    if matches.opt_present("version") {
+        println!("persimmon-measure {}", env!("CARGO_PKG_VERSION"));
+        return Ok(true);
+    }
+    let [command] = matches.free.as_slice() else {
+        return Err(CommandError::Command);
+    };
+    match command.as_str() {
+        "first-token" => first_token(&matches),
+        "throughput" => throughput(&matches),
+        "control" => control(&matches),
+        _ => Err(CommandError::Command),
+    }
+}
+
+fn first_token(matches: &Matches) -> Result<bool, CommandError> {
+    let default = FirstTokenSettings::default();
+    let pairs = number(matches, "pairs")?.unwrap_or(default.pairs);
+    let programs = Programs::build()?;
+    let settings = FirstTokenSettings { pairs, ..default };
+    let figures = measure_first_token(&programs.daemon, settings)?;
+    print(matches, &figures)?;
+    Ok(figures.is_within_target())
+}
+
+fn throughput(matches: &Matches) -> Result<bool, CommandError> {
+    let window = window(matches)?;
+    let programs = Programs::build()?;
+    for (shape, streams) in SHAPES {
+        let warm_up = THROUGHPUT_WARM_UP;
+        let settings = ThroughputSettings { shape, streams, warm_up, window };
+        print(matches, &measure_throughput(&programs, settings)?)?;
+    }
+    Ok(true)
+}
+
+fn control(matches: &Matches) -> Result<bool, CommandError> {
+    let default = ControlSettings::default();
+    let warm_up = number(matches, "warm-up-s")?.map_or(default.warm_up, Duration::from_secs);
+    let settings = ControlSettings { warm_up, window: window(matches)? };
+    let growths = match matches.opt_str("only") {
+        None => Growth::ALL.to_vec(),
+        Some(name) => {
+            let found = Growth::ALL.into_iter().find(|growth| growth.as_str() == name);
+            vec![found.ok_or(CommandError::Growth(name))?]
+        }
+    };
+    let programs = Programs::build()?;
+    for growth in growths {
+        print(matches, &measure_control(&programs, growth, settings)?)?;
+    }
+    Ok(true)
+}
+
+fn window(matches: &Matches) -> Result<Duration, CommandError> {
+    let default = ControlSettings::default().window;
+    Ok(number(matches, "window-s")?.map_or(default, Duration::from_secs))
+}
+
+fn print<T: Serialize + Display>(matches: &Matches, figures: &T) -> Result<(), CommandError> {
+    if matches.opt_present("json") {
+        println!("{}", serde_json::to_string(figures)?);
+    } else {
+        println!("{figures}\n");
+    }
+    Ok(())
+}
+
+fn number<T: FromStr + PartialOrd + Default>(
+    matches: &Matches,
+    flag: &'static str,
+) -> Result<Option<T>, CommandError> {
+    let number = matches.opt_get::<T>(flag).map_err(|_| CommandError::Number { flag })?;
+    if number.as_ref().is_some_and(|number| *number <= T::default()) {
+        return Err(CommandError::Number { flag });
+    }
+    Ok(number)
+}
--- /dev/null
+++ b/crates/persimmon_measure/src/control/figures.rs
@@ -0,0 +1,151 @@
+//! The figures of control, and their slopes.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use super::Growth;
+use crate::{Line, MeasureError};
+
+/// What one process used in a window.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct RoleUse {
+    /// Resident memory at the end, in MB.
+    pub resident_mb: f64,
+    /// Processor time, in percent of a core.
+    pub core_percent: f64,
+    /// Control bytes sent a second; none if the process counts none.
+    pub sent_bytes_per_s: Option<f64>,
+    /// Control bytes received a second; none if the process counts none.
+    pub received_bytes_per_s: Option<f64>,
+    /// Reads of the platform a second.
+    pub platform_reads_per_s: f64,
+}
+
+/// One size.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct ControlPoint {
+    /// How much there was of what grows.
+    pub size: usize,
+    /// Bytes of the records as published.
+    pub records_bytes: usize,
+    /// Length of the window, in seconds.
+    pub window_s: f64,
+    /// The machine's load average after the window.
+    pub load_average: Option<f64>,
+    /// The measured router.
+    pub router: RoleUse,
+    /// The measured sidecar.
+    pub sidecar: RoleUse,
+}
+
+/// Lines through the figures of one role.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct RoleLines {
+    /// Resident memory, in MB.
+    pub resident_mb: Line,
+    /// Processor time, in percent of a core.
+    pub core_percent: Line,
+    /// Control bytes sent a second; none if the process counts none.
+    pub sent_bytes_per_s: Option<Line>,
+    /// Reads of the platform a second.
+    pub platform_reads_per_s: Line,
+}
+
+/// All sizes of one growth.
+#[derive(Debug, Clone, Serialize)]
+pub struct ControlFigures {
+    /// What grew.
+    pub growth: Growth,
+    /// The sizes.
+    pub points: Vec<ControlPoint>,
+    /// Lines of the router.
+    pub router: RoleLines,
+    /// Lines of the sidecar.
+    pub sidecar: RoleLines,
+}
+
+impl ControlFigures {
+    /// Fits lines through the points.
+    ///
+    /// # Errors
+    ///
+    /// There are fewer than two sizes.
+    pub(super) fn new(growth: Growth, points: Vec<ControlPoint>) -> Result<Self, MeasureError> {
+        let router = RoleLines::fit(&points, |point| point.router)?;
+        let sidecar = RoleLines::fit(&points, |point| point.sidecar)?;
+        Ok(Self { growth, points, router, sidecar })
+    }
+}
+
+impl RoleLines {
+    fn fit(
+        points: &[ControlPoint],
+        role: fn(&ControlPoint) -> RoleUse,
+    ) -> Result<Self, MeasureError> {
+        let line = |value: fn(RoleUse) -> f64| {
+            let at = |point: &ControlPoint| (point.size as f64, value(role(point)));
+            Line::fit(&points.iter().map(at).collect::<Vec<_>>())
+        };
+        let counts_bytes = points.iter().all(|point| role(point).sent_bytes_per_s.is_some());
+        let sent = |used: RoleUse| used.sent_bytes_per_s.unwrap_or(0.0);
+        Ok(Self {
+            resident_mb: line(|used| used.resident_mb)?,
+            core_percent: line(|used| used.core_percent)?,
+            sent_bytes_per_s: if counts_bytes { Some(line(sent)?) } else { None },
+            platform_reads_per_s: line(|used| used.platform_reads_per_s)?,
+        })
+    }
+}
+
+impl fmt::Display for ControlFigures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<10} {:>9} {:<8} {:>8} {:>8} {:>9} {:>9} {:>8} {:>6}",
+            self.growth.as_str(),
+            "records B",
+            "role",
+            "MB",
+            "core %",
+            "sent B/s",
+            "recv B/s",
+            "reads/s",
+            "load"
+        )?;
+        for point in &self.points {
+            for (role, used) in [("router", point.router), ("sidecar", point.sidecar)] {
+                writeln!(
+                    f,
+                    "{:<10} {:>9} {role:<8} {:>8.2} {:>8.3} {:>9} {:>9} {:>8.2} {:>6.1}",
+                    point.size,
+                    point.records_bytes,
+                    used.resident_mb,
+                    used.core_percent,
+                    bytes(used.sent_bytes_per_s),
+                    bytes(used.received_bytes_per_s),
+                    used.platform_reads_per_s,
+                    point.load_average.unwrap_or(-1.0),
+                )?;
+            }
+        }
+        for (role, lines) in [("router", self.router), ("sidecar", self.sidecar)] {
+            write_line(f, role, "MB", &lines.resident_mb)?;
+            write_line(f, role, "core %", &lines.core_percent)?;
+            if let Some(line) = &lines.sent_bytes_per_s {
+                write_line(f, role, "sent B/s", line)?;
+            }
+            write_line(f, role, "reads/s", &lines.platform_reads_per_s)?;
+        }
+        Ok(())
+    }
+}
+
+fn bytes(rate: Option<f64>) -> String {
+    rate.map_or_else(|| "-".to_owned(), |rate| format!("{rate:.0}"))
+}
+
+fn write_line(f: &mut fmt::Formatter<'_>, role: &str, unit: &str, line: &Line) -> fmt::Result {
+    let Line { slope, intercept, residual } = line;
+    writeln!(f, "{role:<8} {unit:<9} {intercept:>10.4} + {slope:.7} x size, residual {residual:.4}")
+}
--- /dev/null
+++ b/crates/persimmon_measure/src/control/mod.rs
@@ -0,0 +1,137 @@
+//! What a router and a sidecar use while they carry no traffic, or traffic that hardly flows.
+
+mod figures;
+mod stage;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+pub use self::figures::{ControlFigures, ControlPoint, RoleLines, RoleUse};
+use self::stage::{ROUTER, SIDECAR, Sizes, Stage};
+use crate::{Counters, MeasureError, ProcessUse, Programs, load_average};
+
+/// What grows while the rest stays as it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Growth {
+    /// Processes of the fleet.
+    Peers,
+    /// Workspaces in the records.
+    Workspaces,
+    /// Endpoints in the records, most of which don't run.
+    Endpoints,
+    /// Streams in progress through one router and eight sidecars.
+    Chats,
+}
+
+impl Growth {
+    /// Everything that is grown.
+    pub const ALL: [Self; 4] = [Self::Peers, Self::Workspaces, Self::Endpoints, Self::Chats];
+
+    /// The name on the command line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Peers => "peers",
+            Self::Workspaces => "workspaces",
+            Self::Endpoints => "endpoints",
+            Self::Chats => "chats",
+        }
+    }
+
+    /// The sizes that are measured.
+    pub fn sizes(self) -> [usize; 4] {
+        match self {
+            Self::Peers => [4, 16, 48, 120],
+            Self::Workspaces => [10, 400, 1_600, 4_400],
+            Self::Endpoints => [20, 400, 1_600, 3_700],
+            Self::Chats => [8, 64, 128, 256],
+        }
+    }
+}
+
+/// How long each size is looked at.
+#[derive(Debug, Clone, Copy)]
+pub struct ControlSettings {
+    /// Time before the window.
+    pub warm_up: Duration,
+    /// Time that is measured.
+    pub window: Duration,
+}
+
+impl Default for ControlSettings {
+    fn default() -> Self {
+        Self { warm_up: Duration::from_secs(4), window: Duration::from_secs(8) }
+    }
+}
+
+/// Measures every size of one growth, one after the other.
+///
+/// # Errors
+///
+/// A process can't be started or its figures can't be read.
+pub fn measure_control(
+    programs: &Programs,
+    growth: Growth,
+    settings: ControlSettings,
+) -> Result<ControlFigures, MeasureError> {
+    let mut points = Vec::new();
+    for size in growth.sizes() {
+        points.push(measure_size(programs, growth, size, settings)?);
+    }
+    ControlFigures::new(growth, points)
+}
+
+fn measure_size(
+    programs: &Programs,
+    growth: Growth,
+    size: usize,
+    settings: ControlSettings,
+) -> Result<ControlPoint, MeasureError> {
+    let stage = Stage::start(programs, Sizes::of(growth, size))?;
+    thread::sleep(settings.warm_up);
+    let started_at = Instant::now();
+    let before = [Look::at(&stage, ROUTER)?, Look::at(&stage, SIDECAR)?];
+    thread::sleep(settings.window);
+    let after = [Look::at(&stage, ROUTER)?, Look::at(&stage, SIDECAR)?];
+    let window_s = started_at.elapsed().as_secs_f64();
+    let [router, sidecar] = [0, 1].map(|role| after[role].since(&before[role], window_s));
+    let records_bytes = stage.records_bytes();
+    stage.close();
+    Ok(ControlPoint {
+        size,
+        records_bytes,
+        window_s,
+        load_average: load_average(),
+        router,
+        sidecar,
+    })
+}
+
+/// What one process used and counted until a moment.
+struct Look {
+    usage: ProcessUse,
+    counters: Counters,
+}
+
+impl Look {
+    fn at(stage: &Stage, name: &str) -> Result<Self, MeasureError> {
+        let counters = Counters::of(stage.daemons(), name)?;
+        Ok(Self { usage: ProcessUse::of(stage.daemons().id(name)?)?, counters })
+    }
+
+    fn since(&self, before: &Self, window_s: f64) -> RoleUse {
+        let rate = |after: Option<f64>, before: Option<f64>| {
+            after.map(|after| (after - before.unwrap_or(0.0)) / window_s)
+        };
+        let cpu_ns = self.usage.cpu_ns.saturating_sub(before.usage.cpu_ns);
+        let (now, then) = (&self.counters, &before.counters);
+        RoleUse {
+            resident_mb: self.usage.resident_kib as f64 * 1_024.0 / 1e6,
+            core_percent: cpu_ns as f64 / 1e7 / window_s,
+            sent_bytes_per_s: rate(now.control_bytes_sent, then.control_bytes_sent),
+            received_bytes_per_s: rate(now.control_bytes_received, then.control_bytes_received),
+            platform_reads_per_s: (now.platform_reads - then.platform_reads) / window_s,
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_measure/src/control/stage.rs
@@ -0,0 +1,214 @@
+//! The processes whose control is measured.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use persimmon_records::{
+    Endpoint, EndpointBuilder, Generation, Limits, PerClass, Policy, RecordSet, Serves, Workspace,
+    WorkspaceBuilder,
+};
+use persimmon_standins::fleet::{
+    Caller, ChatRequest, Daemons, FleetError, RECORDS_KEY, wait_until,
+};
+use persimmon_standins::{Engine, Platform, Vm, VmState};
+
+use super::Growth;
+use crate::{MeasureError, Programs};
+
+/// The router that is measured.
+pub(super) const ROUTER: &str = "router-1";
+
+/// The sidecar that is measured.
+pub(super) const SIDECAR: &str = "engine-1";
+
+const MODELS: usize = 35;
+const ZONES: usize = 15;
+
+/// Processes for each router, as 350 routers stand before 3,700 workers.
+const PROCESSES_PER_ROUTER: usize = 11;
+
+/// Slots of the engine beside each sidecar that carries streams.
+const SLOTS: usize = 64;
+
+/// Tokens of a stream that outlasts the window.
+const LONG_ANSWER: u32 = 4_096;
+
+/// Time between two tokens of a stream in progress, so that control isn't hidden by traffic.
+const TOKEN_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time that processes have to adopt a large set.
+const ADOPT_DEADLINE: Duration = Duration::from_secs(20);
+
+/// Time that the streams have until each has its first token.
+const STREAMS_DEADLINE: Duration = Duration::from_secs(10);
+
+/// How much there is of everything.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Sizes {
+    processes: usize,
+    workspaces: usize,
+    endpoints: usize,
+    chats: usize,
+}
+
+impl Sizes {
+    /// The least of everything but of what grows.
+    pub(super) fn of(growth: Growth, size: usize) -> Self {
+        let least = Self { processes: 4, workspaces: 10, endpoints: 20, chats: 0 };
+        match growth {
+            Growth::Peers => Self { processes: size, endpoints: 0, ..least },
+            Growth::Workspaces => Self { workspaces: size, ..least },
+            Growth::Endpoints => Self { endpoints: size, ..least },
+            Growth::Chats => Self { processes: 9, endpoints: 0, chats: size, ..least },
+        }
+    }
+
+    fn routers(&self) -> usize {
+        (self.processes / PROCESSES_PER_ROUTER).max(1)
+    }
+}
+
+/// The running processes.
+pub(super) struct Stage {
+    daemons: Daemons,
+    platform: Platform,
+    engine: Engine,
+    records_bytes: usize,
+}
+
+impl Stage {
+    /// Starts everything, publishes the records and opens the streams.
+    pub(super) fn start(programs: &Programs, sizes: Sizes) -> Result<Self, MeasureError> {
+        let platform = Platform::start()?;
+        let slots = SLOTS * sizes.processes;
+        let engine = Engine::builder(model(0)).with_slots(slots);
+        let engine = engine.with_token_interval(TOKEN_INTERVAL).start()?;
+        let mut daemons = Daemons::new(&programs.daemon, platform.address());
+        daemons.set_variable("PERSIMMON_LOG", "warn");
+        for number in 1..=sizes.routers() {
+            daemons.start_router(&format!("router-{number}"), &zone(number))?;
+        }
+        for number in 1..=sizes.processes - sizes.routers() {
+            daemons.start_sidecar(&format!("engine-{number}"), &zone(number), engine.address())?;
+        }
+        let vms = daemons.names().iter().map(|name| vm(&daemons, name)).collect::<Result<_, _>>();
+        platform.set_vms(vms?);
+        let text = records(&daemons, sizes)?.to_text();
+        let records_bytes = text.len();
+        platform.publish(RECORDS_KEY, text);
+        daemons.wait_in_force(1, ADOPT_DEADLINE)?;
+        open_streams(daemons.listen(ROUTER)?, sizes.chats)?;
+        Ok(Self { daemons, platform, engine, records_bytes })
+    }
+
+    pub(super) fn daemons(&self) -> &Daemons {
+        &self.daemons
+    }
+
+    /// Bytes of the records as published.
+    pub(super) fn records_bytes(&self) -> usize {
+        self.records_bytes
+    }
+
+    /// Ends everything.
+    pub(super) fn close(self) {
+        drop(self.daemons);
+        self.engine.close();
+        self.platform.close();
+    }
+}
+
+fn model(number: usize) -> String {
+    format!("model-{}", number % MODELS)
+}
+
+fn zone(number: usize) -> String {
+    format!("zone-{}", number % ZONES)
+}
+
+fn key(number: usize) -> String {
+    format!("wk-{number}")
+}
+
+fn vm(daemons: &Daemons, name: &str) -> Result<Vm, FleetError> {
+    let (role, zone) = daemons.place(name)?;
+    let (zone, peer) = (zone.to_owned(), daemons.peer(name)?);
+    Ok(Vm { name: name.to_owned(), role, peer, zone, state: VmState::Live })
+}
+
+fn records(daemons: &Daemons, sizes: Sizes) -> Result<RecordSet, FleetError> {
+    let mut endpoints = Vec::new();
+    for name in daemons.names().iter().filter(|name| name.starts_with("engine-")) {
+        let (_, zone) = daemons.place(name)?;
+        endpoints.push(endpoint(name, daemons.peer(name)?, zone, 0));
+    }
+    // Endpoints that don't run make up the rest.
+    for number in endpoints.len()..sizes.endpoints {
+        let address = ([10, 1, (number / 250) as u8, (number % 250) as u8 + 1], 7_000).into();
+        let name = format!("absent-{number:04}");
+        endpoints.push(endpoint(&name, address, &zone(number), number + 1));
+    }
+    Ok(RecordSet {
+        generation: Generation(1),
+        // The streams are to be spread evenly and none refused.
+        policy: Policy { load_floor: 1_000, ..Policy::default() },
+        workspaces: (0..sizes.workspaces).map(workspace).collect(),
+        endpoints,
+        ..RecordSet::empty()
+    })
+}
+
+fn endpoint(name: &str, address: SocketAddr, zone: &str, model_number: usize) -> Endpoint {
+    EndpointBuilder::new(name, address)
+        .with_zone(zone)
+        .with_serves(Serves::Model(model(model_number).as_str().into()))
+        .with_slots(SLOTS as u32)
+        .with_lender("lender-1")
+        .build()
+}
+
+fn workspace(number: usize) -> Workspace {
+    let limits = PerClass::all(Limits { requests_per_second: 10_000, in_progress: 1_000 });
+    WorkspaceBuilder::new(format!("workspace-{number:04}").as_str())
+        .with_key(&key(number))
+        .with_model(model(0).as_str())
+        .with_limits(limits)
+        .build()
+}
+
+/// Opens streams that outlast the window, each read by a thread that ends with its router.
+fn open_streams(router: SocketAddr, count: usize) -> Result<(), MeasureError> {
+    let begun = Arc::new(AtomicUsize::new(0));
+    let failed = Arc::new(AtomicUsize::new(0));
+    for number in 0..count {
+        let (begun, failed) = (begun.clone(), failed.clone());
+        thread::spawn(move || {
+            let caller = Caller::new(router, &key(number % 10));
+            let request = ChatRequest::new(&model(0), &format!("chat {number}"));
+            let stream = caller.stream(&request.with_max_tokens(LONG_ANSWER));
+            let Some(mut stream) = stream.ok().filter(|stream| stream.status() == 200) else {
+                failed.fetch_add(1, Ordering::Relaxed);
+                return;
+            };
+            while let Ok(Some(event)) = stream.next_event() {
+                if !event.text().is_empty() {
+                    begun.fetch_add(1, Ordering::Relaxed);
+                    break;
+                }
+            }
+            while let Ok(Some(_)) = stream.next_event() {}
+        });
+    }
+    let have_begun = || begun.load(Ordering::Relaxed) == count;
+    if wait_until(STREAMS_DEADLINE, have_begun) {
+        return Ok(());
+    }
+    Err(MeasureError::Streams {
+        begun: begun.load(Ordering::Relaxed),
+        refused: failed.load(Ordering::Relaxed),
+        wanted: count,
+    })
+}
--- /dev/null
+++ b/crates/persimmon_measure/src/lib.rs
@@ -0,0 +1,29 @@
+//! Measures running processes of the fleet.
+//!
+//! The daemons run as real processes on the loopback interface; the outside systems are stand-ins.
+//! Figures of one run depend on the machine, so each carries the load average beside it.
+
+mod control;
+mod direct;
+mod error;
+mod first_token;
+mod line;
+mod load;
+mod percentile;
+mod proc_fs;
+mod programs;
+mod scrape;
+mod throughput;
+
+pub use control::{
+    ControlFigures, ControlPoint, ControlSettings, Growth, RoleLines, RoleUse, measure_control,
+};
+pub use error::MeasureError;
+pub use first_token::{FirstTokenFigures, FirstTokenSettings, measure_first_token};
+pub use line::Line;
+pub use load::load_average;
+pub use percentile::percentile;
+pub use proc_fs::{ProcessUse, parse_cpu_ns, parse_load_average, parse_resident_kib};
+pub use programs::Programs;
+pub use scrape::{Counters, parse_counters};
+pub use throughput::{Shape, ThroughputFigures, ThroughputSettings, measure_throughput};
