Split throughput by its processes, callers and figures

Cause: schedstat leaves out threads that have ended, so engines seemed to use hardly any time. Change: throughput counts by stat, control by schedstat; one failure's reason is shown.

--- a/crates/persimmon_measure/src/control/mod.rs
+++ b/crates/persimmon_measure/src/control/mod.rs
@@ -124,7 +124,8 @@
         let rate = |after: Option<f64>, before: Option<f64>| {
             after.map(|after| (after - before.unwrap_or(0.0)) / window_s)
         };
-        let cpu_ns = self.usage.cpu_ns.saturating_sub(before.usage.cpu_ns);
+        let now_ns = self.usage.live_threads_cpu_ns;
+        let cpu_ns = now_ns.saturating_sub(before.usage.live_threads_cpu_ns);
         let (now, then) = (&self.counters, &before.counters);
         RoleUse {
             resident_mb: self.usage.resident_kib as f64 * 1_024.0 / 1e6,
--- a/crates/persimmon_measure/src/lib.rs
+++ b/crates/persimmon_measure/src/lib.rs
@@ -23,7 +23,7 @@
 pub use line::Line;
 pub use load::load_average;
 pub use percentile::percentile;
-pub use proc_fs::{ProcessUse, parse_cpu_ns, parse_load_average, parse_resident_kib};
+pub use proc_fs::{ProcessUse, parse_cpu_ms, parse_cpu_ns, parse_load_average, parse_resident_kib};
 pub use programs::Programs;
 pub use scrape::{Counters, parse_counters};
 pub use throughput::{Shape, ThroughputFigures, ThroughputSettings, measure_throughput};
--- a/crates/persimmon_measure/src/proc_fs.rs
+++ b/crates/persimmon_measure/src/proc_fs.rs
@@ -5,11 +5,18 @@
 
 use crate::MeasureError;
 
+/// Steps in which `stat` counts a second of processor time. Linux tells user programs 100 whatever
+/// its own timer does.
+const TICKS_PER_S: u64 = 100;
+
 /// Processor time and memory of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessUse {
-    /// Processor time of all its threads, in nanoseconds.
-    pub cpu_ns: u64,
+    /// Processor time of all its threads, also of those that have ended, in steps of 10 ms.
+    pub cpu_ms: u64,
+    /// Processor time of the threads that run, in nanoseconds. An idle daemon runs for less than a
+    /// step of [`Self::cpu_ms`] in many seconds.
+    pub live_threads_cpu_ns: u64,
     /// Resident memory, in KiB.
     pub resident_kib: u64,
 }
@@ -17,10 +24,6 @@
 impl ProcessUse {
     /// Reads what the process `id` uses now.
     ///
-    /// The processor time is that of `schedstat`, which counts nanoseconds, since `stat` counts
-    /// steps of 10 ms, as long as an idle process may run in a whole window. Threads that have ended
-    /// aren't counted.
-    ///
     /// # Errors
     ///
     /// The process has ended or the system isn't Linux.
@@ -31,16 +34,28 @@
     fn read(id: u32) -> Option<Self> {
         let directory = PathBuf::from(format!("/proc/{id}"));
         let status = fs::read_to_string(directory.join("status")).ok()?;
-        let mut cpu_ns = 0;
+        let stat = fs::read_to_string(directory.join("stat")).ok()?;
+        let mut live_threads_cpu_ns = 0;
         for thread in fs::read_dir(directory.join("task")).ok()? {
             // A thread may end while the list is read.
             let text = fs::read_to_string(thread.ok()?.path().join("schedstat"));
-            cpu_ns += text.ok().and_then(|text| parse_cpu_ns(&text)).unwrap_or(0);
+            live_threads_cpu_ns += text.ok().and_then(|text| parse_cpu_ns(&text)).unwrap_or(0);
         }
-        Some(Self { cpu_ns, resident_kib: parse_resident_kib(&status)? })
+        let resident_kib = parse_resident_kib(&status)?;
+        Some(Self { cpu_ms: parse_cpu_ms(&stat)?, live_threads_cpu_ns, resident_kib })
     }
 }
 
+/// The processor time that a `stat` file tells, user and system together, in milliseconds.
+pub fn parse_cpu_ms(stat: &str) -> Option<u64> {
+    // The second field is the program's name in brackets, which may itself hold blanks and brackets.
+    let (_, after_name) = stat.rsplit_once(')')?;
+    let mut fields = after_name.split_whitespace().skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some((user + system) * 1_000 / TICKS_PER_S)
+}
+
 /// The processor time that a `schedstat` file tells, in nanoseconds.
 pub fn parse_cpu_ns(schedstat: &str) -> Option<u64> {
     schedstat.split_whitespace().next()?.parse().ok()
--- /dev/null
+++ b/crates/persimmon_measure/src/throughput/callers.rs
@@ -0,0 +1,102 @@
+//! Callers that keep streams open.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use persimmon_standins::fleet::{Caller, ChatRequest};
+
+use super::ThroughputSettings;
+use super::stage::{KEY, MODEL, Stage};
+use crate::MeasureError;
+
+/// Tokens of each answer.
+const ANSWER_TOKENS: u32 = 512;
+
+/// Requests that were refused or cut.
+#[derive(Debug, Default)]
+pub(super) struct Failed {
+    pub(super) count: u64,
+    /// Why one of them failed.
+    pub(super) first: Option<String>,
+}
+
+impl Failed {
+    fn and(self, other: Self) -> Self {
+        Self { count: self.count + other.count, first: self.first.or(other.first) }
+    }
+}
+
+/// Threads that each keep one stream open until they are told to end.
+pub(super) struct Callers {
+    pub(super) tokens: Arc<AtomicU64>,
+    ends: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<Failed>>,
+}
+
+impl Callers {
+    pub(super) fn start(stage: &Stage, settings: ThroughputSettings) -> Result<Self, MeasureError> {
+        let tokens = Arc::new(AtomicU64::new(0));
+        let ends = Arc::new(AtomicBool::new(false));
+        let mut threads = Vec::new();
+        for number in 0..settings.streams {
+            let router = &stage.routers[number % stage.routers.len()];
+            let caller = Caller::new(stage.daemons.listen(router)?, KEY);
+            let (tokens, ends) = (tokens.clone(), ends.clone());
+            threads.push(thread::spawn(move || keep_streaming(&caller, number, &tokens, &ends)));
+        }
+        Ok(Self { tokens, ends, threads })
+    }
+
+    /// Ends the streams and returns what failed.
+    pub(super) fn close(self) -> Failed {
+        self.ends.store(true, Ordering::Relaxed);
+        let failed = self.threads.into_iter().filter_map(|thread| thread.join().ok());
+        failed.fold(Failed::default(), Failed::and)
+    }
+}
+
+/// Pause after a request that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(20);
+
+fn keep_streaming(caller: &Caller, number: usize, tokens: &AtomicU64, ends: &AtomicBool) -> Failed {
+    let mut failed = Failed::default();
+    let mut round = 0;
+    while !ends.load(Ordering::Relaxed) {
+        round += 1;
+        let content = format!("stream {number} round {round}");
+        let request = ChatRequest::new(MODEL, &content).with_max_tokens(ANSWER_TOKENS);
+        if let Err(err) = stream_once(caller, &request, tokens, ends) {
+            failed = failed.and(Failed { count: 1, first: Some(err.to_string()) });
+            thread::sleep(FAILURE_PAUSE);
+        }
+    }
+    failed
+}
+
+/// Reads one stream to its end, or until the run ends.
+fn stream_once(
+    caller: &Caller,
+    request: &ChatRequest,
+    tokens: &AtomicU64,
+    ends: &AtomicBool,
+) -> Result<(), MeasureError> {
+    let mut stream = caller.stream(request)?;
+    if stream.status() != 200 {
+        let reply = stream.into_reply()?;
+        return Err(MeasureError::Refused { status: reply.status, body: reply.body });
+    }
+    let mut found = 0;
+    while let Some(event) = stream.next_event()? {
+        if event.is_done() || ends.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        // The callers share the machine with what is measured, so they don't read the JSON.
+        if event.data.contains("\"content\"") {
+            found += 1;
+            tokens.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+    Err(MeasureError::Cut { found, wanted: ANSWER_TOKENS as usize })
+}
--- /dev/null
+++ b/crates/persimmon_measure/src/throughput/mod.rs
@@ -0,0 +1,92 @@
+//! Tokens a second through one router and through one sidecar.
+
+mod callers;
+mod figures;
+mod stage;
+
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+use self::callers::Callers;
+pub use self::figures::ThroughputFigures;
+use self::stage::Stage;
+use crate::{MeasureError, ProcessUse, Programs, load_average};
+
+/// How many processes of each role carry the streams.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Shape {
+    /// Routers.
+    pub routers: usize,
+    /// Sidecars, each with an engine of its own.
+    pub sidecars: usize,
+}
+
+/// How a run of throughput is done.
+#[derive(Debug, Clone, Copy)]
+pub struct ThroughputSettings {
+    /// Processes.
+    pub shape: Shape,
+    /// Streams at once.
+    pub streams: usize,
+    /// Time before the window.
+    pub warm_up: Duration,
+    /// Time that is measured.
+    pub window: Duration,
+}
+
+/// Keeps streams open through the fleet and counts their tokens.
+///
+/// # Errors
+///
+/// A process can't be started or its figures can't be read.
+pub fn measure_throughput(
+    programs: &Programs,
+    settings: ThroughputSettings,
+) -> Result<ThroughputFigures, MeasureError> {
+    let stage = Stage::start(programs, settings.shape)?;
+    let callers = Callers::start(&stage, settings)?;
+    thread::sleep(settings.warm_up);
+    let before = stage.usage()?;
+    let (tokens_before, started_at) = (callers.tokens.load(Ordering::Relaxed), Instant::now());
+    thread::sleep(settings.window);
+    let tokens = callers.tokens.load(Ordering::Relaxed) - tokens_before;
+    let window_s = started_at.elapsed().as_secs_f64();
+    let after = stage.usage()?;
+    let load_average = load_average();
+    let failed = callers.close();
+    let cores = |after: &[ProcessUse], before: &[ProcessUse]| {
+        let spent_ms = cpu_ms(after).saturating_sub(cpu_ms(before));
+        spent_ms as f64 / 1e3 / window_s
+    };
+    let router_cores = cores(&after.routers, &before.routers);
+    let sidecar_cores = cores(&after.sidecars, &before.sidecars);
+    let tokens_per_s = tokens as f64 / window_s;
+    Ok(ThroughputFigures {
+        shape: settings.shape,
+        streams: settings.streams,
+        window_s,
+        tokens_per_s,
+        failed: failed.count,
+        first_failure: failed.first,
+        router_us_per_token: router_cores * 1e6 / tokens_per_s,
+        sidecar_us_per_token: sidecar_cores * 1e6 / tokens_per_s,
+        router_cores,
+        sidecar_cores,
+        engine_cores: cores(&after.engines, &before.engines),
+        caller_cores: cores(&after.own, &before.own),
+        router_kib: most_resident_kib(&after.routers),
+        sidecar_kib: most_resident_kib(&after.sidecars),
+        load_average,
+    })
+}
+
+fn cpu_ms(uses: &[ProcessUse]) -> u64 {
+    uses.iter().map(|one| one.cpu_ms).sum()
+}
+
+fn most_resident_kib(uses: &[ProcessUse]) -> u64 {
+    uses.iter().map(|one| one.resident_kib).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/persimmon_measure/src/throughput/stage.rs
@@ -0,0 +1,103 @@
+//! The processes whose throughput is measured.
+
+use persimmon_records::{
+    Endpoint, EndpointBuilder, Generation, Limits, PerClass, Policy, RecordSet, Serves,
+    WorkspaceBuilder,
+};
+use persimmon_standins::Platform;
+use persimmon_standins::fleet::{Daemons, FleetError, IN_FORCE_DEADLINE, RECORDS_KEY, StandIn};
+
+use super::Shape;
+use crate::{MeasureError, ProcessUse, Programs};
+
+pub(super) const MODEL: &str = "chat-large";
+
+/// The workspace's key.
+pub(super) const KEY: &str = "wk-measure";
+
+/// Slots of each engine; a sidecar keeps a share of them for quick requests.
+const SLOTS: u32 = 48;
+
+/// What every process used so far.
+pub(super) struct Usage {
+    pub(super) routers: Vec<ProcessUse>,
+    pub(super) sidecars: Vec<ProcessUse>,
+    pub(super) engines: Vec<ProcessUse>,
+    pub(super) own: Vec<ProcessUse>,
+}
+
+/// The running processes.
+pub(super) struct Stage {
+    pub(super) daemons: Daemons,
+    pub(super) routers: Vec<String>,
+    sidecars: Vec<String>,
+    engines: Vec<StandIn>,
+    platform: Platform,
+}
+
+impl Stage {
+    pub(super) fn start(programs: &Programs, shape: Shape) -> Result<Self, MeasureError> {
+        let platform = Platform::start()?;
+        let mut daemons = Daemons::new(&programs.daemon, platform.address());
+        daemons.set_variable("PERSIMMON_LOG", "warn");
+        let slots = SLOTS.to_string();
+        let args = ["engine", "--model", MODEL, "--slots", &slots, "--queue", "64"];
+        let mut stage = Self {
+            daemons,
+            routers: Vec::new(),
+            sidecars: Vec::new(),
+            engines: Vec::new(),
+            platform,
+        };
+        for number in 1..=shape.sidecars {
+            let name = format!("engine-{number}");
+            let engine = StandIn::start(&name, &programs.stand_in, &args)?;
+            stage.daemons.start_sidecar(&name, "zone-a", engine.address())?;
+            stage.engines.push(engine);
+            stage.sidecars.push(name);
+        }
+        for number in 1..=shape.routers {
+            let name = format!("router-{number}");
+            stage.daemons.start_router(&name, "zone-a")?;
+            stage.routers.push(name);
+        }
+        stage.platform.publish(RECORDS_KEY, stage.records()?.to_text());
+        stage.daemons.wait_in_force(1, IN_FORCE_DEADLINE)?;
+        Ok(stage)
+    }
+
+    fn records(&self) -> Result<RecordSet, FleetError> {
+        let limits = PerClass::all(Limits { requests_per_second: 100_000, in_progress: 10_000 });
+        let workspace =
+            WorkspaceBuilder::new("measure").with_key(KEY).with_model(MODEL).with_limits(limits);
+        let endpoint = |name: &String| -> Result<Endpoint, FleetError> {
+            let builder = EndpointBuilder::new(name.as_str(), self.daemons.peer(name)?);
+            Ok(builder
+                .with_zone("zone-a")
+                .with_serves(Serves::Model(MODEL.into()))
+                .with_slots(SLOTS)
+                .build())
+        };
+        Ok(RecordSet {
+            generation: Generation(1),
+            // The streams are to be spread evenly and none refused.
+            policy: Policy { load_floor: 1_000, ..Policy::default() },
+            workspaces: vec![workspace.build()],
+            endpoints: self.sidecars.iter().map(endpoint).collect::<Result<_, _>>()?,
+            ..RecordSet::empty()
+        })
+    }
+
+    pub(super) fn usage(&self) -> Result<Usage, MeasureError> {
+        let of = |names: &[String]| -> Result<Vec<ProcessUse>, MeasureError> {
+            names.iter().map(|name| ProcessUse::of(self.daemons.id(name)?)).collect()
+        };
+        let engines = self.engines.iter().map(|engine| ProcessUse::of(engine.id()));
+        Ok(Usage {
+            routers: of(&self.routers)?,
+            sidecars: of(&self.sidecars)?,
+            engines: engines.collect::<Result<_, _>>()?,
+            own: vec![ProcessUse::of(std::process::id())?],
+        })
+    }
+}
--- a/crates/persimmon_measure/tests/arithmetic.rs
+++ b/crates/persimmon_measure/tests/arithmetic.rs
@@ -1,7 +1,7 @@
 //! The arithmetic behind the figures.
 
 use persimmon_measure::{
-    Counters, Line, ProcessUse, parse_counters, parse_cpu_ns, parse_load_average,
+    Counters, Line, ProcessUse, parse_counters, parse_cpu_ms, parse_cpu_ns, parse_load_average,
     parse_resident_kib, percentile,
 };
 use rstest::rstest;
@@ -54,6 +54,11 @@
 #[rstest]
 #[case::schedstat(parse_cpu_ns("219958 7412417 2\n"), Some(219_958))]
 #[case::schedstat_empty(parse_cpu_ns(""), None)]
+#[case::stat(
+    parse_cpu_ms("7 (a) b) S 1 7 7 0 -1 4194304 90 0 0 0 12 3 0 0 20 0 9 0 1 1 1\n"),
+    Some(150)
+)]
+#[case::stat_cut(parse_cpu_ms("7 (a) S 1 7"), None)]
 #[case::status(parse_resident_kib("Name:\tx\nVmHWM:\t 9 kB\nVmRSS:\t  4148 kB\n"), Some(4_148))]
 #[case::status_of_kernel_thread(parse_resident_kib("Name:\tkthreadd\n"), None)]
 fn kernel_text_is_parsed(#[case] found: Option<u64>, #[case] expected: Option<u64>) {
@@ -69,7 +74,7 @@
 #[test]
 fn own_process_uses_something() {
     let usage = ProcessUse::of(std::process::id()).unwrap();
-    assert!(usage.cpu_ns > 0 && usage.resident_kib > 0, "{usage:?}");
+    assert!(usage.live_threads_cpu_ns > 0 && usage.resident_kib > 0, "{usage:?}");
 }
 
 #[test]
