--- a/crates/persimmon_measure/src/bin/persimmon-measure.rs
+++ b/crates/persimmon_measure/src/bin/persimmon-measure.rs
@@ -18,7 +18,7 @@
   first-token  time that router and sidecar add to a streamed request, asked in turns
   throughput   tokens a second through one router, then through one sidecar
   control      memory, processor time, control bytes and platform reads of a router and a sidecar
-               without traffic, as peers, workspaces, endpoints and chats grow
+               without traffic, as peers, workspaces, endpoints, chats and connections grow
 
 Exit codes: 0 measured, 1 a target isn't met, 2 no figure or a command line that can't be read.";
 
@@ -43,7 +43,7 @@
     Number { flag: &'static str },
     #[error("give one of first-token, throughput, control; see --help")]
     Command,
-    #[error("nothing grows that is named {0}; take peers, workspaces, endpoints or chats")]
+    #[error("nothing grows that is named {0}; take peers, workspaces, endpoints, chats or links")]
     Growth(String),
     #[error("{0}")]
     Measure(#[from] MeasureError),
@@ -65,7 +65,7 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("", "pairs", "first-token: pairs of requests (400)", "N");
-    options.optopt("", "only", "control: peers, workspaces, endpoints or chats", "NAME");
+    options.optopt("", "only", "control: peers, workspaces, endpoints, chats or links", "NAME");
     options.optopt("", "warm-up-s", "control: seconds before the window (4)", "S");
     options.optopt("", "window-s", "control and throughput: seconds measured (8)", "S");
     options.optflag("", "json", "print JSON, one object a line");
--- a/crates/persimmon_measure/src/control/figures.rs
+++ b/crates/persimmon_measure/src/control/figures.rs
@@ -10,6 +10,8 @@
 /// What one process used in a window.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct RoleUse {
+    /// Open sockets at the end.
+    pub sockets: usize,
     /// Resident memory at the end, in MB.
     pub resident_mb: f64,
     /// Processor time, in percent of a core.
@@ -72,19 +74,25 @@
     ///
     /// There are fewer than two sizes.
     pub(super) fn new(growth: Growth, points: Vec<ControlPoint>) -> Result<Self, MeasureError> {
-        let router = RoleLines::fit(&points, |point| point.router)?;
-        let sidecar = RoleLines::fit(&points, |point| point.sidecar)?;
+        let router = RoleLines::fit(growth, &points, |point| point.router)?;
+        let sidecar = RoleLines::fit(growth, &points, |point| point.sidecar)?;
         Ok(Self { growth, points, router, sidecar })
     }
 }
 
 impl RoleLines {
+    /// Fits lines over the size, or over open sockets where links grow.
     fn fit(
+        growth: Growth,
         points: &[ControlPoint],
         role: fn(&ControlPoint) -> RoleUse,
     ) -> Result<Self, MeasureError> {
         let line = |value: fn(RoleUse) -> f64| {
-            let at = |point: &ControlPoint| (point.size as f64, value(role(point)));
+            let size = |point: &ControlPoint| match growth {
+                Growth::Links => role(point).sockets,
+                _ => point.size,
+            };
+            let at = |point: &ControlPoint| (size(point) as f64, value(role(point)));
             Line::fit(&points.iter().map(at).collect::<Vec<_>>())
         };
         let counts_bytes = points.iter().all(|point| role(point).sent_bytes_per_s.is_some());
@@ -102,10 +110,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:<10} {:>9} {:<8} {:>8} {:>8} {:>9} {:>9} {:>8} {:>6}",
+            "{:<10} {:>9} {:<8} {:>7} {:>8} {:>8} {:>9} {:>9} {:>8} {:>6}",
             self.growth.as_str(),
             "records B",
             "role",
+            "sockets",
             "MB",
             "core %",
             "sent B/s",
@@ -117,9 +126,10 @@
             for (role, used) in [("router", point.router), ("sidecar", point.sidecar)] {
                 writeln!(
                     f,
-                    "{:<10} {:>9} {role:<8} {:>8.2} {:>8.3} {:>9} {:>9} {:>8.2} {:>6.1}",
+                    "{:<10} {:>9} {role:<8} {:>7} {:>8.2} {:>8.3} {:>9} {:>9} {:>8.2} {:>6.1}",
                     point.size,
                     point.records_bytes,
+                    used.sockets,
                     used.resident_mb,
                     used.core_percent,
                     bytes(used.sent_bytes_per_s),
--- a/crates/persimmon_measure/src/control/mod.rs
+++ b/crates/persimmon_measure/src/control/mod.rs
@@ -23,11 +23,14 @@
     Endpoints,
     /// Streams in progress through one router and eight sidecars.
     Chats,
+    /// Idle connections, of one router to many sidecars and of one sidecar to many routers.
+    Links,
 }
 
 impl Growth {
     /// Everything that is grown.
-    pub const ALL: [Self; 4] = [Self::Peers, Self::Workspaces, Self::Endpoints, Self::Chats];
+    pub const ALL: [Self; 5] =
+        [Self::Peers, Self::Workspaces, Self::Endpoints, Self::Chats, Self::Links];
 
     /// The name on the command line.
     pub fn as_str(self) -> &'static str {
@@ -36,16 +39,18 @@
             Self::Workspaces => "workspaces",
             Self::Endpoints => "endpoints",
             Self::Chats => "chats",
+            Self::Links => "links",
         }
     }
 
-    /// The sizes that are measured.
+    /// The sizes that are measured; for links the routers, and as many sidecars.
     pub fn sizes(self) -> [usize; 4] {
         match self {
             Self::Peers => [4, 16, 48, 120],
             Self::Workspaces => [10, 400, 1_600, 4_400],
             Self::Endpoints => [20, 400, 1_600, 3_700],
             Self::Chats => [8, 64, 128, 256],
+            Self::Links => [4, 16, 32, 64],
         }
     }
 }
@@ -128,6 +133,7 @@
         let cpu_ns = now_ns.saturating_sub(before.usage.live_threads_cpu_ns);
         let (now, then) = (&self.counters, &before.counters);
         RoleUse {
+            sockets: self.usage.sockets,
             resident_mb: self.usage.resident_kib as f64 * 1_024.0 / 1e6,
             core_percent: cpu_ns as f64 / 1e7 / window_s,
             sent_bytes_per_s: rate(now.control_bytes_sent, then.control_bytes_sent),
--- a/crates/persimmon_measure/src/control/stage.rs
+++ b/crates/persimmon_measure/src/control/stage.rs
@@ -33,6 +33,13 @@
 /// Slots of the engine beside each sidecar that carries streams.
 const SLOTS: usize = 64;
 
+/// The workspace that may use the measured sidecar only.
+const SIDECAR_WORKSPACE: usize = 1;
+
+/// Short chats for each pair of router and sidecar, so that nearly every traffic thread of the router
+/// has one.
+const CHATS_PER_LINK: usize = 8;
+
 /// Tokens of a stream that outlasts the window.
 const LONG_ANSWER: u32 = 4_096;
 
@@ -48,27 +55,32 @@
 /// How much there is of everything.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Sizes {
-    processes: usize,
+    routers: usize,
+    sidecars: usize,
     workspaces: usize,
     endpoints: usize,
     chats: usize,
+    links: bool,
 }
 
 impl Sizes {
     /// The least of everything but of what grows.
     pub(super) fn of(growth: Growth, size: usize) -> Self {
-        let least = Self { processes: 4, workspaces: 10, endpoints: 20, chats: 0 };
+        let least =
+            Self { routers: 1, sidecars: 3, workspaces: 10, endpoints: 20, chats: 0, links: false };
         match growth {
-            Growth::Peers => Self { processes: size, endpoints: 0, ..least },
+            Growth::Peers => {
+                let routers = (size / PROCESSES_PER_ROUTER).max(1);
+                Self { routers, sidecars: size - routers, endpoints: 0, ..least }
+            }
             Growth::Workspaces => Self { workspaces: size, ..least },
             Growth::Endpoints => Self { endpoints: size, ..least },
-            Growth::Chats => Self { processes: 9, endpoints: 0, chats: size, ..least },
+            Growth::Chats => Self { sidecars: 8, endpoints: 0, chats: size, ..least },
+            Growth::Links => {
+                Self { routers: size, sidecars: size, endpoints: 0, links: true, ..least }
+            }
         }
     }
-
-    fn routers(&self) -> usize {
-        (self.processes / PROCESSES_PER_ROUTER).max(1)
-    }
 }
 
 /// The running processes.
@@ -83,15 +95,14 @@
     /// Starts everything, publishes the records and opens the streams.
     pub(super) fn start(programs: &Programs, sizes: Sizes) -> Result<Self, MeasureError> {
         let platform = Platform::start()?;
-        let slots = SLOTS * sizes.processes;
-        let engine = Engine::builder(model(0)).with_slots(slots);
+        let engine = Engine::builder(model(0)).with_slots(SLOTS * sizes.sidecars);
         let engine = engine.with_token_interval(TOKEN_INTERVAL).start()?;
         let mut daemons = Daemons::new(&programs.daemon, platform.address());
         daemons.set_variable("PERSIMMON_LOG", "warn");
-        for number in 1..=sizes.routers() {
+        for number in 1..=sizes.routers {
             daemons.start_router(&format!("router-{number}"), &zone(number))?;
         }
-        for number in 1..=sizes.processes - sizes.routers() {
+        for number in 1..=sizes.sidecars {
             daemons.start_sidecar(&format!("engine-{number}"), &zone(number), engine.address())?;
         }
         let vms = daemons.names().iter().map(|name| vm(&daemons, name)).collect::<Result<_, _>>();
@@ -101,6 +112,9 @@
         platform.publish(RECORDS_KEY, text);
         daemons.wait_in_force(1, ADOPT_DEADLINE)?;
         open_streams(daemons.listen(ROUTER)?, sizes.chats)?;
+        if sizes.links {
+            open_links(&daemons, sizes)?;
+        }
         Ok(Self { daemons, platform, engine, records_bytes })
     }
 
@@ -155,7 +169,7 @@
         generation: Generation(1),
         // The streams are to be spread evenly and none refused.
         policy: Policy { load_floor: 1_000, ..Policy::default() },
-        workspaces: (0..sizes.workspaces).map(workspace).collect(),
+        workspaces: (0..sizes.workspaces).map(|number| workspace(number, sizes.links)).collect(),
         endpoints,
         ..RecordSet::empty()
     })
@@ -170,13 +184,42 @@
         .build()
 }
 
-fn workspace(number: usize) -> Workspace {
+fn workspace(number: usize, links: bool) -> Workspace {
     let limits = PerClass::all(Limits { requests_per_second: 10_000, in_progress: 1_000 });
-    WorkspaceBuilder::new(format!("workspace-{number:04}").as_str())
+    let builder = WorkspaceBuilder::new(format!("workspace-{number:04}").as_str())
         .with_key(&key(number))
         .with_model(model(0).as_str())
-        .with_limits(limits)
-        .build()
+        .with_limits(limits);
+    if links && number == SIDECAR_WORKSPACE {
+        return builder.with_endpoint(SIDECAR).build();
+    }
+    builder.build()
+}
+
+/// Sends short chats until the measured router has met every sidecar and the measured sidecar every
+/// router, on every traffic thread.
+fn open_links(daemons: &Daemons, sizes: Sizes) -> Result<(), MeasureError> {
+    let caller = Caller::new(daemons.listen(ROUTER)?, &key(0));
+    for number in 0..CHATS_PER_LINK * sizes.sidecars {
+        send_chat(&caller, &format!("any sidecar {number}"))?;
+    }
+    for number in 1..=sizes.routers {
+        let router = daemons.listen(&format!("router-{number}"))?;
+        let caller = Caller::new(router, &key(SIDECAR_WORKSPACE));
+        for round in 0..CHATS_PER_LINK {
+            send_chat(&caller, &format!("one sidecar {number} {round}"))?;
+        }
+    }
+    Ok(())
+}
+
+fn send_chat(caller: &Caller, content: &str) -> Result<(), MeasureError> {
+    let request = ChatRequest::new(&model(0), content).with_max_tokens(1);
+    let reply = caller.chat(&request)?;
+    match reply.status {
+        200 => Ok(()),
+        status => Err(MeasureError::Refused { status, body: reply.body }),
+    }
 }
 
 /// Opens streams that outlast the window, each read by a thread that ends with its router.
--- a/crates/persimmon_measure/src/proc_fs.rs
+++ b/crates/persimmon_measure/src/proc_fs.rs
@@ -1,7 +1,7 @@
 //! What the kernel tells of a process.
 
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use crate::MeasureError;
 
@@ -19,6 +19,8 @@
     pub live_threads_cpu_ns: u64,
     /// Resident memory, in KiB.
     pub resident_kib: u64,
+    /// Open sockets.
+    pub sockets: usize,
 }
 
 impl ProcessUse {
@@ -42,10 +44,17 @@
             live_threads_cpu_ns += text.ok().and_then(|text| parse_cpu_ns(&text)).unwrap_or(0);
         }
         let resident_kib = parse_resident_kib(&status)?;
-        Some(Self { cpu_ms: parse_cpu_ms(&stat)?, live_threads_cpu_ns, resident_kib })
+        let sockets = count_sockets(&directory.join("fd"))?;
+        Some(Self { cpu_ms: parse_cpu_ms(&stat)?, live_threads_cpu_ns, resident_kib, sockets })
     }
 }
 
+fn count_sockets(directory: &Path) -> Option<usize> {
+    let files = fs::read_dir(directory).ok()?;
+    let targets = files.filter_map(|file| fs::read_link(file.ok()?.path()).ok());
+    Some(targets.filter(|target| target.to_string_lossy().starts_with("socket:")).count())
+}
+
 /// The processor time that a `stat` file tells, user and system together, in milliseconds.
 pub fn parse_cpu_ms(stat: &str) -> Option<u64> {
     // The second field is the program's name in brackets, which may itself hold blanks and brackets.
