--- a/crates/persimmon_decide/tests/config_adoption.rs
+++ b/crates/persimmon_decide/tests/config_adoption.rs
@@ -26,14 +26,18 @@
     let mut adoption = Adoption::default();
     offer(&mut adoption, &set(3, "good"));
     let broken = version(4, "broken");
-    assert_eq!(adoption.offer(Source::Platform, broken, || Err(FAULT)), Verdict::Refused);
+    assert_eq!(
+        adoption.offer(Source::Platform, broken, || Err::<RecordSet, _>(FAULT)),
+        Verdict::Refused
+    );
     assert_eq!(adoption.version(), Some(version(3, "good")));
     let refused = adoption.refused().unwrap();
     assert_eq!(refused.read_from, Source::Platform);
     assert!(refused.to_string().contains(FAULT), "{refused}");
 
     let peer = Source::Peer("router-1".into());
-    let again = adoption.offer(peer, broken, || panic!("read a refused set again"));
+    let unread = || -> Result<RecordSet, _> { panic!("read a refused set again") };
+    let again = adoption.offer(peer, broken, unread);
     assert_eq!(again, Verdict::Refused);
     assert!(!adoption.wants(broken));
     assert!(adoption.wants(version(4, "mended")));
@@ -47,7 +51,8 @@
     let mut adoption = Adoption::default();
     offer(&mut adoption, &set(3, "good"));
     let mut unread = |version| {
-        adoption.offer(Source::Platform, version, || panic!("read a set that can't be adopted"))
+        let read = || -> Result<RecordSet, _> { panic!("read a set that can't be adopted") };
+        adoption.offer(Source::Platform, version, read)
     };
     assert_eq!(unread(version(3, "good")), Verdict::Known);
     assert_eq!(unread(version(2, "old")), Verdict::Older);
@@ -114,7 +119,7 @@
                 prop_assert_eq!(verdict == Verdict::Adopted, adoption.version() > before);
                 if let Some(in_force) = adoption.in_force() {
                     prop_assert_eq!(in_force.version, in_force.set.version());
-                    prop_assert!(sets.contains(&in_force.set), "a mix");
+                    prop_assert!(sets.contains(in_force.set.set()), "a mix");
                 }
             }
             prop_assert_eq!(adoption.version(), winner);
--- a/crates/persimmon_records/src/digest.rs
+++ b/crates/persimmon_records/src/digest.rs
@@ -26,7 +26,8 @@
         blake3::hash(&text).into()
     }
 
-    pub(crate) fn as_bytes(&self) -> &[u8] {
+    /// The digest's bytes.
+    pub fn as_bytes(&self) -> &[u8] {
         &self.0
     }
 
@@ -42,6 +43,14 @@
     }
 }
 
+impl TryFrom<&[u8]> for Digest {
+    type Error = std::array::TryFromSliceError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, Self::Error> {
+        bytes.try_into().map(Self)
+    }
+}
+
 impl fmt::Display for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -5,17 +5,29 @@
 interface Node {
   # What every process offers.
 
-  records @0 (generation :UInt64, digest :Data) -> (update :RecordsUpdate);
-  # The record set in force, if it is newer than the one given.
+  records @0 (have :SetVersion) -> (update :RecordsUpdate);
+  # The record set in force, if it is higher than the one given.
 
   sidecar @1 () -> (sidecar :Sidecar, name :Text, stamp :Stamp);
   # The sidecar's own interface; a router has none and answers "unimplemented".
+
+  vms @2 (version :UInt64) -> (list :Text);
+  # The VM list as JSON, if it is newer than the version given; empty otherwise.
+}
+
+struct SetVersion {
+  generation @0 :UInt64;
+  digest @1 :Data;
+  # Empty for a process without records.
 }
 
 struct RecordsUpdate {
+  inForce @0 :SetVersion;
   union {
-    unchanged @0 :Void;
-    text @1 :Text;
+    unchanged @1 :Void;
+    changes @2 :Text;
+    # The changes that lead from the given version to the one in force.
+    whole @3 :Text;
   }
 }
 
@@ -195,25 +207,31 @@
 
 struct Datagram {
   # One digest, sent over UDP behind its authentication code.
-  sender @0 :Text;
+  from @0 :UInt64;
   incarnation @1 :UInt64;
   generation @2 :UInt64;
   setDigest @3 :Data;
-  entries @4 :List(DigestEntry);
-  quarantined @5 :List(QuarantineEntry);
+  # Empty if the sender has no record set.
+  vmsVersion @4 :UInt64;
+  contactAgeMs @5 :UInt32;
+  wantsReply @6 :Bool;
+  entries @7 :List(DigestEntry);
+  suspects @8 :List(SuspectMark);
 }
 
 struct DigestEntry {
-  endpoint @0 :UInt64;
-  # Hash of the endpoint's name.
+  node @0 :UInt64;
   incarnation @1 :UInt64;
-  work @2 :Float32;
-  ageMs @3 :UInt32;
-  flags @4 :UInt8;
+  beat @2 :UInt32;
+  work @3 :UInt32;
+  age @4 :UInt8;
+  flags @5 :UInt8;
 }
 
-struct QuarantineEntry {
+struct SuspectMark {
   fingerprint @0 :UInt64;
-  remainingMs @1 :UInt32;
-  crashes @2 :UInt8;
+  site @1 :UInt64;
+  ttlS @2 :UInt16;
+  verdict @3 :UInt8;
+  round @4 :UInt8;
 }
--- a/crates/persimmon_wire/src/connection.rs
+++ b/crates/persimmon_wire/src/connection.rs
@@ -21,8 +21,8 @@
 
 /// Time that a new TCP connection may take.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Largest message that is read, in 8-byte words.
-const MAX_MESSAGE_WORDS: usize = 512 * 1024;
+/// Largest message that is read, in 8-byte words: room for a whole record set.
+const MAX_MESSAGE_WORDS: usize = 2 * persimmon_records::MAX_SET_BYTES / 8;
 
 /// An open connection to another process.
 #[derive(Clone)]
--- a/crates/persimmon_wire/src/lib.rs
+++ b/crates/persimmon_wire/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod connection;
 mod convert;
+mod datagram;
 mod fleet_key;
 mod handshake;
 mod message;
+mod records_update;
 
 #[allow(
     missing_docs,
@@ -26,9 +28,11 @@
     WireError, read_credit_batch, read_credit_demand, read_settled, read_stamp, write_credit_batch,
     write_credit_demand, write_settled, write_stamp,
 };
+pub use datagram::{DatagramError, decode_digest, encode_digest};
 pub use fleet_key::{FleetKey, FleetKeyError};
 pub use handshake::{HandshakeError, accept_handshake, dial_handshake};
 pub use message::{
     Admission, CallReply, ClaimReply, ClaimRequest, Frame, FrameBody, ModelRequest, Refused,
     RequestRef, ServiceCall, StreamPosition,
 };
+pub use records_update::{RecordsUpdate, read_have, write_have};
--- /dev/null
+++ b/crates/persimmon_wire/src/records_update.rs
@@ -0,0 +1,91 @@
+//! Record sets on their way between processes.
+
+use std::sync::Arc;
+
+use persimmon_records::SetVersion;
+
+use crate::convert::WireError;
+use crate::datagram::read_version;
+use crate::fleet_capnp as schema;
+
+/// What a process answers to another that may hold older records.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RecordsUpdate {
+    /// Nothing higher is in force, or nothing at all.
+    Unchanged {
+        /// The version in force, if there is one.
+        in_force: Option<SetVersion>,
+    },
+    /// The changes that lead from the asker's version to the one in force, as text.
+    Changes {
+        /// The version in force.
+        in_force: SetVersion,
+        /// The change set.
+        text: Arc<str>,
+    },
+    /// The whole set in force, as text.
+    Whole {
+        /// The version in force.
+        in_force: SetVersion,
+        /// The set.
+        text: Arc<str>,
+    },
+}
+
+impl RecordsUpdate {
+    /// The version in force at the process that answered.
+    pub fn in_force(&self) -> Option<SetVersion> {
+        match self {
+            Self::Unchanged { in_force } => *in_force,
+            Self::Changes { in_force, .. } | Self::Whole { in_force, .. } => Some(*in_force),
+        }
+    }
+
+    /// Writes the message.
+    pub fn write(&self, mut builder: schema::records_update::Builder<'_>) {
+        write_have(builder.reborrow().init_in_force(), self.in_force());
+        match self {
+            Self::Unchanged { .. } => builder.set_unchanged(()),
+            Self::Changes { text, .. } => builder.set_changes(&**text),
+            Self::Whole { text, .. } => builder.set_whole(&**text),
+        }
+    }
+
+    /// Reads the message.
+    ///
+    /// # Errors
+    ///
+    /// The message is malformed.
+    pub fn read(reader: schema::records_update::Reader<'_>) -> Result<Self, WireError> {
+        let in_force = read_have(reader.get_in_force()?)?;
+        let missing = || WireError::Field("record set version");
+        Ok(match reader.which()? {
+            schema::records_update::Unchanged(()) => Self::Unchanged { in_force },
+            schema::records_update::Changes(text) => Self::Changes {
+                in_force: in_force.ok_or_else(missing)?,
+                text: Arc::from(text?.to_str()?),
+            },
+            schema::records_update::Whole(text) => Self::Whole {
+                in_force: in_force.ok_or_else(missing)?,
+                text: Arc::from(text?.to_str()?),
+            },
+        })
+    }
+}
+
+/// Writes the version that a process has in force.
+pub fn write_have(mut builder: schema::set_version::Builder<'_>, have: Option<SetVersion>) {
+    if let Some(version) = have {
+        builder.set_generation(version.generation.0);
+        builder.set_digest(version.digest.as_bytes());
+    }
+}
+
+/// Reads the version that a process has in force.
+///
+/// # Errors
+///
+/// The message is malformed.
+pub fn read_have(reader: schema::set_version::Reader<'_>) -> Result<Option<SetVersion>, WireError> {
+    Ok(read_version(reader.get_generation(), reader.get_digest()?))
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/common/keeper/gossip.rs
@@ -0,0 +1,84 @@
+//! Digests over UDP.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::thread;
+
+use flume::Sender;
+use persimmon_decide::membership::Digest;
+use persimmon_wire::{FleetKey, decode_digest, encode_digest};
+
+use super::command::{KeeperCommand, News};
+use crate::common::Metrics;
+
+/// The socket that digests are sent from and received at.
+#[derive(Debug, Clone)]
+pub(crate) struct Gossip {
+    socket: Arc<UdpSocket>,
+    key: FleetKey,
+    metrics: Metrics,
+}
+
+impl Gossip {
+    /// Binds the address and starts the thread that receives.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound or the thread can't be started.
+    pub(crate) fn start(
+        listen: SocketAddr,
+        key: FleetKey,
+        metrics: Metrics,
+        keeper: Sender<KeeperCommand>,
+    ) -> io::Result<Self> {
+        let socket = Arc::new(UdpSocket::bind(listen)?);
+        let gossip = Self { socket, key, metrics };
+        let receiver = gossip.clone();
+        thread::Builder::new().name("digests".into()).spawn(move || receiver.receive(&keeper))?;
+        Ok(gossip)
+    }
+
+    /// Sends a digest. One that is lost is made up for by the next.
+    pub(crate) fn send(&self, digest: &Digest, to: SocketAddr) {
+        match encode_digest(digest, &self.key) {
+            Ok(datagram) => {
+                self.count("sent", datagram.len());
+                if let Err(err) = self.socket.send_to(&datagram, to) {
+                    tracing::debug!("digests: one can't be sent: {err}.");
+                }
+            }
+            Err(err) => tracing::error!("digests: one can't be written: {err}."),
+        }
+    }
+
+    fn receive(&self, keeper: &Sender<KeeperCommand>) {
+        // One byte more than a datagram may have, so that a longer one is noticed.
+        let mut buf = [0; Digest::MAX_BYTES + 1];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buf) {
+                Ok(received) => received,
+                // An earlier datagram found no receiver; later ones may.
+                Err(_) => continue,
+            };
+            self.count("received", length);
+            match decode_digest(&buf[..length], &self.key) {
+                Ok(digest) => {
+                    let news = News::Digest { digest: Box::new(digest), from };
+                    if keeper.send(KeeperCommand::News(news)).is_err() {
+                        return;
+                    }
+                }
+                Err(err) => {
+                    tracing::debug!("digests: one from {from} is dropped: {err}.");
+                    self.metrics.dropped.with_label_values(&["datagram"]).inc();
+                }
+            }
+        }
+    }
+
+    fn count(&self, direction: &str, bytes: usize) {
+        let counter = self.metrics.control_bytes.with_label_values(&[direction, "digests"]);
+        counter.inc_by(bytes as u64);
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/common/keeper/node_calls.rs
@@ -0,0 +1,114 @@
+//! What every process answers to others of the fleet.
+
+use std::rc::Rc;
+
+use flume::Sender;
+use persimmon_decide::outcome::Stamp;
+use persimmon_wire::fleet_capnp::{node, sidecar};
+use persimmon_wire::{read_have, write_stamp};
+
+use super::command::KeeperCommand;
+use crate::common::Metrics;
+
+/// Makes the sidecar's interface for a connection, and its greeting.
+pub(crate) trait Greeter: Clone + 'static {
+    /// The interface, the endpoint's name and a fresh stamp; an error if there is no sidecar here.
+    fn greet(&self) -> impl Future<Output = capnp::Result<Greeting>>;
+}
+
+/// A sidecar's greeting.
+pub(crate) struct Greeting {
+    pub(crate) sidecar: sidecar::Client,
+    pub(crate) name: String,
+    pub(crate) stamp: Stamp,
+}
+
+/// A process without a sidecar's interface.
+#[derive(Debug, Clone)]
+pub(crate) struct NoSidecar;
+
+impl Greeter for NoSidecar {
+    async fn greet(&self) -> capnp::Result<Greeting> {
+        Err(capnp::Error::unimplemented("a router has no endpoint; call a sidecar".into()))
+    }
+}
+
+/// A process as others call it.
+#[derive(Debug, Clone)]
+pub(crate) struct NodeCalls<G> {
+    keeper: Sender<KeeperCommand>,
+    metrics: Metrics,
+    greeter: G,
+}
+
+impl<G: Greeter> NodeCalls<G> {
+    /// A process whose keeper hears of `keeper`.
+    pub(crate) fn new(keeper: Sender<KeeperCommand>, metrics: Metrics, greeter: G) -> Self {
+        Self { keeper, metrics, greeter }
+    }
+
+    /// The interface for one connection.
+    pub(crate) fn client(&self) -> node::Client {
+        capnp_rpc::new_client(self.clone())
+    }
+
+    async fn ask<T>(&self, command: impl FnOnce(Sender<T>) -> KeeperCommand) -> capnp::Result<T> {
+        let stopping = || capnp::Error::disconnected("the process is stopping; ask another".into());
+        let (reply, rx) = flume::bounded(1);
+        self.keeper.send(command(reply)).map_err(|_| stopping())?;
+        rx.recv_async().await.map_err(|_| stopping())
+    }
+
+    fn count_sent(&self, bytes: usize) {
+        self.metrics.control_bytes.with_label_values(&["sent", "peers"]).inc_by(bytes as u64);
+    }
+}
+
+impl<G: Greeter> node::Server for NodeCalls<G> {
+    async fn records(
+        self: Rc<Self>,
+        params: node::RecordsParams,
+        mut results: node::RecordsResults,
+    ) -> capnp::Result<()> {
+        let have = read_have(params.get()?.get_have()?)?;
+        let answer = self.ask(|reply| KeeperCommand::RecordsFor { have, reply }).await?;
+        let update = answer.to_update();
+        if let persimmon_wire::RecordsUpdate::Changes { text, .. }
+        | persimmon_wire::RecordsUpdate::Whole { text, .. } = &update
+        {
+            self.count_sent(text.len());
+        }
+        update.write(results.get().init_update());
+        Ok(())
+    }
+
+    async fn sidecar(
+        self: Rc<Self>,
+        _params: node::SidecarParams,
+        mut results: node::SidecarResults,
+    ) -> capnp::Result<()> {
+        let greeting = self.greeter.greet().await?;
+        let mut results = results.get();
+        results.set_sidecar(greeting.sidecar);
+        results.set_name(greeting.name.as_str());
+        write_stamp(results.init_stamp(), greeting.stamp);
+        Ok(())
+    }
+
+    async fn vms(
+        self: Rc<Self>,
+        params: node::VmsParams,
+        mut results: node::VmsResults,
+    ) -> capnp::Result<()> {
+        let version = params.get()?.get_version();
+        let list = self.ask(|reply| KeeperCommand::VmsFor { version, reply }).await?;
+        if let Some(list) = list {
+            let text = serde_json::to_string(&list).map_err(|err| {
+                capnp::Error::failed(format!("the VM list can't be written: {err}"))
+            })?;
+            self.count_sent(text.len());
+            results.get().set_list(text.as_str());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/common/keeper/peer_asker.rs
@@ -0,0 +1,103 @@
+//! Asks peers for records and VM lists.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use persimmon_decide::membership::VmList;
+use persimmon_records::{ChangeSet, RecordIndex, RecordSet};
+use persimmon_wire::{FleetKey, RecordsUpdate, dial, write_have};
+use tokio::time::timeout;
+
+use super::command::{KeeperCommand, News, PeerRecords};
+use super::platform_reader::offered_by_peer;
+use super::tasks::Task;
+use crate::common::{Clock, Metrics};
+
+/// Time that a peer has to answer, a whole set included.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Asks peers as tasks come, each on a connection of its own.
+pub(crate) async fn ask_peers(
+    tasks: Receiver<Task>,
+    key: FleetKey,
+    clock: Clock,
+    metrics: Metrics,
+    keeper: Sender<KeeperCommand>,
+) {
+    while let Ok(task) = tasks.recv_async().await {
+        let (key, keeper, metrics) = (key.clone(), keeper.clone(), metrics.clone());
+        tokio::task::spawn_local(async move {
+            if let Some(news) = ask(task, &key, clock, &metrics).await {
+                // A closed channel means that the process has ended.
+                let _ended = keeper.send(KeeperCommand::News(news));
+            }
+        });
+    }
+}
+
+async fn ask(task: Task, key: &FleetKey, clock: Clock, metrics: &Metrics) -> Option<News> {
+    match task {
+        Task::AskPeer { peer, address, have } => {
+            let asked_at = clock.now();
+            let asked = ask_records(address, key, have.as_deref(), metrics);
+            let answer = timeout(ANSWER_TIMEOUT, asked).await.ok().flatten();
+            Some(News::PeerRecords { peer, asked_at, answer })
+        }
+        Task::AskPeerVms { address, version } => {
+            let asked = ask_vms(address, key, version, metrics);
+            timeout(ANSWER_TIMEOUT, asked).await.ok().flatten().map(News::PeerVms)
+        }
+        Task::ReadRecords { .. } | Task::ReadVms { .. } => None,
+    }
+}
+
+async fn ask_records(
+    address: SocketAddr,
+    key: &FleetKey,
+    have: Option<&RecordIndex>,
+    metrics: &Metrics,
+) -> Option<PeerRecords> {
+    let connection = dial(address, key).await.ok()?;
+    let mut call = connection.node.records_request();
+    write_have(call.get().init_have(), have.map(RecordIndex::version));
+    let reply = call.send().promise.await.ok()?;
+    let update = RecordsUpdate::read(reply.get().ok()?.get_update().ok()?).ok()?;
+    connection.close();
+    let in_force = update.in_force();
+    let offered = match update {
+        RecordsUpdate::Unchanged { .. } => None,
+        RecordsUpdate::Changes { in_force, text } => {
+            count(metrics, text.len());
+            let changes = ChangeSet::parse(&text).ok()?;
+            let set = have?.apply(&changes).map_err(|err| err.to_string());
+            Some(offered_by_peer(in_force, set, Some(changes)))
+        }
+        RecordsUpdate::Whole { in_force, text } => {
+            count(metrics, text.len());
+            let set = RecordSet::parse(&text).map(RecordIndex::new).map_err(|err| err.to_string());
+            Some(offered_by_peer(in_force, set, None))
+        }
+    };
+    Some(PeerRecords { in_force, offered })
+}
+
+async fn ask_vms(
+    address: SocketAddr,
+    key: &FleetKey,
+    version: u64,
+    metrics: &Metrics,
+) -> Option<VmList> {
+    let connection = dial(address, key).await.ok()?;
+    let mut call = connection.node.vms_request();
+    call.get().set_version(version);
+    let reply = call.send().promise.await.ok()?;
+    let text = reply.get().ok()?.get_list().ok()?.to_str().ok()?.to_owned();
+    connection.close();
+    count(metrics, text.len());
+    serde_json::from_str(&text).ok()
+}
+
+fn count(metrics: &Metrics, bytes: usize) {
+    metrics.control_bytes.with_label_values(&["received", "peers"]).inc_by(bytes as u64);
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/common/keeper/start.rs
@@ -0,0 +1,44 @@
+//! Starts a keeper with its threads.
+
+use std::io;
+use std::net::SocketAddr;
+
+use flume::Sender;
+use persimmon_decide::Incarnation;
+use persimmon_decide::membership::VmName;
+
+use super::command::KeeperCommand;
+use super::gossip::Gossip;
+use super::keeper::{Keeper, KeeperParts};
+use super::tasks::Tasks;
+use crate::common::settings::CommonSettings;
+use crate::common::{Clock, Metrics, Platform};
+
+/// Starts the keeper of a process that answers peers at `peer`, and the threads that report to
+/// `commands`.
+///
+/// # Errors
+///
+/// An address can't be bound or a thread can't be started.
+pub(crate) fn start_keeper(
+    common: &CommonSettings,
+    peer: SocketAddr,
+    incarnation: Incarnation,
+    clock: Clock,
+    metrics: &Metrics,
+    commands: &Sender<KeeperCommand>,
+) -> io::Result<Keeper> {
+    let key = common.fleet_key.clone();
+    let platform = Platform::new(common.platform, metrics.clone());
+    let tasks = Tasks::start(&platform, key.clone(), clock, metrics.clone(), commands)?;
+    let gossip = Gossip::start(peer, key, metrics.clone(), commands.clone())?;
+    Ok(Keeper::new(KeeperParts {
+        name: VmName::new(common.name.as_str()),
+        zone: common.zone.clone(),
+        incarnation,
+        clock,
+        tasks,
+        gossip,
+        seeds: common.peers.iter().copied().filter(|seed| *seed != peer).collect(),
+    }))
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/common/keeper/tasks.rs
@@ -0,0 +1,125 @@
+//! Work that the keeper hands to other threads.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use flume::{Receiver, Sender};
+use persimmon_decide::membership::VmName;
+use persimmon_records::RecordIndex;
+use persimmon_wire::FleetKey;
+
+use super::command::{KeeperCommand, News};
+use super::peer_asker::ask_peers;
+use super::platform_reader::PlatformReader;
+use crate::common::{Clock, Metrics, Platform};
+
+/// Tasks that wait for each thread.
+const TASKS_WAITING: usize = 256;
+
+/// One piece of work.
+#[derive(Debug)]
+pub(crate) enum Task {
+    /// Read the platform's records.
+    ReadRecords {
+        /// The platform's version of the value read last.
+        after: u64,
+        /// How long the platform may wait for a newer one, in milliseconds.
+        wait_ms: u64,
+        /// The set in force, to which changes can be applied.
+        have: Option<Arc<RecordIndex>>,
+    },
+    /// Read the platform's VM list.
+    ReadVms {
+        /// The version held.
+        after: u64,
+        /// How long the platform may wait for a newer one, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Ask a peer for its records.
+    AskPeer {
+        /// The peer.
+        peer: VmName,
+        /// Its address.
+        address: SocketAddr,
+        /// The set in force.
+        have: Option<Arc<RecordIndex>>,
+    },
+    /// Ask a peer for its VM list.
+    AskPeerVms {
+        /// Its address.
+        address: SocketAddr,
+        /// The version held.
+        version: u64,
+    },
+}
+
+/// The threads that do the work.
+#[derive(Debug, Clone)]
+pub(crate) struct Tasks {
+    records: Sender<Task>,
+    vms: Sender<Task>,
+    peers: Sender<Task>,
+}
+
+impl Tasks {
+    /// Starts the threads, which report to `keeper`.
+    ///
+    /// # Errors
+    ///
+    /// A thread can't be started.
+    pub(crate) fn start(
+        platform: &Platform,
+        key: FleetKey,
+        clock: Clock,
+        metrics: Metrics,
+        keeper: &Sender<KeeperCommand>,
+    ) -> io::Result<Self> {
+        let (records, records_rx) = flume::bounded(TASKS_WAITING);
+        let (vms, vms_rx) = flume::bounded(TASKS_WAITING);
+        let (peers, peers_rx) = flume::bounded(TASKS_WAITING);
+        for (name, tasks) in [("read-records", records_rx), ("read-vms", vms_rx)] {
+            let reader = PlatformReader::new(platform.clone(), clock, metrics.clone());
+            let keeper = keeper.clone();
+            thread::Builder::new()
+                .name(name.into())
+                .spawn(move || read_all(&reader, &tasks, &keeper))?;
+        }
+        let keeper = keeper.clone();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        thread::Builder::new().name("ask-peers".into()).spawn(move || {
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, ask_peers(peers_rx, key, clock, metrics, keeper));
+        })?;
+        Ok(Self { records, vms, peers })
+    }
+
+    /// Hands over a task. One that finds its queue full is dropped; the keeper's own timeouts
+    /// notice.
+    pub(crate) fn hand_over(&self, task: Task) {
+        let queue = match task {
+            Task::ReadRecords { .. } => &self.records,
+            Task::ReadVms { .. } => &self.vms,
+            Task::AskPeer { .. } | Task::AskPeerVms { .. } => &self.peers,
+        };
+        if queue.try_send(task).is_err() {
+            tracing::warn!("records: a task was dropped, since too many wait.");
+        }
+    }
+}
+
+fn read_all(reader: &PlatformReader, tasks: &Receiver<Task>, keeper: &Sender<KeeperCommand>) {
+    for task in tasks {
+        let news = match task {
+            Task::ReadRecords { after, wait_ms, have } => {
+                reader.read_records(after, wait_ms, have.as_deref())
+            }
+            Task::ReadVms { after, wait_ms } => News::PlatformVms(reader.read_vms(after, wait_ms)),
+            Task::AskPeer { .. } | Task::AskPeerVms { .. } => continue,
+        };
+        if keeper.send(KeeperCommand::News(news)).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/persimmonmountd/src/common/mod.rs
+++ b/crates/persimmonmountd/src/common/mod.rs
@@ -1,26 +1,28 @@
 //! What both roles need: settings, clock, logs, traces, metrics and the operators' pages.
 
 mod clock;
+mod keeper;
 mod logging;
 mod metrics;
 mod ops;
 mod peer_server;
 mod platform;
 mod ready;
-mod records_watch;
 mod settings;
 mod signals;
 mod status;
 mod trace_context;
 
 pub(crate) use clock::Clock;
+pub(crate) use keeper::{
+    Greeter, Greeting, Keeper, KeeperChange, KeeperCommand, NoSidecar, NodeCalls, start_keeper,
+};
 pub(crate) use logging::start_logging;
 pub(crate) use metrics::Metrics;
 pub(crate) use ops::{OpsServer, Readiness};
 pub(crate) use peer_server::PeerServer;
-pub(crate) use platform::{Platform, VmList, VmRole};
+pub(crate) use platform::Platform;
 pub(crate) use ready::print_ready;
-pub(crate) use records_watch::{RecordsEvent, RecordsWatch};
 pub(crate) use settings::{ROUTER_SPECS, RouterSettings, SIDECAR_SPECS, SidecarSettings};
 pub(crate) use signals::on_stop_signal;
 pub(crate) use status::{LoadStatus, OutcomeCounts, Status};
--- a/crates/persimmonmountd/src/common/platform.rs
+++ b/crates/persimmonmountd/src/common/platform.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use persimmon_records::{EndpointName, ZoneName};
+use persimmon_decide::membership::VmList;
 
 use super::Metrics;
 
@@ -30,50 +30,6 @@
     pub(crate) value: String,
 }
 
-/// The role of a VM in the platform's list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub(crate) enum VmRole {
-    /// An entry VM.
-    Router,
-    /// An endpoint's VM.
-    Endpoint,
-}
-
-/// The state of a VM in the platform's list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub(crate) enum VmState {
-    /// The VM stays.
-    Live,
-    /// The VM is about to go.
-    Leaving,
-}
-
-/// One VM of the platform's list.
-#[derive(Debug, Clone, Deserialize)]
-pub(crate) struct VmEntry {
-    pub(crate) name: EndpointName,
-    pub(crate) role: VmRole,
-    pub(crate) peer: SocketAddr,
-    pub(crate) zone: ZoneName,
-    pub(crate) state: VmState,
-}
-
-impl VmEntry {
-    /// Whether the VM is about to go.
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.state == VmState::Leaving
-    }
-}
-
-/// The platform's lagging list of VMs.
-#[derive(Debug, Clone, Default, Deserialize)]
-pub(crate) struct VmList {
-    pub(crate) version: u64,
-    pub(crate) vms: Vec<VmEntry>,
-}
-
 /// A reader of the platform.
 #[derive(Debug, Clone)]
 pub(crate) struct Platform {
--- a/crates/persimmonmountd/src/common/settings.rs
+++ b/crates/persimmonmountd/src/common/settings.rs
@@ -32,6 +32,19 @@
     }
 }
 
+/// Addresses that commas part.
+#[derive(Debug, Default)]
+struct Addresses(Vec<SocketAddr>);
+
+impl FromStr for Addresses {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        parts.map(str::parse).collect::<Result<_, _>>().map(Self)
+    }
+}
+
 const NAME: Setting = Setting::new("name", "NAME", "the process's name");
 const ZONE: Setting = Setting::new("zone", "ZONE", "the VM's availability zone");
 const PEER_LISTEN: Setting =
@@ -41,6 +54,11 @@
         .with_default("127.0.0.1:0");
 const PLATFORM: Setting =
     Setting::new("platform", "ADDRESS", "HTTP address of the platform's configuration service");
+const PEERS: Setting = Setting::new(
+    "peers",
+    "ADDRESS,...",
+    "peers to ask at the start, should the platform be down; optional",
+);
 const LOG: Setting =
     Setting::new("log", "FILTER", "log filter by part and level").with_default("info");
 const LOG_FORMAT: Setting =
@@ -59,12 +77,13 @@
     Setting::new("endpoint", "ADDRESS", "HTTP address of the endpoint beside this sidecar");
 
 /// Settings of the router role.
-pub(crate) const ROUTER_SPECS: [Setting; 11] = [
+pub(crate) const ROUTER_SPECS: [Setting; 12] = [
     NAME,
     ZONE,
     PEER_LISTEN,
     OPS_LISTEN,
     PLATFORM,
+    PEERS,
     LOG,
     LOG_FORMAT,
     DRAIN_MS,
@@ -74,8 +93,8 @@
 ];
 
 /// Settings of the sidecar role.
-pub(crate) const SIDECAR_SPECS: [Setting; 9] =
-    [NAME, ZONE, PEER_LISTEN, OPS_LISTEN, PLATFORM, LOG, LOG_FORMAT, DRAIN_MS, ENDPOINT];
+pub(crate) const SIDECAR_SPECS: [Setting; 10] =
+    [NAME, ZONE, PEER_LISTEN, OPS_LISTEN, PLATFORM, PEERS, LOG, LOG_FORMAT, DRAIN_MS, ENDPOINT];
 
 /// Settings that both roles have.
 #[derive(Debug, Clone)]
@@ -85,6 +104,7 @@
     pub(crate) peer_listen: SocketAddr,
     pub(crate) ops_listen: SocketAddr,
     pub(crate) platform: SocketAddr,
+    pub(crate) peers: Vec<SocketAddr>,
     pub(crate) fleet_key: FleetKey,
     pub(crate) log: String,
     pub(crate) log_format: LogFormat,
@@ -165,6 +185,7 @@
     let peer_listen = settings.required(PEER_LISTEN.name());
     let ops_listen = settings.required(OPS_LISTEN.name());
     let platform = settings.required(PLATFORM.name());
+    let peers = settings.optional::<Addresses>(PEERS.name()).unwrap_or_default();
     let log = settings.required(LOG.name());
     let log_format = settings.required(LOG_FORMAT.name());
     let drain_ms = settings.required(DRAIN_MS.name());
@@ -175,6 +196,7 @@
         peer_listen: peer_listen?,
         ops_listen: ops_listen?,
         platform: platform?,
+        peers: peers.0,
         fleet_key: fleet_key?,
         log: log?,
         log_format: log_format?,
--- a/crates/persimmonmountd/src/router/command.rs
+++ b/crates/persimmonmountd/src/router/command.rs
@@ -1,7 +1,6 @@
 //! What the traffic threads of a router ask of its control thread.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use flume::Sender;
 use persimmon_decide::MonoMs;
@@ -12,7 +11,7 @@
 use persimmon_records::{Class, EndpointName, KeyDigest, ModelName, ServiceName, WorkspaceName};
 
 use super::failure::Failure;
-use crate::common::{RecordsEvent, Status};
+use crate::common::Status;
 
 /// What a caller asks for.
 #[derive(Debug, Clone)]
@@ -130,12 +129,8 @@
     AskBudget { reply: Sender<bool> },
     /// A request ended.
     Ended { outcome: Outcome },
-    /// News of records, the VM list or peers.
-    Records(RecordsEvent),
     /// The state for operators.
     Status { reply: Sender<Status> },
     /// The process is to stop once nothing is in progress.
     Drain,
-    /// The text of the records in force, for a peer that may hold older ones.
-    RecordsText { generation: u64, reply: Sender<Option<Arc<str>>> },
 }
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -5,21 +5,25 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use flume::{Receiver, RecvTimeoutError, Sender};
+use flume::{Receiver, Selector, Sender};
 use hyper::StatusCode;
 use persimmon_decide::MonoMs;
 use persimmon_decide::load::{
     Candidate, ChatKey, ChatToken, CreditDemand, CreditPurse, Directory, EndpointHash, Holder,
     LimitKey, PlaceRequest, Placement, TokenKey, credit_home_of, rendezvous_score,
 };
+use persimmon_decide::membership::{NodeId, OwnState, VmState};
 use persimmon_decide::outcome::Outcome;
 use persimmon_decide::recovery::RetryBudget;
-use persimmon_records::{Endpoint, EndpointName, RecordSet, Serves, ServiceName, Workspace};
+use persimmon_records::{
+    Endpoint, EndpointName, RecordIndex, RecordSet, Serves, ServiceName, Workspace,
+};
 
 use super::command::{Command, HomeDemand, Payment, Plan, PlanRequest, PlannedEndpoint, Wanted};
 use super::failure::Failure;
 use crate::common::{
-    Clock, LoadStatus, Metrics, OutcomeCounts, Readiness, RecordsEvent, Status, VmList, VmRole,
+    Clock, Keeper, KeeperChange, KeeperCommand, LoadStatus, Metrics, OutcomeCounts, Readiness,
+    Status,
 };
 
 /// Longest pause between two looks at what has become due.
@@ -65,10 +69,9 @@
     readiness: Readiness,
     in_progress: InProgress,
     token_key: TokenKey,
-    records: Arc<RecordSet>,
-    records_text: Option<Arc<str>>,
-    records_source: &'static str,
-    refused_records: Option<String>,
+    records: Arc<RecordIndex>,
+    keeper: Keeper,
+    last_tick: MonoMs,
     by_hash: HashMap<EndpointHash, Endpoint>,
     directory: Directory,
     placement: Placement,
@@ -97,12 +100,19 @@
     pub(crate) in_progress: InProgress,
     pub(crate) token_key: TokenKey,
     pub(crate) drain_ms: u64,
+    pub(crate) keeper: Keeper,
+}
+
+/// What reaches the control thread.
+enum Input {
+    Command(Command),
+    Keeper(KeeperCommand),
 }
 
 impl Control {
     /// A router that knows no records yet.
     pub(crate) fn new(parts: ControlParts) -> Self {
-        let records = Arc::new(RecordSet::empty());
+        let records = Arc::new(RecordIndex::new(RecordSet::empty()));
         Self {
             name: parts.name,
             zone: parts.zone,
@@ -112,13 +122,12 @@
             in_progress: parts.in_progress,
             token_key: parts.token_key,
             placement: Placement::default(),
-            budget: RetryBudget::new(records.policy.retry_share),
+            budget: RetryBudget::new(records.set().policy.retry_share),
             purse: CreditPurse::new(1),
             waiting: Vec::new(),
             records,
-            records_text: None,
-            records_source: "none",
-            refused_records: None,
+            keeper: parts.keeper,
+            last_tick: MonoMs::default(),
             by_hash: HashMap::new(),
             directory: Directory::default(),
             counts: OutcomeCounts::default(),
@@ -128,14 +137,27 @@
     }
 
     /// Handles commands until the process may end.
-    pub(crate) fn run(mut self, commands: &Receiver<Command>) {
+    pub(crate) fn run(
+        mut self,
+        commands: &Receiver<Command>,
+        keeper_commands: &Receiver<KeeperCommand>,
+    ) {
         loop {
-            match commands.recv_timeout(TICK) {
-                Ok(command) => self.handle(command),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+            let input = Selector::new()
+                .recv(commands, |command| command.map(Input::Command))
+                .recv(keeper_commands, |command| command.map(Input::Keeper))
+                .wait_timeout(TICK);
+            match input {
+                Ok(Ok(Input::Command(command))) => self.handle(command),
+                Ok(Ok(Input::Keeper(command))) => self.handle_keeper(command),
+                Ok(Err(_)) => return,
+                Err(_) => {}
             }
             let now = self.clock.now();
+            if now.ms_since(self.last_tick) >= TICK.as_millis() as u64 {
+                self.last_tick = now;
+                self.tick();
+            }
             if self.waiting.iter().any(|waiting| waiting.until <= now) {
                 self.pay_waiting(|waiting| waiting.until <= now);
             }
@@ -166,21 +188,18 @@
             }
             Command::Sent { endpoint, work } => self.directory.note_sent(endpoint, work),
             Command::Suspect { endpoint } => {
-                self.directory.suspect(endpoint, self.clock.now().plus_ms(SUSPECT_MS));
+                let now = self.clock.now();
+                self.directory.suspect(endpoint, now.plus_ms(SUSPECT_MS));
+                self.keeper.membership_mut().note_failure(NodeId(endpoint.0), now);
             }
             Command::Left { endpoint } => self.directory.set_leaving(endpoint, true),
             Command::AskBudget { reply } => self.ask_budget(&reply),
             Command::Ended { outcome } => self.count_outcome(outcome),
-            Command::Records(event) => self.on_records(event),
             Command::Status { reply } => send(&reply, self.status()),
             Command::Drain => {
                 self.draining_since.get_or_insert(self.clock.now());
                 self.update_readiness();
             }
-            Command::RecordsText { generation, reply } => {
-                let newer = self.records.generation.0 > generation;
-                send(&reply, self.records_text.clone().filter(|_| newer));
-            }
         }
     }
 
@@ -254,7 +273,7 @@
 
     /// Spends a credit. Also says whether the home has yet to answer.
     fn pay(&mut self, key: &LimitKey) -> (Payment, bool) {
-        let workspace = self.records.workspaces.iter().find(|one| one.name == key.workspace);
+        let workspace = self.records.workspace(&key.workspace);
         let per_second =
             workspace.map_or(0, |workspace| workspace.limits.get(key.class).requests_per_second);
         let spend = self.purse.spend(key, per_second, self.clock.now());
@@ -275,7 +294,7 @@
     }
 
     fn authorize(&self, req: &PlanRequest) -> Result<&Workspace, Failure> {
-        if self.records.generation.0 == 0 {
+        if !self.keeper.is_ready() {
             return Err(Failure::bad_request(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no-records",
@@ -283,7 +302,7 @@
             )
             .with_retry_after_ms(1_000));
         }
-        let workspace = self.records.workspace_by_key(req.key).ok_or_else(|| {
+        let workspace = self.records.workspace_by_key(&req.key).ok_or_else(|| {
             Failure::bad_request(
                 StatusCode::UNAUTHORIZED,
                 "unknown-workspace",
@@ -380,41 +399,53 @@
         send(reply, granted);
     }
 
-    fn on_records(&mut self, event: RecordsEvent) {
-        match event {
-            RecordsEvent::Adopted { records, text, source } => self.adopt(records, text, source),
-            RecordsEvent::Refused { reason } => {
-                tracing::warn!("router: published records are refused: {reason}.");
-                self.refused_records = Some(reason);
+    fn handle_keeper(&mut self, command: KeeperCommand) {
+        for change in self.keeper.handle(command) {
+            match change {
+                KeeperChange::Adopted(records) => self.adopt(records),
+                KeeperChange::Confirmed { .. } => {}
+                KeeperChange::Listed => self.on_listed(),
+                KeeperChange::Loads(loads) => {
+                    for told in loads {
+                        self.directory.digest(told.endpoint, told.work, told.measured_at);
+                    }
+                }
+                KeeperChange::Left(nodes) => {
+                    for node in nodes {
+                        self.directory.set_leaving(EndpointHash(node.0), true);
+                    }
+                }
             }
-            RecordsEvent::Confirmed { .. } => {}
-            RecordsEvent::Listed { vms } => self.on_listed(&vms),
         }
     }
 
-    fn adopt(&mut self, records: Arc<RecordSet>, text: Arc<str>, source: &'static str) {
-        let generation = records.generation;
-        if let Err(err) = self.directory.follow(&records) {
-            self.refused_records = Some(err.to_string());
+    fn tick(&mut self) {
+        let leaving = self.draining_since.is_some();
+        self.keeper.tick(OwnState { leaving, ..OwnState::default() });
+        self.update_readiness();
+    }
+
+    fn adopt(&mut self, records: Arc<RecordIndex>) {
+        let generation = records.version().generation;
+        if let Err(err) = self.directory.follow(records.set()) {
+            tracing::error!("router: the records can't be followed: {err}.");
             return;
         }
         tracing::info!("router: records of generation {generation} are in force.");
         self.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
-        self.budget.set_share(records.policy.retry_share);
+        self.budget.set_share(records.set().policy.retry_share);
         let hashed = |endpoint: &Endpoint| (EndpointHash::of(&endpoint.name), endpoint.clone());
-        self.by_hash = records.endpoints.iter().map(hashed).collect();
+        self.by_hash = records.set().endpoints.iter().map(hashed).collect();
         self.records = records;
-        self.records_text = Some(text);
-        self.records_source = source;
-        self.refused_records = None;
-        self.update_readiness();
+        self.on_listed();
     }
 
-    fn on_listed(&mut self, vms: &VmList) {
-        let routers = vms.vms.iter().filter(|vm| vm.role == VmRole::Router).count();
-        self.purse.set_routers(u32::try_from(routers).unwrap_or(u32::MAX));
-        for vm in vms.vms.iter().filter(|vm| vm.is_leaving()) {
-            self.directory.set_leaving(EndpointHash::of(&vm.name), true);
+    fn on_listed(&mut self) {
+        self.purse.set_routers(self.keeper.routers());
+        for vm in &self.keeper.membership().vms().vms {
+            if vm.state == VmState::Leaving {
+                self.directory.set_leaving(EndpointHash(NodeId::of(&vm.name).0), true);
+            }
         }
     }
 
@@ -429,8 +460,7 @@
     }
 
     fn update_readiness(&self) {
-        let has_records = self.records.generation.0 > 0;
-        self.readiness.set(has_records && self.draining_since.is_none());
+        self.readiness.set(self.keeper.is_ready() && self.draining_since.is_none());
     }
 
     fn is_drained(&self) -> bool {
@@ -445,13 +475,13 @@
             role: "router",
             name: self.name.to_string(),
             zone: self.zone.clone(),
-            generation: self.records.generation.0,
-            records_source: self.records_source,
+            generation: self.keeper.generation().0,
+            records_source: self.keeper.records_source(),
             leaving: self.draining_since.is_some(),
             load: LoadStatus { running, waiting: 0, mean: 0.0 },
             quarantined: Vec::new(),
             outcomes: self.counts,
-            refused_records: self.refused_records.clone(),
+            refused_records: self.keeper.trouble(),
         }
     }
 }
--- a/crates/persimmonmountd/src/router/mod.rs
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -10,7 +10,6 @@
 mod exchange;
 mod failure;
 mod head;
-mod node;
 mod pool;
 mod render;
 mod routes;
@@ -21,14 +20,14 @@
 use std::io;
 
 use persimmon_decide::load::TokenKey;
+use persimmon_decide::membership::incarnation_at;
 
 use self::command::Command;
 use self::control::{Control, ControlParts, InProgress};
-use self::node::RouterCalls;
 use self::traffic::{Traffic, TrafficParts};
 use crate::common::{
-    Clock, Metrics, OpsServer, PeerServer, Platform, Readiness, RecordsWatch, RouterSettings,
-    on_stop_signal, print_ready,
+    Clock, Metrics, NoSidecar, NodeCalls, OpsServer, PeerServer, Readiness, RouterSettings,
+    on_stop_signal, print_ready, random_u64, start_keeper,
 };
 
 /// Commands that wait for the control thread.
@@ -46,6 +45,14 @@
     let readiness = Readiness::default();
     let in_progress = InProgress::default();
     let (commands, rx) = flume::bounded(COMMANDS_WAITING);
+    let (keeper_commands, keeper_rx) = flume::bounded(COMMANDS_WAITING);
+
+    let node = NodeCalls::new(keeper_commands.clone(), metrics.clone(), NoSidecar);
+    let peer =
+        PeerServer::start(common.peer_listen, common.fleet_key.clone(), move || node.client())?;
+    let incarnation = incarnation_at(clock.unix(), random_u64() as u32);
+    let keeper =
+        start_keeper(common, peer.address(), incarnation, clock, &metrics, &keeper_commands)?;
     let control = Control::new(ControlParts {
         name: common.name.clone(),
         zone: common.zone.to_string(),
@@ -55,11 +62,9 @@
         in_progress: in_progress.clone(),
         token_key: TokenKey::from_fleet_key(common.fleet_key.secret()),
         drain_ms: common.drain_ms,
+        keeper,
     });
 
-    let calls = RouterCalls { commands: commands.clone() };
-    let node = move || capnp_rpc::new_client(calls.clone());
-    let peer = PeerServer::start(common.peer_listen, common.fleet_key.clone(), node)?;
     let parts = TrafficParts {
         commands: commands.clone(),
         clock,
@@ -67,12 +72,8 @@
         key: common.fleet_key.clone(),
         in_progress,
     };
-    let traffic = Traffic::start(
-        settings.listen,
-        settings.traffic_threads,
-        settings.max_connections,
-        &parts,
-    )?;
+    let (threads, connections) = (settings.traffic_threads, settings.max_connections);
+    let traffic = Traffic::start(settings.listen, threads, connections, &parts)?;
 
     let status_commands = commands.clone();
     let status = move || {
@@ -80,18 +81,13 @@
         status_commands.send(Command::Status { reply }).ok()?;
         rx.recv().ok()
     };
-    let ops = OpsServer::start(common.ops_listen, metrics.clone(), readiness, status)?;
-
-    let records_commands = commands.clone();
-    let platform = Platform::new(common.platform, metrics);
-    RecordsWatch::new(platform, clock)
-        .start(move |event| records_commands.send(Command::Records(event)).is_ok())?;
+    let ops = OpsServer::start(common.ops_listen, metrics, readiness, status)?;
     on_stop_signal(move || {
         let _ended = commands.send(Command::Drain);
     })?;
 
     let listen = Some(traffic.address());
     print_ready("router", common.name.as_str(), listen, peer.address(), ops.address())?;
-    control.run(&rx);
+    control.run(&rx, &keeper_rx);
     Ok(())
 }
--- a/crates/persimmonmountd/src/sidecar/command.rs
+++ b/crates/persimmonmountd/src/sidecar/command.rs
@@ -1,7 +1,5 @@
 //! What the traffic threads of a sidecar ask of its control thread.
 
-use std::sync::Arc;
-
 use flume::Sender;
 use persimmon_decide::Offset;
 use persimmon_decide::load::{CreditDemand, CreditReply};
@@ -13,7 +11,7 @@
 
 use super::engine::EngineEvent;
 use super::service::ServiceEvent;
-use crate::common::{RecordsEvent, Status};
+use crate::common::Status;
 
 /// Frames on their way to the router that asked for them.
 pub(crate) type FrameTx = Sender<Frame>;
@@ -43,12 +41,8 @@
     Engine(EngineEvent),
     /// News from the plain service.
     Service(ServiceEvent),
-    /// News of records, the VM list or peers.
-    Records(RecordsEvent),
     /// The state for operators.
     Status { reply: Sender<Status> },
     /// The process is to stop once nothing is in progress.
     Drain,
-    /// The text of the records in force, for a peer that may hold older ones.
-    RecordsText { generation: u64, reply: Sender<Option<Arc<str>>> },
 }
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -3,21 +3,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flume::{Receiver, RecvTimeoutError, Sender};
-use persimmon_decide::load::{CreditDemand, CreditHome, CreditReply};
+use flume::{Receiver, Selector, Sender};
+use persimmon_decide::load::{CreditDemand, CreditHome, CreditReply, EndpointHash, LoadReport};
+use persimmon_decide::membership::{OwnState, ToldLoad, VmState};
 use persimmon_decide::recovery::{Phase, Work};
+use persimmon_records::{RecordIndex, Serves};
 
 use super::calls::Calls;
 use super::command::Command;
 use super::core::Core;
 use super::runs::Runs;
-use crate::common::{LoadStatus, Readiness, RecordsEvent, Status};
+use crate::common::{Keeper, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status};
 
 /// Longest pause between two looks at what has become due.
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two sweeps of the ledger, in milliseconds.
 const LEDGER_SWEEP_MS: u64 = 10_000;
 
+/// What reaches the control thread.
+enum Input {
+    Command(Command),
+    Keeper(KeeperCommand),
+}
+
 /// The decisions of one sidecar.
 pub(crate) struct Control {
     pub(crate) core: Core,
@@ -25,9 +33,7 @@
     pub(crate) calls: Calls,
     pub(crate) readiness: Readiness,
     pub(crate) zone: String,
-    pub(crate) records_text: Option<Arc<str>>,
-    pub(crate) refused_records: Option<String>,
-    pub(crate) records_source: &'static str,
+    pub(crate) keeper: Keeper,
     pub(crate) credits: CreditHome,
     /// Share of the published endpoints that this sidecar sees alive.
     pub(crate) seen_share: f64,
@@ -35,14 +41,23 @@
 
 impl Control {
     /// Handles commands until the process may end.
-    pub(crate) fn run(mut self, commands: &Receiver<Command>) {
+    pub(crate) fn run(
+        mut self,
+        commands: &Receiver<Command>,
+        keeper_commands: &Receiver<KeeperCommand>,
+    ) {
         let mut last_tick = self.core.now();
         let mut last_sweep = last_tick;
         loop {
-            match commands.recv_timeout(TICK) {
-                Ok(command) => self.handle(command),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+            let input = Selector::new()
+                .recv(commands, |command| command.map(Input::Command))
+                .recv(keeper_commands, |command| command.map(Input::Keeper))
+                .wait_timeout(TICK);
+            match input {
+                Ok(Ok(Input::Command(command))) => self.handle(command),
+                Ok(Ok(Input::Keeper(command))) => self.handle_keeper(command),
+                Ok(Err(_)) => return,
+                Err(_) => {}
             }
             let now = self.core.now();
             if now.ms_since(last_tick) >= TICK.as_millis() as u64 {
@@ -89,13 +104,8 @@
             Command::Greet { reply } => send(&reply, self.core.ledger.stamp(self.core.now())),
             Command::Engine(event) => self.runs.on_engine(&mut self.core, event),
             Command::Service(event) => self.calls.on_service(&mut self.core, event),
-            Command::Records(event) => self.on_records(event),
             Command::Status { reply } => send(&reply, self.status()),
             Command::Drain => self.core.leaving.signal(self.core.clocks()),
-            Command::RecordsText { generation, reply } => {
-                let newer = self.core.records().generation.0 > generation;
-                send(&reply, self.records_text.clone().filter(|_| newer));
-            }
         }
     }
 
@@ -119,6 +129,8 @@
     }
 
     fn tick(&mut self) {
+        self.keeper.tick(self.own_state());
+        self.core.is_started = self.keeper.is_ready();
         self.observe();
         self.runs.tick(&mut self.core);
         let is_serving = self.core.check_serving().is_ok();
@@ -129,43 +141,73 @@
         gauge.with_label_values(&["waiting"]).set(i64::from(load.waiting));
     }
 
-    fn on_records(&mut self, event: RecordsEvent) {
-        match event {
-            RecordsEvent::Adopted { records, text, source } => {
-                let generation = records.generation;
-                tracing::info!("sidecar: records of generation {generation} are in force.");
-                self.core.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
-                self.core.set_records(records);
-                self.runs.follow_records(&self.core);
-                self.records_text = Some(text);
-                self.records_source = source;
-                self.refused_records = None;
-            }
-            RecordsEvent::Refused { reason } => {
-                tracing::warn!("sidecar: published records are refused: {reason}.");
-                self.refused_records = Some(reason);
-            }
-            RecordsEvent::Confirmed { asked_at, heard } => {
-                self.core.leaving.confirm_records(asked_at, heard);
-            }
-            RecordsEvent::Listed { vms } => {
-                let own = vms.vms.iter().find(|vm| vm.name == self.core.name);
-                if let Some(vm) = own {
-                    let clocks = self.core.clocks();
-                    self.core.leaving.set_listed(vm.is_leaving(), clocks);
+    fn handle_keeper(&mut self, command: KeeperCommand) {
+        for change in self.keeper.handle(command) {
+            match change {
+                KeeperChange::Adopted(records) => self.adopt(records),
+                KeeperChange::Confirmed { asked_at, heard } => {
+                    self.core.leaving.confirm_records(asked_at, heard);
                 }
+                KeeperChange::Listed => self.on_listed(),
+                KeeperChange::Loads(loads) => self.on_loads(&loads),
+                KeeperChange::Left(_) => {}
             }
         }
     }
 
+    fn adopt(&mut self, records: Arc<RecordIndex>) {
+        let generation = records.version().generation;
+        tracing::info!("sidecar: records of generation {generation} are in force.");
+        self.core.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
+        self.core.set_records(records);
+        self.runs.follow_records(&self.core);
+    }
+
+    fn on_listed(&mut self) {
+        let vms = &self.keeper.membership().vms().vms;
+        let own = vms.iter().find(|vm| vm.name.as_str() == self.core.name.as_str());
+        if let Some(vm) = own {
+            let clocks = self.core.clocks();
+            self.core.leaving.set_listed(vm.state == VmState::Leaving, clocks);
+        }
+    }
+
+    /// Takes in the loads of the endpoints that serve the same model.
+    fn on_loads(&mut self, loads: &[ToldLoad]) {
+        let Some(own) = self.core.endpoint() else { return };
+        let Serves::Model(model) = &own.serves else { return };
+        let peers = self.core.records().endpoints_of_model(model);
+        let reports: Vec<_> = peers
+            .filter(|peer| peer.name != own.name)
+            .filter_map(|peer| {
+                let hash = EndpointHash::of(&peer.name);
+                let told = loads.iter().find(|told| told.endpoint == hash)?;
+                let report =
+                    LoadReport { work: told.work, slots: peer.slots, ..LoadReport::default() };
+                Some((hash, report, told.measured_at))
+            })
+            .collect();
+        for (hash, report, at) in reports {
+            self.runs.observe(hash, report, at);
+        }
+    }
+
+    fn own_state(&self) -> OwnState {
+        OwnState {
+            work: self.runs.load().work,
+            leaving: self.core.leaving.cause().is_some(),
+            ..OwnState::default()
+        }
+    }
+
     fn status(&self) -> Status {
         let load = self.runs.load();
         Status {
             role: "sidecar",
             name: self.core.name.to_string(),
             zone: self.zone.clone(),
-            generation: self.core.records().generation.0,
-            records_source: self.records_source,
+            generation: self.keeper.generation().0,
+            records_source: self.keeper.records_source(),
             leaving: self.core.leaving.cause().is_some(),
             load: LoadStatus {
                 running: load.running,
@@ -174,7 +216,7 @@
             },
             quarantined: Vec::new(),
             outcomes: self.core.counts(),
-            refused_records: self.refused_records.clone(),
+            refused_records: self.keeper.trouble(),
         }
     }
 }
--- a/crates/persimmonmountd/src/sidecar/core.rs
+++ b/crates/persimmonmountd/src/sidecar/core.rs
@@ -6,7 +6,9 @@
 use persimmon_decide::outcome::{Ledger, LedgerLimits, Outcome, Refusal};
 use persimmon_decide::recovery::{Clocks, Hold, Leaving, LeavingSettings, NotServing, RecordsWord};
 use persimmon_decide::{Incarnation, MonoMs};
-use persimmon_records::{Endpoint, EndpointName, Policy, RecordSet, Workspace, WorkspaceName};
+use persimmon_records::{
+    Endpoint, EndpointName, Policy, RecordIndex, RecordSet, Workspace, WorkspaceName,
+};
 use persimmon_wire::Refused;
 
 use crate::common::{Clock, Metrics, OutcomeCounts};
@@ -22,9 +24,11 @@
     pub(crate) metrics: Metrics,
     pub(crate) ledger: Ledger,
     pub(crate) leaving: Leaving,
-    records: Arc<RecordSet>,
+    records: Arc<RecordIndex>,
     endpoint: Option<Endpoint>,
     counts: OutcomeCounts,
+    /// Whether the process has asked enough others to serve by its records.
+    pub(crate) is_started: bool,
 }
 
 impl Core {
@@ -42,9 +46,10 @@
             metrics,
             ledger: Ledger::new(incarnation, LedgerLimits::default()),
             leaving: Leaving::new(LeavingSettings::default(), clocks),
-            records: Arc::new(RecordSet::empty()),
+            records: Arc::new(RecordIndex::new(RecordSet::empty())),
             endpoint: None,
             counts: OutcomeCounts::default(),
+            is_started: false,
         }
     }
 
@@ -59,7 +64,7 @@
     }
 
     /// The records in force.
-    pub(crate) fn records(&self) -> &Arc<RecordSet> {
+    pub(crate) fn records(&self) -> &RecordIndex {
         &self.records
     }
 
@@ -70,14 +75,15 @@
 
     /// The policy in force.
     pub(crate) fn policy(&self) -> &Policy {
-        &self.records.policy
+        &self.records.set().policy
     }
 
     /// The record of a workspace that hasn't expired.
     pub(crate) fn workspace(&self, name: &WorkspaceName) -> Option<&Workspace> {
         let wall = self.clock.unix();
-        let found = self.records.workspaces.iter().find(|workspace| workspace.name == *name);
-        found.filter(|workspace| workspace.expires_at.is_none_or(|at| wall < at))
+        self.records
+            .workspace(name)
+            .filter(|workspace| workspace.expires_at.is_none_or(|at| wall < at))
     }
 
     /// How requests ended so far.
@@ -86,11 +92,11 @@
     }
 
     /// Puts records into force.
-    pub(crate) fn set_records(&mut self, records: Arc<RecordSet>) {
+    pub(crate) fn set_records(&mut self, records: Arc<RecordIndex>) {
         let clocks = self.clocks();
         self.endpoint = records.endpoint(&self.name).cloned();
         let word = RecordsWord::of_endpoint(self.endpoint.as_ref());
-        self.leaving.set_records(word, records.generation, clocks);
+        self.leaving.set_records(word, records.version().generation, clocks);
         self.records = records;
     }
 
@@ -100,6 +106,10 @@
     ///
     /// A definite refusal.
     pub(crate) fn check_serving(&self) -> Result<(), Refused> {
+        if !self.is_started {
+            let refusal = Refusal::StaleRecords;
+            return Err(Refused { refusal, retry_after_ms: RECORDS_RETRY_MS });
+        }
         self.leaving.check(self.clocks()).map_err(|not_serving| match not_serving {
             NotServing::Leaving(_) | NotServing::Held(Hold::NotOpened(_)) => {
                 Refused { refusal: Refusal::Leaving, retry_after_ms: 0 }
--- a/crates/persimmonmountd/src/sidecar/mod.rs
+++ b/crates/persimmonmountd/src/sidecar/mod.rs
@@ -13,8 +13,8 @@
 
 use std::io;
 
-use persimmon_decide::Incarnation;
 use persimmon_decide::load::CreditHome;
+use persimmon_decide::membership::incarnation_at;
 use persimmon_decide::outcome::{ClaimSealer, HeartbeatLimits};
 
 use self::calls::Calls;
@@ -26,8 +26,8 @@
 use self::runs::Runs;
 use self::service::Service;
 use crate::common::{
-    Clock, Metrics, OpsServer, PeerServer, Platform, Readiness, RecordsWatch, SidecarSettings,
-    on_stop_signal, print_ready, random_u64,
+    Clock, Metrics, NodeCalls, OpsServer, PeerServer, Readiness, SidecarSettings, on_stop_signal,
+    print_ready, random_u64, start_keeper,
 };
 
 /// Commands that wait for the control thread.
@@ -42,51 +42,49 @@
     let common = &settings.common;
     let clock = Clock::start();
     let metrics = Metrics::new().map_err(io::Error::other)?;
-    let incarnation = Incarnation(random_u64());
+    let incarnation = incarnation_at(clock.unix(), random_u64() as u32);
     let (commands, rx) = flume::bounded(COMMANDS_WAITING);
+    let (keeper_commands, keeper_rx) = flume::bounded(COMMANDS_WAITING);
+    let readiness = Readiness::default();
+
+    let calls = SidecarCalls {
+        name: common.name.clone(),
+        commands: commands.clone(),
+        clock,
+        heartbeat: HeartbeatLimits::default(),
+    };
+    let node = NodeCalls::new(keeper_commands.clone(), metrics.clone(), calls);
+    // The exclusive bind of the peer address makes this the only sidecar of the endpoint on the VM.
+    let peer =
+        PeerServer::start(common.peer_listen, common.fleet_key.clone(), move || node.client())?;
+    let keeper =
+        start_keeper(common, peer.address(), incarnation, clock, &metrics, &keeper_commands)?;
     let engine = Engine::start(settings.endpoint, commands.clone())?;
     let service = Service::new(settings.endpoint, commands.clone());
     let sealer = ClaimSealer::new(common.fleet_key.secret());
-    let readiness = Readiness::default();
     let control = Control {
         core: Core::new(common.name.clone(), clock, metrics.clone(), incarnation),
         runs: Runs::new(engine),
         calls: Calls::new(service, sealer),
         readiness: readiness.clone(),
         zone: common.zone.to_string(),
-        records_text: None,
-        refused_records: None,
-        records_source: "none",
+        keeper,
         credits: CreditHome::default(),
         seen_share: 1.0,
     };
 
-    let calls = SidecarCalls {
-        name: common.name.clone(),
-        commands: commands.clone(),
-        clock,
-        heartbeat: HeartbeatLimits::default(),
-    };
-    let node = move || capnp_rpc::new_client(calls.clone());
-    let peer = PeerServer::start(common.peer_listen, common.fleet_key.clone(), node)?;
-
     let status_commands = commands.clone();
     let status = move || {
         let (reply, rx) = flume::bounded(1);
         status_commands.send(Command::Status { reply }).ok()?;
         rx.recv().ok()
     };
-    let ops = OpsServer::start(common.ops_listen, metrics.clone(), readiness, status)?;
-
-    let records_commands = commands.clone();
-    let platform = Platform::new(common.platform, metrics);
-    RecordsWatch::new(platform, clock)
-        .start(move |event| records_commands.send(Command::Records(event)).is_ok())?;
+    let ops = OpsServer::start(common.ops_listen, metrics, readiness, status)?;
     on_stop_signal(move || {
         let _ended = commands.send(Command::Drain);
     })?;
 
     print_ready("sidecar", common.name.as_str(), None, peer.address(), ops.address())?;
-    control.run(&rx);
+    control.run(&rx, &keeper_rx);
     Ok(())
 }
--- a/crates/persimmonmountd/src/sidecar/rpc.rs
+++ b/crates/persimmonmountd/src/sidecar/rpc.rs
@@ -1,21 +1,20 @@
 //! The sidecar's calls, answered by its control thread.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use flume::Sender;
 use persimmon_decide::outcome::{FrameId, HeartbeatLimits, LedgerKey};
 use persimmon_decide::{Attempt, RequestId};
 use persimmon_records::EndpointName;
-use persimmon_wire::fleet_capnp::{frame_sink, node, sidecar};
+use persimmon_wire::fleet_capnp::{frame_sink, sidecar};
 use persimmon_wire::{
     ClaimRequest, Frame, ModelRequest, RequestRef, ServiceCall, StreamPosition, read_credit_demand,
-    write_credit_batch, write_settled, write_stamp,
+    write_credit_batch, write_settled,
 };
 
 use super::command::Command;
 use super::pump::{FRAMES_WAITING, Pump};
-use crate::common::Clock;
+use crate::common::{Clock, Greeter, Greeting};
 
 /// The sidecar as other processes call it.
 #[derive(Clone)]
@@ -62,34 +61,11 @@
     capnp::Error::disconnected("the sidecar is stopping; try another endpoint".into())
 }
 
-impl node::Server for SidecarCalls {
-    async fn records(
-        self: Rc<Self>,
-        params: node::RecordsParams,
-        mut results: node::RecordsResults,
-    ) -> capnp::Result<()> {
-        let generation = params.get()?.get_generation();
-        let text: Option<Arc<str>> =
-            self.ask(|reply| Command::RecordsText { generation, reply }).await?;
-        let mut update = results.get().init_update();
-        match text {
-            Some(text) => update.set_text(&*text),
-            None => update.set_unchanged(()),
-        }
-        Ok(())
-    }
-
-    async fn sidecar(
-        self: Rc<Self>,
-        _params: node::SidecarParams,
-        mut results: node::SidecarResults,
-    ) -> capnp::Result<()> {
+impl Greeter for SidecarCalls {
+    async fn greet(&self) -> capnp::Result<Greeting> {
         let stamp = self.ask(|reply| Command::Greet { reply }).await?;
-        let mut results = results.get();
-        results.set_sidecar(capnp_rpc::new_client(Self::clone(&self)));
-        results.set_name(self.name.as_str());
-        write_stamp(results.init_stamp(), stamp);
-        Ok(())
+        let sidecar = capnp_rpc::new_client(self.clone());
+        Ok(Greeting { sidecar, name: self.name.to_string(), stamp })
     }
 }
 
--- a/crates/persimmonmountd/src/sidecar/runs.rs
+++ b/crates/persimmonmountd/src/sidecar/runs.rs
@@ -5,8 +5,8 @@
 
 use flume::Sender;
 use persimmon_decide::load::{
-    Admission as Admit, AdmissionConfig, AdmittedKey, Decision, Due, LoadReport, Offer,
-    RefuseReason, Work,
+    Admission as Admit, AdmissionConfig, AdmittedKey, Decision, Due, EndpointHash, LoadReport,
+    Offer, RefuseReason, Work,
 };
 use persimmon_decide::outcome::{
     Begin, FrameId, LedgerKey, Outcome, OutputStore, Presented, PushError, Refusal, Repeatability,
@@ -110,16 +110,16 @@
         self.admission.mean().per_slot(now)
     }
 
-    /// Estimates of the mean load, to be fed by digests.
-    pub(crate) fn admission_mut(&mut self) -> &mut Admit {
-        &mut self.admission
+    /// Takes in what another endpoint of the model carries.
+    pub(crate) fn observe(&mut self, endpoint: EndpointHash, report: LoadReport, at: MonoMs) {
+        self.admission.mean_mut().observe(endpoint, report, at);
     }
 
     /// Follows the records in force.
     pub(crate) fn follow_records(&mut self, core: &Core) {
         let Some(endpoint) = core.endpoint() else { return };
         let same = |other: &&persimmon_records::Endpoint| other.serves == endpoint.serves;
-        let peers = core.records().endpoints.iter().filter(same).count();
+        let peers = core.records().set().endpoints.iter().filter(same).count();
         let cfg = AdmissionConfig::default()
             .with_policy(core.policy())
             .with_slots(endpoint.slots)
