Wait for readiness in the test fleet; name a process's life

Cause: process_bad_input failed once records came through the keeper: the fleet waited until records were in force, not until the processes had asked enough. Change: the test fleet waits for /readyz of every daemon; start_keeper takes the life of the process as one value.

--- a/crates/persimmon_standins/src/bin/persimmon-demo/stage.rs
+++ b/crates/persimmon_standins/src/bin/persimmon-demo/stage.rs
@@ -6,7 +6,9 @@
 use persimmon_records::{
     EndpointBuilder, Generation, RecordSet, Serves, Workspace, WorkspaceBuilder,
 };
-use persimmon_standins::fleet::{Caller, Daemons, FleetError, IN_FORCE_DEADLINE, StandIn};
+use persimmon_standins::fleet::{
+    Caller, Daemons, FleetError, IN_FORCE_DEADLINE, SERVING_DEADLINE, StandIn,
+};
 use persimmon_standins::{EngineCounts, ServiceCounts, Vm, VmState};
 
 use crate::programs::Programs;
@@ -84,6 +86,7 @@
         stage.list_vms(None)?;
         stage.platform.put("/v1/values/records", &stage.records()?.to_text())?;
         stage.daemons.wait_in_force(1, IN_FORCE_DEADLINE)?;
+        stage.daemons.wait_serving(SERVING_DEADLINE)?;
         Ok(stage)
     }
 
--- a/crates/persimmon_standins/src/fleet/builder.rs
+++ b/crates/persimmon_standins/src/fleet/builder.rs
@@ -158,6 +158,7 @@
         fleet.list_vms()?;
         fleet.publish(records);
         fleet.wait_in_force()?;
+        fleet.wait_serving()?;
         Ok(fleet)
     }
 
--- a/crates/persimmon_standins/src/fleet/daemons.rs
+++ b/crates/persimmon_standins/src/fleet/daemons.rs
@@ -188,6 +188,23 @@
         Ok(())
     }
 
+    /// Waits until every running daemon takes work.
+    ///
+    /// # Errors
+    /// When one doesn't within `deadline`.
+    pub fn wait_serving(&self, deadline: Duration) -> Result<(), FleetError> {
+        for (name, daemon) in &self.daemons {
+            let Some(process) = &daemon.process else {
+                continue;
+            };
+            let serves = || self.read_ops(name, "/readyz").is_ok_and(|page| page == "ready\n");
+            if !wait_until(deadline, serves) {
+                return Err(FleetError::NotServing { name: name.clone(), log: process.log_end() });
+            }
+        }
+        Ok(())
+    }
+
     /// Kills the daemon `name` with SIGKILL.
     ///
     /// # Errors
--- a/crates/persimmon_standins/src/fleet/error.rs
+++ b/crates/persimmon_standins/src/fleet/error.rs
@@ -43,6 +43,14 @@
         /// The end of its log.
         log: String,
     },
+    /// A process didn't become ready to take work.
+    #[error("{name} takes no work; its log ends:\n{log}")]
+    NotServing {
+        /// The process.
+        name: String,
+        /// The end of its log.
+        log: String,
+    },
     /// A process didn't end.
     #[error("{name} didn't end in time; its log ends:\n{log}")]
     NotEnded {
--- a/crates/persimmon_standins/src/fleet/mod.rs
+++ b/crates/persimmon_standins/src/fleet/mod.rs
@@ -26,6 +26,8 @@
 pub use stream::{ChatStream, SseEvent, StreamedAnswer};
 pub use wait::wait_until;
 
+/// Time in which daemons that start together must all take work.
+pub const SERVING_DEADLINE: Duration = Duration::from_secs(15);
 /// Time in which an accepted configuration must be in force everywhere.
 pub const IN_FORCE_DEADLINE: Duration = Duration::from_secs(5);
 
@@ -140,6 +142,14 @@
         self.daemons.wait_in_force(self.records.generation.0, IN_FORCE_DEADLINE)
     }
 
+    /// Waits until every running daemon takes work.
+    ///
+    /// # Errors
+    /// When one doesn't within [`SERVING_DEADLINE`].
+    pub fn wait_serving(&self) -> Result<(), FleetError> {
+        self.daemons.wait_serving(SERVING_DEADLINE)
+    }
+
     /// Lists the VM of the daemon `name` as leaving.
     ///
     /// # Errors
--- a/crates/persimmonmountd/src/common/keeper/gossip.rs
+++ b/crates/persimmonmountd/src/common/keeper/gossip.rs
@@ -56,11 +56,8 @@
         // One byte more than a datagram may have, so that a longer one is noticed.
         let mut buf = [0; Digest::MAX_BYTES + 1];
         loop {
-            let (length, from) = match self.socket.recv_from(&mut buf) {
-                Ok(received) => received,
-                // An earlier datagram found no receiver; later ones may.
-                Err(_) => continue,
-            };
+            // After an error, such as an earlier datagram that found no receiver, later ones may come.
+            let Ok((length, from)) = self.socket.recv_from(&mut buf) else { continue };
             self.count("received", length);
             match decode_digest(&buf[..length], &self.key) {
                 Ok(digest) => {
--- a/crates/persimmonmountd/src/common/keeper/mod.rs
+++ b/crates/persimmonmountd/src/common/keeper/mod.rs
@@ -16,4 +16,4 @@
 pub(crate) use command::{KeeperChange, KeeperCommand};
 pub(crate) use keeper::Keeper;
 pub(crate) use node_calls::{Greeter, Greeting, NoSidecar, NodeCalls};
-pub(crate) use start::start_keeper;
+pub(crate) use start::{Life, start_keeper};
--- a/crates/persimmonmountd/src/common/keeper/start.rs
+++ b/crates/persimmonmountd/src/common/keeper/start.rs
@@ -5,14 +5,29 @@
 
 use flume::Sender;
 use persimmon_decide::Incarnation;
-use persimmon_decide::membership::VmName;
+use persimmon_decide::membership::{VmName, incarnation_at};
 
 use super::command::KeeperCommand;
 use super::gossip::Gossip;
 use super::keeper::{Keeper, KeeperParts};
 use super::tasks::Tasks;
 use crate::common::settings::CommonSettings;
-use crate::common::{Clock, Metrics, Platform};
+use crate::common::{Clock, Metrics, Platform, random_u64};
+
+/// This life of the process.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Life {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+}
+
+impl Life {
+    /// A life that starts now.
+    pub(crate) fn start() -> Self {
+        let clock = Clock::start();
+        Self { incarnation: incarnation_at(clock.unix(), random_u64() as u32), clock }
+    }
+}
 
 /// Starts the keeper of a process that answers peers at `peer`, and the threads that report to
 /// `commands`.
@@ -23,11 +38,11 @@
 pub(crate) fn start_keeper(
     common: &CommonSettings,
     peer: SocketAddr,
-    incarnation: Incarnation,
-    clock: Clock,
+    life: Life,
     metrics: &Metrics,
     commands: &Sender<KeeperCommand>,
 ) -> io::Result<Keeper> {
+    let Life { incarnation, clock } = life;
     let key = common.fleet_key.clone();
     let platform = Platform::new(common.platform, metrics.clone());
     let tasks = Tasks::start(&platform, key.clone(), clock, metrics.clone(), commands)?;
--- a/crates/persimmonmountd/src/common/mod.rs
+++ b/crates/persimmonmountd/src/common/mod.rs
@@ -15,7 +15,8 @@
 
 pub(crate) use clock::Clock;
 pub(crate) use keeper::{
-    Greeter, Greeting, Keeper, KeeperChange, KeeperCommand, NoSidecar, NodeCalls, start_keeper,
+    Greeter, Greeting, Keeper, KeeperChange, KeeperCommand, Life, NoSidecar, NodeCalls,
+    start_keeper,
 };
 pub(crate) use logging::start_logging;
 pub(crate) use metrics::Metrics;
--- a/crates/persimmonmountd/src/router/mod.rs
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -20,14 +20,13 @@
 use std::io;
 
 use persimmon_decide::load::TokenKey;
-use persimmon_decide::membership::incarnation_at;
 
 use self::command::Command;
 use self::control::{Control, ControlParts, InProgress};
 use self::traffic::{Traffic, TrafficParts};
 use crate::common::{
-    Clock, Metrics, NoSidecar, NodeCalls, OpsServer, PeerServer, Readiness, RouterSettings,
-    on_stop_signal, print_ready, random_u64, start_keeper,
+    Life, Metrics, NoSidecar, NodeCalls, OpsServer, PeerServer, Readiness, RouterSettings,
+    on_stop_signal, print_ready, start_keeper,
 };
 
 /// Commands that wait for the control thread.
@@ -40,7 +39,8 @@
 /// An address can't be bound or a thread can't be started.
 pub(crate) fn run_router(settings: &RouterSettings) -> io::Result<()> {
     let common = &settings.common;
-    let clock = Clock::start();
+    let life = Life::start();
+    let clock = life.clock;
     let metrics = Metrics::new().map_err(io::Error::other)?;
     let readiness = Readiness::default();
     let in_progress = InProgress::default();
@@ -50,9 +50,7 @@
     let node = NodeCalls::new(keeper_commands.clone(), metrics.clone(), NoSidecar);
     let peer =
         PeerServer::start(common.peer_listen, common.fleet_key.clone(), move || node.client())?;
-    let incarnation = incarnation_at(clock.unix(), random_u64() as u32);
-    let keeper =
-        start_keeper(common, peer.address(), incarnation, clock, &metrics, &keeper_commands)?;
+    let keeper = start_keeper(common, peer.address(), life, &metrics, &keeper_commands)?;
     let control = Control::new(ControlParts {
         name: common.name.clone(),
         zone: common.zone.to_string(),
--- a/crates/persimmonmountd/src/sidecar/mod.rs
+++ b/crates/persimmonmountd/src/sidecar/mod.rs
@@ -14,7 +14,6 @@
 use std::io;
 
 use persimmon_decide::load::CreditHome;
-use persimmon_decide::membership::incarnation_at;
 use persimmon_decide::outcome::{ClaimSealer, HeartbeatLimits};
 
 use self::calls::Calls;
@@ -26,8 +25,8 @@
 use self::runs::Runs;
 use self::service::Service;
 use crate::common::{
-    Clock, Metrics, NodeCalls, OpsServer, PeerServer, Readiness, SidecarSettings, on_stop_signal,
-    print_ready, random_u64, start_keeper,
+    Life, Metrics, NodeCalls, OpsServer, PeerServer, Readiness, SidecarSettings, on_stop_signal,
+    print_ready, start_keeper,
 };
 
 /// Commands that wait for the control thread.
@@ -40,9 +39,9 @@
 /// An address can't be bound or a thread can't be started.
 pub(crate) fn run_sidecar(settings: &SidecarSettings) -> io::Result<()> {
     let common = &settings.common;
-    let clock = Clock::start();
+    let life = Life::start();
+    let Life { incarnation, clock } = life;
     let metrics = Metrics::new().map_err(io::Error::other)?;
-    let incarnation = incarnation_at(clock.unix(), random_u64() as u32);
     let (commands, rx) = flume::bounded(COMMANDS_WAITING);
     let (keeper_commands, keeper_rx) = flume::bounded(COMMANDS_WAITING);
     let readiness = Readiness::default();
@@ -57,8 +56,7 @@
     // The exclusive bind of the peer address makes this the only sidecar of the endpoint on the VM.
     let peer =
         PeerServer::start(common.peer_listen, common.fleet_key.clone(), move || node.client())?;
-    let keeper =
-        start_keeper(common, peer.address(), incarnation, clock, &metrics, &keeper_commands)?;
+    let keeper = start_keeper(common, peer.address(), life, &metrics, &keeper_commands)?;
     let engine = Engine::start(settings.endpoint, commands.clone())?;
     let service = Service::new(settings.endpoint, commands.clone());
     let sealer = ClaimSealer::new(common.fleet_key.secret());
