Provoke double runs and broken streams with real processes

Cause: at most once and whole answers were shown on the decisions only. Change: kills, restarts, freezes, drains, removed owners, silent and cut connections under calls and streams, through two routers.

--- /dev/null
+++ b/crates/persimmonmountd/tests/process_at_most_once.rs
@@ -0,0 +1,245 @@
+//! Calls that may not be repeated, through kills, restarts, freezes and silent connections of real
+//! processes.
+
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use persimmon_standins::fleet::{CallError, Caller, Fleet, Reply, wait_until};
+use persimmon_standins::{Direction, Relay, ServiceSwitch};
+use rstest::rstest;
+
+const SERVICE: &str = "booking";
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Deadline of a call that is expected to fail.
+const SHORT_DEADLINE_MS: &str = "1500";
+const ANSWER_DELAY_MS: u64 = 2_000;
+/// Time in which a silent connection must be noticed: the limits of silence and of a first frame,
+/// with room for a busy machine.
+const SILENCE_NOTICED: Duration = Duration::from_secs(5);
+
+fn fleet() -> Fleet {
+    Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
+        .with_router("router-1", "zone-a")
+        .with_router("router-2", "zone-b")
+        .with_service("booking-1", "zone-a", SERVICE)
+        .with_service("booking-2", "zone-b", SERVICE)
+        .start()
+        .expect("the fleet starts")
+}
+
+fn claim(fleet: &Fleet, router: &str, key: &str) -> String {
+    let reply = fleet.caller(router).unwrap().claim(SERVICE, key).unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    reply.json()["claim"].as_str().expect("a claim").to_owned()
+}
+
+fn call(caller: &Caller, claim: &str, deadline_ms: &str) -> Result<Reply, CallError> {
+    let request = caller.request(minreq::Method::Post, "/v1/services/booking/calls");
+    let request = request
+        .with_header("Persimmon-Claim", claim)
+        .with_header("Persimmon-Deadline-Ms", deadline_ms)
+        .with_body(r#"{"operation":"book","body":{"week":11}}"#);
+    caller.send(request)
+}
+
+fn call_in_background(
+    fleet: &Fleet,
+    router: &str,
+    claim: &str,
+) -> JoinHandle<Result<Reply, CallError>> {
+    let (caller, claim) = (fleet.caller(router).unwrap(), claim.to_owned());
+    thread::spawn(move || call(&caller, &claim, "8000"))
+}
+
+/// Runs of every key at every worker; each test uses one key.
+fn runs(fleet: &Fleet) -> u64 {
+    fleet.services().map(|(_, service)| service.counts().runs.values().sum::<u64>()).sum()
+}
+
+/// The worker that alone holds claims at this time, found by draining every other one.
+fn only(fleet: &mut Fleet, owner: &str) {
+    let owner = owner.to_owned();
+    fleet.publish_change(|records| {
+        for endpoint in &mut records.endpoints {
+            endpoint.draining = endpoint.name.as_str() != owner;
+        }
+    });
+    fleet.wait_in_force().unwrap();
+}
+
+/// Answers come this long after their runs, so that a run can be seen before its answer.
+fn answer_late(fleet: &Fleet) {
+    let switch = ServiceSwitch::Slow { delay_ms: ANSWER_DELAY_MS };
+    fleet.services().for_each(|(_, service)| service.switch(switch));
+}
+
+fn outcome(reply: &Reply) -> (String, String) {
+    let failure = reply.failure().unwrap_or_else(|| panic!("a failure: {}", reply.body));
+    (failure.outcome, failure.kind)
+}
+
+#[test]
+fn call_again_through_other_router() {
+    let fleet = fleet();
+    let claim = claim(&fleet, "router-1", "week-11");
+    let first = call(&fleet.caller("router-1").unwrap(), &claim, "8000").unwrap();
+    let second = call(&fleet.caller("router-2").unwrap(), &claim, "8000").unwrap();
+    assert_eq!((first.status, second.status), (200, 200), "{} {}", first.body, second.body);
+    assert_eq!(first.body, second.body, "the recorded answer is repeated");
+    assert_eq!(runs(&fleet), 1);
+    fleet.close();
+}
+
+#[test]
+fn call_with_router_killed() {
+    let mut fleet = fleet();
+    only(&mut fleet, "booking-1");
+    let claim = claim(&fleet, "router-1", "week-12");
+    answer_late(&fleet);
+    let first = call_in_background(&fleet, "router-1", &claim);
+    assert!(wait_until(DEADLINE, || runs(&fleet) == 1), "the call runs");
+    fleet.daemons.kill("router-1").unwrap();
+    // The client reports a connection that is closed without a reply as an empty 503.
+    let heard = first.join().unwrap();
+    let nothing = heard.as_ref().map_or(true, |reply| reply.headers.is_empty());
+    assert!(nothing, "its caller hears nothing: {heard:?}");
+    let second = call_in_background(&fleet, "router-2", &claim);
+    let second = second.join().unwrap().unwrap();
+    assert_eq!(second.status, 200, "{}", second.body);
+    assert_eq!(runs(&fleet), 1);
+    fleet.close();
+}
+
+#[rstest]
+#[case::before_the_call(false)]
+#[case::during_the_call(true)]
+fn call_with_sidecar_restarted(#[case] during: bool) {
+    let mut fleet = fleet();
+    only(&mut fleet, "booking-1");
+    let claim = claim(&fleet, "router-1", "week-13");
+    if during {
+        answer_late(&fleet);
+        let first = call_in_background(&fleet, "router-1", &claim);
+        assert!(wait_until(DEADLINE, || runs(&fleet) == 1), "the call runs");
+        fleet.daemons.kill("booking-1").unwrap();
+        let first = first.join().unwrap().unwrap();
+        assert_eq!(outcome(&first).0, "unknown", "{}", first.body);
+    }
+    fleet.daemons.restart("booking-1").unwrap();
+    fleet.wait_in_force().unwrap();
+    for router in ["router-1", "router-2"] {
+        let again = call(&fleet.caller(router).unwrap(), &claim, "8000").unwrap();
+        let expected = ("unknown".to_owned(), "wrong-incarnation".to_owned());
+        assert_eq!(outcome(&again), expected, "{}", again.body);
+    }
+    assert_eq!(runs(&fleet), u64::from(during), "no run by the new life");
+    fleet.close();
+}
+
+#[test]
+fn call_with_sidecar_frozen() {
+    let mut fleet = fleet();
+    only(&mut fleet, "booking-2");
+    let claim = claim(&fleet, "router-1", "week-14");
+    fleet.daemons.freeze("booking-2").unwrap();
+    let frozen = call(&fleet.caller("router-1").unwrap(), &claim, SHORT_DEADLINE_MS).unwrap();
+    assert_eq!(outcome(&frozen).0, "unknown", "{}", frozen.body);
+    fleet.daemons.thaw("booking-2").unwrap();
+    // The sidecar checks its records before it admits anything, and says so for certain.
+    let again = call(&fleet.caller("router-2").unwrap(), &claim, "8000").unwrap();
+    let was_run = again.status == 200;
+    assert!(was_run || outcome(&again).0 == "not-run", "{}", again.body);
+    fleet.wait_in_force().unwrap();
+    let is_served = || call_anew(&fleet, "week-14").is_some_and(|reply| reply.status == 200);
+    assert!(was_run || wait_until(DEADLINE, is_served), "a new claim is served");
+    assert_eq!(runs(&fleet), 1);
+    fleet.close();
+}
+
+/// Obtains a claim and calls with it; none if no worker issues one.
+fn call_anew(fleet: &Fleet, key: &str) -> Option<Reply> {
+    let caller = fleet.caller("router-2").unwrap();
+    let claim = caller.claim(SERVICE, key).unwrap().json()["claim"].as_str()?.to_owned();
+    Some(call(&caller, &claim, "8000").unwrap())
+}
+
+#[test]
+fn call_with_owner_removed() {
+    let mut fleet = fleet();
+    only(&mut fleet, "booking-1");
+    let claim = claim(&fleet, "router-1", "week-15");
+    fleet.publish_change(|records| {
+        records.endpoints.retain(|endpoint| endpoint.name.as_str() != "booking-1");
+        records.endpoints.iter_mut().for_each(|endpoint| endpoint.draining = false);
+    });
+    fleet.wait_in_force().unwrap();
+    let reply = call(&fleet.caller("router-2").unwrap(), &claim, "8000").unwrap();
+    assert_eq!(outcome(&reply).0, "unknown", "{}", reply.body);
+    assert_eq!(runs(&fleet), 0, "no other worker takes the claim");
+    fleet.close();
+}
+
+#[test]
+fn call_with_owner_draining() {
+    let mut fleet = fleet();
+    only(&mut fleet, "booking-1");
+    let claim = claim(&fleet, "router-1", "week-16");
+    only(&mut fleet, "booking-2");
+    let refused = call(&fleet.caller("router-1").unwrap(), &claim, "8000").unwrap();
+    assert_eq!(outcome(&refused), ("not-run".into(), "leaving".into()), "{}", refused.body);
+    only(&mut fleet, "booking-1");
+    // It was said to be not run, so it isn't, though its owner serves again.
+    let again = call(&fleet.caller("router-2").unwrap(), &claim, "8000").unwrap();
+    assert_eq!(outcome(&again), ("not-run".into(), "tombstoned".into()), "{}", again.body);
+    assert_eq!(runs(&fleet), 0);
+    fleet.close();
+}
+
+#[rstest]
+#[case::to_sidecar(Direction::ToTarget)]
+#[case::from_sidecar(Direction::FromTarget)]
+fn call_over_silent_connection(#[case] direction: Direction) {
+    let mut fleet = fleet();
+    let relay = Relay::start(fleet.daemons.peer("booking-1").unwrap()).unwrap();
+    let address = relay.address();
+    fleet.publish_change(|records| {
+        for endpoint in &mut records.endpoints {
+            endpoint.draining = endpoint.name.as_str() != "booking-1";
+            if !endpoint.draining {
+                endpoint.address = address;
+            }
+        }
+    });
+    fleet.wait_in_force().unwrap();
+    let claim = claim(&fleet, "router-1", "week-17");
+    relay.silence_open(direction);
+    let started = Instant::now();
+    let reply = call(&fleet.caller("router-1").unwrap(), &claim, "20000").unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert_eq!(runs(&fleet), 1);
+    assert!(started.elapsed() < SILENCE_NOTICED, "it took {:?}", started.elapsed());
+    relay.close();
+    fleet.close();
+}
+
+#[test]
+fn call_with_bare_key() {
+    let fleet = fleet();
+    let caller = fleet.caller("router-1").unwrap();
+    let reply = caller.call_service(SERVICE, ("Idempotency-Key", "week-18"), "book").unwrap();
+    assert_eq!(outcome(&reply), ("not-run".into(), "needs-claim".into()), "{}", reply.body);
+    assert_eq!(runs(&fleet), 0);
+    fleet.close();
+}
+
+#[test]
+fn call_with_other_body() {
+    let fleet = fleet();
+    let claim = claim(&fleet, "router-1", "week-19");
+    let caller = fleet.caller("router-2").unwrap();
+    assert_eq!(call(&caller, &claim, "8000").unwrap().status, 200);
+    let other = caller.call_service(SERVICE, ("Persimmon-Claim", &claim), "hand-over").unwrap();
+    assert_eq!(outcome(&other), ("unknown".into(), "body-mismatch".into()), "{}", other.body);
+    assert_eq!(runs(&fleet), 1);
+    fleet.close();
+}
--- /dev/null
+++ b/crates/persimmonmountd/tests/process_streams.rs
@@ -0,0 +1,178 @@
+//! Whole answers to the right caller, through silent, cut and frozen connections and killed
+//! processes.
+
+use std::thread;
+use std::time::Duration;
+
+use persimmon_standins::fleet::{ChatRequest, ChatStream, Fleet, SseEvent, wait_until};
+use persimmon_standins::{Direction, Engine, EngineSwitch, Relay};
+use rstest::rstest;
+
+const MODEL: &str = "chat-large";
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Slow enough for a failure to fall into the middle of the answer.
+const TOKEN_INTERVAL: Duration = Duration::from_millis(40);
+const TOKENS: u32 = 40;
+const STREAMS_AT_ONCE: usize = 12;
+
+/// A fleet whose routers reach `engine-1` through the relay.
+fn fleet() -> (Fleet, Relay) {
+    let engine =
+        || Engine::builder(MODEL).with_slots(STREAMS_AT_ONCE).with_token_interval(TOKEN_INTERVAL);
+    let mut fleet = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
+        .with_router("router-1", "zone-a")
+        .with_router("router-2", "zone-b")
+        .with_engine("engine-1", "zone-a", engine())
+        .start()
+        .expect("the fleet starts");
+    let relay = Relay::start(fleet.daemons.peer("engine-1").unwrap()).unwrap();
+    let address = relay.address();
+    fleet.publish_change(|records| records.endpoints[0].address = address);
+    fleet.wait_in_force().unwrap();
+    (fleet, relay)
+}
+
+fn request(content: &str) -> ChatRequest {
+    ChatRequest::new(MODEL, content).with_max_tokens(TOKENS)
+}
+
+/// Starts a stream and reads until some text has arrived.
+fn begin(fleet: &Fleet, router: &str, request: &ChatRequest) -> (ChatStream, Vec<SseEvent>) {
+    let mut stream = fleet.caller(router).unwrap().stream(request).unwrap();
+    assert_eq!(stream.status(), 200);
+    let mut events = Vec::new();
+    while text(&events).is_empty() {
+        events.push(stream.next_event().unwrap().expect("a first token"));
+    }
+    (stream, events)
+}
+
+fn text(events: &[SseEvent]) -> String {
+    events.iter().map(SseEvent::text).collect()
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    SilentToSidecar,
+    SilentFromSidecar,
+    Cut,
+}
+
+impl Trouble {
+    fn provoke(self, relay: &Relay) {
+        match self {
+            Self::SilentToSidecar => relay.silence_open(Direction::ToTarget),
+            Self::SilentFromSidecar => relay.silence_open(Direction::FromTarget),
+            Self::Cut => relay.cut(),
+        }
+    }
+}
+
+#[rstest]
+#[case::silent_to_sidecar(Trouble::SilentToSidecar)]
+#[case::silent_from_sidecar(Trouble::SilentFromSidecar)]
+#[case::cut(Trouble::Cut)]
+fn stream_through_trouble(#[case] trouble: Trouble) {
+    let (fleet, relay) = fleet();
+    let request = request("a dossier for the guesthouse");
+    let (stream, events) = begin(&fleet, "router-1", &request);
+    let accepted = relay.accepted();
+    trouble.provoke(&relay);
+    let rest = stream.read_rest();
+    assert!(rest.done, "the answer ends: {:?}", rest.events.last());
+    assert_eq!(text(&events) + &rest.text, request.expected_answer());
+    assert!(relay.accepted() > accepted, "it was resumed on a new connection");
+    fleet.close();
+    relay.close();
+}
+
+#[rstest]
+#[case::silent(Trouble::SilentFromSidecar)]
+#[case::cut(Trouble::Cut)]
+fn streams_at_once_through_trouble(#[case] trouble: Trouble) {
+    let (fleet, relay) = fleet();
+    let requests: Vec<_> =
+        (0..STREAMS_AT_ONCE).map(|number| request(&format!("dossier {number}"))).collect();
+    let started: Vec<_> = requests
+        .iter()
+        .enumerate()
+        .map(|(number, request)| begin(&fleet, ["router-1", "router-2"][number % 2], request))
+        .collect();
+    trouble.provoke(&relay);
+    let reading = started
+        .into_iter()
+        .map(|(stream, events)| thread::spawn(move || (text(&events), stream.read_rest())));
+    let read: Vec<_> =
+        reading.collect::<Vec<_>>().into_iter().map(|one| one.join().unwrap()).collect();
+    for (request, (first, rest)) in requests.iter().zip(read) {
+        assert!(rest.done, "{:?}", rest.events.last());
+        assert_eq!(first + &rest.text, request.expected_answer(), "each caller gets its own");
+    }
+    fleet.close();
+    relay.close();
+}
+
+#[test]
+fn stream_with_sidecar_frozen() {
+    let (fleet, relay) = fleet();
+    let request = request("a reply to a family");
+    let (stream, events) = begin(&fleet, "router-1", &request);
+    let accepted = relay.accepted();
+    fleet.daemons.freeze("engine-1").unwrap();
+    assert!(wait_until(DEADLINE, || relay.accepted() > accepted), "the silence is noticed");
+    fleet.daemons.thaw("engine-1").unwrap();
+    let rest = stream.read_rest();
+    assert!(rest.done, "{:?}", rest.events.last());
+    assert_eq!(text(&events) + &rest.text, request.expected_answer());
+    fleet.close();
+    relay.close();
+}
+
+#[test]
+fn stream_with_sidecar_killed() {
+    let (mut fleet, relay) = fleet();
+    let request = request("a draft that is lost");
+    let (stream, events) = begin(&fleet, "router-1", &request);
+    fleet.daemons.kill("engine-1").unwrap();
+    let rest = stream.read_rest();
+    let got = text(&events) + &rest.text;
+    let expected = request.expected_answer();
+    assert!(!rest.done && expected.starts_with(&got) && got != expected, "{got}");
+    let last = rest.events.last().expect("an explicit failure");
+    assert!(last.data.contains("\"outcome\":\"unknown\""), "{}", last.data);
+    fleet.close();
+    relay.close();
+}
+
+#[test]
+fn stream_resumed_through_other_router() {
+    let (mut fleet, relay) = fleet();
+    let request = request("a chat that goes on");
+    let (stream, events) = begin(&fleet, "router-1", &request);
+    let token = stream.header("Persimmon-Answer").expect("an answer token").to_owned();
+    let next = events.last().and_then(|event| event.id).expect("an offset") + 1;
+    fleet.daemons.kill("router-1").unwrap();
+    assert!(!stream.read_rest().done, "the first router is gone");
+    let resumed = fleet.caller("router-2").unwrap().resume(&token, next).unwrap();
+    assert_eq!(resumed.status(), 200);
+    let rest = resumed.read_rest();
+    assert!(rest.done, "{:?}", rest.events.last());
+    assert_eq!(text(&events) + &rest.text, request.expected_answer());
+    fleet.close();
+    relay.close();
+}
+
+#[test]
+fn stream_with_engine_cut() {
+    let (fleet, relay) = fleet();
+    let request = request("an answer that the engine leaves");
+    let (stream, events) = begin(&fleet, "router-1", &request);
+    fleet.engine("engine-1").switch(EngineSwitch::Crash);
+    let rest = stream.read_rest();
+    let got = text(&events) + &rest.text;
+    assert!(!rest.done && request.expected_answer().starts_with(&got), "{got}");
+    let last = rest.events.last().expect("an explicit failure");
+    assert!(last.data.contains("\"outcome\":\"unknown\""), "{}", last.data);
+    fleet.close();
+    relay.close();
+}
