Provoke many copies at once, frozen routers, other workspaces and lost readers

Cause: the late copy of a router that wakes, a claim in the wrong hands and a slot whose reader is lost were shown on the decisions only.

--- a/crates/persimmonmountd/tests/process_at_most_once.rs
+++ b/crates/persimmonmountd/tests/process_at_most_once.rs
@@ -4,7 +4,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use persimmon_standins::fleet::{CallError, Caller, Fleet, Reply, wait_until};
+use persimmon_records::WorkspaceBuilder;
+use persimmon_standins::fleet::{CALLER_KEY, CallError, Caller, Fleet, Reply, wait_until};
 use persimmon_standins::{Direction, Relay, ServiceSwitch};
 use rstest::rstest;
 
@@ -13,6 +14,8 @@
 /// Deadline of a call that is expected to fail.
 const SHORT_DEADLINE_MS: &str = "1500";
 const ANSWER_DELAY_MS: u64 = 2_000;
+const CALLS_AT_ONCE: usize = 8;
+const OTHER_KEY: &str = "wk-of-another-workspace";
 /// Time in which a silent connection must be noticed: the limits of silence and of a first frame,
 /// with room for a busy machine.
 const SILENCE_NOTICED: Duration = Duration::from_secs(5);
@@ -90,6 +93,62 @@
     fleet.close();
 }
 
+#[test]
+fn call_many_at_once() {
+    let fleet = fleet();
+    let claim = claim(&fleet, "router-1", "week-20");
+    answer_late(&fleet);
+    let routers = ["router-1", "router-2"].iter().cycle().take(CALLS_AT_ONCE);
+    let calls: Vec<_> = routers.map(|router| call_in_background(&fleet, router, &claim)).collect();
+    let replies: Vec<_> = calls.into_iter().map(|call| call.join().unwrap().unwrap()).collect();
+    for reply in &replies {
+        assert_eq!((reply.status, &reply.body), (200, &replies[0].body));
+    }
+    assert_eq!(runs(&fleet), 1);
+    fleet.close();
+}
+
+#[test]
+fn call_with_router_frozen() {
+    let fleet = fleet();
+    let claim = claim(&fleet, "router-1", "week-21");
+    fleet.daemons.freeze("router-1").unwrap();
+    let late = call_in_background(&fleet, "router-1", &claim);
+    let prompt = call(&fleet.caller("router-2").unwrap(), &claim, "8000").unwrap();
+    assert_eq!(prompt.status, 200, "{}", prompt.body);
+    fleet.daemons.thaw("router-1").unwrap();
+    let late = late.join().unwrap().unwrap();
+    assert_eq!((late.status, &late.body), (200, &prompt.body), "the late copy runs nothing");
+    assert_eq!(runs(&fleet), 1);
+    fleet.close();
+}
+
+#[test]
+fn call_with_claim_of_other_workspace() {
+    let workspace = |name: &str, key: &str| {
+        WorkspaceBuilder::new(name).with_key(key).with_service(SERVICE).build()
+    };
+    let fleet = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
+        .with_router("router-1", "zone-a")
+        .with_service("booking-1", "zone-a", SERVICE)
+        .with_workspace(workspace("swap-desk", CALLER_KEY))
+        .with_workspace(workspace("registry-desk", OTHER_KEY))
+        .start()
+        .expect("the fleet starts");
+    let claim = claim(&fleet, "router-1", "week-22");
+    let other = Caller::new(fleet.daemons.listen("router-1").unwrap(), OTHER_KEY);
+    let refused = call(&other, &claim, "8000").unwrap();
+    assert!((400..500).contains(&refused.status), "{}", refused.body);
+    assert_eq!(runs(&fleet), 0);
+    let own = call(&fleet.caller("router-1").unwrap(), &claim, "8000").unwrap();
+    assert_eq!(own.status, 200, "{}", own.body);
+    let refused = call(&other, &claim, "8000").unwrap();
+    assert!(!refused.body.contains("confirm"), "no answer of another: {}", refused.body);
+    assert_ne!(outcome(&refused).0, "not-run", "it has run for its own workspace");
+    assert_eq!(runs(&fleet), 1);
+    fleet.close();
+}
+
 #[test]
 fn call_with_router_killed() {
     let mut fleet = fleet();
--- a/crates/persimmonmountd/tests/process_streams.rs
+++ b/crates/persimmonmountd/tests/process_streams.rs
@@ -13,6 +13,11 @@
 /// Slow enough for a failure to fall into the middle of the answer.
 const TOKEN_INTERVAL: Duration = Duration::from_millis(40);
 const TOKENS: u32 = 40;
+/// An answer that takes far longer than [`SLOT_FREED`].
+const LONG_TOKENS: u32 = 4_000;
+/// Time in which a request that nobody reads must end: the bound on silent readers, with room for a
+/// busy machine.
+const SLOT_FREED: Duration = Duration::from_secs(45);
 const STREAMS_AT_ONCE: usize = 12;
 
 /// A fleet whose routers reach `engine-1` through the relay.
@@ -176,3 +181,27 @@
     fleet.close();
     relay.close();
 }
+
+/// A router that is gone or frozen leaves an answer that nobody takes.
+#[rstest]
+#[case::killed(true)]
+#[case::frozen(false)]
+fn slot_of_lost_router(#[case] killed: bool) {
+    let (mut fleet, relay) = fleet();
+    let request =
+        ChatRequest::new(MODEL, "a dossier that nobody reads").with_max_tokens(LONG_TOKENS);
+    let (_stream, _) = begin(&fleet, "router-1", &request);
+    if killed {
+        fleet.daemons.kill("router-1").unwrap();
+    } else {
+        fleet.daemons.freeze("router-1").unwrap();
+    }
+    let has_ended = || {
+        let counts = fleet.engine("engine-1").counts();
+        counts.cancelled + counts.cut > 0
+    };
+    assert!(wait_until(SLOT_FREED, has_ended), "the engine is told to stop");
+    assert_eq!(fleet.engine("engine-1").counts().finished, 0);
+    fleet.close();
+    relay.close();
+}
