--- a/crates/persimmon_bench/src/run.rs
+++ b/crates/persimmon_bench/src/run.rs
@@ -131,7 +131,7 @@
             Event::Send { turn, sent_at, tries } => self.send(turn, sent_at, tries, now),
             Event::Second => self.second(now),
             Event::Replace { crash } => self.replace(crash, now),
-            Event::Publish { gone } => self.publish(gone),
+            Event::Publish { gone } => self.publish(gone, now),
         }
     }
 
@@ -366,9 +366,16 @@
         }
     }
 
-    fn publish(&mut self, gone: usize) {
+    /// Changes that fall together reach the routers as one generation of the records.
+    fn publish(&mut self, gone: usize, now: u64) {
         self.fleet.add(self.fleet.sidecars[gone].model);
         self.fleet.unlist(gone);
-        self.fleet.publish();
+        let next = self.events.peek();
+        let more = next.is_some_and(|Reverse((at, _, event))| {
+            *at == now && matches!(event, Event::Publish { .. })
+        });
+        if !more {
+            self.fleet.publish();
+        }
     }
 }
--- a/crates/persimmon_decide/src/load/mean_load.rs
+++ b/crates/persimmon_decide/src/load/mean_load.rs
@@ -1,6 +1,6 @@
 //! A conservative estimate of the mean load of a model's endpoints.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use persimmon_records::Policy;
 
@@ -13,10 +13,18 @@
     at: MonoMs,
 }
 
+/// What the reports came to at an earlier time.
+#[derive(Debug, Clone, Copy)]
+struct Past {
+    per_slot: f64,
+    at: MonoMs,
+}
+
 /// Estimates the mean load per slot of the endpoints of one model from the reports of peers. It
 /// errs downwards, so that the bound of a partitioned or newly started sidecar is too tight rather
-/// than too loose: of the mean of every report held and that of the fresh ones the lower counts,
-/// the estimate decays when no report arrives, and with none it is zero, so that the floor holds.
+/// than too loose: of the mean of every report held and that of the fresh ones the lower counts, a
+/// falling mean is projected over the age of the reports, the estimate decays when no report
+/// arrives, and with none it is zero, so that the floor holds.
 /// A sidecar doesn't count its own load: a load that raised its own bound would never be refused.
 ///
 /// ```
@@ -33,6 +41,7 @@
 pub struct MeanLoad {
     entries: BTreeMap<EndpointHash, Entry>,
     newest: Option<MonoMs>,
+    past: VecDeque<Past>,
 }
 
 impl MeanLoad {
@@ -51,6 +60,9 @@
     /// Age at which a report is forgotten, in milliseconds.
     pub const FORGET_MS: u64 = 10_000;
 
+    /// Earlier estimates kept, one for each tick, to see whether the mean falls.
+    pub const PAST: usize = 4;
+
     /// Least part of the load multiple above one that the floor is worked out from.
     pub const MIN_HEADROOM: f64 = 0.05;
 
@@ -77,9 +89,14 @@
         self.entries.remove(&endpoint);
     }
 
-    /// Drops reports that are too old to count.
+    /// Drops reports that are too old to count, and notes what the others come to. To be called
+    /// about once a second.
     pub fn tick(&mut self, now: MonoMs) {
         self.entries.retain(|_, entry| now.ms_since(entry.at) < Self::FORGET_MS);
+        if self.past.len() >= Self::PAST {
+            self.past.pop_front();
+        }
+        self.past.push_back(Past { per_slot: self.lower_mean(now), at: now });
     }
 
     /// The estimate in work per slot.
@@ -87,7 +104,7 @@
         let Some(newest) = self.newest else { return 0.0 };
         let stale_ms = now.ms_since(newest).saturating_sub(Self::FRESH_MS);
         let decay = 0.5_f64.powf(stale_ms as f64 / Self::HALF_LIFE_MS as f64);
-        decay * self.lower_mean(now)
+        decay * self.projected(now)
     }
 
     /// The most that an endpoint with these slots may carry: the load multiple times its share of
@@ -128,6 +145,21 @@
         work.0 as f64 / requests as f64
     }
 
+    /// The lower mean, less what it will have fallen since the reports were measured if it goes on
+    /// falling as it did.
+    fn projected(&self, now: MonoMs) -> f64 {
+        let mean = self.lower_mean(now);
+        let Some(past) = self.past.front() else { return mean };
+        let elapsed_ms = now.ms_since(past.at).max(1);
+        let fall = (past.per_slot - mean).max(0.0) / elapsed_ms as f64;
+        (mean - fall * self.mean_age_ms(now)).max(0.0)
+    }
+
+    fn mean_age_ms(&self, now: MonoMs) -> f64 {
+        let ages: u64 = self.entries.values().map(|entry| now.ms_since(entry.at)).sum();
+        ages as f64 / self.entries.len().max(1) as f64
+    }
+
     fn lower_mean(&self, now: MonoMs) -> f64 {
         let mut held = Totals::default();
         let mut fresh = Totals::default();
--- a/crates/persimmon_decide/src/load/placement.rs
+++ b/crates/persimmon_decide/src/load/placement.rs
@@ -89,7 +89,7 @@
     pub const IMPORTED_TOKENS_PER_REBUILT: u32 = 4;
 
     /// Endpoints in rank of which the cheapest is tried first.
-    pub const SPREAD: usize = 4;
+    pub const SPREAD: usize = 8;
 
     /// Sets how many endpoints are tried for one request, at least one.
     #[must_use]
--- /dev/null
+++ b/crates/persimmon_decide/tests/load_admission.rs
@@ -0,0 +1,329 @@
+//! Admission under random orders of offers, ends, reports and clock jumps.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::load::{
+    Admission, AdmissionConfig, AdmittedKey, Decision, Due, EndpointHash, LoadReport, Offer,
+    RefuseReason, Work,
+};
+use persimmon_records::{Class, Policy};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+use rstest::rstest;
+
+const SLOTS: u32 = 8;
+const AGEING_MS: u64 = 5_000;
+const MAX_WAITING: u32 = 16;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Offer { workspace: u8, class: Class, work: u64, told: Option<f64> },
+    Finish(usize),
+    Progress(usize, u64),
+    Report { peer: u64, work: u64 },
+    Clock(i64),
+    Tick,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let class = prop::sample::select(Class::ALL.to_vec());
+    let told = prop::option::of(0.0..2_000.0);
+    prop_oneof![
+        5 => (0..4_u8, class, 1..=Work::HORIZON.0, told).prop_map(
+            |(workspace, class, work, told)| Step::Offer { workspace, class, work, told }
+        ),
+        3 => any::<usize>().prop_map(Step::Finish),
+        1 => (any::<usize>(), 0..800_u64).prop_map(|(which, left)| Step::Progress(which, left)),
+        3 => (0..12_u64, 0..8_000_u64).prop_map(|(peer, work)| Step::Report { peer, work }),
+        1 => (-3_000..9_000_i64).prop_map(Step::Clock),
+        1 => Just(Step::Tick),
+    ]
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let cfg = ProptestConfig { cases, failure_persistence: None, ..ProptestConfig::default() };
+    TestRunner::new_with_rng(cfg, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]))
+}
+
+fn admission() -> Admission {
+    let cfg = AdmissionConfig::default()
+        .with_policy(&Policy::default())
+        .with_slots(SLOTS)
+        .with_ageing_ms(AGEING_MS)
+        .with_max_waiting(MAX_WAITING);
+    Admission::new(cfg)
+}
+
+fn offer(workspace: u8, class: Class, work: u64) -> Offer {
+    Offer {
+        workspace: format!("workspace-{workspace}").as_str().into(),
+        class,
+        work: Work(work),
+        deadline: None,
+        told_per_slot: None,
+        in_progress_limit: 64,
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    class: Class,
+    work: u64,
+    running: bool,
+}
+
+/// What the test knows of the endpoint, kept apart from the decisions.
+struct Model {
+    admission: Admission,
+    now: u64,
+    latest: u64,
+    highest_report: u64,
+    known: BTreeMap<AdmittedKey, Known>,
+}
+
+impl Model {
+    fn new() -> Self {
+        let admission = admission();
+        Self { admission, now: 20_000, latest: 20_000, highest_report: 0, known: BTreeMap::new() }
+    }
+
+    fn key(&self, which: usize) -> Option<AdmittedKey> {
+        self.known.keys().nth(which % self.known.len().max(1)).copied()
+    }
+
+    fn running(&self, quick: bool) -> usize {
+        self.known.values().filter(|k| k.running && (k.class == Class::Quick) == quick).count()
+    }
+
+    fn waiting(&self, quick: bool) -> usize {
+        self.known.values().filter(|k| !k.running && (k.class == Class::Quick) == quick).count()
+    }
+
+    fn apply_due(&mut self, due: &Due) {
+        for key in &due.started {
+            self.known.get_mut(key).unwrap().running = true;
+        }
+        assert!(due.given_up.is_empty(), "nothing here has a deadline");
+    }
+
+    /// The loosest bound that any estimate could give: the highest report that was ever made, as
+    /// if every peer carried it, lifted by what an offer may tell.
+    fn loosest_bound(&self) -> u64 {
+        let policy = Policy::default();
+        let lift = policy.load_multiple * 1.5;
+        let floor = f64::from(policy.load_floor) * Work::HORIZON.0 as f64;
+        floor.max(lift * self.highest_report as f64) as u64
+    }
+
+    fn offer(&mut self, offer: &Offer) {
+        let bound = self.admission.bound(offer.told_per_slot, MonoMs(self.latest));
+        let (key, running) = match self.admission.offer(offer, MonoMs(self.now)) {
+            Decision::Start(key) => (key, true),
+            Decision::Wait { key, .. } => (key, false),
+            Decision::Refuse(refusal) => {
+                assert!(refusal.retry_after_ms >= Admission::MIN_RETRY_AFTER_MS);
+                return;
+            }
+        };
+        self.known.insert(key, Known { class: offer.class, work: offer.work.0, running });
+        let load = self.admission.load().work;
+        assert!(load <= bound, "load {load:?} over bound {bound:?} by an admission");
+        assert!(load.0 <= self.loosest_bound(), "load {load:?} over every possible bound");
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match *step {
+            Step::Offer { workspace, class, work, told } => {
+                let offer = Offer { told_per_slot: told, ..offer(workspace, class, work) };
+                self.offer(&offer);
+            }
+            Step::Finish(which) => {
+                if let Some(key) = self.key(which) {
+                    self.known.remove(&key);
+                    let due = self.admission.finish(key, MonoMs(self.now));
+                    self.apply_due(&due);
+                }
+            }
+            Step::Progress(which, left) => {
+                if let Some(key) = self.key(which) {
+                    self.admission.progress(key, Work(left));
+                    let known = self.known.get_mut(&key).unwrap();
+                    known.work = known.work.min(left);
+                }
+            }
+            Step::Report { peer, work } => {
+                self.highest_report = self.highest_report.max(work);
+                let report =
+                    LoadReport { work: Work(work), running: 6, slots: SLOTS, ..Default::default() };
+                let mean = self.admission.mean_mut();
+                mean.observe(EndpointHash(peer), report, MonoMs(self.now));
+            }
+            Step::Clock(by) => self.now = self.now.saturating_add_signed(by),
+            Step::Tick => {
+                let due = self.admission.tick(MonoMs(self.now));
+                self.apply_due(&due);
+            }
+        }
+        if !matches!(step, Step::Clock(_) | Step::Report { .. } | Step::Progress(..)) {
+            self.latest = self.latest.max(self.now);
+        }
+    }
+
+    fn check(&self) {
+        let load = self.admission.load();
+        let reserved = AdmissionConfig::default().with_slots(SLOTS).reserved_slots() as usize;
+        let slots = SLOTS as usize;
+        let work: u64 = self.known.values().map(|known| known.work).sum();
+        assert_eq!(load.work, Work(work), "work is neither lost nor counted twice");
+        assert!(self.running(true) + self.running(false) <= slots);
+        assert!(self.running(false) <= slots - reserved, "drafting took a reserved slot");
+        let free = slots - self.running(true) - self.running(false);
+        assert!(self.waiting(true) == 0 || free == 0, "a quick request waits beside a free slot");
+        let unreserved = free.min(slots - reserved - self.running(false));
+        assert!(self.waiting(false) == 0 || unreserved == 0, "a request waits beside a free slot");
+        assert!(load.waiting <= MAX_WAITING);
+    }
+}
+
+#[test]
+fn admission_never_exceeds_bound() {
+    let steps = prop::collection::vec(step(), 1..250);
+    let result = runner(300).run(&steps, |steps| {
+        let mut model = Model::new();
+        for step in &steps {
+            // Offers are judged at the latest time that admission has seen.
+            if matches!(step, Step::Offer { .. }) {
+                model.latest = model.latest.max(model.now);
+            }
+            model.apply(step);
+            model.check();
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
+
+/// An endpoint whose bound is out of the way, so that slots decide.
+fn roomy() -> Admission {
+    let cfg = AdmissionConfig::default()
+        .with_slots(SLOTS)
+        .with_ageing_ms(AGEING_MS)
+        .with_max_waiting(MAX_WAITING)
+        .with_peers(0);
+    Admission::new(cfg)
+}
+
+/// An endpoint whose slots are all taken by quick requests, which are returned.
+fn full_of_quick() -> (Admission, VecDeque<AdmittedKey>) {
+    let mut admission = roomy();
+    let mut running = VecDeque::new();
+    for _ in 0..SLOTS {
+        let Decision::Start(key) = admission.offer(&offer(0, Class::Quick, 40), MonoMs(0)) else {
+            panic!("an idle endpoint starts as many as it has slots");
+        };
+        running.push_back(key);
+    }
+    (admission, running)
+}
+
+/// Ends one request each second, the oldest first, while a flood of another workspace keeps
+/// arriving, and counts the ends until `key` starts.
+fn ends_until_started(flood: &[Class], key_class: Class) -> usize {
+    let (mut admission, mut running) = full_of_quick();
+    let Decision::Wait { key, .. } = admission.offer(&offer(1, key_class, 768), MonoMs(0)) else {
+        panic!("a full endpoint with room in its queue lets a request wait");
+    };
+    let mut arrivals = flood.iter().cycle();
+    for ends in 1..200 {
+        let now = MonoMs(ends as u64 * 1_000);
+        for class in arrivals.by_ref().take(4) {
+            if let Decision::Start(key) = admission.offer(&offer(0, *class, 40), now) {
+                running.push_back(key);
+            }
+        }
+        let ended = running.pop_front().expect("a flooded endpoint runs something");
+        let due = admission.finish(ended, now);
+        if due.started.contains(&key) {
+            return ends;
+        }
+        running.extend(due.started);
+    }
+    panic!("the request is starved")
+}
+
+#[test]
+fn drafting_starts_within_ageing_bound() {
+    // Aged, then every other start at the latest, and each slot ends once before an unreserved one
+    // must be among them.
+    let bound = AGEING_MS as usize / 1_000 + 2 + SLOTS as usize;
+    let floods = prop::collection::vec(prop::sample::select(Class::ALL.to_vec()), 1..20);
+    let result = runner(200).run(&floods, |flood| {
+        let ends = ends_until_started(&flood, Class::Drafting);
+        prop_assert!(ends <= bound, "started after {} ends", ends);
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn workspace_with_one_request_is_served_in_turn() {
+    // A workspace that floods its own class must not hold back another's single request.
+    let (mut admission, mut running) = full_of_quick();
+    let mut own_waiting = 0;
+    while let Decision::Wait { .. } = admission.offer(&offer(0, Class::Quick, 256), MonoMs(0)) {
+        own_waiting += 1;
+    }
+    assert_eq!(own_waiting, MAX_WAITING / 2, "one workspace takes at most half of the places");
+    let Decision::Wait { key, .. } = admission.offer(&offer(1, Class::Quick, 256), MonoMs(0))
+    else {
+        panic!("there is room for another workspace");
+    };
+    for ends in 1..=3 {
+        let due = admission.finish(running.pop_front().unwrap(), MonoMs(ends));
+        if due.started.contains(&key) {
+            return;
+        }
+    }
+    panic!("the other workspace waited for more than its turn");
+}
+
+#[rstest]
+#[case::can_be_met(60_000, false)]
+#[case::cannot_be_met(10, true)]
+fn deadline_is_refused_at_once(#[case] deadline_ms: u64, #[case] refused: bool) {
+    let (mut admission, _running) = full_of_quick();
+    let mut req = offer(1, Class::Conversation, 100);
+    req.deadline = Some(MonoMs(deadline_ms));
+    match admission.offer(&req, MonoMs(0)) {
+        Decision::Refuse(refusal) => {
+            assert!(refused);
+            assert_eq!(refusal.reason, RefuseReason::Deadline);
+            // The first slot frees after 40 units of 30 ms.
+            assert_eq!(refusal.retry_after_ms, 40 * 30 - deadline_ms);
+        }
+        Decision::Wait { expected_ms, .. } => {
+            assert!(!refused && expected_ms <= deadline_ms);
+        }
+        Decision::Start(_) => panic!("every slot is taken"),
+    }
+}
+
+#[test]
+fn late_request_is_given_up_once_and_never_started() {
+    let (mut admission, mut running) = full_of_quick();
+    let mut req = offer(1, Class::Quick, 100);
+    req.deadline = Some(MonoMs(5_000));
+    let Decision::Wait { key, .. } = admission.offer(&req, MonoMs(0)) else { panic!() };
+    let due = admission.finish(running.pop_front().unwrap(), MonoMs(5_000));
+    assert_eq!(due, Due { started: Vec::new(), given_up: vec![key] });
+    assert_eq!(admission.tick(MonoMs(6_000)), Due::default());
+}
+
+#[test]
+fn idle_endpoint_without_reports_takes_any_single_request() {
+    for class in Class::ALL {
+        let largest = offer(0, class, Work::HORIZON.0);
+        assert!(matches!(admission().offer(&largest, MonoMs(0)), Decision::Start(_)));
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/load_credits.rs
@@ -0,0 +1,182 @@
+//! Credits: never more than the limit and the stated error, whatever moves or parts.
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::load::{
+    CreditDemand, CreditHome, CreditPurse, CreditReply, EndpointHash, LimitKey, credit_home_of,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+
+const LIMIT: u32 = 100;
+
+fn runner(cases: u32) -> TestRunner {
+    let cfg = ProptestConfig { cases, failure_persistence: None, ..ProptestConfig::default() };
+    TestRunner::new_with_rng(cfg, TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]))
+}
+
+fn key() -> LimitKey {
+    LimitKey { workspace: "swap-desk".into(), class: Default::default() }
+}
+
+/// The grants of every home, by time in milliseconds.
+#[derive(Default)]
+struct Ledger(Vec<(u64, u32)>);
+
+impl Ledger {
+    fn grant(&mut self, home: &mut CreditHome, wanted: u32, share: f64, now: u64) {
+        let demand = CreditDemand { key: key(), wanted };
+        if let CreditReply::Batch { credits, .. } = home.grant(&demand, LIMIT, share, MonoMs(now)) {
+            self.0.push((now, credits));
+        }
+    }
+
+    /// The most granted in any period of this length that starts with a grant, over what the limit
+    /// allows in it.
+    fn worst(&self, period_ms: u64) -> f64 {
+        let allowed = f64::from(LIMIT) * period_ms as f64 / 1_000.0;
+        let within = |from: u64| {
+            let times = from..from + period_ms;
+            self.0.iter().filter(|(at, _)| times.contains(at)).map(|(_, n)| n).sum::<u32>()
+        };
+        let most = self.0.iter().map(|(at, _)| within(*at)).max().unwrap_or(0);
+        f64::from(most) / allowed
+    }
+}
+
+const PERIOD_MS: u64 = 10_000;
+
+/// A period's burst, as a share of what the limit allows in the period, and a credit of rounding.
+fn burst() -> f64 {
+    CreditHome::BURST_MS as f64 / PERIOD_MS as f64 + 1.0 / f64::from(LIMIT)
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Ask {
+    after_ms: u64,
+    wanted: u32,
+    part: usize,
+}
+
+fn asks() -> impl Strategy<Value = Vec<Ask>> {
+    let ask = (0..400_u64, 0..400_u32, 0..3_usize);
+    let ask = ask.prop_map(|(after_ms, wanted, part)| Ask { after_ms, wanted, part });
+    prop::collection::vec(ask, 1..400)
+}
+
+#[test]
+fn partition_grants_no_more_than_the_limit() {
+    // Three parts that see half, three tenths and a fifth of the endpoints, each with its home.
+    let shares = [0.5, 0.3, 0.2];
+    let result = runner(200).run(&asks(), |asks| {
+        let mut homes = [CreditHome::default(), CreditHome::default(), CreditHome::default()];
+        let mut ledger = Ledger::default();
+        let mut now = 0;
+        for ask in asks {
+            now += ask.after_ms;
+            ledger.grant(&mut homes[ask.part], ask.wanted, shares[ask.part], now);
+        }
+        // Each home may round a credit up.
+        let most = 1.0 + burst() + 2.0 / f64::from(LIMIT);
+        prop_assert!(
+            ledger.worst(PERIOD_MS) <= most,
+            "{} times the limit",
+            ledger.worst(PERIOD_MS)
+        );
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn home_move_adds_at_most_the_new_home_share() {
+    // The new home starts while some routers still ask the old one.
+    let result = runner(200).run(&(asks(), 0..20_000_u64), |(asks, moved_at)| {
+        let mut homes = [CreditHome::default(), CreditHome::default()];
+        let mut ledger = Ledger::default();
+        let mut now = 0;
+        for ask in asks {
+            now += ask.after_ms;
+            let overlap = (moved_at..moved_at + CreditHome::NEW_HOME_MS).contains(&now);
+            let home = if overlap { ask.part % 2 } else { usize::from(now >= moved_at) };
+            ledger.grant(&mut homes[home], ask.wanted, 1.0, now);
+        }
+        let most = 1.0 + CreditHome::NEW_HOME_SHARE + 2.0 * burst();
+        prop_assert!(
+            ledger.worst(PERIOD_MS) <= most,
+            "{} times the limit",
+            ledger.worst(PERIOD_MS)
+        );
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[derive(Debug, Clone, Copy)]
+enum PurseStep {
+    Spend,
+    Receive { credits: u32, slow_ms: u64 },
+    Wait(u64),
+}
+
+#[test]
+fn purse_spends_no_more_than_it_was_granted_and_nothing_lapsed() {
+    let step = prop_oneof![
+        6 => Just(PurseStep::Spend),
+        1 => (0..20_u32, 0..3_000_u64)
+            .prop_map(|(credits, slow_ms)| PurseStep::Receive { credits, slow_ms }),
+        1 => (0..700_u64).prop_map(PurseStep::Wait),
+    ];
+    let result = runner(300).run(&prop::collection::vec(step, 1..200), |steps| {
+        let mut purse = CreditPurse::new(4);
+        let mut now = 100_000;
+        // Credits granted, each with when it lapses; what isn't held any more is dropped.
+        let mut granted: Vec<(u64, u32)> = Vec::new();
+        for step in steps {
+            match step {
+                PurseStep::Wait(ms) => now += ms,
+                PurseStep::Receive { credits, slow_ms } => {
+                    let reply = CreditReply::Batch {
+                        credits,
+                        ttl_ms: CreditHome::TTL_MS,
+                        more_after_ms: 0,
+                    };
+                    let sent_at = now - slow_ms;
+                    purse.receive(&key(), reply, MonoMs(sent_at), MonoMs(now));
+                    granted.push((sent_at + u64::from(CreditHome::TTL_MS), credits));
+                }
+                PurseStep::Spend => {
+                    // A limit of zero leaves nothing to spend but credits.
+                    let paid = purse.spend(&key(), 0, MonoMs(now)).paid;
+                    let credit =
+                        granted.iter_mut().filter(|(until, n)| *until > now && *n > 0).min();
+                    prop_assert!(!paid || credit.is_some(), "paid without a credit");
+                    if let (true, Some((_, left))) = (paid, credit) {
+                        *left -= 1;
+                    }
+                }
+            }
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn silent_home_leaves_a_small_share_of_the_limit() {
+    let mut purse = CreditPurse::new(4);
+    let paid = (0..20_000).filter(|now| purse.spend(&key(), LIMIT, MonoMs(*now)).paid).count();
+    let share = f64::from(LIMIT) * CreditPurse::OWN_SHARE / 4.0;
+    assert!(paid > 0, "a silent home must not stop a workspace");
+    assert!(paid as f64 <= share * 21.0, "{paid} paid in 20 s");
+}
+
+#[test]
+fn home_moves_only_when_it_leaves() {
+    let live: Vec<_> = (0..50).map(EndpointHash).collect();
+    let home = credit_home_of(&key(), live.iter().copied()).unwrap();
+    for gone in live.iter().filter(|endpoint| **endpoint != home) {
+        let rest = live.iter().copied().filter(|endpoint| endpoint != gone);
+        assert_eq!(credit_home_of(&key(), rest), Some(home));
+    }
+    assert_eq!(credit_home_of(&key(), []), None);
+}
