Quarantine requests that crash endpoints

Cause: nothing kept a request that crashes its engine from being sent to the next. Change: recovery::Quarantine makes everything in progress at a crash a suspect, refuses suspects for 15 s while marks spread at once to routers, then lets each run alone on one endpoint that all routers compute alike (recovery::Probation); a second endpoint's crash quarantines it. Ruled out: running a suspect again where it crashed (a sick endpoint would condemn innocents); asking a home sidecar before every request (a hop each).

--- a/crates/persimmon_decide/examples/membership_spread.rs
+++ b/crates/persimmon_decide/examples/membership_spread.rs
@@ -6,10 +6,11 @@
 
 use std::time::Instant;
 
-use membership_fleet::{Fleet, IN_TWO_YEARS, Size, TODAY, name};
+use membership_fleet::{Fleet, Size, TODAY, name};
 use persimmon_decide::membership::NodeId;
 use persimmon_records::Generation;
 
+const IN_TWO_YEARS: Size = Size { routers: 350, endpoints: 3_700, zones: 15, models: 35 };
 const WARM_UP_MS: u64 = 30_000;
 const WITHIN_MS: u64 = 60_000;
 
--- a/crates/persimmon_decide/src/membership/digest.rs
+++ b/crates/persimmon_decide/src/membership/digest.rs
@@ -83,6 +83,12 @@
     const PROOF_BYTES: usize = 32;
     /// Bytes of the IP and UDP heads.
     const HEAD_BYTES: usize = 28;
+    /// Bytes on the wire of a digest whose lists are full.
+    pub(super) const FULL_WIRE_BYTES: usize = Self::HEAD_BYTES
+        + Self::FRAME_BYTES
+        + Self::PROOF_BYTES
+        + Self::MAX_ENTRIES * DigestEntry::ENCODED_BYTES
+        + Self::MAX_SUSPECTS * SuspectMark::ENCODED_BYTES;
 
     /// Bytes of the encoded datagram.
     pub fn encoded_bytes(&self) -> usize {
--- a/crates/persimmon_decide/src/membership/membership.rs
+++ b/crates/persimmon_decide/src/membership/membership.rs
@@ -8,7 +8,7 @@
 use super::mark::{Change, Mark};
 use super::node_table::{Listed, NodeTable};
 use super::peer_choice::{Peer, PeerChoice};
-use super::urgent_budget::UrgentBudget;
+use super::send_budget::SendBudget;
 use super::{
     Digest, DigestEntry, GroupId, NodeId, Standing, Trust, Vm, VmList, VmName, VmRole, VmState,
 };
@@ -99,7 +99,7 @@
     urgent: Vec<NodeId>,
     urgent_suspects: bool,
     urgent_records: bool,
-    budget: UrgentBudget,
+    budget: SendBudget,
     suspects: Vec<SuspectMark>,
 }
 
@@ -130,7 +130,7 @@
             urgent: Vec::new(),
             urgent_suspects: false,
             urgent_records: false,
-            budget: UrgentBudget::new(now),
+            budget: SendBudget::new(now),
             suspects: Vec::new(),
         }
     }
@@ -170,7 +170,9 @@
         self.trust.retain(|_, trust| !trust.is_clean(now));
         let peer = self.peers.any(random)?;
         let (node, to) = (peer.node, peer.address);
-        Some(Outgoing { to, digest: self.digest_for(node, true, now) })
+        let digest = self.digest_for(node, true, now);
+        self.budget.spend(digest.wire_bytes(), now);
+        Some(Outgoing { to, digest })
     }
 
     /// Takes in what this process says of itself. A change that others should hear of at once is
@@ -196,7 +198,7 @@
         self.urgent_suspects = false;
         self.urgent_records = false;
         self.urgent.clear();
-        if !self.budget.try_take(bytes, now) {
+        if !self.budget.try_spend(bytes, now) {
             return Vec::new();
         }
         let peers = &self.peers;
@@ -220,7 +222,9 @@
                 self.absorb(entry, now, &mut received);
             }
         }
-        received.reply = digest.wants_reply.then(|| self.digest_for(digest.from, false, now));
+        if digest.wants_reply && self.budget.try_spend(Digest::FULL_WIRE_BYTES, now) {
+            received.reply = Some(self.digest_for(digest.from, false, now));
+        }
         received
     }
 
--- a/crates/persimmon_decide/src/membership/mod.rs
+++ b/crates/persimmon_decide/src/membership/mod.rs
@@ -8,8 +8,8 @@
 mod node_id;
 mod node_table;
 mod peer_choice;
+mod send_budget;
 mod trust;
-mod urgent_budget;
 mod vm_list;
 
 pub use digest::{Digest, DigestEntry};
--- a/crates/persimmon_decide/src/membership/node_table.rs
+++ b/crates/persimmon_decide/src/membership/node_table.rs
@@ -92,7 +92,7 @@
     }
 
     /// Entries for a digest: changes first, then one leaving node whose change has been told enough,
-    /// then loads of `group`, then others, each newest first. Half of the places are kept from
+    /// then loads of `group`, then of other endpoints, each newest first. Half of the places are kept from
     /// changes for loads when there are more changes than that.
     ///
     /// The one that is told again lets both sides of a partition learn what the other side went
@@ -110,7 +110,7 @@
             let is_near = group.is_some() && node.group == group;
             if node.tells_left > 0 {
                 changes.push((Reverse(node.tells_left), Reverse(mark.measured_at), *id));
-            } else if !mark.leaving {
+            } else if !mark.leaving && node.group != Some(GroupId::ROUTERS) {
                 loads.push((Reverse(is_near), Reverse(mark.measured_at), *id));
             }
         }
--- /dev/null
+++ b/crates/persimmon_decide/src/recovery/quarantine.rs
@@ -0,0 +1,268 @@
+//! Requests that crash the endpoints that run them.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use thiserror::Error;
+
+use super::{MarkState, QuarantineSettings, SuspectMark, Suspicion};
+use crate::membership::NodeId;
+use crate::{Fingerprint, MonoMs};
+
+const MS_PER_S: u64 = 1_000;
+
+/// How a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunMode {
+    /// With others.
+    Shared,
+    /// Alone on its probation endpoint, since an endpoint crashed under it and others.
+    Alone {
+        /// The endpoint that crashed, which isn't asked to run it again.
+        crashed: NodeId,
+    },
+}
+
+/// A definite refusal: the request wasn't run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum QuarantineRefusal {
+    /// Different endpoints crashed under this content.
+    #[error(
+        "endpoints crashed under this request, so it isn't run; change it, or report it to the \
+         operators if it must run as it is"
+    )]
+    Quarantined {
+        /// When the caller may try again, in seconds.
+        retry_after_s: u64,
+    },
+    /// An endpoint crashed while this content was in progress; the fleet is being told.
+    #[error("an endpoint crashed while this request was in progress; send it again later")]
+    TooSoon {
+        /// When the caller may try again, in seconds.
+        retry_after_s: u64,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    site: NodeId,
+    state: MarkState,
+    noted_at: MonoMs,
+    until: MonoMs,
+}
+
+/// Remembers which requests were in progress when endpoints crashed. Routers and sidecars each hold
+/// one and merge the marks that digests and replies carry.
+///
+/// A first crash makes every request in progress a suspect. A suspect is refused until the fleet
+/// has heard of it, and then runs alone, on one endpoint that every router computes alike. There
+/// it either ends, which clears it, or crashes a second endpoint, which quarantines it. Routers
+/// never retry a request under which an endpoint crashed; the caller gets the failure.
+///
+/// ```
+/// use persimmon_decide::membership::NodeId;
+/// use persimmon_decide::recovery::{Quarantine, QuarantineSettings, RunMode};
+/// use persimmon_decide::{Fingerprint, MonoMs};
+///
+/// let mut quarantine = Quarantine::new(QuarantineSettings::default());
+/// let request = Fingerprint::of(b"{}");
+/// assert_eq!(quarantine.check(request, MonoMs(0)), Ok(RunMode::Shared));
+/// quarantine.record_crash([request], NodeId(1), MonoMs(0));
+/// assert!(quarantine.check(request, MonoMs(0)).is_err());
+/// let later = quarantine.check(request, MonoMs(15_000));
+/// assert_eq!(later, Ok(RunMode::Alone { crashed: NodeId(1) }));
+/// ```
+#[derive(Debug)]
+pub struct Quarantine {
+    settings: QuarantineSettings,
+    held: BTreeMap<Fingerprint, Held>,
+    has_news: bool,
+}
+
+impl Quarantine {
+    /// Fingerprints remembered. When more are suspected the ones that expire first are dropped,
+    /// suspects before quarantined ones.
+    pub const MAX_HELD: usize = 1_024;
+    const FIRST: MarkState = MarkState::Open { round: 0, suspicion: Suspicion::Suspect };
+
+    /// A process that suspects nothing.
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self { settings, held: BTreeMap::new(), has_news: false }
+    }
+
+    /// The endpoint `site` crashed while these were in progress. A sidecar calls it when its engine
+    /// dies, a router when the sidecar died too and can't be asked.
+    pub fn record_crash(
+        &mut self,
+        in_progress: impl IntoIterator<Item = Fingerprint>,
+        site: NodeId,
+        now: MonoMs,
+    ) {
+        for fingerprint in in_progress {
+            let state = match self.held.get(&fingerprint).map(|held| held.state) {
+                None => Self::FIRST,
+                Some(MarkState::Open { round, suspicion: Suspicion::Cleared }) => {
+                    let round = round.saturating_add(1);
+                    MarkState::Open { round, suspicion: Suspicion::Suspect }
+                }
+                Some(state) => state,
+            };
+            self.merge(fingerprint, self.fresh(site, state, now), now);
+        }
+    }
+
+    /// A suspect ran alone to its end.
+    pub fn record_clean_run(&mut self, fingerprint: Fingerprint, now: MonoMs) {
+        let Some(held) = self.held.get(&fingerprint).copied() else { return };
+        if let MarkState::Open { round, suspicion: Suspicion::Suspect } = held.state {
+            let state = MarkState::Open { round, suspicion: Suspicion::Cleared };
+            self.merge(fingerprint, self.fresh(held.site, state, now), now);
+        }
+    }
+
+    /// Takes in a mark from a digest or a reply.
+    pub fn absorb(&mut self, mark: &SuspectMark, now: MonoMs) {
+        let longest_s = self.ttl_s(mark.state);
+        let ttl_s = mark.ttl_s.min(longest_s);
+        let age_s = u64::from(longest_s - ttl_s);
+        let held = Held {
+            site: mark.site,
+            state: mark.state,
+            noted_at: MonoMs(now.0.saturating_sub(age_s * MS_PER_S)),
+            until: now.plus_ms(u64::from(ttl_s) * MS_PER_S),
+        };
+        self.merge(mark.fingerprint, held, now);
+    }
+
+    /// Forgets what has expired.
+    pub fn expire(&mut self, now: MonoMs) {
+        self.held.retain(|_, held| held.until > now);
+    }
+
+    /// Whether there are marks that others should hear of at once; asking clears it.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
+    /// Whether and how a request may run.
+    ///
+    /// # Errors
+    ///
+    /// A definite refusal. A router that gets one from a sidecar doesn't go on to another endpoint.
+    pub fn check(
+        &self,
+        fingerprint: Fingerprint,
+        now: MonoMs,
+    ) -> Result<RunMode, QuarantineRefusal> {
+        let held = self.held.get(&fingerprint).filter(|held| held.until > now);
+        let Some(held) = held else { return Ok(RunMode::Shared) };
+        let spread_until = held.noted_at.plus_ms(u64::from(self.settings.spread_s) * MS_PER_S);
+        match held.state {
+            MarkState::Quarantined => {
+                let retry_after_s = held.until.ms_since(now).div_ceil(MS_PER_S);
+                Err(QuarantineRefusal::Quarantined { retry_after_s })
+            }
+            MarkState::Open { suspicion: Suspicion::Cleared, .. } => Ok(RunMode::Shared),
+            MarkState::Open { .. } if now < spread_until => {
+                let retry_after_s = spread_until.ms_since(now).div_ceil(MS_PER_S);
+                Err(QuarantineRefusal::TooSoon { retry_after_s })
+            }
+            MarkState::Open { .. } => Ok(RunMode::Alone { crashed: held.site }),
+        }
+    }
+
+    /// The mark to send with a reply about this fingerprint.
+    pub fn mark(&self, fingerprint: Fingerprint, now: MonoMs) -> Option<SuspectMark> {
+        let held = self.held.get(&fingerprint).filter(|held| held.until > now)?;
+        let ttl_s = held.until.ms_since(now).div_ceil(MS_PER_S);
+        Some(SuspectMark {
+            fingerprint,
+            site: held.site,
+            state: held.state,
+            ttl_s: u16::try_from(ttl_s).unwrap_or(u16::MAX),
+        })
+    }
+
+    /// At most `count` marks for a digest: the newest first, quarantined ones before others of the
+    /// same time.
+    pub fn marks(&self, count: usize, now: MonoMs) -> Vec<SuspectMark> {
+        let mut newest: Vec<_> = self
+            .held
+            .iter()
+            .map(|(fingerprint, held)| (Reverse((held.noted_at, held.state)), *fingerprint))
+            .collect();
+        newest.sort_unstable();
+        let marks = newest.into_iter().filter_map(|(_, fingerprint)| self.mark(fingerprint, now));
+        marks.take(count).collect()
+    }
+
+    /// Fingerprints that are refused, for status.
+    pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
+        let quarantined = self.held.iter().filter(|(_, held)| held.state == MarkState::Quarantined);
+        quarantined.map(|(fingerprint, _)| *fingerprint)
+    }
+
+    /// The one endpoint of `candidates` on which a suspect runs alone. Routers that hold the same
+    /// candidates agree on it; the endpoint that crashed isn't asked again.
+    pub fn probation_endpoint(
+        fingerprint: Fingerprint,
+        crashed: NodeId,
+        candidates: impl IntoIterator<Item = NodeId>,
+    ) -> Option<NodeId> {
+        let key = format!("{:016x}", fingerprint.0);
+        let others = candidates.into_iter().filter(|node| *node != crashed);
+        others.max_by_key(|node| (node.weight_for(&key), *node))
+    }
+
+    /// Merges what is known of a fingerprint. Two suspicions of one round from different endpoints
+    /// make a quarantine.
+    fn merge(&mut self, fingerprint: Fingerprint, new: Held, now: MonoMs) {
+        if new.until <= now {
+            return;
+        }
+        let held = self.held.get(&fingerprint).copied().filter(|held| held.until > now);
+        let merged = match held {
+            None => new,
+            Some(held) if held.is_at_other_site_than(&new) => {
+                self.fresh(new.site, MarkState::Quarantined, now)
+            }
+            Some(held) if new.state > held.state => new,
+            Some(held) => Held { until: held.until.max(new.until), ..held },
+        };
+        self.has_news |= held.is_none_or(|held| merged.state != held.state);
+        self.make_room_for(fingerprint);
+        self.held.insert(fingerprint, merged);
+    }
+
+    fn make_room_for(&mut self, fingerprint: Fingerprint) {
+        if self.held.len() < Self::MAX_HELD || self.held.contains_key(&fingerprint) {
+            return;
+        }
+        let rank = |held: &Held| (held.state == MarkState::Quarantined, held.until);
+        let least = self.held.iter().min_by_key(|(_, held)| rank(held));
+        if let Some(least) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.held.remove(&least);
+        }
+    }
+
+    fn ttl_s(&self, state: MarkState) -> u16 {
+        match state {
+            MarkState::Quarantined => self.settings.quarantine_s,
+            MarkState::Open { .. } => self.settings.suspect_s,
+        }
+    }
+
+    fn fresh(&self, site: NodeId, state: MarkState, now: MonoMs) -> Held {
+        let ttl_ms = u64::from(self.ttl_s(state)) * MS_PER_S;
+        Held { site, state, noted_at: now, until: now.plus_ms(ttl_ms) }
+    }
+}
+
+impl Held {
+    fn is_at_other_site_than(&self, other: &Self) -> bool {
+        let is_suspect = |held: &Self| {
+            matches!(held.state, MarkState::Open { suspicion: Suspicion::Suspect, .. })
+        };
+        self.state == other.state && is_suspect(self) && self.site != other.site
+    }
+}
--- a/crates/persimmon_decide/src/recovery/suspect_mark.rs
+++ b/crates/persimmon_decide/src/recovery/suspect_mark.rs
@@ -5,7 +5,7 @@
 use crate::Fingerprint;
 use crate::membership::NodeId;
 
-/// How strongly a fingerprint is suspected. Later variants win over earlier ones of the same round.
+/// How strongly a fingerprint is suspected within one round. Later variants win.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Suspicion {
@@ -15,11 +15,11 @@
     Cleared,
 }
 
-/// Orders what is known of a fingerprint, so that marks merge to the same state on every process
+/// What is known of a fingerprint, ordered so that marks merge to the same state on every process
 /// in whatever order they arrive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Verdict {
+pub enum MarkState {
     /// One endpoint crashed under it.
     Open {
         /// Counts the times that it was cleared and suspected again.
@@ -39,7 +39,7 @@
     /// The endpoint that crashed under it.
     pub site: NodeId,
     /// What is known of it.
-    pub verdict: Verdict,
+    pub state: MarkState,
     /// Seconds until the mark expires.
     pub ttl_s: u16,
 }
--- a/crates/persimmon_decide/tests/membership_fleet/mod.rs
+++ b/crates/persimmon_decide/tests/membership_fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A fleet of memberships in memory, with a network that delays, loses and parts.
 
+#![allow(dead_code, reason = "each test uses a part")]
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use persimmon_decide::MonoMs;
@@ -8,6 +10,7 @@
     Digest, Membership, NodeId, Outgoing, OwnState, Vm, VmList, VmName, VmRole, VmState,
     incarnation_at,
 };
+use persimmon_decide::recovery::{Quarantine, QuarantineSettings};
 use persimmon_records::{EndpointBuilder, Generation, RecordSet, Serves, SetVersion, UnixMs};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -27,8 +30,6 @@
 }
 
 pub(crate) const TODAY: Size = Size { routers: 5, endpoints: 20, zones: 4, models: 2 };
-pub(crate) const IN_TWO_YEARS: Size =
-    Size { routers: 350, endpoints: 3_700, zones: 15, models: 35 };
 
 pub(crate) struct Fleet {
     pub(crate) size: Size,
@@ -36,6 +37,7 @@
     pub(crate) states: Vec<OwnState>,
     pub(crate) now: MonoMs,
     pub(crate) sent_bytes: Vec<u64>,
+    pub(crate) quarantines: Vec<Quarantine>,
     /// The node on each side of a partition, if there is one.
     pub(crate) side: Option<fn(usize) -> bool>,
     pub(crate) urgent: bool,
@@ -99,6 +101,7 @@
             node
         });
         let nodes = nodes.collect();
+        let settings = QuarantineSettings::default();
         let state = OwnState { records: Some(version), work: Work(100), ..OwnState::default() };
         let phase = (0..size.nodes()).map(|_| rng.random_range(0..TICK_MS / HOP_MS)).collect();
         Self {
@@ -107,6 +110,7 @@
             states: vec![state; size.nodes()],
             now: MonoMs(0),
             sent_bytes: vec![0; size.nodes()],
+            quarantines: (0..size.nodes()).map(|_| Quarantine::new(settings)).collect(),
             side: None,
             urgent: true,
             rng,
@@ -192,6 +196,18 @@
             self.states[index].records = digest.records;
             self.nodes[index].set_state(self.states[index], self.now);
         }
+        for mark in &digest.suspects {
+            self.quarantines[index].absorb(mark, self.now);
+        }
+        self.tell_suspects(index);
+    }
+
+    /// Lets a node carry the marks of its quarantine, at once if they are news.
+    pub(crate) fn tell_suspects(&mut self, index: usize) {
+        let quarantine = &mut self.quarantines[index];
+        let marks = quarantine.marks(Digest::MAX_SUSPECTS, self.now);
+        let has_news = quarantine.take_news();
+        self.nodes[index].set_suspects(marks, has_news);
         self.send_urgent(index);
     }
 
