--- /dev/null
+++ b/crates/persimmon_decide/tests/orders_load_pacer.rs
@@ -0,0 +1,124 @@
+//! Loads from the rate-limited weight store, with nothing shared between sidecars.
+
+use std::collections::BTreeMap;
+
+use persimmon_decide::membership::VmName;
+use persimmon_decide::orders::{LoadPacer, LoadRate, WaitReason};
+use persimmon_records::UnixMs;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const MINUTE_MS: u64 = 60_000;
+const START_MS: u64 = 1_700_000_000_000;
+
+fn names(count: usize) -> Vec<VmName> {
+    (0..count).map(|number| format!("engine-{number}").as_str().into()).collect()
+}
+
+/// When each sidecar starts its load, if all are told within `spread_ms` and each goes by a clock of
+/// its own.
+fn starts(count: usize, rate: LoadRate, spread_ms: u64, seed: u64) -> Vec<u64> {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let names = names(count);
+    let mut starts: Vec<_> = names
+        .iter()
+        .map(|name| {
+            let wanted_at = START_MS + rng.random_range(0..=spread_ms);
+            let skew = rng.random_range(0..=rate.clock_uncertainty_ms);
+            let pacer = LoadPacer::new(rate, name, &names, UnixMs(wanted_at + skew)).unwrap();
+            let wait = pacer.wait(UnixMs(wanted_at + skew));
+            wanted_at + wait.map_or(0, |wait| wait.starts_in_ms)
+        })
+        .collect();
+    starts.sort_unstable();
+    starts
+}
+
+fn most_in_a_minute(starts: &[u64]) -> usize {
+    let starts_from = |first: usize| {
+        let end = starts[first] + MINUTE_MS;
+        starts[first..].iter().take_while(|at| **at < end).count()
+    };
+    (0..starts.len()).map(starts_from).max().unwrap_or(0)
+}
+
+#[test]
+fn sidecar_outside_the_list_gets_no_pacer() {
+    let rate = LoadRate { per_minute: 60, clock_uncertainty_ms: 1_000 };
+    assert!(LoadPacer::new(rate, &"other".into(), &names(3), UnixMs(0)).is_none());
+}
+
+#[test]
+fn waiting_load_says_so() {
+    let rate = LoadRate { per_minute: 1, clock_uncertainty_ms: 1_000 };
+    let names = names(10);
+    let waits = names.iter().filter_map(|name| {
+        LoadPacer::new(rate, name, &names, UnixMs(START_MS)).unwrap().wait(UnixMs(START_MS))
+    });
+    let waits: Vec<_> = waits.collect();
+    assert!(waits.len() >= names.len() - 1);
+    assert!(waits.iter().all(|wait| wait.reason == WaitReason::Slot));
+    assert!(waits.iter().all(|wait| wait.starts_in_ms <= 10 * MINUTE_MS));
+}
+
+/// The store refuses what exceeds its rate. Sidecars with different lists collide and back off.
+#[test]
+fn refused_loads_come_back_spread() {
+    let rate = LoadRate { per_minute: 60, clock_uncertainty_ms: 1_000 };
+    let mut rng = Pcg64::seed_from_u64(9);
+    let mut pacers: Vec<_> = (0..100)
+        .map(|number: usize| {
+            let own = names(number + 1).pop().unwrap();
+            LoadPacer::new(rate, &own, std::slice::from_ref(&own), UnixMs(START_MS)).unwrap()
+        })
+        .collect();
+    let mut taken: BTreeMap<u64, u32> = BTreeMap::new();
+    let mut refused: BTreeMap<u64, u32> = BTreeMap::new();
+    for ms in (0..20 * MINUTE_MS).step_by(100) {
+        let now = UnixMs(START_MS + ms);
+        let mut waiting = Vec::new();
+        for mut pacer in pacers {
+            if pacer.wait(now).is_some() {
+                waiting.push(pacer);
+                continue;
+            }
+            let in_minute = taken.entry(ms / MINUTE_MS).or_default();
+            if *in_minute < rate.per_minute {
+                *in_minute += 1;
+                continue;
+            }
+            *refused.entry(ms / MINUTE_MS).or_default() += 1;
+            pacer.throttled(1_000, rng.random(), now);
+            assert_eq!(pacer.wait(now).unwrap().reason, WaitReason::Throttled);
+            waiting.push(pacer);
+        }
+        pacers = waiting;
+    }
+    assert!(pacers.is_empty(), "{} never loaded", pacers.len());
+    let last = refused.keys().max().copied().unwrap_or(0);
+    assert!(last <= 3, "still refused after {last} minutes: {refused:?}");
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(9), cases: 60, ..Config::default() })]
+
+    /// Every sidecar starts once within the rate, though told seconds apart.
+    #[test]
+    fn loads_stay_inside_rate(
+        count in 1..400_usize,
+        per_minute in 1..600_u32,
+        spread_ms in 0..5_000_u64,
+        clock_uncertainty_ms in 0..3_000_u64,
+        seed in any::<u64>(),
+    ) {
+        let rate = LoadRate { per_minute, clock_uncertainty_ms };
+        let starts = starts(count, rate, spread_ms, seed);
+        let most = most_in_a_minute(&starts);
+        prop_assert!(most <= per_minute as usize, "{most} of {per_minute} a minute");
+        let cycle_ms = count as u64 * rate.slot_ms();
+        let last = starts.last().unwrap() - START_MS;
+        prop_assert!(last <= cycle_ms + spread_ms + rate.slot_ms());
+    }
+}
