--- a/crates/persimmon_decide/src/load/mean_load.rs
+++ b/crates/persimmon_decide/src/load/mean_load.rs
@@ -49,7 +49,16 @@
     pub const HALF_LIFE_MS: u64 = 5_000;
 
     /// Age at which a report is forgotten, in milliseconds.
-    pub const FORGET_MS: u64 = 20_000;
+    pub const FORGET_MS: u64 = 10_000;
+
+    /// Least part of the load multiple above one that the floor is worked out from.
+    pub const MIN_HEADROOM: f64 = 0.05;
+
+    /// Part of the load multiple above one that is used on a mean that lags.
+    pub const USED_HEADROOM: f64 = 0.8;
+
+    /// The most by which a mean told with an offer may exceed the estimate, as a multiple.
+    pub const MAX_LIFT: f64 = 1.5;
 
     /// Takes in an endpoint's report, measured at `at`. An older one than is held is ignored.
     pub fn observe(&mut self, endpoint: EndpointHash, report: LoadReport, at: MonoMs) {
@@ -81,20 +90,33 @@
         decay * self.lower_mean(now)
     }
 
+    /// The most that an endpoint with these slots may carry: the load multiple times its share of
+    /// the mean, but never under the floor.
+    ///
+    /// A part of the multiple is kept back, since the mean may fall faster than the load of one
+    /// endpoint. `told_per_slot` is the mean of the endpoints that have just refused a request. It
+    /// doesn't lag, so the whole multiple of it holds; but without reports it doesn't count, and
+    /// an old one does no more harm than [`MeanLoad::MAX_LIFT`] allows.
+    pub fn bound(&self, policy: &Policy, slots: u32, told: Option<f64>, now: MonoMs) -> Work {
+        let held = self.per_slot(now);
+        let told = told.filter(|told| told.is_finite()).unwrap_or(0.0);
+        let told = told.min(held * Self::MAX_LIFT);
+        let above_one = policy.load_multiple - 1.0;
+        let usual = held * (1.0 + above_one * Self::USED_HEADROOM);
+        let per_slot = usual.max(told * policy.load_multiple);
+        self.floor(policy).max(Work((per_slot * f64::from(slots)) as u64))
+    }
+
     /// The load up to which the multiple isn't applied: `load_floor` requests of the mean work of
-    /// a request in progress. Never under [`Work::HORIZON`], so that every request fits an idle
-    /// endpoint.
-    pub fn floor(&self, load_floor: u32) -> Work {
+    /// a request in progress, and never less than the mean above which one request of any size
+    /// stays within the multiple. Under a lower floor endpoints at the mean would refuse a large
+    /// request, and the mean could never grow with the demand.
+    pub fn floor(&self, policy: &Policy) -> Work {
         let least = Work::MIN_PER_FLOOR_REQUEST.0 as f64;
         let request = self.request_work().clamp(least, Work::HORIZON.0 as f64);
-        Work((request * f64::from(load_floor)) as u64).max(Work::HORIZON)
-    }
-
-    /// The most that an endpoint with these slots may carry: `multiple` times its share of the
-    /// mean, but never under the floor.
-    pub fn bound(&self, policy: &Policy, slots: u32, now: MonoMs) -> Work {
-        let share = policy.load_multiple * self.per_slot(now) * f64::from(slots);
-        self.floor(policy.load_floor).max(Work(share as u64))
+        let headroom = (policy.load_multiple - 1.0).clamp(Self::MIN_HEADROOM, 1.0);
+        let one_more = Work::HORIZON.0 as f64 / headroom;
+        Work((request * f64::from(policy.load_floor)).max(one_more) as u64)
     }
 
     fn request_work(&self) -> f64 {
