Ask peers also when the VM list comes after the records

Cause: a starting process whose platform read came before the VM list knew no peers and was ready at once by that single read, which may be stale. Ruled out: a call that marks the list as known; a daemon that forgot it would be ready too soon. Change: without any peer's answer a process waits alone_ms. peers_listed_late_are_still_asked fails before.

--- a/crates/persimmon_decide/src/config/startup.rs
+++ b/crates/persimmon_decide/src/config/startup.rs
@@ -188,6 +188,7 @@
         if self.has_heard_enough_peers(now) { Ok(()) } else { Err(NotReady::PeersPending) }
     }
 
+    /// Peers are waited for also while none is known: the VM list may come later than the records.
     fn has_heard_enough_peers(&self, now: MonoMs) -> bool {
         let answered = self.peers.values().filter(|ask| matches!(ask, Ask::Answered(_))).count();
         if answered >= self.settings.peers_wanted {
@@ -196,8 +197,7 @@
         if !self.peers.values().all(|ask| ask.is_settled()) && self.rounds == 0 {
             return false;
         }
-        let is_alone = answered == 0 && !self.peers.is_empty();
-        !is_alone || now.ms_since(self.started_at) >= self.settings.alone_ms
+        answered > 0 || now.ms_since(self.started_at) >= self.settings.alone_ms
     }
 
     /// The highest version that a peer has and this process lacks, with the peer.
--- a/crates/persimmon_decide/src/config/startup_settings.rs
+++ b/crates/persimmon_decide/src/config/startup_settings.rs
@@ -13,8 +13,8 @@
     pub platform_timeout_ms: u64,
     /// Milliseconds over which processes that start together spread their first platform read.
     pub platform_spread_ms: u64,
-    /// Milliseconds for which a process waits for listed peers of which none answers, before it
-    /// relies on the platform alone.
+    /// Milliseconds for which a process waits for a first answer of any peer, before it relies on
+    /// the platform alone.
     pub alone_ms: u64,
     /// Delays before asking again.
     pub pacer: RetryPacer,
--- a/crates/persimmon_decide/src/recovery/mod.rs
+++ b/crates/persimmon_decide/src/recovery/mod.rs
@@ -21,4 +21,4 @@
 pub use retry_budget::RetryBudget;
 pub use retry_pacer::RetryPacer;
 pub(crate) use retry_pacer::scale;
-pub use suspect_mark::{MarkState, SuspectMark, Suspicion};
+pub use suspect_mark::{SuspectMark, Suspicion, Verdict};
--- a/crates/persimmon_decide/src/recovery/quarantine.rs
+++ b/crates/persimmon_decide/src/recovery/quarantine.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 
-use super::{MarkState, QuarantineSettings, SuspectMark, Suspicion};
+use super::{QuarantineSettings, SuspectMark, Suspicion, Verdict};
 use crate::membership::NodeId;
 use crate::{Fingerprint, MonoMs};
 
@@ -46,7 +46,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Held {
     site: NodeId,
-    state: MarkState,
+    verdict: Verdict,
     noted_at: MonoMs,
     until: MonoMs,
 }
@@ -83,7 +83,7 @@
     /// Fingerprints remembered. When more are suspected the ones that expire first are dropped,
     /// suspects before quarantined ones.
     pub const MAX_HELD: usize = 1_024;
-    const FIRST: MarkState = MarkState::Open { round: 0, suspicion: Suspicion::Suspect };
+    const FIRST: Verdict = Verdict::Open { round: 0, suspicion: Suspicion::Suspect };
 
     /// A process that suspects nothing.
     pub fn new(settings: QuarantineSettings) -> Self {
@@ -99,35 +99,35 @@
         now: MonoMs,
     ) {
         for fingerprint in in_progress {
-            let state = match self.held.get(&fingerprint).map(|held| held.state) {
+            let verdict = match self.held.get(&fingerprint).map(|held| held.verdict) {
                 None => Self::FIRST,
-                Some(MarkState::Open { round, suspicion: Suspicion::Cleared }) => {
+                Some(Verdict::Open { round, suspicion: Suspicion::Cleared }) => {
                     let round = round.saturating_add(1);
-                    MarkState::Open { round, suspicion: Suspicion::Suspect }
+                    Verdict::Open { round, suspicion: Suspicion::Suspect }
                 }
-                Some(state) => state,
+                Some(verdict) => verdict,
             };
-            self.merge(fingerprint, self.fresh(site, state, now), now);
+            self.merge(fingerprint, self.fresh(site, verdict, now), now);
         }
     }
 
     /// A suspect ran alone to its end.
     pub fn record_clean_run(&mut self, fingerprint: Fingerprint, now: MonoMs) {
         let Some(held) = self.held.get(&fingerprint).copied() else { return };
-        if let MarkState::Open { round, suspicion: Suspicion::Suspect } = held.state {
-            let state = MarkState::Open { round, suspicion: Suspicion::Cleared };
-            self.merge(fingerprint, self.fresh(held.site, state, now), now);
+        if let Verdict::Open { round, suspicion: Suspicion::Suspect } = held.verdict {
+            let verdict = Verdict::Open { round, suspicion: Suspicion::Cleared };
+            self.merge(fingerprint, self.fresh(held.site, verdict, now), now);
         }
     }
 
     /// Takes in a mark from a digest or a reply.
     pub fn absorb(&mut self, mark: &SuspectMark, now: MonoMs) {
-        let longest_s = self.ttl_s(mark.state);
+        let longest_s = self.ttl_s(mark.verdict);
         let ttl_s = mark.ttl_s.min(longest_s);
         let age_s = u64::from(longest_s - ttl_s);
         let held = Held {
             site: mark.site,
-            state: mark.state,
+            verdict: mark.verdict,
             noted_at: MonoMs(now.0.saturating_sub(age_s * MS_PER_S)),
             until: now.plus_ms(u64::from(ttl_s) * MS_PER_S),
         };
@@ -157,17 +157,17 @@
         let held = self.held.get(&fingerprint).filter(|held| held.until > now);
         let Some(held) = held else { return Ok(RunMode::Shared) };
         let spread_until = held.noted_at.plus_ms(u64::from(self.settings.spread_s) * MS_PER_S);
-        match held.state {
-            MarkState::Quarantined => {
+        match held.verdict {
+            Verdict::Quarantined => {
                 let retry_after_s = held.until.ms_since(now).div_ceil(MS_PER_S);
                 Err(QuarantineRefusal::Quarantined { retry_after_s })
             }
-            MarkState::Open { suspicion: Suspicion::Cleared, .. } => Ok(RunMode::Shared),
-            MarkState::Open { .. } if now < spread_until => {
+            Verdict::Open { suspicion: Suspicion::Cleared, .. } => Ok(RunMode::Shared),
+            Verdict::Open { .. } if now < spread_until => {
                 let retry_after_s = spread_until.ms_since(now).div_ceil(MS_PER_S);
                 Err(QuarantineRefusal::TooSoon { retry_after_s })
             }
-            MarkState::Open { .. } => Ok(RunMode::Alone { crashed: held.site }),
+            Verdict::Open { .. } => Ok(RunMode::Alone { crashed: held.site }),
         }
     }
 
@@ -178,7 +178,7 @@
         Some(SuspectMark {
             fingerprint,
             site: held.site,
-            state: held.state,
+            verdict: held.verdict,
             ttl_s: u16::try_from(ttl_s).unwrap_or(u16::MAX),
         })
     }
@@ -189,7 +189,7 @@
         let mut newest: Vec<_> = self
             .held
             .iter()
-            .map(|(fingerprint, held)| (Reverse((held.noted_at, held.state)), *fingerprint))
+            .map(|(fingerprint, held)| (Reverse((held.noted_at, held.verdict)), *fingerprint))
             .collect();
         newest.sort_unstable();
         let marks = newest.into_iter().filter_map(|(_, fingerprint)| self.mark(fingerprint, now));
@@ -198,7 +198,7 @@
 
     /// Fingerprints that are refused, for status.
     pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
-        let quarantined = self.held.iter().filter(|(_, held)| held.state == MarkState::Quarantined);
+        let quarantined = self.held.iter().filter(|(_, held)| held.verdict == Verdict::Quarantined);
         quarantined.map(|(fingerprint, _)| *fingerprint)
     }
 
@@ -224,12 +224,12 @@
         let merged = match held {
             None => new,
             Some(held) if held.is_at_other_site_than(&new) => {
-                self.fresh(new.site, MarkState::Quarantined, now)
+                self.fresh(new.site, Verdict::Quarantined, now)
             }
-            Some(held) if new.state > held.state => new,
+            Some(held) if new.verdict > held.verdict => new,
             Some(held) => Held { until: held.until.max(new.until), ..held },
         };
-        self.has_news |= held.is_none_or(|held| merged.state != held.state);
+        self.has_news |= held.is_none_or(|held| merged.verdict != held.verdict);
         self.make_room_for(fingerprint);
         self.held.insert(fingerprint, merged);
     }
@@ -238,31 +238,31 @@
         if self.held.len() < Self::MAX_HELD || self.held.contains_key(&fingerprint) {
             return;
         }
-        let rank = |held: &Held| (held.state == MarkState::Quarantined, held.until);
+        let rank = |held: &Held| (held.verdict == Verdict::Quarantined, held.until);
         let least = self.held.iter().min_by_key(|(_, held)| rank(held));
         if let Some(least) = least.map(|(fingerprint, _)| *fingerprint) {
             self.held.remove(&least);
         }
     }
 
-    fn ttl_s(&self, state: MarkState) -> u16 {
-        match state {
-            MarkState::Quarantined => self.settings.quarantine_s,
-            MarkState::Open { .. } => self.settings.suspect_s,
+    fn ttl_s(&self, verdict: Verdict) -> u16 {
+        match verdict {
+            Verdict::Quarantined => self.settings.quarantine_s,
+            Verdict::Open { .. } => self.settings.suspect_s,
         }
     }
 
-    fn fresh(&self, site: NodeId, state: MarkState, now: MonoMs) -> Held {
-        let ttl_ms = u64::from(self.ttl_s(state)) * MS_PER_S;
-        Held { site, state, noted_at: now, until: now.plus_ms(ttl_ms) }
+    fn fresh(&self, site: NodeId, verdict: Verdict, now: MonoMs) -> Held {
+        let ttl_ms = u64::from(self.ttl_s(verdict)) * MS_PER_S;
+        Held { site, verdict, noted_at: now, until: now.plus_ms(ttl_ms) }
     }
 }
 
 impl Held {
     fn is_at_other_site_than(&self, other: &Self) -> bool {
         let is_suspect = |held: &Self| {
-            matches!(held.state, MarkState::Open { suspicion: Suspicion::Suspect, .. })
+            matches!(held.verdict, Verdict::Open { suspicion: Suspicion::Suspect, .. })
         };
-        self.state == other.state && is_suspect(self) && self.site != other.site
+        self.verdict == other.verdict && is_suspect(self) && self.site != other.site
     }
 }
--- a/crates/persimmon_decide/src/recovery/suspect_mark.rs
+++ b/crates/persimmon_decide/src/recovery/suspect_mark.rs
@@ -19,7 +19,7 @@
 /// in whatever order they arrive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum MarkState {
+pub enum Verdict {
     /// One endpoint crashed under it.
     Open {
         /// Counts the times that it was cleared and suspected again.
@@ -39,7 +39,7 @@
     /// The endpoint that crashed under it.
     pub site: NodeId,
     /// What is known of it.
-    pub state: MarkState,
+    pub verdict: Verdict,
     /// Seconds until the mark expires.
     pub ttl_s: u16,
 }
--- a/crates/persimmon_decide/tests/config_startup.rs
+++ b/crates/persimmon_decide/tests/config_startup.rs
@@ -114,6 +114,21 @@
     assert!(world.run().unwrap().at_ms >= StartupSettings::default().alone_ms);
 }
 
+#[test]
+fn peers_listed_late_are_still_asked() {
+    let mut startup = Startup::new(StartupSettings::default(), MonoMs(0), 0);
+    assert_eq!(startup.next_step(MonoMs(0), 0), Some(StartupStep::AskPlatform));
+    startup.adopted(version(1));
+    startup.platform_answered();
+    assert_eq!(startup.check_ready(MonoMs(0)), Err(NotReady::PeersPending));
+    startup.add_peers(["a".into()]);
+    assert_eq!(startup.next_step(MonoMs(100), 0), Some(StartupStep::AskPeer("a".into())));
+    startup.peer_answered(&"a".into(), Some(version(2)));
+    assert_eq!(startup.check_ready(MonoMs(100)), Err(NotReady::Fetching));
+    startup.adopted(version(2));
+    assert_eq!(startup.check_ready(MonoMs(100)), Ok(()));
+}
+
 #[test]
 fn failed_fetch_turns_to_another_peer() {
     let mut startup = Startup::new(StartupSettings::default(), MonoMs(0), 0);
--- a/crates/persimmon_decide/tests/recovery_quarantine.rs
+++ b/crates/persimmon_decide/tests/recovery_quarantine.rs
@@ -2,8 +2,8 @@
 
 use persimmon_decide::membership::NodeId;
 use persimmon_decide::recovery::{
-    MarkState, Probation, ProbationRefusal, ProbationStep, Quarantine, QuarantineRefusal,
-    QuarantineSettings, RunMode, SuspectMark, Suspicion,
+    Probation, ProbationRefusal, ProbationStep, Quarantine, QuarantineRefusal, QuarantineSettings,
+    RunMode, SuspectMark, Suspicion, Verdict,
 };
 use persimmon_decide::{Fingerprint, MonoMs};
 use proptest::prelude::*;
@@ -114,13 +114,13 @@
 fn mark() -> impl Strategy<Value = SuspectMark> {
     let open = (0..3_u8, any::<bool>()).prop_map(|(round, cleared)| {
         let suspicion = if cleared { Suspicion::Cleared } else { Suspicion::Suspect };
-        MarkState::Open { round, suspicion }
+        Verdict::Open { round, suspicion }
     });
-    let state = prop_oneof![6 => open, 1 => Just(MarkState::Quarantined)];
-    (state, 1..4_u64).prop_map(|(state, site)| SuspectMark {
+    let verdict = prop_oneof![6 => open, 1 => Just(Verdict::Quarantined)];
+    (verdict, 1..4_u64).prop_map(|(verdict, site)| SuspectMark {
         fingerprint: REQUEST,
         site: NodeId(site),
-        state,
+        verdict,
         ttl_s: 600,
     })
 }
@@ -142,7 +142,7 @@
             one.marks(9, now).iter().for_each(|mark| other.absorb(mark, now));
             other.marks(9, now).iter().for_each(|mark| one.absorb(mark, now));
         }
-        let state = |quarantine: &Quarantine| quarantine.mark(REQUEST, now).unwrap().state;
-        prop_assert_eq!(state(&one), state(&other));
+        let verdict = |quarantine: &Quarantine| quarantine.mark(REQUEST, now).unwrap().verdict;
+        prop_assert_eq!(verdict(&one), verdict(&other));
     }
 }
