--- a/crates/persimmon_standins/src/bin/persimmon-demo/main.rs
+++ b/crates/persimmon_standins/src/bin/persimmon-demo/main.rs
@@ -35,8 +35,10 @@
     options.optflag("V", "version", "prints the version");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) if matches.free.is_empty() => matches,
-        Ok(matches) => return fail(EXIT_USAGE, &format!("{:?} means nothing here", matches.free)),
-        Err(error) => return fail(EXIT_USAGE, &error.to_string()),
+        Ok(matches) => {
+            return fail(EXIT_USAGE, &format!("{:?} means nothing here; see --help", matches.free));
+        }
+        Err(error) => return fail(EXIT_USAGE, &format!("{error}; see --help")),
     };
     if matches.opt_present("help") {
         println!("{}", options.usage(USAGE));
@@ -54,7 +56,7 @@
 }
 
 fn fail(code: u8, message: &str) -> ExitCode {
-    eprintln!("persimmon-demo: {message}; see --help");
+    eprintln!("persimmon-demo: {message}");
     ExitCode::from(code)
 }
 
--- a/crates/persimmon_standins/src/fleet/mod.rs
+++ b/crates/persimmon_standins/src/fleet/mod.rs
@@ -150,6 +150,16 @@
         self.list_vms()
     }
 
+    /// Lists the VM of the daemon `name` as live again.
+    ///
+    /// # Errors
+    /// When no daemon has this name.
+    pub fn list_as_live(&mut self, name: &str) -> Result<(), FleetError> {
+        self.daemons.place(name)?;
+        self.leaving.retain(|leaving| leaving != name);
+        self.list_vms()
+    }
+
     /// Publishes the list of VMs.
     fn list_vms(&self) -> Result<(), FleetError> {
         let names = self.daemons.names();
