--- a/crates/persimmon_records/src/lib.rs
+++ b/crates/persimmon_records/src/lib.rs
@@ -23,12 +23,14 @@
 mod record_set;
 mod set_digests;
 mod time;
+mod warning;
 mod workspace;
 
 pub use adopt_error::AdoptError;
 pub use bounds::{
-    BULK_BYTES, HEAD_BYTES, MAX_CHANGES, MAX_ENDPOINTS, MAX_NAME_CHARS, MAX_PARTS, MAX_SET_BYTES,
-    MAX_VALUE_BYTES, MAX_WORKSPACE_KEYS, MAX_WORKSPACE_NAMES, MAX_WORKSPACES, PART_BYTES,
+    BULK_BYTES, HEAD_BYTES, MAX_CHANGES, MAX_ENDPOINTS, MAX_FAULTS, MAX_NAME_CHARS, MAX_PARTS,
+    MAX_SET_BYTES, MAX_VALUE_BYTES, MAX_WORKSPACE_KEYS, MAX_WORKSPACE_NAMES, MAX_WORKSPACES,
+    PART_BYTES,
 };
 pub use change::{Change, ChangeSet, Edit};
 pub use class::{Class, PerClass};
@@ -43,4 +45,5 @@
 pub use publication::{Part, Publication};
 pub use record_set::{Generation, RecordSet, SchemaVersion};
 pub use time::UnixMs;
+pub use warning::{Warning, WarningKind};
 pub use workspace::{Limits, Workspace, WorkspaceBuilder};
