--- a/crates/persimmon_measure/src/control/figures.rs
+++ b/crates/persimmon_measure/src/control/figures.rs
@@ -31,6 +31,8 @@
     pub size: usize,
     /// Bytes of the records as published.
     pub records_bytes: usize,
+    /// Processes that hadn't put the records in force within 20 s.
+    pub late: usize,
     /// Length of the window, in seconds.
     pub window_s: f64,
     /// The machine's load average after the window.
@@ -139,6 +141,9 @@
                 )?;
             }
         }
+        for point in self.points.iter().filter(|point| point.late > 0) {
+            writeln!(f, "size {}: {} process(es) late with the records", point.size, point.late)?;
+        }
         for (role, lines) in [("router", self.router), ("sidecar", self.sidecar)] {
             write_line(f, role, "MB", &lines.resident_mb)?;
             write_line(f, role, "core %", &lines.core_percent)?;
--- a/crates/persimmon_measure/src/control/mod.rs
+++ b/crates/persimmon_measure/src/control/mod.rs
@@ -101,11 +101,12 @@
     let after = [Look::at(&stage, ROUTER)?, Look::at(&stage, SIDECAR)?];
     let window_s = started_at.elapsed().as_secs_f64();
     let [router, sidecar] = [0, 1].map(|role| after[role].since(&before[role], window_s));
-    let records_bytes = stage.records_bytes();
+    let (records_bytes, late) = (stage.records_bytes(), stage.late());
     stage.close();
     Ok(ControlPoint {
         size,
         records_bytes,
+        late,
         window_s,
         load_average: load_average(),
         router,
--- a/crates/persimmon_measure/src/lib.rs
+++ b/crates/persimmon_measure/src/lib.rs
@@ -14,6 +14,7 @@
 mod programs;
 mod scrape;
 mod throughput;
+mod vms;
 
 pub use control::{
     ControlFigures, ControlPoint, ControlSettings, Growth, RoleLines, RoleUse, measure_control,
--- a/crates/persimmon_measure/src/throughput/stage.rs
+++ b/crates/persimmon_measure/src/throughput/stage.rs
@@ -5,9 +5,12 @@
     WorkspaceBuilder,
 };
 use persimmon_standins::Platform;
-use persimmon_standins::fleet::{Daemons, FleetError, IN_FORCE_DEADLINE, RECORDS_KEY, StandIn};
+use persimmon_standins::fleet::{
+    Daemons, FleetError, IN_FORCE_DEADLINE, RECORDS_KEY, SERVING_DEADLINE, StandIn,
+};
 
 use super::Shape;
+use crate::vms::list_vms;
 use crate::{MeasureError, ProcessUse, Programs};
 
 pub(super) const MODEL: &str = "chat-large";
@@ -61,8 +64,10 @@
             stage.daemons.start_router(&name, "zone-a")?;
             stage.routers.push(name);
         }
+        list_vms(&stage.daemons, &stage.platform)?;
         stage.platform.publish(RECORDS_KEY, stage.records()?.to_text());
         stage.daemons.wait_in_force(1, IN_FORCE_DEADLINE)?;
+        stage.daemons.wait_serving(SERVING_DEADLINE)?;
         Ok(stage)
     }
 
