--- a/crates/persimmon_measure/src/control/stage.rs
+++ b/crates/persimmon_measure/src/control/stage.rs
@@ -53,6 +53,10 @@
 /// Time that processes have to adopt a large set.
 const ADOPT_DEADLINE: Duration = Duration::from_secs(20);
 
+/// Pause before each stream that is opened, as the stand-in may leave some of many connections that
+/// come at once without a thread.
+const STREAM_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time that the streams have until each has its first token.
 const STREAMS_DEADLINE: Duration = Duration::from_secs(10);
 
@@ -260,6 +264,7 @@
     for number in 0..wanted {
         let (begun, failures) = (begun.clone(), failures.clone());
         let caller = Caller::new(router, &key(number % 10));
+        thread::sleep(STREAM_PAUSE);
         thread::spawn(move || {
             if let Err(err) = read_long_stream(&caller, number, &begun) {
                 let mut failures = failures.lock().unwrap_or_else(PoisonError::into_inner);
