Quarantine requests that crash engines, in the daemon; read datagrams

Cause: process_at_most_once's frozen sidecar was never served again. Its digests were all dropped: Cap'n Proto refuses a flat slice that isn't aligned to words, as a datagram's payload behind its code isn't, and the drop was logged at debug. Also: a sidecar that an operator drained ended its process, and with it the recorded answers that callers may still ask for; and a process whose first read of the platform found nothing never asked again. Ruled out: a longer deadline in the test. A sidecar ends only if it was asked to. The engine's life is watched; a crash marks the requests in progress, ends their answers as crashed, and suspects run alone or not at all.

--- a/crates/persimmon_decide/src/outcome/dispatch.rs
+++ b/crates/persimmon_decide/src/outcome/dispatch.rs
@@ -185,6 +185,8 @@
             StreamEnd::Whole => self.finish(Outcome::Done, Cause::Answered),
             StreamEnd::Cancelled => self.finish(Outcome::Unknown, Cause::Cancelled),
             StreamEnd::Cut => self.give_up_attempt(),
+            // Another run might crash another endpoint.
+            StreamEnd::Crashed => self.finish(Outcome::Unknown, Cause::Crashed),
         }
     }
 
--- a/crates/persimmon_decide/src/outcome/dispatch_event.rs
+++ b/crates/persimmon_decide/src/outcome/dispatch_event.rs
@@ -151,6 +151,9 @@
     /// The request was cancelled because its reader was too slow or silent.
     #[error("the request was cancelled because its answer wasn't read; read faster and ask again")]
     Cancelled,
+    /// The endpoint crashed while it ran the request.
+    #[error("the endpoint crashed while it ran the request; retry after the given delay")]
+    Crashed,
     /// Another run would exceed the retry budget.
     #[error("the retry budget is spent; retry after the given delay")]
     BudgetSpent,
@@ -173,6 +176,7 @@
             Self::Settled => "settled",
             Self::Broken => "broken",
             Self::Cancelled => "cancelled",
+            Self::Crashed => "crashed",
             Self::BudgetSpent => "budget-spent",
             Self::DeadlinePassed => "deadline-passed",
             Self::CallerGone => "caller-gone",
--- a/crates/persimmon_decide/src/outcome/frame.rs
+++ b/crates/persimmon_decide/src/outcome/frame.rs
@@ -28,6 +28,8 @@
     Cancelled,
     /// The endpoint stopped in the middle of the answer.
     Cut,
+    /// The endpoint crashed while it ran the request, which may be the cause.
+    Crashed,
 }
 
 /// What a frame carries.
--- a/crates/persimmon_decide/src/outcome/output_store.rs
+++ b/crates/persimmon_decide/src/outcome/output_store.rs
@@ -65,6 +65,11 @@
         Ok(())
     }
 
+    /// Forgets the answer of a call that wasn't run.
+    pub fn forget(&mut self, key: LedgerKey) {
+        self.outputs.remove(&key);
+    }
+
     /// The answer of a call, if it is kept.
     pub fn get(&self, key: LedgerKey) -> Option<&RetainedOutput> {
         self.outputs.get(&key)
--- a/crates/persimmon_decide/src/outcome/refusal.rs
+++ b/crates/persimmon_decide/src/outcome/refusal.rs
@@ -55,6 +55,9 @@
     /// The engine or the service worker is down.
     #[error("the endpoint is down; retry after the given delay")]
     EndpointDown,
+    /// An endpoint crashed while the same request was in progress.
+    #[error("an endpoint crashed while this request was in progress; retry after the given delay")]
+    Suspected,
     /// The same request was present when endpoints crashed.
     #[error("the request is quarantined because endpoints crashed on it; change it")]
     Quarantined,
@@ -111,6 +114,7 @@
             | Self::Leaving
             | Self::StaleRecords
             | Self::EndpointDown
+            | Self::Suspected
             | Self::Quarantined
             | Self::NotServed
             | Self::LedgerFull
@@ -151,6 +155,7 @@
                 RetryHint::CheckFirst
             }
             Self::LimitReached
+            | Self::Suspected
             | Self::Quarantined
             | Self::BadClaim
             | Self::BodyMismatch
@@ -168,6 +173,7 @@
             Self::Leaving => "leaving",
             Self::StaleRecords => "stale-records",
             Self::EndpointDown => "endpoint-down",
+            Self::Suspected => "suspected",
             Self::Quarantined => "quarantined",
             Self::NotServed => "not-served",
             Self::LedgerFull => "ledger-full",
--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -131,6 +131,7 @@
   whole @0;
   cancelled @1;
   cut @2;
+  crashed @3;
 }
 
 struct Frame {
--- a/crates/persimmon_wire/src/convert.rs
+++ b/crates/persimmon_wire/src/convert.rs
@@ -273,6 +273,7 @@
         StreamEnd::Whole => schema::StreamEnd::Whole,
         StreamEnd::Cancelled => schema::StreamEnd::Cancelled,
         StreamEnd::Cut => schema::StreamEnd::Cut,
+        StreamEnd::Crashed => schema::StreamEnd::Crashed,
     }
 }
 
@@ -281,6 +282,7 @@
         schema::StreamEnd::Whole => StreamEnd::Whole,
         schema::StreamEnd::Cancelled => StreamEnd::Cancelled,
         schema::StreamEnd::Cut => StreamEnd::Cut,
+        schema::StreamEnd::Crashed => StreamEnd::Crashed,
     }
 }
 
--- a/crates/persimmon_wire/src/datagram.rs
+++ b/crates/persimmon_wire/src/datagram.rs
@@ -57,14 +57,15 @@
 ///
 /// The datagram was made with another key or can't be read.
 pub fn decode_digest(datagram: &[u8], key: &FleetKey) -> Result<Digest, DatagramError> {
-    let Some((code, mut payload)) = datagram.split_first_chunk::<CODE_BYTES>() else {
+    let Some((code, payload)) = datagram.split_first_chunk::<CODE_BYTES>() else {
         return Err(DatagramError::Key);
     };
     // `blake3::Hash` compares in constant time.
     if blake3::Hash::from_bytes(*code) != key.datagram_code(payload) {
         return Err(DatagramError::Key);
     }
-    let message = serialize::read_message_from_flat_slice(&mut payload, ReaderOptions::new())?;
+    // Reading copies the payload, which a datagram doesn't align to words.
+    let message = serialize::read_message(payload, ReaderOptions::new())?;
     read_digest(message.get_root()?)
 }
 
--- a/crates/persimmon_wire/src/message.rs
+++ b/crates/persimmon_wire/src/message.rs
@@ -4,6 +4,7 @@
 
 use persimmon_decide::load::LoadReport;
 use persimmon_decide::outcome::{FrameId, IdempotencyKey, Refusal, Stamp, StreamEnd};
+use persimmon_decide::recovery::QuarantineRefusal;
 use persimmon_decide::{Attempt, Fingerprint, MonoMs, Offset, RequestId};
 use persimmon_records::{Class, ModelName, ServiceName, WorkspaceName};
 
@@ -56,6 +57,18 @@
     pub retry_after_ms: u64,
 }
 
+impl From<QuarantineRefusal> for Refused {
+    fn from(refusal: QuarantineRefusal) -> Self {
+        let (refusal, after_s) = match refusal {
+            QuarantineRefusal::Quarantined { retry_after_s } => {
+                (Refusal::Quarantined, retry_after_s)
+            }
+            QuarantineRefusal::TooSoon { retry_after_s } => (Refusal::Suspected, retry_after_s),
+        };
+        Self { refusal, retry_after_ms: after_s.saturating_mul(1_000) }
+    }
+}
+
 /// A sidecar's answer to a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Admission {
--- a/crates/persimmonmountd/src/common/keeper/gossip.rs
+++ b/crates/persimmonmountd/src/common/keeper/gossip.rs
@@ -67,7 +67,7 @@
                     }
                 }
                 Err(err) => {
-                    tracing::debug!("digests: one from {from} is dropped: {err}.");
+                    tracing::warn!("digests: one from {from} is dropped: {err}.");
                     self.metrics.dropped.with_label_values(&["datagram"]).inc();
                 }
             }
--- a/crates/persimmonmountd/src/common/keeper/keeper.rs
+++ b/crates/persimmonmountd/src/common/keeper/keeper.rs
@@ -10,6 +10,7 @@
 use persimmon_decide::membership::{
     Digest, Membership, OwnState, Received, VmList, VmName, VmRole,
 };
+use persimmon_decide::recovery::{Quarantine, QuarantineSettings};
 use persimmon_decide::{Incarnation, MonoMs};
 use persimmon_records::{ChangeSet, Generation, RecordIndex, SetVersion, ZoneName};
 
@@ -50,6 +51,7 @@
     startup: Startup,
     watch: Option<Watch>,
     membership: Membership,
+    quarantine: Quarantine,
     /// The platform's version of the records that it gave last.
     value_version: u64,
     digest_at: MonoMs,
@@ -69,6 +71,7 @@
         startup.add_peers(parts.seeds.iter().map(|seed| VmName::new(seed.to_string())));
         Self {
             membership: Membership::new(&parts.name, parts.zone, parts.incarnation, now),
+            quarantine: Quarantine::new(QuarantineSettings::default()),
             name: parts.name,
             clock: parts.clock,
             tasks: parts.tasks,
@@ -121,6 +124,22 @@
         &mut self.membership
     }
 
+    /// Requests that are suspected of crashing endpoints.
+    pub(crate) fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// The same, to add what happened here.
+    pub(crate) fn quarantine_mut(&mut self) -> &mut Quarantine {
+        &mut self.quarantine
+    }
+
+    /// The fingerprints that are refused, for status.
+    pub(crate) fn quarantined(&self) -> Vec<String> {
+        let quarantined = self.quarantine.quarantined();
+        quarantined.map(|fingerprint| format!("{:016x}", fingerprint.0)).collect()
+    }
+
     /// Routers in the VM list, at least one.
     pub(crate) fn routers(&self) -> u32 {
         let vms = &self.membership.vms().vms;
@@ -156,6 +175,10 @@
             self.drive_startup(now);
         }
         self.drive_watch(now);
+        self.quarantine.expire(now);
+        let has_news = self.quarantine.take_news();
+        let marks = self.quarantine.marks(Digest::MAX_SUSPECTS, now);
+        self.membership.set_suspects(marks, has_news);
         if now.ms_since(self.digest_at) >= DIGEST_INTERVAL_MS {
             self.digest_at = now;
             self.send_regular(state, now);
@@ -233,7 +256,12 @@
             News::PlatformRecords { asked_at, result: Ok(records) } => {
                 self.value_version = records.value_version;
                 let mut changes = self.offer(Source::Platform, records.offered);
-                self.startup.platform_answered();
+                if self.value_version == 0 {
+                    // Nothing is published yet; a starting process asks again.
+                    self.startup.platform_failed(now, random_u64());
+                } else {
+                    self.startup.platform_answered();
+                }
                 if let Some(watch) = &mut self.watch {
                     watch.answered(now);
                 }
@@ -314,6 +342,9 @@
 
     fn on_digest(&mut self, digest: &Digest, from: SocketAddr, now: MonoMs) -> Vec<KeeperChange> {
         let received = self.membership.receive(digest, now);
+        for mark in digest.suspects.iter().take(Digest::MAX_SUSPECTS) {
+            self.quarantine.absorb(mark, now);
+        }
         if let Some(watch) = &mut self.watch {
             watch.note_contact(u64::from(digest.contact_age_ms), now);
         }
--- a/crates/persimmonmountd/src/router/chat.rs
+++ b/crates/persimmonmountd/src/router/chat.rs
@@ -49,6 +49,7 @@
         token,
         prompt_tokens,
         max_tokens: chat.max_tokens,
+        fingerprint: Fingerprint::of(&bytes),
     };
     let plan = plan(cx, &head, wanted).await?;
     credit::pay(cx, &plan).await?;
--- a/crates/persimmonmountd/src/router/command.rs
+++ b/crates/persimmonmountd/src/router/command.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use flume::Sender;
-use persimmon_decide::MonoMs;
 use persimmon_decide::load::{
     Candidate, ChatKey, CreditDemand, CreditReply, EndpointHash, Holder, LimitKey, LoadReport, Work,
 };
 use persimmon_decide::outcome::Outcome;
+use persimmon_decide::{Fingerprint, MonoMs};
 use persimmon_records::{Class, EndpointName, KeyDigest, ModelName, ServiceName, WorkspaceName};
 
 use super::failure::Failure;
@@ -28,6 +28,8 @@
         prompt_tokens: u32,
         /// Most tokens to generate.
         max_tokens: u32,
+        /// Identifies the request's content.
+        fingerprint: Fingerprint,
     },
     /// A claim for a call that may not be repeated.
     Claim {
@@ -127,6 +129,8 @@
     Left { endpoint: EndpointHash },
     /// Whether one more retry is within the budget.
     AskBudget { reply: Sender<bool> },
+    /// An endpoint crashed while it ran a request.
+    Crashed { endpoint: EndpointHash, fingerprint: Fingerprint },
     /// A request ended.
     Ended { outcome: Outcome },
     /// The state for operators.
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -7,14 +7,14 @@
 
 use flume::{Receiver, Selector, Sender};
 use hyper::StatusCode;
-use persimmon_decide::MonoMs;
 use persimmon_decide::load::{
     Candidate, ChatKey, ChatToken, CreditDemand, CreditPurse, Directory, EndpointHash, Holder,
     LimitKey, PlaceRequest, Placement, TokenKey, credit_home_of, rendezvous_score,
 };
 use persimmon_decide::membership::{NodeId, OwnState, VmState};
 use persimmon_decide::outcome::Outcome;
-use persimmon_decide::recovery::RetryBudget;
+use persimmon_decide::recovery::{Quarantine, RetryBudget, RunMode};
+use persimmon_decide::{Fingerprint, MonoMs};
 use persimmon_records::{
     Endpoint, EndpointName, RecordIndex, RecordSet, Serves, ServiceName, Workspace,
 };
@@ -193,6 +193,10 @@
                 self.keeper.membership_mut().note_failure(NodeId(endpoint.0), now);
             }
             Command::Left { endpoint } => self.directory.set_leaving(endpoint, true),
+            Command::Crashed { endpoint, fingerprint } => {
+                let (site, now) = (NodeId(endpoint.0), self.clock.now());
+                self.keeper.quarantine_mut().record_crash([fingerprint], site, now);
+            }
             Command::AskBudget { reply } => self.ask_budget(&reply),
             Command::Ended { outcome } => self.count_outcome(outcome),
             Command::Status { reply } => send(&reply, self.status()),
@@ -326,7 +330,8 @@
         wanted: &Wanted,
         plan: &mut Plan,
     ) -> Result<(), Failure> {
-        let Wanted::Chat { model, opening, token, prompt_tokens, max_tokens } = wanted else {
+        let Wanted::Chat { model, opening, token, prompt_tokens, max_tokens, fingerprint } = wanted
+        else {
             return Ok(());
         };
         if !workspace.models.contains(model) {
@@ -335,6 +340,9 @@
         let opening: Vec<_> = opening.iter().map(String::as_str).collect();
         plan.chat = ChatKey::of(&workspace.name, model, &opening);
         plan.holders = self.holders(token.as_deref(), plan.chat);
+        let now = self.clock.now();
+        let checked = self.keeper.quarantine().check(*fingerprint, now);
+        let mode = checked.map_err(|refusal| Failure::refused(refusal.into()))?;
         let target = Serves::Model(model.clone());
         let allowed: Vec<_> = workspace.endpoints.iter().map(EndpointHash::of).collect();
         let place = PlaceRequest {
@@ -345,7 +353,6 @@
             prompt_tokens: *prompt_tokens,
             tokens_to_generate: *max_tokens,
         };
-        let now = self.clock.now();
         let candidates = self.placement.place(&place, &self.directory, now);
         plan.endpoints = candidates
             .iter()
@@ -354,9 +361,28 @@
                 Some(PlannedEndpoint { candidate: *candidate, ..planned(endpoint) })
             })
             .collect();
+        if let RunMode::Alone { crashed } = mode {
+            plan.endpoints = self.probation_endpoint(*fingerprint, crashed, &target, &allowed);
+        }
         Ok(())
     }
 
+    /// The one endpoint on which a suspect may run, alone.
+    fn probation_endpoint(
+        &self,
+        fingerprint: Fingerprint,
+        crashed: NodeId,
+        target: &Serves,
+        allowed: &[EndpointHash],
+    ) -> Vec<PlannedEndpoint> {
+        let serving = self.directory.serving(target).filter(|view| !view.leaving);
+        let permitted = serving.filter(|view| allowed.is_empty() || allowed.contains(&view.hash));
+        let nodes = permitted.map(|view| NodeId(view.hash.0));
+        let chosen = Quarantine::probation_endpoint(fingerprint, crashed, nodes);
+        let endpoint = chosen.and_then(|node| self.by_hash.get(&EndpointHash(node.0)));
+        endpoint.map(planned).into_iter().collect()
+    }
+
     fn holders(&self, token: Option<&str>, chat: ChatKey) -> Vec<Holder> {
         let Some(token) = token else { return Vec::new() };
         match ChatToken::open(token, chat, &self.token_key) {
@@ -479,7 +505,7 @@
             records_source: self.keeper.records_source(),
             leaving: self.draining_since.is_some(),
             load: LoadStatus { running, waiting: 0, mean: 0.0 },
-            quarantined: Vec::new(),
+            quarantined: self.keeper.quarantined(),
             outcomes: self.counts,
             refused_records: self.keeper.trouble(),
         }
--- a/crates/persimmonmountd/src/router/exchange.rs
+++ b/crates/persimmonmountd/src/router/exchange.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
-use persimmon_decide::load::TryOrder;
+use persimmon_decide::load::{EndpointHash, TryOrder};
 use persimmon_decide::outcome::{
     Action, Assembly, Body, Dispatch, Event, Final, Frame as AnswerFrame, FrameId, Heartbeat,
-    HeartbeatLimits, Pulse, Refusal, Stamp,
+    HeartbeatLimits, Pulse, Refusal, Stamp, StreamEnd,
 };
 use persimmon_decide::{Attempt, MonoMs, Offset};
 use persimmon_records::{EndpointName, WorkspaceName};
@@ -389,7 +389,14 @@
                     }
                     self.parts.dispatch.handle(Event::Delivered { attempt });
                 }
-                Some(Body::End(end)) => return Ok(Some(Event::Ended { attempt, end })),
+                Some(Body::End(end)) => {
+                    if end == StreamEnd::Crashed {
+                        let endpoint = EndpointHash::of(&stream.source.endpoint);
+                        let fingerprint = self.parts.template.fingerprint;
+                        self.cx.tell(Command::Crashed { endpoint, fingerprint });
+                    }
+                    return Ok(Some(Event::Ended { attempt, end }));
+                }
                 None => return Ok(None),
             }
         }
--- a/crates/persimmonmountd/src/router/failure.rs
+++ b/crates/persimmonmountd/src/router/failure.rs
@@ -125,6 +125,7 @@
         | Refusal::Leaving
         | Refusal::StaleRecords
         | Refusal::EndpointDown
+        | Refusal::Suspected
         | Refusal::LedgerFull => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/persimmonmountd/src/sidecar/command.rs
+++ b/crates/persimmonmountd/src/sidecar/command.rs
@@ -37,6 +37,8 @@
     Credit { demand: CreditDemand, reply: Sender<CreditReply> },
     /// A fresh stamp.
     Greet { reply: Sender<Stamp> },
+    /// Which life of the engine runs, if one does.
+    EngineLife(Option<u64>),
     /// News from the engine.
     Engine(EngineEvent),
     /// News from the plain service.
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -37,6 +37,8 @@
     pub(crate) credits: CreditHome,
     /// Share of the published endpoints that this sidecar sees alive.
     pub(crate) seen_share: f64,
+    /// Whether the process was asked to stop.
+    pub(crate) is_stopping: bool,
 }
 
 impl Control {
@@ -68,7 +70,9 @@
                 last_sweep = now;
                 self.core.ledger.sweep(now);
             }
-            if self.core.leaving.phase(self.core.clocks()) == Phase::Done {
+            let is_done = self.core.leaving.phase(self.core.clocks()) == Phase::Done;
+            // A drained sidecar that wasn't asked to stop stays: callers may still ask for answers.
+            if self.is_stopping && is_done {
                 tracing::info!("sidecar: nothing is in progress; the process ends.");
                 return;
             }
@@ -79,7 +83,8 @@
         match command {
             Command::Submit { req, frames, reply } => {
                 self.observe();
-                send(&reply, self.runs.submit(&mut self.core, req, frames));
+                let admission = self.runs.submit(&mut self.core, &mut self.keeper, req, frames);
+                send(&reply, admission);
             }
             Command::Resume { position, frames, reply } => {
                 let refused = self.runs.resume(&mut self.core, &position, frames).err();
@@ -88,9 +93,11 @@
             Command::Settle { request, reply } => {
                 send(&reply, self.runs.settle(&mut self.core, &request));
             }
-            Command::Cancel { request } => self.runs.cancel(&mut self.core, &request),
+            Command::Cancel { request } => {
+                self.runs.cancel(&mut self.core, &mut self.keeper, &request);
+            }
             Command::Acknowledge { key, next } => {
-                self.runs.acknowledge(&mut self.core, key, next);
+                self.runs.acknowledge(&mut self.core, &mut self.keeper, key, next);
             }
             Command::Claim { req, reply } => {
                 self.observe();
@@ -102,10 +109,16 @@
             }
             Command::Credit { demand, reply } => send(&reply, self.grant(&demand)),
             Command::Greet { reply } => send(&reply, self.core.ledger.stamp(self.core.now())),
-            Command::Engine(event) => self.runs.on_engine(&mut self.core, event),
+            Command::Engine(event) => {
+                self.runs.on_engine(&mut self.core, &mut self.keeper, event);
+            }
             Command::Service(event) => self.calls.on_service(&mut self.core, event),
             Command::Status { reply } => send(&reply, self.status()),
-            Command::Drain => self.core.leaving.signal(self.core.clocks()),
+            Command::Drain => {
+                self.is_stopping = true;
+                self.core.leaving.signal(self.core.clocks());
+            }
+            Command::EngineLife(life) => self.runs.on_engine_life(life),
         }
     }
 
@@ -132,7 +145,7 @@
         self.keeper.tick(self.own_state());
         self.core.is_started = self.keeper.is_ready();
         self.observe();
-        self.runs.tick(&mut self.core);
+        self.runs.tick(&mut self.core, &mut self.keeper);
         let is_serving = self.core.check_serving().is_ok();
         self.readiness.set(is_serving);
         let load = self.runs.load();
@@ -214,7 +227,7 @@
                 waiting: load.waiting,
                 mean: self.runs.mean_per_slot(self.core.now()),
             },
-            quarantined: Vec::new(),
+            quarantined: self.keeper.quarantined(),
             outcomes: self.core.counts(),
             refused_records: self.keeper.trouble(),
         }
--- a/crates/persimmonmountd/src/sidecar/engine.rs
+++ b/crates/persimmonmountd/src/sidecar/engine.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use flume::{Receiver, Sender};
 use persimmon_decide::outcome::LedgerKey;
@@ -20,6 +21,10 @@
 const MAX_LINE_BYTES: u64 = 64 * 1024;
 /// Time that the engine has for a short order such as a cancellation, in seconds.
 const ORDER_TIMEOUT_S: u64 = 5;
+/// Time that the engine has to answer a health check, in seconds.
+const HEALTH_TIMEOUT_S: u64 = 1;
+/// Time between two health checks.
+const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 /// Orders that wait for the order thread.
 const MAX_WAITING_ORDERS: usize = 1_024;
 
@@ -32,9 +37,12 @@
     /// The engine refused the request before running it.
     #[error("the engine refused the request with status {0}; check that the model is loaded")]
     Refused(u16),
-    /// The stream stopped before its end.
-    #[error("the engine's answer broke off; it may have crashed")]
-    BrokenOff,
+    /// The stream stopped before its end. Holds the life of the engine that was found afterwards.
+    #[error("the engine's answer broke off; its life is now {life:?}")]
+    BrokenOff {
+        /// The life; none if the engine doesn't answer.
+        life: Option<u64>,
+    },
 }
 
 /// What an engine thread reports of its request.
@@ -96,6 +104,18 @@
     request_id: String,
 }
 
+#[derive(Deserialize)]
+struct Health {
+    incarnation: u64,
+}
+
+/// The life of the engine that runs, if one does.
+fn engine_life(address: SocketAddr) -> Option<u64> {
+    let request = minreq::get(format!("http://{address}/v1/health")).with_timeout(HEALTH_TIMEOUT_S);
+    let health: Health = request.send().ok()?.json().ok()?;
+    Some(health.incarnation)
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum LastLine {
@@ -142,6 +162,28 @@
         Ok(())
     }
 
+    /// Starts the thread that watches which life of the engine runs.
+    ///
+    /// # Errors
+    ///
+    /// The thread can't be started.
+    pub(crate) fn watch_health(&self) -> std::io::Result<()> {
+        let address = self.address;
+        let commands = self.commands.clone();
+        thread::Builder::new().name("engine-health".into()).spawn(move || {
+            let mut last = None;
+            loop {
+                let life = engine_life(address);
+                if life != last && commands.send(Command::EngineLife(life)).is_err() {
+                    return;
+                }
+                last = life;
+                thread::sleep(HEALTH_INTERVAL);
+            }
+        })?;
+        Ok(())
+    }
+
     /// Asks the engine to cancel a request. An order that finds the queue full is dropped; the
     /// stream then ends with its deadline.
     pub(crate) fn cancel(&self, request_id: String) {
@@ -170,50 +212,58 @@
         .with_json(&run.body);
     let response = match request.and_then(minreq::Request::send_lazy) {
         Ok(response) => response,
-        Err(err) => return EngineNews::Failed(failure_before_answer(&err)),
+        Err(err) => return EngineNews::Failed(failure_before_answer(address, &err)),
     };
     let status = response.status_code;
     if status != 200 {
         return EngineNews::Failed(EngineFailure::Refused(status));
     }
-    read_lines(BufReader::new(response), run, commands)
+    match read_lines(BufReader::new(response), run, commands) {
+        Some(news) => news,
+        None => EngineNews::Failed(EngineFailure::BrokenOff { life: engine_life(address) }),
+    }
 }
 
 /// A connection that was refused carried nothing; after any other error the engine may have run.
-fn failure_before_answer(err: &minreq::Error) -> EngineFailure {
+fn failure_before_answer(address: SocketAddr, err: &minreq::Error) -> EngineFailure {
     match err {
         minreq::Error::IoError(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
             EngineFailure::NotSent
         }
         minreq::Error::AddressNotFound => EngineFailure::NotSent,
-        _ => EngineFailure::BrokenOff,
+        _ => EngineFailure::BrokenOff { life: engine_life(address) },
     }
 }
 
-fn read_lines(mut reader: impl BufRead, run: &EngineRun, commands: &Sender<Command>) -> EngineNews {
+/// Reports the lines of an answer. Returns how it ended; none if it broke off.
+fn read_lines(
+    mut reader: impl BufRead,
+    run: &EngineRun,
+    commands: &Sender<Command>,
+) -> Option<EngineNews> {
     loop {
         let mut line = Vec::new();
         let read = (&mut reader).take(MAX_LINE_BYTES).read_until(b'\n', &mut line);
         if read.is_err() || line.pop() != Some(b'\n') {
-            return EngineNews::Failed(EngineFailure::BrokenOff);
+            return None;
         }
         let last = serde_json::from_slice::<LastLine>(&line).ok();
         if let Some(LastLine::End { reason }) = &last
             && reason == "cancelled"
         {
-            return EngineNews::Cancelled;
+            return Some(EngineNews::Cancelled);
         }
         // Without a permit the control thread has dropped the run.
         if run.permits.recv().is_err() {
-            return EngineNews::Cancelled;
+            return Some(EngineNews::Cancelled);
         }
         let news = EngineNews::Line(line.into());
         let event = EngineEvent { key: run.key, run: run.run, news };
         if commands.send(Command::Engine(event)).is_err() {
-            return EngineNews::Cancelled;
+            return Some(EngineNews::Cancelled);
         }
         if last.is_some() {
-            return EngineNews::Whole;
+            return Some(EngineNews::Whole);
         }
     }
 }
--- a/crates/persimmonmountd/src/sidecar/mod.rs
+++ b/crates/persimmonmountd/src/sidecar/mod.rs
@@ -69,6 +69,7 @@
         keeper,
         credits: CreditHome::default(),
         seen_share: 1.0,
+        is_stopping: false,
     };
 
     let status_commands = commands.clone();
