--- a/crates/persimmonmountd/tests/process_at_most_once.rs
+++ b/crates/persimmonmountd/tests/process_at_most_once.rs
@@ -4,30 +4,40 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use persimmon_records::WorkspaceBuilder;
-use persimmon_standins::fleet::{CALLER_KEY, CallError, Caller, Fleet, Reply, wait_until};
+use persimmon_decide::outcome::ClaimSealer;
+use persimmon_records::{EndpointName, WorkspaceBuilder};
+use persimmon_standins::fleet::{
+    CALLER_KEY, CallError, Caller, Fleet, FleetBuilder, Reply, wait_until,
+};
 use persimmon_standins::{Direction, Relay, ServiceSwitch};
 use rstest::rstest;
 
 const SERVICE: &str = "booking";
+const FLEET_KEY: &str = "fleet-key-for-tests-only";
 const DEADLINE: Duration = Duration::from_secs(10);
 /// Deadline of a call that is expected to fail.
 const SHORT_DEADLINE_MS: &str = "1500";
-const ANSWER_DELAY_MS: u64 = 2_000;
+const ANSWER_DELAY_MS: u64 = 4_000;
 const CALLS_AT_ONCE: usize = 8;
 const OTHER_KEY: &str = "wk-of-another-workspace";
 /// Time in which a silent connection must be noticed: the limits of silence and of a first frame,
 /// with room for a busy machine.
 const SILENCE_NOTICED: Duration = Duration::from_secs(5);
 
-fn fleet() -> Fleet {
-    Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
+/// A fleet with two routers and these workers of the service.
+fn fleet(workers: &[&str]) -> Fleet {
+    let builder = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
+        .with_variable("PERSIMMON_FLEET_KEY", FLEET_KEY)
         .with_router("router-1", "zone-a")
-        .with_router("router-2", "zone-b")
-        .with_service("booking-1", "zone-a", SERVICE)
-        .with_service("booking-2", "zone-b", SERVICE)
-        .start()
-        .expect("the fleet starts")
+        .with_router("router-2", "zone-b");
+    let with_worker =
+        |builder: FleetBuilder, name: &&str| builder.with_service(name, "zone-a", SERVICE);
+    workers.iter().fold(builder, with_worker).start().expect("the fleet starts")
+}
+
+/// The worker that alone may run the call of a claim.
+fn owner(claim: &str) -> EndpointName {
+    ClaimSealer::new(FLEET_KEY).open(claim).expect("a claim of this fleet").owner
 }
 
 fn claim(fleet: &Fleet, router: &str, key: &str) -> String {
@@ -59,17 +69,6 @@
     fleet.services().map(|(_, service)| service.counts().runs.values().sum::<u64>()).sum()
 }
 
-/// The worker that alone holds claims at this time, found by draining every other one.
-fn only(fleet: &mut Fleet, owner: &str) {
-    let owner = owner.to_owned();
-    fleet.publish_change(|records| {
-        for endpoint in &mut records.endpoints {
-            endpoint.draining = endpoint.name.as_str() != owner;
-        }
-    });
-    fleet.wait_in_force().unwrap();
-}
-
 /// Answers come this long after their runs, so that a run can be seen before its answer.
 fn answer_late(fleet: &Fleet) {
     let switch = ServiceSwitch::Slow { delay_ms: ANSWER_DELAY_MS };
@@ -83,7 +82,7 @@
 
 #[test]
 fn call_again_through_other_router() {
-    let fleet = fleet();
+    let fleet = fleet(&["booking-1", "booking-2"]);
     let claim = claim(&fleet, "router-1", "week-11");
     let first = call(&fleet.caller("router-1").unwrap(), &claim, "8000").unwrap();
     let second = call(&fleet.caller("router-2").unwrap(), &claim, "8000").unwrap();
@@ -95,7 +94,7 @@
 
 #[test]
 fn call_many_at_once() {
-    let fleet = fleet();
+    let fleet = fleet(&["booking-1", "booking-2"]);
     let claim = claim(&fleet, "router-1", "week-20");
     answer_late(&fleet);
     let routers = ["router-1", "router-2"].iter().cycle().take(CALLS_AT_ONCE);
@@ -110,7 +109,7 @@
 
 #[test]
 fn call_with_router_frozen() {
-    let fleet = fleet();
+    let fleet = fleet(&["booking-1", "booking-2"]);
     let claim = claim(&fleet, "router-1", "week-21");
     fleet.daemons.freeze("router-1").unwrap();
     let late = call_in_background(&fleet, "router-1", &claim);
@@ -151,8 +150,7 @@
 
 #[test]
 fn call_with_router_killed() {
-    let mut fleet = fleet();
-    only(&mut fleet, "booking-1");
+    let mut fleet = fleet(&["booking-1"]);
     let claim = claim(&fleet, "router-1", "week-12");
     answer_late(&fleet);
     let first = call_in_background(&fleet, "router-1", &claim);
@@ -173,8 +171,7 @@
 #[case::before_the_call(false)]
 #[case::during_the_call(true)]
 fn call_with_sidecar_restarted(#[case] during: bool) {
-    let mut fleet = fleet();
-    only(&mut fleet, "booking-1");
+    let mut fleet = fleet(&["booking-1"]);
     let claim = claim(&fleet, "router-1", "week-13");
     if during {
         answer_late(&fleet);
@@ -197,13 +194,12 @@
 
 #[test]
 fn call_with_sidecar_frozen() {
-    let mut fleet = fleet();
-    only(&mut fleet, "booking-2");
+    let fleet = fleet(&["booking-1"]);
     let claim = claim(&fleet, "router-1", "week-14");
-    fleet.daemons.freeze("booking-2").unwrap();
+    fleet.daemons.freeze("booking-1").unwrap();
     let frozen = call(&fleet.caller("router-1").unwrap(), &claim, SHORT_DEADLINE_MS).unwrap();
     assert_eq!(outcome(&frozen).0, "unknown", "{}", frozen.body);
-    fleet.daemons.thaw("booking-2").unwrap();
+    fleet.daemons.thaw("booking-1").unwrap();
     // The sidecar checks its records before it admits anything, and says so for certain.
     let again = call(&fleet.caller("router-2").unwrap(), &claim, "8000").unwrap();
     let was_run = again.status == 200;
@@ -224,13 +220,11 @@
 
 #[test]
 fn call_with_owner_removed() {
-    let mut fleet = fleet();
-    only(&mut fleet, "booking-1");
+    let mut fleet = fleet(&["booking-1", "booking-2"]);
     let claim = claim(&fleet, "router-1", "week-15");
-    fleet.publish_change(|records| {
-        records.endpoints.retain(|endpoint| endpoint.name.as_str() != "booking-1");
-        records.endpoints.iter_mut().for_each(|endpoint| endpoint.draining = false);
-    });
+    let owner = owner(&claim);
+    fleet.publish_change(|records| records.endpoints.retain(|endpoint| endpoint.name != owner));
+    fleet.daemons.kill(owner.as_str()).unwrap();
     fleet.wait_in_force().unwrap();
     let reply = call(&fleet.caller("router-2").unwrap(), &claim, "8000").unwrap();
     assert_eq!(outcome(&reply).0, "unknown", "{}", reply.body);
@@ -240,17 +234,21 @@
 
 #[test]
 fn call_with_owner_draining() {
-    let mut fleet = fleet();
-    only(&mut fleet, "booking-1");
-    let claim = claim(&fleet, "router-1", "week-16");
-    only(&mut fleet, "booking-2");
-    let refused = call(&fleet.caller("router-1").unwrap(), &claim, "8000").unwrap();
-    assert_eq!(outcome(&refused), ("not-run".into(), "leaving".into()), "{}", refused.body);
-    only(&mut fleet, "booking-1");
-    // It was said to be not run, so it isn't, though its owner serves again.
-    let again = call(&fleet.caller("router-2").unwrap(), &claim, "8000").unwrap();
-    assert_eq!(outcome(&again), ("not-run".into(), "tombstoned".into()), "{}", again.body);
-    assert_eq!(runs(&fleet), 0);
+    let mut fleet = fleet(&["booking-1"]);
+    let (running, unused) =
+        (claim(&fleet, "router-1", "week-16"), claim(&fleet, "router-1", "week-17"));
+    answer_late(&fleet);
+    let first = call_in_background(&fleet, "router-1", &running);
+    assert!(wait_until(DEADLINE, || runs(&fleet) == 1), "the call runs");
+    fleet.publish_drain("booking-1");
+    fleet.wait_in_force().unwrap();
+    for (router, kind) in [("router-1", "leaving"), ("router-2", "tombstoned")] {
+        let refused = call(&fleet.caller(router).unwrap(), &unused, "8000").unwrap();
+        assert_eq!(outcome(&refused), ("not-run".into(), kind.into()), "{}", refused.body);
+    }
+    let first = first.join().unwrap().unwrap();
+    assert_eq!(first.status, 200, "what is in progress isn't cut: {}", first.body);
+    assert_eq!(runs(&fleet), 1);
     fleet.close();
 }
 
@@ -258,17 +256,10 @@
 #[case::to_sidecar(Direction::ToTarget)]
 #[case::from_sidecar(Direction::FromTarget)]
 fn call_over_silent_connection(#[case] direction: Direction) {
-    let mut fleet = fleet();
+    let mut fleet = fleet(&["booking-1"]);
     let relay = Relay::start(fleet.daemons.peer("booking-1").unwrap()).unwrap();
     let address = relay.address();
-    fleet.publish_change(|records| {
-        for endpoint in &mut records.endpoints {
-            endpoint.draining = endpoint.name.as_str() != "booking-1";
-            if !endpoint.draining {
-                endpoint.address = address;
-            }
-        }
-    });
+    fleet.publish_change(|records| records.endpoints[0].address = address);
     fleet.wait_in_force().unwrap();
     let claim = claim(&fleet, "router-1", "week-17");
     relay.silence_open(direction);
@@ -283,7 +274,7 @@
 
 #[test]
 fn call_with_bare_key() {
-    let fleet = fleet();
+    let fleet = fleet(&["booking-1", "booking-2"]);
     let caller = fleet.caller("router-1").unwrap();
     let reply = caller.call_service(SERVICE, ("Idempotency-Key", "week-18"), "book").unwrap();
     assert_eq!(outcome(&reply), ("not-run".into(), "needs-claim".into()), "{}", reply.body);
@@ -293,7 +284,7 @@
 
 #[test]
 fn call_with_other_body() {
-    let fleet = fleet();
+    let fleet = fleet(&["booking-1", "booking-2"]);
     let claim = claim(&fleet, "router-1", "week-19");
     let caller = fleet.caller("router-2").unwrap();
     assert_eq!(call(&caller, &claim, "8000").unwrap().status, 200);
