--- a/crates/persimmonmountd/tests/process_at_most_once.rs
+++ b/crates/persimmonmountd/tests/process_at_most_once.rs
@@ -17,6 +17,9 @@
 const DEADLINE: Duration = Duration::from_secs(10);
 /// Deadline of a call that is expected to fail.
 const SHORT_DEADLINE_MS: &str = "1500";
+const LONG_DEADLINE_MS: &str = "20000";
+/// Time in which a call with the short deadline must have its final answer.
+const GIVEN_UP: Duration = Duration::from_millis(2_500);
 const ANSWER_DELAY_MS: u64 = 4_000;
 const CALLS_AT_ONCE: usize = 8;
 const OTHER_KEY: &str = "wk-of-another-workspace";
@@ -61,7 +64,7 @@
     claim: &str,
 ) -> JoinHandle<Result<Reply, CallError>> {
     let (caller, claim) = (fleet.caller(router).unwrap(), claim.to_owned());
-    thread::spawn(move || call(&caller, &claim, "8000"))
+    thread::spawn(move || call(&caller, &claim, LONG_DEADLINE_MS))
 }
 
 /// Runs of every key at every worker; each test uses one key.
@@ -272,6 +275,42 @@
     fleet.close();
 }
 
+#[test]
+fn call_that_goes_silent() {
+    let mut fleet = fleet(&["booking-1"]);
+    let relay = Relay::start(fleet.daemons.peer("booking-1").unwrap()).unwrap();
+    let address = relay.address();
+    fleet.publish_change(|records| records.endpoints[0].address = address);
+    fleet.wait_in_force().unwrap();
+    let claim = claim(&fleet, "router-1", "week-23");
+    answer_late(&fleet);
+    let started = Instant::now();
+    let running = call_in_background(&fleet, "router-1", &claim);
+    assert!(wait_until(DEADLINE, || runs(&fleet) == 1), "the call runs");
+    relay.silence_open(Direction::FromTarget);
+    let reply = running.join().unwrap().unwrap();
+    let elapsed = started.elapsed();
+    assert_eq!(reply.status, 200, "after {elapsed:?}: {}", reply.body);
+    assert_eq!(runs(&fleet), 1);
+    let limit = Duration::from_millis(ANSWER_DELAY_MS) + SILENCE_NOTICED;
+    assert!(elapsed < limit, "it took {elapsed:?}");
+    relay.close();
+    fleet.close();
+}
+
+#[test]
+fn call_past_deadline() {
+    let fleet = fleet(&["booking-1"]);
+    let claim = claim(&fleet, "router-1", "week-24");
+    fleet.service("booking-1").switch(ServiceSwitch::Freeze);
+    let started = Instant::now();
+    let reply = call(&fleet.caller("router-1").unwrap(), &claim, SHORT_DEADLINE_MS).unwrap();
+    let elapsed = started.elapsed();
+    assert_eq!(outcome(&reply).0, "unknown", "{}", reply.body);
+    assert!(elapsed < GIVEN_UP, "the final answer comes at once, not after {elapsed:?}");
+    fleet.close();
+}
+
 #[test]
 fn call_with_bare_key() {
     let fleet = fleet(&["booking-1", "booking-2"]);
