--- a/crates/persimmon_decide/src/load/mean_load.rs
+++ b/crates/persimmon_decide/src/load/mean_load.rs
@@ -60,6 +60,10 @@
     /// Age at which a report is forgotten, in milliseconds.
     pub const FORGET_MS: u64 = 10_000;
 
+    /// How far a falling mean is projected, in ages of the reports: one for the time since they
+    /// were measured, and as long again in which what is admitted now goes on running.
+    pub const PROJECTED_AGES: f64 = 2.0;
+
     /// Earlier estimates kept, one for each tick, to see whether the mean falls.
     pub const PAST: usize = 4;
 
@@ -145,14 +149,14 @@
         work.0 as f64 / requests as f64
     }
 
-    /// The lower mean, less what it will have fallen since the reports were measured if it goes on
+    /// The lower mean, less what it will have fallen in [`MeanLoad::PROJECTED_AGES`] if it goes on
     /// falling as it did.
     fn projected(&self, now: MonoMs) -> f64 {
         let mean = self.lower_mean(now);
         let Some(past) = self.past.front() else { return mean };
         let elapsed_ms = now.ms_since(past.at).max(1);
         let fall = (past.per_slot - mean).max(0.0) / elapsed_ms as f64;
-        (mean - fall * self.mean_age_ms(now)).max(0.0)
+        (mean - fall * Self::PROJECTED_AGES * self.mean_age_ms(now)).max(0.0)
     }
 
     fn mean_age_ms(&self, now: MonoMs) -> f64 {
