--- a/crates/persimmon_decide/src/load/credit_home.rs
+++ b/crates/persimmon_decide/src/load/credit_home.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use super::{ChatKey, CreditDemand, CreditReply, EndpointHash, LimitKey, rendezvous_score};
+use super::{
+    ChatKey, CreditDemand, CreditPurse, CreditReply, EndpointHash, LimitKey, rendezvous_score,
+};
 use crate::MonoMs;
 
 /// The home of a limit: the first by rendezvous over the live endpoints, or `None` without any.
@@ -22,10 +24,10 @@
     since: MonoMs,
 }
 
-/// Grants the credits of the limits whose home this sidecar is. Its state is soft: a new home
-/// knows nothing of what an earlier one granted, so it starts with [`CreditHome::NEW_HOME_START_MS`]
-/// of the rate and fills at [`CreditHome::NEW_HOME_SHARE`] of it until no batch of the earlier home
-/// can be left. Each move of a home thus adds at most that start to what the limit permits.
+/// Grants the credits of the limits whose home this sidecar is: what the routers' own shares
+/// ([`CreditPurse::OWN_SHARE`]) leave. Its state is soft: a new home knows nothing of what an
+/// earlier one granted, so it starts with [`CreditHome::NEW_HOME_START_MS`] of the rate and fills at
+/// [`CreditHome::NEW_HOME_SHARE`] of it until no batch of the earlier home can be left.
 ///
 /// A home that sees only part of the published endpoints alive grants only that part of the limit.
 /// The parts of a fleet that is split see no endpoint in common, so their homes together grant no
@@ -39,7 +41,7 @@
 /// let demand = CreditDemand { key, wanted: 10 };
 /// let mut home = CreditHome::default();
 /// home.grant(&demand, 100, 1.0, MonoMs(0));
-/// let CreditReply::Batch { credits, .. } = home.grant(&demand, 100, 1.0, MonoMs(500)) else {
+/// let CreditReply::Batch { credits, .. } = home.grant(&demand, 100, 1.0, MonoMs(800)) else {
 ///     panic!()
 /// };
 /// assert_eq!(credits, 10);
@@ -85,7 +87,8 @@
         now: MonoMs,
     ) -> CreditReply {
         self.make_room(&demand.key);
-        let rate = f64::from(per_second) * seen_share.clamp(0.0, 1.0);
+        let granted_share = 1.0 - CreditPurse::OWN_SHARE;
+        let rate = f64::from(per_second) * granted_share * seen_share.clamp(0.0, 1.0);
         let available = rate * Self::NEW_HOME_START_MS as f64 / 1_000.0;
         let new = Bucket { available, filled_at: now, since: now };
         let bucket = self.buckets.entry(demand.key.clone()).or_insert(new);
