--- a/crates/persimmon_decide/src/membership/mark.rs
+++ b/crates/persimmon_decide/src/membership/mark.rs
@@ -9,6 +9,8 @@
     Nothing,
     Refreshed,
     Left,
+    /// A later life than the one that left, which isn't leaving.
+    Returned,
     Suspected,
 }
 
@@ -41,8 +43,9 @@
             return Change::Nothing;
         }
         if other.incarnation > self.incarnation {
+            let is_back = self.leaving && !other.leaving;
             *self = other;
-            return self.first_change();
+            return if is_back { Change::Returned } else { self.first_change() };
         }
         let before = *self;
         self.leaving |= other.leaving;
--- a/crates/persimmon_decide/src/membership/membership.rs
+++ b/crates/persimmon_decide/src/membership/membership.rs
@@ -62,6 +62,8 @@
     pub loads: Vec<ToldLoad>,
     /// Nodes that are leaving and weren't known to be.
     pub left: Vec<NodeId>,
+    /// Nodes of which a later life than the one that left takes work.
+    pub returned: Vec<NodeId>,
     /// Whether the sender holds a newer VM list, to be fetched from it.
     pub has_newer_vms: bool,
     /// The digest to send back, if the sender asked for one.
@@ -330,7 +332,10 @@
                     self.urgent.push(entry.node);
                 }
             }
-            Change::Refreshed | Change::Suspected => {
+            Change::Returned | Change::Refreshed | Change::Suspected => {
+                if change == Change::Returned {
+                    received.returned.push(entry.node);
+                }
                 received.loads.push(told_load(entry.node, &mark));
             }
         }
