--- a/crates/persimmon_decide/tests/orders_load_pacer.rs
+++ b/crates/persimmon_decide/tests/orders_load_pacer.rs
@@ -76,6 +76,7 @@
         .collect();
     let mut taken: BTreeMap<u64, u32> = BTreeMap::new();
     let mut refused: BTreeMap<u64, u32> = BTreeMap::new();
+    let mut attempts: BTreeMap<u64, u32> = BTreeMap::new();
     for ms in (0..20 * MINUTE_MS).step_by(100) {
         let now = UnixMs(START_MS + ms);
         let mut waiting = Vec::new();
@@ -84,6 +85,7 @@
                 waiting.push(pacer);
                 continue;
             }
+            *attempts.entry(ms / 1_000).or_default() += 1;
             let in_minute = taken.entry(ms / MINUTE_MS).or_default();
             if *in_minute < rate.per_minute {
                 *in_minute += 1;
@@ -97,6 +99,8 @@
         pacers = waiting;
     }
     assert!(pacers.is_empty(), "{} never loaded", pacers.len());
+    let most = attempts.range(30..).map(|(_, count)| *count).max().unwrap_or(0);
+    assert!(most <= 20, "{most} attempts in one second, still together after 30 s");
     let last = refused.keys().max().copied().unwrap_or(0);
     assert!(last <= 3, "still refused after {last} minutes: {refused:?}");
 }
