--- a/crates/persimmon_decide/tests/recovery_quarantine.rs
+++ b/crates/persimmon_decide/tests/recovery_quarantine.rs
@@ -70,7 +70,9 @@
 fn marks_are_bounded_and_keep_quarantined_ones() {
     let settings = QuarantineSettings::default().with_quarantine_s(60);
     let mut quarantine = Quarantine::new(settings);
-    [1, 2].map(|site| quarantine.record_crash([REQUEST], NodeId(site), MonoMs(0)));
+    for site in [1, 2] {
+        quarantine.record_crash([REQUEST], NodeId(site), MonoMs(0));
+    }
     for request in 100..2_000 {
         quarantine.record_crash([Fingerprint(request)], NodeId(1), MonoMs(request));
     }
