Count a digest's frame as the wire encodes it

Cause: a full digest was planned as 1,176 bytes and is encoded in 1,184. Change: 128 bytes of frame.

--- a/crates/persimmon_decide/src/membership/digest.rs
+++ b/crates/persimmon_decide/src/membership/digest.rs
@@ -78,7 +78,7 @@
     /// Bytes that no encoded datagram exceeds, the proof of the fleet's key included.
     pub const MAX_BYTES: usize = 1_200;
     /// Bytes around the lists: segment table, pointers, fixed fields, two list tags.
-    const FRAME_BYTES: usize = 120;
+    const FRAME_BYTES: usize = 128;
     /// Bytes that prove the fleet's key.
     const PROOF_BYTES: usize = 32;
     /// Bytes of the IP and UDP heads.
