--- a/crates/persimmon_decide/tests/membership_spread.rs
+++ b/crates/persimmon_decide/tests/membership_spread.rs
@@ -56,7 +56,7 @@
 
 #[test]
 fn leaving_is_told_to_routers_at_once() {
-    let (first, second) = urgent_after(|fleet, node| fleet.leave(node));
+    let (first, second) = urgent_after(Fleet::leave);
     assert_eq!(first.len(), 4);
     assert_eq!(second, []);
     let routers: Vec<_> =
