--- a/crates/persimmon_standins/src/fleet/error.rs
+++ b/crates/persimmon_standins/src/fleet/error.rs
@@ -34,12 +34,17 @@
         line: String,
     },
     /// A process didn't adopt the published records.
-    #[error("{name} didn't put generation {generation} in force in time; its log ends:\n{log}")]
+    #[error(
+        "{name} didn't put generation {generation} in force and take requests in time; its status \
+         is {status} and its log ends:\n{log}"
+    )]
     NotInForce {
         /// The process.
         name: String,
         /// The generation that was published.
         generation: u64,
+        /// What it says of itself.
+        status: String,
         /// The end of its log.
         log: String,
     },
