--- a/crates/persimmon_decide/src/recovery/suspect_mark.rs
+++ b/crates/persimmon_decide/src/recovery/suspect_mark.rs
@@ -5,7 +5,7 @@
 use crate::Fingerprint;
 use crate::membership::NodeId;
 
-/// How strongly a fingerprint is suspected. Later variants win over earlier ones of the same round.
+/// How strongly a fingerprint is suspected within one round. Later variants win.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Suspicion {
@@ -15,7 +15,7 @@
     Cleared,
 }
 
-/// Orders what is known of a fingerprint, so that marks merge to the same state on every process
+/// What is known of a fingerprint, ordered so that marks merge to the same state on every process
 /// in whatever order they arrive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
