Notice a service call's connection that goes silent

Cause: call_that_goes_silent: a call waits for one reply, so that a connection gone silent held it until its deadline (20 s). Ruled out: a shorter deadline, which would give up calls that are only slow.

--- a/crates/persimmon_wire/tests/datagrams.rs
+++ b/crates/persimmon_wire/tests/datagrams.rs
@@ -18,8 +18,8 @@
         beat: 7,
         work: u32::MAX,
         age: 9,
-        leaving: node % 2 == 0,
-        suspected: node % 3 == 0,
+        leaving: node.is_multiple_of(2),
+        suspected: node.is_multiple_of(3),
     }
 }
 
--- a/crates/persimmonmountd/src/router/pool.rs
+++ b/crates/persimmonmountd/src/router/pool.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use persimmon_decide::MonoMs;
-use persimmon_decide::outcome::Stamp;
+use persimmon_decide::outcome::{HeartbeatLimits, Stamp};
 use persimmon_records::EndpointName;
 use persimmon_wire::fleet_capnp::sidecar;
 use persimmon_wire::{Connection, FleetKey, HandshakeError, dial, read_stamp};
@@ -59,6 +59,22 @@
     used_at: MonoMs,
 }
 
+impl Link {
+    /// Ends once the connection has gone silent. The sidecar answers a greeting at once, whatever
+    /// else it is asked on the connection.
+    pub(crate) async fn silence(&self) {
+        let limits = HeartbeatLimits::default();
+        let silent = Duration::from_millis(limits.silent_ms);
+        loop {
+            let greeting = self.connection.node.sidecar_request().send().promise;
+            if !matches!(timeout(silent, greeting).await, Ok(Ok(_))) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(limits.interval_ms)).await;
+        }
+    }
+}
+
 /// The connections of one traffic thread.
 pub(crate) struct Pool {
     key: FleetKey,
--- a/crates/persimmonmountd/src/router/services.rs
+++ b/crates/persimmonmountd/src/router/services.rs
@@ -231,14 +231,17 @@
     ClaimReply::read(reply.get().ok()?.get_reply().ok()?).ok()
 }
 
-/// Sends one call; none if its reply didn't come.
+/// Sends one call; none if its reply didn't come or the connection went silent.
 async fn send_call(link: &Link, template: &CallTemplate) -> Option<CallReply> {
     let mut call = link.sidecar.call_request();
     let mut message = template.call.clone();
     message.id.stamp = link.stamp;
     message.write(call.get().init_call());
     let limit = Duration::from_millis(template.deadline_ms);
-    let reply = timeout(limit, call.send().promise).await.ok()?.ok()?;
+    let reply = tokio::select! {
+        reply = timeout(limit, call.send().promise) => reply.ok()?.ok()?,
+        () = link.silence() => return None,
+    };
     CallReply::read(reply.get().ok()?.get_reply().ok()?).ok()
 }
 
