--- a/crates/persimmon_decide/examples/membership_spread.rs
+++ b/crates/persimmon_decide/examples/membership_spread.rs
@@ -31,7 +31,7 @@
         report_leaving(&mut fleet, way, if urgent { 0 } else { 1 });
         report_records(&mut fleet, way, if urgent { 2 } else { 3 });
     }
-    println!("processor time of the run: {:.1} s", started.elapsed().as_secs_f64());
+    println!("elapsed: {:.1} s", started.elapsed().as_secs_f64());
 }
 
 fn report_bytes(fleet: &mut Fleet) {
