Charge a workspace's total limit, and leave out ended loans

Cause: total_limits, to which a version 1 record's one limit is read, was held by nobody; routers offered requests to endpoints whose loan had ended. Conclusion: requests in progress over all classes together are not yet bounded.

--- a/crates/persimmon_bench/src/credits.rs
+++ b/crates/persimmon_bench/src/credits.rs
@@ -135,7 +135,7 @@
         Self {
             way,
             trouble,
-            key: LimitKey { workspace: "workspace-0".into(), class: Class::Conversation },
+            key: LimitKey { workspace: "workspace-0".into(), class: Some(Class::Conversation) },
             homes: [CreditHome::default(), CreditHome::default()],
             purses: vec![CreditPurse::new(routers as u32); routers],
             split: vec![CreditHome::default(); routers],
--- a/crates/persimmon_decide/src/load/credit.rs
+++ b/crates/persimmon_decide/src/load/credit.rs
@@ -6,14 +6,14 @@
 use super::EndpointHash;
 use crate::MonoMs;
 
-/// Names one fleet-wide limit: a class of a workspace.
+/// Names one fleet-wide limit of a workspace: of a class, or of all classes together.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LimitKey {
     /// The workspace.
     pub workspace: WorkspaceName,
-    /// The class.
-    pub class: Class,
+    /// The class; none for the limit of all classes together.
+    pub class: Option<Class>,
 }
 
 /// A router asks the home of a limit for credits.
--- a/crates/persimmon_decide/src/load/credit_home.rs
+++ b/crates/persimmon_decide/src/load/credit_home.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use persimmon_records::Class;
+
 use super::{
     ChatKey, CreditDemand, CreditPurse, CreditReply, EndpointHash, LimitKey, rendezvous_score,
 };
@@ -12,7 +14,8 @@
     key: &LimitKey,
     live: impl IntoIterator<Item = EndpointHash>,
 ) -> Option<EndpointHash> {
-    let seed = ChatKey::of(&key.workspace, &"credits".into(), &[key.class.as_str()]);
+    let seed =
+        ChatKey::of(&key.workspace, &"credits".into(), &[key.class.map_or("total", Class::as_str)]);
     let score = |endpoint: &EndpointHash| rendezvous_score(seed, *endpoint, 1);
     live.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)).then(a.cmp(b)))
 }
--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -198,6 +198,8 @@
   workspace @0 :Text;
   class @1 :Class;
   wanted @2 :UInt32;
+  isTotal @3 :Bool;
+  # Whether the limit is that of all classes together.
 }
 
 struct CreditBatch {
--- a/crates/persimmon_wire/src/convert.rs
+++ b/crates/persimmon_wire/src/convert.rs
@@ -431,7 +431,8 @@
 /// Writes a demand for credits.
 pub fn write_credit_demand(mut builder: schema::credit_demand::Builder<'_>, demand: &CreditDemand) {
     builder.set_workspace(demand.key.workspace.as_str());
-    builder.set_class(write_class(demand.key.class));
+    builder.set_class(write_class(demand.key.class.unwrap_or_default()));
+    builder.set_is_total(demand.key.class.is_none());
     builder.set_wanted(demand.wanted);
 }
 
@@ -444,7 +445,8 @@
     reader: schema::credit_demand::Reader<'_>,
 ) -> Result<CreditDemand, WireError> {
     let workspace = read_text(reader.get_workspace()?)?.as_str().into();
-    let key = LimitKey { workspace, class: read_class(reader.get_class()?) };
+    let class = read_class(reader.get_class()?);
+    let key = LimitKey { workspace, class: (!reader.get_is_total()).then_some(class) };
     Ok(CreditDemand { key, wanted: reader.get_wanted() })
 }
 
--- a/crates/persimmonmountd/src/common/mod.rs
+++ b/crates/persimmonmountd/src/common/mod.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod keeper;
+mod limits;
 mod logging;
 mod metrics;
 mod ops;
@@ -18,6 +19,7 @@
     Greeter, Greeting, Keeper, KeeperChange, KeeperCommand, Life, NoSidecar, NodeCalls,
     start_keeper,
 };
+pub(crate) use limits::rate_of;
 pub(crate) use logging::start_logging;
 pub(crate) use metrics::Metrics;
 pub(crate) use ops::{OpsServer, Readiness};
--- a/crates/persimmonmountd/src/router/command.rs
+++ b/crates/persimmonmountd/src/router/command.rs
@@ -87,6 +87,13 @@
     pub(crate) retry_after_ms: u64,
 }
 
+/// One limit that a request counts against.
+#[derive(Debug, Clone)]
+pub(crate) struct Charge {
+    pub(crate) key: LimitKey,
+    pub(crate) payment: Payment,
+}
+
 /// A demand for credits and the home of its limit.
 #[derive(Debug, Clone)]
 pub(crate) struct HomeDemand {
@@ -106,8 +113,8 @@
     pub(crate) endpoints: Vec<PlannedEndpoint>,
     /// Models that the workspace may use.
     pub(crate) models: Vec<ModelName>,
-    /// Whether the request is within the workspace's limit.
-    pub(crate) payment: Payment,
+    /// The limits that the request counts against.
+    pub(crate) charges: Vec<Charge>,
 }
 
 /// One message to the control thread.
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -19,15 +19,19 @@
     Endpoint, EndpointName, RecordIndex, RecordSet, Serves, ServiceName, Workspace,
 };
 
-use super::command::{Command, HomeDemand, Payment, Plan, PlanRequest, PlannedEndpoint, Wanted};
+use super::command::{
+    Charge, Command, HomeDemand, Payment, Plan, PlanRequest, PlannedEndpoint, Wanted,
+};
 use super::failure::Failure;
 use crate::common::{
     Clock, Keeper, KeeperChange, KeeperCommand, LoadStatus, Metrics, OutcomeCounts, Readiness,
-    Status,
+    Status, rate_of,
 };
 
 /// Longest pause between two looks at what has become due.
 const TICK: Duration = Duration::from_millis(100);
+/// How long before a loan's end a router stops to offer requests, in milliseconds.
+const LOAN_END_MARGIN_MS: u64 = 1_000;
 /// Requests that wait for credits at once.
 const MAX_WAITING_FOR_CREDIT: usize = 4_096;
 /// How long an endpoint that couldn't be reached is tried only after all others, in milliseconds.
@@ -224,7 +228,7 @@
             holders: Vec::new(),
             endpoints: Vec::new(),
             models: workspace.models.clone(),
-            payment: Payment { is_paid: true, demand: None, retry_after_ms: 0 },
+            charges: Vec::new(),
         };
         match req.wanted {
             Wanted::Models => {}
@@ -247,8 +251,14 @@
     /// Pays for a request that may go somewhere, if it counts against the limit.
     fn paid(&mut self, mut plan: Plan, is_charged: bool) -> Plan {
         if is_charged && !plan.endpoints.is_empty() {
-            let key = LimitKey { workspace: plan.workspace.clone(), class: plan.class };
-            (plan.payment, _) = self.pay(&key);
+            let workspace = self.records.workspace(&plan.workspace);
+            let has_total = workspace.is_some_and(|one| one.total_limits.is_some());
+            let classes = [Some(Some(plan.class)), has_total.then_some(None)];
+            for class in classes.into_iter().flatten() {
+                let key = LimitKey { workspace: plan.workspace.clone(), class };
+                let (payment, _) = self.pay(&key);
+                plan.charges.push(Charge { key, payment });
+            }
         }
         plan
     }
@@ -278,8 +288,7 @@
     /// Spends a credit. Also says whether the home has yet to answer.
     fn pay(&mut self, key: &LimitKey) -> (Payment, bool) {
         let workspace = self.records.workspace(&key.workspace);
-        let per_second =
-            workspace.map_or(0, |workspace| workspace.limits.get(key.class).requests_per_second);
+        let per_second = workspace.map_or(0, |workspace| rate_of(workspace, key.class));
         let spend = self.purse.spend(key, per_second, self.clock.now());
         let demand = spend.demand.and_then(|demand| self.home_demand(demand));
         let retry_after_ms = spend.retry_after_ms;
@@ -448,9 +457,19 @@
     fn tick(&mut self) {
         let leaving = self.draining_since.is_some();
         self.keeper.tick(OwnState { leaving, ..OwnState::default() });
+        self.note_ended_loans();
         self.update_readiness();
     }
 
+    /// Leaves out endpoints whose loan ends, so that no request takes the hop to be refused there.
+    fn note_ended_loans(&mut self) {
+        let wall = self.clock.unix().plus_ms(LOAN_END_MARGIN_MS);
+        let ended = |endpoint: &&Endpoint| endpoint.loan_ends_at.is_some_and(|at| wall >= at);
+        for endpoint in self.by_hash.values().filter(ended) {
+            self.directory.set_leaving(EndpointHash::of(&endpoint.name), true);
+        }
+    }
+
     fn adopt(&mut self, records: Arc<RecordIndex>) {
         let generation = records.version().generation;
         if let Err(err) = self.directory.follow(records.set()) {
--- a/crates/persimmonmountd/src/router/credit.rs
+++ b/crates/persimmonmountd/src/router/credit.rs
@@ -4,23 +4,29 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use persimmon_decide::load::{CreditPurse, CreditReply, LimitKey};
+use persimmon_decide::load::{CreditPurse, CreditReply};
 use persimmon_wire::{read_credit_batch, write_credit_demand};
 use tokio::time::timeout;
 
-use super::command::{Command, HomeDemand, Payment, Plan};
+use super::command::{Charge, Command, HomeDemand, Payment, Plan};
 use super::failure::Failure;
 use super::traffic::TrafficCx;
 
-/// Makes sure that a planned request is within its workspace's limit, asking the limit's home for
-/// credits if need be.
+/// Makes sure that a planned request is within its workspace's limits, asking the limits' homes
+/// for credits if need be.
 ///
 /// # Errors
 ///
-/// The limit is used up. Nothing was run.
+/// A limit is used up. Nothing was run.
 pub(crate) async fn pay(cx: &Rc<TrafficCx>, plan: &Plan) -> Result<(), Failure> {
-    let key = LimitKey { workspace: plan.workspace.clone(), class: plan.class };
-    let Payment { is_paid, demand, retry_after_ms } = plan.payment.clone();
+    for charge in &plan.charges {
+        pay_one(cx, charge.clone()).await?;
+    }
+    Ok(())
+}
+
+async fn pay_one(cx: &Rc<TrafficCx>, charge: Charge) -> Result<(), Failure> {
+    let Charge { key, payment: Payment { is_paid, demand, retry_after_ms } } = charge;
     match demand {
         Some(demand) if is_paid => {
             ask_ahead(cx, demand);
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -13,7 +13,7 @@
 use super::command::Command;
 use super::core::Core;
 use super::runs::Runs;
-use crate::common::{Keeper, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status};
+use crate::common::{Keeper, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status, rate_of};
 
 /// Longest pause between two looks at what has become due.
 const TICK: Duration = Duration::from_millis(100);
@@ -125,8 +125,7 @@
     /// Grants credits of a workspace's limit.
     fn grant(&mut self, demand: &CreditDemand) -> CreditReply {
         let workspace = self.core.workspace(&demand.key.workspace);
-        let per_second = workspace
-            .map_or(0, |workspace| workspace.limits.get(demand.key.class).requests_per_second);
+        let per_second = workspace.map_or(0, |workspace| rate_of(workspace, demand.key.class));
         self.credits.grant(demand, per_second, self.seen_share, self.core.now())
     }
 
