Split the sidecar's runs by job; say not-run of what was given up waiting

Change: runs/ holds submission, progress, answers and the run itself; the core owns the keeper; StreamEnd::Withdrawn ends such a request as not run. Calls to endpoints follow no redirects, which would send a booking twice.

--- a/crates/persimmon_decide/src/outcome/dispatch.rs
+++ b/crates/persimmon_decide/src/outcome/dispatch.rs
@@ -184,6 +184,7 @@
         match end {
             StreamEnd::Whole => self.finish(Outcome::Done, Cause::Answered),
             StreamEnd::Cancelled => self.finish(Outcome::Unknown, Cause::Cancelled),
+            StreamEnd::Withdrawn => self.finish(self.outcome_unfinished(), Cause::Withdrawn),
             StreamEnd::Cut => self.give_up_attempt(),
             // Another run might crash another endpoint.
             StreamEnd::Crashed => self.finish(Outcome::Unknown, Cause::Crashed),
--- a/crates/persimmon_decide/src/outcome/dispatch_event.rs
+++ b/crates/persimmon_decide/src/outcome/dispatch_event.rs
@@ -151,6 +151,9 @@
     /// The request was cancelled because its reader was too slow or silent.
     #[error("the request was cancelled because its answer wasn't read; read faster and ask again")]
     Cancelled,
+    /// The request waited too long at its endpoint and was given up before it ran.
+    #[error("the request waited too long and wasn't run; retry after the given delay")]
+    Withdrawn,
     /// The endpoint crashed while it ran the request.
     #[error("the endpoint crashed while it ran the request; retry after the given delay")]
     Crashed,
@@ -176,6 +179,7 @@
             Self::Settled => "settled",
             Self::Broken => "broken",
             Self::Cancelled => "cancelled",
+            Self::Withdrawn => "withdrawn",
             Self::Crashed => "crashed",
             Self::BudgetSpent => "budget-spent",
             Self::DeadlinePassed => "deadline-passed",
--- a/crates/persimmon_decide/src/outcome/frame.rs
+++ b/crates/persimmon_decide/src/outcome/frame.rs
@@ -26,6 +26,8 @@
     Whole,
     /// The request was cancelled, so the answer isn't whole.
     Cancelled,
+    /// The request was given up before any of it ran, and won't run.
+    Withdrawn,
     /// The endpoint stopped in the middle of the answer.
     Cut,
     /// The endpoint crashed while it ran the request, which may be the cause.
--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -132,6 +132,7 @@
   cancelled @1;
   cut @2;
   crashed @3;
+  withdrawn @4;
 }
 
 struct Frame {
--- a/crates/persimmon_wire/src/convert.rs
+++ b/crates/persimmon_wire/src/convert.rs
@@ -274,6 +274,7 @@
         StreamEnd::Cancelled => schema::StreamEnd::Cancelled,
         StreamEnd::Cut => schema::StreamEnd::Cut,
         StreamEnd::Crashed => schema::StreamEnd::Crashed,
+        StreamEnd::Withdrawn => schema::StreamEnd::Withdrawn,
     }
 }
 
@@ -283,6 +284,7 @@
         schema::StreamEnd::Cancelled => StreamEnd::Cancelled,
         schema::StreamEnd::Cut => StreamEnd::Cut,
         schema::StreamEnd::Crashed => StreamEnd::Crashed,
+        schema::StreamEnd::Withdrawn => StreamEnd::Withdrawn,
     }
 }
 
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -13,7 +13,7 @@
 use super::command::Command;
 use super::core::Core;
 use super::runs::Runs;
-use crate::common::{Keeper, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status, rate_of};
+use crate::common::{KeeperChange, KeeperCommand, LoadStatus, Readiness, Status, rate_of};
 
 /// Longest pause between two looks at what has become due.
 const TICK: Duration = Duration::from_millis(100);
@@ -33,7 +33,6 @@
     pub(crate) calls: Calls,
     pub(crate) readiness: Readiness,
     pub(crate) zone: String,
-    pub(crate) keeper: Keeper,
     pub(crate) credits: CreditHome,
     /// Share of the published endpoints that this sidecar sees alive.
     pub(crate) seen_share: f64,
@@ -83,7 +82,7 @@
         match command {
             Command::Submit { req, frames, reply } => {
                 self.observe();
-                let admission = self.runs.submit(&mut self.core, &mut self.keeper, req, frames);
+                let admission = self.runs.submit(&mut self.core, req, frames);
                 send(&reply, admission);
             }
             Command::Resume { position, frames, reply } => {
@@ -94,10 +93,10 @@
                 send(&reply, self.runs.settle(&mut self.core, &request));
             }
             Command::Cancel { request } => {
-                self.runs.cancel(&mut self.core, &mut self.keeper, &request);
+                self.runs.cancel(&mut self.core, &request);
             }
             Command::Acknowledge { key, next } => {
-                self.runs.acknowledge(&mut self.core, &mut self.keeper, key, next);
+                self.runs.acknowledge(&mut self.core, key, next);
             }
             Command::Claim { req, reply } => {
                 self.observe();
@@ -110,7 +109,7 @@
             Command::Credit { demand, reply } => send(&reply, self.grant(&demand)),
             Command::Greet { reply } => send(&reply, self.core.ledger.stamp(self.core.now())),
             Command::Engine(event) => {
-                self.runs.on_engine(&mut self.core, &mut self.keeper, event);
+                self.runs.on_engine(&mut self.core, event);
             }
             Command::Service(event) => self.calls.on_service(&mut self.core, event),
             Command::Status { reply } => send(&reply, self.status()),
@@ -141,10 +140,10 @@
     }
 
     fn tick(&mut self) {
-        self.keeper.tick(self.own_state());
-        self.core.is_started = self.keeper.is_ready();
+        let state = self.own_state();
+        self.core.keeper.tick(state);
         self.observe();
-        self.runs.tick(&mut self.core, &mut self.keeper);
+        self.runs.tick(&mut self.core);
         let is_serving = self.core.check_serving().is_ok();
         self.readiness.set(is_serving);
         let load = self.runs.load();
@@ -154,7 +153,7 @@
     }
 
     fn handle_keeper(&mut self, command: KeeperCommand) {
-        for change in self.keeper.handle(command) {
+        for change in self.core.keeper.handle(command) {
             match change {
                 KeeperChange::Adopted(records) => self.adopt(records),
                 KeeperChange::Confirmed { asked_at, heard } => {
@@ -176,7 +175,7 @@
     }
 
     fn on_listed(&mut self) {
-        let vms = &self.keeper.membership().vms().vms;
+        let vms = &self.core.keeper.membership().vms().vms;
         let own = vms.iter().find(|vm| vm.name.as_str() == self.core.name.as_str());
         if let Some(vm) = own {
             let clocks = self.core.clocks();
@@ -218,17 +217,17 @@
             role: "sidecar",
             name: self.core.name.to_string(),
             zone: self.zone.clone(),
-            generation: self.keeper.generation().0,
-            records_source: self.keeper.records_source(),
+            generation: self.core.keeper.generation().0,
+            records_source: self.core.keeper.records_source(),
             leaving: self.core.leaving.cause().is_some(),
             load: LoadStatus {
                 running: load.running,
                 waiting: load.waiting,
                 mean: self.runs.mean_per_slot(self.core.now()),
             },
-            quarantined: self.keeper.quarantined(),
+            quarantined: self.core.keeper.quarantined(),
             outcomes: self.core.counts(),
-            refused_records: self.keeper.trouble(),
+            refused_records: self.core.keeper.trouble(),
         }
     }
 }
--- a/crates/persimmonmountd/src/sidecar/core.rs
+++ b/crates/persimmonmountd/src/sidecar/core.rs
@@ -3,21 +3,20 @@
 
 use std::sync::Arc;
 
+use persimmon_decide::MonoMs;
 use persimmon_decide::outcome::{Ledger, LedgerLimits, Outcome, Refusal};
 use persimmon_decide::recovery::{Clocks, Hold, Leaving, LeavingSettings, NotServing, RecordsWord};
-use persimmon_decide::{Incarnation, MonoMs};
 use persimmon_records::{
     Endpoint, EndpointName, Policy, RecordIndex, RecordSet, Workspace, WorkspaceName,
 };
 use persimmon_wire::Refused;
 
-use crate::common::{Clock, Metrics, OutcomeCounts};
+use crate::common::{Clock, Keeper, Life, Metrics, OutcomeCounts};
 
 /// Delay after which a sidecar that awaits word of its records may be asked again, in milliseconds.
 const RECORDS_RETRY_MS: u64 = 1_000;
 
 /// The state that model requests and service calls share.
-#[derive(Debug)]
 pub(crate) struct Core {
     pub(crate) name: EndpointName,
     pub(crate) clock: Clock,
@@ -27,18 +26,13 @@
     records: Arc<RecordIndex>,
     endpoint: Option<Endpoint>,
     counts: OutcomeCounts,
-    /// Whether the process has asked enough others to serve by its records.
-    pub(crate) is_started: bool,
+    pub(crate) keeper: Keeper,
 }
 
 impl Core {
     /// The state of a process that has just started.
-    pub(crate) fn new(
-        name: EndpointName,
-        clock: Clock,
-        metrics: Metrics,
-        incarnation: Incarnation,
-    ) -> Self {
+    pub(crate) fn new(name: EndpointName, metrics: Metrics, life: Life, keeper: Keeper) -> Self {
+        let Life { incarnation, clock } = life;
         let clocks = Clocks { mono: clock.now(), wall: clock.unix() };
         Self {
             name,
@@ -49,7 +43,7 @@
             records: Arc::new(RecordIndex::new(RecordSet::empty())),
             endpoint: None,
             counts: OutcomeCounts::default(),
-            is_started: false,
+            keeper,
         }
     }
 
@@ -106,7 +100,7 @@
     ///
     /// A definite refusal.
     pub(crate) fn check_serving(&self) -> Result<(), Refused> {
-        if !self.is_started {
+        if !self.keeper.is_ready() {
             let refusal = Refusal::StaleRecords;
             return Err(Refused { refusal, retry_after_ms: RECORDS_RETRY_MS });
         }
--- a/crates/persimmonmountd/src/sidecar/engine.rs
+++ b/crates/persimmonmountd/src/sidecar/engine.rs
@@ -208,6 +208,8 @@
 fn generate(address: SocketAddr, run: &EngineRun, commands: &Sender<Command>) -> EngineNews {
     let request = minreq::post(format!("http://{address}/v1/generate"))
         .with_timeout(run.timeout_s)
+        // A call that is sent again to another place might run twice.
+        .with_follow_redirects(false)
         .with_header("traceparent", run.traceparent.as_str())
         .with_json(&run.body);
     let response = match request.and_then(minreq::Request::send_lazy) {
--- a/crates/persimmonmountd/src/sidecar/mod.rs
+++ b/crates/persimmonmountd/src/sidecar/mod.rs
@@ -40,7 +40,7 @@
 pub(crate) fn run_sidecar(settings: &SidecarSettings) -> io::Result<()> {
     let common = &settings.common;
     let life = Life::start();
-    let Life { incarnation, clock } = life;
+    let clock = life.clock;
     let metrics = Metrics::new().map_err(io::Error::other)?;
     let (commands, rx) = flume::bounded(COMMANDS_WAITING);
     let (keeper_commands, keeper_rx) = flume::bounded(COMMANDS_WAITING);
@@ -61,12 +61,11 @@
     let service = Service::new(settings.endpoint, commands.clone());
     let sealer = ClaimSealer::new(common.fleet_key.secret());
     let control = Control {
-        core: Core::new(common.name.clone(), clock, metrics.clone(), incarnation),
+        core: Core::new(common.name.clone(), metrics.clone(), life, keeper),
         runs: Runs::new(engine),
         calls: Calls::new(service, sealer),
         readiness: readiness.clone(),
         zone: common.zone.to_string(),
-        keeper,
         credits: CreditHome::default(),
         seen_share: 1.0,
         is_stopping: false,
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/runs/answers.rs
@@ -0,0 +1,47 @@
+//! The answers kept, and the routers that take them.
+
+use persimmon_decide::outcome::{FrameId, LedgerKey, Refusal, StreamEnd};
+use persimmon_decide::{MonoMs, Offset};
+use persimmon_wire::Refused;
+
+use super::super::command::FrameTx;
+use super::super::subscriber::{Fed, Subscriber};
+use super::{Runs, at_once};
+
+impl Runs {
+    pub(super) fn finish_output(&mut self, key: LedgerKey, end: StreamEnd, now: MonoMs) {
+        if let Some(output) = self.outputs.get_mut(key) {
+            output.finish(end, now);
+        }
+        self.feed(key);
+    }
+
+    pub(super) fn subscribe(
+        &mut self,
+        key: LedgerKey,
+        id: FrameId,
+        frames: FrameTx,
+        next: Offset,
+    ) -> Result<(), Refused> {
+        let kept = self.outputs.get(key).is_some_and(|output| output.read_from(next).is_ok());
+        if !kept {
+            return Err(at_once(Refusal::AnswerNotKept));
+        }
+        let subscriber = Subscriber::new(id, frames, next);
+        self.subscribers.insert(key, subscriber);
+        self.feed(key);
+        Ok(())
+    }
+
+    /// Sends a subscriber what it lacks.
+    pub(super) fn feed(&mut self, key: LedgerKey) {
+        let Some(subscriber) = self.subscribers.get_mut(&key) else { return };
+        let fed = match self.outputs.get(key) {
+            Some(output) => subscriber.feed(output),
+            None => Fed::Gone,
+        };
+        if fed != Fed::Waiting {
+            self.subscribers.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/runs/mod.rs
@@ -0,0 +1,171 @@
+//! Requests to the model engine: admission, the run, and the answer kept until it is taken.
+
+mod answers;
+mod progress;
+mod run;
+mod submission;
+
+use std::collections::BTreeMap;
+
+use persimmon_decide::load::{
+    Admission as Admit, AdmissionConfig, AdmittedKey, EndpointHash, LoadReport,
+};
+use persimmon_decide::outcome::{
+    FrameId, LedgerKey, OutputStore, Refusal, Repeatability, Settled, StoreLimits,
+};
+use persimmon_decide::recovery::Probation;
+use persimmon_decide::{Attempt, MonoMs, Offset};
+use persimmon_records::Serves;
+use persimmon_wire::{Refused, RequestRef, StreamPosition};
+use slotmap::SecondaryMap;
+
+use self::run::{Run, Stage};
+use super::command::FrameTx;
+use super::core::Core;
+use super::engine::Engine;
+use super::subscriber::Subscriber;
+
+/// Every request to the engine beside this sidecar.
+#[derive(Debug)]
+pub(crate) struct Runs {
+    engine: Engine,
+    admission: Admit,
+    outputs: OutputStore,
+    runs: BTreeMap<LedgerKey, Run>,
+    by_admitted: SecondaryMap<AdmittedKey, LedgerKey>,
+    subscribers: BTreeMap<LedgerKey, Subscriber>,
+    next_number: u64,
+    engine_down_until: MonoMs,
+    /// The life of the engine, as far as it is known.
+    engine_life: Option<u64>,
+    probation: Probation,
+    watches_health: bool,
+}
+
+impl Runs {
+    /// No request yet.
+    pub(crate) fn new(engine: Engine) -> Self {
+        Self {
+            engine,
+            admission: Admit::new(AdmissionConfig::default()),
+            outputs: OutputStore::new(StoreLimits::default()),
+            runs: BTreeMap::new(),
+            by_admitted: SecondaryMap::new(),
+            subscribers: BTreeMap::new(),
+            next_number: 0,
+            engine_down_until: MonoMs::default(),
+            engine_life: None,
+            probation: Probation::default(),
+            watches_health: false,
+        }
+    }
+
+    /// What the endpoint carries.
+    pub(crate) fn load(&self) -> LoadReport {
+        self.admission.load()
+    }
+
+    /// Requests that wait or run.
+    pub(crate) fn in_progress(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Answers that a router is still taking.
+    pub(crate) fn being_taken(&self) -> usize {
+        self.subscribers.len()
+    }
+
+    /// The estimate of the mean load per slot.
+    pub(crate) fn mean_per_slot(&self, now: MonoMs) -> f64 {
+        self.admission.mean().per_slot(now)
+    }
+
+    /// Takes in what another endpoint of the model carries.
+    pub(crate) fn observe(&mut self, endpoint: EndpointHash, report: LoadReport, at: MonoMs) {
+        self.admission.mean_mut().observe(endpoint, report, at);
+    }
+
+    /// Follows the records in force.
+    pub(crate) fn follow_records(&mut self, core: &Core) {
+        let Some(endpoint) = core.endpoint() else { return };
+        if matches!(endpoint.serves, Serves::Model(_)) && !self.watches_health {
+            self.watches_health = true;
+            if let Err(err) = self.engine.watch_health() {
+                tracing::error!("sidecar: the engine's health isn't watched: {err}.");
+            }
+        }
+        let same = |other: &&persimmon_records::Endpoint| other.serves == endpoint.serves;
+        let peers = core.records().set().endpoints.iter().filter(same).count();
+        let cfg = AdmissionConfig::default()
+            .with_policy(core.policy())
+            .with_slots(endpoint.slots)
+            .with_peers(u32::try_from(peers).unwrap_or(u32::MAX));
+        self.admission.set_config(cfg);
+    }
+
+    /// Goes on with an answer for a router.
+    pub(crate) fn resume(
+        &mut self,
+        core: &mut Core,
+        position: &StreamPosition,
+        frames: FrameTx,
+    ) -> Result<(), Refused> {
+        let key = key_of(&position.id);
+        let own = core.ledger.stamp(core.now()).incarnation == position.id.stamp.incarnation;
+        if !own {
+            return Err(at_once(Refusal::WrongIncarnation));
+        }
+        let id = frame_id(&position.id, position.attempt);
+        self.subscribe(key, id, frames, position.offset)
+    }
+
+    /// Says what became of a request, and makes sure that one that hasn't begun never will.
+    pub(crate) fn settle(&mut self, core: &mut Core, request: &RequestRef) -> Settled {
+        let now = core.now();
+        core.ledger.settle(key_of(request), request.stamp, Repeatability::Repeatable, now)
+    }
+
+    /// Cancels a request that waits or runs.
+    pub(crate) fn cancel(&mut self, core: &mut Core, request: &RequestRef) {
+        self.cancel_key(core, key_of(request));
+    }
+
+    /// Notes that a router has every frame before `next`.
+    pub(crate) fn acknowledge(&mut self, core: &mut Core, key: LedgerKey, next: Offset) {
+        if let Some(output) = self.outputs.get_mut(key) {
+            output.acknowledge(next, core.now());
+        }
+        self.flush(core, key);
+        self.feed(key);
+    }
+
+    /// Starts what has become due and ends what has stalled.
+    pub(crate) fn tick(&mut self, core: &mut Core) {
+        let now = core.now();
+        let swept = self.outputs.sweep(now);
+        for key in swept.stalled {
+            tracing::info!("sidecar: a request was cancelled, since its answer isn't taken.");
+            self.cancel_key(core, key);
+        }
+        let due = self.admission.tick(now);
+        self.follow_up(core, &due);
+        let waits = |run: &Run| matches!(run.stage, Stage::AwaitingProbation);
+        let alone: Vec<_> =
+            self.runs.iter().filter(|(_, run)| waits(run)).map(|(key, _)| *key).collect();
+        for key in alone {
+            self.start(core, key);
+        }
+    }
+}
+
+fn key_of(request: &RequestRef) -> LedgerKey {
+    LedgerKey::of_request(&request.workspace, request.id)
+}
+
+fn frame_id(request: &RequestRef, attempt: Attempt) -> FrameId {
+    FrameId { request: request.id, attempt, incarnation: request.stamp.incarnation }
+}
+
+fn at_once(refusal: Refusal) -> Refused {
+    Refused { refusal, retry_after_ms: 0 }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/runs/progress.rs
@@ -0,0 +1,243 @@
+//! Starts, feeds and ends runs.
+
+use std::sync::Arc;
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::load::{AdmittedKey, Due, Work};
+use persimmon_decide::membership::{NodeId, VmName};
+use persimmon_decide::outcome::{LedgerKey, Outcome, PushError, StreamEnd};
+use persimmon_decide::recovery::{ProbationRefusal, ProbationStep};
+
+use super::super::core::Core;
+use super::super::engine::{EngineEvent, EngineFailure, EngineNews};
+use super::Runs;
+use super::run::{Run, Stage, engine_run};
+
+/// How long requests are refused after the engine took no connection, in milliseconds.
+const ENGINE_DOWN_MS: u64 = 500;
+
+impl Runs {
+    /// Takes in which life of the engine runs.
+    pub(crate) fn on_engine_life(&mut self, life: Option<u64>) {
+        self.engine_life = life;
+    }
+
+    /// Takes in news from an engine thread.
+    pub(crate) fn on_engine(&mut self, core: &mut Core, event: EngineEvent) {
+        let EngineEvent { key, run, news } = event;
+        let is_current = self.runs.get(&key).is_some_and(|current| current.number == run);
+        if !is_current {
+            return;
+        }
+        match news {
+            EngineNews::Line(line) => self.on_line(core, key, line),
+            EngineNews::Whole => self.on_end(core, key, StreamEnd::Whole),
+            EngineNews::Cancelled => self.on_end(core, key, StreamEnd::Cancelled),
+            EngineNews::Failed(failure) => self.on_failure(core, key, &failure),
+        }
+    }
+
+    /// Starts the requests whose turn has come, and ends those that waited too long.
+    pub(super) fn follow_up(&mut self, core: &mut Core, due: &Due) {
+        for admitted in &due.given_up {
+            self.give_up(core, *admitted);
+        }
+        for admitted in &due.started {
+            if let Some(key) = self.by_admitted.get(*admitted).copied() {
+                self.start(core, key);
+            }
+        }
+    }
+
+    /// Sends a request to the engine, or waits until it can run alone if it has to.
+    pub(super) fn start(&mut self, core: &mut Core, key: LedgerKey) {
+        match self.ask_probation(key, core.now()) {
+            Ok(ProbationStep::Run) => {}
+            Ok(ProbationStep::Wait) => {
+                if let Some(run) = self.runs.get_mut(&key) {
+                    run.stage = Stage::AwaitingProbation;
+                }
+                return;
+            }
+            Err(err) => {
+                tracing::info!("sidecar: a suspect isn't run: {err}.");
+                self.cancel_key(core, key);
+                return;
+            }
+        }
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        let Some(engine_run) = engine_run(key, run) else {
+            self.on_end(core, key, StreamEnd::Cut);
+            return;
+        };
+        let engine = &self.engine;
+        let started = run.span.in_scope(|| engine.run(engine_run));
+        if let Err(err) = started {
+            tracing::error!("sidecar: a request's thread can't be started: {err}.");
+            self.on_end(core, key, StreamEnd::Cut);
+        }
+    }
+
+    pub(super) fn ask_probation(
+        &mut self,
+        key: LedgerKey,
+        now: MonoMs,
+    ) -> Result<ProbationStep, ProbationRefusal> {
+        let Some(run) = self.runs.get(&key).filter(|run| run.is_alone) else {
+            return Ok(ProbationStep::Run);
+        };
+        let is_running =
+            |run: &&Run| matches!(run.stage, Stage::Running { .. } | Stage::Cancelling);
+        let running = self.runs.values().filter(is_running).count();
+        self.probation.ask(run.req.fingerprint, running, now)
+    }
+
+    /// Ends a request that waited beyond its deadline.
+    pub(super) fn give_up(&mut self, core: &mut Core, admitted: AdmittedKey) {
+        let Some(key) = self.by_admitted.remove(admitted) else { return };
+        self.runs.remove(&key);
+        let now = core.now();
+        let _not_running = core.ledger.withdraw(key, now);
+        core.count_outcome(Outcome::NotRun);
+        self.finish_output(key, StreamEnd::Withdrawn, now);
+    }
+
+    pub(super) fn on_line(&mut self, core: &mut Core, key: LedgerKey, line: Arc<[u8]>) {
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        if matches!(run.stage, Stage::Cancelling) {
+            return;
+        }
+        run.held.push_back(line);
+        run.tokens += 1;
+        let left = u64::from(run.req.max_tokens).saturating_sub(run.tokens);
+        self.admission.progress(run.admitted, Work(left));
+        self.flush(core, key);
+        self.feed(key);
+    }
+
+    /// Moves held lines to the output, as far as it has room, and lets the engine thread go on.
+    pub(super) fn flush(&mut self, core: &mut Core, key: LedgerKey) {
+        let now = core.now();
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        let Some(output) = self.outputs.get_mut(key) else { return };
+        while let Some(line) = run.held.front() {
+            match output.push(line.clone(), now) {
+                Ok(_) => {}
+                Err(PushError::Full) => break,
+                Err(_) => {
+                    run.ended = Some(StreamEnd::Cut);
+                    run.held.clear();
+                    break;
+                }
+            }
+            run.held.pop_front();
+            if let Stage::Running { permits } = &run.stage {
+                // The thread may have ended already.
+                let _ended = permits.try_send(());
+            }
+        }
+        if run.held.is_empty()
+            && let Some(end) = run.ended
+        {
+            self.complete(core, key, end);
+        }
+    }
+
+    pub(super) fn on_end(&mut self, core: &mut Core, key: LedgerKey, end: StreamEnd) {
+        if let Some(run) = self.runs.get_mut(&key) {
+            let is_cancelled = matches!(run.stage, Stage::Cancelling);
+            run.ended = Some(if is_cancelled { StreamEnd::Cancelled } else { end });
+        }
+        self.flush(core, key);
+        self.feed(key);
+    }
+
+    pub(super) fn on_failure(&mut self, core: &mut Core, key: LedgerKey, failure: &EngineFailure) {
+        tracing::warn!("sidecar: {failure}.");
+        match failure {
+            EngineFailure::NotSent => {
+                self.engine_down_until = core.now().plus_ms(ENGINE_DOWN_MS);
+            }
+            EngineFailure::Refused(_) => {}
+            EngineFailure::BrokenOff { life } => self.note_crash(core, *life),
+        }
+        let has_crashed = self.runs.get(&key).is_some_and(|run| run.has_crashed);
+        let end = if has_crashed { StreamEnd::Crashed } else { StreamEnd::Cut };
+        self.on_end(core, key, end);
+    }
+
+    /// Notes the requests in progress if the engine's life has ended since they began.
+    pub(super) fn note_crash(&mut self, core: &mut Core, life: Option<u64>) {
+        if life.is_some() && life == self.engine_life {
+            return;
+        }
+        self.engine_life = life;
+        let now = core.now();
+        let mut in_progress = Vec::new();
+        for run in self.runs.values_mut() {
+            if matches!(run.stage, Stage::Running { .. } | Stage::Cancelling) && !run.has_crashed {
+                run.has_crashed = true;
+                in_progress.push(run.req.fingerprint);
+            }
+        }
+        if life.is_none() {
+            self.engine_down_until = now.plus_ms(ENGINE_DOWN_MS);
+        }
+        tracing::warn!(
+            "sidecar: the engine crashed with {} requests in progress.",
+            in_progress.len()
+        );
+        let site = NodeId::of(&VmName::new(core.name.as_str()));
+        core.keeper.quarantine_mut().record_crash(in_progress, site, now);
+    }
+
+    /// Ends a run whose every line is in the output.
+    pub(super) fn complete(&mut self, core: &mut Core, key: LedgerKey, end: StreamEnd) {
+        let Some(run) = self.runs.remove(&key) else { return };
+        let now = core.now();
+        let outcome = match end {
+            StreamEnd::Whole => {
+                let _not_running = core.ledger.finish(key, None, now);
+                Outcome::Done
+            }
+            StreamEnd::Cancelled | StreamEnd::Withdrawn | StreamEnd::Cut | StreamEnd::Crashed => {
+                let _not_running = core.ledger.fail(key, now);
+                Outcome::Unknown
+            }
+        };
+        if run.is_alone {
+            self.probation.end(run.req.fingerprint);
+            if end == StreamEnd::Whole {
+                core.keeper.quarantine_mut().record_clean_run(run.req.fingerprint, now);
+            }
+        }
+        core.count_outcome(outcome);
+        self.finish_output(key, end, now);
+        self.by_admitted.remove(run.admitted);
+        let due = self.admission.finish(run.admitted, now);
+        self.follow_up(core, &due);
+    }
+
+    pub(super) fn cancel_key(&mut self, core: &mut Core, key: LedgerKey) {
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        if !matches!(run.stage, Stage::Waiting | Stage::AwaitingProbation) {
+            self.engine.cancel(run.req.id.id.to_string());
+            // Dropping the permits ends the engine thread as soon as it reads another line.
+            run.stage = Stage::Cancelling;
+            run.held.clear();
+            return;
+        }
+        let admitted = run.admitted;
+        if run.is_alone {
+            self.probation.end(run.req.fingerprint);
+        }
+        self.runs.remove(&key);
+        self.by_admitted.remove(admitted);
+        let now = core.now();
+        let _not_running = core.ledger.withdraw(key, now);
+        core.count_outcome(Outcome::NotRun);
+        self.finish_output(key, StreamEnd::Withdrawn, now);
+        let due = self.admission.finish(admitted, now);
+        self.follow_up(core, &due);
+    }
+}
--- a/crates/persimmonmountd/src/sidecar/service.rs
+++ b/crates/persimmonmountd/src/sidecar/service.rs
@@ -89,6 +89,8 @@
 fn call(address: SocketAddr, run: &ServiceRun) -> ServiceNews {
     let request = minreq::post(format!("http://{address}/v1/calls"))
         .with_timeout(run.timeout_s)
+        // A call that is sent again to another place might run twice.
+        .with_follow_redirects(false)
         .with_header("traceparent", run.trace.child().to_string())
         .with_json(&run.body);
     match request.and_then(minreq::Request::send) {
