--- a/crates/persimmon_records/src/name.rs
+++ b/crates/persimmon_records/src/name.rs
@@ -22,6 +22,11 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// The shared text, to let equal names hold one copy.
+            pub(crate) fn shared_mut(&mut self) -> &mut Arc<str> {
+                &mut self.0
+            }
         }
 
         impl fmt::Display for $name {
--- a/crates/persimmon_records/src/workspace.rs
+++ b/crates/persimmon_records/src/workspace.rs
@@ -16,6 +16,13 @@
     pub in_progress: u32,
 }
 
+impl Limits {
+    /// Whether nothing gets through.
+    pub fn is_closed(&self) -> bool {
+        self.requests_per_second == 0 || self.in_progress == 0
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self { requests_per_second: 100, in_progress: 64 }
@@ -42,6 +49,9 @@
     /// Limits for each class.
     #[serde(default)]
     pub limits: PerClass<Limits>,
+    /// Limits on all classes together, beside those for each class.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub total_limits: Option<Limits>,
     /// The class of requests that name none.
     #[serde(default)]
     pub default_class: Class,
@@ -74,6 +84,7 @@
             services: Vec::new(),
             endpoints: Vec::new(),
             limits: PerClass::default(),
+            total_limits: None,
             default_class: Class::default(),
             expires_at: None,
         })
@@ -114,6 +125,13 @@
         self
     }
 
+    /// Sets the limits of all classes together.
+    #[must_use]
+    pub fn with_total_limits(mut self, limits: Limits) -> Self {
+        self.0.total_limits = Some(limits);
+        self
+    }
+
     /// Sets the class of requests that name none.
     #[must_use]
     pub fn with_default_class(mut self, class: Class) -> Self {
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -0,0 +1,240 @@
+//! The control thread of a sidecar: the only one that decides.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::{Receiver, Selector, Sender};
+use persimmon_decide::load::{CreditDemand, CreditHome, CreditReply, EndpointHash, LoadReport};
+use persimmon_decide::membership::{OwnState, ToldLoad, VmState};
+use persimmon_decide::recovery::{Phase, Work};
+use persimmon_records::{RecordIndex, Serves};
+
+use super::calls::Calls;
+use super::command::Command;
+use super::core::Core;
+use super::runs::Runs;
+use crate::common::{Keeper, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status};
+
+/// Longest pause between two looks at what has become due.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two sweeps of the ledger, in milliseconds.
+const LEDGER_SWEEP_MS: u64 = 10_000;
+
+/// What reaches the control thread.
+enum Input {
+    Command(Command),
+    Keeper(KeeperCommand),
+}
+
+/// The decisions of one sidecar.
+pub(crate) struct Control {
+    pub(crate) core: Core,
+    pub(crate) runs: Runs,
+    pub(crate) calls: Calls,
+    pub(crate) readiness: Readiness,
+    pub(crate) zone: String,
+    pub(crate) keeper: Keeper,
+    pub(crate) credits: CreditHome,
+    /// Share of the published endpoints that this sidecar sees alive.
+    pub(crate) seen_share: f64,
+    /// Whether the process was asked to stop.
+    pub(crate) is_stopping: bool,
+}
+
+impl Control {
+    /// Handles commands until the process may end.
+    pub(crate) fn run(
+        mut self,
+        commands: &Receiver<Command>,
+        keeper_commands: &Receiver<KeeperCommand>,
+    ) {
+        let mut last_tick = self.core.now();
+        let mut last_sweep = last_tick;
+        loop {
+            let input = Selector::new()
+                .recv(commands, |command| command.map(Input::Command))
+                .recv(keeper_commands, |command| command.map(Input::Keeper))
+                .wait_timeout(TICK);
+            match input {
+                Ok(Ok(Input::Command(command))) => self.handle(command),
+                Ok(Ok(Input::Keeper(command))) => self.handle_keeper(command),
+                Ok(Err(_)) => return,
+                Err(_) => {}
+            }
+            let now = self.core.now();
+            if now.ms_since(last_tick) >= TICK.as_millis() as u64 {
+                last_tick = now;
+                self.tick();
+            }
+            if now.ms_since(last_sweep) >= LEDGER_SWEEP_MS {
+                last_sweep = now;
+                self.core.ledger.sweep(now);
+            }
+            let is_done = self.core.leaving.phase(self.core.clocks()) == Phase::Done;
+            // A drained sidecar that wasn't asked to stop stays: callers may still ask for answers.
+            if self.is_stopping && is_done {
+                tracing::info!("sidecar: nothing is in progress; the process ends.");
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Submit { req, frames, reply } => {
+                self.observe();
+                let admission = self.runs.submit(&mut self.core, &mut self.keeper, req, frames);
+                send(&reply, admission);
+            }
+            Command::Resume { position, frames, reply } => {
+                let refused = self.runs.resume(&mut self.core, &position, frames).err();
+                send(&reply, refused);
+            }
+            Command::Settle { request, reply } => {
+                send(&reply, self.runs.settle(&mut self.core, &request));
+            }
+            Command::Cancel { request } => {
+                self.runs.cancel(&mut self.core, &mut self.keeper, &request);
+            }
+            Command::Acknowledge { key, next } => {
+                self.runs.acknowledge(&mut self.core, &mut self.keeper, key, next);
+            }
+            Command::Claim { req, reply } => {
+                self.observe();
+                send(&reply, self.calls.claim(&mut self.core, req));
+            }
+            Command::Call { call, reply } => {
+                self.observe();
+                self.calls.call(&mut self.core, &call, &reply);
+            }
+            Command::Credit { demand, reply } => send(&reply, self.grant(&demand)),
+            Command::Greet { reply } => send(&reply, self.core.ledger.stamp(self.core.now())),
+            Command::Engine(event) => {
+                self.runs.on_engine(&mut self.core, &mut self.keeper, event);
+            }
+            Command::Service(event) => self.calls.on_service(&mut self.core, event),
+            Command::Status { reply } => send(&reply, self.status()),
+            Command::Drain => {
+                self.is_stopping = true;
+                self.core.leaving.signal(self.core.clocks());
+            }
+            Command::EngineLife(life) => self.runs.on_engine_life(life),
+        }
+    }
+
+    /// Grants credits of a workspace's limit.
+    fn grant(&mut self, demand: &CreditDemand) -> CreditReply {
+        let workspace = self.core.workspace(&demand.key.workspace);
+        let per_second = workspace
+            .map_or(0, |workspace| workspace.limits.get(demand.key.class).requests_per_second);
+        self.credits.grant(demand, per_second, self.seen_share, self.core.now())
+    }
+
+    /// Lets the decision on leaving see the clocks, so that a pause of the process is noticed
+    /// before anything is admitted.
+    fn observe(&mut self) {
+        let work = Work {
+            requests: self.runs.in_progress() + self.calls.in_progress(),
+            unacknowledged: self.runs.being_taken(),
+        };
+        let clocks = self.core.clocks();
+        self.core.leaving.observe(work, clocks);
+    }
+
+    fn tick(&mut self) {
+        self.keeper.tick(self.own_state());
+        self.core.is_started = self.keeper.is_ready();
+        self.observe();
+        self.runs.tick(&mut self.core, &mut self.keeper);
+        let is_serving = self.core.check_serving().is_ok();
+        self.readiness.set(is_serving);
+        let load = self.runs.load();
+        let gauge = &self.core.metrics.in_progress;
+        gauge.with_label_values(&["running"]).set(i64::from(load.running));
+        gauge.with_label_values(&["waiting"]).set(i64::from(load.waiting));
+    }
+
+    fn handle_keeper(&mut self, command: KeeperCommand) {
+        for change in self.keeper.handle(command) {
+            match change {
+                KeeperChange::Adopted(records) => self.adopt(records),
+                KeeperChange::Confirmed { asked_at, heard } => {
+                    self.core.leaving.confirm_records(asked_at, heard);
+                }
+                KeeperChange::Listed => self.on_listed(),
+                KeeperChange::Loads(loads) => self.on_loads(&loads),
+                KeeperChange::Left(_) => {}
+            }
+        }
+    }
+
+    fn adopt(&mut self, records: Arc<RecordIndex>) {
+        let generation = records.version().generation;
+        tracing::info!("sidecar: records of generation {generation} are in force.");
+        self.core.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
+        self.core.set_records(records);
+        self.runs.follow_records(&self.core);
+    }
+
+    fn on_listed(&mut self) {
+        let vms = &self.keeper.membership().vms().vms;
+        let own = vms.iter().find(|vm| vm.name.as_str() == self.core.name.as_str());
+        if let Some(vm) = own {
+            let clocks = self.core.clocks();
+            self.core.leaving.set_listed(vm.state == VmState::Leaving, clocks);
+        }
+    }
+
+    /// Takes in the loads of the endpoints that serve the same model.
+    fn on_loads(&mut self, loads: &[ToldLoad]) {
+        let Some(own) = self.core.endpoint() else { return };
+        let Serves::Model(model) = &own.serves else { return };
+        let peers = self.core.records().endpoints_of_model(model);
+        let reports: Vec<_> = peers
+            .filter(|peer| peer.name != own.name)
+            .filter_map(|peer| {
+                let hash = EndpointHash::of(&peer.name);
+                let told = loads.iter().find(|told| told.endpoint == hash)?;
+                let report =
+                    LoadReport { work: told.work, slots: peer.slots, ..LoadReport::default() };
+                Some((hash, report, told.measured_at))
+            })
+            .collect();
+        for (hash, report, at) in reports {
+            self.runs.observe(hash, report, at);
+        }
+    }
+
+    fn own_state(&self) -> OwnState {
+        OwnState {
+            work: self.runs.load().work,
+            leaving: self.core.leaving.cause().is_some(),
+            ..OwnState::default()
+        }
+    }
+
+    fn status(&self) -> Status {
+        let load = self.runs.load();
+        Status {
+            role: "sidecar",
+            name: self.core.name.to_string(),
+            zone: self.zone.clone(),
+            generation: self.keeper.generation().0,
+            records_source: self.keeper.records_source(),
+            leaving: self.core.leaving.cause().is_some(),
+            load: LoadStatus {
+                running: load.running,
+                waiting: load.waiting,
+                mean: self.runs.mean_per_slot(self.core.now()),
+            },
+            quarantined: self.keeper.quarantined(),
+            outcomes: self.core.counts(),
+            refused_records: self.keeper.trouble(),
+        }
+    }
+}
+
+fn send<T>(reply: &Sender<T>, message: T) {
+    // The asker may have given up waiting.
+    let _gone = reply.try_send(message);
+}
