Read digests from any place of the receive buffer

Cause: a digest was read in place, behind its 32-byte code in a buffer on the stack, and was dropped as unaligned wherever that buffer happened to lie; in the fleet under test every digest was, so no load, leaving mark or version came by digest. Ruled out: an aligned buffer at the receiver (any later change of the layout breaks it unseen); capnp's unaligned feature (slows every message).

--- a/crates/persimmon_wire/src/datagram.rs
+++ b/crates/persimmon_wire/src/datagram.rs
@@ -64,7 +64,8 @@
     if blake3::Hash::from_bytes(*code) != key.datagram_code(payload) {
         return Err(DatagramError::Key);
     }
-    let message = serialize::read_message_from_flat_slice(&mut payload, ReaderOptions::new())?;
+    // Copies into aligned segments: a payload behind the code lies anywhere in the receive buffer.
+    let message = serialize::read_message(&mut payload, ReaderOptions::new())?;
     read_digest(message.get_root()?)
 }
 
