--- a/crates/persimmonmountd/src/common/keeper/command.rs
+++ b/crates/persimmonmountd/src/common/keeper/command.rs
@@ -129,4 +129,6 @@
     Loads(Vec<ToldLoad>),
     /// Nodes are leaving.
     Left(Vec<NodeId>),
+    /// Nodes that left take work again in a later life.
+    Returned(Vec<NodeId>),
 }
--- a/crates/persimmonmountd/src/common/keeper/keeper.rs
+++ b/crates/persimmonmountd/src/common/keeper/keeper.rs
@@ -370,6 +370,9 @@
         if !received.left.is_empty() {
             changes.push(KeeperChange::Left(received.left));
         }
+        if !received.returned.is_empty() {
+            changes.push(KeeperChange::Returned(received.returned));
+        }
     }
 
     fn answer_for(&self, have: Option<SetVersion>) -> RecordsAnswer {
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -410,15 +410,18 @@
                         self.directory.digest(told.endpoint, told.work, told.measured_at);
                     }
                 }
-                KeeperChange::Left(nodes) => {
-                    for node in nodes {
-                        self.directory.set_leaving(EndpointHash(node.0), true);
-                    }
-                }
+                KeeperChange::Left(nodes) => self.set_leaving(&nodes, true),
+                KeeperChange::Returned(nodes) => self.set_leaving(&nodes, false),
             }
         }
     }
 
+    fn set_leaving(&mut self, nodes: &[NodeId], leaving: bool) {
+        for node in nodes {
+            self.directory.set_leaving(EndpointHash(node.0), leaving);
+        }
+    }
+
     fn tick(&mut self) {
         let leaving = self.draining_since.is_some();
         self.keeper.tick(OwnState { leaving, ..OwnState::default() });
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -150,7 +150,7 @@
                 }
                 KeeperChange::Listed => self.on_listed(),
                 KeeperChange::Loads(loads) => self.on_loads(&loads),
-                KeeperChange::Left(_) => {}
+                KeeperChange::Left(_) | KeeperChange::Returned(_) => {}
             }
         }
     }
--- a/crates/persimmonmountd/tests/process_leaving.rs
+++ b/crates/persimmonmountd/tests/process_leaving.rs
@@ -155,3 +155,21 @@
     assert_eq!(admitted_after(&fleet, LEAVING, frozen_at), 0, "work admitted after waking");
     fleet.close();
 }
+
+#[test]
+fn drain_undone_holds_until_the_next_life() {
+    let mut fleet = start_fleet();
+    fleet.publish_drain(LEAVING);
+    fleet.wait_in_force().unwrap();
+    fleet.publish_change(|records| change_endpoint(records, |endpoint| endpoint.draining = false));
+    let has_ended = fleet.daemons.wait_ended(LEAVING, DEADLINE);
+    assert!(has_ended.is_ok(), "{has_ended:?}");
+    fleet.daemons.restart(LEAVING).unwrap();
+    fleet.wait_serving().unwrap();
+    let restarted_at = unix_ms();
+    let load = Load::start(&fleet);
+    let is_served = wait_until(DEADLINE, || admitted_after(&fleet, LEAVING, restarted_at) > 0);
+    assert_eq!(load.stop(), Vec::<String>::new());
+    assert!(is_served, "the next life takes no work");
+    fleet.close();
+}
