--- /dev/null
+++ b/crates/persimmonmountd/tests/process_configuration.rs
@@ -0,0 +1,136 @@
+//! Records in force everywhere in time, through outages, stale reads, new processes and two
+//! operators who publish at once.
+
+use std::time::Duration;
+
+use persimmon_records::{Generation, KeyDigest, RecordSet};
+use persimmon_standins::fleet::{
+    Caller, ChatRequest, Fleet, IN_FORCE_DEADLINE, RECORDS_KEY, wait_until,
+};
+use persimmon_standins::{Engine, PlatformSwitch};
+use rstest::rstest;
+
+const MODEL: &str = "chat-large";
+const ROUTERS: [&str; 2] = ["router-1", "router-2"];
+const DEADLINE: Duration = Duration::from_secs(20);
+
+fn start_fleet() -> Fleet {
+    let fleet = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
+        .with_router("router-1", "zone-a")
+        .with_router("router-2", "zone-b")
+        .with_engine("engine-1", "zone-a", Engine::builder(MODEL))
+        .with_engine("engine-2", "zone-b", Engine::builder(MODEL))
+        .start()
+        .unwrap();
+    fleet.wait_serving().unwrap();
+    fleet
+}
+
+fn generation(fleet: &Fleet, daemon: &str) -> u64 {
+    fleet.daemons.status(daemon).unwrap()["generation"].as_u64().unwrap()
+}
+
+fn chat_status(fleet: &Fleet, router: &str) -> u16 {
+    let request = ChatRequest::new(MODEL, "still there?").with_max_tokens(1);
+    fleet.caller(router).unwrap().chat(&request).unwrap().status
+}
+
+#[test]
+fn every_change_is_in_force_in_time() {
+    let mut fleet = start_fleet();
+    for _ in 0..5 {
+        fleet.publish_change(|records| records.policy.load_floor += 1);
+        fleet.wait_in_force().unwrap();
+    }
+    fleet.close();
+}
+
+/// The platform goes stale or down after a change; a process that starts meanwhile must not begin
+/// with less than its peers have.
+#[rstest]
+#[case::stale(PlatformSwitch::Stale { versions_behind: 2 })]
+#[case::down(PlatformSwitch::Down)]
+#[case::silent(PlatformSwitch::Silent)]
+fn new_process_starts_from_what_peers_have(#[case] switch: PlatformSwitch) {
+    let mut fleet = start_fleet();
+    fleet.publish_change(|records| records.policy.load_floor += 1);
+    let published = fleet.publish_change(|records| records.policy.load_floor += 1);
+    fleet.wait_in_force().unwrap();
+    fleet.platform.switch(switch).unwrap();
+    for daemon in ["router-2", "engine-2"] {
+        fleet.daemons.restart(daemon).unwrap();
+    }
+    fleet.wait_serving().unwrap();
+    for daemon in fleet.daemons.names() {
+        assert_eq!(generation(&fleet, &daemon), published.0, "{daemon}");
+    }
+    assert_eq!(chat_status(&fleet, "router-2"), 200);
+    fleet.close();
+}
+
+#[test]
+fn faulty_records_are_refused_and_reported() {
+    let mut fleet = start_fleet();
+    let good = fleet.records().clone();
+    let mut faulty = good.clone();
+    faulty.generation.0 += 1;
+    faulty.policy.load_multiple = -1.0;
+    fleet.publish(faulty);
+    for daemon in fleet.daemons.names() {
+        let is_reported = wait_until(DEADLINE, || {
+            let status = fleet.daemons.status(&daemon).unwrap();
+            status["refused_records"].as_str().is_some_and(|text| text.contains("load_multiple"))
+        });
+        assert!(is_reported, "{daemon} doesn't name the field");
+        assert_eq!(generation(&fleet, &daemon), good.generation.0);
+    }
+    assert_eq!(chat_status(&fleet, "router-1"), 200);
+    fleet.publish(RecordSet { generation: Generation(9), ..good });
+    fleet.wait_in_force().unwrap();
+    let status = fleet.daemons.status("router-1").unwrap();
+    assert!(status["refused_records"].is_null(), "{status}");
+    fleet.close();
+}
+
+/// Two operators publish one generation with different keys for the workspace. On every router the
+/// same one of the two keys ends up valid, and the conflict is reported.
+#[test]
+fn two_operators_at_once_have_one_winner() {
+    let fleet = start_fleet();
+    let with_key = |key: &str| {
+        let mut records = fleet.records().clone();
+        records.generation.0 += 1;
+        records.workspaces[0].key_digests = vec![KeyDigest::of_key(key)];
+        records
+    };
+    let keys = ["key-of-operator-one", "key-of-operator-two"];
+    let sets = keys.map(with_key);
+    let winner = if sets[0].version() > sets[1].version() { 0 } else { 1 };
+    fleet.platform.publish(RECORDS_KEY, sets[0].to_text());
+    fleet.platform.publish(RECORDS_KEY, sets[1].to_text());
+    fleet.daemons.wait_in_force(sets[0].generation.0, IN_FORCE_DEADLINE).unwrap();
+    // The platform holds the second set. If the first has the higher digest it may never have been
+    // read, so it is published again, as its operator would.
+    fleet.platform.publish(RECORDS_KEY, sets[winner].to_text());
+    let is_valid = |router: &str, key: &str| {
+        let caller = Caller::new(fleet.daemons.listen(router).unwrap(), key);
+        caller.chat(&ChatRequest::new(MODEL, "hello").with_max_tokens(1)).unwrap().status == 200
+    };
+    for router in ROUTERS {
+        let has_winner = wait_until(IN_FORCE_DEADLINE, || is_valid(router, keys[winner]));
+        assert!(has_winner, "{router} doesn't have the winner in force");
+        assert!(!is_valid(router, keys[1 - winner]), "{router} has a mix in force");
+    }
+    fleet.platform.publish(RECORDS_KEY, sets[1 - winner].to_text());
+    for router in ROUTERS {
+        let is_reported = wait_until(DEADLINE, || {
+            let status = fleet.daemons.status(router).unwrap();
+            status["refused_records"]
+                .as_str()
+                .is_some_and(|text| text.contains("published at once"))
+        });
+        assert!(is_reported, "{router} doesn't report the conflict");
+        assert!(is_valid(router, keys[winner]), "{router} went over to the loser");
+    }
+    fleet.close();
+}
