--- a/crates/persimmon_wire/schema/fleet.capnp
+++ b/crates/persimmon_wire/schema/fleet.capnp
@@ -131,6 +131,8 @@
   whole @0;
   cancelled @1;
   cut @2;
+  crashed @3;
+  withdrawn @4;
 }
 
 struct Frame {
@@ -197,6 +199,8 @@
   workspace @0 :Text;
   class @1 :Class;
   wanted @2 :UInt32;
+  isTotal @3 :Bool;
+  # Whether the limit is that of all classes together.
 }
 
 struct CreditBatch {
--- a/crates/persimmon_wire/src/convert.rs
+++ b/crates/persimmon_wire/src/convert.rs
@@ -273,6 +273,8 @@
         StreamEnd::Whole => schema::StreamEnd::Whole,
         StreamEnd::Cancelled => schema::StreamEnd::Cancelled,
         StreamEnd::Cut => schema::StreamEnd::Cut,
+        StreamEnd::Crashed => schema::StreamEnd::Crashed,
+        StreamEnd::Withdrawn => schema::StreamEnd::Withdrawn,
     }
 }
 
@@ -281,6 +283,8 @@
         schema::StreamEnd::Whole => StreamEnd::Whole,
         schema::StreamEnd::Cancelled => StreamEnd::Cancelled,
         schema::StreamEnd::Cut => StreamEnd::Cut,
+        schema::StreamEnd::Crashed => StreamEnd::Crashed,
+        schema::StreamEnd::Withdrawn => StreamEnd::Withdrawn,
     }
 }
 
@@ -429,7 +433,8 @@
 /// Writes a demand for credits.
 pub fn write_credit_demand(mut builder: schema::credit_demand::Builder<'_>, demand: &CreditDemand) {
     builder.set_workspace(demand.key.workspace.as_str());
-    builder.set_class(write_class(demand.key.class));
+    builder.set_class(write_class(demand.key.class.unwrap_or_default()));
+    builder.set_is_total(demand.key.class.is_none());
     builder.set_wanted(demand.wanted);
 }
 
@@ -442,7 +447,8 @@
     reader: schema::credit_demand::Reader<'_>,
 ) -> Result<CreditDemand, WireError> {
     let workspace = read_text(reader.get_workspace()?)?.as_str().into();
-    let key = LimitKey { workspace, class: read_class(reader.get_class()?) };
+    let class = read_class(reader.get_class()?);
+    let key = LimitKey { workspace, class: (!reader.get_is_total()).then_some(class) };
     Ok(CreditDemand { key, wanted: reader.get_wanted() })
 }
 
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -7,27 +7,31 @@
 
 use flume::{Receiver, Selector, Sender};
 use hyper::StatusCode;
-use persimmon_decide::MonoMs;
 use persimmon_decide::load::{
     Candidate, ChatKey, ChatToken, CreditDemand, CreditPurse, Directory, EndpointHash, Holder,
     LimitKey, PlaceRequest, Placement, TokenKey, credit_home_of, rendezvous_score,
 };
 use persimmon_decide::membership::{NodeId, OwnState, VmState};
 use persimmon_decide::outcome::Outcome;
-use persimmon_decide::recovery::RetryBudget;
+use persimmon_decide::recovery::{Quarantine, RetryBudget, RunMode};
+use persimmon_decide::{Fingerprint, MonoMs};
 use persimmon_records::{
     Endpoint, EndpointName, RecordIndex, RecordSet, Serves, ServiceName, Workspace,
 };
 
-use super::command::{Command, HomeDemand, Payment, Plan, PlanRequest, PlannedEndpoint, Wanted};
+use super::command::{
+    Charge, Command, HomeDemand, Payment, Plan, PlanRequest, PlannedEndpoint, Wanted,
+};
 use super::failure::Failure;
 use crate::common::{
     Clock, Keeper, KeeperChange, KeeperCommand, LoadStatus, Metrics, OutcomeCounts, Readiness,
-    Status,
+    Status, rate_of,
 };
 
 /// Longest pause between two looks at what has become due.
 const TICK: Duration = Duration::from_millis(100);
+/// How long before a loan's end a router stops to offer requests, in milliseconds.
+const LOAN_END_MARGIN_MS: u64 = 1_000;
 /// Requests that wait for credits at once.
 const MAX_WAITING_FOR_CREDIT: usize = 4_096;
 /// How long an endpoint that couldn't be reached is tried only after all others, in milliseconds.
@@ -193,6 +197,10 @@
                 self.keeper.membership_mut().note_failure(NodeId(endpoint.0), now);
             }
             Command::Left { endpoint } => self.directory.set_leaving(endpoint, true),
+            Command::Crashed { endpoint, fingerprint } => {
+                let (site, now) = (NodeId(endpoint.0), self.clock.now());
+                self.keeper.quarantine_mut().record_crash([fingerprint], site, now);
+            }
             Command::AskBudget { reply } => self.ask_budget(&reply),
             Command::Ended { outcome } => self.count_outcome(outcome),
             Command::Status { reply } => send(&reply, self.status()),
@@ -220,7 +228,7 @@
             holders: Vec::new(),
             endpoints: Vec::new(),
             models: workspace.models.clone(),
-            payment: Payment { is_paid: true, demand: None, retry_after_ms: 0 },
+            charges: Vec::new(),
         };
         match req.wanted {
             Wanted::Models => {}
@@ -243,8 +251,14 @@
     /// Pays for a request that may go somewhere, if it counts against the limit.
     fn paid(&mut self, mut plan: Plan, is_charged: bool) -> Plan {
         if is_charged && !plan.endpoints.is_empty() {
-            let key = LimitKey { workspace: plan.workspace.clone(), class: plan.class };
-            (plan.payment, _) = self.pay(&key);
+            let workspace = self.records.workspace(&plan.workspace);
+            let has_total = workspace.is_some_and(|one| one.total_limits.is_some());
+            let classes = [Some(Some(plan.class)), has_total.then_some(None)];
+            for class in classes.into_iter().flatten() {
+                let key = LimitKey { workspace: plan.workspace.clone(), class };
+                let (payment, _) = self.pay(&key);
+                plan.charges.push(Charge { key, payment });
+            }
         }
         plan
     }
@@ -274,8 +288,7 @@
     /// Spends a credit. Also says whether the home has yet to answer.
     fn pay(&mut self, key: &LimitKey) -> (Payment, bool) {
         let workspace = self.records.workspace(&key.workspace);
-        let per_second =
-            workspace.map_or(0, |workspace| workspace.limits.get(key.class).requests_per_second);
+        let per_second = workspace.map_or(0, |workspace| rate_of(workspace, key.class));
         let spend = self.purse.spend(key, per_second, self.clock.now());
         let demand = spend.demand.and_then(|demand| self.home_demand(demand));
         let retry_after_ms = spend.retry_after_ms;
@@ -326,7 +339,8 @@
         wanted: &Wanted,
         plan: &mut Plan,
     ) -> Result<(), Failure> {
-        let Wanted::Chat { model, opening, token, prompt_tokens, max_tokens } = wanted else {
+        let Wanted::Chat { model, opening, token, prompt_tokens, max_tokens, fingerprint } = wanted
+        else {
             return Ok(());
         };
         if !workspace.models.contains(model) {
@@ -335,6 +349,9 @@
         let opening: Vec<_> = opening.iter().map(String::as_str).collect();
         plan.chat = ChatKey::of(&workspace.name, model, &opening);
         plan.holders = self.holders(token.as_deref(), plan.chat);
+        let now = self.clock.now();
+        let checked = self.keeper.quarantine().check(*fingerprint, now);
+        let mode = checked.map_err(|refusal| Failure::refused(refusal.into()))?;
         let target = Serves::Model(model.clone());
         let allowed: Vec<_> = workspace.endpoints.iter().map(EndpointHash::of).collect();
         let place = PlaceRequest {
@@ -345,7 +362,6 @@
             prompt_tokens: *prompt_tokens,
             tokens_to_generate: *max_tokens,
         };
-        let now = self.clock.now();
         let candidates = self.placement.place(&place, &self.directory, now);
         plan.endpoints = candidates
             .iter()
@@ -354,9 +370,28 @@
                 Some(PlannedEndpoint { candidate: *candidate, ..planned(endpoint) })
             })
             .collect();
+        if let RunMode::Alone { crashed } = mode {
+            plan.endpoints = self.probation_endpoint(*fingerprint, crashed, &target, &allowed);
+        }
         Ok(())
     }
 
+    /// The one endpoint on which a suspect may run, alone.
+    fn probation_endpoint(
+        &self,
+        fingerprint: Fingerprint,
+        crashed: NodeId,
+        target: &Serves,
+        allowed: &[EndpointHash],
+    ) -> Vec<PlannedEndpoint> {
+        let serving = self.directory.serving(target).filter(|view| !view.leaving);
+        let permitted = serving.filter(|view| allowed.is_empty() || allowed.contains(&view.hash));
+        let nodes = permitted.map(|view| NodeId(view.hash.0));
+        let chosen = Quarantine::probation_endpoint(fingerprint, crashed, nodes);
+        let endpoint = chosen.and_then(|node| self.by_hash.get(&EndpointHash(node.0)));
+        endpoint.map(planned).into_iter().collect()
+    }
+
     fn holders(&self, token: Option<&str>, chat: ChatKey) -> Vec<Holder> {
         let Some(token) = token else { return Vec::new() };
         match ChatToken::open(token, chat, &self.token_key) {
@@ -425,9 +460,19 @@
     fn tick(&mut self) {
         let leaving = self.draining_since.is_some();
         self.keeper.tick(OwnState { leaving, ..OwnState::default() });
+        self.note_ended_loans();
         self.update_readiness();
     }
 
+    /// Leaves out endpoints whose loan ends, so that no request takes the hop to be refused there.
+    fn note_ended_loans(&mut self) {
+        let wall = self.clock.unix().plus_ms(LOAN_END_MARGIN_MS);
+        let ended = |endpoint: &&Endpoint| endpoint.loan_ends_at.is_some_and(|at| wall >= at);
+        for endpoint in self.by_hash.values().filter(ended) {
+            self.directory.set_leaving(EndpointHash::of(&endpoint.name), true);
+        }
+    }
+
     fn adopt(&mut self, records: Arc<RecordIndex>) {
         let generation = records.version().generation;
         if let Err(err) = self.directory.follow(records.set()) {
@@ -482,7 +527,7 @@
             records_source: self.keeper.records_source(),
             leaving: self.draining_since.is_some(),
             load: LoadStatus { running, waiting: 0, mean: 0.0 },
-            quarantined: Vec::new(),
+            quarantined: self.keeper.quarantined(),
             outcomes: self.counts,
             refused_records: self.keeper.trouble(),
         }
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -13,7 +13,7 @@
 use super::command::Command;
 use super::core::Core;
 use super::runs::Runs;
-use crate::common::{Keeper, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status};
+use crate::common::{KeeperChange, KeeperCommand, LoadStatus, Readiness, Status, rate_of};
 
 /// Longest pause between two looks at what has become due.
 const TICK: Duration = Duration::from_millis(100);
@@ -33,10 +33,11 @@
     pub(crate) calls: Calls,
     pub(crate) readiness: Readiness,
     pub(crate) zone: String,
-    pub(crate) keeper: Keeper,
     pub(crate) credits: CreditHome,
     /// Share of the published endpoints that this sidecar sees alive.
     pub(crate) seen_share: f64,
+    /// Whether the process was asked to stop.
+    pub(crate) is_stopping: bool,
 }
 
 impl Control {
@@ -68,7 +69,9 @@
                 last_sweep = now;
                 self.core.ledger.sweep(now);
             }
-            if self.core.leaving.phase(self.core.clocks()) == Phase::Done {
+            let is_done = self.core.leaving.phase(self.core.clocks()) == Phase::Done;
+            // A drained sidecar that wasn't asked to stop stays: callers may still ask for answers.
+            if self.is_stopping && is_done {
                 tracing::info!("sidecar: nothing is in progress; the process ends.");
                 return;
             }
@@ -79,7 +82,8 @@
         match command {
             Command::Submit { req, frames, reply } => {
                 self.observe();
-                send(&reply, self.runs.submit(&mut self.core, req, frames));
+                let admission = self.runs.submit(&mut self.core, req, frames);
+                send(&reply, admission);
             }
             Command::Resume { position, frames, reply } => {
                 let refused = self.runs.resume(&mut self.core, &position, frames).err();
@@ -88,7 +92,9 @@
             Command::Settle { request, reply } => {
                 send(&reply, self.runs.settle(&mut self.core, &request));
             }
-            Command::Cancel { request } => self.runs.cancel(&mut self.core, &request),
+            Command::Cancel { request } => {
+                self.runs.cancel(&mut self.core, &request);
+            }
             Command::Acknowledge { key, next } => {
                 self.runs.acknowledge(&mut self.core, key, next);
             }
@@ -102,18 +108,23 @@
             }
             Command::Credit { demand, reply } => send(&reply, self.grant(&demand)),
             Command::Greet { reply } => send(&reply, self.core.ledger.stamp(self.core.now())),
-            Command::Engine(event) => self.runs.on_engine(&mut self.core, event),
+            Command::Engine(event) => {
+                self.runs.on_engine(&mut self.core, event);
+            }
             Command::Service(event) => self.calls.on_service(&mut self.core, event),
             Command::Status { reply } => send(&reply, self.status()),
-            Command::Drain => self.core.leaving.signal(self.core.clocks()),
+            Command::Drain => {
+                self.is_stopping = true;
+                self.core.leaving.signal(self.core.clocks());
+            }
+            Command::EngineLife(life) => self.runs.on_engine_life(life),
         }
     }
 
     /// Grants credits of a workspace's limit.
     fn grant(&mut self, demand: &CreditDemand) -> CreditReply {
         let workspace = self.core.workspace(&demand.key.workspace);
-        let per_second = workspace
-            .map_or(0, |workspace| workspace.limits.get(demand.key.class).requests_per_second);
+        let per_second = workspace.map_or(0, |workspace| rate_of(workspace, demand.key.class));
         self.credits.grant(demand, per_second, self.seen_share, self.core.now())
     }
 
@@ -129,8 +140,8 @@
     }
 
     fn tick(&mut self) {
-        self.keeper.tick(self.own_state());
-        self.core.is_started = self.keeper.is_ready();
+        let state = self.own_state();
+        self.core.keeper.tick(state);
         self.observe();
         self.runs.tick(&mut self.core);
         let is_serving = self.core.check_serving().is_ok();
@@ -142,7 +153,7 @@
     }
 
     fn handle_keeper(&mut self, command: KeeperCommand) {
-        for change in self.keeper.handle(command) {
+        for change in self.core.keeper.handle(command) {
             match change {
                 KeeperChange::Adopted(records) => self.adopt(records),
                 KeeperChange::Confirmed { asked_at, heard } => {
@@ -164,7 +175,7 @@
     }
 
     fn on_listed(&mut self) {
-        let vms = &self.keeper.membership().vms().vms;
+        let vms = &self.core.keeper.membership().vms().vms;
         let own = vms.iter().find(|vm| vm.name.as_str() == self.core.name.as_str());
         if let Some(vm) = own {
             let clocks = self.core.clocks();
@@ -206,17 +217,17 @@
             role: "sidecar",
             name: self.core.name.to_string(),
             zone: self.zone.clone(),
-            generation: self.keeper.generation().0,
-            records_source: self.keeper.records_source(),
+            generation: self.core.keeper.generation().0,
+            records_source: self.core.keeper.records_source(),
             leaving: self.core.leaving.cause().is_some(),
             load: LoadStatus {
                 running: load.running,
                 waiting: load.waiting,
                 mean: self.runs.mean_per_slot(self.core.now()),
             },
-            quarantined: Vec::new(),
+            quarantined: self.core.keeper.quarantined(),
             outcomes: self.core.counts(),
-            refused_records: self.keeper.trouble(),
+            refused_records: self.core.keeper.trouble(),
         }
     }
 }
