--- a/crates/persimmonmountd/src/router/chat.rs
+++ b/crates/persimmonmountd/src/router/chat.rs
@@ -8,7 +8,8 @@
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use persimmon_decide::load::{ChatToken, EndpointHash, Holder};
-use persimmon_decide::outcome::{Dispatch, DispatchLimits, Outcome, Repeatability, Stamp};
+use persimmon_decide::outcome::{Cause, Dispatch, DispatchLimits, Outcome, Repeatability, Stamp};
+use persimmon_decide::recovery::{QuarantineSettings, RetryPacer};
 use persimmon_decide::{Attempt, Fingerprint, Incarnation, MonoMs};
 use persimmon_wire::{ModelRequest, RequestRef};
 
@@ -23,6 +24,7 @@
 use super::render::{RenderParts, Renderer};
 use super::routes::plan;
 use super::traffic::TrafficCx;
+use crate::common::random_u64;
 
 /// Sendings of one request.
 const MAX_ATTEMPTS: u32 = 10;
@@ -122,7 +124,7 @@
         Outcome::Done | Outcome::Unknown => StatusCode::BAD_GATEWAY,
     };
     let failure = match end.cause {
-        persimmon_decide::outcome::Cause::Refused(refusal) => {
+        Cause::Refused(refusal) => {
             let refused = persimmon_wire::Refused {
                 refusal,
                 retry_after_ms: end.retry_after_ms.unwrap_or_default(),
@@ -131,12 +133,23 @@
         }
         cause => Failure::failed(status, cause.as_str(), end.outcome, cause.to_string()),
     };
-    match end.retry_after_ms {
+    match end.retry_after_ms.or_else(|| own_retry_after_ms(end.cause)) {
         Some(ms) => failure.with_retry_after_ms(ms),
         None => failure,
     }
 }
 
+/// When to come back where no sidecar said so. Callers that failed together come back apart.
+fn own_retry_after_ms(cause: Cause) -> Option<u64> {
+    let after_s = match cause {
+        // The fleet has to hear of the crash before the request runs again.
+        Cause::Crashed => u64::from(QuarantineSettings::default().spread_s),
+        Cause::NoEndpoint | Cause::BudgetSpent | Cause::Withdrawn | Cause::DeadlinePassed => 1,
+        _ => return None,
+    };
+    Some(RetryPacer::retry_after_s(after_s, random_u64()) * 1_000)
+}
+
 fn stopped() -> Failure {
     Failure::failed(
         StatusCode::BAD_GATEWAY,
