--- a/crates/persimmon_standins/src/fleet/error.rs
+++ b/crates/persimmon_standins/src/fleet/error.rs
@@ -35,8 +35,8 @@
     },
     /// A process didn't adopt the published records.
     #[error(
-        "{name} didn't put generation {generation} in force and take requests in time; its status \
-         is {status} and its log ends:\n{log}"
+        "{name} didn't put generation {generation} in force in time; its status is {status} and its \
+         log ends:\n{log}"
     )]
     NotInForce {
         /// The process.
