--- a/crates/persimmonmountd/src/common/mod.rs
+++ b/crates/persimmonmountd/src/common/mod.rs
@@ -1,6 +1,7 @@
 //! What both roles need: settings, clock, logs, traces, metrics and the operators' pages.
 
 mod clock;
+mod inputs;
 mod keeper;
 mod limits;
 mod logging;
@@ -15,6 +16,7 @@
 mod trace_context;
 
 pub(crate) use clock::Clock;
+pub(crate) use inputs::{Input, ask, next_input};
 pub(crate) use keeper::{
     Greeter, Greeting, Keeper, KeeperChange, KeeperCommand, Life, NoSidecar, NodeCalls,
     start_keeper,
--- /dev/null
+++ b/crates/persimmonmountd/src/router/control/payments.rs
@@ -0,0 +1,79 @@
+//! Requests against the workspaces' limits.
+
+use flume::Sender;
+use persimmon_decide::MonoMs;
+use persimmon_decide::load::{CreditDemand, CreditPurse, EndpointHash, LimitKey, credit_home_of};
+
+use super::super::command::{Charge, HomeDemand, Payment, Plan};
+use super::{Control, planned, send};
+use crate::common::rate_of;
+
+/// Requests that wait for credits at once.
+const MAX_WAITING_FOR_CREDIT: usize = 4_096;
+
+/// A request that waits for the home of its limit.
+pub(super) struct WaitingForCredit {
+    pub(super) key: LimitKey,
+    reply: Sender<Payment>,
+    pub(super) until: MonoMs,
+}
+
+impl Control {
+    /// Pays for a request that may go somewhere, if it counts against the limit.
+    pub(super) fn paid(&mut self, mut plan: Plan, is_charged: bool) -> Plan {
+        if is_charged && !plan.endpoints.is_empty() {
+            let workspace = self.records.workspace(&plan.workspace);
+            let has_total = workspace.is_some_and(|one| one.total_limits.is_some());
+            let classes = [Some(Some(plan.class)), has_total.then_some(None)];
+            for class in classes.into_iter().flatten() {
+                let key = LimitKey { workspace: plan.workspace.clone(), class };
+                let (payment, _) = self.pay(&key);
+                plan.charges.push(Charge { key, payment });
+            }
+        }
+        plan
+    }
+
+    /// Pays for a request now, or once the home has answered.
+    pub(super) fn spend_again(&mut self, key: LimitKey, reply: Sender<Payment>) {
+        let (payment, awaits_home) = self.pay(&key);
+        if payment.is_paid || !awaits_home || self.waiting.len() >= MAX_WAITING_FOR_CREDIT {
+            send(&reply, payment);
+            return;
+        }
+        let until = self.clock.now().plus_ms(CreditPurse::ANSWER_MS);
+        self.waiting.push(WaitingForCredit { key, reply, until });
+    }
+
+    /// Answers the requests that wait for credits and match.
+    pub(super) fn pay_waiting(&mut self, is_due: impl Fn(&WaitingForCredit) -> bool) {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (due, rest) = waiting.into_iter().partition(is_due);
+        self.waiting = rest;
+        for WaitingForCredit { key, reply, .. } in due {
+            let (payment, _) = self.pay(&key);
+            send(&reply, payment);
+        }
+    }
+
+    /// Spends a credit. Also says whether the home has yet to answer.
+    pub(super) fn pay(&mut self, key: &LimitKey) -> (Payment, bool) {
+        let workspace = self.records.workspace(&key.workspace);
+        let per_second = workspace.map_or(0, |workspace| rate_of(workspace, key.class));
+        let spend = self.purse.spend(key, per_second, self.clock.now());
+        let demand = spend.demand.and_then(|demand| self.home_demand(demand));
+        let retry_after_ms = spend.retry_after_ms;
+        (Payment { is_paid: spend.paid, demand, retry_after_ms }, spend.awaits_home)
+    }
+
+    pub(super) fn home_demand(&self, demand: CreditDemand) -> Option<HomeDemand> {
+        let now = self.clock.now();
+        let is_live = |hash: &EndpointHash| {
+            let view = self.directory.view(*hash);
+            view.is_some_and(|view| !view.leaving && !view.is_suspect(now))
+        };
+        let live = self.by_hash.keys().copied().filter(is_live);
+        let home = credit_home_of(&demand.key, live)?;
+        Some(HomeDemand { home: planned(self.by_hash.get(&home)?), demand })
+    }
+}
--- a/crates/persimmonmountd/src/router/exchange.rs
+++ b/crates/persimmonmountd/src/router/exchange/mod.rs
@@ -1,5 +1,7 @@
 //! Takes one model request through its endpoints, as its dispatch decides.
 
+mod calls;
+
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -9,14 +11,12 @@
 use persimmon_decide::load::{EndpointHash, TryOrder};
 use persimmon_decide::outcome::{
     Action, Assembly, Body, Dispatch, Event, Final, Frame as AnswerFrame, FrameId, Heartbeat,
-    HeartbeatLimits, Pulse, Refusal, Stamp, StreamEnd,
+    HeartbeatLimits, Pulse, Stamp, StreamEnd,
 };
 use persimmon_decide::{Attempt, MonoMs, Offset};
 use persimmon_records::{EndpointName, WorkspaceName};
-use persimmon_wire::fleet_capnp::{frame_sink, resumption, sidecar};
-use persimmon_wire::{
-    Admission, Frame, FrameBody, ModelRequest, Refused, RequestRef, StreamPosition, read_settled,
-};
+use persimmon_wire::fleet_capnp::frame_sink;
+use persimmon_wire::{Frame, FrameBody, ModelRequest};
 use tokio::time::{Instant, timeout};
 
 use super::command::{Command, PlannedEndpoint};
@@ -24,8 +24,6 @@
 use super::sink::{FRAMES_WAITING, Hearing, Sink};
 use super::traffic::TrafficCx;
 
-/// Time that a sidecar has to answer a call on a connection that is known to work.
-const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time that a caller has to take the next piece of its answer.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pieces that wait for the caller.
@@ -122,8 +120,10 @@
     pub(crate) async fn resume(mut self, stamp: Stamp, offset: Offset) {
         self.resume_from = Some(offset);
         self.tried = self.parts.endpoints.clone();
-        let endpoint = self.tried.first().map(|endpoint| endpoint.name.clone());
-        let endpoint = endpoint.unwrap_or_else(|| "".into());
+        let Some(endpoint) = self.tried.first().map(|endpoint| endpoint.name.clone()) else {
+            let first = self.parts.dispatch.start_resume();
+            return self.drive(first).await;
+        };
         let source = Source { candidate: 0, endpoint, stamp };
         let (_closed, frames) = flume::bounded(0);
         let hearing = self.hearing(false);
@@ -169,161 +169,6 @@
         }
     }
 
-    async fn submit(&mut self, candidate: usize, attempt: Attempt) -> Event {
-        let Some((endpoint, told_per_slot)) = self.next_endpoint() else {
-            return Event::ConnectFailed { attempt };
-        };
-        let was_tried = self.tried.iter().any(|tried| tried.hash == endpoint.hash);
-        self.tried.push(endpoint.clone());
-        self.parts.template.told_per_slot = told_per_slot;
-        let link = match was_tried {
-            true => self.cx.pool.restamped_link(&endpoint).await,
-            false => self.cx.pool.link(&endpoint).await,
-        };
-        let link = match link {
-            Ok(link) => link,
-            Err(err) => {
-                tracing::warn!("router: {} can't be reached: {err}.", endpoint.name);
-                self.cx.tell(Command::Suspect { endpoint: endpoint.hash });
-                return Event::ConnectFailed { attempt };
-            }
-        };
-        match self.send(&link, &endpoint, candidate, attempt).await {
-            Some(admission) => self.on_admission(&endpoint, attempt, admission),
-            None => {
-                self.cx.pool.discard(&endpoint.name);
-                self.cx.tell(Command::Suspect { endpoint: endpoint.hash });
-                Event::Lost { attempt }
-            }
-        }
-    }
-
-    /// The next endpoint to try, and the mean load to tell it.
-    fn next_endpoint(&mut self) -> Option<(PlannedEndpoint, Option<f64>)> {
-        let next = self.order.next_try()?;
-        let is_next = |endpoint: &&PlannedEndpoint| endpoint.hash == next.candidate.endpoint;
-        let endpoint = self.parts.endpoints.iter().find(is_next)?.clone();
-        Some((endpoint, next.told_per_slot))
-    }
-
-    /// Sends the request; none if no reply came in time.
-    async fn send(
-        &mut self,
-        link: &Link,
-        endpoint: &PlannedEndpoint,
-        candidate: usize,
-        attempt: Attempt,
-    ) -> Option<Admission> {
-        let sink = self.open_stream(candidate, link.stamp, link.is_reused);
-        let mut call = link.sidecar.submit_request();
-        let mut params = call.get();
-        let left_ms = self.parts.deadline.ms_since(self.cx.clock.now());
-        let req = ModelRequest {
-            id: self.request_ref(link.stamp),
-            attempt,
-            uncached_tokens: self.uncached_tokens(endpoint),
-            deadline_ms: left_ms,
-            ..self.parts.template.clone()
-        };
-        req.write(params.reborrow().init_request());
-        params.set_sink(sink);
-        let limit = self.reply_limit(link);
-        let reply = timeout(limit, call.send().promise).await.ok()?.ok()?;
-        let admission = Admission::read(reply.get().ok()?.get_admission().ok()?).ok()?;
-        self.cx.pool.note_stamp(&endpoint.name, admission.stamp);
-        Some(admission)
-    }
-
-    fn on_admission(
-        &mut self,
-        endpoint: &PlannedEndpoint,
-        attempt: Attempt,
-        admission: Admission,
-    ) -> Event {
-        self.cx.tell(Command::Loaded { endpoint: endpoint.hash, load: admission.load });
-        let Some(refused) = admission.refused else {
-            let work = endpoint.candidate.work;
-            self.cx.tell(Command::Sent { endpoint: endpoint.hash, work });
-            return Event::Accepted { attempt };
-        };
-        self.stream = None;
-        if refused.refusal == Refusal::OverBound {
-            self.order.refused(admission.load);
-        }
-        if refused.refusal == Refusal::Leaving {
-            self.cx.tell(Command::Left { endpoint: endpoint.hash });
-        }
-        let retry_after_ms = (refused.retry_after_ms > 0).then_some(refused.retry_after_ms);
-        Event::Refused { attempt, refusal: refused.refusal, retry_after_ms }
-    }
-
-    /// Opens a new connection and goes on with the answer over it.
-    async fn reopen(&mut self, candidate: usize, attempt: Attempt) -> Event {
-        let Some((endpoint, stamp)) = self.sent_to(candidate) else {
-            return Event::ResumeRefused { attempt };
-        };
-        let Ok(link) = self.cx.pool.fresh_link(&endpoint).await else {
-            return Event::Lost { attempt };
-        };
-        let offset = self.next_offset();
-        let sink = self.open_stream(candidate, stamp, false);
-        let position = StreamPosition { id: self.request_ref(stamp), attempt, offset };
-        let mut call = link.sidecar.resume_request();
-        let mut params = call.get();
-        position.write(params.reborrow().init_position());
-        params.set_sink(sink);
-        let Ok(Ok(reply)) = timeout(CALL_TIMEOUT, call.send().promise).await else {
-            return Event::Lost { attempt };
-        };
-        let refused = reply.get().and_then(|reply| refused_resumption(reply.get_resumption()?));
-        match refused {
-            Ok(None) => Event::Resumed { attempt },
-            Ok(Some(refused)) => {
-                tracing::info!("router: an answer can't be resumed: {}.", refused.refusal);
-                Event::ResumeRefused { attempt }
-            }
-            Err(_) => Event::Lost { attempt },
-        }
-    }
-
-    async fn settle(&mut self, candidate: usize, attempt: Attempt) -> Event {
-        let Some((endpoint, stamp)) = self.sent_to(candidate) else {
-            return Event::Lost { attempt };
-        };
-        let Ok(link) = self.cx.pool.fresh_link(&endpoint).await else {
-            return Event::Lost { attempt };
-        };
-        let mut call = link.sidecar.settle_request();
-        self.request_ref(stamp).write(call.get().init_request());
-        let Ok(Ok(reply)) = timeout(CALL_TIMEOUT, call.send().promise).await else {
-            return Event::Lost { attempt };
-        };
-        match reply.get().map(sidecar::settle_results::Reader::get_settled) {
-            Ok(Ok(settled)) => Event::Settled { attempt, settled: read_settled(settled) },
-            _ => Event::Lost { attempt },
-        }
-    }
-
-    /// Tells a sidecar to stop the request, without waiting for its reply.
-    fn cancel(&mut self, candidate: usize, attempt: Attempt) {
-        let Some((endpoint, stamp)) = self.sent_to(candidate) else { return };
-        let request = self.request_ref(stamp);
-        let cx = self.cx.clone();
-        tracing::debug!("router: attempt {} is cancelled.", attempt.0);
-        tokio::task::spawn_local(async move {
-            let Ok(link) = cx.pool.link(&endpoint).await else { return };
-            let mut call = link.sidecar.cancel_request();
-            request.write(call.get().init_request());
-            let _lost = timeout(CALL_TIMEOUT, call.send().promise).await;
-        });
-    }
-
-    async fn ask_budget(&self) -> Event {
-        let (reply, rx) = flume::bounded(1);
-        self.cx.tell(Command::AskBudget { reply });
-        Event::Budget { granted: rx.recv_async().await.unwrap_or(false) }
-    }
-
     /// Waits for a frame, for silence or for the deadline.
     async fn next_event(&mut self) -> Result<Event, CallerGone> {
         loop {
@@ -406,15 +251,14 @@
     fn open_stream(
         &mut self,
         candidate: usize,
-        stamp: Stamp,
-        is_reused: bool,
+        endpoint: &PlannedEndpoint,
+        link: &Link,
     ) -> frame_sink::Client {
         let (tx, frames) = flume::bounded(FRAMES_WAITING);
-        let hearing = self.hearing(is_reused);
+        let hearing = self.hearing(link.is_reused);
         let sink = Sink { frames: tx, hearing: hearing.clone(), clock: self.cx.clock };
-        let endpoint = self.tried.get(candidate).map(|endpoint| endpoint.name.clone());
-        let endpoint = endpoint.unwrap_or_else(|| "".into());
-        let source = Source { candidate, endpoint, stamp };
+        let stamp = link.stamp;
+        let source = Source { candidate, endpoint: endpoint.name.clone(), stamp };
         self.stream = Some(Stream { frames, hearing, source });
         let id = FrameId {
             request: self.parts.template.id.id,
@@ -461,27 +305,4 @@
         let next = self.assembly.as_ref().map(Assembly::next_offset);
         next.or(self.resume_from).unwrap_or_default()
     }
-
-    fn request_ref(&self, stamp: Stamp) -> RequestRef {
-        RequestRef { workspace: self.parts.workspace.clone(), id: self.parts.template.id.id, stamp }
-    }
-
-    fn uncached_tokens(&self, endpoint: &PlannedEndpoint) -> u32 {
-        self.parts.template.uncached_tokens.saturating_sub(endpoint.candidate.cached_tokens)
-    }
-
-    fn reply_limit(&self, link: &Link) -> Duration {
-        if link.is_reused {
-            Duration::from_millis(HeartbeatLimits::default().first_ack_ms)
-        } else {
-            CALL_TIMEOUT
-        }
-    }
-}
-
-fn refused_resumption(reader: resumption::Reader<'_>) -> capnp::Result<Option<Refused>> {
-    match reader.which()? {
-        resumption::Resumed(()) => Ok(None),
-        resumption::Refused(refused) => Ok(Some(Refused::read(refused?)?)),
-    }
 }
--- a/crates/persimmonmountd/src/router/mod.rs
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -25,7 +25,7 @@
 use self::control::{Control, ControlParts, InProgress};
 use self::traffic::{Traffic, TrafficParts};
 use crate::common::{
-    Life, Metrics, NoSidecar, NodeCalls, OpsServer, PeerServer, Readiness, RouterSettings,
+    Life, Metrics, NoSidecar, NodeCalls, OpsServer, PeerServer, Readiness, RouterSettings, ask,
     on_stop_signal, print_ready, start_keeper,
 };
 
@@ -74,11 +74,7 @@
     let traffic = Traffic::start(settings.listen, threads, connections, &parts)?;
 
     let status_commands = commands.clone();
-    let status = move || {
-        let (reply, rx) = flume::bounded(1);
-        status_commands.send(Command::Status { reply }).ok()?;
-        rx.recv().ok()
-    };
+    let status = move || ask(&status_commands, |reply| Command::Status { reply });
     let ops = OpsServer::start(common.ops_listen, metrics, readiness, status)?;
     on_stop_signal(move || {
         let _ended = commands.send(Command::Drain);
--- a/crates/persimmonmountd/src/router/pool.rs
+++ b/crates/persimmonmountd/src/router/pool.rs
@@ -60,6 +60,13 @@
 }
 
 impl Link {
+    /// The same connection, for a request that was sent with another stamp.
+    #[must_use]
+    pub(crate) fn with_stamp(mut self, stamp: Stamp) -> Self {
+        self.stamp = stamp;
+        self
+    }
+
     /// Ends once the connection has gone silent. The sidecar answers a greeting at once, whatever
     /// else it is asked on the connection.
     pub(crate) async fn silence(&self) {
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flume::{Receiver, Selector, Sender};
+use flume::{Receiver, Sender};
 use persimmon_decide::load::{CreditDemand, CreditHome, CreditReply, EndpointHash, LoadReport};
 use persimmon_decide::membership::{NodeId, OwnState, ToldLoad, VmName, VmState};
 use persimmon_decide::recovery::{Phase, Work};
@@ -13,7 +13,9 @@
 use super::command::Command;
 use super::core::Core;
 use super::runs::Runs;
-use crate::common::{KeeperChange, KeeperCommand, LoadStatus, Readiness, Status, rate_of};
+use crate::common::{
+    Input, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status, next_input, rate_of,
+};
 
 /// Longest pause between two looks at what has become due.
 const TICK: Duration = Duration::from_millis(100);
@@ -22,12 +24,6 @@
 /// Time between two sweeps of the ledger, in milliseconds.
 const LEDGER_SWEEP_MS: u64 = 10_000;
 
-/// What reaches the control thread.
-enum Input {
-    Command(Command),
-    Keeper(KeeperCommand),
-}
-
 /// The decisions of one sidecar.
 pub(crate) struct Control {
     pub(crate) core: Core,
@@ -50,15 +46,11 @@
         let mut last_tick = self.core.now();
         let mut last_sweep = last_tick;
         loop {
-            let input = Selector::new()
-                .recv(commands, |command| command.map(Input::Command))
-                .recv(keeper_commands, |command| command.map(Input::Keeper))
-                .wait_timeout(TICK);
-            match input {
-                Ok(Ok(Input::Command(command))) => self.handle(command),
-                Ok(Ok(Input::Keeper(command))) => self.handle_keeper(command),
-                Ok(Err(_)) => return,
-                Err(_) => {}
+            match next_input(commands, keeper_commands, TICK) {
+                Input::Command(command) => self.handle(command),
+                Input::Keeper(command) => self.handle_keeper(command),
+                Input::Closed => return,
+                Input::Nothing => {}
             }
             let now = self.core.now();
             if now.ms_since(last_tick) >= TICK.as_millis() as u64 {
--- a/crates/persimmonmountd/src/sidecar/mod.rs
+++ b/crates/persimmonmountd/src/sidecar/mod.rs
@@ -25,8 +25,8 @@
 use self::runs::Runs;
 use self::service::Service;
 use crate::common::{
-    Life, Metrics, NodeCalls, OpsServer, PeerServer, Readiness, SidecarSettings, on_stop_signal,
-    print_ready, start_keeper,
+    Life, Metrics, NodeCalls, OpsServer, PeerServer, Readiness, SidecarSettings, ask,
+    on_stop_signal, print_ready, start_keeper,
 };
 
 /// Commands that wait for the control thread.
@@ -71,11 +71,7 @@
     };
 
     let status_commands = commands.clone();
-    let status = move || {
-        let (reply, rx) = flume::bounded(1);
-        status_commands.send(Command::Status { reply }).ok()?;
-        rx.recv().ok()
-    };
+    let status = move || ask(&status_commands, |reply| Command::Status { reply });
     let ops = OpsServer::start(common.ops_listen, metrics, readiness, status)?;
     on_stop_signal(move || {
         let _ended = commands.send(Command::Drain);
