--- a/crates/persimmonmountd/src/common/inputs.rs
+++ b/crates/persimmonmountd/src/common/inputs.rs
@@ -12,7 +12,7 @@
     /// A command to the role.
     Command(C),
     /// A command to the keeper.
-    Keeper(KeeperCommand),
+    Keeper(Box<KeeperCommand>),
     /// Nothing came in time.
     Nothing,
     /// Every sender is gone.
@@ -27,7 +27,7 @@
 ) -> Input<C> {
     let input = Selector::new()
         .recv(commands, |command| command.map(Input::Command))
-        .recv(keeper, |command| command.map(Input::Keeper))
+        .recv(keeper, |command| command.map(|command| Input::Keeper(Box::new(command))))
         .wait_timeout(wait);
     match input {
         Ok(Ok(input)) => input,
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -48,7 +48,7 @@
         loop {
             match next_input(commands, keeper_commands, TICK) {
                 Input::Command(command) => self.handle(command),
-                Input::Keeper(command) => self.handle_keeper(command),
+                Input::Keeper(command) => self.handle_keeper(*command),
                 Input::Closed => return,
                 Input::Nothing => {}
             }
