--- a/crates/persimmon_decide/tests/load_placement.rs
+++ b/crates/persimmon_decide/tests/load_placement.rs
@@ -109,6 +109,19 @@
     assert!(directory.view(hash(0)).is_none());
 }
 
+#[test]
+fn follow_takes_back_a_drain() {
+    let mut directory = directory(1);
+    for draining in [true, false] {
+        let endpoint = EndpointBuilder::new("engine-0", ([127, 0, 0, 1], 1).into())
+            .with_serves(target())
+            .with_draining(draining);
+        let records = RecordSet { endpoints: vec![endpoint.build()], ..RecordSet::empty() };
+        directory.follow(&records).unwrap();
+        assert_eq!(place(&directory, &[], 0).is_empty(), draining);
+    }
+}
+
 #[test]
 fn rank_gives_shares_by_slots() {
     let endpoints = [(EndpointHash(1), 8), (EndpointHash(2), 16)];
@@ -216,8 +229,9 @@
         mean.observe(EndpointHash(1), report(8_000 - 800 * second), MonoMs(second * 1_000));
         mean.tick(MonoMs(second * 1_000 + 2_000));
     }
-    // The last report says 5,600 for 8 slots, falls by 800 a second and is 2 s old.
-    assert!((mean.per_slot(MonoMs(5_000)) - 500.0).abs() < 1.0);
+    // The last report says 5,600 for 8 slots, is 2 s old, and falls by 100 a second and slot.
+    let expected = 700.0 - 100.0 * 2.0 * MeanLoad::PROJECTED_AGES;
+    assert!((mean.per_slot(MonoMs(5_000)) - expected).abs() < 1.0);
 }
 
 #[test]
--- a/crates/persimmon_standins/src/fleet/daemons.rs
+++ b/crates/persimmon_standins/src/fleet/daemons.rs
@@ -181,8 +181,9 @@
                 continue;
             };
             if !wait_until(deadline, || in_force(name)) {
+                let status = self.status(name).unwrap_or_default().to_string();
                 let (name, log) = (name.clone(), process.log_end());
-                return Err(FleetError::NotInForce { name, generation, log });
+                return Err(FleetError::NotInForce { name, generation, status, log });
             }
         }
         Ok(())
--- a/crates/persimmonmountd/src/common/mod.rs
+++ b/crates/persimmonmountd/src/common/mod.rs
@@ -1,7 +1,9 @@
 //! What both roles need: settings, clock, logs, traces, metrics and the operators' pages.
 
 mod clock;
+mod inputs;
 mod keeper;
+mod limits;
 mod logging;
 mod metrics;
 mod ops;
@@ -14,10 +16,12 @@
 mod trace_context;
 
 pub(crate) use clock::Clock;
+pub(crate) use inputs::{Input, ask, next_input};
 pub(crate) use keeper::{
     Greeter, Greeting, Keeper, KeeperChange, KeeperCommand, Life, NoSidecar, NodeCalls,
     start_keeper,
 };
+pub(crate) use limits::rate_of;
 pub(crate) use logging::start_logging;
 pub(crate) use metrics::Metrics;
 pub(crate) use ops::{OpsServer, Readiness};
--- a/crates/persimmonmountd/src/router/command.rs
+++ b/crates/persimmonmountd/src/router/command.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use flume::Sender;
-use persimmon_decide::MonoMs;
 use persimmon_decide::load::{
     Candidate, ChatKey, CreditDemand, CreditReply, EndpointHash, Holder, LimitKey, LoadReport, Work,
 };
 use persimmon_decide::outcome::Outcome;
+use persimmon_decide::{Fingerprint, MonoMs};
 use persimmon_records::{Class, EndpointName, KeyDigest, ModelName, ServiceName, WorkspaceName};
 
 use super::failure::Failure;
@@ -28,6 +28,8 @@
         prompt_tokens: u32,
         /// Most tokens to generate.
         max_tokens: u32,
+        /// Identifies the request's content.
+        fingerprint: Fingerprint,
     },
     /// A claim for a call that may not be repeated.
     Claim {
@@ -85,6 +87,13 @@
     pub(crate) retry_after_ms: u64,
 }
 
+/// One limit that a request counts against.
+#[derive(Debug, Clone)]
+pub(crate) struct Charge {
+    pub(crate) key: LimitKey,
+    pub(crate) payment: Payment,
+}
+
 /// A demand for credits and the home of its limit.
 #[derive(Debug, Clone)]
 pub(crate) struct HomeDemand {
@@ -104,8 +113,8 @@
     pub(crate) endpoints: Vec<PlannedEndpoint>,
     /// Models that the workspace may use.
     pub(crate) models: Vec<ModelName>,
-    /// Whether the request is within the workspace's limit.
-    pub(crate) payment: Payment,
+    /// The limits that the request counts against.
+    pub(crate) charges: Vec<Charge>,
 }
 
 /// One message to the control thread.
@@ -127,6 +136,8 @@
     Left { endpoint: EndpointHash },
     /// Whether one more retry is within the budget.
     AskBudget { reply: Sender<bool> },
+    /// An endpoint crashed while it ran a request.
+    Crashed { endpoint: EndpointHash, fingerprint: Fingerprint },
     /// A request ended.
     Ended { outcome: Outcome },
     /// The state for operators.
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -3,29 +3,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flume::{Receiver, Selector, Sender};
+use flume::{Receiver, Sender};
 use persimmon_decide::load::{CreditDemand, CreditHome, CreditReply, EndpointHash, LoadReport};
-use persimmon_decide::membership::{OwnState, ToldLoad, VmState};
+use persimmon_decide::membership::{NodeId, OwnState, ToldLoad, VmName, VmState};
 use persimmon_decide::recovery::{Phase, Work};
-use persimmon_records::{RecordIndex, Serves};
+use persimmon_records::{EndpointName, RecordIndex, Serves};
 
 use super::calls::Calls;
 use super::command::Command;
 use super::core::Core;
 use super::runs::Runs;
-use crate::common::{Keeper, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status};
+use crate::common::{
+    Input, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status, next_input, rate_of,
+};
 
 /// Longest pause between two looks at what has become due.
 const TICK: Duration = Duration::from_millis(100);
+/// Age up to which an endpoint's load counts as heard lately, in milliseconds.
+const SEEN_MS: u64 = 30_000;
 /// Time between two sweeps of the ledger, in milliseconds.
 const LEDGER_SWEEP_MS: u64 = 10_000;
 
-/// What reaches the control thread.
-enum Input {
-    Command(Command),
-    Keeper(KeeperCommand),
-}
-
 /// The decisions of one sidecar.
 pub(crate) struct Control {
     pub(crate) core: Core,
@@ -33,10 +31,9 @@
     pub(crate) calls: Calls,
     pub(crate) readiness: Readiness,
     pub(crate) zone: String,
-    pub(crate) keeper: Keeper,
     pub(crate) credits: CreditHome,
-    /// Share of the published endpoints that this sidecar sees alive.
-    pub(crate) seen_share: f64,
+    /// Whether the process was asked to stop.
+    pub(crate) is_stopping: bool,
 }
 
 impl Control {
@@ -49,15 +46,11 @@
         let mut last_tick = self.core.now();
         let mut last_sweep = last_tick;
         loop {
-            let input = Selector::new()
-                .recv(commands, |command| command.map(Input::Command))
-                .recv(keeper_commands, |command| command.map(Input::Keeper))
-                .wait_timeout(TICK);
-            match input {
-                Ok(Ok(Input::Command(command))) => self.handle(command),
-                Ok(Ok(Input::Keeper(command))) => self.handle_keeper(command),
-                Ok(Err(_)) => return,
-                Err(_) => {}
+            match next_input(commands, keeper_commands, TICK) {
+                Input::Command(command) => self.handle(command),
+                Input::Keeper(command) => self.handle_keeper(*command),
+                Input::Closed => return,
+                Input::Nothing => {}
             }
             let now = self.core.now();
             if now.ms_since(last_tick) >= TICK.as_millis() as u64 {
@@ -68,7 +61,9 @@
                 last_sweep = now;
                 self.core.ledger.sweep(now);
             }
-            if self.core.leaving.phase(self.core.clocks()) == Phase::Done {
+            let is_done = self.core.leaving.phase(self.core.clocks()) == Phase::Done;
+            // A drained sidecar that wasn't asked to stop stays: callers may still ask for answers.
+            if self.is_stopping && is_done {
                 tracing::info!("sidecar: nothing is in progress; the process ends.");
                 return;
             }
@@ -79,7 +74,8 @@
         match command {
             Command::Submit { req, frames, reply } => {
                 self.observe();
-                send(&reply, self.runs.submit(&mut self.core, req, frames));
+                let admission = self.runs.submit(&mut self.core, req, frames);
+                send(&reply, admission);
             }
             Command::Resume { position, frames, reply } => {
                 let refused = self.runs.resume(&mut self.core, &position, frames).err();
@@ -88,7 +84,9 @@
             Command::Settle { request, reply } => {
                 send(&reply, self.runs.settle(&mut self.core, &request));
             }
-            Command::Cancel { request } => self.runs.cancel(&mut self.core, &request),
+            Command::Cancel { request } => {
+                self.runs.cancel(&mut self.core, &request);
+            }
             Command::Acknowledge { key, next } => {
                 self.runs.acknowledge(&mut self.core, key, next);
             }
@@ -102,19 +100,24 @@
             }
             Command::Credit { demand, reply } => send(&reply, self.grant(&demand)),
             Command::Greet { reply } => send(&reply, self.core.ledger.stamp(self.core.now())),
-            Command::Engine(event) => self.runs.on_engine(&mut self.core, event),
+            Command::Engine(event) => {
+                self.runs.on_engine(&mut self.core, event);
+            }
             Command::Service(event) => self.calls.on_service(&mut self.core, event),
             Command::Status { reply } => send(&reply, self.status()),
-            Command::Drain => self.core.leaving.signal(self.core.clocks()),
+            Command::Drain => {
+                self.is_stopping = true;
+                self.core.leaving.signal(self.core.clocks());
+            }
+            Command::EngineLife(life) => self.runs.on_engine_life(life),
         }
     }
 
     /// Grants credits of a workspace's limit.
     fn grant(&mut self, demand: &CreditDemand) -> CreditReply {
         let workspace = self.core.workspace(&demand.key.workspace);
-        let per_second = workspace
-            .map_or(0, |workspace| workspace.limits.get(demand.key.class).requests_per_second);
-        self.credits.grant(demand, per_second, self.seen_share, self.core.now())
+        let per_second = workspace.map_or(0, |workspace| rate_of(workspace, demand.key.class));
+        self.credits.grant(demand, per_second, self.seen_share(), self.core.now())
     }
 
     /// Lets the decision on leaving see the clocks, so that a pause of the process is noticed
@@ -129,8 +132,8 @@
     }
 
     fn tick(&mut self) {
-        self.keeper.tick(self.own_state());
-        self.core.is_started = self.keeper.is_ready();
+        let state = self.own_state();
+        self.core.keeper.tick(state);
         self.observe();
         self.runs.tick(&mut self.core);
         let is_serving = self.core.check_serving().is_ok();
@@ -142,7 +145,7 @@
     }
 
     fn handle_keeper(&mut self, command: KeeperCommand) {
-        for change in self.keeper.handle(command) {
+        for change in self.core.keeper.handle(command) {
             match change {
                 KeeperChange::Adopted(records) => self.adopt(records),
                 KeeperChange::Confirmed { asked_at, heard } => {
@@ -150,7 +153,7 @@
                 }
                 KeeperChange::Listed => self.on_listed(),
                 KeeperChange::Loads(loads) => self.on_loads(&loads),
-                KeeperChange::Left(_) => {}
+                KeeperChange::Left(_) | KeeperChange::Returned(_) => {}
             }
         }
     }
@@ -164,7 +167,7 @@
     }
 
     fn on_listed(&mut self) {
-        let vms = &self.keeper.membership().vms().vms;
+        let vms = &self.core.keeper.membership().vms().vms;
         let own = vms.iter().find(|vm| vm.name.as_str() == self.core.name.as_str());
         if let Some(vm) = own {
             let clocks = self.core.clocks();
@@ -192,6 +195,28 @@
         }
     }
 
+    /// The share of the endpoints that serve the same of which this sidecar has heard lately, itself
+    /// included.
+    fn seen_share(&self) -> f64 {
+        let Some(own) = self.core.endpoint() else { return 0.0 };
+        let now = self.core.now();
+        let membership = self.core.keeper.membership();
+        let is_seen = |name: &EndpointName| {
+            let told = membership.load(NodeId::of(&VmName::new(name.as_str())));
+            told.is_some_and(|told| now.ms_since(told.measured_at) < SEEN_MS)
+        };
+        let endpoints = &self.core.records().set().endpoints;
+        let peers = endpoints.iter().filter(|peer| peer.serves == own.serves);
+        let (mut seen, mut listed) = (0.0, 0.0);
+        for peer in peers {
+            listed += 1.0;
+            if peer.name == own.name || is_seen(&peer.name) {
+                seen += 1.0;
+            }
+        }
+        if listed > 0.0 { seen / listed } else { 0.0 }
+    }
+
     fn own_state(&self) -> OwnState {
         OwnState {
             work: self.runs.load().work,
@@ -206,17 +231,17 @@
             role: "sidecar",
             name: self.core.name.to_string(),
             zone: self.zone.clone(),
-            generation: self.keeper.generation().0,
-            records_source: self.keeper.records_source(),
+            generation: self.core.keeper.generation().0,
+            records_source: self.core.keeper.records_source(),
             leaving: self.core.leaving.cause().is_some(),
             load: LoadStatus {
                 running: load.running,
                 waiting: load.waiting,
                 mean: self.runs.mean_per_slot(self.core.now()),
             },
-            quarantined: Vec::new(),
+            quarantined: self.core.keeper.quarantined(),
             outcomes: self.core.counts(),
-            refused_records: self.keeper.trouble(),
+            refused_records: self.core.keeper.trouble(),
         }
     }
 }
