--- a/crates/persimmon_standins/src/bin/persimmon-demo/stage.rs
+++ b/crates/persimmon_standins/src/bin/persimmon-demo/stage.rs
@@ -146,13 +146,13 @@
         let chat = format!(
             r#"{{"model":"{MODEL}","stream":true,"max_tokens":32,"messages":[{{"role":"user","content":"hello"}}]}}"#
         );
-        let book = r#"{"operation":"book","body":{"week":14}}"#;
+        let book = r#"{"operation":"book","body":{"week":15}}"#;
         println!("The fleet runs until Ctrl-C. Lines to paste:\n");
         println!("curl -N http://{first}/v1/chat/completions {key} -d '{chat}'");
         println!("curl http://{first}/v1/models {key}");
         println!(
             "CLAIM=$(curl -s -X POST http://{first}/v1/services/{SERVICE}/claims {key} \
-             -H 'Idempotency-Key: week-14' | sed -E 's/.*\"claim\":\"([^\"]*)\".*/\\1/')"
+             -H 'Idempotency-Key: week-15' | sed -E 's/.*\"claim\":\"([^\"]*)\".*/\\1/')"
         );
         for router in [first, second] {
             println!(
