Don't take an endpoint for over its bound by a digest alone

A digest tells work but no bound; the router joined it to a bound of zero, or to one told long ago, and took the holder for over its bound for 250 ms after each digest. Ruled out: refusals by the sidecar (none counted at the engines). Change: the age of the bound is that of the last reply. A test of both cases, which failed first.

--- a/crates/persimmon_decide/src/load/directory.rs
+++ b/crates/persimmon_decide/src/load/directory.rs
@@ -27,6 +27,8 @@
     pub load: LoadReport,
     /// When that load was measured; `None` if none was ever reported.
     pub reported_at: Option<MonoMs>,
+    /// When the endpoint told its bound, which only its replies do; `None` if it never did.
+    pub bound_at: Option<MonoMs>,
     /// Work that this router has sent since then.
     pub sent_since: Work,
     /// Whether an operator drains the endpoint, by the records.
@@ -58,10 +60,21 @@
         self.expected_work(now).0 as f64 / f64::from(self.slots.max(1))
     }
 
+    /// Takes in a load unless a later one is held.
+    fn note_load(&mut self, load: LoadReport, at: MonoMs) -> bool {
+        let is_newer = self.reported_at.is_none_or(|held| held <= at);
+        if is_newer {
+            self.load = load;
+            self.reported_at = Some(at);
+            self.sent_since = Work::ZERO;
+        }
+        is_newer
+    }
+
     /// Whether the endpoint would exceed its bound with `more` work, by a report so fresh that
     /// asking the endpoint itself isn't worth the hop.
     pub fn is_over_bound(&self, more: Work, now: MonoMs) -> bool {
-        let fresh = self.reported_at.is_some_and(|at| now.ms_since(at) < Self::BOUND_AGE_MS);
+        let fresh = self.bound_at.is_some_and(|at| now.ms_since(at) < Self::BOUND_AGE_MS);
         fresh && self.expected_work(now) + more > self.load.bound
     }
 
@@ -135,6 +148,7 @@
             slots: 1,
             load: LoadReport::default(),
             reported_at: None,
+            bound_at: None,
             sent_since: Work::ZERO,
             draining: false,
             leaving: false,
@@ -146,18 +160,16 @@
     /// held is ignored.
     pub fn report(&mut self, endpoint: EndpointHash, load: LoadReport, at: MonoMs) {
         let Some(view) = self.view_mut(endpoint) else { return };
-        if view.reported_at.is_none_or(|held| held <= at) {
-            view.load = load;
-            view.reported_at = Some(at);
-            view.sent_since = Work::ZERO;
+        if view.note_load(load, at) {
+            view.bound_at = Some(at);
         }
     }
 
     /// Takes in the work that a digest gives for an endpoint, measured at `at`.
     pub fn digest(&mut self, endpoint: EndpointHash, work: Work, at: MonoMs) {
-        let Some(view) = self.view(endpoint) else { return };
+        let Some(view) = self.view_mut(endpoint) else { return };
         let load = LoadReport { work, ..view.load };
-        self.report(endpoint, load, at);
+        view.note_load(load, at);
     }
 
     /// Counts work just sent, until the next report.
--- a/crates/persimmon_decide/tests/load_placement.rs
+++ b/crates/persimmon_decide/tests/load_placement.rs
@@ -48,6 +48,19 @@
     Holder { endpoint: hash(number), tokens, at: UnixMs(0) }
 }
 
+/// A digest tells no bound, whether the endpoint's bound was never told or a while ago.
+#[rstest]
+#[case::never_told(None)]
+#[case::told_long_ago(Some(LoadReport { bound: Work(1), slots: 8, ..LoadReport::default() }))]
+fn place_keeps_holder_of_which_only_a_digest_tells(#[case] told: Option<LoadReport>) {
+    let mut directory = directory(20);
+    if let Some(report) = told {
+        directory.report(hash(3), report, MonoMs(0));
+    }
+    directory.digest(hash(3), Work(10), MonoMs(10_000));
+    assert_eq!(place(&directory, &[holder(3, 900)], 10_100)[0].endpoint, hash(3));
+}
+
 #[test]
 fn place_prefers_holder_and_imports_elsewhere() {
     let candidates = place(&directory(20), &[holder(3, 900)], 0);
