Let the policy say how many loads may start in a minute

Cause: sidecars pace loads from the weight store by a rate that no record held. Ruled out: a flag of the daemon, since all sidecars must count the same slots.

--- a/crates/persimmon_decide/tests/load_placement.rs
+++ b/crates/persimmon_decide/tests/load_placement.rs
@@ -193,7 +193,13 @@
 #[test]
 fn mean_errs_downwards() {
     let mut mean = MeanLoad::default();
-    let policy = Policy { load_multiple: 2.0, load_floor: 1, quick_share: 0.0, retry_share: 0.0 };
+    let policy = Policy {
+        load_multiple: 2.0,
+        load_floor: 1,
+        quick_share: 0.0,
+        retry_share: 0.0,
+        ..Policy::default()
+    };
     let floor = mean.bound(&policy, 8, Some(1e9), MonoMs(0));
     assert_eq!(floor, Work::HORIZON, "an offer can't raise the bound of one that knows nothing");
     let bounds: BTreeMap<u64, Work> = [0, 9_000, 10_000, 60_000]
--- a/crates/persimmon_records/src/check/policy.rs
+++ b/crates/persimmon_records/src/check/policy.rs
@@ -11,6 +11,9 @@
     if policy.load_floor == 0 {
         faults.push(place("load_floor"), FaultKind::ZeroFloor);
     }
+    if policy.loads_per_minute == 0 {
+        faults.push(place("loads_per_minute"), FaultKind::ZeroLoadRate);
+    }
 }
 
 /// A value that isn't a number fails both comparisons and is a fault too.
--- a/crates/persimmon_records/src/fault.rs
+++ b/crates/persimmon_records/src/fault.rs
@@ -230,6 +230,9 @@
     /// A load floor of 0, below which an idle fleet admits nothing.
     #[error("is 0, so that an idle fleet would admit nothing; write at least 1")]
     ZeroFloor,
+    /// A rate of loads of 0, at which no engine ever loads another model.
+    #[error("is 0, so that no engine would load another model; write at least 1")]
+    ZeroLoadRate,
 }
 
 impl FaultKind {
--- a/crates/persimmon_records/src/read/policy.rs
+++ b/crates/persimmon_records/src/read/policy.rs
@@ -20,6 +20,9 @@
         retry_share: fields
             .optional("retry_share", "a number from 0 to 1", faults)
             .unwrap_or(default.retry_share),
+        loads_per_minute: fields
+            .optional("loads_per_minute", "a whole number of at least 1", faults)
+            .unwrap_or(default.loads_per_minute),
     };
     fields.close(faults);
     policy
--- a/crates/persimmon_records/tests/parse.rs
+++ b/crates/persimmon_records/tests/parse.rs
@@ -54,6 +54,7 @@
 #[case::share_below(r#""retry_share":-0.1"#, "policy, retry_share: is -0.1; write a share")]
 #[case::share_huge(r#""retry_share":1e999"#, "policy, retry_share: can't be read")]
 #[case::floor(r#""load_floor":0"#, "policy, load_floor: is 0")]
+#[case::load_rate(r#""loads_per_minute":0"#, "policy, loads_per_minute: is 0")]
 #[case::unknown(r#""load_multipel":2"#, "policy, load_multipel: is no field")]
 #[case::repeated(r#""load_floor":2,"load_floor":3"#, "policy, load_floor: stands more than once")]
 fn parse_policy_fault(#[case] policy: &str, #[case] expected: &str) {
