Let the sidecar order its engine to load a new model

Cause: OrderDesk and LoadPacer were decided and tested but nothing drove them. Ruled out: ordering at each start, which would load again at each restart; a sidecar that ended before its order learns of it by the engine's 404 instead. Change: sidecar/orders.rs keeps the load, order_sender.rs reads weights and sends; meanwhile requests are refused as not run and /status has load_wait. The engine stand-in counts the fences that it obeyed.

--- a/crates/persimmon_standins/src/engine/mod.rs
+++ b/crates/persimmon_standins/src/engine/mod.rs
@@ -23,6 +23,7 @@
 
 pub use answer::{MAX_ANSWER_TOKENS, Message, expected_answer, prompt_tokens};
 pub use builder::EngineBuilder;
+pub use state::Fence;
 
 /// What the engine is told to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,6 +91,8 @@
     pub crashes: u64,
     /// The orders that were obeyed.
     pub orders: Vec<serde_json::Value>,
+    /// The fencing numbers of the orders that were obeyed.
+    pub fences: Vec<Fence>,
     /// Orders refused for an old fencing number.
     pub orders_refused: u64,
 }
--- a/crates/persimmon_standins/src/engine/routes.rs
+++ b/crates/persimmon_standins/src/engine/routes.rs
@@ -170,7 +170,7 @@
         if let Some(model) = order.get("load_model").and_then(Value::as_str) {
             state.load_model(model);
         }
-        state.keep_order(order);
+        state.keep_order(fence, order);
         drop(state);
         call.reply_json(200, &OrderAnswer { done: true });
     }
--- a/crates/persimmon_standins/src/engine/state.rs
+++ b/crates/persimmon_standins/src/engine/state.rs
@@ -40,9 +40,11 @@
 
 /// Who gives an order, and in which of its lives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
-pub(super) struct Fence {
-    generation: u64,
-    incarnation: u64,
+pub struct Fence {
+    /// The generation of the records that ask for the order.
+    pub generation: u64,
+    /// The life of the sidecar.
+    pub incarnation: u64,
 }
 
 /// The load at one time.
@@ -68,7 +70,7 @@
     next_ticket: u64,
     load: VecDeque<LoadSample>,
     admissions: VecDeque<Admission>,
-    orders: VecDeque<serde_json::Value>,
+    orders: VecDeque<(Fence, serde_json::Value)>,
     pub(super) counts: EngineCounts,
 }
 
@@ -165,8 +167,8 @@
         self.models.push(model.to_owned());
     }
 
-    pub(super) fn keep_order(&mut self, order: serde_json::Value) {
-        self.orders.push_back(order);
+    pub(super) fn keep_order(&mut self, fence: Fence, order: serde_json::Value) {
+        self.orders.push_back((fence, order));
         if self.orders.len() > MAX_ORDERS {
             self.orders.pop_front();
         }
@@ -190,7 +192,7 @@
             *counts.runs.entry(admission.request_id.clone()).or_default() += 1;
         }
         counts.admissions = self.admissions.iter().cloned().collect();
-        counts.orders = self.orders.iter().cloned().collect();
+        (counts.fences, counts.orders) = self.orders.iter().cloned().unzip();
         counts.incarnation = self.incarnation;
         counts
     }
--- a/crates/persimmon_standins/src/lib.rs
+++ b/crates/persimmon_standins/src/lib.rs
@@ -13,8 +13,8 @@
 mod service;
 
 pub use engine::{
-    Admission, Engine, EngineBuilder, EngineCounts, EngineSwitch, MAX_ANSWER_TOKENS, Message,
-    expected_answer, prompt_tokens,
+    Admission, Engine, EngineBuilder, EngineCounts, EngineSwitch, Fence, MAX_ANSWER_TOKENS,
+    Message, expected_answer, prompt_tokens,
 };
 pub use platform::{
     Platform, PlatformBuilder, PlatformCounts, PlatformSwitch, Vm, VmRole, VmState,
--- a/crates/persimmonmountd/src/common/platform.rs
+++ b/crates/persimmonmountd/src/common/platform.rs
@@ -1,17 +1,24 @@
 //! Reading the platform's configuration service. Nothing is ever written to it.
 
+use std::io;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
 use thiserror::Error;
 
 use persimmon_decide::membership::VmList;
+use persimmon_records::ModelName;
 
 use super::Metrics;
 
 /// Time that the platform has beyond the wait that a watch asks for, in seconds.
 const ANSWER_TIMEOUT_S: u64 = 3;
 
+/// Time that a read of a model's weights may take, in seconds.
+const WEIGHTS_TIMEOUT_S: u64 = 300;
+/// Delay after which the weight store is asked again if it names none, in milliseconds.
+const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Why a read of the platform failed.
 #[derive(Debug, Error)]
 pub(crate) enum PlatformError {
@@ -30,6 +37,18 @@
     pub(crate) value: String,
 }
 
+/// What the weight store answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WeightsRead {
+    /// The weights were read whole.
+    Whole,
+    /// Too many read at once.
+    Throttled {
+        /// Milliseconds until the store wants to be asked again.
+        retry_after_ms: u64,
+    },
+}
+
 /// A reader of the platform.
 #[derive(Debug, Clone)]
 pub(crate) struct Platform {
@@ -66,6 +85,44 @@
         self.read("vms", &format!("/v1/vms?after={after}&wait_ms={wait_ms}"), wait_ms)
     }
 
+    /// Reads the weights of a model through to the end, keeping none of them in memory.
+    ///
+    /// # Errors
+    ///
+    /// The platform can't be reached or refuses.
+    pub(crate) fn weights(&self, model: &ModelName) -> Result<WeightsRead, PlatformError> {
+        let result = self.request_weights(model);
+        let label = match &result {
+            Ok(WeightsRead::Whole) => "new",
+            Ok(WeightsRead::Throttled { .. }) => "throttled",
+            Err(_) => "failed",
+        };
+        self.metrics.platform_reads.with_label_values(&["weights", label]).inc();
+        result
+    }
+
+    fn request_weights(&self, model: &ModelName) -> Result<WeightsRead, PlatformError> {
+        let url = format!("http://{}/v1/weights/{model}", self.address);
+        let mut response = minreq::get(url).with_timeout(WEIGHTS_TIMEOUT_S).send_lazy()?;
+        match response.status_code {
+            200 => {
+                io::copy(&mut response, &mut io::sink()).map_err(minreq::Error::IoError)?;
+                Ok(WeightsRead::Whole)
+            }
+            429 => {
+                let after_s = response
+                    .headers
+                    .iter()
+                    .find(|(name, _)| name.eq_ignore_ascii_case("retry-after"))
+                    .and_then(|(_, text)| text.parse().ok());
+                let retry_after_ms =
+                    after_s.map_or(DEFAULT_RETRY_AFTER_MS, |s: u64| s.saturating_mul(1_000));
+                Ok(WeightsRead::Throttled { retry_after_ms })
+            }
+            status => Err(PlatformError::Status(status)),
+        }
+    }
+
     fn read<T: for<'de> Deserialize<'de>>(
         &self,
         kind: &str,
--- a/crates/persimmonmountd/src/common/status.rs
+++ b/crates/persimmonmountd/src/common/status.rs
@@ -15,6 +15,16 @@
     pub(crate) quarantined: Vec<String>,
     pub(crate) outcomes: OutcomeCounts,
     pub(crate) refused_records: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) load_wait: Option<LoadWaitStatus>,
+}
+
+/// A model that the engine is to load and hasn't yet.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct LoadWaitStatus {
+    pub(crate) model: String,
+    pub(crate) starts_in_ms: u64,
+    pub(crate) reason: &'static str,
 }
 
 /// The load of one process.
--- a/crates/persimmonmountd/src/router/control.rs
+++ b/crates/persimmonmountd/src/router/control.rs
@@ -527,6 +527,7 @@
             quarantined: self.keeper.quarantined(),
             outcomes: self.counts,
             refused_records: self.keeper.trouble(),
+            load_wait: None,
         }
     }
 }
--- a/crates/persimmonmountd/src/sidecar/command.rs
+++ b/crates/persimmonmountd/src/sidecar/command.rs
@@ -10,6 +10,7 @@
 };
 
 use super::engine::EngineEvent;
+use super::order_sender::OrderEvent;
 use super::service::ServiceEvent;
 use crate::common::Status;
 
@@ -41,6 +42,8 @@
     EngineLife(Option<u64>),
     /// News from the engine.
     Engine(EngineEvent),
+    /// News of an order to the engine.
+    Order(OrderEvent),
     /// News from the plain service.
     Service(ServiceEvent),
     /// The state for operators.
--- a/crates/persimmonmountd/src/sidecar/control.rs
+++ b/crates/persimmonmountd/src/sidecar/control.rs
@@ -12,6 +12,7 @@
 use super::calls::Calls;
 use super::command::Command;
 use super::core::Core;
+use super::orders::Orders;
 use super::runs::Runs;
 use crate::common::{Keeper, KeeperChange, KeeperCommand, LoadStatus, Readiness, Status, rate_of};
 
@@ -31,6 +32,7 @@
     pub(crate) core: Core,
     pub(crate) runs: Runs,
     pub(crate) calls: Calls,
+    pub(crate) orders: Orders,
     pub(crate) readiness: Readiness,
     pub(crate) zone: String,
     pub(crate) keeper: Keeper,
@@ -110,6 +112,7 @@
             Command::Credit { demand, reply } => send(&reply, self.grant(&demand)),
             Command::Greet { reply } => send(&reply, self.core.ledger.stamp(self.core.now())),
             Command::Engine(event) => {
+                self.orders.on_engine(&self.core, &event);
                 self.runs.on_engine(&mut self.core, &mut self.keeper, event);
             }
             Command::Service(event) => self.calls.on_service(&mut self.core, event),
@@ -118,7 +121,15 @@
                 self.is_stopping = true;
                 self.core.leaving.signal(self.core.clocks());
             }
-            Command::EngineLife(life) => self.runs.on_engine_life(life),
+            Command::EngineLife(life) => {
+                self.runs.on_engine_life(life);
+                self.orders.on_engine_life(&self.core, life);
+                self.drive_orders();
+            }
+            Command::Order(event) => {
+                self.orders.on_event(&self.core, &event);
+                self.drive_orders();
+            }
         }
     }
 
@@ -145,7 +156,8 @@
         self.core.is_started = self.keeper.is_ready();
         self.observe();
         self.runs.tick(&mut self.core, &mut self.keeper);
-        let is_serving = self.core.check_serving().is_ok();
+        self.drive_orders();
+        let is_serving = self.core.check_open().is_ok();
         self.readiness.set(is_serving);
         let load = self.runs.load();
         let gauge = &self.core.metrics.in_progress;
@@ -153,6 +165,14 @@
         gauge.with_label_values(&["waiting"]).set(i64::from(load.waiting));
     }
 
+    /// Gives the engine the orders that are due, none while requests are in progress.
+    fn drive_orders(&mut self) {
+        let is_idle = self.runs.in_progress() == 0;
+        self.orders.tick(&self.core, is_idle);
+        let load = self.orders.load_wait(&self.core);
+        self.core.load_starts_in_ms = load.map(|load| load.starts_in_ms);
+    }
+
     fn handle_keeper(&mut self, command: KeeperCommand) {
         for change in self.keeper.handle(command) {
             match change {
@@ -171,7 +191,9 @@
         let generation = records.version().generation;
         tracing::info!("sidecar: records of generation {generation} are in force.");
         self.core.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
+        self.orders.follow_records(&self.core, &records);
         self.core.set_records(records);
+        self.drive_orders();
         self.runs.follow_records(&self.core);
     }
 
@@ -229,6 +251,7 @@
             quarantined: self.keeper.quarantined(),
             outcomes: self.core.counts(),
             refused_records: self.keeper.trouble(),
+            load_wait: self.orders.load_wait(&self.core),
         }
     }
 }
--- a/crates/persimmonmountd/src/sidecar/core.rs
+++ b/crates/persimmonmountd/src/sidecar/core.rs
@@ -16,6 +16,9 @@
 /// Delay after which a sidecar that awaits word of its records may be asked again, in milliseconds.
 const RECORDS_RETRY_MS: u64 = 1_000;
 
+/// Least delay after which an engine that loads a model may be asked again, in milliseconds.
+const LOAD_RETRY_MS: u64 = 1_000;
+
 /// The state that model requests and service calls share.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -29,6 +32,8 @@
     counts: OutcomeCounts,
     /// Whether the process has asked enough others to serve by its records.
     pub(crate) is_started: bool,
+    /// Milliseconds until the engine starts to load a model that it is to serve; none if it has it.
+    pub(crate) load_starts_in_ms: Option<u64>,
 }
 
 impl Core {
@@ -50,6 +55,7 @@
             endpoint: None,
             counts: OutcomeCounts::default(),
             is_started: false,
+            load_starts_in_ms: None,
         }
     }
 
@@ -106,6 +112,22 @@
     ///
     /// A definite refusal.
     pub(crate) fn check_serving(&self) -> Result<(), Refused> {
+        self.check_open()?;
+        match self.load_starts_in_ms {
+            Some(starts_in_ms) => Err(Refused {
+                refusal: Refusal::EndpointDown,
+                retry_after_ms: starts_in_ms.max(LOAD_RETRY_MS),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    /// Whether the sidecar takes work, be its engine loading or not.
+    ///
+    /// # Errors
+    ///
+    /// A definite refusal.
+    pub(crate) fn check_open(&self) -> Result<(), Refused> {
         if !self.is_started {
             let refusal = Refusal::StaleRecords;
             return Err(Refused { refusal, retry_after_ms: RECORDS_RETRY_MS });
--- a/crates/persimmonmountd/src/sidecar/mod.rs
+++ b/crates/persimmonmountd/src/sidecar/mod.rs
@@ -5,6 +5,8 @@
 mod control;
 mod core;
 mod engine;
+mod order_sender;
+mod orders;
 mod pump;
 mod rpc;
 mod runs;
@@ -21,12 +23,14 @@
 use self::control::Control;
 use self::core::Core;
 use self::engine::Engine;
+use self::order_sender::OrderSender;
+use self::orders::Orders;
 use self::rpc::SidecarCalls;
 use self::runs::Runs;
 use self::service::Service;
 use crate::common::{
-    Life, Metrics, NodeCalls, OpsServer, PeerServer, Readiness, SidecarSettings, on_stop_signal,
-    print_ready, start_keeper,
+    Life, Metrics, NodeCalls, OpsServer, PeerServer, Platform, Readiness, SidecarSettings,
+    on_stop_signal, print_ready, start_keeper,
 };
 
 /// Commands that wait for the control thread.
@@ -58,12 +62,15 @@
         PeerServer::start(common.peer_listen, common.fleet_key.clone(), move || node.client())?;
     let keeper = start_keeper(common, peer.address(), life, &metrics, &keeper_commands)?;
     let engine = Engine::start(settings.endpoint, commands.clone())?;
+    let platform = Platform::new(common.platform, metrics.clone());
+    let sender = OrderSender::start(settings.endpoint, platform, clock, commands.clone())?;
     let service = Service::new(settings.endpoint, commands.clone());
     let sealer = ClaimSealer::new(common.fleet_key.secret());
     let control = Control {
         core: Core::new(common.name.clone(), clock, metrics.clone(), incarnation),
         runs: Runs::new(engine),
         calls: Calls::new(service, sealer),
+        orders: Orders::new(sender, incarnation, clock.now()),
         readiness: readiness.clone(),
         zone: common.zone.to_string(),
         keeper,
--- /dev/null
+++ b/crates/persimmonmountd/src/sidecar/orders.rs
@@ -0,0 +1,253 @@
+//! Orders that make the engine load the model which the records assign to it.
+
+use persimmon_decide::membership::VmName;
+use persimmon_decide::orders::{
+    Dispatch, LoadPacer, LoadRate, Order, OrderDesk, OrderReply, OrderSettings, OrderStatus,
+    WaitReason,
+};
+use persimmon_decide::{Incarnation, MonoMs};
+use persimmon_records::{Endpoint, ModelName, RecordIndex, Serves};
+
+use super::core::Core;
+use super::engine::{EngineEvent, EngineFailure, EngineNews};
+use super::order_sender::{OrderEvent, OrderJob, OrderNews, OrderSender};
+use crate::common::{LoadWaitStatus, WeightsRead, random_u64};
+
+/// How far apart the wall clocks of two sidecars may be, in milliseconds.
+const CLOCK_UNCERTAINTY_MS: u64 = 3_000;
+/// Time until an order without an answer is sent again, in milliseconds.
+const RESEND_MS: u64 = 1_000;
+/// The status with which an engine answers requests for a model that isn't loaded.
+const NOT_LOADED: u16 = 404;
+
+/// How far a load has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// It waits until the weight store may be read.
+    Paced,
+    /// The weights are being read.
+    Reading,
+    /// The order may be sent from this time on.
+    Ready(MonoMs),
+    /// The order was sent.
+    Sent,
+    /// The engine obeys a newer sidecar.
+    Superseded,
+}
+
+/// A load that was asked for and isn't done.
+#[derive(Debug)]
+struct Load {
+    number: u64,
+    model: ModelName,
+    pacer: LoadPacer,
+    step: Step,
+}
+
+/// Orders the engine to load its model when the records assign another one to it, when it crashed
+/// and when it says that it lacks the model.
+#[derive(Debug)]
+pub(crate) struct Orders {
+    sender: OrderSender,
+    incarnation: Incarnation,
+    started_at: MonoMs,
+    /// None until the first load, since the records say whether the engine checks fences.
+    desk: Option<OrderDesk>,
+    assigned: Option<ModelName>,
+    engine_life: Option<u64>,
+    load: Option<Load>,
+    loads: u64,
+}
+
+impl Orders {
+    /// Orders of a sidecar that started now and has bound its port.
+    pub(crate) fn new(sender: OrderSender, incarnation: Incarnation, now: MonoMs) -> Self {
+        Self {
+            sender,
+            incarnation,
+            started_at: now,
+            desk: None,
+            assigned: None,
+            engine_life: None,
+            load: None,
+            loads: 0,
+        }
+    }
+
+    /// Follows records that are about to replace those of `core`. The first assignment that is seen
+    /// orders nothing, or each restart of a sidecar would load the model again.
+    pub(crate) fn follow_records(&mut self, core: &Core, next: &RecordIndex) {
+        let Some(endpoint) = next.endpoint(&core.name) else { return };
+        let Serves::Model(model) = &endpoint.serves else {
+            self.assigned = None;
+            self.load = None;
+            return;
+        };
+        let before = self.assigned.replace(model.clone());
+        if before.is_none_or(|before| before == *model) {
+            return;
+        }
+        let before = core.records();
+        let changed = |one: &&Endpoint| before.endpoint(&one.name) != Some(*one);
+        let names: Vec<_> = next.set().endpoints.iter().filter(changed).map(vm_name).collect();
+        self.begin(core, next, endpoint, &names);
+    }
+
+    /// Takes in which life of the engine runs. An engine in a new life has lost its model.
+    pub(crate) fn on_engine_life(&mut self, core: &Core, life: Option<u64>) {
+        let Some(life) = life else { return };
+        let before = self.engine_life.replace(life);
+        if before.is_some_and(|before| before != life) {
+            self.load_again(core);
+        }
+    }
+
+    /// Takes in what the engine says to a request. It may lack the model if an earlier life of this
+    /// sidecar ended before its order.
+    pub(crate) fn on_engine(&mut self, core: &Core, event: &EngineEvent) {
+        let refused = EngineFailure::Refused(NOT_LOADED);
+        if matches!(&event.news, EngineNews::Failed(failure) if *failure == refused)
+            && self.load.is_none()
+        {
+            self.load_again(core);
+        }
+    }
+
+    /// Takes in what became of a read of weights or of an order.
+    pub(crate) fn on_event(&mut self, core: &Core, event: &OrderEvent) {
+        match event.news {
+            OrderNews::Weights(read) => self.on_weights(core, event.load, read),
+            OrderNews::Answered(reply) => self.on_reply(core, event.load, reply),
+        }
+    }
+
+    /// Does what is due. Nothing is sent unless the engine is idle, since a load ends its requests.
+    pub(crate) fn tick(&mut self, core: &Core, is_idle: bool) {
+        let Some(load) = &mut self.load else { return };
+        match load.step {
+            Step::Paced if load.pacer.wait(core.clock.unix()).is_none() => {
+                let job = OrderJob::Weights { load: load.number, model: load.model.clone() };
+                if self.sender.send(job).is_ok() {
+                    load.step = Step::Reading;
+                }
+            }
+            Step::Ready(from) if is_idle && from <= core.now() => self.send_next(core.now()),
+            _ => {}
+        }
+    }
+
+    /// The load that isn't done yet, for status.
+    pub(crate) fn load_wait(&self, core: &Core) -> Option<LoadWaitStatus> {
+        let load = self.load.as_ref()?;
+        let now = core.now();
+        let (reason, starts_in_ms) = match load.step {
+            Step::Paced => match load.pacer.wait(core.clock.unix()) {
+                Some(wait) => (reason_name(wait.reason), wait.starts_in_ms),
+                None => ("slot", 0),
+            },
+            Step::Reading => ("reading", 0),
+            Step::Ready(from) => match self.desk.as_ref().map(|desk| desk.status(now)) {
+                Some(OrderStatus::QuietUntil(until)) => ("quiet", until.ms_since(now)),
+                _ => ("engine", from.ms_since(now)),
+            },
+            Step::Sent => ("sent", 0),
+            Step::Superseded => ("superseded", 0),
+        };
+        Some(LoadWaitStatus { model: load.model.to_string(), starts_in_ms, reason })
+    }
+
+    /// Loads the assigned model again, in turn with the endpoints of the zone, which may have
+    /// failed together. A load whose order isn't out yet covers it.
+    fn load_again(&mut self, core: &Core) {
+        let is_coming = |load: &Load| matches!(load.step, Step::Paced | Step::Reading);
+        if self.load.as_ref().is_some_and(is_coming) {
+            return;
+        }
+        let Some(endpoint) = core.endpoint() else { return };
+        let records = core.records();
+        let in_zone = |one: &&Endpoint| one.zone == endpoint.zone;
+        let names: Vec<_> = records.set().endpoints.iter().filter(in_zone).map(vm_name).collect();
+        self.begin(core, records, endpoint, &names);
+    }
+
+    /// Begins a load in turn with `names`, in place of the one before.
+    fn begin(&mut self, core: &Core, records: &RecordIndex, endpoint: &Endpoint, names: &[VmName]) {
+        let Serves::Model(model) = &endpoint.serves else { return };
+        let rate = LoadRate {
+            per_minute: records.set().policy.loads_per_minute,
+            clock_uncertainty_ms: CLOCK_UNCERTAINTY_MS,
+        };
+        let own = vm_name(endpoint);
+        let Some(pacer) = LoadPacer::new(rate, &own, names, core.clock.unix()) else { return };
+        let (incarnation, started_at) = (self.incarnation, self.started_at);
+        let desk = self.desk.get_or_insert_with(|| {
+            OrderDesk::new(OrderSettings::default(), endpoint.fencing, incarnation, started_at)
+        });
+        let submitted = desk.submit(Order::LoadModel(model.clone()), records.version().generation);
+        let step = match submitted {
+            Ok(()) => Step::Paced,
+            Err(err) => {
+                tracing::error!("orders: {model} isn't loaded: {err}.");
+                Step::Superseded
+            }
+        };
+        tracing::info!("orders: the engine is to load {model}.");
+        self.loads += 1;
+        self.load = Some(Load { number: self.loads, model: model.clone(), pacer, step });
+    }
+
+    fn on_weights(&mut self, core: &Core, number: u64, read: WeightsRead) {
+        let Some(load) = self.load.as_mut().filter(|load| load.number == number) else { return };
+        load.step = match read {
+            WeightsRead::Whole => Step::Ready(core.now()),
+            WeightsRead::Throttled { retry_after_ms } => {
+                load.pacer.throttled(retry_after_ms, random_u64(), core.clock.unix());
+                Step::Paced
+            }
+        };
+    }
+
+    fn on_reply(&mut self, core: &Core, number: u64, reply: OrderReply) {
+        if let Some(desk) = &mut self.desk {
+            desk.answered(reply);
+        }
+        let Some(load) = &mut self.load else { return };
+        match reply {
+            // The desk gives no orders any more, whichever load this was about.
+            OrderReply::StaleFence => {
+                tracing::error!("orders: the engine obeys a newer sidecar; end this one.");
+                load.step = Step::Superseded;
+            }
+            OrderReply::Unknown if load.number == number => {
+                load.step = Step::Ready(core.now().plus_ms(RESEND_MS));
+            }
+            OrderReply::Done if load.number == number => {
+                tracing::info!("orders: the engine has loaded {}.", load.model);
+                self.load = None;
+            }
+            OrderReply::Unknown | OrderReply::Done => {}
+        }
+    }
+
+    /// Sends the order that the desk gives out, if it does.
+    fn send_next(&mut self, now: MonoMs) {
+        let (Some(desk), Some(load)) = (&mut self.desk, &mut self.load) else { return };
+        let Some(dispatch): Option<Dispatch> = desk.next(now) else { return };
+        let job = OrderJob::Send { load: load.number, dispatch };
+        match self.sender.send(job) {
+            Ok(()) => load.step = Step::Sent,
+            Err(_) => desk.answered(OrderReply::Unknown),
+        }
+    }
+}
+
+fn vm_name(endpoint: &Endpoint) -> VmName {
+    VmName::from(endpoint.name.as_str())
+}
+
+fn reason_name(reason: WaitReason) -> &'static str {
+    match reason {
+        WaitReason::Slot => "slot",
+        WaitReason::Throttled => "throttled",
+    }
+}
