--- a/crates/persimmon_decide/src/membership/membership.rs
+++ b/crates/persimmon_decide/src/membership/membership.rs
@@ -19,7 +19,10 @@
 /// An incarnation for a process that starts now. Later lives of a VM have higher ones as long as
 /// its clock isn't set back by more than its start takes.
 pub fn incarnation_at(started_at: UnixMs, random: u32) -> Incarnation {
-    Incarnation((started_at.0 / 1_000) << u32::BITS | u64::from(random))
+    const RANDOM_BITS: u32 = 22;
+    let (seconds, ms) = (started_at.0 / 1_000, started_at.0 % 1_000);
+    let random = u64::from(random >> (u32::BITS - RANDOM_BITS));
+    Incarnation(seconds << u32::BITS | ms << RANDOM_BITS | random)
 }
 
 /// What a process says of itself.
--- a/crates/persimmon_decide/tests/membership_merge.rs
+++ b/crates/persimmon_decide/tests/membership_merge.rs
@@ -173,3 +173,12 @@
 fn tick_without_peers_sends_nothing() {
     assert_eq!(membership().tick(OwnState::default(), MonoMs(0), 3), None);
 }
+
+/// A sidecar may be restarted within a second of its start, and engines refuse a lower fence.
+#[test]
+fn incarnation_grows_with_each_millisecond() {
+    let starts = [(5_000, u32::MAX), (5_001, 0), (5_999, u32::MAX), (6_000, 0)];
+    let lives: Vec<_> =
+        starts.iter().map(|(at, random)| incarnation_at(UnixMs(*at), *random)).collect();
+    assert!(lives.is_sorted_by(|earlier, later| earlier < later), "{lives:?}");
+}
