Keep an ended answer until its router has taken it

The store held 64 answers and forgot whichever had ended first; short answers end at the engine long before their routers have taken them. Ruled out: silence under load (no heartbeat was missed in the logs' reasons: the sidecars refused to resume). Change: a full store forgets answers that were taken whole, or ended 10 s ago; else the request is refused as queue-full. An answer keeps 128 KiB, not 256. The test store_keeps_untaken_answer was written with the change and not run against the old code.

--- a/crates/persimmon_decide/src/outcome/output_store.rs
+++ b/crates/persimmon_decide/src/outcome/output_store.rs
@@ -25,7 +25,7 @@
 
 /// No room for another answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-#[error("every kept answer is still in progress; withdraw the request and refuse it as queue-full")]
+#[error("every kept answer is still needed; withdraw the request and refuse it as queue-full")]
 pub struct StoreError;
 
 /// What a sweep found.
@@ -45,21 +45,25 @@
 }
 
 impl OutputStore {
+    /// How long an ended answer that its router hasn't taken whole is kept in a full store, in
+    /// milliseconds.
+    pub const UNTAKEN_MS: u64 = 10_000;
+
     /// A store without answers.
     pub fn new(limits: StoreLimits) -> Self {
         Self { limits, outputs: BTreeMap::new() }
     }
 
     /// Opens the answer of a run that starts, in place of an earlier one of the same call. If the
-    /// store is full, the answer that ended first is forgotten.
+    /// store is full, the answer that ended first is forgotten, of those that were taken whole.
     ///
     /// # Errors
     ///
-    /// [`StoreError`] if no answer has ended.
+    /// [`StoreError`] if every answer is in progress or still on its way to its router.
     pub fn open(&mut self, key: LedgerKey, now: MonoMs) -> Result<(), StoreError> {
         self.outputs.remove(&key);
         if self.outputs.len() >= self.limits.max_outputs {
-            self.forget_oldest()?;
+            self.forget_oldest(now)?;
         }
         self.outputs.insert(key, RetainedOutput::new(self.limits.output.clone(), now));
         Ok(())
@@ -100,10 +104,17 @@
         Swept { stalled, expired: before - self.outputs.len() }
     }
 
-    fn forget_oldest(&mut self) -> Result<(), StoreError> {
-        let ended =
-            self.outputs.iter().filter_map(|(key, output)| Some((output.ended_at()?, *key)));
-        let (_, oldest) = ended.min().ok_or(StoreError)?;
+    /// Makes room: the first that ended of the taken answers goes, else of those whose router has
+    /// had its time.
+    fn forget_oldest(&mut self, now: MonoMs) -> Result<(), StoreError> {
+        let may_go = |output: &RetainedOutput, ended_at: MonoMs| {
+            output.is_taken() || now.ms_since(ended_at) >= Self::UNTAKEN_MS
+        };
+        let ended = self.outputs.iter().filter_map(|(key, output)| {
+            let ended_at = output.ended_at().filter(|at| may_go(output, *at))?;
+            Some((!output.is_taken(), ended_at, *key))
+        });
+        let (.., oldest) = ended.min().ok_or(StoreError)?;
         self.outputs.remove(&oldest);
         Ok(())
     }
--- a/crates/persimmon_decide/src/outcome/retained_output.rs
+++ b/crates/persimmon_decide/src/outcome/retained_output.rs
@@ -26,7 +26,7 @@
 impl Default for OutputLimits {
     fn default() -> Self {
         Self {
-            max_bytes: 256 << 10,
+            max_bytes: 128 << 10,
             max_frames: 4_096,
             silent_ms: 30_000,
             held_back_ms: 60_000,
@@ -128,6 +128,11 @@
         self.end.map(|(end, _)| end)
     }
 
+    /// Whether the router has every frame of an answer that ended.
+    pub fn is_taken(&self) -> bool {
+        self.end.is_some() && self.acknowledged >= self.next_offset().0
+    }
+
     /// When the answer ended, if it has.
     pub fn ended_at(&self) -> Option<MonoMs> {
         self.end.map(|(_, at)| at)
--- a/crates/persimmon_decide/tests/outcome_streams.rs
+++ b/crates/persimmon_decide/tests/outcome_streams.rs
@@ -116,9 +116,33 @@
     assert_eq!(output.state(MonoMs(at)), expected);
 }
 
+fn key(id: u128) -> LedgerKey {
+    LedgerKey::of_request(&"swap-desk".into(), RequestId(id))
+}
+
+/// An answer that ended before its router took it is kept while another is open or taken, so that a
+/// burst of short answers doesn't cut the ones still on their way.
+#[test]
+fn store_keeps_untaken_answer() {
+    let mut store = OutputStore::new(StoreLimits { max_outputs: 2, output: limits() });
+    for (number, taken) in [(1, 0), (2, 1)] {
+        store.open(key(number), MonoMs(0)).unwrap();
+        let output = store.get_mut(key(number)).unwrap();
+        output.push(piece(1), MonoMs(1)).unwrap();
+        output.finish(StreamEnd::Whole, MonoMs(2));
+        output.acknowledge(Offset(taken), MonoMs(3));
+    }
+    store.open(key(3), MonoMs(4)).unwrap();
+    assert!(store.get(key(1)).is_some(), "the untaken answer is kept");
+    assert!(store.get(key(2)).is_none(), "the taken one makes room");
+    assert_eq!(store.open(key(4), MonoMs(4)), Err(StoreError));
+    let later = MonoMs(2 + OutputStore::UNTAKEN_MS);
+    store.open(key(4), later).unwrap();
+    assert!(store.get(key(1)).is_none(), "its router has had its time");
+}
+
 #[test]
 fn store_when_full() {
-    let key = |id| LedgerKey::of_request(&"swap-desk".into(), RequestId(id));
     let limits = StoreLimits { max_outputs: 2, output: limits() };
     let mut store = OutputStore::new(limits);
     store.open(key(1), MonoMs(0)).unwrap();
