Note past means once a second, however often a sidecar ticks

Cause: the daemon ticks every 100 ms, so that the four earlier estimates spanned 0.4 s and the projection of a fall was noise; found by reading the sidecar's control loop. Change: MeanLoad::tick notes an estimate only after PAST_EVERY_MS. The test now ticks ten times a second; it failed before the change and passes after.

--- a/crates/persimmon_decide/src/load/mean_load.rs
+++ b/crates/persimmon_decide/src/load/mean_load.rs
@@ -64,7 +64,10 @@
     /// were measured, and as long again in which what is admitted now goes on running.
     pub const PROJECTED_AGES: f64 = 2.0;
 
-    /// Earlier estimates kept, one for each tick, to see whether the mean falls.
+    /// Time between the earlier estimates kept, in milliseconds.
+    pub const PAST_EVERY_MS: u64 = 1_000;
+
+    /// Earlier estimates kept, to see whether the mean falls.
     pub const PAST: usize = 4;
 
     /// Least part of the load multiple above one that the floor is worked out from.
@@ -93,10 +96,13 @@
         self.entries.remove(&endpoint);
     }
 
-    /// Drops reports that are too old to count, and notes what the others come to. To be called
-    /// about once a second.
+    /// Drops reports that are too old to count, and notes now and then what the others come to.
     pub fn tick(&mut self, now: MonoMs) {
         self.entries.retain(|_, entry| now.ms_since(entry.at) < Self::FORGET_MS);
+        let due = |past: &Past| now.ms_since(past.at) >= Self::PAST_EVERY_MS;
+        if !self.past.back().is_none_or(due) {
+            return;
+        }
         if self.past.len() >= Self::PAST {
             self.past.pop_front();
         }
--- a/crates/persimmon_decide/tests/load_placement.rs
+++ b/crates/persimmon_decide/tests/load_placement.rs
@@ -227,7 +227,9 @@
     let mut mean = MeanLoad::default();
     for second in 0..4 {
         mean.observe(EndpointHash(1), report(8_000 - 800 * second), MonoMs(second * 1_000));
-        mean.tick(MonoMs(second * 1_000 + 2_000));
+        for tick in 0..10 {
+            mean.tick(MonoMs(second * 1_000 + 2_000 + tick * 100));
+        }
     }
     // The last report says 5,600 for 8 slots, is 2 s old, and falls by 100 a second and slot.
     let expected = 700.0 - 100.0 * 2.0 * MeanLoad::PROJECTED_AGES;
