Close idle connections to sidecars, and bound those that a process accepts

Ruled out: closing at once what the pool drops, since answers still come over it; a use count keeps such a connection open. Change: connections idle for 30 s are closed once nothing comes over them; a process accepts at most 1,024 from others.

--- a/crates/persimmonmountd/src/common/peer_server.rs
+++ b/crates/persimmonmountd/src/common/peer_server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 
@@ -10,6 +11,8 @@
 use tokio::net::TcpListener as AsyncListener;
 use tokio::task::LocalSet;
 
+/// Connections from other processes open at once.
+const MAX_CONNECTIONS: usize = 1_024;
 /// Pause after a connection couldn't be accepted, so that a shortage of file descriptors doesn't
 /// keep a core busy.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -56,14 +59,28 @@
             return;
         }
     };
+    let open = Rc::new(());
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
+                if Rc::strong_count(&open) > MAX_CONNECTIONS {
+                    tracing::warn!(
+                        "peers: a connection from {from} is closed, since too many are open."
+                    );
+                    continue;
+                }
+                let open = open.clone();
                 let key = key.clone();
                 let bootstrap = node();
                 tokio::task::spawn_local(async move {
-                    if let Err(err) = serve(stream, &key, bootstrap).await {
-                        tracing::warn!("peers: a connection from {from} is refused: {err}.");
+                    let _open = open;
+                    match serve(stream, &key, bootstrap).await {
+                        Ok(ended) => {
+                            let _joined = ended.await;
+                        }
+                        Err(err) => {
+                            tracing::warn!("peers: a connection from {from} is refused: {err}.");
+                        }
                     }
                 });
             }
--- a/crates/persimmonmountd/src/router/exchange/mod.rs
+++ b/crates/persimmonmountd/src/router/exchange/mod.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::command::{Command, PlannedEndpoint};
-use super::pool::Link;
+use super::pool::{Link, LinkUse};
 use super::sink::{FRAMES_WAITING, Hearing, Sink};
 use super::traffic::TrafficCx;
 
@@ -72,6 +72,8 @@
     frames: Receiver<Frame>,
     hearing: Rc<RefCell<Hearing>>,
     source: Source,
+    /// Keeps the connection open; none before it is opened.
+    _link: Option<LinkUse>,
 }
 
 /// Why an exchange stopped before its dispatch was finished.
@@ -127,7 +129,7 @@
         let source = Source { candidate: 0, endpoint, stamp };
         let (_closed, frames) = flume::bounded(0);
         let hearing = self.hearing(false);
-        self.stream = Some(Stream { frames, hearing, source });
+        self.stream = Some(Stream { frames, hearing, source, _link: None });
         let first = self.parts.dispatch.start_resume();
         self.drive(first).await;
     }
@@ -259,7 +261,7 @@
         let sink = Sink { frames: tx, hearing: hearing.clone(), clock: self.cx.clock };
         let stamp = link.stamp;
         let source = Source { candidate, endpoint: endpoint.name.clone(), stamp };
-        self.stream = Some(Stream { frames, hearing, source });
+        self.stream = Some(Stream { frames, hearing, source, _link: Some(link.keep_open()) });
         let id = FrameId {
             request: self.parts.template.id.id,
             attempt: Attempt(candidate as u32 + 1),
--- a/crates/persimmonmountd/src/router/pool.rs
+++ b/crates/persimmonmountd/src/router/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::outcome::{HeartbeatLimits, Stamp};
@@ -57,9 +58,26 @@
     connection: Connection,
     address: SocketAddr,
     used_at: MonoMs,
+    uses: Rc<()>,
+}
+
+/// Keeps a connection open while an answer comes over it.
+#[derive(Debug, Clone)]
+pub(crate) struct LinkUse {
+    _uses: Rc<()>,
 }
 
 impl Link {
+    /// Keeps the connection open until the value is dropped.
+    pub(crate) fn keep_open(&self) -> LinkUse {
+        LinkUse { _uses: self.uses.clone() }
+    }
+
+    /// Whether nothing holds the connection but the pool.
+    fn is_unused(&self) -> bool {
+        Rc::strong_count(&self.uses) == 1
+    }
+
     /// The same connection, for a request that was sent with another stamp.
     #[must_use]
     pub(crate) fn with_stamp(mut self, stamp: Stamp) -> Self {
@@ -87,12 +105,15 @@
     key: FleetKey,
     clock: Clock,
     links: RefCell<HashMap<EndpointName, Link>>,
+    /// Connections that take no new requests and are closed once nothing comes over them.
+    retired: RefCell<Vec<Link>>,
 }
 
 impl Pool {
     /// An empty pool.
     pub(crate) fn new(key: FleetKey, clock: Clock) -> Self {
-        Self { key, clock, links: RefCell::new(HashMap::new()) }
+        let links = RefCell::new(HashMap::new());
+        Self { key, clock, links, retired: RefCell::new(Vec::new()) }
     }
 
     /// A connection to an endpoint, an open one if there is one.
@@ -137,6 +158,7 @@
             connection,
             address: endpoint.address,
             used_at: self.clock.now(),
+            uses: Rc::new(()),
         };
         self.keep(endpoint.name.clone(), link.clone());
         Ok(link)
@@ -173,17 +195,35 @@
 
     /// Stops using a connection for new requests. Those in progress on it go on.
     pub(crate) fn discard(&self, name: &EndpointName) {
-        self.links.borrow_mut().remove(name);
+        let discarded = self.links.borrow_mut().remove(name);
+        self.retired.borrow_mut().extend(discarded);
+    }
+
+    /// Closes connections that have been idle for too long, and retired ones that nothing uses.
+    pub(crate) fn close_idle(&self) {
+        let now = self.clock.now();
+        let is_idle = |link: &Link| now.ms_since(link.used_at) >= MAX_IDLE_MS;
+        let mut links = self.links.borrow_mut();
+        let idle: Vec<_> =
+            links.extract_if(|_, link| is_idle(link)).map(|(_, link)| link).collect();
+        let mut retired = self.retired.borrow_mut();
+        retired.extend(idle);
+        for link in retired.extract_if(.., |link| link.is_unused()) {
+            link.connection.close();
+        }
     }
 
     fn keep(&self, name: EndpointName, link: Link) {
         let mut links = self.links.borrow_mut();
         if links.len() >= MAX_CONNECTIONS {
             let now = self.clock.now();
-            links.retain(|_, link| now.ms_since(link.used_at) < MAX_IDLE_MS);
+            let is_idle = |link: &Link| now.ms_since(link.used_at) >= MAX_IDLE_MS;
+            let idle = links.extract_if(|_, link| is_idle(link)).map(|(_, link)| link);
+            self.retired.borrow_mut().extend(idle);
         }
         if links.len() < MAX_CONNECTIONS {
-            links.insert(name, link);
+            let replaced = links.insert(name, link);
+            self.retired.borrow_mut().extend(replaced);
         }
     }
 }
--- a/crates/persimmonmountd/src/router/services.rs
+++ b/crates/persimmonmountd/src/router/services.rs
@@ -233,6 +233,7 @@
 
 /// Sends one call; none if its reply didn't come or the connection went silent.
 async fn send_call(link: &Link, template: &CallTemplate) -> Option<CallReply> {
+    let _link = link.keep_open();
     let mut call = link.sidecar.call_request();
     let mut message = template.call.clone();
     message.id.stamp = link.stamp;
--- a/crates/persimmonmountd/src/router/traffic.rs
+++ b/crates/persimmonmountd/src/router/traffic.rs
@@ -28,6 +28,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest request head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Time between two looks for idle connections to sidecars.
+const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 /// Pause after a connection couldn't be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -157,6 +159,7 @@
         });
         let local = LocalSet::new();
         local.block_on(&runtime, async move {
+            tokio::task::spawn_local(close_idle_links(cx.clone()));
             while let Ok(counted) = streams.recv_async().await {
                 tokio::task::spawn_local(serve(cx.clone(), counted));
             }
@@ -165,6 +168,13 @@
     Ok(())
 }
 
+async fn close_idle_links(cx: Rc<TrafficCx>) {
+    loop {
+        tokio::time::sleep(IDLE_SWEEP_INTERVAL).await;
+        cx.pool.close_idle();
+    }
+}
+
 async fn serve(cx: Rc<TrafficCx>, counted: Counted) {
     let _open = OpenGuard(counted.open);
     let stream = counted.stream;
