Hold a workspace to its endpoints at the sidecar too; seal claims once

Cause: the sidecar checked the model or service but not the endpoints that a record names, so that a router with older records could still send there; and two modules sealed values with the same code. ClaimSealer is a Sealer with a prefix. The sidecar's refusal itself has no process test.

--- a/crates/persimmon_decide/src/outcome/sealer.rs
+++ b/crates/persimmon_decide/src/outcome/sealer.rs
@@ -1,11 +1,9 @@
 //! Sealing of claims, so that only the fleet can make one.
 
-use std::fmt;
-use std::fmt::Write;
-
 use thiserror::Error;
 
 use super::Claim;
+use crate::{SealError, Sealer};
 
 /// Separates the sealing key from every other key that is derived from the fleet key.
 const KEY_CONTEXT: &str = "persimmonmount 2026-12-03 claim seal v1";
@@ -21,9 +19,9 @@
 /// let sealer = ClaimSealer::new("a fleet key of the operators");
 /// assert_eq!(sealer.open("nonsense"), Err(ClaimError::Malformed));
 /// ```
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct ClaimSealer {
-    key: [u8; blake3::KEY_LEN],
+    sealer: Sealer,
 }
 
 /// Why a sealed claim can't be opened.
@@ -46,7 +44,7 @@
 
     /// A sealer whose key is derived from the fleet key.
     pub fn new(fleet_key: &str) -> Self {
-        Self { key: blake3::derive_key(KEY_CONTEXT, fleet_key.as_bytes()) }
+        Self { sealer: Sealer::new(fleet_key, KEY_CONTEXT) }
     }
 
     /// The text that the caller carries.
@@ -55,9 +53,7 @@
     ///
     /// [`ClaimError::TooLong`] if the claim's names are too long for it to be opened again.
     pub fn seal(&self, claim: &Claim) -> Result<String, ClaimError> {
-        let payload = serde_json::to_vec(claim).map_err(|_| ClaimError::Malformed)?;
-        let seal = blake3::keyed_hash(&self.key, &payload);
-        let text = format!("{PREFIX}{}.{}", to_hex(&payload), seal.to_hex());
+        let text = format!("{PREFIX}{}", self.sealer.seal(claim)?);
         if text.len() > Self::MAX_CHARS { Err(ClaimError::TooLong) } else { Ok(text) }
     }
 
@@ -71,42 +67,16 @@
             return Err(ClaimError::TooLong);
         }
         let sealed = text.strip_prefix(PREFIX).ok_or(ClaimError::Malformed)?;
-        let (payload, seal) = sealed.split_once('.').ok_or(ClaimError::Malformed)?;
-        let payload = from_hex(payload).ok_or(ClaimError::Malformed)?;
-        let seal = blake3::Hash::from_hex(seal).map_err(|_| ClaimError::Malformed)?;
-        // Comparing two hashes takes the same time wherever they differ.
-        if blake3::keyed_hash(&self.key, &payload) != seal {
-            return Err(ClaimError::Forged);
-        }
-        serde_json::from_slice(&payload).map_err(|_| ClaimError::Malformed)
-    }
-}
-
-impl fmt::Debug for ClaimSealer {
-    /// Leaves the key out, so that it can't reach a log.
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("ClaimSealer").finish_non_exhaustive()
+        Ok(self.sealer.open(sealed)?)
     }
 }
 
-fn to_hex(bytes: &[u8]) -> String {
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        // Writing to a string can't fail.
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
-}
-
-fn from_hex(text: &str) -> Option<Vec<u8>> {
-    if !text.len().is_multiple_of(2) {
-        return None;
+impl From<SealError> for ClaimError {
+    fn from(err: SealError) -> Self {
+        match err {
+            SealError::TooLong => Self::TooLong,
+            SealError::Malformed => Self::Malformed,
+            SealError::Forged => Self::Forged,
+        }
     }
-    text.as_bytes().chunks_exact(2).map(byte_from_hex).collect()
-}
-
-fn byte_from_hex(pair: &[u8]) -> Option<u8> {
-    let high = char::from(pair[0]).to_digit(16)?;
-    let low = char::from(pair[1]).to_digit(16)?;
-    u8::try_from(high * 16 + low).ok()
 }
--- a/crates/persimmon_records/src/workspace.rs
+++ b/crates/persimmon_records/src/workspace.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Class, EndpointName, KeyDigest, ModelName, PerClass, ServiceName, UnixMs, WorkspaceName,
+    Class, Endpoint, EndpointName, KeyDigest, ModelName, PerClass, Serves, ServiceName, UnixMs,
+    WorkspaceName,
 };
 
 /// Limits on one class of a workspace's requests, over the whole fleet.
@@ -60,6 +61,17 @@
     pub expires_at: Option<UnixMs>,
 }
 
+impl Workspace {
+    /// Whether the workspace may use what `endpoint` serves, at that endpoint.
+    pub fn may_use(&self, endpoint: &Endpoint) -> bool {
+        let is_served = match &endpoint.serves {
+            Serves::Model(model) => self.models.contains(model),
+            Serves::Service(service) => self.services.contains(service),
+        };
+        is_served && (self.endpoints.is_empty() || self.endpoints.contains(&endpoint.name))
+    }
+}
+
 /// Builds a [`Workspace`].
 ///
 /// ```
--- a/crates/persimmonmountd/src/sidecar/calls.rs
+++ b/crates/persimmonmountd/src/sidecar/calls.rs
@@ -210,10 +210,11 @@
     service: &ServiceName,
 ) -> Result<(), Refused> {
     let serves = Serves::Service(service.clone());
-    let is_served = core.endpoint().is_some_and(|endpoint| endpoint.serves == serves);
+    let endpoint = core.endpoint().filter(|endpoint| endpoint.serves == serves);
     let workspace = core.workspace(workspace);
-    let is_permitted = workspace.is_some_and(|workspace| workspace.services.contains(service));
-    if is_served && is_permitted { Ok(()) } else { Err(at_once(Refusal::NotServed)) }
+    let is_permitted =
+        endpoint.zip(workspace).is_some_and(|(endpoint, workspace)| workspace.may_use(endpoint));
+    if is_permitted { Ok(()) } else { Err(at_once(Refusal::NotServed)) }
 }
 
 fn fingerprint_of(call: &ServiceCall) -> Fingerprint {
--- a/crates/persimmonmountd/src/sidecar/runs/submission.rs
+++ b/crates/persimmonmountd/src/sidecar/runs/submission.rs
@@ -107,10 +107,12 @@
         let serves = Serves::Model(req.model.clone());
         let endpoint = core.endpoint().filter(|endpoint| endpoint.serves == serves);
         let workspace = core.workspace(&req.id.workspace);
-        let permitted = workspace.filter(|workspace| workspace.models.contains(&req.model));
-        let (Some(_), Some(workspace)) = (endpoint, permitted) else {
+        let (Some(endpoint), Some(workspace)) = (endpoint, workspace) else {
             return Err(at_once(Refusal::NotServed));
         };
+        if !workspace.may_use(endpoint) {
+            return Err(at_once(Refusal::NotServed));
+        }
         if now < self.engine_down_until {
             let retry_after_ms = self.engine_down_until.ms_since(now);
             return Err(Refused { refusal: Refusal::EndpointDown, retry_after_ms });
