Count a request once, and let the end of an answer leave before the process

Cause: /status counted a stream twice (128 for 64), once for the exchange and once for its rendering; and a draining router could end the moment the last chunk was handed to the HTTP library, before it was written. Change: the rendering holds the only guard; a draining router waits 500 ms after its last request. The lost end was reasoned, not seen.

--- a/crates/persimmonmountd/src/router/answers.rs
+++ b/crates/persimmonmountd/src/router/answers.rs
@@ -67,17 +67,14 @@
         out,
     };
     let exchange = Exchange::new(cx.clone(), parts);
-    let guard = cx.in_progress.enter();
-    let stamp = token.stamp;
-    tokio::task::spawn_local(async move {
-        exchange.resume(stamp, offset).await;
-        drop(guard);
-    });
+    let in_progress = cx.in_progress.enter();
+    tokio::task::spawn_local(exchange.resume(token.stamp, offset));
     let render = RenderParts {
         request_id: token.request_id.to_string(),
         model: token.model.to_string(),
         is_streamed: true,
         started: cx.clock.now(),
+        _in_progress: in_progress,
     };
     let resumed = Head { request_id: token.request_id, ..head.clone() };
     respond(cx, &resumed, &plan, progress, render).await
--- a/crates/persimmonmountd/src/router/chat.rs
+++ b/crates/persimmonmountd/src/router/chat.rs
@@ -71,16 +71,14 @@
     };
     let started = cx.clock.now();
     let exchange = Exchange::new(cx.clone(), parts);
-    let guard = cx.in_progress.enter();
-    tokio::task::spawn_local(async move {
-        exchange.run().await;
-        drop(guard);
-    });
+    let in_progress = cx.in_progress.enter();
+    tokio::task::spawn_local(exchange.run());
     let render = RenderParts {
         request_id: head.request_id.to_string(),
         model: chat.model,
         is_streamed: chat.stream,
         started,
+        _in_progress: in_progress,
     };
     respond(cx, &head, &plan, progress, render).await
 }
--- a/crates/persimmonmountd/src/router/control/mod.rs
+++ b/crates/persimmonmountd/src/router/control/mod.rs
@@ -29,6 +29,9 @@
 const TICK: Duration = Duration::from_millis(100);
 /// How long before a loan's end a router stops to offer requests, in milliseconds.
 const LOAN_END_MARGIN_MS: u64 = 1_000;
+/// How long a draining router waits after its last request, so that the end of the answer leaves
+/// its sockets, in milliseconds.
+const FLUSH_MS: u64 = 500;
 /// How long an endpoint that couldn't be reached is tried only after all others, in milliseconds.
 const SUSPECT_MS: u64 = 5_000;
 
@@ -79,6 +82,8 @@
     waiting: Vec<WaitingForCredit>,
     counts: OutcomeCounts,
     draining_since: Option<MonoMs>,
+    /// When a request was last seen in progress while draining.
+    busy_at: MonoMs,
     drain_ms: u64,
 }
 
@@ -118,6 +123,7 @@
             directory: Directory::default(),
             counts: OutcomeCounts::default(),
             draining_since: None,
+            busy_at: MonoMs::default(),
             drain_ms: parts.drain_ms,
         }
     }
@@ -273,10 +279,14 @@
         self.readiness.set(self.keeper.is_ready() && self.draining_since.is_none());
     }
 
-    fn is_drained(&self) -> bool {
+    fn is_drained(&mut self) -> bool {
         let Some(since) = self.draining_since else { return false };
-        let waited_ms = self.clock.now().ms_since(since);
-        self.in_progress.count() == 0 || waited_ms >= self.drain_ms
+        let now = self.clock.now();
+        if self.in_progress.count() > 0 {
+            self.busy_at = now;
+        }
+        let is_flushed = now.ms_since(self.busy_at.max(since)) >= FLUSH_MS;
+        is_flushed || now.ms_since(since) >= self.drain_ms
     }
 
     fn status(&self) -> Status {
--- a/crates/persimmonmountd/src/router/render.rs
+++ b/crates/persimmonmountd/src/router/render.rs
@@ -14,17 +14,20 @@
 };
 use super::body::{self, Reply};
 use super::chat::failure_of;
+use super::control::InProgressGuard;
 use super::exchange::{PIECES_WAITING, Progress};
 use super::failure::Failure;
 use super::traffic::TrafficCx;
 
 /// What a renderer needs of the request.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct RenderParts {
     pub(crate) request_id: String,
     pub(crate) model: String,
     pub(crate) is_streamed: bool,
     pub(crate) started: MonoMs,
+    /// Counts the request until its answer has been rendered.
+    pub(crate) _in_progress: InProgressGuard,
 }
 
 /// Renders one answer.
@@ -79,7 +82,6 @@
     }
 
     async fn stream(mut self, chunks: Sender<Bytes>) {
-        let _in_progress = self.cx.in_progress.enter();
         while let Some(progress) = self.next().await {
             let text = match &progress {
                 Progress::Line { offset, line, .. } => self.event(*offset, line),
