Renew a connection's stamp before it is too old

Cause: calls that may be repeated carry the stamp of their connection's greeting, and only chats brought a newer one. A connection in steady use was kept, so after 30 s every lookup over it was refused as stale-stamp. No process test covered repeatable services; found by reading the change once more. Ruled out: renewing it in services.rs, since the pool hands the stamp out to every kind of request. Change: the pool greets again over an open connection whose stamp is 10 s old; the greeting stands once for that and for offering a refused request again.

--- a/crates/persimmonmountd/src/router/pool.rs
+++ b/crates/persimmonmountd/src/router/pool.rs
@@ -18,6 +18,9 @@
 
 /// Time that a sidecar has for its greeting on a new connection.
 const GREETING_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Age from which a kept stamp is renewed before a request, in milliseconds. Sidecars refuse
+/// requests whose stamp is much older.
+const MAX_STAMP_AGE_MS: u64 = 10_000;
 /// Pause before a stamp that has to be newer than a refusal; stamps count milliseconds.
 const STAMP_AGE: Duration = Duration::from_millis(2);
 /// Time without use after which a connection isn't used again, in milliseconds.
@@ -53,6 +56,8 @@
     pub(crate) sidecar: sidecar::Client,
     /// The newest stamp that is known of the sidecar.
     pub(crate) stamp: Stamp,
+    /// When the stamp was obtained, by this router's clock.
+    stamped_at: MonoMs,
     /// Whether the connection was used before and may have gone silent since.
     pub(crate) is_reused: bool,
     connection: Connection,
@@ -123,16 +128,30 @@
     /// No connection could be had.
     pub(crate) async fn link(&self, endpoint: &PlannedEndpoint) -> Result<Link, PoolError> {
         let now = self.clock.now();
-        if let Some(link) = self.links.borrow_mut().get_mut(&endpoint.name) {
-            let is_usable = !link.connection.is_closed()
-                && link.address == endpoint.address
-                && now.ms_since(link.used_at) < MAX_IDLE_MS;
-            if is_usable {
-                link.used_at = now;
-                return Ok(Link { is_reused: true, ..link.clone() });
-            }
+        let Some(link) = self.open_link(endpoint, now) else {
+            return self.fresh_link(endpoint).await;
+        };
+        if now.ms_since(link.stamped_at) < MAX_STAMP_AGE_MS {
+            return Ok(link);
+        }
+        match self.restamp(endpoint, link).await {
+            Ok(link) => Ok(link),
+            Err(_) => self.fresh_link(endpoint).await,
         }
-        self.fresh_link(endpoint).await
+    }
+
+    /// The connection that is kept for an endpoint, if it may still be used.
+    fn open_link(&self, endpoint: &PlannedEndpoint, now: MonoMs) -> Option<Link> {
+        let mut links = self.links.borrow_mut();
+        let link = links.get_mut(&endpoint.name)?;
+        let is_usable = !link.connection.is_closed()
+            && link.address == endpoint.address
+            && now.ms_since(link.used_at) < MAX_IDLE_MS;
+        if !is_usable {
+            return None;
+        }
+        link.used_at = now;
+        Some(Link { is_reused: true, ..link.clone() })
     }
 
     /// A new connection to an endpoint, which takes the place of the one kept.
@@ -154,6 +173,7 @@
         let link = Link {
             sidecar: greeting.get_sidecar()?,
             stamp: read_stamp(greeting.get_stamp()?),
+            stamped_at: self.clock.now(),
             is_reused: false,
             connection,
             address: endpoint.address,
@@ -176,6 +196,11 @@
     ) -> Result<Link, PoolError> {
         let link = self.link(endpoint).await?;
         tokio::time::sleep(STAMP_AGE).await;
+        self.restamp(endpoint, link).await
+    }
+
+    /// Obtains a new stamp over an open connection, which also shows that it works.
+    async fn restamp(&self, endpoint: &PlannedEndpoint, link: Link) -> Result<Link, PoolError> {
         let greeting =
             timeout(GREETING_TIMEOUT, link.connection.node.sidecar_request().send().promise);
         let greeting = greeting.await.map_err(|_| PoolError::Silent)??;
@@ -190,6 +215,7 @@
             && link.stamp.incarnation == stamp.incarnation
         {
             link.stamp = stamp;
+            link.stamped_at = self.clock.now();
         }
     }
 
