--- /dev/null
+++ b/crates/persimmon_decide/src/forward/crash_watch.rs
@@ -0,0 +1,93 @@
+//! Requests that crash the endpoints that run them.
+
+use std::collections::HashMap;
+
+use crate::load::EndpointHash;
+use crate::{Fingerprint, MonoMs};
+
+#[derive(Debug, Clone)]
+struct Marks {
+    crashed: Vec<EndpointHash>,
+    until: MonoMs,
+}
+
+/// Notices content under which several endpoints crashed, and refuses it from then on.
+///
+/// A broken connection alone is no crash: answers are also lost for other reasons. It counts as one
+/// if the endpoint can't be reached shortly after. Gateways tell each other the marks, so that a
+/// caller that comes back elsewhere is refused there too.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    marks: HashMap<u64, Marks>,
+    /// Requests whose connection broke lately, by endpoint.
+    broken: HashMap<EndpointHash, Vec<(u64, MonoMs)>>,
+}
+
+impl CrashWatch {
+    /// Endpoints that one content may crash.
+    const MAX_CRASHES: usize = 2;
+    /// How long after a broken connection an unreachable endpoint counts as crashed by it, in
+    /// milliseconds: a crashed process refuses connections at once, and stays away for seconds.
+    const BLAME_MS: u64 = 1_000;
+    /// How long a mark is kept, in milliseconds. Callers send such a request again within minutes.
+    const MEMORY_MS: u64 = 300_000;
+    /// Contents remembered at most.
+    const MAX_MARKS: usize = 512;
+
+    /// A watch that suspects nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The connection to an endpoint broke while it worked on this content.
+    pub fn record_broken(&mut self, content: Fingerprint, endpoint: EndpointHash, now: MonoMs) {
+        let broken = self.broken.entry(endpoint).or_default();
+        broken.retain(|(_, at)| now.ms_since(*at) <= Self::BLAME_MS);
+        broken.push((content.0, now));
+    }
+
+    /// The endpoint refuses connections: what broke there just before may have crashed it.
+    pub fn record_refused(&mut self, endpoint: EndpointHash, now: MonoMs) {
+        for (content, at) in self.broken.remove(&endpoint).unwrap_or_default() {
+            if now.ms_since(at) <= Self::BLAME_MS {
+                self.mark(content, endpoint, now);
+            }
+        }
+    }
+
+    /// A peer's mark.
+    pub fn absorb(&mut self, content: u64, endpoint: EndpointHash, now: MonoMs) {
+        self.mark(content, endpoint, now);
+    }
+
+    /// Whether this content is refused.
+    pub fn refuses(&self, content: Fingerprint, now: MonoMs) -> bool {
+        let marks = self.marks.get(&content.0).filter(|marks| marks.until > now);
+        marks.is_some_and(|marks| marks.crashed.len() >= Self::MAX_CRASHES)
+    }
+
+    /// The newest marks, for the digest.
+    pub fn newest(&self, count: usize, now: MonoMs) -> Vec<(u64, EndpointHash)> {
+        let mut live: Vec<_> = self.marks.iter().filter(|(_, marks)| marks.until > now).collect();
+        live.sort_by_key(|(content, marks)| (std::cmp::Reverse(marks.until), **content));
+        let pairs = live
+            .into_iter()
+            .flat_map(|(content, marks)| marks.crashed.iter().map(|it| (*content, *it)));
+        pairs.take(count).collect()
+    }
+
+    fn mark(&mut self, content: u64, endpoint: EndpointHash, now: MonoMs) {
+        if self.marks.len() >= Self::MAX_MARKS && !self.marks.contains_key(&content) {
+            self.marks.retain(|_, marks| marks.until > now);
+            if self.marks.len() >= Self::MAX_MARKS {
+                return;
+            }
+        }
+        let until = now.plus_ms(Self::MEMORY_MS);
+        let marks = self.marks.entry(content).or_insert(Marks { crashed: Vec::new(), until });
+        if !marks.crashed.contains(&endpoint) && marks.crashed.len() < Self::MAX_CRASHES {
+            marks.crashed.push(endpoint);
+            marks.until = until;
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -0,0 +1,74 @@
+//! Endpoints by service.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{Endpoint, EndpointId, EndpointState};
+use crate::load::EndpointHash;
+
+/// The published endpoints, by identity and by service.
+#[derive(Debug, Default)]
+pub struct EndpointDirectory {
+    by_id: BTreeMap<EndpointId, Arc<Endpoint>>,
+    by_service: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
+}
+
+impl EndpointDirectory {
+    /// A directory without endpoints.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds or replaces an endpoint; returns what it replaced.
+    pub fn insert(&mut self, endpoint: Endpoint) -> Option<Arc<Endpoint>> {
+        let previous = self.remove(&endpoint.id.clone());
+        let endpoint = Arc::new(endpoint);
+        self.by_id.insert(endpoint.id.clone(), endpoint.clone());
+        self.by_service.entry(endpoint.service.clone()).or_default().push(endpoint);
+        previous
+    }
+
+    /// Removes an endpoint and returns it.
+    pub fn remove(&mut self, id: &str) -> Option<Arc<Endpoint>> {
+        let endpoint = self.by_id.remove(id)?;
+        if let Some(peers) = self.by_service.get_mut(&endpoint.service) {
+            peers.retain(|peer| peer.id != endpoint.id);
+        }
+        Some(endpoint)
+    }
+
+    /// Every endpoint of a service, leaving ones included.
+    pub fn of_service(&self, service: &str) -> &[Arc<Endpoint>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The endpoints of a service that take new requests.
+    pub fn ready(&self, service: &str) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.of_service(service).iter().filter(|it| it.state == EndpointState::Ready)
+    }
+
+    /// An endpoint by its identity.
+    pub fn get(&self, id: &str) -> Option<&Arc<Endpoint>> {
+        self.by_id.get(id)
+    }
+
+    /// Whether an endpoint is published, by its hash.
+    pub fn contains(&self, endpoint: EndpointHash) -> bool {
+        self.by_id.values().any(|it| it.hash == endpoint)
+    }
+
+    /// Every endpoint.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.by_id.values()
+    }
+
+    /// How many endpoints are published.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether no endpoint is published.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -0,0 +1,37 @@
+//! Forwarding of HTTP requests straight to endpoints: routes, where a request goes, what follows a
+//! failure, and what the gateways of a fleet tell each other.
+
+mod attempt;
+mod crash_watch;
+mod digest;
+mod directory;
+mod durations;
+mod endpoint;
+mod health;
+mod load_book;
+mod peer_table;
+mod picker;
+mod prefix_map;
+mod retry_window;
+mod route;
+mod shutdown;
+mod store_view;
+
+pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
+pub use crash_watch::CrashWatch;
+pub use digest::{Digest, EndpointCount, PeerAddress, ServiceRetries};
+pub use directory::EndpointDirectory;
+pub use durations::DurationBook;
+pub use endpoint::{Endpoint, EndpointId, EndpointState};
+pub use health::{HealthBook, HealthSettings};
+pub use load_book::LoadBook;
+pub use peer_table::PeerTable;
+pub use picker::{Choice, PickRequest, Picker, PickerSettings};
+pub use prefix_map::{PrefixMap, PromptPart};
+pub use retry_window::{RetryWindow, RetryWindowSettings};
+pub use route::{
+    CallerLimits, CallerLookup, EngineSpec, Repeatable, Route, RouteTable, ServiceSpec,
+    ServiceWeight, Workspace,
+};
+pub use shutdown::{Shutdown, ShutdownSettings};
+pub use store_view::{StoreChange, StoreRecord, StoreView};
--- /dev/null
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -0,0 +1,133 @@
+//! The other gateways of the fleet.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use super::{Digest, PeerAddress, ServiceRetries};
+use crate::MonoMs;
+
+#[derive(Debug)]
+struct Peer {
+    incarnation: u64,
+    sequence: u64,
+    heard_at: MonoMs,
+    revision: u64,
+    retries: Vec<(Arc<str>, ServiceRetries)>,
+}
+
+/// Finds the other gateways from a few seeds, and remembers their latest digests.
+#[derive(Debug)]
+pub struct PeerTable {
+    own: IpAddr,
+    seeds: Vec<IpAddr>,
+    peers: BTreeMap<IpAddr, Peer>,
+    /// Addresses that others told of, with the time at which they were last heard of.
+    rumours: BTreeMap<IpAddr, MonoMs>,
+}
+
+impl PeerTable {
+    /// How long a silent peer's counts are used, in milliseconds: several digests, so that a lost
+    /// datagram doesn't make its requests vanish.
+    pub const SILENT_MS: u64 = 1_500;
+    /// How long a silent peer is still sent digests, in milliseconds. A restarted process is back
+    /// within seconds; a replaced one has another address.
+    const MEMORY_MS: u64 = 30_000;
+
+    /// A table that knows only its seeds.
+    pub fn new(own: IpAddr, seeds: Vec<IpAddr>) -> Self {
+        Self { own, seeds, peers: BTreeMap::new(), rumours: BTreeMap::new() }
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<IpAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Takes in a digest. Returns whether it is news.
+    pub fn absorb(&mut self, from: IpAddr, digest: &Digest, now: MonoMs) -> bool {
+        if from == self.own {
+            return false;
+        }
+        if let Some(peer) = self.peers.get(&from) {
+            let is_same_life = peer.incarnation == digest.incarnation;
+            if is_same_life && digest.sequence <= peer.sequence {
+                return false;
+            }
+        }
+        let peer = Peer {
+            incarnation: digest.incarnation,
+            sequence: digest.sequence,
+            heard_at: now,
+            revision: digest.revision,
+            retries: digest.retries.clone(),
+        };
+        self.peers.insert(from, peer);
+        for rumour in digest.peers.iter().filter(|it| it.ip != self.own) {
+            let heard_at = MonoMs(now.0.saturating_sub(u64::from(rumour.age_ms)));
+            let known = self.rumours.entry(rumour.ip).or_insert(heard_at);
+            *known = (*known).max(heard_at);
+        }
+        true
+    }
+
+    /// Forgets peers that have been silent for long; returns those whose counts no longer hold.
+    pub fn expire(&mut self, now: MonoMs) -> Vec<IpAddr> {
+        let is_old = |at: MonoMs| now.ms_since(at) > Self::MEMORY_MS;
+        self.rumours.retain(|_, at| !is_old(*at));
+        let silent: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.ms_since(peer.heard_at) > Self::SILENT_MS)
+            .map(|(ip, _)| *ip)
+            .collect();
+        self.peers.retain(|_, peer| !is_old(peer.heard_at));
+        silent
+    }
+
+    /// Where to send digests: seeds, peers and whom peers told of.
+    pub fn targets(&self) -> Vec<IpAddr> {
+        let known = self.seeds.iter().chain(self.peers.keys()).chain(self.rumours.keys());
+        let mut targets: Vec<_> = known.copied().filter(|ip| *ip != self.own).collect();
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    /// Peers to tell others of.
+    pub fn addresses(&self, now: MonoMs) -> Vec<PeerAddress> {
+        let age = |at| u32::try_from(now.ms_since(at)).unwrap_or(u32::MAX);
+        self.peers
+            .iter()
+            .map(|(ip, peer)| PeerAddress { ip: *ip, age_ms: age(peer.heard_at) })
+            .filter(|it| u64::from(it.age_ms) < Self::MEMORY_MS)
+            .collect()
+    }
+
+    /// Gateways that live, with this one.
+    pub fn gateways(&self, now: MonoMs) -> usize {
+        1 + self.live(now).count()
+    }
+
+    /// Sums over the others for the retry bound of a service.
+    pub fn retries(&self, service: &str, now: MonoMs) -> ServiceRetries {
+        let of_service = self
+            .live(now)
+            .flat_map(|(_, peer)| peer.retries.iter())
+            .filter(|(name, _)| &**name == service);
+        of_service.fold(ServiceRetries::default(), |sum, (_, it)| ServiceRetries {
+            fresh: sum.fresh + it.fresh,
+            repeated: sum.repeated + it.repeated,
+        })
+    }
+
+    /// The peer that knows the latest change, if it knows more than `revision`.
+    pub fn ahead_of(&self, revision: u64, now: MonoMs) -> Option<IpAddr> {
+        let ahead = self.live(now).filter(|(_, peer)| peer.revision > revision);
+        ahead.max_by_key(|(_, peer)| peer.revision).map(|(ip, _)| *ip)
+    }
+
+    fn live(&self, now: MonoMs) -> impl Iterator<Item = (&IpAddr, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| now.ms_since(peer.heard_at) <= Self::SILENT_MS)
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -0,0 +1,241 @@
+//! Which endpoint a request goes to.
+
+use std::sync::Arc;
+
+use super::{
+    Endpoint, EndpointDirectory, EndpointState, HealthBook, LoadBook, PrefixMap, PromptPart,
+};
+use crate::MonoMs;
+use crate::load::{ChatKey, EndpointHash, rendezvous_score};
+
+/// How far load may be uneven, and when a cache is worth moving.
+#[derive(Debug, Clone, Copy)]
+pub struct PickerSettings {
+    /// Requests at an endpoint, as a multiple of the service's mean, up to which the endpoint that
+    /// holds a prompt's start is preferred. Kept below the deployment's bound, since counts of other
+    /// gateways are a moment old.
+    pub max_load_factor: f64,
+    /// Requests allowed besides; with few requests any single one exceeds a multiple of the mean.
+    pub load_floor: f64,
+    /// Cached tokens from which an endpoint is asked to copy a prompt's start from another, in
+    /// tokens; fewer are read faster than they are fetched.
+    pub min_fetch_tokens: u32,
+}
+
+impl Default for PickerSettings {
+    fn default() -> Self {
+        Self { max_load_factor: 1.5, load_floor: 2.0, min_fetch_tokens: 256 }
+    }
+}
+
+/// A request to place.
+#[derive(Debug, Clone, Copy)]
+pub struct PickRequest<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The parts of its prompt; empty where nothing is gained from a cache.
+    pub parts: &'a [PromptPart],
+    /// Endpoints that already failed it.
+    pub tried: &'a [EndpointHash],
+    /// The gateway's availability zone.
+    pub zone: &'a str,
+    /// Any number; decides between equals.
+    pub draw: u64,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// An endpoint that holds more of the prompt's start.
+    pub fetch_from: Option<Arc<Endpoint>>,
+    /// Requests at the endpoint, over all gateways, when it was chosen.
+    pub load: u32,
+    /// Tokens of the prompt that the endpoint probably holds.
+    pub cached_tokens: u32,
+}
+
+/// Picks an endpoint for each request: for prompts, one that holds the start of the prompt, within
+/// a bound on load; otherwise the least loaded.
+#[derive(Debug)]
+pub struct Picker {
+    settings: PickerSettings,
+}
+
+/// What a pick is made from.
+#[derive(Debug)]
+struct Candidate<'a> {
+    endpoint: &'a Arc<Endpoint>,
+    load: u32,
+}
+
+impl Picker {
+    /// A picker.
+    pub fn new(settings: PickerSettings) -> Self {
+        Self { settings }
+    }
+
+    /// Picks an endpoint; none if every published one was tried.
+    pub fn pick(
+        &self,
+        req: &PickRequest<'_>,
+        endpoints: &EndpointDirectory,
+        loads: &LoadBook,
+        health: &HealthBook,
+        prefixes: &PrefixMap,
+        now: MonoMs,
+    ) -> Option<Choice> {
+        let ready: Vec<_> = endpoints
+            .ready(req.service)
+            .map(|endpoint| Candidate { endpoint, load: loads.total(endpoint.hash) })
+            .collect();
+        let mean =
+            ready.iter().map(|it| f64::from(it.load)).sum::<f64>() / ready.len().max(1) as f64;
+        let usable = Self::usable(req, &ready, health, now);
+        if req.parts.is_empty() {
+            let least = Self::least_loaded(req, &usable, health, now)?;
+            return Some(Choice {
+                endpoint: least.endpoint.clone(),
+                fetch_from: None,
+                load: least.load,
+                cached_tokens: 0,
+            });
+        }
+        let bound = self.settings.max_load_factor * mean + self.settings.load_floor;
+        self.by_prefix(req, &usable, endpoints, prefixes, bound, now)
+    }
+
+    /// The endpoints that weren't tried and seem sound. If there are none, or if that would leave
+    /// out more than half of the service, those that are only suspected are used too.
+    fn usable<'a, 'b>(
+        req: &PickRequest<'_>,
+        ready: &'b [Candidate<'a>],
+        health: &HealthBook,
+        now: MonoMs,
+    ) -> Vec<&'b Candidate<'a>> {
+        let untried: Vec<_> =
+            ready.iter().filter(|it| !req.tried.contains(&it.endpoint.hash)).collect();
+        let failing = health.failing(ready.iter().map(|it| it.endpoint.hash), now);
+        let is_trial = health.is_trial(req.draw);
+        let reached: Vec<_> = untried
+            .iter()
+            .copied()
+            .filter(|it| !health.is_ejected(it.endpoint.hash, now))
+            .collect();
+        let sound: Vec<_> = reached
+            .iter()
+            .copied()
+            .filter(|it| is_trial || !failing.contains(&it.endpoint.hash))
+            .collect();
+        if sound.len() * 2 >= untried.len() && !sound.is_empty() {
+            return sound;
+        }
+        if reached.is_empty() { untried } else { reached }
+    }
+
+    fn least_loaded<'a, 'b>(
+        req: &PickRequest<'_>,
+        usable: &[&'b Candidate<'a>],
+        health: &HealthBook,
+        now: MonoMs,
+    ) -> Option<&'b Candidate<'a>> {
+        let cost = |it: &Candidate<'_>| {
+            let busy = f64::from(it.load) / f64::from(it.endpoint.slots);
+            busy + health.failure_rate(it.endpoint.hash, now)
+        };
+        let tie = |it: &Candidate<'_>| {
+            let is_far = *it.endpoint.zone != *req.zone;
+            let score = rendezvous_score(ChatKey(req.draw), it.endpoint.hash, 1);
+            (is_far, score)
+        };
+        usable.iter().copied().min_by(|a, b| {
+            let by_cost = cost(a).total_cmp(&cost(b));
+            by_cost.then_with(|| {
+                let (a, b) = (tie(a), tie(b));
+                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+            })
+        })
+    }
+
+    fn by_prefix(
+        &self,
+        req: &PickRequest<'_>,
+        usable: &[&Candidate<'_>],
+        endpoints: &EndpointDirectory,
+        prefixes: &PrefixMap,
+        bound: f64,
+        now: MonoMs,
+    ) -> Option<Choice> {
+        let cached = prefixes.cached(req.parts, now);
+        let shared = shared_tokens(req.parts);
+        let tokens_at = |endpoint: EndpointHash| {
+            cached.iter().find(|(it, _)| *it == endpoint).map_or(0, |(_, tokens)| *tokens)
+        };
+        let is_under = |it: &&&Candidate<'_>| f64::from(it.load + 1) <= bound;
+        let key = ChatKey(placement_key(req.parts));
+        let rank = |it: &Candidate<'_>| rendezvous_score(key, it.endpoint.hash, it.endpoint.slots);
+        let by_rank = |a: &&&Candidate<'_>, b: &&&Candidate<'_>| rank(a).total_cmp(&rank(b));
+        // An endpoint that holds nearly all of the shared start saves as much as the best one.
+        let holder = usable
+            .iter()
+            .filter(is_under)
+            .filter(|it| shared > 0 && tokens_at(it.endpoint.hash) * 10 >= shared * 9)
+            .min_by(by_rank);
+        let ranked = || usable.iter().filter(is_under).min_by(by_rank);
+        let relative = |it: &Candidate<'_>| f64::from(it.load) / f64::from(it.endpoint.slots);
+        let least = || usable.iter().min_by(|a, b| relative(a).total_cmp(&relative(b)));
+        let chosen = holder.or_else(ranked).or_else(least)?;
+        let own_tokens = tokens_at(chosen.endpoint.hash);
+        let fetch_from = self.source(req, chosen.endpoint, own_tokens, &cached, endpoints);
+        Some(Choice {
+            endpoint: chosen.endpoint.clone(),
+            fetch_from,
+            load: chosen.load,
+            cached_tokens: own_tokens,
+        })
+    }
+
+    /// The endpoint that holds most of the prompt's start beyond what the chosen one holds. Where no
+    /// holder is known, it is the one that ranks first among all others, since other gateways
+    /// have sent such prompts there.
+    fn source(
+        &self,
+        req: &PickRequest<'_>,
+        chosen: &Arc<Endpoint>,
+        own_tokens: u32,
+        cached: &[(EndpointHash, u32)],
+        endpoints: &EndpointDirectory,
+    ) -> Option<Arc<Endpoint>> {
+        let of_service = endpoints.of_service(req.service);
+        let known = cached.iter().find_map(|(hash, tokens)| {
+            let endpoint = of_service.iter().find(|it| it.hash == *hash && it.id != chosen.id)?;
+            Some((endpoint, *tokens))
+        });
+        if let Some((endpoint, tokens)) = known {
+            let gain = tokens.saturating_sub(own_tokens);
+            return (gain >= self.settings.min_fetch_tokens).then(|| endpoint.clone());
+        }
+        let missing = shared_tokens(req.parts).saturating_sub(own_tokens);
+        if missing < self.settings.min_fetch_tokens {
+            return None;
+        }
+        let key = ChatKey(placement_key(req.parts));
+        let rank = |it: &Arc<Endpoint>| rendezvous_score(key, it.hash, it.slots);
+        let others = of_service.iter().filter(|it| it.id != chosen.id);
+        let first = others.min_by(|a, b| rank(a).total_cmp(&rank(b)))?;
+        let is_better = rank(first) < rank(chosen) || first.state == EndpointState::Draining;
+        is_better.then(|| first.clone())
+    }
+}
+
+/// Tokens before the last part, which belongs to the request itself or to its session.
+fn shared_tokens(parts: &[PromptPart]) -> u32 {
+    parts.iter().rev().skip(1).map(|part| part.tokens).sum()
+}
+
+/// The part by which prompts are kept together: the deepest one that several requests share.
+fn placement_key(parts: &[PromptPart]) -> u64 {
+    let shared = parts.len().saturating_sub(2);
+    parts.get(shared).map_or(0, |part| part.id)
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/forward/shutdown.rs
@@ -0,0 +1,65 @@
+//! What a gateway still takes after it was told to stop.
+
+use crate::MonoMs;
+
+/// How a gateway shuts down.
+#[derive(Debug, Clone, Copy)]
+pub struct ShutdownSettings {
+    /// Time from the signal until the process is killed, in milliseconds.
+    pub grace_ms: u64,
+}
+
+/// Ends a gateway without cutting a request off.
+///
+/// The balancer sends new connections for a few seconds more, and callers go on using open ones. A
+/// request that would most likely not end within the grace is refused before it is passed on.
+#[derive(Debug, Clone, Copy)]
+pub struct Shutdown {
+    grace_ms: u64,
+    started_at: Option<MonoMs>,
+}
+
+impl Shutdown {
+    /// Time kept free at the end of the grace, in milliseconds, for last bytes to leave.
+    const MARGIN_MS: u64 = 400;
+    /// How long requests are taken at least, in milliseconds: until the balancer has noticed that
+    /// the gateway isn't ready.
+    const MIN_OPEN_MS: u64 = 3_000;
+    /// How long no request must have been in progress before the process ends, in milliseconds.
+    const QUIET_MS: u64 = 500;
+
+    /// A gateway that runs.
+    pub fn new(settings: ShutdownSettings) -> Self {
+        Self { grace_ms: settings.grace_ms, started_at: None }
+    }
+
+    /// The signal to stop came.
+    pub fn begin(&mut self, now: MonoMs) {
+        self.started_at.get_or_insert(now);
+    }
+
+    /// Whether the gateway is stopping.
+    pub fn is_leaving(&self) -> bool {
+        self.started_at.is_some()
+    }
+
+    /// Whether a request that is expected to last `expected_ms` is still taken.
+    pub fn takes(&self, expected_ms: u64, now: MonoMs) -> bool {
+        self.started_at.is_none_or(|_| self.left_ms(now) >= expected_ms)
+    }
+
+    /// Milliseconds in which requests have to end.
+    pub fn left_ms(&self, now: MonoMs) -> u64 {
+        self.started_at.map_or(u64::MAX, |started_at| {
+            let end = started_at.plus_ms(self.grace_ms.saturating_sub(Self::MARGIN_MS));
+            end.ms_since(now)
+        })
+    }
+
+    /// Whether the process may end: nothing is in progress and nothing has been since `quiet_since`.
+    pub fn may_end(&self, in_progress: usize, quiet_since: MonoMs, now: MonoMs) -> bool {
+        let Some(started_at) = self.started_at else { return false };
+        let is_quiet = in_progress == 0 && now.ms_since(quiet_since) >= Self::QUIET_MS;
+        self.left_ms(now) == 0 || (is_quiet && now.ms_since(started_at) >= Self::MIN_OPEN_MS)
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -0,0 +1,175 @@
+//! The platform's records as one gateway knows them, from lists, watches and peers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::MonoMs;
+
+/// A record as the platform holds it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreRecord {
+    /// Its key.
+    pub key: Arc<str>,
+    /// The store's revision at its last change.
+    pub revision: u64,
+    /// Its value; none once it has been deleted.
+    pub value: Option<Vec<u8>>,
+}
+
+/// What a gateway has to apply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreChange {
+    /// A record was written.
+    Written(StoreRecord),
+    /// A record is gone.
+    Removed(Arc<str>),
+}
+
+/// Merges what the store and peers say of its records. Nothing older replaces anything newer.
+///
+/// Records of endpoints lapse while the store is away, and return shortly after it does. So what
+/// goes missing over an outage is held back for [`Self::RETURN_GRACE_MS`].
+#[derive(Debug)]
+pub struct StoreView {
+    records: BTreeMap<Arc<str>, StoreRecord>,
+    /// Deletions that wait for the end of the grace, with the revision of the deletion.
+    held_removals: BTreeMap<Arc<str>, (u64, MonoMs)>,
+    revision: u64,
+    grace_until: Option<MonoMs>,
+}
+
+impl Default for StoreView {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl StoreView {
+    /// How long after an outage a missing record is kept, in milliseconds: endpoints need about two
+    /// seconds to register again.
+    pub const RETURN_GRACE_MS: u64 = 2_000;
+
+    /// A view that holds nothing.
+    pub fn new() -> Self {
+        Self {
+            records: BTreeMap::new(),
+            held_removals: BTreeMap::new(),
+            revision: 0,
+            grace_until: None,
+        }
+    }
+
+    /// The highest revision of any change that is known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Every record that exists, for a peer that lacks some. Records whose removal is held back
+    /// are left out, since the peer would never hear of their removal.
+    pub fn records(&self) -> impl Iterator<Item = &StoreRecord> {
+        self.records.values().filter(|record| !self.held_removals.contains_key(&record.key))
+    }
+
+    /// The store answers again after an outage.
+    pub fn record_return(&mut self, now: MonoMs) {
+        self.grace_until = Some(now.plus_ms(Self::RETURN_GRACE_MS));
+    }
+
+    /// Takes in one change from a watch.
+    pub fn apply(&mut self, record: StoreRecord, now: MonoMs) -> Vec<StoreChange> {
+        self.revision = self.revision.max(record.revision);
+        if self.known_revision(&record.key) >= record.revision {
+            return Vec::new();
+        }
+        if record.value.is_none() {
+            return self.remove(record.key, record.revision, now).into_iter().collect();
+        }
+        self.held_removals.remove(&record.key);
+        self.records.insert(record.key.clone(), record.clone());
+        vec![StoreChange::Written(record)]
+    }
+
+    /// Takes in a whole list under `prefix`, whose first page was made at revision `as_of`. Records
+    /// that changed later are left to the watch.
+    pub fn apply_list(
+        &mut self,
+        prefix: &str,
+        records: Vec<StoreRecord>,
+        as_of: u64,
+        now: MonoMs,
+    ) -> Vec<StoreChange> {
+        let listed: BTreeSet<Arc<str>> = records.iter().map(|record| record.key.clone()).collect();
+        let mut changes: Vec<_> =
+            records.into_iter().flat_map(|record| self.apply(record, now)).collect();
+        let missing: Vec<_> = self
+            .records
+            .range::<str, _>((Bound::Included(prefix), Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, record)| record.revision <= as_of && !listed.contains(*key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !missing.is_empty() {
+            self.revision = self.revision.max(as_of);
+        }
+        changes.extend(missing.into_iter().filter_map(|key| self.remove(key, as_of, now)));
+        changes
+    }
+
+    /// Takes in everything that a peer holds, if the peer has seen a later change.
+    pub fn apply_peer(
+        &mut self,
+        records: Vec<StoreRecord>,
+        revision: u64,
+        now: MonoMs,
+    ) -> Vec<StoreChange> {
+        if revision <= self.revision {
+            return Vec::new();
+        }
+        let changes = self.apply_list("", records, revision, now);
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    /// Removals whose grace has ended.
+    pub fn expire(&mut self, now: MonoMs) -> Vec<StoreChange> {
+        let due: Vec<_> = self
+            .held_removals
+            .iter()
+            .filter(|(_, (_, due))| *due <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        due.into_iter()
+            .map(|key| {
+                self.held_removals.remove(&key);
+                self.records.remove(&key);
+                StoreChange::Removed(key)
+            })
+            .collect()
+    }
+
+    fn known_revision(&self, key: &str) -> u64 {
+        let written = self.records.get(key).map_or(0, |record| record.revision);
+        let removed = self.held_removals.get(key).map_or(0, |(revision, _)| *revision);
+        written.max(removed)
+    }
+
+    fn remove(&mut self, key: Arc<str>, revision: u64, now: MonoMs) -> Option<StoreChange> {
+        if !self.records.contains_key(&key) {
+            return None;
+        }
+        match self.grace_until.filter(|until| *until > now) {
+            Some(until) => {
+                self.held_removals.entry(key).or_insert((revision, until));
+                None
+            }
+            None => {
+                self.records.remove(&key);
+                self.held_removals.remove(&key);
+                Some(StoreChange::Removed(key))
+            }
+        }
+    }
+}
--- a/crates/persimmon_decide/src/lib.rs
+++ b/crates/persimmon_decide/src/lib.rs
@@ -3,6 +3,7 @@
 //! every decision can be tested and benchmarked on its own.
 
 pub mod config;
+pub mod forward;
 pub mod load;
 pub mod membership;
 pub mod orders;
--- /dev/null
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -0,0 +1,243 @@
+//! Callers' connections.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use persimmon_decide::MonoMs;
+use slotmap::{SlotMap, new_key_type};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::exchange;
+use crate::gateway::Gateway;
+use crate::http;
+use crate::platform::Platform;
+
+/// Time between two looks for idle and slow connections.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a failed accept, which mostly means that descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Bounds of a connection's read buffer, in bytes. The routes' limit on heads lies between them;
+/// the least is what the HTTP library needs.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
+/// Idle and head time-outs while no routes are known, in milliseconds.
+const DEFAULT_IDLE_MS: u64 = 15_000;
+const DEFAULT_HEAD_MS: u64 = 3_000;
+/// Part of the process's descriptors that callers' connections may take; the rest is for endpoints.
+const CALLERS_PART: usize = 2;
+
+new_key_type! {
+    struct ConnectionKey;
+}
+
+/// What is known of one connection of a caller.
+#[derive(Debug)]
+pub(crate) struct CallerConnection {
+    clock: Clock,
+    /// When the last answer ended, or the connection opened.
+    idle_since: Cell<MonoMs>,
+    /// When the first byte of a head came, while the head isn't whole.
+    head_since: Cell<Option<MonoMs>>,
+    is_busy: Cell<bool>,
+    stop: Notify,
+}
+
+impl CallerConnection {
+    fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            idle_since: Cell::new(clock.now()),
+            head_since: Cell::new(None),
+            is_busy: Cell::new(false),
+            stop: Notify::new(),
+        }
+    }
+
+    fn record_read(&self) {
+        if !self.is_busy.get() && self.head_since.get().is_none() {
+            self.head_since.set(Some(self.clock.now()));
+        }
+    }
+
+    fn record_head(&self) {
+        self.is_busy.set(true);
+        self.head_since.set(None);
+    }
+
+    /// An answer has been handed over whole, or was given up.
+    pub(crate) fn record_answered(&self) {
+        self.is_busy.set(false);
+        self.idle_since.set(self.clock.now());
+    }
+
+    fn is_overdue(&self, idle_ms: u64, head_ms: u64) -> bool {
+        let now = self.clock.now();
+        match self.head_since.get() {
+            _ if self.is_busy.get() => false,
+            Some(since) => now.ms_since(since) > head_ms,
+            None => now.ms_since(self.idle_since.get()) > idle_ms,
+        }
+    }
+}
+
+/// A caller's socket that notes when bytes arrive.
+#[derive(Debug)]
+struct CallerStream {
+    stream: TcpStream,
+    connection: Rc<CallerConnection>,
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.connection.record_read();
+        }
+        result
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// The open connections of callers.
+#[derive(Debug, Default)]
+struct Connections {
+    open: RefCell<SlotMap<ConnectionKey, Rc<CallerConnection>>>,
+}
+
+/// Accepts callers' connections until the process ends.
+pub(crate) async fn accept_callers<P: Platform>(gw: Rc<Gateway<P>>, listener: TcpListener) {
+    let connections = Rc::new(Connections::default());
+    tokio::task::spawn_local(sweep(gw.clone(), connections.clone()));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                tracing::warn!(target: "callers", %err, "a connection can't be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let most = gw.settings.max_descriptors / CALLERS_PART;
+        if connections.open.borrow().len() >= most {
+            if let Some(suppressed) = gw.journal.admit("callers_full", gw.clock.now()) {
+                tracing::warn!(target: "callers", most, suppressed, "too many connections; one closed");
+            }
+            continue;
+        }
+        if let Err(err) = http::configure(&stream) {
+            tracing::debug!(target: "callers", %err, "a connection was gone at once");
+            continue;
+        }
+        let connection = Rc::new(CallerConnection::new(gw.clock));
+        let key = connections.open.borrow_mut().insert(connection.clone());
+        let (gw, connections) = (gw.clone(), connections.clone());
+        tokio::task::spawn_local(async move {
+            serve(gw, stream, connection).await;
+            connections.open.borrow_mut().remove(key);
+        });
+    }
+}
+
+/// Serves one connection until either side closes it.
+async fn serve<P: Platform>(
+    gw: Rc<Gateway<P>>,
+    stream: TcpStream,
+    connection: Rc<CallerConnection>,
+) {
+    let head_bytes = match &gw.control.borrow().routes {
+        Some(routes) => routes.limits.max_head_bytes,
+        None => DEFAULT_HEAD_BYTES,
+    };
+    let io = TokioIo::new(CallerStream { stream, connection: connection.clone() });
+    let service = {
+        let (gw, connection) = (gw.clone(), connection.clone());
+        service_fn(move |req| {
+            let (gw, connection) = (gw.clone(), connection.clone());
+            async move {
+                connection.record_head();
+                let answer = exchange::answer(&gw, req).await;
+                Ok::<_, Infallible>(answer.map(|body| body.with_connection(connection)))
+            }
+        })
+    };
+    let served = http1::Builder::new()
+        .half_close(false)
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(io, service);
+    let mut served = std::pin::pin!(served);
+    let result = tokio::select! {
+        result = served.as_mut() => result,
+        () = connection.stop.notified() => {
+            served.as_mut().graceful_shutdown();
+            // A head that never ends would keep the connection open.
+            match connection.head_since.get() {
+                Some(_) => Ok(()),
+                None => served.await,
+            }
+        }
+    };
+    if let Err(err) = result {
+        tracing::debug!(target: "callers", %err, "a connection ended");
+    }
+}
+
+/// Closes connections that are idle, or whose head takes too long.
+async fn sweep<P: Platform>(gw: Rc<Gateway<P>>, connections: Rc<Connections>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        let (idle_ms, head_ms) = match &gw.control.borrow().routes {
+            Some(routes) => (routes.limits.idle_timeout_ms, routes.limits.head_timeout_ms),
+            None => (DEFAULT_IDLE_MS, DEFAULT_HEAD_MS),
+        };
+        for connection in connections.open.borrow().values() {
+            if connection.is_overdue(idle_ms, head_ms) {
+                connection.stop.notify_one();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/control.rs
@@ -0,0 +1,240 @@
+//! The control state: everything that the decisions know.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{
+    Choice, CrashWatch, Digest, DurationBook, Endpoint, EndpointDirectory, HealthBook,
+    HealthSettings, LoadBook, PeerTable, PickRequest, Picker, PrefixMap, RetryWindow, RouteTable,
+    Shutdown, ShutdownSettings, StoreChange, StoreView,
+};
+use persimmon_decide::load::EndpointHash;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::platform::{DecodeError, DecodedRecord, Platform, RecordSubject};
+use crate::settings::GatewaySettings;
+
+/// Crash marks in one digest; more would crowd a datagram.
+const DIGEST_CRASHES: usize = 16;
+
+/// What one change of the records did.
+#[derive(Debug)]
+pub(crate) enum Applied {
+    /// Routes came into force.
+    Routes(u64),
+    /// A version lower than the one in force was passed over.
+    OldRoutes(u64),
+    /// An endpoint came, or changed its state.
+    Endpoint(Arc<Endpoint>),
+    /// An endpoint is gone.
+    Gone(Arc<Endpoint>),
+    /// The record can't be read.
+    Unreadable(Arc<str>, DecodeError),
+}
+
+/// Everything that the decisions know. Its methods never wait.
+#[derive(Debug)]
+pub(crate) struct Control {
+    pub(crate) view: StoreView,
+    pub(crate) directory: EndpointDirectory,
+    pub(crate) routes: Option<Rc<RouteTable>>,
+    pub(crate) loads: LoadBook,
+    pub(crate) health: HealthBook,
+    pub(crate) prefixes: PrefixMap,
+    pub(crate) crashes: CrashWatch,
+    pub(crate) peers: PeerTable,
+    pub(crate) shutdown: Shutdown,
+    pub(crate) durations: DurationBook,
+    /// Requests in progress.
+    pub(crate) in_progress: usize,
+    /// When the last request ended.
+    pub(crate) quiet_since: MonoMs,
+    retries: HashMap<Arc<str>, RetryWindow>,
+    picker: Picker,
+    rng: Pcg64Mcg,
+    incarnation: u64,
+    sequence: u64,
+    settings: GatewaySettings,
+}
+
+impl Control {
+    /// A gateway's state at its start.
+    pub(crate) fn new(settings: &GatewaySettings, now: MonoMs) -> Self {
+        let mut seed = [0; 16];
+        if let Err(err) = getrandom::fill(&mut seed) {
+            // The draws only spread load and name this life.
+            tracing::warn!(target: "gateway", %err, "no random seed from the system");
+        }
+        let mut rng = Pcg64Mcg::new(u128::from_le_bytes(seed));
+        Self {
+            view: StoreView::new(),
+            directory: EndpointDirectory::new(),
+            routes: None,
+            loads: LoadBook::new(),
+            health: HealthBook::new(HealthSettings::default()),
+            prefixes: PrefixMap::new(),
+            crashes: CrashWatch::new(),
+            peers: PeerTable::new(settings.peers.ip(), settings.seeds.clone()),
+            shutdown: Shutdown::new(ShutdownSettings { grace_ms: settings.grace_ms }),
+            durations: DurationBook::new(),
+            in_progress: 0,
+            quiet_since: now,
+            retries: HashMap::new(),
+            picker: Picker::new(settings.picker),
+            incarnation: rng.random(),
+            sequence: 0,
+            rng,
+            settings: settings.clone(),
+        }
+    }
+
+    /// Whether requests can be served: routes and endpoints are known, and the gateway isn't
+    /// leaving.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.routes.is_some() && !self.directory.is_empty() && !self.shutdown.is_leaving()
+    }
+
+    /// Any number.
+    pub(crate) fn draw(&mut self) -> u64 {
+        self.rng.random()
+    }
+
+    /// Applies changes of the platform's records.
+    pub(crate) fn apply<P: Platform>(
+        &mut self,
+        platform: &P,
+        changes: Vec<StoreChange>,
+    ) -> Vec<Applied> {
+        let mut applied = Vec::new();
+        for change in changes {
+            match change {
+                StoreChange::Written(record) => {
+                    let value = record.value.as_deref().unwrap_or_default();
+                    match platform.decode(&record.key, value) {
+                        Ok(DecodedRecord::Endpoint(endpoint)) => {
+                            applied.push(self.put_endpoint(endpoint));
+                        }
+                        Ok(DecodedRecord::Routes(routes)) => applied.push(self.adopt(routes)),
+                        Ok(DecodedRecord::Other) => {}
+                        Err(err) => {
+                            // Whoever wrote it, it names no endpoint to use.
+                            if let RecordSubject::Endpoint(id) = platform.subject(&record.key) {
+                                applied.extend(self.remove_endpoint(&id));
+                            }
+                            applied.push(Applied::Unreadable(record.key, err));
+                        }
+                    }
+                }
+                StoreChange::Removed(key) => {
+                    if let RecordSubject::Endpoint(id) = platform.subject(&key) {
+                        applied.extend(self.remove_endpoint(&id));
+                    }
+                }
+            }
+        }
+        applied
+    }
+
+    fn put_endpoint(&mut self, endpoint: Endpoint) -> Applied {
+        let id = endpoint.id.clone();
+        let hash = endpoint.hash;
+        if let Some(previous) = self.directory.insert(endpoint) {
+            if previous.hash != hash {
+                self.prefixes.forget(previous.hash);
+            }
+        }
+        let endpoint = self.directory.get(&id).cloned();
+        Applied::Endpoint(endpoint.expect("the endpoint was just inserted"))
+    }
+
+    fn remove_endpoint(&mut self, id: &str) -> Option<Applied> {
+        let endpoint = self.directory.remove(id)?;
+        self.prefixes.forget(endpoint.hash);
+        Some(Applied::Gone(endpoint))
+    }
+
+    fn adopt(&mut self, routes: RouteTable) -> Applied {
+        let version = routes.version;
+        if self.routes.as_ref().is_some_and(|known| known.version > version) {
+            return Applied::OldRoutes(version);
+        }
+        self.routes = Some(Rc::new(routes));
+        Applied::Routes(version)
+    }
+
+    /// Picks an endpoint.
+    pub(crate) fn pick(&self, req: &PickRequest<'_>, now: MonoMs) -> Option<Choice> {
+        self.picker.pick(req, &self.directory, &self.loads, &self.health, &self.prefixes, now)
+    }
+
+    /// A caller's request goes to a service.
+    pub(crate) fn record_fresh(&mut self, service: &Arc<str>, now: MonoMs) {
+        self.window(service).record_fresh(now);
+    }
+
+    /// A request is sent again.
+    pub(crate) fn record_repeated(&mut self, service: &Arc<str>, now: MonoMs) {
+        self.window(service).record_repeated(now);
+    }
+
+    /// Whether the fleet's bound allows one more repeated send.
+    pub(crate) fn allows_repeat(&mut self, service: &Arc<str>, now: MonoMs) -> bool {
+        let others = self.peers.retries(service, now);
+        let gateways = self.peers.gateways(now);
+        self.window(service).allows(others, gateways, now)
+    }
+
+    fn window(&mut self, service: &Arc<str>) -> &mut RetryWindow {
+        let settings = self.settings.retries;
+        self.retries.entry(service.clone()).or_insert_with(|| RetryWindow::new(settings))
+    }
+
+    /// What this gateway tells the others.
+    pub(crate) fn digest(&mut self, now: MonoMs) -> Digest {
+        self.sequence += 1;
+        let retries = self.retries.iter().map(|(name, it)| (name.clone(), it.counts(now)));
+        Digest {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            revision: self.view.revision(),
+            is_leaving: self.shutdown.is_leaving(),
+            counts: self.loads.own_counts().collect(),
+            ejections: self.health.ejections(now).collect(),
+            retries: retries.filter(|(_, it)| it.fresh + it.repeated > 0).collect(),
+            crashes: self.crashes.newest(DIGEST_CRASHES, now),
+            peers: self.peers.addresses(now),
+        }
+    }
+
+    /// Takes in another gateway's digest.
+    pub(crate) fn absorb(&mut self, from: IpAddr, digest: Digest, now: MonoMs) {
+        if !self.peers.absorb(from, &digest, now) {
+            return;
+        }
+        for (endpoint, ms) in &digest.ejections {
+            self.health.absorb_ejection(*endpoint, *ms, now);
+        }
+        for (content, endpoint) in &digest.crashes {
+            self.crashes.absorb(*content, *endpoint, now);
+        }
+        self.loads.replace_peer(from, digest.counts);
+    }
+
+    /// Drops what is too old to be used.
+    pub(crate) fn expire(&mut self, now: MonoMs) {
+        for peer in self.peers.expire(now) {
+            self.loads.drop_peer(peer);
+        }
+    }
+
+    /// Forgets the health of endpoints that are no longer published.
+    pub(crate) fn forget_unpublished(&mut self) {
+        let published: std::collections::HashSet<EndpointHash> =
+            self.directory.iter().map(|endpoint| endpoint.hash).collect();
+        self.health.retain(|endpoint| published.contains(&endpoint));
+    }
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -0,0 +1,45 @@
+//! The state that all tasks of a gateway share. They run on one thread.
+
+use std::cell::RefCell;
+
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::control::Control;
+use crate::journal::Journal;
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+use crate::settings::GatewaySettings;
+use crate::upstream::Upstream;
+
+/// A running gateway.
+#[derive(Debug)]
+pub(crate) struct Gateway<P> {
+    pub(crate) platform: P,
+    pub(crate) settings: GatewaySettings,
+    pub(crate) clock: Clock,
+    pub(crate) control: RefCell<Control>,
+    pub(crate) upstream: Upstream,
+    pub(crate) metrics: Metrics,
+    pub(crate) journal: Journal,
+    /// What is known of the platform's records may be old: read them again.
+    pub(crate) resync: Notify,
+}
+
+impl<P: Platform> Gateway<P> {
+    /// A gateway that knows nothing yet.
+    pub(crate) fn new(platform: P, settings: GatewaySettings, metrics: Metrics) -> Self {
+        let clock = Clock::start();
+        let control = Control::new(&settings, clock.now());
+        Self {
+            platform,
+            control: RefCell::new(control),
+            upstream: Upstream::new(clock),
+            settings,
+            clock,
+            metrics,
+            journal: Journal::new(),
+            resync: Notify::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/head.rs
@@ -0,0 +1,145 @@
+//! Heads of callers' requests.
+
+use std::sync::Arc;
+
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
+    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::http::request::Parts;
+use persimmon_decide::forward::PromptPart;
+
+use crate::platform::HeaderNames;
+use crate::refusal::Refusal;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+const BEARER: &str = "Bearer ";
+/// Parts of a prompt that are read; the ones after these share too little to matter.
+const MAX_PARTS: usize = 64;
+
+/// A caller's request without its body, checked and ready to be passed on.
+#[derive(Debug)]
+pub(crate) struct RequestHead {
+    /// The identity of this attempt of the caller.
+    pub(crate) id: Arc<str>,
+    pub(crate) method: hyper::Method,
+    /// Path and query, as the caller sent them.
+    pub(crate) target: hyper::Uri,
+    pub(crate) host: String,
+    /// What is passed on.
+    pub(crate) headers: HeaderMap,
+    /// The caller's key.
+    pub(crate) key: Option<String>,
+    pub(crate) deadline_ms: Option<u64>,
+    pub(crate) parts: Vec<PromptPart>,
+    /// The last event that the caller has of a stream.
+    pub(crate) last_event: Option<u64>,
+}
+
+impl RequestHead {
+    /// Checks and reads a head.
+    ///
+    /// # Errors
+    ///
+    /// Different parties could read the request differently.
+    pub(crate) fn read(parts: &Parts, names: &HeaderNames) -> Result<Self, Refusal> {
+        check_framing(&parts.headers)?;
+        let single = [&HOST, &names.request_id, &names.deadline_ms, &names.prompt_parts];
+        for name in single.into_iter().chain([&names.token_usage, &names.last_event]) {
+            if parts.headers.get_all(name).iter().count() > 1 {
+                return Err(Refusal::BadRequest("a header that may stand once stands twice"));
+            }
+        }
+        let text = |name: &HeaderName| parts.headers.get(name).and_then(|it| it.to_str().ok());
+        let id = text(&names.request_id).filter(|id| !id.is_empty());
+        let id = id.ok_or(Refusal::BadRequest("the request has no identity"))?.into();
+        let host = text(&HOST).ok_or(Refusal::BadRequest("the request names no host"))?.to_owned();
+        let path_and_query = parts.uri.path_and_query().filter(|it| it.as_str().starts_with('/'));
+        let path_and_query =
+            path_and_query.ok_or(Refusal::BadRequest("the request's target is no path"))?;
+        let deadline_ms = match text(&names.deadline_ms) {
+            Some(value) => Some(
+                value
+                    .trim()
+                    .parse()
+                    .map_err(|_| Refusal::BadRequest("the deadline is no number"))?,
+            ),
+            None => None,
+        };
+        let key = text(&AUTHORIZATION).and_then(|value| value.strip_prefix(BEARER));
+        Ok(Self {
+            id,
+            method: parts.method.clone(),
+            target: hyper::Uri::from(path_and_query.clone()),
+            host,
+            key: key.map(|key| key.trim().to_owned()),
+            deadline_ms,
+            parts: text(&names.prompt_parts).map(prompt_parts).unwrap_or_default(),
+            last_event: text(&names.last_event).and_then(|value| value.trim().parse().ok()),
+            headers: forwarded(&parts.headers, names)?,
+        })
+    }
+}
+
+/// Refuses heads whose body two parties could delimit differently.
+fn check_framing(headers: &HeaderMap) -> Result<(), Refusal> {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let codings: Vec<_> = headers.get_all(TRANSFER_ENCODING).iter().collect();
+    if lengths > 1 || codings.len() > 1 || (lengths == 1 && !codings.is_empty()) {
+        return Err(Refusal::BadRequest("the body's length is stated twice"));
+    }
+    if codings.iter().any(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+        return Err(Refusal::BadRequest("the transfer coding isn't chunked"));
+    }
+    Ok(())
+}
+
+/// The headers to pass on: without those of the connection, those that the gateway sets, and the
+/// caller's key.
+fn forwarded(headers: &HeaderMap, names: &HeaderNames) -> Result<HeaderMap, Refusal> {
+    let mut passed = headers.clone();
+    let listed: Vec<_> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in &listed {
+        let Ok(name) = HeaderName::from_bytes(name.as_bytes()) else { continue };
+        let is_needed =
+            [&names.request_id, &names.deadline_ms, &names.prompt_parts, &names.token_usage]
+                .into_iter()
+                .chain([&HOST, &AUTHORIZATION, &names.last_event])
+                .any(|needed| *needed == name);
+        if is_needed {
+            return Err(Refusal::BadRequest("a header of the request is bound to the connection"));
+        }
+        passed.remove(name);
+    }
+    let connection = [CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, TE, TRAILER, TRANSFER_ENCODING];
+    let own = [UPGRADE, EXPECT, CONTENT_LENGTH, AUTHORIZATION, names.deadline_ms.clone()];
+    for name in connection.iter().chain(&own).chain(&names.reserved) {
+        passed.remove(name);
+    }
+    Ok(passed)
+}
+
+/// Reads `ID:TOKENS` entries, parted by commas, with the identity in hexadecimal. A list that can't
+/// be read only costs the use of a cache.
+fn prompt_parts(text: &str) -> Vec<PromptPart> {
+    let part = |entry: &str| {
+        let (id, tokens) = entry.trim().split_once(':')?;
+        let tokens = tokens.trim().parse().ok()?;
+        // Identities longer than 64 bits keep their low bits.
+        let low = id.get(id.len().saturating_sub(16)..)?;
+        Some(PromptPart { id: u64::from_str_radix(low, 16).ok()?, tokens })
+    };
+    text.split(',').take(MAX_PARTS).map_while(part).collect()
+}
+
+/// A header value of a number.
+pub(crate) fn number(value: u64) -> HeaderValue {
+    HeaderValue::from(value)
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/ops.rs
@@ -0,0 +1,90 @@
+//! Small HTTP servers: readiness, metrics, records for peers.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::gateway::Gateway;
+use crate::platform::Platform;
+use crate::snapshot::Snapshot;
+
+/// Path of the records on the peers' address.
+pub(crate) const RECORDS_PATH: &str = "/records";
+/// Longest life of a connection to one of these servers; each serves a few small requests.
+const MAX_CONNECTION: Duration = Duration::from_secs(30);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves readiness, metrics and records by path, whichever address is asked.
+pub(crate) async fn serve_ops<P: Platform>(gw: Rc<Gateway<P>>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                tracing::warn!(target: "ops", %err, "a connection can't be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let gw = gw.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |req| {
+                let response = answer(&gw, &req);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Ok(Err(err)) = tokio::time::timeout(MAX_CONNECTION, served).await {
+                tracing::debug!(target: "ops", %err, "a connection ended");
+            }
+        });
+    }
+}
+
+fn answer<P: Platform>(gw: &Gateway<P>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match req.uri().path() {
+        "/ready" => ready(gw),
+        "/metrics" => match gw.metrics.encode() {
+            Ok(text) => reply(StatusCode::OK, text.into()),
+            Err(err) => failure("metrics", &err),
+        },
+        RECORDS_PATH => records(gw),
+        _ => reply(StatusCode::NOT_FOUND, Bytes::from_static(b"no such page\n")),
+    }
+}
+
+fn ready<P: Platform>(gw: &Gateway<P>) -> Response<Full<Bytes>> {
+    if gw.control.borrow().is_ready() {
+        reply(StatusCode::OK, Bytes::from_static(b"ready\n"))
+    } else {
+        reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n"))
+    }
+}
+
+fn records<P: Platform>(gw: &Gateway<P>) -> Response<Full<Bytes>> {
+    let control = gw.control.borrow();
+    let records = control.view.records().cloned().collect();
+    let snapshot = Snapshot { revision: control.view.revision(), records };
+    match snapshot.encode() {
+        Ok(bytes) => reply(StatusCode::OK, bytes.into()),
+        Err(err) => failure("records", &err),
+    }
+}
+
+fn failure(what: &str, err: &dyn std::error::Error) -> Response<Full<Bytes>> {
+    tracing::warn!(target: "ops", what, %err, "a page can't be written");
+    reply(StatusCode::INTERNAL_SERVER_ERROR, Bytes::from_static(b"see the log\n"))
+}
+
+fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -0,0 +1,190 @@
+//! Digests between gateways, and records from a peer that knows more.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::header::{HOST, HeaderValue};
+use persimmon_decide::forward::Digest;
+use tokio::net::UdpSocket;
+
+use crate::gateway::Gateway;
+use crate::http;
+use crate::ops::RECORDS_PATH;
+use crate::platform::Platform;
+use crate::snapshot::Snapshot;
+use crate::store_reader;
+
+/// Time between two digests of a gateway with few peers. Counts of requests are at most that old.
+const MIN_INTERVAL_MS: u64 = 100;
+/// Digests that a gateway receives in a second at most, which bounds the processor time of a large
+/// fleet.
+const MAX_RECEIVED_PER_S: u64 = 80;
+const MS_PER_S: u64 = 1_000;
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Time between two looks for idle connections and old peers, in milliseconds.
+const SWEEP_MS: u64 = 1_000;
+/// How far the clock that counts suspended time may run ahead in one interval, in milliseconds,
+/// before the process takes itself for suspended.
+const SUSPENDED_MS: u64 = 400;
+/// How long a peer has to be ahead before its records are fetched, in milliseconds. The own watch
+/// mostly brings the change in that time.
+const AHEAD_MS: u64 = 250;
+/// Longest time that fetching records from a peer may take.
+const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Receives digests until the process ends.
+pub(crate) async fn receive<P: Platform>(gw: Rc<Gateway<P>>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                tracing::debug!(target: "peers", %err, "a datagram can't be received");
+                tokio::time::sleep(Duration::from_millis(MIN_INTERVAL_MS)).await;
+                continue;
+            }
+        };
+        let now = gw.clock.now();
+        match postcard::from_bytes::<Digest>(&buf[..length]) {
+            Ok(digest) => {
+                gw.metrics.digests.with_label_values(&["received"]).inc();
+                gw.control.borrow_mut().absorb(from.ip(), digest, now);
+            }
+            Err(err) => {
+                if let Some(suppressed) = gw.journal.admit("bad_digest", now) {
+                    tracing::warn!(target: "peers", %from, %err, suppressed, "a digest can't be read");
+                }
+            }
+        }
+    }
+}
+
+/// Sends digests, and looks after all that goes by time.
+pub(crate) async fn send<P: Platform>(gw: Rc<Gateway<P>>, socket: Rc<UdpSocket>) {
+    let mut boot_ms = gw.clock.since_boot_ms();
+    let mut steady = gw.clock.now();
+    let mut swept = steady;
+    let mut ahead_since = None;
+    loop {
+        let targets = gw.control.borrow().peers.targets();
+        let interval_ms =
+            (targets.len() as u64 * MS_PER_S / MAX_RECEIVED_PER_S).max(MIN_INTERVAL_MS);
+        tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+        let now = gw.clock.now();
+        let boot_now_ms = gw.clock.since_boot_ms();
+        let suspended_ms = boot_now_ms.saturating_sub(boot_ms).saturating_sub(now.ms_since(steady));
+        (boot_ms, steady) = (boot_now_ms, now);
+        if suspended_ms > SUSPENDED_MS {
+            wake_up(&gw, suspended_ms);
+        }
+        send_digest(&gw, &socket, &targets).await;
+        if now.ms_since(swept) >= SWEEP_MS {
+            swept = now;
+            sweep(&gw);
+        }
+        store_reader::apply_due(&gw);
+        ahead_since = catch_up(&gw, ahead_since).await;
+    }
+}
+
+async fn send_digest<P: Platform>(gw: &Rc<Gateway<P>>, socket: &UdpSocket, targets: &[IpAddr]) {
+    let digest = gw.control.borrow_mut().digest(gw.clock.now());
+    let bytes = match postcard::to_allocvec(&digest) {
+        Ok(bytes) => bytes,
+        Err(err) => {
+            tracing::warn!(target: "peers", %err, "a digest can't be written");
+            return;
+        }
+    };
+    for ip in targets {
+        let to = SocketAddr::new(*ip, gw.settings.peers.port());
+        match socket.send_to(&bytes, to).await {
+            Ok(_) => gw.metrics.digests.with_label_values(&["sent"]).inc(),
+            Err(err) => tracing::debug!(target: "peers", %to, %err, "a digest can't be sent"),
+        }
+    }
+}
+
+/// The process was suspended: connections may be dead, and what is known may be old.
+fn wake_up<P: Platform>(gw: &Rc<Gateway<P>>, suspended_ms: u64) {
+    tracing::warn!(target: "gateway", suspended_ms, "the process was suspended; reading all again");
+    gw.upstream.clear();
+    gw.resync.notify_one();
+}
+
+fn sweep<P: Platform>(gw: &Rc<Gateway<P>>) {
+    let now = gw.clock.now();
+    let mut control = gw.control.borrow_mut();
+    control.expire(now);
+    control.forget_unpublished();
+    let published: Vec<_> = control.directory.iter().map(|it| it.hash).collect();
+    drop(control);
+    gw.upstream.sweep(|endpoint| published.contains(&endpoint));
+}
+
+/// Fetches the records of a peer that has known more for a while. Returns since when one has.
+async fn catch_up<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    since: Option<persimmon_decide::MonoMs>,
+) -> Option<persimmon_decide::MonoMs> {
+    let now = gw.clock.now();
+    let ahead = {
+        let control = gw.control.borrow();
+        control.peers.ahead_of(control.view.revision(), now)
+    };
+    let peer = ahead?;
+    let since = since.unwrap_or(now);
+    if now.ms_since(since) < AHEAD_MS {
+        return Some(since);
+    }
+    let address = SocketAddr::new(peer, gw.settings.peers.port());
+    match tokio::time::timeout(FETCH_LIMIT, fetch(address)).await {
+        Ok(Ok(snapshot)) => {
+            let now = gw.clock.now();
+            tracing::info!(target: "records", %peer, revision = snapshot.revision,
+                known = gw.control.borrow().view.revision(), "records taken from a peer");
+            let changes =
+                gw.control.borrow_mut().view.apply_peer(snapshot.records, snapshot.revision, now);
+            store_reader::apply(gw, changes);
+            None
+        }
+        Ok(Err(err)) => {
+            tracing::warn!(target: "records", %peer, %err, "a peer's records can't be read");
+            None
+        }
+        Err(_) => {
+            tracing::warn!(target: "records", %peer, "a peer doesn't answer");
+            None
+        }
+    }
+}
+
+/// Why a peer's records couldn't be read.
+#[derive(Debug, thiserror::Error)]
+enum FetchError {
+    #[error("no connection: {0}")]
+    Io(#[from] std::io::Error),
+    #[error("no answer: {0}")]
+    Http(#[from] hyper::Error),
+    #[error("no whole answer: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("unreadable records: {0}")]
+    Format(#[from] postcard::Error),
+}
+
+async fn fetch(address: SocketAddr) -> Result<Snapshot, FetchError> {
+    let stream = http::connect(address, FETCH_LIMIT).await?;
+    let (mut sender, connection) = http::client_handshake(stream).await?;
+    let _connection = crate::body::AbortOnDrop(connection);
+    let mut req = Request::new(Full::new(Bytes::new()));
+    *req.uri_mut() = hyper::Uri::from_static(RECORDS_PATH);
+    req.headers_mut().insert(HOST, HeaderValue::from_static("peer"));
+    let response = sender.send_request(req).await?;
+    let body = Limited::new(response.into_body(), Snapshot::MAX_BYTES).collect().await;
+    Ok(Snapshot::decode(&body.map_err(FetchError::Body)?.to_bytes())?)
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -0,0 +1,152 @@
+//! Passes streams on, and continues one at another endpoint when its endpoint breaks off.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{AttemptOutcome, NextStep, Repeatable};
+use tokio::sync::mpsc;
+
+use crate::body::Broken;
+use crate::events::EventSplitter;
+use crate::exchange::{Answered, Exchange, OpenStream, keep_alive_s};
+use crate::platform::Platform;
+
+/// Time between two looks at a stream that says nothing, in milliseconds.
+const CHECK_MS: u64 = 400;
+
+/// How one endpoint's part of a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PartEnd {
+    /// It is whole.
+    Whole,
+    /// The endpoint broke off.
+    Broken(&'static str),
+    /// The request's time is over.
+    Deadline,
+    /// The caller no longer reads.
+    CallerGone,
+}
+
+/// Passes a stream on to its end. A stream that can't be completed breaks off visibly.
+pub(crate) async fn relay<P: Platform>(
+    mut exchange: Exchange<P>,
+    mut stream: OpenStream<P>,
+    mut keep_s: Option<u64>,
+    tx: mpsc::Sender<Result<Bytes, Broken>>,
+) {
+    let is_resumable = exchange.plan.route.repeatable == Repeatable::FromLastEvent;
+    let mut events = is_resumable.then(|| EventSplitter::new(exchange.plan.head.last_event));
+    loop {
+        let end = pass_part(&exchange, &mut stream, &mut events, &tx).await;
+        let endpoint = stream.in_flight.endpoint.clone();
+        match end {
+            PartEnd::Whole => {
+                exchange.gw.upstream.put_idle(endpoint.hash, stream.line, keep_s);
+                let now = exchange.gw.clock.now();
+                exchange.gw.control.borrow_mut().health.record_outcome(endpoint.hash, true, now);
+                exchange.record_end("answered");
+                return;
+            }
+            PartEnd::CallerGone => return exchange.record_cut("caller_gone"),
+            PartEnd::Deadline => {
+                exchange.record_cut("timed_out");
+                break;
+            }
+            PartEnd::Broken(why) => {
+                if why == "broken" {
+                    exchange.record_broken(endpoint.hash);
+                }
+                // Closes the connection, so that the endpoint stops working on it.
+                drop(stream);
+                let step = exchange.record_miss(&endpoint, AttemptOutcome::Unknown, why);
+                let last = events.as_mut().and_then(|events| {
+                    events.discard_partial();
+                    events.last()
+                });
+                if step != NextStep::Retry || events.is_none() {
+                    exchange.record_cut("stream_cut");
+                    break;
+                }
+                match exchange.open(last).await {
+                    Ok(Answered::Stream(next)) => stream = *next,
+                    Ok(Answered::Whole(_)) | Err(_) => {
+                        exchange.record_cut("stream_cut");
+                        break;
+                    }
+                }
+                keep_s = keep_alive_s(stream.response.headers());
+            }
+        }
+    }
+    // The caller sees that the answer isn't whole. If it is gone, nobody needs to.
+    let _ = tx.send(Err(Broken)).await;
+}
+
+/// Passes on what one endpoint sends.
+async fn pass_part<P: Platform>(
+    exchange: &Exchange<P>,
+    stream: &mut OpenStream<P>,
+    events: &mut Option<EventSplitter>,
+    tx: &mpsc::Sender<Result<Bytes, Broken>>,
+) -> PartEnd {
+    loop {
+        let piece = match next_piece(exchange, stream).await {
+            Ok(piece) => piece,
+            Err(PartEnd::Whole) if events.as_ref().is_some_and(EventSplitter::has_partial) => {
+                return PartEnd::Broken("partial_event");
+            }
+            Err(end) => return end,
+        };
+        stream.in_flight.record_heard();
+        let piece = match events {
+            Some(events) => match events.push(&piece) {
+                Ok(piece) => piece,
+                Err(err) => {
+                    tracing::warn!(target: "request", id = &*exchange.plan.head.id, %err, "stream");
+                    return PartEnd::Broken("bad_event");
+                }
+            },
+            None => piece,
+        };
+        if piece.is_empty() {
+            continue;
+        }
+        let deadline = exchange.gw.clock.instant(exchange.plan.deadline);
+        match tokio::time::timeout_at(deadline, tx.send(Ok(piece))).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return PartEnd::CallerGone,
+            Err(_) => return PartEnd::Deadline,
+        }
+    }
+}
+
+/// The next bytes of the endpoint, or how its part ended.
+async fn next_piece<P: Platform>(
+    exchange: &Exchange<P>,
+    stream: &mut OpenStream<P>,
+) -> Result<Bytes, PartEnd> {
+    let since = exchange.gw.clock.now();
+    let endpoint = stream.in_flight.endpoint.hash;
+    let body: &mut Incoming = stream.response.body_mut();
+    loop {
+        let now = exchange.gw.clock.now();
+        if now >= exchange.plan.deadline {
+            return Err(PartEnd::Deadline);
+        }
+        let check: MonoMs = now.plus_ms(CHECK_MS).min(exchange.plan.deadline);
+        match tokio::time::timeout_at(exchange.gw.clock.instant(check), body.frame()).await {
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(data) => return Ok(data),
+                // Trailers aren't passed on.
+                Err(_) => continue,
+            },
+            Ok(Some(Err(_))) => return Err(PartEnd::Broken("broken")),
+            Ok(None) => return Err(PartEnd::Whole),
+            Err(_) if exchange.gives_up(endpoint, since) => {
+                return Err(PartEnd::Broken("silent"));
+            }
+            Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/run.rs
@@ -0,0 +1,97 @@
+//! Runs a gateway.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::callers;
+use crate::gateway::Gateway;
+use crate::http;
+use crate::metrics::Metrics;
+use crate::ops;
+use crate::peers;
+use crate::platform::Platform;
+use crate::settings::GatewaySettings;
+use crate::store_reader;
+
+/// Time between two looks whether a leaving process may end.
+const END_CHECK: Duration = Duration::from_millis(50);
+
+/// Runs a gateway until it is told to stop. `reload` reads the settings again after SIGHUP; none if
+/// they can't be read, which it reports itself.
+///
+/// # Errors
+///
+/// An address can't be used, or a metric can't be registered.
+pub fn run_gateway<P: Platform>(
+    platform: P,
+    settings: GatewaySettings,
+    reload: impl Fn() -> Option<GatewaySettings> + 'static,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let gw = Rc::new(Gateway::new(platform, settings, metrics));
+    LocalSet::new().block_on(&runtime, run(gw, reload))
+}
+
+async fn run<P: Platform>(
+    gw: Rc<Gateway<P>>,
+    reload: impl Fn() -> Option<GatewaySettings> + 'static,
+) -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    start(&gw).await?;
+    tracing::info!(target: "gateway", name = &*gw.settings.name, zone = &*gw.settings.zone,
+        callers = %gw.settings.callers, store = %gw.settings.store, "started");
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => adopt_settings(&gw, reload()),
+        }
+    }
+    gw.control.borrow_mut().shutdown.begin(gw.clock.now());
+    tracing::info!(target: "gateway", in_progress = gw.control.borrow().in_progress,
+        grace_ms = gw.settings.grace_ms, "stopping");
+    loop {
+        let now = gw.clock.now();
+        let control = gw.control.borrow();
+        if control.shutdown.may_end(control.in_progress, control.quiet_since, now) {
+            break;
+        }
+        drop(control);
+        tokio::time::sleep(END_CHECK).await;
+    }
+    tracing::info!(target: "gateway", in_progress = gw.control.borrow().in_progress, "stopped");
+    Ok(())
+}
+
+async fn start<P: Platform>(gw: &Rc<Gateway<P>>) -> io::Result<()> {
+    let settings = &gw.settings;
+    let callers = http::listen(settings.callers)?;
+    let readiness = http::listen(settings.readiness)?;
+    let records = http::listen(settings.peers)?;
+    let socket = Rc::new(UdpSocket::bind(settings.peers).await?);
+    if let Some(address) = settings.metrics {
+        spawn_local(ops::serve_ops(gw.clone(), http::listen(address)?));
+    }
+    spawn_local(store_reader::read_store(gw.clone()));
+    spawn_local(ops::serve_ops(gw.clone(), readiness));
+    spawn_local(ops::serve_ops(gw.clone(), records));
+    spawn_local(peers::receive(gw.clone(), socket.clone()));
+    spawn_local(peers::send(gw.clone(), socket));
+    spawn_local(callers::accept_callers(gw.clone(), callers));
+    Ok(())
+}
+
+/// Takes over what may change while the process runs: the seeds. Addresses need a new process.
+fn adopt_settings<P: Platform>(gw: &Gateway<P>, settings: Option<GatewaySettings>) {
+    let Some(settings) = settings else { return };
+    tracing::info!(target: "gateway", seeds = ?settings.seeds, "settings read again");
+    gw.control.borrow_mut().peers.set_seeds(settings.seeds);
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -0,0 +1,249 @@
+//! Reads and watches the platform's records.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode, Uri};
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{EndpointState, StoreChange};
+use thiserror::Error;
+
+use crate::body::AbortOnDrop;
+use crate::control::Applied;
+use crate::gateway::Gateway;
+use crate::http;
+use crate::platform::{DecodeError, Platform};
+
+/// How long one watch waits for a change, in milliseconds. Each watch is a call that counts against
+/// the platform's rate; silent connections are noticed by keep-alive probes before.
+const WATCH_MS: u64 = 15_000;
+/// Time that an answer may take beyond its wait, in milliseconds.
+const ANSWER_MS: u64 = 2_000;
+/// Longest time that a connection to the store may take, in milliseconds.
+const CONNECT_MS: u64 = 500;
+/// Pause before the first call after a failed one, in milliseconds; doubles up to the longest one.
+const FIRST_PAUSE_MS: u64 = 100;
+const MAX_PAUSE_MS: u64 = 800;
+/// Failing for so long counts as an outage in which records may have lapsed, in milliseconds.
+const OUTAGE_MS: u64 = 1_000;
+/// Largest answer of the store that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Pages of one list at most; bounds a list that never ends.
+const MAX_PAGES: usize = 1_000;
+
+/// Why a call to the store failed.
+#[derive(Debug, Error)]
+enum StoreError {
+    #[error("no connection: {0}")]
+    Io(#[from] std::io::Error),
+    #[error("no answer: {0}")]
+    Http(#[from] hyper::Error),
+    #[error("no whole answer: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("no answer in time")]
+    TimedOut,
+    #[error("refused with status {0}")]
+    Refused(StatusCode),
+    #[error("the history since the last known revision is gone")]
+    HistoryGone,
+    #[error("{0}")]
+    Decode(#[from] DecodeError),
+    #[error("a path can't be written: {0}")]
+    Path(#[from] hyper::http::uri::InvalidUri),
+}
+
+/// An open connection to the store.
+struct StoreLine {
+    sender: SendRequest<Full<Bytes>>,
+    _connection: AbortOnDrop,
+}
+
+/// Keeps the records up to date until the process ends.
+pub(crate) async fn read_store<P: Platform>(gw: Rc<Gateway<P>>) {
+    let mut pause_ms = FIRST_PAUSE_MS;
+    let mut failing_since: Option<MonoMs> = None;
+    let mut watched: Option<u64> = None;
+    loop {
+        let result = tokio::select! {
+            result = session(&gw, &mut watched, &mut failing_since) => result,
+            () = gw.resync.notified() => {
+                watched = None;
+                continue;
+            }
+        };
+        let Err(err) = result;
+        let now = gw.clock.now();
+        if matches!(err, StoreError::HistoryGone) {
+            tracing::info!(target: "store", "history gone; listing again");
+            watched = None;
+            continue;
+        }
+        if failing_since.is_none() {
+            pause_ms = FIRST_PAUSE_MS;
+            failing_since = Some(now);
+            tracing::warn!(target: "store", %err, "store lost");
+        }
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
+    }
+}
+
+/// Uses one connection until it fails.
+async fn session<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    watched: &mut Option<u64>,
+    failing_since: &mut Option<MonoMs>,
+) -> Result<std::convert::Infallible, StoreError> {
+    let stream = http::connect(gw.settings.store, Duration::from_millis(CONNECT_MS)).await?;
+    let (sender, connection) = http::client_handshake(stream).await?;
+    let mut line = StoreLine { sender, _connection: AbortOnDrop(connection) };
+    loop {
+        let revision = match *watched {
+            Some(revision) => {
+                let changes = watch(gw, &mut line, revision).await;
+                record_call(gw, "watch", &changes);
+                let (records, as_of) = changes?;
+                record_success(gw, failing_since);
+                apply(gw, records);
+                as_of.max(revision)
+            }
+            None => {
+                let listed = list(gw, &mut line, failing_since).await;
+                record_call(gw, "list", &listed);
+                listed?
+            }
+        };
+        *watched = Some(revision);
+    }
+}
+
+fn record_call<P: Platform, T>(gw: &Gateway<P>, kind: &str, result: &Result<T, StoreError>) {
+    let outcome = if result.is_ok() { "ok" } else { "failed" };
+    gw.metrics.store_calls.with_label_values(&[kind, outcome]).inc();
+}
+
+/// The store answers. After an outage, records that are missing get time to return.
+fn record_success<P: Platform>(gw: &Gateway<P>, failing_since: &mut Option<MonoMs>) {
+    let Some(since) = failing_since.take() else { return };
+    let now = gw.clock.now();
+    let outage_ms = now.ms_since(since);
+    tracing::info!(target: "store", outage_ms, "store back");
+    if outage_ms >= OUTAGE_MS {
+        gw.control.borrow_mut().view.record_return(now);
+    }
+}
+
+/// Lists every record and applies the list. Returns the revision from which to watch.
+async fn list<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    line: &mut StoreLine,
+    failing_since: &mut Option<MonoMs>,
+) -> Result<u64, StoreError> {
+    let mut records = Vec::new();
+    let mut as_of = None;
+    for _ in 0..MAX_PAGES {
+        let after = records.last().map(|it: &persimmon_decide::forward::StoreRecord| &*it.key);
+        let path = gw.platform.list_path(after);
+        let body = call(line, &path, ANSWER_MS).await?;
+        let page = gw.platform.read_page(&body)?;
+        // Pages aren't a snapshot: what changed after the first one is brought by the watch.
+        as_of.get_or_insert(page.as_of);
+        let is_empty = page.records.is_empty();
+        records.extend(page.records);
+        if !page.has_more || is_empty {
+            break;
+        }
+    }
+    record_success(gw, failing_since);
+    let as_of = as_of.unwrap_or(0);
+    let now = gw.clock.now();
+    let changes = gw.control.borrow_mut().view.apply_list("", records, as_of, now);
+    apply(gw, changes);
+    Ok(as_of)
+}
+
+/// Waits for changes after a revision.
+async fn watch<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    line: &mut StoreLine,
+    revision: u64,
+) -> Result<(Vec<StoreChange>, u64), StoreError> {
+    let path = gw.platform.watch_path(revision, WATCH_MS);
+    let body = call(line, &path, WATCH_MS + ANSWER_MS).await?;
+    let page = gw.platform.read_changes(&body)?;
+    let now = gw.clock.now();
+    let mut control = gw.control.borrow_mut();
+    let changes = page.records.into_iter().flat_map(|it| control.view.apply(it, now)).collect();
+    Ok((changes, page.as_of))
+}
+
+async fn call(line: &mut StoreLine, path: &str, limit_ms: u64) -> Result<Bytes, StoreError> {
+    let mut req = Request::new(Full::new(Bytes::new()));
+    *req.uri_mut() = path.parse::<Uri>()?;
+    req.headers_mut().insert(HOST, HeaderValue::from_static("store"));
+    let answered = async {
+        let response = line.sender.send_request(req).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(StoreError::Body)?.to_bytes();
+        match status {
+            StatusCode::OK => Ok(body),
+            StatusCode::GONE => Err(StoreError::HistoryGone),
+            status => Err(StoreError::Refused(status)),
+        }
+    };
+    let limit = Duration::from_millis(limit_ms);
+    tokio::time::timeout(limit, answered).await.map_err(|_| StoreError::TimedOut)?
+}
+
+/// Applies removals that were held back after an outage.
+pub(crate) fn apply_due<P: Platform>(gw: &Rc<Gateway<P>>) {
+    let due = gw.control.borrow_mut().view.expire(gw.clock.now());
+    apply(gw, due);
+}
+
+/// Applies changes, and logs what they did.
+pub(crate) fn apply<P: Platform>(gw: &Rc<Gateway<P>>, changes: Vec<StoreChange>) {
+    if changes.is_empty() {
+        return;
+    }
+    let mut control = gw.control.borrow_mut();
+    let applied = control.apply(&gw.platform, changes);
+    let revision = control.view.revision();
+    if let Some(routes) = &control.routes {
+        gw.metrics.routes_version.set(i64::try_from(routes.version).unwrap_or(i64::MAX));
+    }
+    gw.metrics.endpoints.set(i64::try_from(control.directory.len()).unwrap_or(i64::MAX));
+    drop(control);
+    for it in applied {
+        log_applied(gw, &it, revision);
+    }
+}
+
+fn log_applied<P: Platform>(gw: &Gateway<P>, applied: &Applied, revision: u64) {
+    let Some(suppressed) = gw.journal.admit("records", gw.clock.now()) else { return };
+    match applied {
+        Applied::Routes(version) => {
+            tracing::info!(target: "records", version, revision, suppressed, "routes in force");
+        }
+        Applied::OldRoutes(version) => {
+            tracing::warn!(target: "records", version, revision, suppressed, "older routes passed over");
+        }
+        Applied::Endpoint(endpoint) => {
+            let is_draining = endpoint.state == EndpointState::Draining;
+            tracing::info!(target: "records", endpoint = &*endpoint.id, address = %endpoint.address,
+                is_draining, revision, suppressed, "endpoint published");
+        }
+        Applied::Gone(endpoint) => {
+            tracing::info!(target: "records", endpoint = &*endpoint.id, revision, suppressed,
+                "endpoint gone");
+        }
+        Applied::Unreadable(key, err) => {
+            tracing::warn!(target: "records", key = &**key, %err, suppressed, "record unreadable");
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/upstream.rs
@@ -0,0 +1,163 @@
+//! Connections to endpoints.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper::{Request, Response};
+use persimmon_decide::MonoMs;
+use persimmon_decide::load::EndpointHash;
+use thiserror::Error;
+
+use crate::body::AbortOnDrop;
+use crate::clock::Clock;
+use crate::http;
+
+/// Longest time that a connection to an endpoint may take, in milliseconds: many round trips
+/// between zones, and less than the retransmission of a lost opening packet.
+const CONNECT_MS: u64 = 400;
+/// Idle time after which a connection isn't used for a request that may run once, in milliseconds.
+/// The endpoint may be closing it at that moment.
+const MAX_IDLE_ONCE_MS: u64 = 1_000;
+/// Idle time after which a connection isn't used at all, in milliseconds, where the endpoint states
+/// no timeout.
+const MAX_IDLE_MS: u64 = 4_000;
+/// Part of the endpoint's stated timeout in which a connection is used.
+const IDLE_PART: f64 = 0.6;
+/// Idle connections kept to one endpoint.
+const MAX_IDLE_CONNECTIONS: usize = 16;
+
+/// Why no answer's head came.
+#[derive(Debug, Error)]
+pub(crate) enum SendError {
+    /// No connection could be opened.
+    #[error("no connection: {0}")]
+    NoConnection(#[source] std::io::Error),
+    /// The connection ended before anything was sent.
+    #[error("the connection closed before the request was sent")]
+    NotSent,
+    /// The connection broke after the request was sent at least in part.
+    #[error("the connection broke: {0}")]
+    Broken(#[source] hyper::Error),
+}
+
+/// An open connection to an endpoint.
+#[derive(Debug)]
+pub(crate) struct Line {
+    sender: SendRequest<Full<Bytes>>,
+    _connection: AbortOnDrop,
+    is_reused: bool,
+}
+
+impl Line {
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        match self.sender.try_send_request(req).await {
+            Ok(response) => Ok(response),
+            Err(mut err) => match err.take_message() {
+                Some(_) => Err(SendError::NotSent),
+                None => Err(SendError::Broken(err.into_error())),
+            },
+        }
+    }
+
+    /// Whether it carried an earlier request.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    line: Line,
+    since: MonoMs,
+    keep_ms: u64,
+}
+
+/// Idle connections by endpoint.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    clock: Clock,
+    idle: RefCell<HashMap<EndpointHash, Vec<Idle>>>,
+}
+
+impl Upstream {
+    /// No connections.
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self { clock, idle: RefCell::new(HashMap::new()) }
+    }
+
+    /// An idle connection that is sound, if there is one. `runs_once` asks for one that was used a
+    /// moment ago.
+    pub(crate) fn take_idle(&self, endpoint: EndpointHash, runs_once: bool) -> Option<Line> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let lines = idle.get_mut(&endpoint)?;
+        while let Some(candidate) = lines.pop() {
+            let age_ms = now.ms_since(candidate.since);
+            let most_ms =
+                if runs_once { MAX_IDLE_ONCE_MS.min(candidate.keep_ms) } else { candidate.keep_ms };
+            // The newest is last: if it is too old, so are the others.
+            if age_ms > most_ms {
+                if runs_once && age_ms <= candidate.keep_ms {
+                    lines.push(candidate);
+                } else {
+                    lines.clear();
+                }
+                return None;
+            }
+            if candidate.line.sender.is_ready() {
+                return Some(candidate.line);
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Line, SendError> {
+        let stream = http::connect(address, Duration::from_millis(CONNECT_MS))
+            .await
+            .map_err(SendError::NoConnection)?;
+        let (sender, connection) =
+            http::client_handshake(stream).await.map_err(SendError::NoConnection)?;
+        Ok(Line { sender, _connection: AbortOnDrop(connection), is_reused: false })
+    }
+
+    /// Keeps a connection whose answer has been read to its end. `keep_s` is the timeout that the
+    /// endpoint stated, in seconds.
+    pub(crate) fn put_idle(&self, endpoint: EndpointHash, mut line: Line, keep_s: Option<u64>) {
+        if line.sender.is_closed() {
+            return;
+        }
+        line.is_reused = true;
+        let keep_ms = keep_s.map_or(MAX_IDLE_MS, |s| (s as f64 * 1_000.0 * IDLE_PART) as u64);
+        let mut idle = self.idle.borrow_mut();
+        let lines = idle.entry(endpoint).or_default();
+        if lines.len() == MAX_IDLE_CONNECTIONS {
+            lines.remove(0);
+        }
+        lines.push(Idle { line, since: self.clock.now(), keep_ms });
+    }
+
+    /// Closes connections that are closed, too old, or lead to endpoints that are gone.
+    pub(crate) fn sweep(&self, is_published: impl Fn(EndpointHash) -> bool) {
+        let now = self.clock.now();
+        self.idle.borrow_mut().retain(|endpoint, lines| {
+            lines.retain(|it| now.ms_since(it.since) <= it.keep_ms && !it.line.sender.is_closed());
+            !lines.is_empty() && is_published(*endpoint)
+        });
+    }
+
+    /// Closes every idle connection, as after a time in which nothing was heard of them.
+    pub(crate) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/crates/persimmonmountd/src/gateway.rs
@@ -0,0 +1,42 @@
+//! The gateway role, on the users' platform.
+
+use std::env;
+use std::path::{Path, PathBuf};
+
+use persimmon_gateway::{GatewaySettings, run_gateway, start_logging};
+use persimmon_platform::{SETTINGS_VARIABLE, SettingsFileError, UsersPlatform, read_settings};
+use persimmon_settings::{Setting, Settings};
+
+use crate::StartError;
+
+const METRICS_PORT: Setting =
+    Setting::new("metrics-port", "PORT", "port on which metrics are served; none by default");
+const LOG: Setting =
+    Setting::new("log", "FILTER", "log filter by part and level").with_default("info");
+
+/// Settings of the gateway role; all else stands in the platform's settings file.
+pub(crate) const SPECS: [Setting; 2] = [METRICS_PORT, LOG];
+
+/// Runs the role.
+///
+/// # Errors
+///
+/// The settings have faults, or an address can't be used.
+pub(crate) fn run(mut settings: Settings) -> Result<(), StartError> {
+    let metrics_port: Option<u16> = settings.optional("metrics-port");
+    let log: Option<String> = settings.optional("log");
+    settings.finish().map_err(StartError::Settings)?;
+    start_logging(log.as_deref().unwrap_or("info"));
+    let path = PathBuf::from(env::var_os(SETTINGS_VARIABLE).unwrap_or_default());
+    let gateway = read_settings(&path, metrics_port).map_err(StartError::File)?;
+    let reload = move || reload(&path, metrics_port);
+    run_gateway(UsersPlatform::new(), gateway, reload).map_err(StartError::Io)
+}
+
+fn reload(path: &Path, metrics_port: Option<u16>) -> Option<GatewaySettings> {
+    read_settings(path, metrics_port).map_err(|err| log_fault(&err)).ok()
+}
+
+fn log_fault(err: &SettingsFileError) {
+    tracing::warn!(target: "gateway", %err, "the settings stay as they are");
+}
--- a/crates/persimmonmountd/src/main.rs
+++ b/crates/persimmonmountd/src/main.rs
@@ -1,12 +1,14 @@
-//! The daemon of the fleet: `persimmonmountd router` or `persimmonmountd sidecar`.
+//! The daemon of the fleet: `persimmonmountd router`, `sidecar` or `gateway`.
 
 mod common;
+mod gateway;
 mod router;
 mod sidecar;
 
 use std::env;
 use std::process::ExitCode;
 
+use persimmon_platform::SettingsFileError;
 use persimmon_settings::{Setting, Settings, SettingsError};
 
 use common::{ROUTER_SPECS, RouterSettings, SIDECAR_SPECS, SidecarSettings, start_logging};
@@ -19,6 +21,7 @@
 const BRIEF: &str = "\
 Usage: persimmonmountd router [settings]
        persimmonmountd sidecar [settings]
+       persimmonmountd gateway [settings]
 
 The fleet key is read from PERSIMMON_FLEET_KEY. Exit codes: 0 after a graceful shutdown,
 1 if the daemon couldn't run, 2 if its settings have faults.";
@@ -32,13 +35,14 @@
     match role {
         "router" => start(&ROUTER_SPECS, rest, run_router),
         "sidecar" => start(&SIDECAR_SPECS, rest, run_sidecar),
+        "gateway" => start(&gateway::SPECS, rest, gateway::run),
         "--help" | "-h" => {
             println!("{BRIEF}\n\nRun `persimmonmountd router --help` for the settings of a role.");
             ExitCode::SUCCESS
         }
         "--version" | "-V" => print_version(),
         _ => {
-            eprintln!("the first argument must be a role: router or sidecar; see --help");
+            eprintln!("the first argument must be a role: router, sidecar or gateway; see --help");
             ExitCode::from(EXIT_USAGE)
         }
     }
@@ -64,6 +68,7 @@
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(StartError::Settings(err)) => usage_fault(&err),
+        Err(StartError::File(err)) => usage_fault(&err),
         Err(StartError::Io(err)) => {
             eprintln!("the daemon can't run: {err}; check its addresses and limits");
             ExitCode::from(EXIT_FAILURE)
@@ -73,6 +78,7 @@
 
 enum StartError {
     Settings(SettingsError),
+    File(SettingsFileError),
     Io(std::io::Error),
 }
 
@@ -97,7 +103,7 @@
     ExitCode::SUCCESS
 }
 
-fn usage_fault(err: &SettingsError) -> ExitCode {
+fn usage_fault(err: &dyn std::error::Error) -> ExitCode {
     eprintln!("{err}");
     ExitCode::from(EXIT_USAGE)
 }
