Place prompts by the cost of load and unread tokens, and tell other gateways the holders

Gateways didn't know of each other's holders, short common starts were read by each endpoint, and after restarts the first in rank wasn't the one that held the prompt. Now placement costs load and unread tokens, digests carry holders of shared parts (new ones, and a few old ones for gateways that have started since), and an endpoint that lacks a prompt's start fetches it from the holder, or from the first in rank where none is known.

--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -10,6 +10,15 @@
 /// A gateway's requests at an endpoint.
 pub type EndpointCount = (EndpointHash, u32);
 
+/// An endpoint that has read a part of prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartHolder {
+    /// The part.
+    pub part: u64,
+    /// The endpoint.
+    pub endpoint: EndpointHash,
+}
+
 /// Another gateway, and when it was last heard of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerAddress {
@@ -47,6 +56,8 @@
     pub retries: Vec<(Arc<str>, ServiceRetries)>,
     /// Contents that crashed endpoints.
     pub crashes: Vec<(u64, EndpointHash)>,
+    /// Endpoints that have read parts of prompts.
+    pub holders: Vec<PartHolder>,
     /// Other gateways.
     pub peers: Vec<PeerAddress>,
 }
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -19,7 +19,7 @@
 
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
 pub use crash_watch::CrashWatch;
-pub use digest::{Digest, EndpointCount, PeerAddress, ServiceRetries};
+pub use digest::{Digest, EndpointCount, PartHolder, PeerAddress, ServiceRetries};
 pub use directory::EndpointDirectory;
 pub use durations::DurationBook;
 pub use endpoint::{Endpoint, EndpointId, EndpointState};
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{
-    Endpoint, EndpointDirectory, EndpointState, HealthBook, LoadBook, PrefixMap, PromptPart,
-};
+use super::{Endpoint, EndpointDirectory, HealthBook, LoadBook, PrefixMap, PromptPart};
 use crate::MonoMs;
 use crate::load::{ChatKey, EndpointHash, rendezvous_score};
 
@@ -20,11 +18,26 @@
     /// Cached tokens from which an endpoint is asked to copy a prompt's start from another, in
     /// tokens; fewer are read faster than they are fetched.
     pub min_fetch_tokens: u32,
+    /// Tokens that an engine reads in a millisecond; engines don't publish it. Only the order of
+    /// magnitude matters.
+    pub tokens_per_ms: f64,
+    /// Multiple of the mean load up to which an endpoint counts as not loaded.
+    pub even_load_factor: f64,
+    /// What a load of one more mean costs, in milliseconds: about what the tokens of a request take
+    /// longer there over its whole answer.
+    pub load_cost_ms: f64,
 }
 
 impl Default for PickerSettings {
     fn default() -> Self {
-        Self { max_load_factor: 1.5, load_floor: 2.0, min_fetch_tokens: 256 }
+        Self {
+            max_load_factor: 1.7,
+            load_floor: 2.0,
+            min_fetch_tokens: 64,
+            tokens_per_ms: 80.0,
+            even_load_factor: 1.15,
+            load_cost_ms: 40.0,
+        }
     }
 }
 
@@ -103,7 +116,15 @@
             });
         }
         let bound = self.settings.max_load_factor * mean + self.settings.load_floor;
-        self.by_prefix(req, &usable, endpoints, prefixes, bound, now)
+        self.by_prefix(req, &usable, endpoints, health, prefixes, (mean, bound), now)
+    }
+
+    /// What the load of an endpoint costs a request, in milliseconds. Endpoints near the mean cost
+    /// nothing, so that gateways whose counts differ a little still agree.
+    fn load_cost_ms(&self, load: u32, mean: f64) -> f64 {
+        let even = mean * self.settings.even_load_factor + 1.0;
+        let excess = (f64::from(load) - even).max(0.0);
+        excess / mean.max(1.0) * self.settings.load_cost_ms
     }
 
     /// The endpoints that weren't tried and seem sound. If there are none, or if that would leave
@@ -163,31 +184,36 @@
         req: &PickRequest<'_>,
         usable: &[&Candidate<'_>],
         endpoints: &EndpointDirectory,
+        health: &HealthBook,
         prefixes: &PrefixMap,
-        bound: f64,
+        (mean, bound): (f64, f64),
         now: MonoMs,
     ) -> Option<Choice> {
         let cached = prefixes.cached(req.parts, now);
-        let shared = shared_tokens(req.parts);
         let tokens_at = |endpoint: EndpointHash| {
             cached.iter().find(|(it, _)| *it == endpoint).map_or(0, |(_, tokens)| *tokens)
         };
-        let is_under = |it: &&&Candidate<'_>| f64::from(it.load + 1) <= bound;
         let key = ChatKey(placement_key(req.parts));
         let rank = |it: &Candidate<'_>| rendezvous_score(key, it.endpoint.hash, it.endpoint.slots);
-        let by_rank = |a: &&&Candidate<'_>, b: &&&Candidate<'_>| rank(a).total_cmp(&rank(b));
-        // An endpoint that holds nearly all of the shared start saves as much as the best one.
-        let holder = usable
-            .iter()
-            .filter(is_under)
-            .filter(|it| shared > 0 && tokens_at(it.endpoint.hash) * 10 >= shared * 9)
-            .min_by(by_rank);
-        let ranked = || usable.iter().filter(is_under).min_by(by_rank);
+        let shared = shared_tokens(req.parts);
+        // A short common start doesn't draw a prompt away from its rank, so that gateways that know
+        // no holders choose the endpoint that the others chose.
+        let saved_ms = |tokens: u32| match tokens * 2 >= shared {
+            true => f64::from(tokens) / self.settings.tokens_per_ms,
+            false => 0.0,
+        };
+        let cost = |it: &Candidate<'_>| {
+            self.load_cost_ms(it.load, mean) - saved_ms(tokens_at(it.endpoint.hash))
+        };
         let relative = |it: &Candidate<'_>| f64::from(it.load) / f64::from(it.endpoint.slots);
+        let under = usable.iter().filter(|it| f64::from(it.load + 1) <= bound);
+        let cheapest = under
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| rank(a).total_cmp(&rank(b))));
         let least = || usable.iter().min_by(|a, b| relative(a).total_cmp(&relative(b)));
-        let chosen = holder.or_else(ranked).or_else(least)?;
+        let chosen = cheapest.or_else(least)?;
         let own_tokens = tokens_at(chosen.endpoint.hash);
-        let fetch_from = self.source(req, chosen.endpoint, own_tokens, &cached, endpoints);
+        let fetch_from =
+            self.source(req, chosen.endpoint, own_tokens, &cached, endpoints, health, now);
         Some(Choice {
             endpoint: chosen.endpoint.clone(),
             fetch_from,
@@ -197,8 +223,8 @@
     }
 
     /// The endpoint that holds most of the prompt's start beyond what the chosen one holds. Where no
-    /// holder is known, it is the one that ranks first among all others, since other gateways
-    /// have sent such prompts there.
+    /// holder is known, it is the one that ranks first among all others, since such prompts went there
+    /// before the endpoints or the gateways changed. Asking one that holds nothing moves nothing.
     fn source(
         &self,
         req: &PickRequest<'_>,
@@ -206,26 +232,27 @@
         own_tokens: u32,
         cached: &[(EndpointHash, u32)],
         endpoints: &EndpointDirectory,
+        health: &HealthBook,
+        now: MonoMs,
     ) -> Option<Arc<Endpoint>> {
-        let of_service = endpoints.of_service(req.service);
-        let known = cached.iter().find_map(|(hash, tokens)| {
-            let endpoint = of_service.iter().find(|it| it.hash == *hash && it.id != chosen.id)?;
-            Some((endpoint, *tokens))
-        });
-        if let Some((endpoint, tokens)) = known {
-            let gain = tokens.saturating_sub(own_tokens);
-            return (gain >= self.settings.min_fetch_tokens).then(|| endpoint.clone());
-        }
-        let missing = shared_tokens(req.parts).saturating_sub(own_tokens);
-        if missing < self.settings.min_fetch_tokens {
-            return None;
-        }
-        let key = ChatKey(placement_key(req.parts));
-        let rank = |it: &Arc<Endpoint>| rendezvous_score(key, it.hash, it.slots);
-        let others = of_service.iter().filter(|it| it.id != chosen.id);
-        let first = others.min_by(|a, b| rank(a).total_cmp(&rank(b)))?;
-        let is_better = rank(first) < rank(chosen) || first.state == EndpointState::Draining;
-        is_better.then(|| first.clone())
+        let others = || {
+            let of_service = endpoints.of_service(req.service).iter();
+            of_service.filter(|it| it.id != chosen.id && !health.is_ejected(it.hash, now))
+        };
+        let known = cached
+            .iter()
+            .find_map(|(hash, tokens)| Some((others().find(|it| it.hash == *hash)?, *tokens)));
+        let shared = shared_tokens(req.parts);
+        let (source, tokens) = match known {
+            Some((source, tokens)) if tokens * 2 >= shared => (source, tokens),
+            _ => {
+                let key = ChatKey(placement_key(req.parts));
+                let rank = |it: &Arc<Endpoint>| rendezvous_score(key, it.hash, it.slots);
+                (others().min_by(|a, b| rank(a).total_cmp(&rank(b)))?, shared)
+            }
+        };
+        let gain = tokens.saturating_sub(own_tokens);
+        (gain >= self.settings.min_fetch_tokens).then(|| source.clone())
     }
 }
 
--- a/crates/persimmon_decide/src/forward/prefix_map.rs
+++ b/crates/persimmon_decide/src/forward/prefix_map.rs
@@ -1,7 +1,8 @@
 //! Which endpoints have read which parts of prompts.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
+use super::PartHolder;
 use crate::MonoMs;
 use crate::load::EndpointHash;
 
@@ -20,11 +21,15 @@
     used_at: MonoMs,
 }
 
-/// Remembers the last few endpoints that read each part. What it says is a hint: engines drop the
-/// least recently used parts without telling.
+/// Remembers the endpoints that read each part lately, by this gateway's requests and by what others
+/// tell. What it says is a hint: engines drop the least recently used parts without telling.
 #[derive(Debug)]
 pub struct PrefixMap {
     holders: HashMap<u64, Vec<Holder>>,
+    /// Holders that other gateways haven't been told of.
+    news: VecDeque<PartHolder>,
+    /// Shared parts, in the order in which they are told again.
+    rotation: VecDeque<u64>,
     swept_at: MonoMs,
 }
 
@@ -35,42 +40,68 @@
 }
 
 impl PrefixMap {
-    /// Holders remembered for one part.
-    const MAX_HOLDERS: usize = 4;
+    /// Holders remembered for one part. Parts at the start of every prompt are held everywhere.
+    const MAX_HOLDERS: usize = 64;
     /// How long a holder is remembered, in milliseconds. Engines keep parts longer when they have
     /// room, but a part that was not asked for in a minute is most likely gone.
     const MEMORY_MS: u64 = 60_000;
     /// Parts remembered at most; bounds the memory of a gateway to a few megabytes.
     const MAX_PARTS: usize = 20_000;
+    /// News kept at most; older ones are told later by rotation.
+    const MAX_NEWS: usize = 256;
     /// Time between sweeps, in milliseconds.
     const SWEEP_MS: u64 = 5_000;
 
     /// A map that knows nothing.
     pub fn new() -> Self {
-        Self { holders: HashMap::new(), swept_at: MonoMs(0) }
+        Self {
+            holders: HashMap::new(),
+            news: VecDeque::new(),
+            rotation: VecDeque::new(),
+            swept_at: MonoMs(0),
+        }
     }
 
-    /// An endpoint reads a prompt.
+    /// An endpoint reads a prompt of this gateway.
     pub fn record(&mut self, parts: &[PromptPart], endpoint: EndpointHash, now: MonoMs) {
         self.sweep(now);
-        for part in parts {
-            if self.holders.len() >= Self::MAX_PARTS && !self.holders.contains_key(&part.id) {
-                return;
-            }
-            let holders = self.holders.entry(part.id).or_default();
-            match holders.iter_mut().find(|holder| holder.endpoint == endpoint) {
-                Some(holder) => holder.used_at = now,
-                None => {
-                    if holders.len() == Self::MAX_HOLDERS {
-                        let oldest = (0..holders.len()).min_by_key(|at| holders[*at].used_at);
-                        oldest.map(|at| holders.swap_remove(at));
-                    }
-                    holders.push(Holder { endpoint, used_at: now });
+        for (at, part) in parts.iter().enumerate() {
+            let is_new = self.put(part.id, endpoint, now);
+            // The last part belongs to one request or session, whose caller returns to this gateway.
+            let is_shared = at + 1 < parts.len();
+            if is_new && is_shared {
+                if self.news.len() == Self::MAX_NEWS {
+                    self.news.pop_front();
+                }
+                self.news.push_back(PartHolder { part: part.id, endpoint });
+                if !self.rotation.contains(&part.id) {
+                    self.rotation.push_back(part.id);
                 }
             }
         }
     }
 
+    /// Another gateway told of a holder.
+    pub fn absorb(&mut self, holder: PartHolder, now: MonoMs) {
+        self.put(holder.part, holder.endpoint, now);
+    }
+
+    /// Holders to tell the others of: at most `news` new ones, and the holders of a few parts that
+    /// were told before, for gateways that have started since.
+    pub fn tell(&mut self, news: usize, repeated: usize, now: MonoMs) -> Vec<PartHolder> {
+        let count = news.min(self.news.len());
+        let mut told: Vec<_> = self.news.drain(..count).collect();
+        for _ in 0..repeated.min(self.rotation.len()) {
+            let Some(part) = self.rotation.pop_front() else { break };
+            let holders = self.holders.get(&part).map_or(&[][..], Vec::as_slice);
+            let fresh = holders.iter().filter(|it| now.ms_since(it.used_at) < Self::MEMORY_MS);
+            let Some(newest) = fresh.max_by_key(|it| it.used_at) else { continue };
+            told.push(PartHolder { part, endpoint: newest.endpoint });
+            self.rotation.push_back(part);
+        }
+        told
+    }
+
     /// Tokens at the start of a prompt that each endpoint probably holds, longest first.
     pub fn cached(&self, parts: &[PromptPart], now: MonoMs) -> Vec<(EndpointHash, u32)> {
         let mut cached: Vec<(EndpointHash, u32)> = Vec::new();
@@ -105,6 +136,24 @@
         });
     }
 
+    /// Notes a holder; returns whether it wasn't known.
+    fn put(&mut self, part: u64, endpoint: EndpointHash, now: MonoMs) -> bool {
+        if self.holders.len() >= Self::MAX_PARTS && !self.holders.contains_key(&part) {
+            return false;
+        }
+        let holders = self.holders.entry(part).or_default();
+        if let Some(holder) = holders.iter_mut().find(|holder| holder.endpoint == endpoint) {
+            holder.used_at = now;
+            return false;
+        }
+        if holders.len() == Self::MAX_HOLDERS {
+            let oldest = (0..holders.len()).min_by_key(|at| holders[*at].used_at);
+            oldest.map(|at| holders.swap_remove(at));
+        }
+        holders.push(Holder { endpoint, used_at: now });
+        true
+    }
+
     fn sweep(&mut self, now: MonoMs) {
         if now.ms_since(self.swept_at) < Self::SWEEP_MS {
             return;
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -21,6 +21,10 @@
 /// Crash marks in one digest; more would crowd a datagram.
 const DIGEST_CRASHES: usize = 16;
 
+/// New holders of prompts' parts in one digest, and ones that are told again.
+const DIGEST_NEWS: usize = 48;
+const DIGEST_REPEATED: usize = 6;
+
 /// What one change of the records did.
 #[derive(Debug)]
 pub(crate) enum Applied {
@@ -205,6 +209,7 @@
             counts: self.loads.own_counts().collect(),
             ejections: self.health.ejections(now).collect(),
             retries: retries.filter(|(_, it)| it.fresh + it.repeated > 0).collect(),
+            holders: self.prefixes.tell(DIGEST_NEWS, DIGEST_REPEATED, now),
             crashes: self.crashes.newest(DIGEST_CRASHES, now),
             peers: self.peers.addresses(now),
         }
@@ -221,6 +226,9 @@
         for (content, endpoint) in &digest.crashes {
             self.crashes.absorb(*content, *endpoint, now);
         }
+        for holder in &digest.holders {
+            self.prefixes.absorb(*holder, now);
+        }
         self.loads.replace_peer(from, digest.counts);
     }
 
