Refuse streams that can't end before a leaving gateway does

Now everything is taken until the balancer has noticed (2.2 s; a refused caller would come back to the same gateway), and later only what would end in twice the longest time seen lately.

--- a/crates/persimmon_decide/src/forward/durations.rs
+++ b/crates/persimmon_decide/src/forward/durations.rs
@@ -3,23 +3,26 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Mean and deviation of the time that a route's requests take, by exponential smoothing.
+/// The longest time that requests of each route took lately.
+///
+/// ```
+/// use persimmon_decide::forward::DurationBook;
+///
+/// let mut durations = DurationBook::new();
+/// assert_eq!(durations.most_ms("chat"), None);
+/// durations.record(&"chat".into(), 4_000);
+/// durations.record(&"chat".into(), 100);
+/// assert!(durations.most_ms("chat").unwrap() > 3_900);
+/// ```
 #[derive(Debug, Default)]
 pub struct DurationBook {
-    routes: HashMap<Arc<str>, Smoothed>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Smoothed {
-    mean_ms: f64,
-    deviation_ms: f64,
+    most_ms: HashMap<Arc<str>, f64>,
 }
 
 impl DurationBook {
-    /// Weight of a new duration. Some twenty requests make a fresh estimate.
-    const WEIGHT: f64 = 0.05;
-    /// Deviations above the mean that cover nearly all requests.
-    const MARGIN: f64 = 3.0;
+    /// What is left of the longest time after each shorter request. It takes some hundred requests
+    /// to forget an outlier.
+    const KEEP: f64 = 0.997;
 
     /// A book without durations.
     pub fn new() -> Self {
@@ -29,21 +32,16 @@
     /// A request of this route took so long, in milliseconds.
     pub fn record(&mut self, route: &Arc<str>, ms: u64) {
         let ms = ms as f64;
-        match self.routes.get_mut(route) {
-            Some(it) => {
-                let error = ms - it.mean_ms;
-                it.mean_ms += Self::WEIGHT * error;
-                it.deviation_ms += Self::WEIGHT * (error.abs() - it.deviation_ms);
-            }
+        match self.most_ms.get_mut(route) {
+            Some(most_ms) => *most_ms = ms.max(*most_ms * Self::KEEP),
             None => {
-                self.routes.insert(route.clone(), Smoothed { mean_ms: ms, deviation_ms: ms / 2.0 });
+                self.most_ms.insert(route.clone(), ms);
             }
         }
     }
 
     /// The time in which nearly all requests of the route end, in milliseconds; none while unknown.
     pub fn most_ms(&self, route: &str) -> Option<u64> {
-        let it = self.routes.get(route)?;
-        Some((it.mean_ms + Self::MARGIN * it.deviation_ms) as u64)
+        self.most_ms.get(route).map(|most_ms| *most_ms as u64)
     }
 }
--- a/crates/persimmon_decide/src/forward/shutdown.rs
+++ b/crates/persimmon_decide/src/forward/shutdown.rs
@@ -11,8 +11,10 @@
 
 /// Ends a gateway without cutting a request off.
 ///
-/// The balancer sends new connections for a few seconds more, and callers go on using open ones. A
-/// request that would most likely not end within the grace is refused before it is passed on.
+/// The balancer sends new connections for a few seconds more, and callers go on using open ones.
+/// While it does, a caller that is refused most likely comes back to the same gateway, so everything
+/// is taken. Later, a request that may not end within the grace is refused before it is passed on,
+/// and its caller reaches another gateway.
 #[derive(Debug, Clone, Copy)]
 pub struct Shutdown {
     grace_ms: u64,
@@ -22,9 +24,14 @@
 impl Shutdown {
     /// Time kept free at the end of the grace, in milliseconds, for last bytes to leave.
     const MARGIN_MS: u64 = 400;
-    /// How long requests are taken at least, in milliseconds: until the balancer has noticed that
-    /// the gateway isn't ready.
+    /// Time until the balancer has noticed that the gateway isn't ready, in milliseconds: it asks
+    /// every second, and acts on the second miss.
+    const NOTICE_MS: u64 = 2_200;
+    /// How long the process runs at least, in milliseconds, so that requests on their way to it when
+    /// the balancer noticed are still answered.
     const MIN_OPEN_MS: u64 = 3_000;
+    /// Time that a request is given, as a multiple of the longest that was seen lately.
+    const DURATION_MARGIN: u64 = 2;
     /// How long no request must have been in progress before the process ends, in milliseconds.
     const QUIET_MS: u64 = 500;
 
@@ -43,9 +50,13 @@
         self.started_at.is_some()
     }
 
-    /// Whether a request that is expected to last `expected_ms` is still taken.
-    pub fn takes(&self, expected_ms: u64, now: MonoMs) -> bool {
-        self.started_at.is_none_or(|_| self.left_ms(now) >= expected_ms)
+    /// Whether a request is still taken: `most_ms` is the longest that such requests took lately,
+    /// and `deadline_ms` the time after which it is given up.
+    pub fn takes(&self, most_ms: Option<u64>, deadline_ms: u64, now: MonoMs) -> bool {
+        let Some(started_at) = self.started_at else { return true };
+        let expected_ms = most_ms.map_or(deadline_ms, |ms| ms * Self::DURATION_MARGIN);
+        let left_ms = self.left_ms(now);
+        now.ms_since(started_at) < Self::NOTICE_MS || left_ms >= expected_ms.min(deadline_ms)
     }
 
     /// Milliseconds in which requests have to end.
--- a/crates/persimmon_gateway/src/exchange.rs
+++ b/crates/persimmon_gateway/src/exchange.rs
@@ -269,9 +269,11 @@
     now: MonoMs,
 ) -> Result<(), Refusal> {
     let control = gw.control.borrow();
-    let expected_ms = control.durations.most_ms(&route.name).unwrap_or(route.timeout_ms);
-    let expected_ms = expected_ms.min(deadline.ms_since(now));
-    if control.shutdown.takes(expected_ms, now) { Ok(()) } else { Err(Refusal::Leaving) }
+    let most_ms = control.durations.most_ms(&route.name);
+    match control.shutdown.takes(most_ms, deadline.ms_since(now), now) {
+        true => Ok(()),
+        false => Err(Refusal::Leaving),
+    }
 }
 
 /// Reads the whole body, so that it can be sent again.
