Let two gateways watch the store; the others take changes from peers

Now the first two in the order of addresses watch with short waits, so that each answer shows contact; the digest carries its age, and the next in order takes over from one that is cut off, silent or leaving. The others fetch what changed since their revision from a peer; a change is told at once. Removals that are held back after an outage are held back as long by whoever hears of them from a peer.

Now a gateway lists at once, and a request that arrives before the routes waits up to 250 ms.

--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -46,6 +46,8 @@
     pub sequence: u64,
     /// The highest revision of any record that the gateway knows.
     pub revision: u64,
+    /// Milliseconds since the store last answered the gateway; none if it doesn't watch the store.
+    pub store_age_ms: Option<u32>,
     /// Whether the gateway is shutting down.
     pub is_leaving: bool,
     /// Requests in progress.
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -34,4 +34,4 @@
     ServiceWeight, Workspace,
 };
 pub use shutdown::{Shutdown, ShutdownSettings};
-pub use store_view::{StoreChange, StoreRecord, StoreView};
+pub use store_view::{StoreChange, StoreDelta, StoreRecord, StoreView};
--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -13,6 +13,8 @@
     sequence: u64,
     heard_at: MonoMs,
     revision: u64,
+    is_leaving: bool,
+    store_age_ms: Option<u32>,
     retries: Vec<(Arc<str>, ServiceRetries)>,
 }
 
@@ -26,7 +28,22 @@
     rumours: BTreeMap<IpAddr, MonoMs>,
 }
 
+impl Peer {
+    /// Whether the peer watches the store and hasn't been answered for a while. One that doesn't
+    /// watch is taken for able to.
+    fn is_cut_from_store(&self, now: MonoMs) -> bool {
+        let since_heard_ms = now.ms_since(self.heard_at);
+        self.store_age_ms
+            .is_some_and(|age_ms| u64::from(age_ms) + since_heard_ms > PeerTable::STORE_LOST_MS)
+    }
+}
+
 impl PeerTable {
+    /// Gateways that watch the platform's store. The others learn of changes from them.
+    const WATCHERS: usize = 2;
+    /// Time without an answer after which a watcher doesn't reach the store, in milliseconds: a watch
+    /// that returns after 600 ms, a slow answer and a digest's age fit in.
+    const STORE_LOST_MS: u64 = 1_100;
     /// How long a silent peer's counts are used, in milliseconds: several digests, so that a lost
     /// datagram doesn't make its requests vanish.
     pub const SILENT_MS: u64 = 1_500;
@@ -60,6 +77,8 @@
             sequence: digest.sequence,
             heard_at: now,
             revision: digest.revision,
+            is_leaving: digest.is_leaving,
+            store_age_ms: digest.store_age_ms,
             retries: digest.retries.clone(),
         };
         self.peers.insert(from, peer);
@@ -121,10 +140,29 @@
         })
     }
 
-    /// The peer that knows the latest change, if it knows more than `revision`.
-    pub fn ahead_of(&self, revision: u64, now: MonoMs) -> Option<IpAddr> {
-        let ahead = self.live(now).filter(|(_, peer)| peer.revision > revision);
-        ahead.max_by_key(|(_, peer)| peer.revision).map(|(ip, _)| *ip)
+    /// A peer that knows a change after `revision`; `draw` chooses among several.
+    pub fn ahead_of(&self, revision: u64, draw: u64, now: MonoMs) -> Option<IpAddr> {
+        let ahead: Vec<_> = self
+            .live(now)
+            .filter(|(_, peer)| peer.revision > revision)
+            .map(|(ip, _)| *ip)
+            .collect();
+        let at = draw.checked_rem(ahead.len() as u64)?;
+        ahead.get(usize::try_from(at).ok()?).copied()
+    }
+
+    /// Whether this gateway watches the platform's store. The first few in the order of their
+    /// addresses do; each that doesn't reach the store, or is leaving, is replaced by the next.
+    pub fn should_watch(&self, now: MonoMs) -> bool {
+        let before = self.live(now).filter(|(ip, peer)| {
+            **ip < self.own && !peer.is_leaving && !peer.is_cut_from_store(now)
+        });
+        before.count() < Self::WATCHERS
+    }
+
+    /// Whether a peer that watches the store doesn't reach it.
+    pub fn is_store_lost(&self, now: MonoMs) -> bool {
+        self.live(now).any(|(_, peer)| peer.is_cut_from_store(now))
     }
 
     fn live(&self, now: MonoMs) -> impl Iterator<Item = (&IpAddr, &Peer)> {
--- a/crates/persimmon_decide/src/forward/store_view.rs
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -1,6 +1,6 @@
 //! The platform's records as one gateway knows them, from lists, watches and peers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -28,6 +28,19 @@
     Removed(Arc<str>),
 }
 
+/// What a gateway that lags behind needs from another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreDelta {
+    /// The highest revision of any change that the sender knows.
+    pub revision: u64,
+    /// Whether `records` are all that exist, rather than the changes.
+    pub is_whole: bool,
+    /// How long the sender still holds removals back after an outage, in milliseconds.
+    pub grace_ms: u64,
+    /// Records as they were written, or without a value where they were deleted.
+    pub records: Vec<StoreRecord>,
+}
+
 /// Merges what the store and peers say of its records. Nothing older replaces anything newer.
 ///
 /// Records of endpoints lapse while the store is away, and return shortly after it does. So what
@@ -37,6 +50,10 @@
     records: BTreeMap<Arc<str>, StoreRecord>,
     /// Deletions that wait for the end of the grace, with the revision of the deletion.
     held_removals: BTreeMap<Arc<str>, (u64, MonoMs)>,
+    /// The latest removals, oldest first.
+    removed: VecDeque<(u64, Arc<str>)>,
+    /// Removals after this revision are all in `removed`.
+    removed_from: u64,
     revision: u64,
     grace_until: Option<MonoMs>,
 }
@@ -51,12 +68,16 @@
     /// How long after an outage a missing record is kept, in milliseconds: endpoints need about two
     /// seconds to register again.
     pub const RETURN_GRACE_MS: u64 = 2_000;
+    /// Removals remembered for gateways that lag behind; one that lags further gets everything.
+    const MAX_REMOVED: usize = 256;
 
     /// A view that holds nothing.
     pub fn new() -> Self {
         Self {
             records: BTreeMap::new(),
             held_removals: BTreeMap::new(),
+            removed: VecDeque::new(),
+            removed_from: 0,
             revision: 0,
             grace_until: None,
         }
@@ -67,10 +88,24 @@
         self.revision
     }
 
-    /// Every record that exists, for a peer that lacks some. Records whose removal is held back
-    /// are left out, since the peer would never hear of their removal.
-    pub fn records(&self) -> impl Iterator<Item = &StoreRecord> {
-        self.records.values().filter(|record| !self.held_removals.contains_key(&record.key))
+    /// What a gateway that knows all changes up to `revision` lacks. It holds removals back as long
+    /// as this one does.
+    pub fn since(&self, revision: u64, now: MonoMs) -> StoreDelta {
+        let is_whole = revision < self.removed_from;
+        let live = self.records.values().filter(|it| !self.held_removals.contains_key(&it.key));
+        let written = live.filter(|it| is_whole || it.revision > revision).cloned();
+        let is_gone = |key| !self.records.contains_key(key) || self.held_removals.contains_key(key);
+        let deleted = self
+            .removed
+            .iter()
+            .filter(|(at, key)| !is_whole && *at > revision && is_gone(key))
+            .map(|(at, key)| StoreRecord { key: key.clone(), revision: *at, value: None });
+        StoreDelta {
+            revision: self.revision,
+            is_whole,
+            grace_ms: self.grace_until.map_or(0, |until| until.ms_since(now)),
+            records: written.chain(deleted).collect(),
+        }
     }
 
     /// The store answers again after an outage.
@@ -118,18 +153,20 @@
         changes
     }
 
-    /// Takes in everything that a peer holds, if the peer has seen a later change.
-    pub fn apply_peer(
-        &mut self,
-        records: Vec<StoreRecord>,
-        revision: u64,
-        now: MonoMs,
-    ) -> Vec<StoreChange> {
-        if revision <= self.revision {
+    /// Takes in what a peer sent, if the peer has seen a later change.
+    pub fn apply_peer(&mut self, delta: StoreDelta, now: MonoMs) -> Vec<StoreChange> {
+        if delta.revision <= self.revision {
             return Vec::new();
         }
-        let changes = self.apply_list("", records, revision, now);
-        self.revision = self.revision.max(revision);
+        if delta.grace_ms > 0 {
+            let until = now.plus_ms(delta.grace_ms.min(Self::RETURN_GRACE_MS));
+            self.grace_until = self.grace_until.max(Some(until));
+        }
+        let changes = match delta.is_whole {
+            true => self.apply_list("", delta.records, delta.revision, now),
+            false => delta.records.into_iter().flat_map(|it| self.apply(it, now)).collect(),
+        };
+        self.revision = self.revision.max(delta.revision);
         changes
     }
 
@@ -160,6 +197,9 @@
         if !self.records.contains_key(&key) {
             return None;
         }
+        if !self.held_removals.contains_key(&key) {
+            self.note_removed(revision, &key);
+        }
         match self.grace_until.filter(|until| *until > now) {
             Some(until) => {
                 self.held_removals.entry(key).or_insert((revision, until));
@@ -172,4 +212,13 @@
             }
         }
     }
+
+    fn note_removed(&mut self, revision: u64, key: &Arc<str>) {
+        if self.removed.len() == Self::MAX_REMOVED {
+            if let Some((oldest, _)) = self.removed.pop_front() {
+                self.removed_from = oldest;
+            }
+        }
+        self.removed.push_back((revision, key.clone()));
+    }
 }
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -53,6 +53,8 @@
     pub(crate) peers: PeerTable,
     pub(crate) shutdown: Shutdown,
     pub(crate) durations: DurationBook,
+    /// When the store last answered; none while this gateway doesn't watch it.
+    pub(crate) store_contact: Option<MonoMs>,
     /// Requests in progress.
     pub(crate) in_progress: usize,
     /// When the last request ended.
@@ -85,6 +87,7 @@
             peers: PeerTable::new(settings.peers.ip(), settings.seeds.clone()),
             shutdown: Shutdown::new(ShutdownSettings { grace_ms: settings.grace_ms }),
             durations: DurationBook::new(),
+            store_contact: None,
             in_progress: 0,
             quiet_since: now,
             retries: HashMap::new(),
@@ -96,10 +99,15 @@
         }
     }
 
+    /// Whether routes and endpoints are known.
+    pub(crate) fn can_route(&self) -> bool {
+        self.routes.is_some() && !self.directory.is_empty()
+    }
+
     /// Whether requests can be served: routes and endpoints are known, and the gateway isn't
     /// leaving.
     pub(crate) fn is_ready(&self) -> bool {
-        self.routes.is_some() && !self.directory.is_empty() && !self.shutdown.is_leaving()
+        self.can_route() && !self.shutdown.is_leaving()
     }
 
     /// Any number.
@@ -205,6 +213,9 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             revision: self.view.revision(),
+            store_age_ms: self
+                .store_contact
+                .map(|at| u32::try_from(now.ms_since(at)).unwrap_or(u32::MAX)),
             is_leaving: self.shutdown.is_leaving(),
             counts: self.loads.own_counts().collect(),
             ejections: self.health.ejections(now).collect(),
--- a/crates/persimmon_gateway/src/exchange.rs
+++ b/crates/persimmon_gateway/src/exchange.rs
@@ -38,6 +38,8 @@
 /// Time after which a caller may come back when no endpoint takes its request, in milliseconds:
 /// about the time in which an endpoint that was unreachable is tried again.
 const NO_ENDPOINT_RETRY_MS: u64 = 300;
+/// Longest time that a request waits for a gateway that has just started, in milliseconds.
+const START_WAIT_MS: u64 = 250;
 /// Silence after which a request that may be repeated goes elsewhere, in milliseconds, as a multiple
 /// of the route's target, and its bounds.
 const PATIENCE_TARGETS: u64 = 2;
@@ -225,6 +227,7 @@
     body: Incoming,
     arrived: MonoMs,
 ) -> Result<Plan, Refusal> {
+    wait_until_configured(gw).await;
     let routes = gw.control.borrow().routes.clone().ok_or(Refusal::NotConfigured)?;
     let (route, workspace) = find_route(&routes, &head)?;
     let deadline = deadline_of(&head, &route, arrived);
@@ -244,6 +247,18 @@
     Ok(Plan { head, route, service, workspace, body, content, arrived, deadline })
 }
 
+/// Holds a request that reached a gateway that has just started until it knows the routes, which
+/// takes a few round trips.
+async fn wait_until_configured<P: Platform>(gw: &Rc<Gateway<P>>) {
+    let configured = gw.configured.notified();
+    if gw.control.borrow().can_route() {
+        return;
+    }
+    let limit = std::time::Duration::from_millis(START_WAIT_MS);
+    // Without routes after that time, the request is refused.
+    let _ = tokio::time::timeout(limit, configured).await;
+}
+
 fn find_route(
     routes: &RouteTable,
     head: &RequestHead,
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -24,6 +24,10 @@
     pub(crate) journal: Journal,
     /// What is known of the platform's records may be old: read them again.
     pub(crate) resync: Notify,
+    /// Routes and endpoints are known.
+    pub(crate) configured: Notify,
+    /// The records have changed: tell the other gateways.
+    pub(crate) records_changed: Notify,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -40,6 +44,8 @@
             metrics,
             journal: Journal::new(),
             resync: Notify::new(),
+            configured: Notify::new(),
+            records_changed: Notify::new(),
         }
     }
 }
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -21,7 +21,6 @@
 mod relay;
 mod run;
 mod settings;
-mod snapshot;
 mod store_reader;
 mod upstream;
 
--- a/crates/persimmon_gateway/src/ops.rs
+++ b/crates/persimmon_gateway/src/ops.rs
@@ -15,10 +15,11 @@
 
 use crate::gateway::Gateway;
 use crate::platform::Platform;
-use crate::snapshot::Snapshot;
 
 /// Path of the records on the peers' address.
 pub(crate) const RECORDS_PATH: &str = "/records";
+/// Start of the query that names the last known revision.
+pub(crate) const SINCE: &str = "since=";
 /// Longest life of a connection to one of these servers; each serves a few small requests.
 const MAX_CONNECTION: Duration = Duration::from_secs(30);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -55,7 +56,7 @@
             Ok(text) => reply(StatusCode::OK, text.into()),
             Err(err) => failure("metrics", &err),
         },
-        RECORDS_PATH => records(gw),
+        RECORDS_PATH => records(gw, req.uri().query()),
         _ => reply(StatusCode::NOT_FOUND, Bytes::from_static(b"no such page\n")),
     }
 }
@@ -68,11 +69,11 @@
     }
 }
 
-fn records<P: Platform>(gw: &Gateway<P>) -> Response<Full<Bytes>> {
-    let control = gw.control.borrow();
-    let records = control.view.records().cloned().collect();
-    let snapshot = Snapshot { revision: control.view.revision(), records };
-    match snapshot.encode() {
+/// The records that changed after the revision that the query names, or all of them.
+fn records<P: Platform>(gw: &Gateway<P>, query: Option<&str>) -> Response<Full<Bytes>> {
+    let revision = query.and_then(|it| it.strip_prefix(SINCE)).and_then(|it| it.parse().ok());
+    let delta = gw.control.borrow().view.since(revision.unwrap_or(0), gw.clock.now());
+    match postcard::to_allocvec(&delta) {
         Ok(bytes) => reply(StatusCode::OK, bytes.into()),
         Err(err) => failure("records", &err),
     }
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -8,14 +8,14 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::header::{HOST, HeaderValue};
-use persimmon_decide::forward::Digest;
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{Digest, StoreDelta};
 use tokio::net::UdpSocket;
 
 use crate::gateway::Gateway;
 use crate::http;
-use crate::ops::RECORDS_PATH;
+use crate::ops::{RECORDS_PATH, SINCE};
 use crate::platform::Platform;
-use crate::snapshot::Snapshot;
 use crate::store_reader;
 
 /// Time between two digests of a gateway with few peers. Counts of requests are at most that old.
@@ -31,11 +31,13 @@
 /// How far the clock that counts suspended time may run ahead in one interval, in milliseconds,
 /// before the process takes itself for suspended.
 const SUSPENDED_MS: u64 = 400;
-/// How long a peer has to be ahead before its records are fetched, in milliseconds. The own watch
-/// mostly brings the change in that time.
+/// How long a peer has to be ahead before its records are fetched by a gateway that watches the store
+/// itself, in milliseconds. Its own watch mostly brings the change in that time.
 const AHEAD_MS: u64 = 250;
 /// Longest time that fetching records from a peer may take.
 const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
+/// Largest answer of a peer that is read, in bytes.
+const MAX_DELTA_BYTES: usize = 16 * 1024 * 1024;
 
 /// Receives digests until the process ends.
 pub(crate) async fn receive<P: Platform>(gw: Rc<Gateway<P>>, socket: Rc<UdpSocket>) {
@@ -74,7 +76,11 @@
         let targets = gw.control.borrow().peers.targets();
         let interval_ms =
             (targets.len() as u64 * MS_PER_S / MAX_RECEIVED_PER_S).max(MIN_INTERVAL_MS);
-        tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+        // A change is told at once, so that gateways that don't watch the store have it in time.
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(interval_ms)) => {}
+            () = gw.records_changed.notified() => {}
+        }
         let now = gw.clock.now();
         let boot_now_ms = gw.clock.since_boot_ms();
         let suspended_ms = boot_now_ms.saturating_sub(boot_ms).saturating_sub(now.ms_since(steady));
@@ -128,28 +134,25 @@
 }
 
 /// Fetches the records of a peer that has known more for a while. Returns since when one has.
-async fn catch_up<P: Platform>(
-    gw: &Rc<Gateway<P>>,
-    since: Option<persimmon_decide::MonoMs>,
-) -> Option<persimmon_decide::MonoMs> {
+async fn catch_up<P: Platform>(gw: &Rc<Gateway<P>>, since: Option<MonoMs>) -> Option<MonoMs> {
     let now = gw.clock.now();
-    let ahead = {
-        let control = gw.control.borrow();
-        control.peers.ahead_of(control.view.revision(), now)
+    let (known, peer, watches) = {
+        let mut control = gw.control.borrow_mut();
+        let known = control.view.revision();
+        let draw = control.draw();
+        (known, control.peers.ahead_of(known, draw, now)?, control.store_contact.is_some())
     };
-    let peer = ahead?;
     let since = since.unwrap_or(now);
-    if now.ms_since(since) < AHEAD_MS {
+    if watches && now.ms_since(since) < AHEAD_MS {
         return Some(since);
     }
     let address = SocketAddr::new(peer, gw.settings.peers.port());
-    match tokio::time::timeout(FETCH_LIMIT, fetch(address)).await {
-        Ok(Ok(snapshot)) => {
+    match tokio::time::timeout(FETCH_LIMIT, fetch(address, known)).await {
+        Ok(Ok(delta)) => {
             let now = gw.clock.now();
-            tracing::info!(target: "records", %peer, revision = snapshot.revision,
-                known = gw.control.borrow().view.revision(), "records taken from a peer");
-            let changes =
-                gw.control.borrow_mut().view.apply_peer(snapshot.records, snapshot.revision, now);
+            tracing::info!(target: "records", %peer, revision = delta.revision, known,
+                is_whole = delta.is_whole, "records taken from a peer");
+            let changes = gw.control.borrow_mut().view.apply_peer(delta, now);
             store_reader::apply(gw, changes);
             None
         }
@@ -173,18 +176,20 @@
     Http(#[from] hyper::Error),
     #[error("no whole answer: {0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("a path can't be written: {0}")]
+    Path(#[from] hyper::http::uri::InvalidUri),
     #[error("unreadable records: {0}")]
     Format(#[from] postcard::Error),
 }
 
-async fn fetch(address: SocketAddr) -> Result<Snapshot, FetchError> {
+async fn fetch(address: SocketAddr, known: u64) -> Result<StoreDelta, FetchError> {
     let stream = http::connect(address, FETCH_LIMIT).await?;
     let (mut sender, connection) = http::client_handshake(stream).await?;
     let _connection = crate::body::AbortOnDrop(connection);
     let mut req = Request::new(Full::new(Bytes::new()));
-    *req.uri_mut() = hyper::Uri::from_static(RECORDS_PATH);
+    *req.uri_mut() = format!("{RECORDS_PATH}?{SINCE}{known}").parse()?;
     req.headers_mut().insert(HOST, HeaderValue::from_static("peer"));
     let response = sender.send_request(req).await?;
-    let body = Limited::new(response.into_body(), Snapshot::MAX_BYTES).collect().await;
-    Ok(Snapshot::decode(&body.map_err(FetchError::Body)?.to_bytes())?)
+    let body = Limited::new(response.into_body(), MAX_DELTA_BYTES).collect().await;
+    Ok(postcard::from_bytes(&body.map_err(FetchError::Body)?.to_bytes())?)
 }
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -18,16 +18,18 @@
 use crate::http;
 use crate::platform::{DecodeError, Platform};
 
-/// How long one watch waits for a change, in milliseconds. Each watch is a call that counts against
-/// the platform's rate; silent connections are noticed by keep-alive probes before.
-const WATCH_MS: u64 = 15_000;
+/// How long one watch waits for a change, in milliseconds. Its answer shows that the store is
+/// reached, so it has to come well before others take the watcher for cut off.
+const WATCH_MS: u64 = 600;
+/// Time between two looks whether this gateway watches the store, in milliseconds.
+const IDLE_CHECK_MS: u64 = 100;
 /// Time that an answer may take beyond its wait, in milliseconds.
 const ANSWER_MS: u64 = 2_000;
 /// Longest time that a connection to the store may take, in milliseconds.
 const CONNECT_MS: u64 = 500;
 /// Pause before the first call after a failed one, in milliseconds; doubles up to the longest one.
 const FIRST_PAUSE_MS: u64 = 100;
-const MAX_PAUSE_MS: u64 = 800;
+const MAX_PAUSE_MS: u64 = 1_000;
 /// Failing for so long counts as an outage in which records may have lapsed, in milliseconds.
 const OUTAGE_MS: u64 = 1_000;
 /// Largest answer of the store that is read, in bytes.
@@ -64,61 +66,96 @@
 
 /// Keeps the records up to date until the process ends.
 pub(crate) async fn read_store<P: Platform>(gw: Rc<Gateway<P>>) {
-    let mut pause_ms = FIRST_PAUSE_MS;
-    let mut failing_since: Option<MonoMs> = None;
-    let mut watched: Option<u64> = None;
+    let mut reader =
+        Reader { pause_ms: FIRST_PAUSE_MS, failing_since: None, is_synced: false, revision: 0 };
     loop {
         let result = tokio::select! {
-            result = session(&gw, &mut watched, &mut failing_since) => result,
+            result = session(&gw, &mut reader) => result,
             () = gw.resync.notified() => {
-                watched = None;
+                reader.is_synced = false;
                 continue;
             }
         };
-        let Err(err) = result;
-        let now = gw.clock.now();
-        if matches!(err, StoreError::HistoryGone) {
-            tracing::info!(target: "store", "history gone; listing again");
-            watched = None;
-            continue;
+        match result {
+            Ok(()) => wait_for_turn(&gw, &mut reader).await,
+            Err(StoreError::HistoryGone) => {
+                tracing::info!(target: "store", "history gone; listing again");
+                reader.is_synced = false;
+            }
+            Err(err) => pause(&gw, &mut reader, &err).await,
         }
-        if failing_since.is_none() {
-            pause_ms = FIRST_PAUSE_MS;
-            failing_since = Some(now);
-            tracing::warn!(target: "store", %err, "store lost");
+    }
+}
+
+/// A reader of the store between two connections.
+struct Reader {
+    pause_ms: u64,
+    /// Since when no call succeeded.
+    failing_since: Option<MonoMs>,
+    /// Whether the view holds everything up to its revision.
+    is_synced: bool,
+    /// The revision up to which this reader has seen every change.
+    revision: u64,
+}
+
+/// Waits until this gateway is one of those that watch the store.
+async fn wait_for_turn<P: Platform>(gw: &Rc<Gateway<P>>, reader: &mut Reader) {
+    gw.control.borrow_mut().store_contact = None;
+    tracing::info!(target: "store", "other gateways watch the store");
+    loop {
+        tokio::time::sleep(Duration::from_millis(IDLE_CHECK_MS)).await;
+        let now = gw.clock.now();
+        let mut control = gw.control.borrow_mut();
+        if control.peers.should_watch(now) {
+            let is_store_lost = control.peers.is_store_lost(now);
+            if is_store_lost {
+                // Records may have lapsed while the others didn't reach the store.
+                control.view.record_return(now);
+            }
+            tracing::info!(target: "store", is_store_lost, "watching the store");
+            // Peers have told of everything up to the view's revision.
+            reader.is_synced = control.view.revision() > 0;
+            return;
         }
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-        pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
     }
 }
 
-/// Uses one connection until it fails.
-async fn session<P: Platform>(
-    gw: &Rc<Gateway<P>>,
-    watched: &mut Option<u64>,
-    failing_since: &mut Option<MonoMs>,
-) -> Result<std::convert::Infallible, StoreError> {
+async fn pause<P: Platform>(gw: &Rc<Gateway<P>>, reader: &mut Reader, err: &StoreError) {
+    if reader.failing_since.is_none() {
+        reader.pause_ms = FIRST_PAUSE_MS;
+        reader.failing_since = Some(gw.clock.now());
+        // A watcher that never got an answer is cut off as well.
+        gw.control.borrow_mut().store_contact.get_or_insert(MonoMs(0));
+        tracing::warn!(target: "store", %err, "store lost");
+    }
+    tokio::time::sleep(Duration::from_millis(reader.pause_ms)).await;
+    reader.pause_ms = (reader.pause_ms * 2).min(MAX_PAUSE_MS);
+}
+
+/// Uses one connection until it fails, or until others watch the store.
+async fn session<P: Platform>(gw: &Rc<Gateway<P>>, reader: &mut Reader) -> Result<(), StoreError> {
+    if reader.is_synced && !gw.control.borrow().peers.should_watch(gw.clock.now()) {
+        return Ok(());
+    }
     let stream = http::connect(gw.settings.store, Duration::from_millis(CONNECT_MS)).await?;
     let (sender, connection) = http::client_handshake(stream).await?;
     let mut line = StoreLine { sender, _connection: AbortOnDrop(connection) };
-    loop {
-        let revision = match *watched {
-            Some(revision) => {
-                let changes = watch(gw, &mut line, revision).await;
-                record_call(gw, "watch", &changes);
-                let (records, as_of) = changes?;
-                record_success(gw, failing_since);
-                apply(gw, records);
-                as_of.max(revision)
-            }
-            None => {
-                let listed = list(gw, &mut line, failing_since).await;
-                record_call(gw, "list", &listed);
-                listed?
-            }
-        };
-        *watched = Some(revision);
+    if !reader.is_synced {
+        let listed = list(gw, &mut line, reader).await;
+        record_call(gw, "list", &listed);
+        reader.revision = listed?;
+        reader.is_synced = true;
+    }
+    while gw.control.borrow().peers.should_watch(gw.clock.now()) {
+        let known = reader.revision.max(gw.control.borrow().view.revision());
+        let watched = watch(gw, &mut line, known).await;
+        record_call(gw, "watch", &watched);
+        let (changes, as_of) = watched?;
+        record_success(gw, reader);
+        apply(gw, changes);
+        reader.revision = known.max(as_of);
     }
+    Ok(())
 }
 
 fn record_call<P: Platform, T>(gw: &Gateway<P>, kind: &str, result: &Result<T, StoreError>) {
@@ -127,13 +164,15 @@
 }
 
 /// The store answers. After an outage, records that are missing get time to return.
-fn record_success<P: Platform>(gw: &Gateway<P>, failing_since: &mut Option<MonoMs>) {
-    let Some(since) = failing_since.take() else { return };
+fn record_success<P: Platform>(gw: &Gateway<P>, reader: &mut Reader) {
     let now = gw.clock.now();
+    let mut control = gw.control.borrow_mut();
+    control.store_contact = Some(now);
+    let Some(since) = reader.failing_since.take() else { return };
     let outage_ms = now.ms_since(since);
     tracing::info!(target: "store", outage_ms, "store back");
     if outage_ms >= OUTAGE_MS {
-        gw.control.borrow_mut().view.record_return(now);
+        control.view.record_return(now);
     }
 }
 
@@ -141,7 +180,7 @@
 async fn list<P: Platform>(
     gw: &Rc<Gateway<P>>,
     line: &mut StoreLine,
-    failing_since: &mut Option<MonoMs>,
+    reader: &mut Reader,
 ) -> Result<u64, StoreError> {
     let mut records = Vec::new();
     let mut as_of = None;
@@ -158,7 +197,7 @@
             break;
         }
     }
-    record_success(gw, failing_since);
+    record_success(gw, reader);
     let as_of = as_of.unwrap_or(0);
     let now = gw.clock.now();
     let changes = gw.control.borrow_mut().view.apply_list("", records, as_of, now);
@@ -211,9 +250,13 @@
     if changes.is_empty() {
         return;
     }
+    gw.records_changed.notify_one();
     let mut control = gw.control.borrow_mut();
     let applied = control.apply(&gw.platform, changes);
     let revision = control.view.revision();
+    if control.can_route() {
+        gw.configured.notify_waiters();
+    }
     if let Some(routes) = &control.routes {
         gw.metrics.routes_version.set(i64::try_from(routes.version).unwrap_or(i64::MAX));
     }
