Check an endpoint whose connection broke, and don't fetch from one that is gone

Now a new connection after a broken one tells whether the endpoint lives; if not, it is left out at once and no engine fetches from it. Loads carry tokens that an endpoint has yet to read; much of it counts as waiting. Gateways that use a part tell of it again, whoever told of it first, and a gateway that has just started is answered at once.

--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -5,11 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::EndpointLoad;
 use crate::load::EndpointHash;
 
-/// A gateway's requests at an endpoint.
-pub type EndpointCount = (EndpointHash, u32);
-
 /// An endpoint that has read a part of prompts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartHolder {
@@ -51,7 +49,7 @@
     /// Whether the gateway is shutting down.
     pub is_leaving: bool,
     /// Requests in progress.
-    pub counts: Vec<EndpointCount>,
+    pub loads: Vec<(EndpointHash, EndpointLoad)>,
     /// Endpoints that it leaves out, with the milliseconds left.
     pub ejections: Vec<(EndpointHash, u64)>,
     /// Counts for the retry bound, by service.
--- a/crates/persimmon_decide/src/forward/load_book.rs
+++ b/crates/persimmon_decide/src/forward/load_book.rs
@@ -3,15 +3,38 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::load::EndpointHash;
 
+/// What an endpoint has to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EndpointLoad {
+    /// Requests in progress.
+    pub requests: u32,
+    /// Tokens of prompts that it is expected to be reading, or to have waiting.
+    pub unread_tokens: u32,
+}
+
+impl EndpointLoad {
+    fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.unread_tokens += other.unread_tokens;
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+    }
+}
+
 /// Counts this gateway's requests in progress exactly, and adds what the others last told. Every
 /// request passes one gateway, so the sum is exact but for the age of the digests.
 #[derive(Debug, Default)]
 pub struct LoadBook {
-    own: HashMap<EndpointHash, u32>,
-    peers: HashMap<IpAddr, Vec<(EndpointHash, u32)>>,
-    peer_sum: HashMap<EndpointHash, u32>,
+    own: HashMap<EndpointHash, EndpointLoad>,
+    peers: HashMap<IpAddr, Vec<(EndpointHash, EndpointLoad)>>,
+    peer_sum: HashMap<EndpointHash, EndpointLoad>,
 }
 
 impl LoadBook {
@@ -20,54 +43,63 @@
         Self::default()
     }
 
-    /// A request was sent to an endpoint.
-    pub fn begin(&mut self, endpoint: EndpointHash) {
-        *self.own.entry(endpoint).or_default() += 1;
+    /// A request was sent to an endpoint, which has `unread_tokens` of its prompt to read.
+    pub fn begin(&mut self, endpoint: EndpointHash, unread_tokens: u32) {
+        self.own.entry(endpoint).or_default().add(EndpointLoad { requests: 1, unread_tokens });
+    }
+
+    /// The endpoint has read the prompt of a request.
+    pub fn record_read(&mut self, endpoint: EndpointHash, unread_tokens: u32) {
+        if let Some(load) = self.own.get_mut(&endpoint) {
+            load.subtract(EndpointLoad { requests: 0, unread_tokens });
+        }
     }
 
-    /// A request at an endpoint has ended.
-    pub fn end(&mut self, endpoint: EndpointHash) {
-        if let Some(count) = self.own.get_mut(&endpoint) {
-            *count = count.saturating_sub(1);
-            if *count == 0 {
+    /// A request at an endpoint has ended, with so much of its prompt still unread.
+    pub fn end(&mut self, endpoint: EndpointHash, unread_tokens: u32) {
+        if let Some(load) = self.own.get_mut(&endpoint) {
+            load.subtract(EndpointLoad { requests: 1, unread_tokens });
+            if load.requests == 0 {
                 self.own.remove(&endpoint);
             }
         }
     }
 
     /// Replaces what a peer told of its requests.
-    pub fn replace_peer(&mut self, peer: IpAddr, counts: Vec<(EndpointHash, u32)>) {
+    pub fn replace_peer(&mut self, peer: IpAddr, loads: Vec<(EndpointHash, EndpointLoad)>) {
         self.drop_peer(peer);
-        for (endpoint, count) in &counts {
-            *self.peer_sum.entry(*endpoint).or_default() += count;
+        for (endpoint, load) in &loads {
+            self.peer_sum.entry(*endpoint).or_default().add(*load);
         }
-        self.peers.insert(peer, counts);
+        self.peers.insert(peer, loads);
     }
 
     /// Forgets a peer that is gone.
     pub fn drop_peer(&mut self, peer: IpAddr) {
-        for (endpoint, count) in self.peers.remove(&peer).unwrap_or_default() {
+        for (endpoint, load) in self.peers.remove(&peer).unwrap_or_default() {
             if let Some(sum) = self.peer_sum.get_mut(&endpoint) {
-                *sum = sum.saturating_sub(count);
-                if *sum == 0 {
+                sum.subtract(load);
+                if sum.requests == 0 {
                     self.peer_sum.remove(&endpoint);
                 }
             }
         }
     }
 
-    /// Requests of all gateways at an endpoint.
-    pub fn total(&self, endpoint: EndpointHash) -> u32 {
-        self.own(endpoint) + self.peer_sum.get(&endpoint).copied().unwrap_or(0)
+    /// What the requests of all gateways are at an endpoint.
+    pub fn total(&self, endpoint: EndpointHash) -> EndpointLoad {
+        let mut total = self.own.get(&endpoint).copied().unwrap_or_default();
+        total.add(self.peer_sum.get(&endpoint).copied().unwrap_or_default());
+        total
     }
 
     /// This gateway's requests at an endpoint.
     pub fn own(&self, endpoint: EndpointHash) -> u32 {
-        self.own.get(&endpoint).copied().unwrap_or(0)
+        self.own.get(&endpoint).map_or(0, |load| load.requests)
     }
 
     /// This gateway's requests by endpoint, for its digest.
-    pub fn own_counts(&self) -> impl Iterator<Item = (EndpointHash, u32)> {
-        self.own.iter().map(|(endpoint, count)| (*endpoint, *count))
+    pub fn own_loads(&self) -> impl Iterator<Item = (EndpointHash, EndpointLoad)> {
+        self.own.iter().map(|(endpoint, load)| (*endpoint, *load))
     }
 }
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -19,13 +19,13 @@
 
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
 pub use crash_watch::CrashWatch;
-pub use digest::{Digest, EndpointCount, PartHolder, PeerAddress, ServiceRetries};
+pub use digest::{Digest, PartHolder, PeerAddress, ServiceRetries};
 pub use directory::EndpointDirectory;
 pub use durations::DurationBook;
 pub use endpoint::{Endpoint, EndpointId, EndpointState};
 pub use health::{HealthBook, HealthSettings};
-pub use load_book::LoadBook;
-pub use peer_table::PeerTable;
+pub use load_book::{EndpointLoad, LoadBook};
+pub use peer_table::{DigestNews, PeerTable};
 pub use picker::{Choice, PickRequest, Picker, PickerSettings};
 pub use prefix_map::{PrefixMap, PromptPart};
 pub use retry_window::{RetryWindow, RetryWindowSettings};
--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -7,6 +7,17 @@
 use super::{Digest, PeerAddress, ServiceRetries};
 use crate::MonoMs;
 
+/// What a digest is to its receiver.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DigestNews {
+    /// It was overtaken by a later one.
+    Old,
+    /// It is the latest of a known gateway.
+    New,
+    /// Its sender has just started, or wasn't known.
+    Started,
+}
+
 #[derive(Debug)]
 struct Peer {
     incarnation: u64,
@@ -61,17 +72,16 @@
         self.seeds = seeds;
     }
 
-    /// Takes in a digest. Returns whether it is news.
-    pub fn absorb(&mut self, from: IpAddr, digest: &Digest, now: MonoMs) -> bool {
+    /// Takes in a digest.
+    pub fn absorb(&mut self, from: IpAddr, digest: &Digest, now: MonoMs) -> DigestNews {
         if from == self.own {
-            return false;
+            return DigestNews::Old;
         }
-        if let Some(peer) = self.peers.get(&from) {
-            let is_same_life = peer.incarnation == digest.incarnation;
-            if is_same_life && digest.sequence <= peer.sequence {
-                return false;
-            }
+        let known = self.peers.get(&from).filter(|it| it.incarnation == digest.incarnation);
+        if known.is_some_and(|peer| digest.sequence <= peer.sequence) {
+            return DigestNews::Old;
         }
+        let news = if known.is_some() { DigestNews::New } else { DigestNews::Started };
         let peer = Peer {
             incarnation: digest.incarnation,
             sequence: digest.sequence,
@@ -87,7 +97,7 @@
             let known = self.rumours.entry(rumour.ip).or_insert(heard_at);
             *known = (*known).max(heard_at);
         }
-        true
+        news
     }
 
     /// Forgets peers that have been silent for long; returns those whose counts no longer hold.
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use super::{Endpoint, EndpointDirectory, HealthBook, LoadBook, PrefixMap, PromptPart};
+use super::{
+    Endpoint, EndpointDirectory, EndpointLoad, HealthBook, LoadBook, PrefixMap, PromptPart,
+};
 use crate::MonoMs;
 use crate::load::{ChatKey, EndpointHash, rendezvous_score};
 
@@ -21,6 +23,12 @@
     /// Tokens that an engine reads in a millisecond; engines don't publish it. Only the order of
     /// magnitude matters.
     pub tokens_per_ms: f64,
+    /// Unread tokens up to which an endpoint counts as not waiting, so that gateways whose counts
+    /// differ a little still agree.
+    pub even_unread_tokens: u32,
+    /// How much reading the prompt itself weighs against waiting for others to be read. Above one,
+    /// since reading it again also holds up every request that runs there.
+    pub reading_weight: f64,
     /// Multiple of the mean load up to which an endpoint counts as not loaded.
     pub even_load_factor: f64,
     /// What a load of one more mean costs, in milliseconds: about what the tokens of a request take
@@ -35,6 +43,8 @@
             load_floor: 2.0,
             min_fetch_tokens: 64,
             tokens_per_ms: 80.0,
+            even_unread_tokens: 30_000,
+            reading_weight: 1.0,
             even_load_factor: 1.15,
             load_cost_ms: 40.0,
         }
@@ -67,6 +77,8 @@
     pub load: u32,
     /// Tokens of the prompt that the endpoint probably holds.
     pub cached_tokens: u32,
+    /// Tokens of the prompt that it has to read, or to fetch.
+    pub unread_tokens: u32,
 }
 
 /// Picks an endpoint for each request: for prompts, one that holds the start of the prompt, within
@@ -81,6 +93,7 @@
 struct Candidate<'a> {
     endpoint: &'a Arc<Endpoint>,
     load: u32,
+    unread_tokens: u32,
 }
 
 impl Picker {
@@ -101,7 +114,10 @@
     ) -> Option<Choice> {
         let ready: Vec<_> = endpoints
             .ready(req.service)
-            .map(|endpoint| Candidate { endpoint, load: loads.total(endpoint.hash) })
+            .map(|endpoint| {
+                let EndpointLoad { requests, unread_tokens } = loads.total(endpoint.hash);
+                Candidate { endpoint, load: requests, unread_tokens }
+            })
             .collect();
         let mean =
             ready.iter().map(|it| f64::from(it.load)).sum::<f64>() / ready.len().max(1) as f64;
@@ -113,6 +129,7 @@
                 fetch_from: None,
                 load: least.load,
                 cached_tokens: 0,
+                unread_tokens: 0,
             });
         }
         let bound = self.settings.max_load_factor * mean + self.settings.load_floor;
@@ -195,15 +212,16 @@
         };
         let key = ChatKey(placement_key(req.parts));
         let rank = |it: &Candidate<'_>| rendezvous_score(key, it.endpoint.hash, it.endpoint.slots);
+        let whole: u32 = req.parts.iter().map(|part| part.tokens).sum();
         let shared = shared_tokens(req.parts);
         // A short common start doesn't draw a prompt away from its rank, so that gateways that know
         // no holders choose the endpoint that the others chose.
-        let saved_ms = |tokens: u32| match tokens * 2 >= shared {
-            true => f64::from(tokens) / self.settings.tokens_per_ms,
-            false => 0.0,
-        };
+        let saved = |tokens: u32| if tokens * 2 >= shared { tokens } else { 0 };
         let cost = |it: &Candidate<'_>| {
-            self.load_cost_ms(it.load, mean) - saved_ms(tokens_at(it.endpoint.hash))
+            let unread = whole.saturating_sub(saved(tokens_at(it.endpoint.hash)));
+            let waiting = it.unread_tokens.saturating_sub(self.settings.even_unread_tokens);
+            let tokens = f64::from(waiting) + f64::from(unread) * self.settings.reading_weight;
+            self.load_cost_ms(it.load, mean) + tokens / self.settings.tokens_per_ms
         };
         let relative = |it: &Candidate<'_>| f64::from(it.load) / f64::from(it.endpoint.slots);
         let under = usable.iter().filter(|it| f64::from(it.load + 1) <= bound);
@@ -219,6 +237,7 @@
             fetch_from,
             load: chosen.load,
             cached_tokens: own_tokens,
+            unread_tokens: whole.saturating_sub(own_tokens),
         })
     }
 
--- a/crates/persimmon_decide/src/forward/prefix_map.rs
+++ b/crates/persimmon_decide/src/forward/prefix_map.rs
@@ -1,6 +1,6 @@
 //! Which endpoints have read which parts of prompts.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use super::PartHolder;
 use crate::MonoMs;
@@ -30,6 +30,8 @@
     news: VecDeque<PartHolder>,
     /// Shared parts, in the order in which they are told again.
     rotation: VecDeque<u64>,
+    /// The same parts.
+    rotating: HashSet<u64>,
     swept_at: MonoMs,
 }
 
@@ -47,7 +49,7 @@
     const MEMORY_MS: u64 = 60_000;
     /// Parts remembered at most; bounds the memory of a gateway to a few megabytes.
     const MAX_PARTS: usize = 20_000;
-    /// News kept at most; older ones are told later by rotation.
+    /// News kept at most; others are told later by rotation.
     const MAX_NEWS: usize = 256;
     /// Time between sweeps, in milliseconds.
     const SWEEP_MS: u64 = 5_000;
@@ -58,6 +60,7 @@
             holders: HashMap::new(),
             news: VecDeque::new(),
             rotation: VecDeque::new(),
+            rotating: HashSet::new(),
             swept_at: MonoMs(0),
         }
     }
@@ -69,14 +72,18 @@
             let is_new = self.put(part.id, endpoint, now);
             // The last part belongs to one request or session, whose caller returns to this gateway.
             let is_shared = at + 1 < parts.len();
-            if is_new && is_shared {
+            if !is_shared {
+                continue;
+            }
+            if is_new {
                 if self.news.len() == Self::MAX_NEWS {
                     self.news.pop_front();
                 }
                 self.news.push_back(PartHolder { part: part.id, endpoint });
-                if !self.rotation.contains(&part.id) {
-                    self.rotation.push_back(part.id);
-                }
+            }
+            // Every gateway that uses a part tells of it again, whoever told of it first.
+            if self.rotating.insert(part.id) {
+                self.rotation.push_back(part.id);
             }
         }
     }
@@ -95,7 +102,10 @@
             let Some(part) = self.rotation.pop_front() else { break };
             let holders = self.holders.get(&part).map_or(&[][..], Vec::as_slice);
             let fresh = holders.iter().filter(|it| now.ms_since(it.used_at) < Self::MEMORY_MS);
-            let Some(newest) = fresh.max_by_key(|it| it.used_at) else { continue };
+            let Some(newest) = fresh.max_by_key(|it| it.used_at) else {
+                self.rotating.remove(&part);
+                continue;
+            };
             told.push(PartHolder { part, endpoint: newest.endpoint });
             self.rotation.push_back(part);
         }
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -7,7 +7,7 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Choice, CrashWatch, Digest, DurationBook, Endpoint, EndpointDirectory, HealthBook,
+    Choice, CrashWatch, Digest, DigestNews, DurationBook, Endpoint, EndpointDirectory, HealthBook,
     HealthSettings, LoadBook, PeerTable, PickRequest, Picker, PrefixMap, RetryWindow, RouteTable,
     Shutdown, ShutdownSettings, StoreChange, StoreView,
 };
@@ -217,7 +217,7 @@
                 .store_contact
                 .map(|at| u32::try_from(now.ms_since(at)).unwrap_or(u32::MAX)),
             is_leaving: self.shutdown.is_leaving(),
-            counts: self.loads.own_counts().collect(),
+            loads: self.loads.own_loads().collect(),
             ejections: self.health.ejections(now).collect(),
             retries: retries.filter(|(_, it)| it.fresh + it.repeated > 0).collect(),
             holders: self.prefixes.tell(DIGEST_NEWS, DIGEST_REPEATED, now),
@@ -227,9 +227,10 @@
     }
 
     /// Takes in another gateway's digest.
-    pub(crate) fn absorb(&mut self, from: IpAddr, digest: Digest, now: MonoMs) {
-        if !self.peers.absorb(from, &digest, now) {
-            return;
+    pub(crate) fn absorb(&mut self, from: IpAddr, digest: Digest, now: MonoMs) -> DigestNews {
+        let news = self.peers.absorb(from, &digest, now);
+        if news == DigestNews::Old {
+            return news;
         }
         for (endpoint, ms) in &digest.ejections {
             self.health.absorb_ejection(*endpoint, *ms, now);
@@ -240,7 +241,8 @@
         for holder in &digest.holders {
             self.prefixes.absorb(*holder, now);
         }
-        self.loads.replace_peer(from, digest.counts);
+        self.loads.replace_peer(from, digest.loads);
+        news
     }
 
     /// Drops what is too old to be used.
--- a/crates/persimmon_gateway/src/exchange.rs
+++ b/crates/persimmon_gateway/src/exchange.rs
@@ -38,6 +38,9 @@
 /// Time after which a caller may come back when no endpoint takes its request, in milliseconds:
 /// about the time in which an endpoint that was unreachable is tried again.
 const NO_ENDPOINT_RETRY_MS: u64 = 300;
+/// Longest time that a connection after a broken one may take, in milliseconds: a few round trips
+/// between zones. An endpoint that takes longer is taken for unreachable.
+const BROKEN_CHECK_MS: u64 = 30;
 /// Longest time that a request waits for a gateway that has just started, in milliseconds.
 const START_WAIT_MS: u64 = 250;
 /// Silence after which a request that may be repeated goes elsewhere, in milliseconds, as a multiple
@@ -68,14 +71,25 @@
 pub(crate) struct InFlight<P: Platform> {
     gw: Rc<Gateway<P>>,
     pub(crate) endpoint: Arc<Endpoint>,
+    /// Tokens of its prompt that the endpoint has yet to read.
+    unread_tokens: u32,
 }
 
 impl<P: Platform> InFlight<P> {
-    fn begin(gw: &Rc<Gateway<P>>, endpoint: Arc<Endpoint>) -> Self {
+    fn begin(gw: &Rc<Gateway<P>>, choice: &Choice) -> Self {
+        let endpoint = choice.endpoint.clone();
+        let unread_tokens = choice.unread_tokens;
         let mut control = gw.control.borrow_mut();
-        control.loads.begin(endpoint.hash);
+        control.loads.begin(endpoint.hash, unread_tokens);
         control.health.record_sent(endpoint.hash, gw.clock.now());
-        Self { gw: gw.clone(), endpoint }
+        Self { gw: gw.clone(), endpoint, unread_tokens }
+    }
+
+    /// The answer has begun, so the prompt has been read.
+    fn record_head(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        self.gw.control.borrow_mut().loads.record_read(self.endpoint.hash, unread_tokens);
+        self.record_heard();
     }
 
     /// Something was received.
@@ -92,7 +106,7 @@
     fn drop(&mut self) {
         let mut control = self.gw.control.borrow_mut();
         let endpoint = self.endpoint.hash;
-        control.loads.end(endpoint);
+        control.loads.end(endpoint, self.unread_tokens);
         if control.loads.own(endpoint) == 0 {
             control.health.record_idle(endpoint);
         }
@@ -434,8 +448,7 @@
         choice: &Choice,
         last_event: Option<u64>,
     ) -> Result<Answered<P>, Missed> {
-        let endpoint = &choice.endpoint;
-        let in_flight = InFlight::begin(&self.gw, endpoint.clone());
+        let mut in_flight = InFlight::begin(&self.gw, choice);
         let deadline = self.gw.clock.instant(self.plan.deadline);
         let sent = tokio::time::timeout_at(deadline, self.send(choice, last_event)).await;
         let (response, line) = match sent {
@@ -445,7 +458,7 @@
             }
             Err(_) => return Err(Missed::new(AttemptOutcome::Unknown, "deadline")),
         };
-        in_flight.record_heard();
+        in_flight.record_head();
         self.classify(response, line, in_flight).await
     }
 
@@ -463,16 +476,15 @@
             None => self.connect(endpoint).await?,
         };
         self.record_send(choice);
-        match self.wait_for_head(&mut line, choice, last_event).await {
-            Err(SendOrSilence::Send(SendError::NotSent)) if line.is_reused() => {
-                line = self.connect(endpoint).await?;
-            }
-            other => {
-                return other.map(|response| (response, line)).map_err(|it| self.miss(it, choice));
+        loop {
+            match self.wait_for_head(&mut line, choice, last_event).await {
+                Ok(response) => return Ok((response, line)),
+                Err(SendOrSilence::Send(SendError::NotSent)) if line.is_reused() => {
+                    line = self.connect(endpoint).await?;
+                }
+                Err(failed) => return Err(self.miss(failed, choice).await),
             }
         }
-        let result = self.wait_for_head(&mut line, choice, last_event).await;
-        result.map(|response| (response, line)).map_err(|it| self.miss(it, choice))
     }
 
     fn record_send(&mut self, choice: &Choice) {
@@ -504,24 +516,34 @@
         }
     }
 
-    fn miss(&self, failed: SendOrSilence, choice: &Choice) -> Missed {
-        let endpoint = choice.endpoint.hash;
+    async fn miss(&self, failed: SendOrSilence, choice: &Choice) -> Missed {
         match failed {
             SendOrSilence::Send(SendError::NotSent | SendError::NoConnection(_)) => {
                 Missed::new(AttemptOutcome::NotSent, "not_sent")
             }
             SendOrSilence::Send(SendError::Broken(_)) => {
-                self.record_broken(endpoint);
+                self.record_broken(&choice.endpoint).await;
                 Missed::new(AttemptOutcome::Unknown, "broken")
             }
             SendOrSilence::Silence => Missed::new(AttemptOutcome::Unknown, "silent"),
         }
     }
 
-    /// The connection broke while the endpoint worked on this request.
-    pub(crate) fn record_broken(&self, endpoint: EndpointHash) {
+    /// The connection broke while the endpoint worked on this request. A new connection tells
+    /// whether the endpoint has crashed; if not, the next request uses it.
+    pub(crate) async fn record_broken(&self, endpoint: &Arc<Endpoint>) {
         let now = self.gw.clock.now();
-        self.gw.control.borrow_mut().crashes.record_broken(self.plan.content, endpoint, now);
+        self.gw.control.borrow_mut().crashes.record_broken(self.plan.content, endpoint.hash, now);
+        let limit = std::time::Duration::from_millis(BROKEN_CHECK_MS);
+        match tokio::time::timeout(limit, self.connect(endpoint)).await {
+            Ok(Ok(line)) => self.gw.upstream.put_idle(endpoint.hash, line, None),
+            // Noted by `connect`.
+            Ok(Err(_)) => {}
+            Err(_) => {
+                let now = self.gw.clock.now();
+                self.gw.control.borrow_mut().health.record_unreachable(endpoint.hash, now);
+            }
+        }
     }
 
     async fn wait_for_head(
@@ -662,7 +684,7 @@
         let bytes = match tokio::time::timeout_at(deadline, whole).await {
             Ok(Ok(whole)) => whole.to_bytes(),
             Ok(Err(_)) => {
-                self.record_broken(in_flight.endpoint.hash);
+                self.record_broken(&in_flight.endpoint).await;
                 return Err(Missed::new(AttemptOutcome::Unknown, "body_broken"));
             }
             Err(_) => return Err(Missed::new(AttemptOutcome::Unknown, "deadline")),
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -26,8 +26,8 @@
     pub(crate) resync: Notify,
     /// Routes and endpoints are known.
     pub(crate) configured: Notify,
-    /// The records have changed: tell the other gateways.
-    pub(crate) records_changed: Notify,
+    /// Something has changed that the other gateways should hear of at once.
+    pub(crate) tell_now: Notify,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -45,7 +45,7 @@
             journal: Journal::new(),
             resync: Notify::new(),
             configured: Notify::new(),
-            records_changed: Notify::new(),
+            tell_now: Notify::new(),
         }
     }
 }
--- a/crates/persimmon_gateway/src/head.rs
+++ b/crates/persimmon_gateway/src/head.rs
@@ -132,13 +132,18 @@
     let part = |entry: &str| {
         let (id, tokens) = entry.trim().split_once(':')?;
         let tokens = tokens.trim().parse().ok()?;
-        // Identities longer than 64 bits keep their low bits.
-        let low = id.get(id.len().saturating_sub(16)..)?;
-        Some(PromptPart { id: u64::from_str_radix(low, 16).ok()?, tokens })
+        Some(PromptPart { id: part_id(id)?, tokens })
     };
     text.split(',').take(MAX_PARTS).map_while(part).collect()
 }
 
+/// The identity of a part of a prompt, written in hexadecimal. Identities longer than 64 bits keep
+/// their low bits.
+fn part_id(text: &str) -> Option<u64> {
+    let low = text.get(text.len().saturating_sub(16)..)?;
+    u64::from_str_radix(low, 16).ok()
+}
+
 /// A header value of a number.
 pub(crate) fn number(value: u64) -> HeaderValue {
     HeaderValue::from(value)
--- a/crates/persimmon_gateway/src/http.rs
+++ b/crates/persimmon_gateway/src/http.rs
@@ -5,13 +5,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use thiserror::Error;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
+use crate::body::AbortOnDrop;
+
+/// Host named in the gateway's own requests; whoever they reach serves one host.
+const OWN_HOST: &str = "gateway";
 /// Idle time before the first keep-alive probe. Together with the interval and the count, a peer
 /// that fell silent is noticed in about three seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -54,6 +61,60 @@
     socket.listen(BACKLOG)
 }
 
+/// Why a small request of the gateway's own failed.
+#[derive(Debug, Error)]
+pub(crate) enum GetError {
+    /// No connection could be opened.
+    #[error("no connection: {0}")]
+    Io(#[from] io::Error),
+    /// The connection broke.
+    #[error("no answer: {0}")]
+    Http(#[from] hyper::Error),
+    /// The answer broke off or is too long.
+    #[error("no whole answer: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// The answer is a failure.
+    #[error("refused with status {0}")]
+    Refused(StatusCode),
+    /// The path can't be written.
+    #[error("a path can't be written: {0}")]
+    Path(#[from] hyper::http::uri::InvalidUri),
+    /// The answer took too long.
+    #[error("no answer in time")]
+    TimedOut,
+}
+
+/// Gets a small page over a connection of its own, in at most `limit`.
+pub(crate) async fn get(
+    address: SocketAddr,
+    path: &str,
+    max_bytes: usize,
+    limit: Duration,
+) -> Result<Bytes, GetError> {
+    let answered = async {
+        let (mut sender, connection) = client_handshake(connect(address, limit).await?).await?;
+        let _connection = AbortOnDrop(connection);
+        get_over(&mut sender, path, max_bytes).await
+    };
+    tokio::time::timeout(limit, answered).await.map_err(|_| GetError::TimedOut)?
+}
+
+/// Gets a page over an open connection.
+pub(crate) async fn get_over(
+    sender: &mut SendRequest<Full<Bytes>>,
+    path: &str,
+    max_bytes: usize,
+) -> Result<Bytes, GetError> {
+    let mut req = Request::new(Full::new(Bytes::new()));
+    *req.uri_mut() = path.parse()?;
+    req.headers_mut().insert(HOST, HeaderValue::from_static(OWN_HOST));
+    let response = sender.send_request(req).await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), max_bytes).collect().await;
+    let body = body.map_err(GetError::Body)?.to_bytes();
+    if status == StatusCode::OK { Ok(body) } else { Err(GetError::Refused(status)) }
+}
+
 /// Speaks HTTP over a connection. The returned task drives it.
 pub(crate) async fn client_handshake(
     stream: TcpStream,
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -4,12 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
-use hyper::header::{HOST, HeaderValue};
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{Digest, StoreDelta};
+use persimmon_decide::forward::{Digest, DigestNews, StoreDelta};
+use thiserror::Error;
 use tokio::net::UdpSocket;
 
 use crate::gateway::Gateway;
@@ -20,6 +17,8 @@
 
 /// Time between two digests of a gateway with few peers. Counts of requests are at most that old.
 const MIN_INTERVAL_MS: u64 = 100;
+/// Pause before a digest that is sent at once, which gathers changes that come together.
+const TELL_PAUSE: Duration = Duration::from_millis(10);
 /// Digests that a gateway receives in a second at most, which bounds the processor time of a large
 /// fleet.
 const MAX_RECEIVED_PER_S: u64 = 80;
@@ -55,7 +54,10 @@
         match postcard::from_bytes::<Digest>(&buf[..length]) {
             Ok(digest) => {
                 gw.metrics.digests.with_label_values(&["received"]).inc();
-                gw.control.borrow_mut().absorb(from.ip(), digest, now);
+                if gw.control.borrow_mut().absorb(from.ip(), digest, now) == DigestNews::Started {
+                    // A gateway that has just started needs what the others know.
+                    gw.tell_now.notify_one();
+                }
             }
             Err(err) => {
                 if let Some(suppressed) = gw.journal.admit("bad_digest", now) {
@@ -72,14 +74,16 @@
     let mut steady = gw.clock.now();
     let mut swept = steady;
     let mut ahead_since = None;
+    gw.tell_now.notify_one();
     loop {
         let targets = gw.control.borrow().peers.targets();
         let interval_ms =
             (targets.len() as u64 * MS_PER_S / MAX_RECEIVED_PER_S).max(MIN_INTERVAL_MS);
         // A change is told at once, so that gateways that don't watch the store have it in time.
+        // The pause bounds the digests when one change follows another.
         tokio::select! {
             () = tokio::time::sleep(Duration::from_millis(interval_ms)) => {}
-            () = gw.records_changed.notified() => {}
+            () = gw.tell_now.notified() => tokio::time::sleep(TELL_PAUSE).await,
         }
         let now = gw.clock.now();
         let boot_now_ms = gw.clock.since_boot_ms();
@@ -147,49 +151,32 @@
         return Some(since);
     }
     let address = SocketAddr::new(peer, gw.settings.peers.port());
-    match tokio::time::timeout(FETCH_LIMIT, fetch(address, known)).await {
-        Ok(Ok(delta)) => {
+    match fetch(address, known).await {
+        Ok(delta) => {
             let now = gw.clock.now();
             tracing::info!(target: "records", %peer, revision = delta.revision, known,
                 is_whole = delta.is_whole, "records taken from a peer");
             let changes = gw.control.borrow_mut().view.apply_peer(delta, now);
             store_reader::apply(gw, changes);
-            None
         }
-        Ok(Err(err)) => {
+        Err(err) => {
             tracing::warn!(target: "records", %peer, %err, "a peer's records can't be read");
-            None
-        }
-        Err(_) => {
-            tracing::warn!(target: "records", %peer, "a peer doesn't answer");
-            None
         }
     }
+    None
 }
 
 /// Why a peer's records couldn't be read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug, Error)]
 enum FetchError {
-    #[error("no connection: {0}")]
-    Io(#[from] std::io::Error),
-    #[error("no answer: {0}")]
-    Http(#[from] hyper::Error),
-    #[error("no whole answer: {0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
-    #[error("a path can't be written: {0}")]
-    Path(#[from] hyper::http::uri::InvalidUri),
+    #[error("{0}")]
+    Get(#[from] http::GetError),
     #[error("unreadable records: {0}")]
     Format(#[from] postcard::Error),
 }
 
 async fn fetch(address: SocketAddr, known: u64) -> Result<StoreDelta, FetchError> {
-    let stream = http::connect(address, FETCH_LIMIT).await?;
-    let (mut sender, connection) = http::client_handshake(stream).await?;
-    let _connection = crate::body::AbortOnDrop(connection);
-    let mut req = Request::new(Full::new(Bytes::new()));
-    *req.uri_mut() = format!("{RECORDS_PATH}?{SINCE}{known}").parse()?;
-    req.headers_mut().insert(HOST, HeaderValue::from_static("peer"));
-    let response = sender.send_request(req).await?;
-    let body = Limited::new(response.into_body(), MAX_DELTA_BYTES).collect().await;
-    Ok(postcard::from_bytes(&body.map_err(FetchError::Body)?.to_bytes())?)
+    let path = format!("{RECORDS_PATH}?{SINCE}{known}");
+    let body = http::get(address, &path, MAX_DELTA_BYTES, FETCH_LIMIT).await?;
+    Ok(postcard::from_bytes(&body)?)
 }
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -54,11 +54,11 @@
                 break;
             }
             PartEnd::Broken(why) => {
-                if why == "broken" {
-                    exchange.record_broken(endpoint.hash);
-                }
                 // Closes the connection, so that the endpoint stops working on it.
                 drop(stream);
+                if why == "broken" && events.is_some() {
+                    exchange.record_broken(&endpoint).await;
+                }
                 let step = exchange.record_miss(&endpoint, AttemptOutcome::Unknown, why);
                 let last = events.as_mut().and_then(|events| {
                     events.discard_partial();
@@ -68,8 +68,12 @@
                     exchange.record_cut("stream_cut");
                     break;
                 }
+                let broke_at = exchange.gw.clock.now();
                 match exchange.open(last).await {
-                    Ok(Answered::Stream(next)) => stream = *next,
+                    Ok(Answered::Stream(next)) => {
+                        stream = *next;
+                        log_continued(&exchange, &stream, last, broke_at);
+                    }
                     Ok(Answered::Whole(_)) | Err(_) => {
                         exchange.record_cut("stream_cut");
                         break;
@@ -83,6 +87,19 @@
     let _ = tx.send(Err(Broken)).await;
 }
 
+fn log_continued<P: Platform>(
+    exchange: &Exchange<P>,
+    stream: &OpenStream<P>,
+    last_event: Option<u64>,
+    broke_at: MonoMs,
+) {
+    let now = exchange.gw.clock.now();
+    let Some(suppressed) = exchange.gw.journal.admit("continued", now) else { return };
+    tracing::info!(target: "request", id = &*exchange.plan.head.id,
+        endpoint = &*stream.in_flight.endpoint.id, last_event, gap_ms = now.ms_since(broke_at),
+        suppressed, "stream continued");
+}
+
 /// Passes on what one endpoint sends.
 async fn pass_part<P: Platform>(
     exchange: &Exchange<P>,
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
+use hyper::StatusCode;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode, Uri};
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{EndpointState, StoreChange};
 use thiserror::Error;
@@ -15,7 +14,7 @@
 use crate::body::AbortOnDrop;
 use crate::control::Applied;
 use crate::gateway::Gateway;
-use crate::http;
+use crate::http::{self, GetError};
 use crate::platform::{DecodeError, Platform};
 
 /// How long one watch waits for a change, in milliseconds. Its answer shows that the store is
@@ -40,22 +39,21 @@
 /// Why a call to the store failed.
 #[derive(Debug, Error)]
 enum StoreError {
-    #[error("no connection: {0}")]
-    Io(#[from] std::io::Error),
-    #[error("no answer: {0}")]
-    Http(#[from] hyper::Error),
-    #[error("no whole answer: {0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
-    #[error("no answer in time")]
-    TimedOut,
-    #[error("refused with status {0}")]
-    Refused(StatusCode),
+    #[error("{0}")]
+    Get(GetError),
     #[error("the history since the last known revision is gone")]
     HistoryGone,
     #[error("{0}")]
     Decode(#[from] DecodeError),
-    #[error("a path can't be written: {0}")]
-    Path(#[from] hyper::http::uri::InvalidUri),
+}
+
+impl From<GetError> for StoreError {
+    fn from(err: GetError) -> Self {
+        match err {
+            GetError::Refused(StatusCode::GONE) => Self::HistoryGone,
+            err => Self::Get(err),
+        }
+    }
 }
 
 /// An open connection to the store.
@@ -137,8 +135,9 @@
     if reader.is_synced && !gw.control.borrow().peers.should_watch(gw.clock.now()) {
         return Ok(());
     }
-    let stream = http::connect(gw.settings.store, Duration::from_millis(CONNECT_MS)).await?;
-    let (sender, connection) = http::client_handshake(stream).await?;
+    let stream = http::connect(gw.settings.store, Duration::from_millis(CONNECT_MS)).await;
+    let stream = stream.map_err(GetError::Io)?;
+    let (sender, connection) = http::client_handshake(stream).await.map_err(GetError::Io)?;
     let mut line = StoreLine { sender, _connection: AbortOnDrop(connection) };
     if !reader.is_synced {
         let listed = list(gw, &mut line, reader).await;
@@ -221,22 +220,10 @@
 }
 
 async fn call(line: &mut StoreLine, path: &str, limit_ms: u64) -> Result<Bytes, StoreError> {
-    let mut req = Request::new(Full::new(Bytes::new()));
-    *req.uri_mut() = path.parse::<Uri>()?;
-    req.headers_mut().insert(HOST, HeaderValue::from_static("store"));
-    let answered = async {
-        let response = line.sender.send_request(req).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(StoreError::Body)?.to_bytes();
-        match status {
-            StatusCode::OK => Ok(body),
-            StatusCode::GONE => Err(StoreError::HistoryGone),
-            status => Err(StoreError::Refused(status)),
-        }
-    };
+    let answered = http::get_over(&mut line.sender, path, MAX_ANSWER_BYTES);
     let limit = Duration::from_millis(limit_ms);
-    tokio::time::timeout(limit, answered).await.map_err(|_| StoreError::TimedOut)?
+    let answered = tokio::time::timeout(limit, answered).await;
+    Ok(answered.map_err(|_| GetError::TimedOut)??)
 }
 
 /// Applies removals that were held back after an outage.
@@ -250,7 +237,7 @@
     if changes.is_empty() {
         return;
     }
-    gw.records_changed.notify_one();
+    gw.tell_now.notify_one();
     let mut control = gw.control.borrow_mut();
     let applied = control.apply(&gw.platform, changes);
     let revision = control.view.revision();
