Test the decisions of forwarding; share unused retries equally

Now what the others leave is shared equally, and a slice counts with its repeated sends until it has left the window.

forward_picker plays skewed streams over 1 to 28 gateways with digests up to 350 ms old: at most 3 in 100 requests reach an endpoint over twice the mean and three.

--- a/crates/persimmon_decide/src/forward/retry_window.rs
+++ b/crates/persimmon_decide/src/forward/retry_window.rs
@@ -25,9 +25,9 @@
 
 /// Counts requests and repeated sends to one service in slices of the window.
 ///
-/// A gateway may always use its own share of the bound. Beyond that it may use what the others
-/// leave, by their digests, up to a part of the whole, since several may decide between two
-/// digests.
+/// A gateway may always use its own share of the bound: the ratio of its own requests, and an equal
+/// part of the slack. What the others don't use, by their digests, is shared equally too, since all
+/// of them may decide between two digests.
 #[derive(Debug)]
 pub struct RetryWindow {
     settings: RetryWindowSettings,
@@ -37,10 +37,9 @@
 impl RetryWindow {
     /// Slices in a window; a finer count isn't worth its memory.
     const SLICES: u64 = 20;
-    /// Part of the fleet's bound that is used by the sum over gateways, so that decisions between
-    /// two digests don't exceed it.
-    const SHARED_PART: f64 = 0.7;
-    /// Part of a gateway's own share that is always available.
+    /// Part of what the others leave that is used; the rest covers the age of digests.
+    const UNUSED_PART: f64 = 0.7;
+    /// Part of a gateway's own share that is used; the rest covers gateways that aren't known yet.
     const OWN_PART: f64 = 0.85;
 
     /// A window without requests.
@@ -58,13 +57,22 @@
         self.slice(now).repeated += 1;
     }
 
-    /// This gateway's counts in the window.
+    /// This gateway's counts in the window. A slice that lies in it in part counts with its repeated
+    /// sends, but not with its requests, so that the bound holds for every window.
     pub fn counts(&self, now: MonoMs) -> ServiceRetries {
-        let live = self.slices.iter().filter(|it| now.ms_since(it.start) < self.settings.window_ms);
-        live.fold(ServiceRetries::default(), |sum, it| ServiceRetries {
-            fresh: sum.fresh + it.fresh,
-            repeated: sum.repeated + it.repeated,
-        })
+        let window_ms = self.settings.window_ms;
+        let slice_ms = self.slice_ms();
+        let mut counts = ServiceRetries::default();
+        for slice in &self.slices {
+            let age_ms = now.ms_since(slice.start);
+            if age_ms < window_ms {
+                counts.fresh += slice.fresh;
+            }
+            if age_ms < window_ms + slice_ms {
+                counts.repeated += slice.repeated;
+            }
+        }
+        counts
     }
 
     /// Whether one more request may be sent again. `others` are the sums over the other gateways,
@@ -72,19 +80,24 @@
     pub fn allows(&self, others: ServiceRetries, gateways: usize, now: MonoMs) -> bool {
         let own = self.counts(now);
         let settings = self.settings;
-        let share = settings.ratio * f64::from(own.fresh) + settings.slack / gateways.max(1) as f64;
-        if f64::from(own.repeated + 1) <= share * Self::OWN_PART {
-            return true;
-        }
-        let fleet = settings.ratio * f64::from(own.fresh + others.fresh) + settings.slack;
-        f64::from(own.repeated + others.repeated + 1) <= fleet * Self::SHARED_PART
+        let gateways = gateways.max(1) as f64;
+        let slack = settings.slack / gateways;
+        let share = settings.ratio * f64::from(own.fresh) + slack;
+        let others_share = settings.ratio * f64::from(others.fresh) + settings.slack - slack;
+        let unused = (others_share - f64::from(others.repeated)).max(0.0);
+        let allowed = share * Self::OWN_PART + unused * Self::UNUSED_PART / gateways;
+        f64::from(own.repeated + 1) <= allowed
+    }
+
+    fn slice_ms(&self) -> u64 {
+        (self.settings.window_ms / Self::SLICES).max(1)
     }
 
     fn slice(&mut self, now: MonoMs) -> &mut Slice {
-        let slice_ms = (self.settings.window_ms / Self::SLICES).max(1);
+        let slice_ms = self.slice_ms();
         let start = MonoMs(now.0 - now.0 % slice_ms);
-        let window_ms = self.settings.window_ms;
-        while self.slices.front().is_some_and(|it| now.ms_since(it.start) > window_ms) {
+        let kept_ms = self.settings.window_ms + slice_ms;
+        while self.slices.front().is_some_and(|it| now.ms_since(it.start) > kept_ms) {
             self.slices.pop_front();
         }
         if self.slices.back().is_none_or(|it| it.start != start) {
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -0,0 +1,102 @@
+//! Other gateways: who watches the store, whose counts hold.
+
+use std::net::IpAddr;
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{Digest, DigestNews, PeerAddress, PeerTable, ServiceRetries};
+use rstest::rstest;
+
+fn ip(last: u8) -> IpAddr {
+    IpAddr::from([10, 0, 0, last])
+}
+
+fn digest(sequence: u64) -> Digest {
+    Digest {
+        incarnation: 1,
+        sequence,
+        revision: 0,
+        store_age_ms: None,
+        is_leaving: false,
+        loads: Vec::new(),
+        ejections: Vec::new(),
+        retries: Vec::new(),
+        crashes: Vec::new(),
+        holders: Vec::new(),
+        peers: Vec::new(),
+    }
+}
+
+/// Gateway 9, which has just heard of gateways 1 to 4.
+fn last_of_five(told: impl Fn(u8) -> Digest) -> PeerTable {
+    let mut peers = PeerTable::new(ip(9), vec![ip(1)]);
+    for number in 1..=4 {
+        peers.absorb(ip(number), &told(number), MonoMs(1_000));
+    }
+    peers
+}
+
+#[rstest]
+#[case::first_two_idle(|_| digest(1), false)]
+#[case::first_two_watch(|_| Digest { store_age_ms: Some(100), ..digest(1) }, false)]
+#[case::one_cut_off(
+    |number| Digest { store_age_ms: (number == 1).then_some(5_000), ..digest(1) }, false)]
+#[case::three_cut_off(
+    |number| Digest { store_age_ms: (number <= 3).then_some(5_000), ..digest(1) }, true)]
+#[case::three_leaving(|number| Digest { is_leaving: number <= 3, ..digest(1) }, true)]
+fn should_watch_replaces_who_cannot(#[case] told: impl Fn(u8) -> Digest, #[case] expected: bool) {
+    assert_eq!(last_of_five(told).should_watch(MonoMs(1_050)), expected);
+}
+
+#[test]
+fn should_watch_silent_peers_are_replaced() {
+    let peers = last_of_five(|_| digest(1));
+    assert!(peers.should_watch(MonoMs(1_000 + PeerTable::SILENT_MS + 1)));
+}
+
+#[test]
+fn should_watch_alone() {
+    assert!(PeerTable::new(ip(9), vec![ip(9)]).should_watch(MonoMs(0)));
+}
+
+#[test]
+fn absorb_overtaken_digest_is_old() {
+    let mut peers = PeerTable::new(ip(9), Vec::new());
+    assert_eq!(peers.absorb(ip(1), &digest(5), MonoMs(0)), DigestNews::Started);
+    assert_eq!(peers.absorb(ip(1), &digest(6), MonoMs(1)), DigestNews::New);
+    assert_eq!(peers.absorb(ip(1), &digest(5), MonoMs(2)), DigestNews::Old);
+    let restarted = Digest { incarnation: 2, ..digest(1) };
+    assert_eq!(peers.absorb(ip(1), &restarted, MonoMs(3)), DigestNews::Started);
+    assert_eq!(peers.absorb(ip(9), &digest(9), MonoMs(4)), DigestNews::Old);
+}
+
+#[test]
+fn targets_include_rumours() {
+    let mut peers = PeerTable::new(ip(9), vec![ip(1), ip(9)]);
+    let rumour = PeerAddress { ip: ip(3), age_ms: 200 };
+    peers.absorb(ip(2), &Digest { peers: vec![rumour], ..digest(1) }, MonoMs(1_000));
+    assert_eq!(peers.targets(), [ip(1), ip(2), ip(3)]);
+    peers.expire(MonoMs(60_000));
+    assert_eq!(peers.targets(), [ip(1)]);
+}
+
+#[test]
+fn ahead_of_names_only_live_peers_that_know_more() {
+    let peers = last_of_five(|number| Digest { revision: u64::from(number), ..digest(1) });
+    for draw in 0..20 {
+        let ahead = peers.ahead_of(2, draw, MonoMs(1_100)).expect("two peers are ahead");
+        assert!([ip(3), ip(4)].contains(&ahead));
+    }
+    assert_eq!(peers.ahead_of(4, 0, MonoMs(1_100)), None);
+    assert_eq!(peers.ahead_of(2, 0, MonoMs(9_000)), None);
+}
+
+#[test]
+fn retries_sum_over_live_peers() {
+    let counts = ServiceRetries { fresh: 10, repeated: 2 };
+    let peers = last_of_five(|_| Digest { retries: vec![("engines".into(), counts)], ..digest(1) });
+    let sum = peers.retries("engines", MonoMs(1_100));
+    assert_eq!(sum, ServiceRetries { fresh: 40, repeated: 8 });
+    assert_eq!(peers.retries("other", MonoMs(1_100)), ServiceRetries::default());
+    assert_eq!(peers.retries("engines", MonoMs(9_000)), ServiceRetries::default());
+    assert_eq!(peers.gateways(MonoMs(1_100)), 5);
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -0,0 +1,253 @@
+//! Where requests go.
+
+mod forward_common;
+
+use std::collections::{HashMap, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+
+use forward_common::prompt;
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{
+    Choice, Endpoint, EndpointDirectory, EndpointLoad, EndpointState, HealthBook, HealthSettings,
+    LoadBook, PickRequest, Picker, PickerSettings, PrefixMap, PromptPart,
+};
+use persimmon_decide::load::EndpointHash;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SERVICE: &str = "engines";
+
+/// A ready endpoint with 64 slots.
+fn endpoint(number: u8) -> Endpoint {
+    let address = SocketAddr::from(([10, 0, 0, number], 8_000));
+    Endpoint::new(&format!("endpoint-{number}"), Some(1), SERVICE.into(), address)
+        .with_zone("zone-a")
+        .with_slots(64)
+}
+
+/// Endpoints 1 to `count`.
+fn directory(count: u8) -> EndpointDirectory {
+    let mut directory = EndpointDirectory::new();
+    for number in 1..=count {
+        directory.insert(endpoint(number));
+    }
+    directory
+}
+
+/// What one gateway decides from.
+struct Gateway {
+    directory: EndpointDirectory,
+    loads: LoadBook,
+    health: HealthBook,
+    prefixes: PrefixMap,
+}
+
+impl Gateway {
+    fn new(endpoints: u8) -> Self {
+        Self {
+            directory: directory(endpoints),
+            loads: LoadBook::new(),
+            health: HealthBook::new(HealthSettings::default()),
+            prefixes: PrefixMap::new(),
+        }
+    }
+
+    fn pick(&self, parts: &[PromptPart], tried: &[EndpointHash], draw: u64) -> Option<Choice> {
+        let req = PickRequest { service: SERVICE, parts, tried, zone: "zone-a", draw };
+        Picker::new(PickerSettings::default()).pick(
+            &req,
+            &self.directory,
+            &self.loads,
+            &self.health,
+            &self.prefixes,
+            MonoMs(1_000),
+        )
+    }
+
+    fn send(&mut self, parts: &[PromptPart], draw: u64) -> EndpointHash {
+        let choice = self.pick(parts, &[], draw).expect("an endpoint");
+        self.prefixes.record(parts, choice.endpoint.hash, MonoMs(1_000));
+        self.loads.begin(choice.endpoint.hash, 0);
+        choice.endpoint.hash
+    }
+}
+
+#[test]
+fn pick_plain_takes_the_least_loaded() {
+    let mut gateway = Gateway::new(3);
+    gateway.loads.begin(endpoint(1).hash, 0);
+    gateway.loads.begin(endpoint(3).hash, 0);
+    for draw in 0..10 {
+        let choice = gateway.pick(&[], &[], draw).expect("an endpoint");
+        assert_eq!(choice.endpoint.hash, endpoint(2).hash);
+    }
+}
+
+#[test]
+fn pick_plain_prefers_the_own_zone_between_equals() {
+    let mut gateway = Gateway::new(4);
+    gateway.directory.insert(endpoint(2).with_zone("zone-b"));
+    for draw in 0..50 {
+        let choice = gateway.pick(&[], &[], draw).expect("an endpoint");
+        assert_ne!(choice.endpoint.hash, endpoint(2).hash);
+    }
+}
+
+#[test]
+fn pick_draining_and_tried_are_left_out() {
+    let mut gateway = Gateway::new(3);
+    gateway.directory.insert(endpoint(1).with_state(EndpointState::Draining));
+    let choice = gateway.pick(&[], &[endpoint(2).hash], 0).expect("an endpoint");
+    assert_eq!(choice.endpoint.hash, endpoint(3).hash);
+    assert!(gateway.pick(&[], &[endpoint(2).hash, endpoint(3).hash], 0).is_none());
+}
+
+#[test]
+fn pick_ejected_is_avoided_but_never_all() {
+    let mut gateway = Gateway::new(2);
+    gateway.health.record_unreachable(endpoint(1).hash, MonoMs(990));
+    for draw in 0..20 {
+        let choice = gateway.pick(&[], &[], draw).expect("an endpoint");
+        assert_eq!(choice.endpoint.hash, endpoint(2).hash);
+    }
+    gateway.health.record_unreachable(endpoint(2).hash, MonoMs(990));
+    assert!(gateway.pick(&[], &[], 0).is_some());
+}
+
+#[test]
+fn pick_prompt_returns_to_its_holder() {
+    let mut gateway = Gateway::new(18);
+    let first = gateway.send(&prompt(5, 1), 1);
+    for own in 2..8 {
+        gateway.loads.end(first, 0);
+        assert_eq!(gateway.send(&prompt(5, own), own), first);
+    }
+}
+
+#[test]
+fn pick_gateways_without_knowledge_agree() {
+    let (here, there) = (Gateway::new(18), Gateway::new(18));
+    for subject in 0..100 {
+        let a = here.pick(&prompt(subject, 1), &[], 1).expect("an endpoint");
+        let b = there.pick(&prompt(subject, 2), &[], 77).expect("an endpoint");
+        assert_eq!(a.endpoint.hash, b.endpoint.hash);
+    }
+}
+
+#[test]
+fn pick_small_differences_of_load_keep_agreement() {
+    let (mut here, there) = (Gateway::new(18), Gateway::new(18));
+    for number in 1..=18 {
+        here.loads.begin(endpoint(number).hash, 1_300);
+    }
+    here.loads.begin(endpoint(4).hash, 1_300);
+    for subject in 0..100 {
+        let a = here.pick(&prompt(subject, 1), &[], 1).expect("an endpoint");
+        let b = there.pick(&prompt(subject, 2), &[], 2).expect("an endpoint");
+        assert_eq!(a.endpoint.hash, b.endpoint.hash);
+    }
+}
+
+#[test]
+fn pick_holder_over_its_bound_is_copied_from() {
+    let mut gateway = Gateway::new(4);
+    let holder = gateway.send(&prompt(5, 1), 1);
+    for _ in 0..30 {
+        gateway.loads.begin(holder, 0);
+    }
+    let choice = gateway.pick(&prompt(5, 2), &[], 2).expect("an endpoint");
+    assert_ne!(choice.endpoint.hash, holder);
+    assert_eq!(choice.fetch_from.expect("a source").hash, holder);
+}
+
+#[test]
+fn pick_unreachable_holder_is_no_source() {
+    let mut gateway = Gateway::new(4);
+    let holder = gateway.send(&prompt(5, 1), 1);
+    gateway.health.record_unreachable(holder, MonoMs(990));
+    let choice = gateway.pick(&prompt(5, 2), &[], 2).expect("an endpoint");
+    assert_ne!(choice.endpoint.hash, holder);
+    assert!(choice.fetch_from.is_none_or(|source| source.hash != holder));
+}
+
+#[test]
+fn pick_many_unread_prompts_are_spread() {
+    // Endpoints crashed, and long prompts without a holder all rank the same endpoint first.
+    let mut gateway = Gateway::new(6);
+    let mut counts = HashMap::new();
+    for own in 0..24 {
+        let parts = prompt(5, own);
+        let choice = gateway.pick(&parts, &[], own).expect("an endpoint");
+        gateway.loads.begin(choice.endpoint.hash, choice.unread_tokens);
+        *counts.entry(choice.endpoint.hash).or_insert(0_u32) += choice.unread_tokens;
+    }
+    let most = counts.values().max().copied().unwrap_or(0);
+    // Without waiting counted, the bound on requests alone would let 7 of 24 queue at one.
+    assert!(most <= 5 * 11_800, "{most} tokens wait at one endpoint");
+}
+
+/// Plays streams over several gateways whose digests are `digest_ms` old at most, and returns the
+/// share of requests that reached an endpoint with over twice the mean and three.
+fn share_over_limit(seed: u64, gateways: usize, endpoints: u8, per_s: f64, digest_ms: u64) -> f64 {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut fleet: Vec<_> = (0..gateways).map(|_| Gateway::new(endpoints)).collect();
+    let mut running: VecDeque<(u64, usize, EndpointHash)> = VecDeque::new();
+    let mut real = LoadBook::new();
+    let (mut sent, mut over) = (0_u32, 0_u32);
+    for ms in 0..20_000_u64 {
+        let mut ended: Vec<_> = running.iter().filter(|it| it.0 <= ms).copied().collect();
+        running.retain(|it| it.0 > ms);
+        for (_, gateway, endpoint) in ended.drain(..) {
+            fleet[gateway].loads.end(endpoint, 0);
+            real.end(endpoint, 0);
+        }
+        if ms % digest_ms == 0 {
+            tell_loads(&mut fleet);
+        }
+        if !rng.random_bool((per_s / 1_000.0).min(1.0)) {
+            continue;
+        }
+        let own = rng.random_range(0..gateways);
+        // Some subjects are asked for much more often than others.
+        let subject = rng.random_range(0..76_u64).min(rng.random_range(0..76_u64));
+        let endpoint = fleet[own].send(&prompt(subject, u64::from(sent)), rng.random());
+        let total: u32 = (1..=endpoints).map(|it| real.total(endpoint_hash(it)).requests).sum();
+        let limit = 2.0 * f64::from(total) / f64::from(endpoints) + 3.0;
+        over += u32::from(f64::from(real.total(endpoint).requests) > limit);
+        sent += 1;
+        real.begin(endpoint, 0);
+        running.push_back((ms + rng.random_range(1_000..5_000), own, endpoint));
+    }
+    f64::from(over) / f64::from(sent)
+}
+
+fn endpoint_hash(number: u8) -> EndpointHash {
+    endpoint(number).hash
+}
+
+fn tell_loads(fleet: &mut [Gateway]) {
+    let told: Vec<Vec<(EndpointHash, EndpointLoad)>> =
+        fleet.iter().map(|it| it.loads.own_loads().collect()).collect();
+    for (at, gateway) in fleet.iter_mut().enumerate() {
+        for (from, loads) in told.iter().enumerate().filter(|(from, _)| *from != at) {
+            let ip = IpAddr::from([10, 1, 0, u8::try_from(from).expect("a small fleet")]);
+            gateway.loads.replace_peer(ip, loads.clone());
+        }
+    }
+}
+
+#[rstest::rstest]
+#[case::small_site(1, 5, 18, 120.0, 100)]
+#[case::one_gateway(2, 1, 18, 120.0, 100)]
+#[case::large_site(3, 28, 52, 400.0, 350)]
+#[case::few_endpoints(4, 4, 3, 20.0, 100)]
+fn pick_skewed_load_keeps_the_limit(
+    #[case] seed: u64,
+    #[case] gateways: usize,
+    #[case] endpoints: u8,
+    #[case] per_s: f64,
+    #[case] digest_ms: u64,
+) {
+    let share = share_over_limit(seed, gateways, endpoints, per_s, digest_ms);
+    assert!(share <= 0.03, "{share} of the requests reached an endpoint over its limit");
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_prefix_map.rs
@@ -0,0 +1,59 @@
+//! Which endpoints hold parts of prompts.
+
+mod forward_common;
+
+use forward_common::prompt;
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::PrefixMap;
+use persimmon_decide::load::EndpointHash;
+
+const ONE: EndpointHash = EndpointHash(1);
+const TWO: EndpointHash = EndpointHash(2);
+
+#[test]
+fn cached_needs_every_part_before() {
+    let mut map = PrefixMap::new();
+    map.record(&prompt(5, 1), ONE, MonoMs(0));
+    map.record(&prompt(6, 1)[..1], TWO, MonoMs(0));
+    let cached = map.cached(&prompt(5, 2), MonoMs(10));
+    assert_eq!(cached, [(ONE, 10_500), (TWO, 500)]);
+    // An endpoint that holds a later part only saves nothing.
+    assert!(map.cached(&prompt(5, 1)[1..2], MonoMs(10)).iter().all(|it| it.0 != TWO));
+}
+
+#[test]
+fn cached_old_and_gone_holders_are_forgotten() {
+    let mut map = PrefixMap::new();
+    map.record(&prompt(5, 1), ONE, MonoMs(0));
+    map.record(&prompt(5, 1), TWO, MonoMs(50_000));
+    assert_eq!(map.cached(&prompt(5, 1), MonoMs(70_000)), [(TWO, 11_800)]);
+    map.forget(TWO);
+    assert!(map.cached(&prompt(5, 1), MonoMs(70_000)).is_empty());
+}
+
+#[test]
+fn tell_news_reaches_another_gateway() {
+    let (mut here, mut there) = (PrefixMap::new(), PrefixMap::new());
+    here.record(&prompt(5, 1), ONE, MonoMs(0));
+    for holder in here.tell(48, 0, MonoMs(10)) {
+        there.absorb(holder, MonoMs(10));
+    }
+    // The last part belongs to one request, and isn't told.
+    assert_eq!(there.cached(&prompt(5, 1), MonoMs(20)), [(ONE, 10_500)]);
+    assert!(here.tell(48, 0, MonoMs(20)).is_empty());
+}
+
+#[test]
+fn tell_repeats_parts_that_others_told_first() {
+    let (mut here, mut there, mut late) = (PrefixMap::new(), PrefixMap::new(), PrefixMap::new());
+    here.record(&prompt(5, 1), ONE, MonoMs(0));
+    for holder in here.tell(48, 0, MonoMs(10)) {
+        there.absorb(holder, MonoMs(10));
+    }
+    // `here` is gone; a gateway that starts later learns of the holder from `there`.
+    there.record(&prompt(5, 2), ONE, MonoMs(20));
+    for holder in there.tell(0, 6, MonoMs(30)) {
+        late.absorb(holder, MonoMs(30));
+    }
+    assert_eq!(late.cached(&prompt(5, 3), MonoMs(40)), [(ONE, 10_500)]);
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_retry_window.rs
@@ -0,0 +1,90 @@
+//! The fleet's bound on repeated sends.
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{RetryWindow, RetryWindowSettings, ServiceRetries};
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SETTINGS: RetryWindowSettings =
+    RetryWindowSettings { window_ms: 10_000, ratio: 0.2, slack: 58.0 };
+/// Digests of the simulated fleet are this old at most, in milliseconds.
+const DIGEST_MS: u64 = 200;
+
+#[test]
+fn allows_alone_uses_ratio_and_slack() {
+    let mut window = RetryWindow::new(SETTINGS);
+    for _ in 0..100 {
+        window.record_fresh(MonoMs(1_000));
+    }
+    let mut repeated = 0;
+    while window.allows(ServiceRetries::default(), 1, MonoMs(1_100)) {
+        window.record_repeated(MonoMs(1_100));
+        repeated += 1;
+    }
+    // 0.2 x 100 + 58 are allowed; a part is kept free for decisions between digests.
+    assert!((50..=78).contains(&repeated), "{repeated}");
+}
+
+#[test]
+fn allows_after_window_counts_anew() {
+    let mut window = RetryWindow::new(SETTINGS);
+    while window.allows(ServiceRetries::default(), 1, MonoMs(0)) {
+        window.record_repeated(MonoMs(0));
+    }
+    assert!(!window.allows(ServiceRetries::default(), 1, MonoMs(9_000)));
+    assert!(window.allows(ServiceRetries::default(), 1, MonoMs(11_000)));
+}
+
+/// Plays a fleet in which a share of the requests wants to be sent again, and returns the highest
+/// excess over the bound in any window of counts.
+fn highest_excess(seed: u64, gateways: usize, per_s: u64, failing: f64) -> f64 {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut windows: Vec<_> = (0..gateways).map(|_| RetryWindow::new(SETTINGS)).collect();
+    let mut told = vec![ServiceRetries::default(); gateways];
+    let (mut fresh, mut repeated) = (Vec::new(), Vec::new());
+    for ms in (0..30_000).step_by(10) {
+        let now = MonoMs(ms);
+        if ms % DIGEST_MS == 0 {
+            told = windows.iter().map(|it| it.counts(now)).collect();
+        }
+        let mean = per_s as f64 * 0.01;
+        let arrivals = (0..2 * per_s / 100 + 2)
+            .filter(|_| rng.random_bool((mean / (2 * per_s / 100 + 2) as f64).min(1.0)));
+        for _ in 0..arrivals.count() {
+            let own = rng.random_range(0..gateways);
+            windows[own].record_fresh(now);
+            fresh.push(ms);
+            let others = told.iter().enumerate().filter(|(at, _)| *at != own);
+            let others = others.fold(ServiceRetries::default(), |sum, (_, it)| ServiceRetries {
+                fresh: sum.fresh + it.fresh,
+                repeated: sum.repeated + it.repeated,
+            });
+            if rng.random_bool(failing) && windows[own].allows(others, gateways, now) {
+                windows[own].record_repeated(now);
+                repeated.push(ms);
+            }
+        }
+    }
+    let within = |times: &[u64], end: u64| {
+        times.iter().filter(|at| **at <= end && **at + SETTINGS.window_ms > end).count() as f64
+    };
+    let excess =
+        |end: u64| within(&repeated, end) - SETTINGS.ratio * within(&fresh, end) - SETTINGS.slack;
+    (0..30_000).step_by(250).map(excess).fold(f64::MIN, f64::max)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// An outage in which everything fails doesn't take the fleet over its bound.
+    #[test]
+    fn allows_any_fleet_keeps_the_bound(
+        seed in any::<u64>(),
+        gateways in 1..30_usize,
+        per_s in 20..400_u64,
+        failing in 0.1..1.0_f64,
+    ) {
+        prop_assert!(highest_excess(seed, gateways, per_s, failing) <= 0.0);
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_route.rs
@@ -0,0 +1,71 @@
+//! Routes and keys.
+
+use persimmon_decide::forward::{
+    CallerLimits, CallerLookup, Repeatable, Route, RouteTable, ServiceWeight, Workspace,
+};
+use rstest::rstest;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "calls.example".into(),
+        prefix: prefix.into(),
+        is_stream: false,
+        repeatable: Repeatable::Never,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        pause_ms: None,
+        priority: 0,
+        max_attempts: 1,
+        is_public: false,
+        has_prompt: false,
+        services: vec![ServiceWeight { service: "ledger".into(), weight: 1 }],
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    let limits = CallerLimits {
+        max_head_bytes: 16_384,
+        max_body_bytes: 1_000,
+        head_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    };
+    RouteTable::new(7, limits, routes, Vec::new())
+}
+
+#[rstest]
+#[case::longest_prefix("calls.example", "/a/b/c", Some("deep"))]
+#[case::shorter_prefix("calls.example", "/a/x", Some("shallow"))]
+#[case::port_in_host("calls.example:8080", "/a/x", Some("shallow"))]
+#[case::other_case_of_host("Calls.Example", "/a/x", Some("shallow"))]
+#[case::prefix_without_slash("calls.example", "/ab", None)]
+#[case::other_host("other.example", "/a/x", None)]
+fn find_route(#[case] host: &str, #[case] path: &str, #[case] expected: Option<&str>) {
+    let table = table(vec![route("shallow", "/a/"), route("deep", "/a/b/")]);
+    assert_eq!(table.find(host, path).map(|route| &*route.name), expected);
+}
+
+#[test]
+fn caller_needs_a_key_once_there_are_workspaces() {
+    let route = route("a", "/a/");
+    let open = table(vec![route.clone()]);
+    assert_eq!(open.caller(&route, None), CallerLookup::Anonymous);
+    let workspace = Workspace { name: "desk".into(), priority: Some(1) };
+    let closed = table(vec![route.clone()]).with_keys(&workspace, vec!["key-1".into()]);
+    assert_eq!(closed.caller(&route, Some("key-1")), CallerLookup::Known(workspace));
+    assert_eq!(closed.caller(&route, Some("key-2")), CallerLookup::Unknown);
+    assert_eq!(closed.caller(&route, None), CallerLookup::Unknown);
+    let public = Route { is_public: true, ..route };
+    assert_eq!(closed.caller(&public, None), CallerLookup::Anonymous);
+}
+
+#[test]
+fn service_for_follows_the_weights() {
+    let services = [("a", 90), ("b", 10), ("c", 0)];
+    let services = services.map(|(name, weight)| ServiceWeight { service: name.into(), weight });
+    let route = Route { services: services.to_vec(), ..route("r", "/a/") };
+    let drawn = |name: &str| {
+        (0..1_000).filter(|draw| route.service_for(*draw).is_some_and(|it| &**it == name)).count()
+    };
+    assert_eq!((drawn("a"), drawn("b"), drawn("c")), (900, 100, 0));
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_store_view.rs
@@ -0,0 +1,172 @@
+//! What a gateway believes of the platform's records.
+
+use std::collections::BTreeMap;
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{StoreChange, StoreRecord, StoreView};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn written(key: &str, revision: u64) -> StoreRecord {
+    StoreRecord { key: key.into(), revision, value: Some(revision.to_le_bytes().to_vec()) }
+}
+
+fn deleted(key: &str, revision: u64) -> StoreRecord {
+    StoreRecord { key: key.into(), revision, value: None }
+}
+
+fn keys(view: &StoreView) -> Vec<(String, u64)> {
+    let delta = view.since(0, MonoMs(0));
+    let live = delta.records.iter().filter(|it| it.value.is_some());
+    live.map(|it| (it.key.to_string(), it.revision)).collect()
+}
+
+#[test]
+fn apply_older_revision_changes_nothing() {
+    let mut view = StoreView::new();
+    assert_eq!(view.apply(written("a", 5), MonoMs(0)).len(), 1);
+    assert!(view.apply(written("a", 4), MonoMs(0)).is_empty());
+    assert!(view.apply(deleted("a", 5), MonoMs(0)).is_empty());
+    assert_eq!(keys(&view), [("a".to_owned(), 5)]);
+}
+
+#[test]
+fn apply_list_missing_record_is_removed() {
+    let mut view = StoreView::new();
+    view.apply(written("a", 1), MonoMs(0));
+    let changes = view.apply_list("", vec![written("b", 2)], 3, MonoMs(0));
+    assert!(changes.contains(&StoreChange::Removed("a".into())));
+    assert_eq!(keys(&view), [("b".to_owned(), 2)]);
+}
+
+#[test]
+fn apply_list_record_after_first_page_is_kept() {
+    let mut view = StoreView::new();
+    // The watch of an earlier connection brought a change after the first page was made.
+    view.apply(written("a", 9), MonoMs(0));
+    view.apply_list("", Vec::new(), 7, MonoMs(0));
+    assert_eq!(keys(&view), [("a".to_owned(), 9)]);
+}
+
+#[rstest]
+#[case::returned_in_time(Some(1_500), true)]
+#[case::never_returned(None, false)]
+fn outage_lapsed_record_gets_time_to_return(#[case] returns_at: Option<u64>, #[case] stays: bool) {
+    let mut view = StoreView::new();
+    view.apply(written("a", 1), MonoMs(0));
+    view.record_return(MonoMs(10_000));
+    assert!(view.apply(deleted("a", 2), MonoMs(10_000)).is_empty());
+    assert!(view.expire(MonoMs(11_900)).is_empty());
+    if let Some(ms) = returns_at {
+        view.apply(written("a", 3), MonoMs(10_000 + ms));
+    }
+    let removed = view.expire(MonoMs(10_000 + StoreView::RETURN_GRACE_MS));
+    assert_eq!(removed.is_empty(), stays);
+}
+
+#[test]
+fn deletion_without_outage_counts_at_once() {
+    let mut view = StoreView::new();
+    view.apply(written("a", 1), MonoMs(0));
+    let changes = view.apply(deleted("a", 2), MonoMs(10));
+    assert_eq!(changes, [StoreChange::Removed("a".into())]);
+}
+
+#[test]
+fn since_peer_holds_removals_back_as_long() {
+    let mut view = StoreView::new();
+    view.apply(written("a", 1), MonoMs(0));
+    let mut peer = StoreView::new();
+    peer.apply_peer(view.since(0, MonoMs(0)), MonoMs(50_000));
+    view.record_return(MonoMs(1_000));
+    view.apply(deleted("a", 2), MonoMs(1_500));
+    // The peer's clock has another start; 1,500 ms of the grace are left.
+    let delta = view.since(peer.revision(), MonoMs(1_500));
+    assert!(peer.apply_peer(delta, MonoMs(60_000)).is_empty());
+    assert!(peer.expire(MonoMs(61_400)).is_empty());
+    assert_eq!(peer.expire(MonoMs(61_500)), [StoreChange::Removed("a".into())]);
+}
+
+#[test]
+fn since_far_behind_gets_everything() {
+    let mut view = StoreView::new();
+    let mut revision = 0;
+    for number in 0..400 {
+        let key = format!("key-{number}");
+        view.apply(written(&key, revision + 1), MonoMs(0));
+        view.apply(deleted(&key, revision + 2), MonoMs(0));
+        revision += 2;
+    }
+    view.apply(written("left", revision + 1), MonoMs(0));
+    let delta = view.since(1, MonoMs(0));
+    assert!(delta.is_whole);
+    assert_eq!(delta.records.len(), 1);
+    assert!(!view.since(revision, MonoMs(0)).is_whole);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Write(u8),
+    Delete(u8),
+    /// The second gateway catches up from the first.
+    CatchUp,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..12_u8).prop_map(Step::Write),
+        2 => (0..12_u8).prop_map(Step::Delete),
+        1 => Just(Step::CatchUp),
+    ]
+}
+
+proptest! {
+    /// A gateway that only hears of a peer ends with what the store holds, whenever it catches up.
+    #[test]
+    fn since_any_history_reproduces_the_store(steps in proptest::collection::vec(step(), 0..120)) {
+        let mut store = BTreeMap::new();
+        let (mut watcher, mut follower) = (StoreView::new(), StoreView::new());
+        let now = MonoMs(1);
+        let mut revision = 0;
+        for step in steps.into_iter().chain([Step::CatchUp]) {
+            revision += 1;
+            match step {
+                Step::Write(number) => {
+                    let key = format!("key-{number}");
+                    watcher.apply(written(&key, revision), now);
+                    store.insert(key, revision);
+                }
+                Step::Delete(number) => {
+                    let key = format!("key-{number}");
+                    if store.remove(&key).is_some() {
+                        watcher.apply(deleted(&key, revision), now);
+                    }
+                }
+                Step::CatchUp => {
+                    follower.apply_peer(watcher.since(follower.revision(), now), now);
+                }
+            }
+        }
+        let expected: Vec<_> = store.into_iter().collect();
+        prop_assert_eq!(keys(&follower), expected);
+    }
+
+    /// Changes that arrive in any order, also twice, leave each record at its last revision.
+    #[test]
+    fn apply_any_order_keeps_the_latest(
+        mut revisions in proptest::collection::vec((0..5_u8, 1..60_u64), 1..60),
+        seed in any::<u64>(),
+    ) {
+        revisions.sort_unstable();
+        revisions.dedup_by_key(|it| it.1);
+        let expected: BTreeMap<_, _> =
+            revisions.iter().map(|(key, revision)| (format!("key-{key}"), *revision)).collect();
+        let mut shuffled = revisions.clone();
+        shuffled.sort_by_key(|it| (it.1 ^ seed).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let mut view = StoreView::new();
+        for (key, revision) in shuffled.iter().chain(&revisions) {
+            view.apply(written(&format!("key-{key}"), *revision), MonoMs(0));
+        }
+        prop_assert_eq!(keys(&view), expected.into_iter().collect::<Vec<_>>());
+    }
+}
