--- a/crates/persimmon_gateway/src/exchange.rs
+++ b/crates/persimmon_gateway/src/exchange.rs
@@ -43,11 +43,12 @@
 const BROKEN_CHECK_MS: u64 = 30;
 /// Longest time that a request waits for a gateway that has just started, in milliseconds.
 const START_WAIT_MS: u64 = 250;
-/// Silence after which a request that may be repeated goes elsewhere, in milliseconds, as a multiple
-/// of the route's target, and its bounds.
+/// Silence after which a call that may be repeated goes elsewhere, as a multiple of its route's
+/// target, and at least, in milliseconds.
 const PATIENCE_TARGETS: u64 = 2;
 const MIN_PATIENCE_MS: u64 = 250;
-const MAX_STREAM_PATIENCE_MS: u64 = 1_500;
+/// Time between two looks at a request that waits longer, in milliseconds.
+const LOOK_MS: u64 = 100;
 /// Silence of an endpoint over all requests after which it counts as unreachable, in milliseconds.
 /// A live engine sends something several times a second.
 const ENDPOINT_SILENT_MS: u64 = 600;
@@ -580,41 +581,37 @@
                     if self.gives_up(endpoint, started) {
                         return Err(SendOrSilence::Silence);
                     }
-                    check = self.gw.clock.now().plus_ms(MIN_PATIENCE_MS);
+                    check = self.gw.clock.now().plus_ms(LOOK_MS);
                 }
             }
         }
     }
 
-    /// Time without an answer after which a request is looked at again.
+    /// Time without an answer after which a request is looked at again, in milliseconds.
     fn patience_ms(&self) -> u64 {
-        let target_ms = self.plan.route.target_ms;
-        (target_ms * PATIENCE_TARGETS).clamp(MIN_PATIENCE_MS, MAX_STREAM_PATIENCE_MS)
+        match self.plan.route.repeatable {
+            Repeatable::FromLastEvent => {
+                self.gw.control.borrow().patience.wait_ms(&self.plan.route.name)
+            }
+            _ => (self.plan.route.target_ms * PATIENCE_TARGETS).max(MIN_PATIENCE_MS),
+        }
     }
 
-    /// Whether a request that got no answer since `started` goes to another endpoint. One that may
-    /// run once never does.
+    /// Whether a request that got nothing since `started` goes to another endpoint. One that may run
+    /// once never does.
     pub(crate) fn gives_up(&self, endpoint: EndpointHash, started: MonoMs) -> bool {
         let now = self.gw.clock.now();
+        let is_long = now.ms_since(started) >= self.patience_ms();
         let mut control = self.gw.control.borrow_mut();
-        let is_silent = control.health.silent_ms(endpoint, now) >= ENDPOINT_SILENT_MS;
-        if is_silent {
+        if control.health.silent_ms(endpoint, now) >= ENDPOINT_SILENT_MS {
             control.health.record_unreachable(endpoint, now);
         }
-        let waited_ms = now.ms_since(started);
-        let has_others = control
-            .directory
-            .ready(&self.plan.service)
-            .any(|it| !self.tried.contains(&it.hash) && it.hash != endpoint);
-        let is_long = waited_ms >= self.patience_ms();
-        let may_repeat = match self.plan.route.repeatable {
-            Repeatable::Never => false,
-            Repeatable::Always => is_long,
-            Repeatable::FromLastEvent => {
-                is_long && (is_silent || waited_ms >= MAX_STREAM_PATIENCE_MS)
-            }
-        };
-        may_repeat && has_others && control.allows_repeat(&self.plan.service, now)
+        let is_other = |hash| !self.tried.contains(&hash) && hash != endpoint;
+        let has_others = control.directory.ready(&self.plan.service).any(|it| is_other(it.hash));
+        is_long
+            && self.plan.route.repeatable != Repeatable::Never
+            && has_others
+            && control.allows_repeat(&self.plan.service, now)
     }
 
     fn request(&self, choice: &Choice, last_event: Option<u64>) -> Request<Full<Bytes>> {
@@ -739,6 +736,7 @@
         }
         let now = self.gw.clock.now();
         let ms = now.ms_since(self.plan.arrived);
+        self.gw.control.borrow_mut().patience.record(&self.plan.route.name, ms);
         let route = &*self.plan.route.name;
         self.gw.metrics.first_byte.with_label_values(&[route]).observe(ms as f64 / 1_000.0);
         if let Some(suppressed) = self.gw.journal.admit("answer", now) {
