--- a/crates/persimmon_decide/src/forward/crash_watch.rs
+++ b/crates/persimmon_decide/src/forward/crash_watch.rs
@@ -66,6 +66,12 @@
         marks.is_some_and(|marks| marks.crashed.len() >= Self::MAX_CRASHES)
     }
 
+    /// Every content that is refused.
+    pub fn refused(&self, now: MonoMs) -> impl Iterator<Item = u64> {
+        let contents = self.marks.keys().copied();
+        contents.filter(move |content| self.refuses(Fingerprint(*content), now))
+    }
+
     /// The newest marks, for the digest.
     pub fn newest(&self, count: usize, now: MonoMs) -> Vec<(u64, EndpointHash)> {
         let mut live: Vec<_> = self.marks.iter().filter(|(_, marks)| marks.until > now).collect();
--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -40,12 +40,10 @@
 }
 
 impl Peer {
-    /// Whether the peer watches the store and hasn't been answered for a while. One that doesn't
-    /// watch is taken for able to.
-    fn is_cut_from_store(&self, now: MonoMs) -> bool {
-        let since_heard_ms = now.ms_since(self.heard_at);
-        self.store_age_ms
-            .is_some_and(|age_ms| u64::from(age_ms) + since_heard_ms > PeerTable::STORE_LOST_MS)
+    /// Whether the peer watches the store and said that it hasn't been answered for a while. One that
+    /// doesn't watch is taken for able to.
+    fn is_cut_from_store(&self) -> bool {
+        self.store_age_ms.is_some_and(|age_ms| u64::from(age_ms) > PeerTable::STORE_LOST_MS)
     }
 }
 
@@ -55,9 +53,19 @@
     /// Time without an answer after which a watcher doesn't reach the store, in milliseconds: a watch
     /// that returns after 600 ms, a slow answer and a digest's age fit in.
     const STORE_LOST_MS: u64 = 1_100;
-    /// How long a silent peer's counts are used, in milliseconds: several digests, so that a lost
-    /// datagram doesn't make its requests vanish.
+    /// How long a silent peer's counts are used at least, in milliseconds: several digests, so that a
+    /// lost datagram doesn't make its requests vanish.
     pub const SILENT_MS: u64 = 1_500;
+    /// Digests of a peer that may be missing before it counts as silent.
+    const MISSING_DIGESTS: u64 = 4;
+    /// Time between two digests of a gateway with few peers, in milliseconds. Counts of requests are
+    /// at most that old.
+    const MIN_INTERVAL_MS: u64 = 100;
+    /// Digests that a gateway receives in a second at most, which bounds the processor time of a
+    /// large fleet.
+    const MAX_RECEIVED_PER_S: u64 = 80;
+    /// Other gateways named in one digest. A fleet of hundreds finds itself within seconds by that.
+    const TOLD_PEERS: usize = 8;
     /// How long a silent peer is still sent digests, in milliseconds. A restarted process is back
     /// within seconds; a replaced one has another address.
     const MEMORY_MS: u64 = 30_000;
@@ -107,7 +115,7 @@
         let silent: Vec<_> = self
             .peers
             .iter()
-            .filter(|(_, peer)| now.ms_since(peer.heard_at) > Self::SILENT_MS)
+            .filter(|(_, peer)| now.ms_since(peer.heard_at) > self.silent_ms())
             .map(|(ip, _)| *ip)
             .collect();
         self.peers.retain(|_, peer| !is_old(peer.heard_at));
@@ -123,16 +131,34 @@
         targets
     }
 
-    /// Peers to tell others of.
-    pub fn addresses(&self, now: MonoMs) -> Vec<PeerAddress> {
+    /// A few peers to tell others of; `draw` chooses where the list starts.
+    pub fn addresses(&self, draw: u64, now: MonoMs) -> Vec<PeerAddress> {
         let age = |at| u32::try_from(now.ms_since(at)).unwrap_or(u32::MAX);
+        let start = draw.checked_rem(self.peers.len() as u64).unwrap_or(0) as usize;
         self.peers
             .iter()
+            .cycle()
+            .skip(start)
+            .take(self.peers.len().min(Self::TOLD_PEERS))
             .map(|(ip, peer)| PeerAddress { ip: *ip, age_ms: age(peer.heard_at) })
             .filter(|it| u64::from(it.age_ms) < Self::MEMORY_MS)
             .collect()
     }
 
+    /// Time between two digests, in milliseconds. It grows with the fleet, so that nobody receives
+    /// too many.
+    pub fn interval_ms(&self) -> u64 {
+        let peers = self.targets().len() as u64;
+        (peers * 1_000 / Self::MAX_RECEIVED_PER_S).max(Self::MIN_INTERVAL_MS)
+    }
+
+    /// Time without a digest after which a peer counts as gone, in milliseconds.
+    fn silent_ms(&self) -> u64 {
+        let known = self.peers.len() as u64;
+        let interval_ms = known * 1_000 / Self::MAX_RECEIVED_PER_S;
+        (interval_ms * Self::MISSING_DIGESTS).max(Self::SILENT_MS)
+    }
+
     /// Gateways that live, with this one.
     pub fn gateways(&self, now: MonoMs) -> usize {
         1 + self.live(now).count()
@@ -164,18 +190,19 @@
     /// Whether this gateway watches the platform's store. The first few in the order of their
     /// addresses do; each that doesn't reach the store, or is leaving, is replaced by the next.
     pub fn should_watch(&self, now: MonoMs) -> bool {
-        let before = self.live(now).filter(|(ip, peer)| {
-            **ip < self.own && !peer.is_leaving && !peer.is_cut_from_store(now)
-        });
+        let before = self
+            .live(now)
+            .filter(|(ip, peer)| **ip < self.own && !peer.is_leaving && !peer.is_cut_from_store());
         before.count() < Self::WATCHERS
     }
 
     /// Whether a peer that watches the store doesn't reach it.
     pub fn is_store_lost(&self, now: MonoMs) -> bool {
-        self.live(now).any(|(_, peer)| peer.is_cut_from_store(now))
+        self.live(now).any(|(_, peer)| peer.is_cut_from_store())
     }
 
     fn live(&self, now: MonoMs) -> impl Iterator<Item = (&IpAddr, &Peer)> {
-        self.peers.iter().filter(move |(_, peer)| now.ms_since(peer.heard_at) <= Self::SILENT_MS)
+        let silent_ms = self.silent_ms();
+        self.peers.iter().filter(move |(_, peer)| now.ms_since(peer.heard_at) <= silent_ms)
     }
 }
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -53,6 +53,44 @@
     assert!(peers.should_watch(MonoMs(1_000 + PeerTable::SILENT_MS + 1)));
 }
 
+/// Nobody takes a peer for silent between two of its digests, however large the fleet is.
+#[rstest]
+#[case::small(4)]
+#[case::grown(28)]
+#[case::designed_for(350)]
+fn should_watch_large_fleet_has_two_watchers(#[case] gateways: u16) {
+    let address = |number: u16| {
+        let [high, low] = number.to_be_bytes();
+        IpAddr::from([10, 0, high, low])
+    };
+    let mut watchers = 0;
+    for own in 0..gateways {
+        let mut peers = PeerTable::new(address(own), Vec::new());
+        for other in (0..gateways).filter(|other| *other != own) {
+            peers.absorb(address(other), &digest(1), MonoMs(1_000));
+        }
+        let before_next = MonoMs(1_000 + peers.interval_ms() + 50);
+        assert_eq!(peers.gateways(before_next), usize::from(gateways));
+        watchers += usize::from(peers.should_watch(before_next));
+    }
+    assert_eq!(watchers, 2);
+}
+
+#[test]
+fn addresses_are_few_and_reach_all() {
+    let mut peers = PeerTable::new(ip(250), Vec::new());
+    for number in 1..=60 {
+        peers.absorb(ip(number), &digest(1), MonoMs(1_000));
+    }
+    let mut told = std::collections::BTreeSet::new();
+    for draw in 0..60 {
+        let addresses = peers.addresses(draw, MonoMs(1_100));
+        assert!(addresses.len() <= 8);
+        told.extend(addresses.into_iter().map(|it| it.ip));
+    }
+    assert_eq!(told.len(), 60);
+}
+
 #[test]
 fn should_watch_alone() {
     assert!(PeerTable::new(ip(9), vec![ip(9)]).should_watch(MonoMs(0)));
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -9,7 +9,8 @@
 use persimmon_decide::forward::{
     Choice, CrashWatch, Digest, DigestNews, DurationBook, Endpoint, EndpointDirectory, FleetView,
     HealthBook, HealthSettings, LoadBook, Patience, PeerTable, PickRequest, Picker, PrefixMap,
-    RetryWindow, RouteTable, Shutdown, ShutdownSettings, StoreChange, StoreView, WaitingTime,
+    RetryWindow, RouteTable, ServiceRetries, Shutdown, ShutdownSettings, StoreChange, StoreView,
+    WaitingTime,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
@@ -24,6 +25,12 @@
 /// New holders of prompts' parts in one digest, and ones that are told again.
 const DIGEST_NEWS: usize = 48;
 const DIGEST_REPEATED: usize = 6;
+/// Holders that are told again to all peers in one round of digests; with more peers, each digest
+/// holds fewer.
+const TOLD_PER_ROUND: usize = 250;
+
+/// A service with this gateway's counts for the retry bound, and the others'.
+pub(crate) type RetryCounts = (Arc<str>, ServiceRetries, ServiceRetries);
 
 /// What one change of the records did.
 #[derive(Debug)]
@@ -210,6 +217,13 @@
         self.window(service).allows(others, gateways, now)
     }
 
+    /// Repeated sends in the window by service: this gateway's, and the others'.
+    pub(crate) fn retry_counts(&self, now: MonoMs) -> impl Iterator<Item = RetryCounts> {
+        self.retries.iter().map(move |(service, window)| {
+            (service.clone(), window.counts(now), self.peers.retries(service, now))
+        })
+    }
+
     fn window(&mut self, service: &Arc<str>) -> &mut RetryWindow {
         let settings = self.settings.retries;
         self.retries.entry(service.clone()).or_insert_with(|| RetryWindow::new(settings))
@@ -218,6 +232,8 @@
     /// What this gateway tells the others.
     pub(crate) fn digest(&mut self, now: MonoMs) -> Digest {
         self.sequence += 1;
+        let draw = self.draw();
+        let repeated = DIGEST_REPEATED.min(TOLD_PER_ROUND / self.peers.targets().len().max(1));
         let retries = self.retries.iter().map(|(name, it)| (name.clone(), it.counts(now)));
         Digest {
             incarnation: self.incarnation,
@@ -230,9 +246,9 @@
             loads: self.loads.own_loads().collect(),
             ejections: self.health.ejections(now).collect(),
             retries: retries.filter(|(_, it)| it.fresh + it.repeated > 0).collect(),
-            holders: self.prefixes.tell(DIGEST_NEWS, DIGEST_REPEATED, now),
+            holders: self.prefixes.tell(DIGEST_NEWS, repeated, now),
             crashes: self.crashes.newest(DIGEST_CRASHES, now),
-            peers: self.peers.addresses(now),
+            peers: self.peers.addresses(draw, now),
         }
     }
 
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod run;
 mod settings;
+mod status;
 mod store_reader;
 mod upstream;
 
--- a/crates/persimmon_gateway/src/ops.rs
+++ b/crates/persimmon_gateway/src/ops.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::Gateway;
 use crate::platform::Platform;
+use crate::status::Status;
 
 /// Path of the records on the peers' address.
 pub(crate) const RECORDS_PATH: &str = "/records";
@@ -56,6 +57,10 @@
             Ok(text) => reply(StatusCode::OK, text.into()),
             Err(err) => failure("metrics", &err),
         },
+        "/status" => match serde_json::to_vec(&Status::of(gw)) {
+            Ok(text) => reply(StatusCode::OK, text.into()),
+            Err(err) => failure("status", &err),
+        },
         RECORDS_PATH => records(gw, req.uri().query()),
         _ => reply(StatusCode::NOT_FOUND, Bytes::from_static(b"no such page\n")),
     }
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -15,14 +15,10 @@
 use crate::platform::Platform;
 use crate::store_reader;
 
-/// Time between two digests of a gateway with few peers. Counts of requests are at most that old.
-const MIN_INTERVAL_MS: u64 = 100;
+/// Pause after a datagram that can't be received.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
 /// Pause before a digest that is sent at once, which gathers changes that come together.
 const TELL_PAUSE: Duration = Duration::from_millis(10);
-/// Digests that a gateway receives in a second at most, which bounds the processor time of a large
-/// fleet.
-const MAX_RECEIVED_PER_S: u64 = 80;
-const MS_PER_S: u64 = 1_000;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// Time between two looks for idle connections and old peers, in milliseconds.
@@ -46,7 +42,7 @@
             Ok(received) => received,
             Err(err) => {
                 tracing::debug!(target: "peers", %err, "a datagram can't be received");
-                tokio::time::sleep(Duration::from_millis(MIN_INTERVAL_MS)).await;
+                tokio::time::sleep(RECEIVE_PAUSE).await;
                 continue;
             }
         };
@@ -73,18 +69,20 @@
     let mut boot_ms = gw.clock.since_boot_ms();
     let mut steady = gw.clock.now();
     let mut swept = steady;
+    let mut sent = steady;
     let mut ahead_since = None;
     gw.tell_now.notify_one();
     loop {
-        let targets = gw.control.borrow().peers.targets();
-        let interval_ms =
-            (targets.len() as u64 * MS_PER_S / MAX_RECEIVED_PER_S).max(MIN_INTERVAL_MS);
+        let interval_ms = gw.control.borrow().peers.interval_ms().min(SWEEP_MS);
         // A change is told at once, so that gateways that don't watch the store have it in time.
         // The pause bounds the digests when one change follows another.
-        tokio::select! {
-            () = tokio::time::sleep(Duration::from_millis(interval_ms)) => {}
-            () = gw.tell_now.notified() => tokio::time::sleep(TELL_PAUSE).await,
-        }
+        let is_told = tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(interval_ms)) => false,
+            () = gw.tell_now.notified() => {
+                tokio::time::sleep(TELL_PAUSE).await;
+                true
+            }
+        };
         let now = gw.clock.now();
         let boot_now_ms = gw.clock.since_boot_ms();
         let suspended_ms = boot_now_ms.saturating_sub(boot_ms).saturating_sub(now.ms_since(steady));
@@ -92,7 +90,11 @@
         if suspended_ms > SUSPENDED_MS {
             wake_up(&gw, suspended_ms);
         }
-        send_digest(&gw, &socket, &targets).await;
+        if is_told || now.ms_since(sent) >= gw.control.borrow().peers.interval_ms() {
+            sent = now;
+            let targets = gw.control.borrow().peers.targets();
+            send_digest(&gw, &socket, &targets).await;
+        }
         if now.ms_since(swept) >= SWEEP_MS {
             swept = now;
             sweep(&gw);
--- /dev/null
+++ b/crates/persimmon_gateway/src/status.rs
@@ -0,0 +1,155 @@
+//! What a gateway tells operators of itself.
+
+use std::sync::Arc;
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{Endpoint, EndpointState};
+use serde::Serialize;
+
+use crate::control::Control;
+use crate::gateway::Gateway;
+use crate::platform::Platform;
+
+/// The status page of a gateway. Its first fields are those that every process of the fleet has.
+#[derive(Debug, Serialize)]
+pub(crate) struct Status {
+    role: &'static str,
+    name: Arc<str>,
+    zone: Arc<str>,
+    /// Version of the routes in force; zero without any.
+    generation: u64,
+    records_source: &'static str,
+    leaving: bool,
+    load: Load,
+    quarantined: Vec<String>,
+    outcomes: Outcomes,
+    /// Highest revision of any record that is known.
+    revision: u64,
+    /// Milliseconds since the store last answered; none while others watch it.
+    store_age_ms: Option<u64>,
+    /// Gateways that live, with this one.
+    gateways: usize,
+    endpoints: Vec<EndpointStatus>,
+    retries: Vec<RetryStatus>,
+}
+
+#[derive(Debug, Serialize)]
+struct Load {
+    running: usize,
+    waiting: usize,
+    /// Mean requests of all gateways at an endpoint.
+    mean: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct Outcomes {
+    done: u64,
+    not_run: u64,
+    unknown: u64,
+}
+
+/// An endpoint, and whether requests go there.
+#[derive(Debug, Serialize)]
+struct EndpointStatus {
+    id: Arc<str>,
+    service: Arc<str>,
+    address: String,
+    zone: Arc<str>,
+    /// `in`, or why it is left out.
+    usage: &'static str,
+    requests: u32,
+    own_requests: u32,
+    failure_rate: f64,
+    silent_ms: u64,
+}
+
+/// Repeated sends to a service in the window of the fleet's bound.
+#[derive(Debug, Serialize)]
+struct RetryStatus {
+    service: Arc<str>,
+    fresh: u32,
+    repeated: u32,
+    others_fresh: u32,
+    others_repeated: u32,
+}
+
+impl Status {
+    /// The status now.
+    pub(crate) fn of<P: Platform>(gw: &Gateway<P>) -> Self {
+        let control = gw.control.borrow();
+        let now = gw.clock.now();
+        let count = |outcome: &str| gw.metrics.requests.with_label_values(&[outcome]).get();
+        let sum = |outcomes: &[&str]| outcomes.iter().map(|it| count(it)).sum();
+        let endpoints: Vec<_> =
+            control.directory.iter().map(|it| EndpointStatus::of(&control, it, now)).collect();
+        let requests: u32 = endpoints.iter().map(|it| it.requests).sum();
+        Self {
+            role: "gateway",
+            name: gw.settings.name.clone(),
+            zone: gw.settings.zone.clone(),
+            generation: control.routes.as_ref().map_or(0, |routes| routes.version),
+            records_source: if control.store_contact.is_some() { "store" } else { "peers" },
+            leaving: control.shutdown.is_leaving(),
+            load: Load {
+                running: control.in_progress,
+                waiting: 0,
+                mean: f64::from(requests) / endpoints.len().max(1) as f64,
+            },
+            quarantined: control.crashes.refused(now).map(|it| format!("{it:016x}")).collect(),
+            outcomes: Outcomes {
+                done: count("answered"),
+                not_run: sum(&NOT_RUN),
+                unknown: sum(&UNKNOWN),
+            },
+            revision: control.view.revision(),
+            store_age_ms: control.store_contact.map(|at| now.ms_since(at)),
+            gateways: control.peers.gateways(now),
+            retries: control.retry_counts(now).map(RetryStatus::of).collect(),
+            endpoints,
+        }
+    }
+}
+
+/// Outcomes that say that a request wasn't run.
+const NOT_RUN: [&str; 5] = ["not_configured", "crashing", "leaving", "no_endpoint", "overloaded"];
+/// Outcomes that leave open whether a request ran.
+const UNKNOWN: [&str; 3] = ["unknown_outcome", "timed_out", "stream_cut"];
+
+impl EndpointStatus {
+    fn of(control: &Control, endpoint: &Arc<Endpoint>, now: MonoMs) -> Self {
+        let hash = endpoint.hash;
+        let service = control.directory.of_service(&endpoint.service).iter().map(|it| it.hash);
+        let usage = if endpoint.state == EndpointState::Draining {
+            "draining"
+        } else if control.health.is_ejected(hash, now) {
+            "unreachable"
+        } else if control.health.failing(service, now).contains(&hash) {
+            "failing"
+        } else {
+            "in"
+        };
+        Self {
+            id: endpoint.id.clone(),
+            service: endpoint.service.clone(),
+            address: endpoint.address.to_string(),
+            zone: endpoint.zone.clone(),
+            usage,
+            requests: control.loads.total(hash).requests,
+            own_requests: control.loads.own(hash),
+            failure_rate: control.health.failure_rate(hash, now),
+            silent_ms: control.health.silent_ms(hash, now),
+        }
+    }
+}
+
+impl RetryStatus {
+    fn of((service, own, others): crate::control::RetryCounts) -> Self {
+        Self {
+            service,
+            fresh: own.fresh,
+            repeated: own.repeated,
+            others_fresh: others.fresh,
+            others_repeated: others.repeated,
+        }
+    }
+}
--- a/crates/persimmonctl/src/fleet.rs
+++ b/crates/persimmonctl/src/fleet.rs
@@ -34,6 +34,28 @@
     pub(crate) outcomes: Outcomes,
     #[serde(default)]
     pub(crate) refused_records: Option<String>,
+    /// Where a gateway sends requests; other roles list none.
+    #[serde(default)]
+    pub(crate) endpoints: Vec<EndpointStatus>,
+}
+
+/// An endpoint as one gateway sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct EndpointStatus {
+    pub(crate) id: String,
+    pub(crate) service: String,
+    pub(crate) address: String,
+    pub(crate) zone: String,
+    /// `in`, or why the gateway leaves it out.
+    pub(crate) usage: String,
+    /// Requests of all gateways.
+    pub(crate) requests: u64,
+    /// Requests of this gateway.
+    pub(crate) own_requests: u64,
+    /// Share of recent requests that failed.
+    pub(crate) failure_rate: f64,
+    /// Milliseconds for which requests have waited without hearing anything.
+    pub(crate) silent_ms: u64,
 }
 
 /// The load of one process.
--- a/crates/persimmonctl/src/main.rs
+++ b/crates/persimmonctl/src/main.rs
@@ -7,6 +7,7 @@
 mod diff;
 mod digest;
 mod drain;
+mod endpoints;
 mod explain;
 mod fleet;
 mod publish_form;
@@ -24,7 +25,7 @@
 use command::{Command, CommandError};
 use report::{Exit, Report};
 
-const COMMANDS: [&Command; 8] = [
+const COMMANDS: [&Command; 9] = [
     &check::COMMAND,
     &diff::COMMAND,
     &explain::COMMAND,
@@ -32,6 +33,7 @@
     &publish_form::COMMAND,
     &drain::COMMAND,
     &status::COMMAND,
+    &endpoints::COMMAND,
     &watch::COMMAND,
 ];
 
--- a/crates/persimmonctl/src/status.rs
+++ b/crates/persimmonctl/src/status.rs
@@ -69,8 +69,18 @@
     }
 
     /// Asks every process once.
+    pub(crate) fn ask(&self) -> Fleet {
+        Fleet::ask(&self.processes, self.timeout_s)
+    }
+
+    /// Whether the answers are shown as JSON.
+    pub(crate) fn wants_json(&self) -> bool {
+        self.json
+    }
+
+    /// Asks every process once, and reports what it has in force.
     pub(crate) fn report(&self) -> Report {
-        let fleet = Fleet::ask(&self.processes, self.timeout_s);
+        let fleet = self.ask();
         let findings = fleet.findings();
         let exit = if fleet.unreachable().next().is_some() {
             Exit::Unreachable
@@ -103,16 +113,19 @@
     for process in fleet.processes() {
         table.push(row(process));
     }
-    let mut text = table.to_text();
-    for (address, reason) in fleet.unreachable() {
-        text.push_str(&format!("unreachable: {address}: {reason}\n"));
-    }
+    let mut text = table.to_text() + &unreachable_lines(fleet);
     for finding in findings {
         text.push_str(&format!("finding: {finding}\n"));
     }
     text
 }
 
+/// The processes that gave no status, one line each.
+pub(crate) fn unreachable_lines(fleet: &Fleet) -> String {
+    let line = |(address, reason)| format!("unreachable: {address}: {reason}\n");
+    fleet.unreachable().map(line).collect()
+}
+
 fn row(process: &ProcessStatus) -> Vec<String> {
     let ProcessStatus { load, outcomes, .. } = process;
     vec![
--- a/crates/persimmonctl/tests/fleet_commands.rs
+++ b/crates/persimmonctl/tests/fleet_commands.rs
@@ -104,6 +104,30 @@
     assert!(stdout.contains("router-1"), "{stdout}");
 }
 
+fn gateway_page(usage: &str) -> String {
+    let endpoint = format!(
+        r#"{{"id":"e-1","service":"engines","address":"10.0.0.1:80","zone":"a","usage":"{usage}","requests":9,"own_requests":2,"failure_rate":0.25,"silent_ms":0}}"#
+    );
+    let page = page("gateway-1", 7, "null", "");
+    page.replacen('{', &format!(r#"{{"endpoints":[{endpoint}],"#), 1)
+}
+
+#[rstest]
+#[case::in_use("in", 0)]
+#[case::left_out("unreachable", 1)]
+fn endpoints_shows_usage(#[case] usage: &str, #[case] code: i32) {
+    let process = Process::start(200, gateway_page(usage));
+    let table = run(&["endpoints", &process.flag()]);
+    let json = run(&["endpoints", "--json", &process.flag()]);
+    process.close();
+    assert_eq!((table.code, json.code), (code, code), "{}", table.stderr);
+    let row = table.stdout.lines().nth(1).unwrap();
+    let cells: Vec<_> = row.split_whitespace().collect();
+    assert_eq!(cells, ["gateway-1", "e-1", "engines", "a", usage, "9", "2", "0.25", "0"]);
+    let line: serde_json::Value = serde_json::from_str(&json.stdout).unwrap();
+    assert_eq!(line["endpoint"]["usage"], usage);
+}
+
 #[test]
 fn watch_shows_rounds() {
     let process = Process::start(200, page("router-1", 7, "null", ""));
