Add a seeded fault soak of gateways as processes

Gateways as separate processes before endpoints behind relays; a seed draws faults from outside: endpoints that fail in ten ways, connections that are cut, silenced or refused, endpoints that drain or are withdrawn, a store that falls silent, refuses one gateway or forgets its history, routes published again, SIGTERM, SIGKILL, SIGSTOP and SIGHUP, in series and overlapping. Checked from what callers and endpoints saw: once, not run is true, own and whole answers, in time, no lost request, leaving endpoints, the bound on repeated sends, no stranger's request, and a stop that ends the process.

--- /dev/null
+++ b/crates/persimmon_soak/src/callers.rs
@@ -0,0 +1,109 @@
+//! Callers that go on calling while faults happen.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use persimmon_platform::standin::{Answer, Caller};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Pause between two calls of one caller.
+const PAUSE: Duration = Duration::from_millis(15);
+/// Calls over one connection before a new one is opened.
+const CALLS_PER_CONNECTION: u32 = 20;
+
+/// What a call asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Once,
+    Lookup,
+    Draft,
+    Chat,
+}
+
+impl Kind {
+    /// The first part of its route's paths.
+    pub(crate) fn route(self) -> &'static str {
+        match self {
+            Self::Once => "commit",
+            Self::Lookup => "lookup",
+            Self::Draft => "draft",
+            Self::Chat => "chat",
+        }
+    }
+
+    /// Whether it may run once only.
+    pub(crate) fn runs_once(self) -> bool {
+        matches!(self, Self::Once | Self::Chat)
+    }
+
+    /// Whether its answer is a stream.
+    pub(crate) fn is_stream(self) -> bool {
+        matches!(self, Self::Draft | Self::Chat)
+    }
+}
+
+/// One call and its end.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) id: String,
+    pub(crate) kind: Kind,
+    pub(crate) gateway: usize,
+    pub(crate) began: Instant,
+    pub(crate) ended: Instant,
+    /// The answer, if the gateway took the connection.
+    pub(crate) answer: io::Result<Answer>,
+    /// Whether the request was sent.
+    pub(crate) is_sent: bool,
+}
+
+/// Calls until told to stop, and returns every call.
+pub(crate) fn call_until(
+    stop: &AtomicBool,
+    number: u64,
+    seed: u64,
+    gateways: &[SocketAddr],
+    key: &str,
+) -> Vec<Call> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let mut calls = Vec::new();
+    let mut open: Option<(usize, Caller, u32)> = None;
+    while !stop.load(Ordering::Relaxed) {
+        thread::sleep(PAUSE);
+        let kind = match rng.random_range(0..4) {
+            0 => Kind::Once,
+            1 => Kind::Lookup,
+            2 => Kind::Draft,
+            _ => Kind::Chat,
+        };
+        let id = format!("{number}-{}", calls.len());
+        let began = Instant::now();
+        let kept = open.take().filter(|(_, _, used)| *used < CALLS_PER_CONNECTION);
+        let (gateway, connected, used) = match kept {
+            Some((gateway, caller, used)) => (gateway, Ok(caller), used),
+            None => {
+                let gateway = rng.random_range(0..gateways.len());
+                (gateway, Caller::connect(gateways[gateway]), 0)
+            }
+        };
+        let mut is_sent = false;
+        let mut reusable = None;
+        let answer = connected.and_then(|caller| {
+            let path = format!("/{}/x", kind.route());
+            let caller = caller.request("POST", &path, &id).with_key(key);
+            let mut caller = caller.with_deadline_ms(4_000);
+            caller.send("body")?;
+            is_sent = true;
+            let answer = caller.receive()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+            reusable = (answer.is_whole && !answer.closes).then_some(caller);
+            Ok(answer)
+        });
+        open = reusable.map(|caller| (gateway, caller, used + 1));
+        let ended = Instant::now();
+        calls.push(Call { id, kind, gateway, began, ended, answer, is_sent });
+    }
+    calls
+}
--- /dev/null
+++ b/crates/persimmon_soak/src/checks.rs
@@ -0,0 +1,195 @@
+//! The promises, checked against what callers and endpoints saw.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use persimmon_platform::standin::Received;
+
+use crate::callers::{Call, Kind};
+use crate::schedule::{Fault, Step};
+use crate::soak::STREAM_EVENTS;
+
+/// Longest time that a request may be kept beyond its route's timeout.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
+/// Time after which a leaving endpoint gets nothing new.
+const DRAIN: Duration = Duration::from_secs(2);
+/// Time without faults of the store or a process before such a bound holds.
+const CONTACT: Duration = Duration::from_secs(3);
+/// The fleet's bound on repeated sends: a window, a ratio and a slack.
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+const BUDGET_RATIO: f64 = 0.2;
+const BUDGET_SLACK: f64 = 20.0;
+
+/// A broken promise.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// Which promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// What is known when a run has ended.
+pub(crate) struct Evidence<'a> {
+    pub(crate) started: Instant,
+    pub(crate) steps: &'a [Step],
+    pub(crate) calls: &'a [Call],
+    /// Requests by endpoint.
+    pub(crate) received: Vec<Vec<Received>>,
+    /// The longest time that a route keeps a caller.
+    pub(crate) timeout: Duration,
+}
+
+impl Evidence<'_> {
+    /// Every broken promise.
+    pub(crate) fn findings(&self) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        let runs = self.runs();
+        for call in self.calls {
+            let runs = runs.get(&*call.id).copied().unwrap_or(0);
+            findings.extend(self.check_call(call, runs));
+        }
+        findings.extend(self.check_drains());
+        findings.extend(self.check_budget());
+        findings.extend(self.check_strangers());
+        findings
+    }
+
+    /// How often each request ran.
+    fn runs(&self) -> HashMap<&str, usize> {
+        let mut runs = HashMap::new();
+        for request in self.received.iter().flatten().filter(|it| it.ran) {
+            *runs.entry(&*request.id).or_insert(0) += 1;
+        }
+        runs
+    }
+
+    fn check_call(&self, call: &Call, runs: usize) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        let mut find = |promise, seen: String| {
+            let id = &call.id;
+            let (kind, gateway) = (call.kind, call.gateway);
+            let at_ms = call.began.duration_since(self.started).as_millis();
+            let seen = format!("{kind:?} {id} at gateway {gateway}, {at_ms} ms: {seen}");
+            findings.push(Finding { promise, seen });
+        };
+        if call.kind.runs_once() && runs > 1 {
+            find("once", format!("ran {runs} times"));
+        }
+        let is_struck = self.is_struck(call.gateway, call.began, call.ended);
+        let took = call.ended.duration_since(call.began);
+        if !is_struck && took > self.timeout + TIMEOUT_SLACK {
+            find("answered in time", format!("took {took:?}"));
+        }
+        match &call.answer {
+            Ok(answer) if answer.status == 503 && runs > 0 => {
+                find("not run is true", format!("answered 503 and ran {runs} times"));
+            }
+            Ok(answer) if answer.status == 200 => {
+                if answer.id.as_deref() != Some(&*call.id) || !answer.is_signed {
+                    find("own answer", format!("{answer:?}"));
+                }
+                if answer.is_whole && !is_complete(call.kind, &answer.body) {
+                    find("whole answer", answer.body.clone());
+                }
+                if !answer.is_whole && call.kind == Kind::Lookup && !is_struck {
+                    find("whole answer", "a short answer broke off".to_owned());
+                }
+            }
+            Ok(answer) if matches!(answer.status, 400 | 401 | 403 | 404) => {
+                find("allowed calls aren't denied", format!("status {}", answer.status));
+            }
+            Err(err) if call.is_sent && !is_struck && runs > 0 => {
+                find("no request is lost", format!("ran and the connection ended: {err}"));
+            }
+            _ => {}
+        }
+        findings
+    }
+
+    /// Whether a fault of its process may excuse what a gateway did in this time.
+    fn is_struck(&self, gateway: usize, from: Instant, to: Instant) -> bool {
+        self.steps.iter().filter(|step| step.fault.process() == Some(gateway)).any(|step| {
+            let begins = self.started + Duration::from_millis(step.at_ms);
+            let ends = begins + Duration::from_millis(step.fault.lasts_ms()) + CONTACT;
+            begins <= to && from <= ends
+        })
+    }
+
+    fn check_drains(&self) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        for step in self.steps {
+            let Fault::Drain { endpoint, for_ms, .. } = step.fault else { continue };
+            let begins = self.started + Duration::from_millis(step.at_ms);
+            let ends = begins + Duration::from_millis(for_ms);
+            if self.is_unsettled(begins, ends) {
+                continue;
+            }
+            let late = self.received[endpoint].iter().filter(|it| it.at > begins + DRAIN);
+            let late = late.filter(|it| it.at < ends).count();
+            if late > 0 {
+                let seen = format!("{late} requests reached endpoint {endpoint} after {step:?}");
+                findings.push(Finding { promise: "leaving endpoints get nothing new", seen });
+            }
+        }
+        findings
+    }
+
+    /// Whether gateways may have missed a change: the store or a process was struck, or another
+    /// change was made to an endpoint meanwhile.
+    fn is_unsettled(&self, from: Instant, to: Instant) -> bool {
+        let drains = |step: &Step| matches!(step.fault, Fault::Drain { .. });
+        let overlapping = self.steps.iter().filter(|step| {
+            let begins = self.started + Duration::from_millis(step.at_ms);
+            let ends = begins + Duration::from_millis(step.fault.lasts_ms()) + CONTACT;
+            begins <= to && from <= ends
+        });
+        let mut own = 0;
+        for step in overlapping {
+            own += usize::from(drains(step));
+            if step.fault.is_of_store() || step.fault.process().is_some() || own > 1 {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Sends beyond the first of each request, in any window.
+    fn check_budget(&self) -> Option<Finding> {
+        let mut arrivals: Vec<_> = self.received.iter().flatten().collect();
+        arrivals.sort_by_key(|it| it.at);
+        let mut seen = std::collections::HashSet::new();
+        let repeated: Vec<_> =
+            arrivals.iter().filter(|it| !seen.insert(&*it.id)).map(|it| it.at).collect();
+        let worst = repeated.iter().enumerate().find_map(|(first, at)| {
+            let end = *at + BUDGET_WINDOW;
+            let sends = repeated[first..].iter().take_while(|it| **it < end).count();
+            let calls = self.calls.iter().filter(|it| it.began >= *at && it.began < end).count();
+            let bound = BUDGET_RATIO * calls as f64 + BUDGET_SLACK;
+            (sends as f64 > bound).then(|| format!("{sends} sent again of {calls} requests"))
+        });
+        worst.map(|seen| Finding { promise: "bound on repeated sends", seen })
+    }
+
+    /// Requests that no caller sent.
+    fn check_strangers(&self) -> Vec<Finding> {
+        let known: std::collections::HashSet<&str> =
+            self.calls.iter().map(|call| &*call.id).collect();
+        let strangers = self.received.iter().flatten().filter(|it| !known.contains(&*it.id));
+        let finding = |it: &Received| Finding {
+            promise: "only callers' requests run",
+            seen: it.line.clone(),
+        };
+        strangers.map(finding).collect()
+    }
+}
+
+/// Whether a body is all of what an endpoint answers, in order and once. Endpoints answer some
+/// requests on routes of streams with a short body, which is then the whole of it.
+fn is_complete(kind: Kind, body: &str) -> bool {
+    if !kind.is_stream() || body == "done" {
+        return body == "done";
+    }
+    let numbers = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    numbers.map(str::to_owned).eq((1..=STREAM_EVENTS).map(|number| number.to_string()))
+}
--- /dev/null
+++ b/crates/persimmon_soak/src/lib.rs
@@ -0,0 +1,10 @@
+//! A seeded fault soak of gateways.
+
+mod callers;
+mod checks;
+mod schedule;
+mod soak;
+
+pub use checks::Finding;
+pub use schedule::{Fault, Schedule, Step};
+pub use soak::{Soak, SoakReport};
--- /dev/null
+++ b/crates/persimmon_soak/src/main.rs
@@ -0,0 +1,82 @@
+//! Plays seeds of the soak and prints what broke.
+
+use std::env;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use getopts::{Matches, Options};
+use persimmon_soak::{Soak, SoakReport};
+
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optflag("h", "help", "prints this help");
+    options.optopt("", "program", "the daemon", "PATH");
+    options.optopt("", "first", "first seed, 1 by default", "SEED");
+    options.optopt("", "seeds", "how many seeds are played, 1 by default", "COUNT");
+    options.optopt("", "seconds", "length of a run, 10 by default", "SECONDS");
+    options.optopt("", "gateways", "gateways, 3 by default", "COUNT");
+    options.optopt("", "endpoints", "endpoints, 6 by default", "COUNT");
+    let args: Vec<_> = env::args().skip(1).collect();
+    let matches = match options.parse(&args) {
+        Ok(matches) => matches,
+        Err(err) => return usage(&err.to_string()),
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage("Usage: persimmon-soak --program PATH [options]"));
+        return ExitCode::SUCCESS;
+    }
+    match play(&matches) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(broken) => {
+            println!("{broken} seeds with a broken promise");
+            ExitCode::FAILURE
+        }
+        Err(err) => usage(&err),
+    }
+}
+
+fn usage(err: &str) -> ExitCode {
+    eprintln!("{err}; see --help");
+    ExitCode::from(EXIT_USAGE)
+}
+
+/// Plays every seed; returns how many broke a promise.
+fn play(matches: &Matches) -> Result<usize, String> {
+    let program = matches.opt_str("program").ok_or("--program is missing")?;
+    let number = |name: &str, default: u64| match matches.opt_str(name) {
+        Some(text) => text.parse().map_err(|err| format!("--{name}: {err}")),
+        None => Ok(default),
+    };
+    let gateways = u8::try_from(number("gateways", 3)?).map_err(|err| err.to_string())?;
+    let endpoints = usize::try_from(number("endpoints", 6)?).map_err(|err| err.to_string())?;
+    let soak = Soak::new(&program)
+        .with_gateways(gateways.max(1))
+        .with_endpoints(endpoints.max(1))
+        .with_callers(4 * u64::from(gateways.max(1)))
+        .with_length(Duration::from_secs(number("seconds", 10)?));
+    let first = number("first", 1)?;
+    let mut broken = 0;
+    for seed in first..first + number("seeds", 1)? {
+        let report = soak.run(seed).map_err(|err| err.to_string())?;
+        print(&report);
+        broken += usize::from(!report.findings.is_empty());
+    }
+    Ok(broken)
+}
+
+fn print(report: &SoakReport) {
+    let SoakReport { schedule, calls, served, findings } = report;
+    let faults = schedule.steps.len();
+    println!("seed {}: {calls} calls, {served} served, {faults} faults", schedule.seed);
+    if findings.is_empty() {
+        return;
+    }
+    for step in &schedule.steps {
+        println!("  {:>6} ms {:?}", step.at_ms, step.fault);
+    }
+    for finding in findings {
+        println!("  broken: {}: {}", finding.promise, finding.seen);
+    }
+}
--- /dev/null
+++ b/crates/persimmon_soak/src/schedule.rs
@@ -0,0 +1,184 @@
+//! Which faults happen when.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Something that is done to the system from outside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// An endpoint fails the next requests: `kind` chooses how.
+    EndpointFails {
+        /// The endpoint.
+        endpoint: usize,
+        /// Chooses one of the ways to fail.
+        kind: u8,
+        /// Requests that fail.
+        count: u8,
+    },
+    /// Open connections to an endpoint are reset.
+    Cut {
+        /// The endpoint.
+        endpoint: usize,
+    },
+    /// Open connections to an endpoint go silent, one way or the other.
+    Silence {
+        /// The endpoint.
+        endpoint: usize,
+        /// Whether the answers are lost, rather than the requests.
+        is_answer: bool,
+    },
+    /// An endpoint refuses connections for a while.
+    Refuse {
+        /// The endpoint.
+        endpoint: usize,
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
+    /// An endpoint is published as draining, or withdrawn, for a while.
+    Drain {
+        /// The endpoint.
+        endpoint: usize,
+        /// Whether its record is deleted.
+        is_withdrawn: bool,
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
+    /// The store says nothing for a while.
+    StoreSilent {
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
+    /// The store refuses one gateway for a while.
+    StoreRefuses {
+        /// The gateway.
+        gateway: usize,
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
+    /// The store forgets its history.
+    StoreForgets,
+    /// The routes are published again, with a new version.
+    PublishRoutes,
+    /// A gateway gets SIGTERM, and starts again when it has ended.
+    Stop {
+        /// The gateway.
+        gateway: usize,
+    },
+    /// A gateway is killed, and starts again.
+    Kill {
+        /// The gateway.
+        gateway: usize,
+    },
+    /// A gateway stands still for a while.
+    Pause {
+        /// The gateway.
+        gateway: usize,
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
+    /// A gateway gets SIGHUP.
+    Reload {
+        /// The gateway.
+        gateway: usize,
+    },
+}
+
+impl Fault {
+    /// The gateway whose process it strikes, if it does.
+    pub(crate) fn process(self) -> Option<usize> {
+        match self {
+            Self::Stop { gateway } | Self::Kill { gateway } | Self::Pause { gateway, .. } => {
+                Some(gateway)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether gateways may know less of the records because of it.
+    pub(crate) fn is_of_store(self) -> bool {
+        matches!(self, Self::StoreSilent { .. } | Self::StoreRefuses { .. } | Self::StoreForgets)
+    }
+
+    /// How long it lasts, in milliseconds.
+    pub(crate) fn lasts_ms(self) -> u64 {
+        match self {
+            Self::Refuse { for_ms, .. }
+            | Self::Drain { for_ms, .. }
+            | Self::StoreSilent { for_ms }
+            | Self::StoreRefuses { for_ms, .. }
+            | Self::Pause { for_ms, .. } => for_ms,
+            // The grace of the stand-ins' settings, and a start.
+            Self::Stop { .. } => 5_000,
+            Self::Kill { .. } => 1_000,
+            _ => 0,
+        }
+    }
+}
+
+/// A fault and its time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step {
+    /// When, in milliseconds from the start.
+    pub at_ms: u64,
+    /// What.
+    pub fault: Fault,
+}
+
+/// The faults of one seed, in order.
+#[derive(Debug, Clone)]
+pub struct Schedule {
+    /// The seed.
+    pub seed: u64,
+    /// The faults.
+    pub steps: Vec<Step>,
+}
+
+impl Schedule {
+    /// Mean time between two faults, in milliseconds. Shorter than most of them last, so that they
+    /// overlap.
+    const MEAN_GAP_MS: u64 = 400;
+    /// Quiet time at the start and at the end, in milliseconds.
+    const QUIET_MS: u64 = 1_500;
+
+    /// Draws the faults of a seed.
+    pub fn new(seed: u64, length_ms: u64, gateways: usize, endpoints: usize) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut steps = Vec::new();
+        let mut at_ms = Self::QUIET_MS;
+        while at_ms + Self::QUIET_MS < length_ms {
+            let fault = Self::fault(&mut rng, gateways, endpoints);
+            // Series: some faults come several times in a row.
+            let times = if rng.random_bool(0.2) { rng.random_range(2..4) } else { 1 };
+            for _ in 0..times {
+                steps.push(Step { at_ms, fault });
+                at_ms += rng.random_range(0..2 * Self::MEAN_GAP_MS);
+            }
+        }
+        steps.retain(|step| step.at_ms + Self::QUIET_MS < length_ms);
+        Self { seed, steps }
+    }
+
+    fn fault(rng: &mut Pcg64Mcg, gateways: usize, endpoints: usize) -> Fault {
+        let gateway = rng.random_range(0..gateways);
+        let endpoint = rng.random_range(0..endpoints);
+        let for_ms = rng.random_range(200..3_000);
+        match rng.random_range(0..20) {
+            0..6 => {
+                let (kind, count) = (rng.random(), rng.random_range(1..8));
+                Fault::EndpointFails { endpoint, kind, count }
+            }
+            6 | 7 => Fault::Cut { endpoint },
+            8 => Fault::Silence { endpoint, is_answer: rng.random() },
+            9 | 10 => Fault::Refuse { endpoint, for_ms },
+            11 => Fault::Drain { endpoint, is_withdrawn: rng.random(), for_ms: for_ms + 2_500 },
+            12 => Fault::StoreSilent { for_ms },
+            13 => Fault::StoreRefuses { gateway, for_ms },
+            14 => Fault::StoreForgets,
+            15 => Fault::PublishRoutes,
+            16 => Fault::Stop { gateway },
+            17 => Fault::Kill { gateway },
+            18 => Fault::Pause { gateway, for_ms },
+            _ => Fault::Reload { gateway },
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_soak/src/soak.rs
@@ -0,0 +1,295 @@
+//! One run: processes, callers, faults, checks.
+
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use persimmon_platform::standin::{Behaviour, Deployment, EndpointStandin, RouteSpec, StoreMode};
+use persimmon_standins::{Direction, Relay};
+
+use crate::callers::call_until;
+use crate::checks::{Evidence, Finding};
+use crate::schedule::{Fault, Schedule, Step};
+
+/// Events of every stream.
+pub(crate) const STREAM_EVENTS: u64 = 6;
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+const KEY: &str = "key-1";
+/// The routes' timeout, in milliseconds.
+const TIMEOUT_MS: u64 = 3_000;
+
+/// A soak's size.
+#[derive(Debug, Clone)]
+pub struct Soak {
+    program: String,
+    gateways: u8,
+    endpoints: usize,
+    callers: u64,
+    length: Duration,
+}
+
+/// What a run showed.
+#[derive(Debug)]
+pub struct SoakReport {
+    /// The faults.
+    pub schedule: Schedule,
+    /// Calls that callers made.
+    pub calls: usize,
+    /// Calls that were answered whole with success.
+    pub served: usize,
+    /// Broken promises.
+    pub findings: Vec<Finding>,
+}
+
+/// What becomes of a fault when its time is over.
+struct Undo {
+    at: Instant,
+    fault: Fault,
+}
+
+impl Soak {
+    /// A soak of three gateways that run `program`, before six endpoints, for ten seconds.
+    pub fn new(program: &str) -> Self {
+        Self {
+            program: program.to_owned(),
+            gateways: 3,
+            endpoints: 6,
+            callers: 12,
+            length: Duration::from_secs(10),
+        }
+    }
+
+    /// Sets how many gateways run.
+    #[must_use]
+    pub fn with_gateways(mut self, gateways: u8) -> Self {
+        self.gateways = gateways;
+        self
+    }
+
+    /// Sets how many endpoints there are.
+    #[must_use]
+    pub fn with_endpoints(mut self, endpoints: usize) -> Self {
+        self.endpoints = endpoints;
+        self
+    }
+
+    /// Sets how many callers call at once.
+    #[must_use]
+    pub fn with_callers(mut self, callers: u64) -> Self {
+        self.callers = callers;
+        self
+    }
+
+    /// Sets how long a run lasts.
+    #[must_use]
+    pub fn with_length(mut self, length: Duration) -> Self {
+        self.length = length;
+        self
+    }
+
+    /// Plays one seed.
+    ///
+    /// # Errors
+    ///
+    /// A process or a stand-in can't be started.
+    pub fn run(&self, seed: u64) -> io::Result<SoakReport> {
+        let length_ms = u64::try_from(self.length.as_millis()).unwrap_or(u64::MAX);
+        let schedule = Schedule::new(seed, length_ms, self.gateways.into(), self.endpoints);
+        let mut stage = Stage::start(self)?;
+        let started = Instant::now();
+        let stop = AtomicBool::new(false);
+        let addresses: Vec<_> =
+            (0..self.gateways).map(|it| stage.deployment.callers_address(it.into())).collect();
+        let calls = thread::scope(|scope| {
+            let caller = |number| {
+                let (stop, addresses) = (&stop, &addresses[..]);
+                scope.spawn(move || call_until(stop, number, seed, addresses, KEY))
+            };
+            let threads: Vec<_> = (0..self.callers).map(caller).collect();
+            let played = stage.play(&schedule.steps, started, self.length);
+            stop.store(true, Ordering::Relaxed);
+            let calls = threads.into_iter().flat_map(|it| it.join().unwrap_or_default());
+            played.map(|()| calls.collect::<Vec<_>>())
+        })?;
+        let evidence = Evidence {
+            started,
+            steps: &schedule.steps,
+            calls: &calls,
+            received: stage.endpoints.iter().map(EndpointStandin::received).collect(),
+            timeout: Duration::from_millis(TIMEOUT_MS),
+        };
+        let mut findings = evidence.findings();
+        findings.extend(stage.close());
+        let is_served = |answer: &io::Result<persimmon_platform::standin::Answer>| {
+            answer.as_ref().is_ok_and(|it| it.status == 200 && it.is_whole)
+        };
+        let served = calls.iter().filter(|call| is_served(&call.answer)).count();
+        Ok(SoakReport { schedule, calls: calls.len(), served, findings })
+    }
+}
+
+/// The running parts.
+struct Stage {
+    deployment: Deployment,
+    endpoints: Vec<EndpointStandin>,
+    relays: Vec<Relay>,
+    /// Gateways that were told to stop and start again when they have ended.
+    restarting: Vec<usize>,
+}
+
+impl Stage {
+    fn start(soak: &Soak) -> io::Result<Self> {
+        let mut deployment = Deployment::new(&soak.program, soak.gateways)?;
+        let usual =
+            Behaviour::Mixed { events: STREAM_EVENTS, pause: EVENT_PAUSE, body: "done".into() };
+        let (mut endpoints, mut relays) = (Vec::new(), Vec::new());
+        for number in 0..soak.endpoints {
+            let endpoint = EndpointStandin::start(&format!("endpoint-{number}"), usual.clone())?;
+            let relay = Relay::start(endpoint.address())?;
+            endpoints.push(endpoint.at(relay.address()));
+            relays.push(relay);
+        }
+        endpoints.iter().for_each(|endpoint| deployment.publish_endpoint(endpoint, false));
+        publish_routes(&mut deployment);
+        deployment.start_all()?;
+        Ok(Self { deployment, endpoints, relays, restarting: Vec::new() })
+    }
+
+    fn play(&mut self, steps: &[Step], started: Instant, length: Duration) -> io::Result<()> {
+        let mut undo: Vec<Undo> = Vec::new();
+        let mut steps = steps.iter().peekable();
+        while started.elapsed() < length {
+            let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+            while let Some(step) = steps.next_if(|step| step.at_ms <= elapsed_ms) {
+                self.begin(step.fault)?;
+                let at = started + Duration::from_millis(step.at_ms + step.fault.lasts_ms());
+                undo.push(Undo { at, fault: step.fault });
+            }
+            let now = Instant::now();
+            let due = undo.extract_if(.., |it| it.at <= now).collect::<Vec<_>>();
+            due.into_iter().try_for_each(|it| self.end(it.fault))?;
+            self.restart_ended()?;
+            thread::sleep(Duration::from_millis(5));
+        }
+        undo.into_iter().try_for_each(|it| self.end(it.fault))
+    }
+
+    fn begin(&mut self, fault: Fault) -> io::Result<()> {
+        match fault {
+            Fault::EndpointFails { endpoint, kind, count } => {
+                for _ in 0..count {
+                    self.endpoints[endpoint].behave_next(failing(kind));
+                }
+            }
+            Fault::Cut { endpoint } => self.relays[endpoint].cut(),
+            Fault::Silence { endpoint, is_answer } => {
+                let direction = if is_answer { Direction::FromTarget } else { Direction::ToTarget };
+                self.relays[endpoint].silence_open(direction);
+            }
+            Fault::Refuse { endpoint, .. } => self.relays[endpoint].refuse(),
+            Fault::Drain { endpoint, is_withdrawn, .. } => match is_withdrawn {
+                true => self.deployment.withdraw_endpoint(&self.endpoints[endpoint]),
+                false => self.deployment.publish_endpoint(&self.endpoints[endpoint], true),
+            },
+            Fault::StoreSilent { .. } => self.deployment.store.set_mode(StoreMode::Silent),
+            Fault::StoreRefuses { gateway, .. } => {
+                let ip = self.deployment.ip(gateway);
+                self.deployment.store.set_mode(StoreMode::Refusing(ip));
+            }
+            Fault::StoreForgets => self.deployment.store.forget_history(),
+            Fault::PublishRoutes => publish_routes(&mut self.deployment),
+            Fault::Stop { gateway } => {
+                if !self.restarting.contains(&gateway) {
+                    self.deployment.stop(gateway)?;
+                    self.restarting.push(gateway);
+                }
+            }
+            Fault::Kill { gateway } => {
+                self.deployment.kill(gateway)?;
+                self.restarting.push(gateway);
+            }
+            Fault::Pause { gateway, .. } => self.deployment.pause(gateway)?,
+            Fault::Reload { gateway } => self.deployment.reload(gateway)?,
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, fault: Fault) -> io::Result<()> {
+        match fault {
+            Fault::Refuse { endpoint, .. } => self.relays[endpoint].accept(),
+            Fault::Drain { endpoint, .. } => {
+                self.deployment.publish_endpoint(&self.endpoints[endpoint], false);
+                Ok(())
+            }
+            Fault::StoreSilent { .. } | Fault::StoreRefuses { .. } => {
+                self.deployment.store.set_mode(StoreMode::Serving);
+                Ok(())
+            }
+            Fault::Pause { gateway, .. } => self.deployment.resume(gateway),
+            _ => Ok(()),
+        }
+    }
+
+    /// Starts gateways again that have ended.
+    fn restart_ended(&mut self) -> io::Result<()> {
+        for gateway in std::mem::take(&mut self.restarting) {
+            if self.deployment.has_ended(gateway) {
+                self.deployment.restart(gateway)?;
+            } else {
+                self.restarting.push(gateway);
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops the gateways that run, which have to end by themselves.
+    fn close(mut self) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        for gateway in 0..self.deployment.len() {
+            // An error says that it has ended already, which the wait shows.
+            let _ = self.deployment.stop(gateway);
+            match self.deployment.wait_ended(gateway) {
+                Ok(status) if status.code() == Some(0) || self.restarting.contains(&gateway) => {}
+                Ok(status) => findings.push(Finding {
+                    promise: "a stop ends the process well",
+                    seen: format!("gateway {gateway}: {status}"),
+                }),
+                Err(err) => findings.push(Finding {
+                    promise: "a stop ends the process",
+                    seen: format!("gateway {gateway}: {err}"),
+                }),
+            }
+        }
+        self.relays.into_iter().for_each(Relay::close);
+        self.deployment.close();
+        findings
+    }
+}
+
+fn publish_routes(deployment: &mut Deployment) {
+    let routes = [
+        RouteSpec::once("commit"),
+        RouteSpec::repeatable("lookup"),
+        RouteSpec::stream("draft", true),
+        RouteSpec::stream("chat", false),
+    ];
+    deployment.publish_routes(&routes.map(|it| it.with_timeout_ms(TIMEOUT_MS)), &[KEY]);
+}
+
+/// One of the ways in which an endpoint fails a request.
+fn failing(kind: u8) -> Behaviour {
+    let cut = Behaviour::Stream { events: STREAM_EVENTS, pause: EVENT_PAUSE, cut_after: Some(2) };
+    match kind % 10 {
+        0 => Behaviour::Answer { status: 500, body: "failed".into() },
+        1 => Behaviour::NotRun,
+        2 => Behaviour::Misdirected,
+        3 => Behaviour::CloseUnanswered,
+        4 => Behaviour::Hang,
+        5 => Behaviour::ForeignAnswer,
+        6 => Behaviour::Unsigned,
+        7 => Behaviour::ExtraAnswer,
+        8 => Behaviour::HalfBody,
+        _ => cut,
+    }
+}
