--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -33,6 +33,20 @@
     pub load_cost_ms: f64,
 }
 
+impl PickerSettings {
+    /// Part of a deployment's bound up to which endpoints are filled; the rest covers the age of the
+    /// other gateways' counts.
+    const BOUND_PART: f64 = 0.85;
+
+    /// Settings for a bound on load, as a multiple of the service's mean.
+    pub fn for_bound(bound: f64) -> Self {
+        let max_load_factor = (bound * Self::BOUND_PART).max(1.0);
+        let usual = Self::default();
+        let even_load_factor = usual.even_load_factor.min(max_load_factor);
+        Self { max_load_factor, even_load_factor, ..usual }
+    }
+}
+
 impl Default for PickerSettings {
     fn default() -> Self {
         Self {
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -0,0 +1,65 @@
+//! Digests of other gateways, or of anybody else.
+
+use std::net::IpAddr;
+
+use persimmon_decide::forward::{
+    Digest, EndpointLoad, PartHolder, PeerAddress, ServiceRetries, StoreDelta,
+};
+use persimmon_decide::load::EndpointHash;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Payload of a datagram that crosses an ordinary network in one packet, in bytes.
+const PACKET_BYTES: usize = 1_400;
+
+/// A digest of a gateway with this many requests' endpoints and peers told.
+fn digest(endpoints: u64) -> Digest {
+    let hash = |number: u64| EndpointHash(number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let load = EndpointLoad { requests: 20, unread_tokens: 40_000 };
+    Digest {
+        incarnation: u64::MAX,
+        sequence: 1_000_000,
+        revision: 1_000_000,
+        store_age_ms: Some(600),
+        is_leaving: false,
+        loads: (0..endpoints).map(|it| (hash(it), load)).collect(),
+        ejections: vec![(hash(1), 3_000)],
+        retries: vec![("engines".into(), ServiceRetries { fresh: 1_000, repeated: 100 })],
+        crashes: Vec::new(),
+        holders: (0..6).map(|it| PartHolder { part: u64::MAX, endpoint: hash(it) }).collect(),
+        peers: (0..8)
+            .map(|it| PeerAddress { ip: IpAddr::from([10, 0, 0, it]), age_ms: 30_000 })
+            .collect(),
+    }
+}
+
+#[test]
+fn digest_comes_back_as_it_was() {
+    let bytes = postcard::to_allocvec(&digest(18)).unwrap();
+    assert_eq!(postcard::from_bytes::<Digest>(&bytes).unwrap(), digest(18));
+}
+
+#[test]
+fn digest_usual_fits_one_packet() {
+    let bytes = postcard::to_allocvec(&digest(52)).unwrap();
+    assert!(bytes.len() <= PACKET_BYTES, "{} bytes", bytes.len());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(19), cases: 4_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn digest_any_bytes_end(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = postcard::from_bytes::<Digest>(&bytes);
+        let _ = postcard::from_bytes::<StoreDelta>(&bytes);
+    }
+
+    #[test]
+    fn digest_damaged_ends(at in any::<prop::sample::Index>(), byte in any::<u8>(), cut in 0..700_usize) {
+        let mut bytes = postcard::to_allocvec(&digest(18)).unwrap();
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        bytes.truncate(cut);
+        let _ = postcard::from_bytes::<Digest>(&bytes);
+    }
+}
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -72,6 +72,16 @@
     }
 }
 
+#[rstest::rstest]
+#[case::usual(2.0, 1.7)]
+#[case::tight(1.25, 1.0625)]
+#[case::none_to_spare(1.0, 1.0)]
+fn for_bound_stays_below_it(#[case] bound: f64, #[case] expected: f64) {
+    let settings = PickerSettings::for_bound(bound);
+    assert!((settings.max_load_factor - expected).abs() < 1e-9);
+    assert!(settings.even_load_factor <= settings.max_load_factor);
+}
+
 #[test]
 fn pick_plain_takes_the_least_loaded() {
     let mut gateway = Gateway::new(3);
--- a/crates/persimmon_gateway/src/settings.rs
+++ b/crates/persimmon_gateway/src/settings.rs
@@ -90,10 +90,10 @@
         self
     }
 
-    /// Sets how requests are placed.
+    /// Sets the bound on an endpoint's load, as a multiple of the mean of its service.
     #[must_use]
-    pub fn with_picker(mut self, picker: PickerSettings) -> Self {
-        self.picker = picker;
+    pub fn with_load_bound(mut self, bound: f64) -> Self {
+        self.picker = PickerSettings::for_bound(bound);
         self
     }
 
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -31,6 +31,13 @@
 const MAX_PAUSE_MS: u64 = 1_000;
 /// Failing for so long counts as an outage in which records may have lapsed, in milliseconds.
 const OUTAGE_MS: u64 = 1_000;
+/// Pages from which a list counts as large. When a large fleet starts at once, the platform's rate
+/// isn't enough for everyone's list: one gateway in a few lists at full speed, and the others take
+/// the records from it.
+const LARGE_LIST_PAGES: usize = 4;
+const FIRST_LISTERS: u64 = 16;
+/// Pause of the other gateways before each further page, in milliseconds.
+const LIST_PAUSE_MS: u64 = 200;
 /// Largest answer of the store that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Pages of one list at most; bounds a list that never ends.
@@ -185,7 +192,18 @@
 ) -> Result<u64, StoreError> {
     let mut records = Vec::new();
     let mut as_of = None;
-    for _ in 0..MAX_PAGES {
+    let is_first = gw.control.borrow_mut().draw().is_multiple_of(FIRST_LISTERS);
+    for page_number in 0..MAX_PAGES {
+        if page_number >= LARGE_LIST_PAGES {
+            if !is_first {
+                tokio::time::sleep(Duration::from_millis(LIST_PAUSE_MS)).await;
+            }
+            let control = gw.control.borrow();
+            if !reader.is_synced && control.can_route() {
+                // A peer has sent everything meanwhile.
+                return Ok(control.view.revision());
+            }
+        }
         let after = records.last().map(|it: &persimmon_decide::forward::StoreRecord| &*it.key);
         let path = gw.platform.list_path(after);
         let body = call(line, &path, ANSWER_MS).await?;
--- a/crates/persimmon_measure/src/bin/persimmon-measure.rs
+++ b/crates/persimmon_measure/src/bin/persimmon-measure.rs
@@ -8,14 +8,15 @@
 use getopts::{Matches, Options};
 use persimmon_measure::{
     ControlSettings, FirstTokenSettings, Growth, MeasureError, Programs, Shape, ThroughputSettings,
-    measure_control, measure_first_token, measure_throughput,
+    measure_control, measure_first_event, measure_first_token, measure_throughput,
 };
 use serde::Serialize;
 use thiserror::Error;
 
-const USAGE: &str = "Usage: cargo measure <first-token|throughput|control> [options]
+const USAGE: &str = "Usage: cargo measure <first-token|first-event|throughput|control> [options]
 
   first-token  time that router and sidecar add to a streamed request, asked in turns
+  first-event  time that a gateway adds to a streamed answer, and its processor time an event
   throughput   tokens a second through one router, then through one sidecar
   control      memory, processor time, control bytes and platform reads of a router and a sidecar
                without traffic, as peers, workspaces, endpoints, chats and connections grow
@@ -41,7 +42,7 @@
     Usage(#[from] getopts::Fail),
     #[error("--{flag} takes a whole number above 0; see --help")]
     Number { flag: &'static str },
-    #[error("give one of first-token, throughput, control; see --help")]
+    #[error("give one of first-token, first-event, throughput, control; see --help")]
     Command,
     #[error("nothing grows that is named {0}; take peers, workspaces, endpoints, chats or links")]
     Growth(String),
@@ -64,7 +65,7 @@
 
 fn options() -> Options {
     let mut options = Options::new();
-    options.optopt("", "pairs", "first-token: pairs of requests (400)", "N");
+    options.optopt("", "pairs", "first-token and first-event: pairs of requests (400)", "N");
     options.optopt("", "only", "control: peers, workspaces, endpoints, chats or links", "NAME");
     options.optopt("", "warm-up-s", "control: seconds before the window (4)", "S");
     options.optopt("", "window-s", "control and throughput: seconds measured (8)", "S");
@@ -90,6 +91,7 @@
     };
     match command.as_str() {
         "first-token" => first_token(&matches),
+        "first-event" => first_event(&matches),
         "throughput" => throughput(&matches),
         "control" => control(&matches),
         _ => Err(CommandError::Command),
@@ -106,6 +108,14 @@
     Ok(figures.is_within_target())
 }
 
+fn first_event(matches: &Matches) -> Result<bool, CommandError> {
+    let pairs = number(matches, "pairs")?.unwrap_or(FirstTokenSettings::default().pairs);
+    let programs = Programs::build()?;
+    let figures = measure_first_event(&programs.daemon, pairs)?;
+    print(matches, &figures)?;
+    Ok(figures.is_within_target())
+}
+
 fn throughput(matches: &Matches) -> Result<bool, CommandError> {
     let window = window(matches)?;
     let programs = Programs::build()?;
--- a/crates/persimmon_measure/src/lib.rs
+++ b/crates/persimmon_measure/src/lib.rs
@@ -6,6 +6,7 @@
 mod control;
 mod direct;
 mod error;
+mod first_event;
 mod first_token;
 mod line;
 mod load;
@@ -20,6 +21,7 @@
     ControlFigures, ControlPoint, ControlSettings, Growth, RoleLines, RoleUse, measure_control,
 };
 pub use error::MeasureError;
+pub use first_event::{FirstEventFigures, measure_first_event};
 pub use first_token::{FirstTokenFigures, FirstTokenSettings, measure_first_token};
 pub use line::Line;
 pub use load::load_average;
--- /dev/null
+++ b/crates/persimmonmountd/tests/soak_short.rs
@@ -0,0 +1,20 @@
+//! A short run of the fault soak, with fixed seeds.
+
+use std::time::Duration;
+
+use persimmon_soak::Soak;
+use rstest::rstest;
+
+#[rstest]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+fn soak_short_keeps_every_promise(#[case] seed: u64) {
+    let soak = Soak::new(env!("CARGO_BIN_EXE_persimmonmountd"))
+        .with_gateways(2)
+        .with_endpoints(4)
+        .with_callers(6)
+        .with_length(Duration::from_secs(8));
+    let report = soak.run(seed).unwrap();
+    assert!(report.findings.is_empty(), "{report:#?}");
+    assert!(report.served * 10 >= report.calls * 8, "{} of {}", report.served, report.calls);
+}
