Go on with a list after the platform's rate refused a page

Each gateway lists 3,000 records in 60 pages; 18,000 calls exceed 6,000 a second, and a refused page ended the whole list, which began anew.

--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -8,7 +8,7 @@
 use hyper::StatusCode;
 use hyper::client::conn::http1::SendRequest;
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{EndpointState, StoreChange};
+use persimmon_decide::forward::{EndpointState, StoreChange, StoreRecord};
 use thiserror::Error;
 
 use crate::body::AbortOnDrop;
@@ -190,7 +190,7 @@
     line: &mut StoreLine,
     reader: &mut Reader,
 ) -> Result<u64, StoreError> {
-    let mut records = Vec::new();
+    let mut records: Vec<StoreRecord> = Vec::new();
     let mut as_of = None;
     let is_first = gw.control.borrow_mut().draw().is_multiple_of(FIRST_LISTERS);
     for page_number in 0..MAX_PAGES {
@@ -204,9 +204,18 @@
                 return Ok(control.view.revision());
             }
         }
-        let after = records.last().map(|it: &persimmon_decide::forward::StoreRecord| &*it.key);
+        let after = records.last().map(|it| &*it.key);
         let path = gw.platform.list_path(after);
-        let body = call(line, &path, ANSWER_MS).await?;
+        let body = match call(line, &path, ANSWER_MS).await {
+            // What was listed so far still holds: the watch brings what changes meanwhile.
+            Err(StoreError::Get(GetError::Refused(StatusCode::TOO_MANY_REQUESTS)))
+                if !records.is_empty() =>
+            {
+                tokio::time::sleep(Duration::from_millis(LIST_PAUSE_MS)).await;
+                continue;
+            }
+            body => body?,
+        };
         let page = gw.platform.read_page(&body)?;
         // Pages aren't a snapshot: what changed after the first one is brought by the watch.
         as_of.get_or_insert(page.as_of);
