Split the gateway's exchange: plan, answer, requests in progress, one attempt

The way of a request is now answer -> plan -> exchange -> exchange::attempt -> relay, each in a module of its own.

--- /dev/null
+++ b/crates/persimmon_gateway/src/answer.rs
@@ -0,0 +1,108 @@
+//! From a caller's request to the answer: plan it, exchange it, pass the answer on.
+
+use std::rc::Rc;
+
+use hyper::body::Incoming;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
+    UPGRADE,
+};
+use hyper::{Request, Response};
+use tokio::sync::mpsc;
+
+use crate::body::AnswerBody;
+use crate::exchange::{Answered, Exchange, KEEP_ALIVE, OpenStream, keep_alive_s};
+use crate::gateway::Gateway;
+use crate::head::RequestHead;
+use crate::in_flight::InProgress;
+use crate::plan::plan;
+use crate::platform::Platform;
+use crate::refusal::Refusal;
+use crate::relay;
+
+/// Pieces of a stream that wait for the caller; a caller that doesn't read holds the endpoint back.
+const STREAM_PIECES: usize = 8;
+
+/// Answers a caller's request.
+pub(crate) async fn answer<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = gw.clock.now();
+    let in_progress = InProgress::begin(gw);
+    let (parts, body) = req.into_parts();
+    let head = match RequestHead::read(&parts, gw.platform.headers()) {
+        Ok(head) => head,
+        Err(refusal) => return refuse(gw, "", refusal),
+    };
+    let id = head.id.clone();
+    let plan = match plan(gw, head, body, arrived).await {
+        Ok(plan) => Rc::new(plan),
+        Err(refusal) => return refuse(gw, &id, refusal),
+    };
+    let mut exchange = Exchange::new(gw.clone(), plan, in_progress);
+    let mut response = match exchange.open(None).await {
+        Ok(Answered::Whole(response)) => {
+            exchange.record_end("answered");
+            response.map(AnswerBody::whole)
+        }
+        Ok(Answered::Stream(stream)) => start_relay(exchange, *stream),
+        Err(refusal) => {
+            exchange.record_end(refusal.name());
+            refuse(gw, &id, refusal)
+        }
+    };
+    remove_connection_headers(response.headers_mut());
+    if gw.control.borrow().shutdown.is_leaving() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Passes a stream on by a task of its own, which ends when the caller stops reading.
+fn start_relay<P: Platform>(
+    exchange: Exchange<P>,
+    mut stream: OpenStream<P>,
+) -> Response<AnswerBody> {
+    let mut head = Response::new(());
+    *head.status_mut() = stream.response.status();
+    *head.headers_mut() = std::mem::take(stream.response.headers_mut());
+    let keep_s = keep_alive_s(head.headers());
+    // The stream may be continued by another endpoint, whose part has another length.
+    head.headers_mut().remove(CONTENT_LENGTH);
+    let (tx, rx) = mpsc::channel(STREAM_PIECES);
+    let task = tokio::task::spawn_local(relay::relay(exchange, stream, keep_s, tx));
+    head.map(|()| AnswerBody::stream(rx, task.abort_handle()))
+}
+
+fn refuse<P: Platform>(gw: &Rc<Gateway<P>>, id: &str, refusal: Refusal) -> Response<AnswerBody> {
+    gw.metrics.requests.with_label_values(&[refusal.name()]).inc();
+    if let Some(suppressed) = gw.journal.admit(refusal.name(), gw.clock.now()) {
+        let control = gw.control.borrow();
+        let version = control.routes.as_ref().map(|routes| routes.version);
+        tracing::info!(target: "request", id, reason = refusal.name(),
+            status = refusal.status().as_u16(), routes = version,
+            revision = control.view.revision(), suppressed, "refused");
+    }
+    let mut response = refusal.into_response();
+    if gw.control.borrow().shutdown.is_leaving() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Removes headers that concern one connection only.
+fn remove_connection_headers(headers: &mut HeaderMap) {
+    let listed: Vec<_> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .collect();
+    for name in
+        listed.iter().chain(&[CONNECTION, KEEP_ALIVE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE])
+    {
+        headers.remove(name);
+    }
+}
--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -17,8 +17,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use crate::answer::answer;
 use crate::clock::Clock;
-use crate::exchange;
 use crate::gateway::Gateway;
 use crate::http;
 use crate::platform::Platform;
@@ -200,8 +200,8 @@
             let (gw, connection) = (gw.clone(), connection.clone());
             async move {
                 connection.record_head();
-                let answer = exchange::answer(&gw, req).await;
-                Ok::<_, Infallible>(answer.map(|body| body.with_connection(connection)))
+                let response = answer(&gw, req).await;
+                Ok::<_, Infallible>(response.map(|body| body.with_connection(connection)))
             }
         })
     };
--- /dev/null
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -0,0 +1,273 @@
+//! One attempt at one endpoint: send the request, wait, and tell what came back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use persimmon_decide::forward::{AttemptOutcome, Choice, Endpoint, Repeatable};
+
+use super::{Answered, Exchange, MIN_ATTEMPT_MS, Missed, OpenStream, keep_alive_s};
+use crate::head::number;
+use crate::in_flight::InFlight;
+use crate::platform::Platform;
+use crate::upstream::{Line, SendError};
+
+/// Largest answer that is gathered whole before it is passed on, in bytes. A gathered answer that
+/// breaks off can still be asked for again.
+const MAX_GATHERED_BYTES: usize = 1024 * 1024;
+/// Longest time that a connection after a broken one may take, in milliseconds: a few round trips
+/// between zones. An endpoint that takes longer is taken for unreachable.
+const BROKEN_CHECK_MS: u64 = 30;
+/// Time between two looks at a request that waits longer, in milliseconds.
+const LOOK_MS: u64 = 100;
+
+/// Why no head came over a connection.
+#[derive(Debug)]
+enum SendOrSilence {
+    Send(SendError),
+    /// The endpoint said nothing for too long.
+    Silence,
+}
+
+impl<P: Platform> Exchange<P> {
+    pub(super) async fn attempt(
+        &mut self,
+        choice: &Choice,
+        last_event: Option<u64>,
+    ) -> Result<Answered<P>, Missed> {
+        let mut in_flight = InFlight::begin(&self.gw, choice);
+        let deadline = self.gw.clock.instant(self.plan.deadline);
+        let sent = tokio::time::timeout_at(deadline, self.send(choice, last_event)).await;
+        let (response, line) = match sent {
+            Ok(result) => result?,
+            Err(_) if self.sends == 0 => {
+                return Err(Missed::new(AttemptOutcome::NotSent, "deadline_before_send"));
+            }
+            Err(_) => return Err(Missed::new(AttemptOutcome::Unknown, "deadline")),
+        };
+        in_flight.record_head();
+        self.classify(response, line, in_flight).await
+    }
+
+    /// Sends the request over an idle connection, or a new one, and waits for the answer's head.
+    async fn send(
+        &mut self,
+        choice: &Choice,
+        last_event: Option<u64>,
+    ) -> Result<(Response<Incoming>, Line), Missed> {
+        let endpoint = &choice.endpoint;
+        let runs_once = self.plan.route.repeatable == Repeatable::Never;
+        let idle = self.gw.upstream.take_idle(endpoint.hash, runs_once);
+        let mut line = match idle {
+            Some(line) => line,
+            None => self.connect(endpoint).await?,
+        };
+        self.record_send(choice);
+        loop {
+            match self.wait_for_head(&mut line, choice, last_event).await {
+                Ok(response) => return Ok((response, line)),
+                Err(SendOrSilence::Send(SendError::NotSent)) if line.is_reused() => {
+                    line = self.connect(endpoint).await?;
+                }
+                Err(failed) => return Err(self.miss(failed, choice).await),
+            }
+        }
+    }
+
+    fn record_send(&mut self, choice: &Choice) {
+        let now = self.gw.clock.now();
+        let mut control = self.gw.control.borrow_mut();
+        if self.sends > 0 {
+            control.record_repeated(&self.plan.service, now);
+        }
+        self.sends += 1;
+        if self.plan.route.has_prompt {
+            control.prefixes.record(&self.plan.head.parts, choice.endpoint.hash, now);
+        }
+    }
+
+    async fn connect(&self, endpoint: &Arc<Endpoint>) -> Result<Line, Missed> {
+        match self.gw.upstream.connect(endpoint.address).await {
+            Ok(line) => Ok(line),
+            Err(err) => {
+                let now = self.gw.clock.now();
+                let mut control = self.gw.control.borrow_mut();
+                let ejected_ms = control.health.record_unreachable(endpoint.hash, now);
+                control.crashes.record_refused(endpoint.hash, now);
+                if let Some(suppressed) = self.gw.journal.admit("unreachable", now) {
+                    tracing::warn!(target: "endpoint", endpoint = &*endpoint.id, %err, ejected_ms,
+                        suppressed, "unreachable");
+                }
+                Err(Missed::new(AttemptOutcome::NotSent, "unreachable"))
+            }
+        }
+    }
+
+    async fn miss(&self, failed: SendOrSilence, choice: &Choice) -> Missed {
+        match failed {
+            SendOrSilence::Send(SendError::NotSent | SendError::NoConnection(_)) => {
+                Missed::new(AttemptOutcome::NotSent, "not_sent")
+            }
+            SendOrSilence::Send(SendError::Broken(_)) => {
+                self.record_broken(&choice.endpoint).await;
+                Missed::new(AttemptOutcome::Unknown, "broken")
+            }
+            SendOrSilence::Silence => Missed::new(AttemptOutcome::Unknown, "silent"),
+        }
+    }
+
+    /// The connection broke while the endpoint worked on this request. A new connection tells
+    /// whether the endpoint has crashed; if not, the next request uses it.
+    pub(crate) async fn record_broken(&self, endpoint: &Arc<Endpoint>) {
+        let now = self.gw.clock.now();
+        self.gw.control.borrow_mut().crashes.record_broken(self.plan.content, endpoint.hash, now);
+        let limit = Duration::from_millis(BROKEN_CHECK_MS);
+        match tokio::time::timeout(limit, self.connect(endpoint)).await {
+            Ok(Ok(line)) => self.gw.upstream.put_idle(endpoint.hash, line, None),
+            // Noted by `connect`.
+            Ok(Err(_)) => {}
+            Err(_) => {
+                let now = self.gw.clock.now();
+                self.gw.control.borrow_mut().health.record_unreachable(endpoint.hash, now);
+            }
+        }
+    }
+
+    async fn wait_for_head(
+        &self,
+        line: &mut Line,
+        choice: &Choice,
+        last_event: Option<u64>,
+    ) -> Result<Response<Incoming>, SendOrSilence> {
+        let request = self.request(choice, last_event);
+        let patience_ms = self.patience_ms();
+        let endpoint = choice.endpoint.hash;
+        let mut sent = std::pin::pin!(line.send(request));
+        let started = self.gw.clock.now();
+        let mut check = started.plus_ms(patience_ms);
+        loop {
+            tokio::select! {
+                biased;
+                result = sent.as_mut() => return result.map_err(SendOrSilence::Send),
+                () = tokio::time::sleep_until(self.gw.clock.instant(check)) => {
+                    if self.gives_up(endpoint, started) {
+                        return Err(SendOrSilence::Silence);
+                    }
+                    check = self.gw.clock.now().plus_ms(LOOK_MS);
+                }
+            }
+        }
+    }
+
+    fn request(&self, choice: &Choice, last_event: Option<u64>) -> Request<Full<Bytes>> {
+        let plan = &self.plan;
+        let names = self.gw.platform.headers();
+        let mut req = Request::new(Full::new(plan.body.clone()));
+        *req.method_mut() = plan.head.method.clone();
+        *req.uri_mut() = plan.head.target.clone();
+        let headers = req.headers_mut();
+        headers.clone_from(&plan.head.headers);
+        headers.insert(&names.deadline_ms, number(self.left_ms()));
+        let mut set = |name: &HeaderName, value: &str| match HeaderValue::from_str(value) {
+            Ok(value) => {
+                headers.insert(name, value);
+            }
+            Err(err) => {
+                tracing::warn!(target: "request", id = &*plan.head.id, %name, %err, "header left out");
+            }
+        };
+        set(&names.expected_endpoint, &choice.endpoint.id);
+        if let Some(workspace) = &plan.workspace {
+            set(&names.workspace, &workspace.name);
+        }
+        if let Some(source) = &choice.fetch_from {
+            set(&names.fetch_cache_from, &source.address.to_string());
+        }
+        if let Some(last) = last_event {
+            set(&names.last_event, &last.to_string());
+        }
+        if plan.route.has_prompt {
+            let priority = plan.workspace.as_ref().and_then(|it| it.priority);
+            let urgency = priority.unwrap_or(plan.route.priority).min(9);
+            headers.insert(&names.urgency, number(u64::from(urgency)));
+        }
+        req
+    }
+
+    /// Tells a good answer from one that can't be passed on.
+    async fn classify(
+        &mut self,
+        response: Response<Incoming>,
+        line: Line,
+        in_flight: InFlight<P>,
+    ) -> Result<Answered<P>, Missed> {
+        let names = self.gw.platform.headers();
+        let headers = response.headers();
+        let status = response.status();
+        if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+            let why =
+                if status == StatusCode::MISDIRECTED_REQUEST { "misdirected" } else { "refused" };
+            self.keep_line(response, line, &in_flight).await;
+            return Err(Missed::new(AttemptOutcome::NotRun, why));
+        }
+        let is_own = headers
+            .get(&names.request_id)
+            .is_some_and(|id| id.as_bytes() == self.plan.head.id.as_bytes());
+        if !is_own {
+            return Err(Missed::new(AttemptOutcome::Unknown, "foreign_answer"));
+        }
+        let is_signed = headers.contains_key(&names.signature);
+        if status.is_success() && (!is_signed || headers.contains_key(CONTENT_ENCODING)) {
+            return Err(Missed::new(AttemptOutcome::Unknown, "unsigned"));
+        }
+        if status.is_success() && self.plan.route.is_stream {
+            return Ok(Answered::Stream(Box::new(OpenStream { response, line, in_flight })));
+        }
+        self.gather(response, line, in_flight).await
+    }
+
+    /// Reads an answer whole.
+    async fn gather(
+        &self,
+        response: Response<Incoming>,
+        line: Line,
+        in_flight: InFlight<P>,
+    ) -> Result<Answered<P>, Missed> {
+        let keep_s = keep_alive_s(response.headers());
+        let (parts, body) = response.into_parts();
+        let deadline = self.gw.clock.instant(self.plan.deadline);
+        let whole = Limited::new(body, MAX_GATHERED_BYTES).collect();
+        let bytes = match tokio::time::timeout_at(deadline, whole).await {
+            Ok(Ok(whole)) => whole.to_bytes(),
+            Ok(Err(_)) => {
+                self.record_broken(&in_flight.endpoint).await;
+                return Err(Missed::new(AttemptOutcome::Unknown, "body_broken"));
+            }
+            Err(_) => return Err(Missed::new(AttemptOutcome::Unknown, "deadline")),
+        };
+        self.gw.upstream.put_idle(in_flight.endpoint.hash, line, keep_s);
+        let status = parts.status;
+        let response = Response::from_parts(parts, bytes);
+        if status.is_server_error() {
+            let outcome = AttemptOutcome::Failed;
+            return Err(Missed { outcome, why: "failed", failure: Some(response) });
+        }
+        self.record_good(&in_flight);
+        Ok(Answered::Whole(response))
+    }
+
+    /// Reads what is left of a short answer that isn't passed on, so that its connection can be used
+    /// again.
+    async fn keep_line(&self, response: Response<Incoming>, line: Line, in_flight: &InFlight<P>) {
+        let keep_s = keep_alive_s(response.headers());
+        let rest = Limited::new(response.into_body(), MAX_GATHERED_BYTES).collect();
+        let limit = Duration::from_millis(MIN_ATTEMPT_MS);
+        if let Ok(Ok(_)) = tokio::time::timeout(limit, rest).await {
+            self.gw.upstream.put_idle(in_flight.endpoint.hash, line, keep_s);
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon_gateway/src/in_flight.rs
@@ -0,0 +1,80 @@
+//! Requests in progress, counted while a value of these types lives.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{Choice, Endpoint};
+
+use crate::gateway::Gateway;
+use crate::platform::Platform;
+
+/// Counts a request at an endpoint while it is there.
+#[derive(Debug)]
+pub(crate) struct InFlight<P: Platform> {
+    gw: Rc<Gateway<P>>,
+    pub(crate) endpoint: Arc<Endpoint>,
+    /// Tokens of its prompt that the endpoint has yet to read.
+    unread_tokens: u32,
+    pub(crate) began: MonoMs,
+}
+
+impl<P: Platform> InFlight<P> {
+    pub(crate) fn begin(gw: &Rc<Gateway<P>>, choice: &Choice) -> Self {
+        let endpoint = choice.endpoint.clone();
+        let unread_tokens = choice.unread_tokens;
+        let mut control = gw.control.borrow_mut();
+        control.loads.begin(endpoint.hash, unread_tokens);
+        let began = gw.clock.now();
+        control.health.record_sent(endpoint.hash, began);
+        Self { gw: gw.clone(), endpoint, unread_tokens, began }
+    }
+
+    /// The answer has begun, so the prompt has been read.
+    pub(crate) fn record_head(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        self.gw.control.borrow_mut().loads.record_read(self.endpoint.hash, unread_tokens);
+        self.record_heard();
+    }
+
+    /// Something was received.
+    pub(crate) fn record_heard(&self) {
+        self.gw.control.borrow_mut().health.record_heard(
+            self.endpoint.hash,
+            true,
+            self.gw.clock.now(),
+        );
+    }
+}
+
+impl<P: Platform> Drop for InFlight<P> {
+    fn drop(&mut self) {
+        let mut control = self.gw.control.borrow_mut();
+        let endpoint = self.endpoint.hash;
+        control.loads.end(endpoint, self.unread_tokens);
+        if control.loads.own(endpoint) == 0 {
+            control.health.record_idle(endpoint);
+        }
+    }
+}
+
+/// Counts a caller's request while it is in progress.
+#[derive(Debug)]
+pub(crate) struct InProgress<P: Platform>(Rc<Gateway<P>>);
+
+impl<P: Platform> InProgress<P> {
+    pub(crate) fn begin(gw: &Rc<Gateway<P>>) -> Self {
+        gw.control.borrow_mut().in_progress += 1;
+        gw.metrics.in_progress.inc();
+        Self(gw.clone())
+    }
+}
+
+impl<P: Platform> Drop for InProgress<P> {
+    fn drop(&mut self) {
+        let mut control = self.0.control.borrow_mut();
+        control.in_progress -= 1;
+        control.quiet_since = self.0.clock.now();
+        self.0.metrics.in_progress.dec();
+    }
+}
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Every decision is made in `persimmon_decide::forward`; this crate carries bytes and keeps time.
 
+mod answer;
 mod body;
 mod callers;
 mod clock;
@@ -11,11 +12,13 @@
 mod gateway;
 mod head;
 mod http;
+mod in_flight;
 mod journal;
 mod logging;
 mod metrics;
 mod ops;
 mod peers;
+mod plan;
 mod platform;
 mod refusal;
 mod relay;
--- /dev/null
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -0,0 +1,135 @@
+//! What is decided of a request before it is sent: its route, its caller, whether it is taken.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use persimmon_decide::forward::{CallerLookup, Route, RouteTable, Workspace};
+use persimmon_decide::{Fingerprint, MonoMs};
+
+use crate::exchange::NO_ENDPOINT_RETRY_MS;
+use crate::gateway::Gateway;
+use crate::head::RequestHead;
+use crate::platform::Platform;
+use crate::refusal::Refusal;
+
+/// Longest time that a request waits for a gateway that has just started, in milliseconds.
+const START_WAIT_MS: u64 = 250;
+
+/// What stays the same over all attempts of one request.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    pub(crate) head: RequestHead,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) workspace: Option<Workspace>,
+    pub(crate) body: Bytes,
+    pub(crate) content: Fingerprint,
+    pub(crate) arrived: MonoMs,
+    /// When the caller or the route's timeout gives the request up.
+    pub(crate) deadline: MonoMs,
+}
+
+/// Routes a request, reads its body and decides whether it is taken.
+pub(crate) async fn plan<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    head: RequestHead,
+    body: Incoming,
+    arrived: MonoMs,
+) -> Result<Plan, Refusal> {
+    wait_until_configured(gw).await;
+    let routes = gw.control.borrow().routes.clone().ok_or(Refusal::NotConfigured)?;
+    let (route, workspace) = find_route(&routes, &head)?;
+    let deadline = deadline_of(&head, &route, arrived);
+    check_leaving(gw, &route, deadline, arrived)?;
+    let max_bytes = routes.limits.max_body_bytes;
+    let body = read_body(gw, body, max_bytes, deadline).await?;
+    let content = content_of(&head, workspace.as_ref(), &body);
+    let now = gw.clock.now();
+    let mut control = gw.control.borrow_mut();
+    if control.crashes.refuses(content, now) {
+        return Err(Refusal::Crashing);
+    }
+    let draw = control.draw();
+    let service = route.service_for(draw).cloned();
+    let service = service.ok_or(Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS })?;
+    control.record_fresh(&service, now);
+    Ok(Plan { head, route, service, workspace, body, content, arrived, deadline })
+}
+
+/// Holds a request that reached a gateway that has just started until it knows the routes, which
+/// takes a few round trips.
+async fn wait_until_configured<P: Platform>(gw: &Rc<Gateway<P>>) {
+    let configured = gw.configured.notified();
+    if gw.control.borrow().can_route() {
+        return;
+    }
+    let limit = Duration::from_millis(START_WAIT_MS);
+    // Without routes after that time, the request is refused.
+    let _ = tokio::time::timeout(limit, configured).await;
+}
+
+fn find_route(
+    routes: &RouteTable,
+    head: &RequestHead,
+) -> Result<(Arc<Route>, Option<Workspace>), Refusal> {
+    let route = routes.find(&head.host, head.target.path()).ok_or(Refusal::NoRoute)?;
+    match routes.caller(route, head.key.as_deref()) {
+        CallerLookup::Known(workspace) => Ok((route.clone(), Some(workspace))),
+        CallerLookup::Anonymous => Ok((route.clone(), None)),
+        CallerLookup::Unknown => Err(Refusal::UnknownKey),
+    }
+}
+
+fn deadline_of(head: &RequestHead, route: &Route, arrived: MonoMs) -> MonoMs {
+    let caller_ms = head.deadline_ms.unwrap_or(u64::MAX);
+    arrived.plus_ms(caller_ms.min(route.timeout_ms))
+}
+
+/// Refuses a request that would not end before the process does.
+fn check_leaving<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    route: &Route,
+    deadline: MonoMs,
+    now: MonoMs,
+) -> Result<(), Refusal> {
+    let control = gw.control.borrow();
+    let most_ms = control.durations.most_ms(&route.name);
+    match control.shutdown.takes(most_ms, deadline.ms_since(now), now) {
+        true => Ok(()),
+        false => Err(Refusal::Leaving),
+    }
+}
+
+/// Reads the whole body, so that it can be sent again.
+async fn read_body<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    body: Incoming,
+    max_bytes: usize,
+    deadline: MonoMs,
+) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let whole = Limited::new(body, max_bytes).collect();
+    match tokio::time::timeout_at(gw.clock.instant(deadline), whole).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_)) => Err(Refusal::BadRequest("the body broke off or can't be read")),
+        Err(_) => Err(Refusal::TimedOut),
+    }
+}
+
+/// Equal for every copy of a request that a caller sends again.
+fn content_of(head: &RequestHead, workspace: Option<&Workspace>, body: &[u8]) -> Fingerprint {
+    let mut all = Vec::with_capacity(body.len() + 128);
+    all.extend_from_slice(head.target.to_string().as_bytes());
+    all.push(0);
+    all.extend_from_slice(workspace.map_or("", |it| &it.name).as_bytes());
+    all.push(0);
+    all.extend_from_slice(body);
+    Fingerprint::of(&all)
+}
