Hold requests while endpoints return after a start or an outage

Endpoints register within about two seconds of the store's return. Now a request waits for routes up to a third of its caller's time and 1 s, and for an endpoint up to half of it and 2 s, if the gateway has just started or the store has just returned; otherwise it is refused at once as before. process_gateway_fleet:: request_waits_for_an_endpoint_that_returns fails without the wait.

--- a/crates/persimmon_decide/src/forward/store_view.rs
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -113,6 +113,11 @@
         self.grace_until = Some(now.plus_ms(Self::RETURN_GRACE_MS));
     }
 
+    /// Whether records that lapsed in an outage may still return.
+    pub fn is_settling(&self, now: MonoMs) -> bool {
+        self.grace_until.is_some_and(|until| until > now)
+    }
+
     /// Takes in one change from a watch.
     pub fn apply(&mut self, record: StoreRecord, now: MonoMs) -> Vec<StoreChange> {
         self.revision = self.revision.max(record.revision);
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -28,6 +28,12 @@
 /// Time after which a caller may come back when no endpoint takes its request, in milliseconds:
 /// about the time in which an endpoint that was unreachable is tried again.
 pub(crate) const NO_ENDPOINT_RETRY_MS: u64 = 300;
+/// Time after its start in which a gateway may not know all endpoints, in milliseconds.
+const SETTLED_AFTER_MS: u64 = 5_000;
+/// Longest time that a request waits for an endpoint to be published again, in milliseconds, and the
+/// part of its caller's time that it may take.
+const ENDPOINT_WAIT_MS: u64 = 2_000;
+const ENDPOINT_WAIT_PART: u64 = 2;
 /// Silence after which a call that may be repeated goes elsewhere, as a multiple of its route's
 /// target, and at least, in milliseconds.
 const PATIENCE_TARGETS: u64 = 2;
@@ -99,7 +105,13 @@
     /// The request failed for good.
     pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Answered<P>, Refusal> {
         loop {
-            let choice = self.choose()?;
+            let choice = match self.choose() {
+                Err(Refusal::NoEndpoint { .. }) if self.may_wait() => {
+                    self.wait_for_endpoint().await;
+                    self.choose()?
+                }
+                choice => choice?,
+            };
             let missed = match self.attempt(&choice, last_event).await {
                 Ok(answered) => {
                     self.record_first_answer(&choice);
@@ -113,6 +125,30 @@
         }
     }
 
+    /// Whether an endpoint may appear soon: after a start, or after an outage of the store, endpoints
+    /// register again within about two seconds.
+    fn may_wait(&self) -> bool {
+        let now = self.gw.clock.now();
+        let is_settling = self.gw.control.borrow().view.is_settling(now);
+        self.sends == 0 && (is_settling || now.0 < SETTLED_AFTER_MS)
+    }
+
+    /// Waits until an endpoint of the service is published, for a part of the caller's time.
+    async fn wait_for_endpoint(&self) {
+        let wait_ms = (self.left_ms() / ENDPOINT_WAIT_PART).min(ENDPOINT_WAIT_MS);
+        let until = self.gw.clock.instant(self.gw.clock.now().plus_ms(wait_ms));
+        let has_endpoint = || {
+            let control = self.gw.control.borrow();
+            control.directory.ready(&self.plan.service).next().is_some()
+        };
+        while !has_endpoint() {
+            let changed = self.gw.configured.notified();
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                return;
+            }
+        }
+    }
+
     fn choose(&self) -> Result<Choice, Refusal> {
         let mut control = self.gw.control.borrow_mut();
         let draw = control.draw();
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -16,8 +16,10 @@
 use crate::platform::Platform;
 use crate::refusal::Refusal;
 
-/// Longest time that a request waits for a gateway that has just started, in milliseconds.
-const START_WAIT_MS: u64 = 250;
+/// Longest time that a request waits for a gateway that has just started, in milliseconds, and the
+/// part of its caller's time that it may take.
+const START_WAIT_MS: u64 = 1_000;
+const START_WAIT_PART: u64 = 3;
 
 /// What stays the same over all attempts of one request.
 #[derive(Debug)]
@@ -40,7 +42,7 @@
     body: Incoming,
     arrived: MonoMs,
 ) -> Result<Plan, Refusal> {
-    wait_until_configured(gw).await;
+    wait_until_configured(gw, head.deadline_ms).await;
     let routes = gw.control.borrow().routes.clone().ok_or(Refusal::NotConfigured)?;
     let (route, workspace) = find_route(&routes, &head)?;
     let deadline = deadline_of(&head, &route, arrived);
@@ -62,12 +64,13 @@
 
 /// Holds a request that reached a gateway that has just started until it knows the routes, which
 /// takes a few round trips.
-async fn wait_until_configured<P: Platform>(gw: &Rc<Gateway<P>>) {
+async fn wait_until_configured<P: Platform>(gw: &Rc<Gateway<P>>, deadline_ms: Option<u64>) {
     let configured = gw.configured.notified();
     if gw.control.borrow().can_route() {
         return;
     }
-    let limit = Duration::from_millis(START_WAIT_MS);
+    let part_ms = deadline_ms.map_or(u64::MAX, |ms| ms / START_WAIT_PART);
+    let limit = Duration::from_millis(START_WAIT_MS.min(part_ms));
     // Without routes after that time, the request is refused.
     let _ = tokio::time::timeout(limit, configured).await;
 }
--- a/crates/persimmonmountd/tests/process_gateway_fleet.rs
+++ b/crates/persimmonmountd/tests/process_gateway_fleet.rs
@@ -141,6 +141,23 @@
     deployment.close();
 }
 
+/// After an outage, routes may be back before the endpoints that serve them.
+#[test]
+fn request_waits_for_an_endpoint_that_returns() {
+    let mut deployment = Deployment::new(env!("CARGO_BIN_EXE_persimmonmountd"), 1).unwrap();
+    let one = EndpointStandin::start("one", Behaviour::ok()).unwrap();
+    deployment.publish_routes(&[RouteSpec::once("commit")], &[KEY]);
+    let only = deployment.start_gateway().unwrap();
+    assert!(wait_until(|| deployment.log(only).iter().any(|it| it.contains("routes in force"))));
+    let mut caller = deployment.caller(only).unwrap().request("POST", "/commit/x", "r");
+    caller = caller.with_key(KEY).with_deadline_ms(4_000);
+    caller.send("body").unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    deployment.publish_endpoint(&one, false);
+    assert_eq!(caller.receive().unwrap().unwrap().status, 200);
+    deployment.close();
+}
+
 #[test]
 fn unreadable_record_harms_no_other() {
     let mut desk = Desk::start(1);
