--- a/crates/persimmonmountd/tests/process_gateway_input.rs
+++ b/crates/persimmonmountd/tests/process_gateway_input.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use persimmon_platform::standin::{Behaviour, Caller, Deployment, EndpointStandin, RouteSpec};
+use persimmon_platform::standin::{
+    Behaviour, Caller, Deployment, EndpointStandin, REQUEST_ID, RouteSpec,
+};
 use rstest::rstest;
 
 const KEY: &str = "key-1";
@@ -38,13 +40,18 @@
 /// A head with a route, a key and an identity, followed by `rest`.
 fn message(rest: &str) -> String {
     format!(
-        "POST /commit/x HTTP/1.1\r\nHost: calls.example\r\nAttempt-Id: bad\r\n\
+        "POST /commit/x HTTP/1.1\r\nHost: calls.example\r\n{REQUEST_ID}: bad\r\n\
          Authorization: Bearer {KEY}\r\n{rest}"
     )
 }
 
-const SMUGGLED: &str = "POST /commit/smuggled HTTP/1.1\r\nHost: calls.example\r\n\
-                        Attempt-Id: smuggled\r\nAuthorization: Bearer key-1\r\n\r\n";
+/// A second request, which must not be taken for one.
+fn smuggled() -> String {
+    format!(
+        "POST /commit/smuggled HTTP/1.1\r\nHost: calls.example\r\n{REQUEST_ID}: smuggled\r\n\
+         Authorization: Bearer {KEY}\r\n\r\n"
+    )
+}
 
 #[rstest]
 #[case::two_lengths("Content-Length: 0\r\nContent-Length: 5\r\n\r\n")]
@@ -58,15 +65,15 @@
 #[case::folded_header("X-Long: a\r\n b: c\r\n\r\n")]
 #[case::space_before_colon("Content-Length : 4\r\n\r\n1234")]
 #[case::bad_chunk_size("Transfer-Encoding: chunked\r\n\r\nzz\r\n")]
-#[case::second_identity("Attempt-Id: other\r\n\r\n")]
+#[case::second_identity(&format!("{REQUEST_ID}: other\r\n\r\n"))]
 #[case::second_host("Host: other.example\r\n\r\n")]
-#[case::identity_bound_to_connection("Connection: attempt-id\r\n\r\n")]
+#[case::identity_bound_to_connection(&format!("Connection: {REQUEST_ID}\r\n\r\n"))]
 #[case::key_bound_to_connection("Connection: close, authorization\r\n\r\n")]
 #[case::deadline_no_number("Deadline-Ms: soon\r\n\r\n")]
 fn head_that_reads_two_ways_is_refused(#[case] rest: &str) {
     let desk = Desk::start();
     let mut caller = desk.caller();
-    caller.send_raw((message(rest) + SMUGGLED).as_bytes()).unwrap();
+    caller.send_raw((message(rest) + &smuggled()).as_bytes()).unwrap();
     if let Ok(Some(answer)) = caller.receive() {
         assert_eq!(answer.status, 400, "{answer:?}");
         assert!(!answer.is_signed);
@@ -84,7 +91,7 @@
 fn head_with_both_framings_ends_its_connection(#[case] rest: &str) {
     let desk = Desk::start();
     let mut caller = desk.caller();
-    caller.send_raw((message(rest) + SMUGGLED).as_bytes()).unwrap();
+    caller.send_raw((message(rest) + &smuggled()).as_bytes()).unwrap();
     let answer = caller.receive().unwrap().unwrap();
     assert!(matches!(answer.status, 200 | 400) && answer.closes, "{answer:?}");
     assert!(caller.is_closed());
