Make the test of waiting for an endpoint reach the wait

Run with the wait switched off, it passed. Now an endpoint of another service is published, so that the gateway is ready and only the request's own service is empty. With the wait switched off it fails (503 for 200); with it, the file passed three times.

--- a/crates/persimmonmountd/tests/process_gateway_fleet.rs
+++ b/crates/persimmonmountd/tests/process_gateway_fleet.rs
@@ -146,9 +146,11 @@
 fn request_waits_for_an_endpoint_that_returns() {
     let mut deployment = Deployment::new(env!("CARGO_BIN_EXE_persimmonmountd"), 1).unwrap();
     let one = EndpointStandin::start("one", Behaviour::ok()).unwrap();
+    let unrelated = EndpointStandin::start("unrelated", Behaviour::ok()).unwrap();
+    deployment.publish_unrelated_endpoint(&unrelated);
     deployment.publish_routes(&[RouteSpec::once("commit")], &[KEY]);
     let only = deployment.start_gateway().unwrap();
-    assert!(wait_until(|| deployment.log(only).iter().any(|it| it.contains("routes in force"))));
+    deployment.wait_ready(only).unwrap();
     let mut caller = deployment.caller(only).unwrap().request("POST", "/commit/x", "r");
     caller = caller.with_key(KEY).with_deadline_ms(4_000);
     caller.send("body").unwrap();
