Take no refusal of another request for this one's; bound the memory for bodies

Cause, found on reading: an answer that says not run was believed before its request id was looked at. A late refusal of an earlier request on the same connection would have let a request that may run once go to a second endpoint. process_gateway_answers, case foreign_refusal, failed first by that reasoning: it wasn't run against the old code. A refusal that names no request is believed as before, since endpoints' refusals don't have to name one.

Bodies were bounded one by one only; many at once could exceed the VM's memory. All bodies together may hold 48 MiB now, beyond which a request is refused as not run, with a time to come back.

--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -208,17 +208,20 @@
         let names = self.gw.platform.headers();
         let headers = response.headers();
         let status = response.status();
+        let answered = headers.get(&names.request_id).map(HeaderValue::as_bytes);
+        let own = self.plan.head.id.as_bytes();
+        // A late answer to an earlier request says nothing of this one. Refusals may name no request.
+        if answered.is_some_and(|id| id != own) {
+            return Err(Missed::new(AttemptOutcome::Unknown, "foreign_answer"));
+        }
         if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
             let why =
                 if status == StatusCode::MISDIRECTED_REQUEST { "misdirected" } else { "refused" };
             self.keep_line(response, line, &in_flight).await;
             return Err(Missed::new(AttemptOutcome::NotRun, why));
         }
-        let is_own = headers
-            .get(&names.request_id)
-            .is_some_and(|id| id.as_bytes() == self.plan.head.id.as_bytes());
-        if !is_own {
-            return Err(Missed::new(AttemptOutcome::Unknown, "foreign_answer"));
+        if answered.is_none() {
+            return Err(Missed::new(AttemptOutcome::Unknown, "unnamed_answer"));
         }
         let is_signed = headers.contains_key(&names.signature);
         if status.is_success() && (!is_signed || headers.contains_key(CONTENT_ENCODING)) {
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -78,7 +78,7 @@
 #[derive(Debug)]
 pub(crate) struct Exchange<P: Platform> {
     pub(crate) gw: Rc<Gateway<P>>,
-    pub(crate) plan: Rc<Plan>,
+    pub(crate) plan: Rc<Plan<P>>,
     log: AttemptLog,
     tried: Vec<EndpointHash>,
     sends: u32,
@@ -87,7 +87,7 @@
 }
 
 impl<P: Platform> Exchange<P> {
-    pub(crate) fn new(gw: Rc<Gateway<P>>, plan: Rc<Plan>, in_progress: InProgress<P>) -> Self {
+    pub(crate) fn new(gw: Rc<Gateway<P>>, plan: Rc<Plan<P>>, in_progress: InProgress<P>) -> Self {
         let log = AttemptLog::new(plan.route.repeatable, plan.route.max_attempts);
         let (tried, sends) = (Vec::new(), 0);
         Self { gw, plan, log, tried, sends, is_answered: false, _in_progress: in_progress }
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! The state that all tasks of a gateway share. They run on one thread.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use tokio::sync::Notify;
 
@@ -24,6 +24,8 @@
     pub(crate) journal: Journal,
     /// What is known of the platform's records may be old: read them again.
     pub(crate) resync: Notify,
+    /// Bytes of callers' bodies that are held.
+    pub(crate) body_bytes: Cell<usize>,
     /// Routes and endpoints are known.
     pub(crate) configured: Notify,
     /// Something has changed that the other gateways should hear of at once.
@@ -44,6 +46,7 @@
             metrics,
             journal: Journal::new(),
             resync: Notify::new(),
+            body_bytes: Cell::new(0),
             configured: Notify::new(),
             tell_now: Notify::new(),
         }
--- a/crates/persimmon_gateway/src/in_flight.rs
+++ b/crates/persimmon_gateway/src/in_flight.rs
@@ -58,6 +58,41 @@
     }
 }
 
+/// Memory for a caller's body, held as long as the body may be sent again.
+#[derive(Debug)]
+pub(crate) struct HeldBody<P: Platform> {
+    gw: Rc<Gateway<P>>,
+    bytes: usize,
+}
+
+impl<P: Platform> HeldBody<P> {
+    /// Memory for all bodies together, in bytes: a small part of what an entry VM has, and many
+    /// times what usual requests need at once.
+    const MAX_BYTES: usize = 48 * 1024 * 1024;
+
+    /// Takes memory for a body, if there is any left.
+    pub(crate) fn reserve(gw: &Rc<Gateway<P>>, bytes: usize) -> Option<Self> {
+        let held = gw.body_bytes.get() + bytes;
+        if held > Self::MAX_BYTES {
+            return None;
+        }
+        gw.body_bytes.set(held);
+        Some(Self { gw: gw.clone(), bytes })
+    }
+
+    /// Holds as much as the body has turned out to need.
+    pub(crate) fn resize(&mut self, bytes: usize) {
+        self.gw.body_bytes.set(self.gw.body_bytes.get() - self.bytes + bytes);
+        self.bytes = bytes;
+    }
+}
+
+impl<P: Platform> Drop for HeldBody<P> {
+    fn drop(&mut self) {
+        self.gw.body_bytes.set(self.gw.body_bytes.get() - self.bytes);
+    }
+}
+
 /// Counts a caller's request while it is in progress.
 #[derive(Debug)]
 pub(crate) struct InProgress<P: Platform>(Rc<Gateway<P>>);
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -13,9 +13,12 @@
 use crate::exchange::NO_ENDPOINT_RETRY_MS;
 use crate::gateway::Gateway;
 use crate::head::RequestHead;
+use crate::in_flight::HeldBody;
 use crate::platform::Platform;
 use crate::refusal::Refusal;
 
+/// Memory taken for a body while its length isn't known, in bytes.
+const UNSTATED_BODY_BYTES: usize = 64 * 1024;
 /// Longest time that a request waits for a gateway that has just started, in milliseconds, and the
 /// part of its caller's time that it may take.
 const START_WAIT_MS: u64 = 1_000;
@@ -23,12 +26,13 @@
 
 /// What stays the same over all attempts of one request.
 #[derive(Debug)]
-pub(crate) struct Plan {
+pub(crate) struct Plan<P: Platform> {
     pub(crate) head: RequestHead,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) workspace: Option<Workspace>,
     pub(crate) body: Bytes,
+    _held: HeldBody<P>,
     pub(crate) content: Fingerprint,
     pub(crate) arrived: MonoMs,
     /// When the caller or the route's timeout gives the request up.
@@ -41,14 +45,16 @@
     head: RequestHead,
     body: Incoming,
     arrived: MonoMs,
-) -> Result<Plan, Refusal> {
+) -> Result<Plan<P>, Refusal> {
     wait_until_configured(gw, head.deadline_ms).await;
     let routes = gw.control.borrow().routes.clone().ok_or(Refusal::NotConfigured)?;
     let (route, workspace) = find_route(&routes, &head)?;
     let deadline = deadline_of(&head, &route, arrived);
     check_leaving(gw, &route, deadline, arrived)?;
     let max_bytes = routes.limits.max_body_bytes;
+    let mut held = reserve_body(gw, &body, max_bytes)?;
     let body = read_body(gw, body, max_bytes, deadline).await?;
+    held.resize(body.len());
     let content = content_of(&head, workspace.as_ref(), &body);
     let now = gw.clock.now();
     let mut control = gw.control.borrow_mut();
@@ -59,7 +65,7 @@
     let service = route.service_for(draw).cloned();
     let service = service.ok_or(Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS })?;
     control.record_fresh(&service, now);
-    Ok(Plan { head, route, service, workspace, body, content, arrived, deadline })
+    Ok(Plan { head, route, service, workspace, body, _held: held, content, arrived, deadline })
 }
 
 /// Holds a request that reached a gateway that has just started until it knows the routes, which
@@ -107,6 +113,18 @@
     }
 }
 
+/// Takes memory for a body of the stated length, or of a usual one if none is stated.
+fn reserve_body<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    body: &Incoming,
+    max_bytes: usize,
+) -> Result<HeldBody<P>, Refusal> {
+    let stated = body.size_hint().upper().and_then(|it| usize::try_from(it).ok());
+    let bytes = stated.unwrap_or(UNSTATED_BODY_BYTES).min(max_bytes);
+    let full = Refusal::Overloaded { retry_after_ms: NO_ENDPOINT_RETRY_MS };
+    HeldBody::reserve(gw, bytes).ok_or(full)
+}
+
 /// Reads the whole body, so that it can be sent again.
 async fn read_body<P: Platform>(
     gw: &Rc<Gateway<P>>,
--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -280,7 +280,7 @@
 /// One of the ways in which an endpoint fails a request.
 fn failing(kind: u8) -> Behaviour {
     let cut = Behaviour::Stream { events: STREAM_EVENTS, pause: EVENT_PAUSE, cut_after: Some(2) };
-    match kind % 10 {
+    match kind % 11 {
         0 => Behaviour::Answer { status: 500, body: "failed".into() },
         1 => Behaviour::NotRun,
         2 => Behaviour::Misdirected,
@@ -290,6 +290,7 @@
         6 => Behaviour::Unsigned,
         7 => Behaviour::ExtraAnswer,
         8 => Behaviour::HalfBody,
+        9 => Behaviour::ForeignRefusal,
         _ => cut,
     }
 }
--- a/crates/persimmonmountd/tests/process_gateway_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_answers.rs
@@ -90,6 +90,7 @@
 #[rstest]
 #[case::closed(Behaviour::CloseUnanswered, 502)]
 #[case::foreign(Behaviour::ForeignAnswer, 502)]
+#[case::foreign_refusal(Behaviour::ForeignRefusal, 502)]
 #[case::unsigned(Behaviour::Unsigned, 502)]
 #[case::half(Behaviour::HalfBody, 502)]
 #[case::failed(Behaviour::Answer { status: 500, body: "no".to_owned() }, 500)]
--- a/crates/persimmonmountd/tests/process_gateway_input.rs
+++ b/crates/persimmonmountd/tests/process_gateway_input.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use persimmon_platform::standin::{
-    Behaviour, Caller, Deployment, EndpointStandin, REQUEST_ID, RouteSpec,
+    Behaviour, Caller, Deployment, EndpointStandin, REQUEST_ID, RouteSpec, wait_until,
 };
 use rstest::rstest;
 
@@ -183,6 +183,36 @@
     desk.deployment.close();
 }
 
+/// Eighty half-sent bodies of 2 MB are more than the gateway's memory for bodies.
+#[test]
+fn many_half_sent_bodies_are_bounded() {
+    let mut desk = Desk::start();
+    desk.deployment.set_max_body_bytes(2_000_000);
+    desk.deployment.publish_routes(&[RouteSpec::once("large")], &[KEY]);
+    let head = message("Content-Length: 1999000\r\n\r\nhalf").replace("/commit/", "/large/");
+    let is_in_force = || {
+        let caller = desk.caller().request("POST", "/large/x", "honest").with_key(KEY);
+        caller.with_deadline_ms(1_000).call("body").unwrap().status == 200
+    };
+    assert!(wait_until(is_in_force));
+    let mut open: Vec<_> = (0..80).map(|_| desk.caller()).collect();
+    for caller in &mut open {
+        caller.send_raw(head.as_bytes()).unwrap();
+    }
+    for caller in open.iter_mut().rev().take(20) {
+        let answer = caller.receive().unwrap().unwrap();
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.retry_after_s.is_some());
+    }
+    open.into_iter().for_each(Caller::close);
+    // Memory is free again once the callers have left.
+    let body = "x".repeat(1_900_000);
+    assert!(wait_until(|| {
+        let caller = desk.caller().request("POST", "/large/x", "honest").with_key(KEY);
+        caller.with_deadline_ms(4_000).call(&body).unwrap().status == 200
+    }));
+    desk.deployment.close();
+}
 #[test]
 fn many_silent_connections_hold_nobody_up() {
     let desk = Desk::start();
