--- a/crates/persimmonmountd/tests/process_gateway_input.rs
+++ b/crates/persimmonmountd/tests/process_gateway_input.rs
@@ -213,6 +213,7 @@
     }));
     desk.deployment.close();
 }
+
 #[test]
 fn many_silent_connections_hold_nobody_up() {
     let desk = Desk::start();
