Stop all gateways of a soak at once

A run of 24 gateways didn't end within 80 s: each was stopped only when the one before had ended, which takes three seconds and more.

--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -249,6 +249,8 @@
         for gateway in 0..self.deployment.len() {
             // An error says that it has ended already, which the wait shows.
             let _ = self.deployment.stop(gateway);
+        }
+        for gateway in 0..self.deployment.len() {
             match self.deployment.wait_ended(gateway) {
                 Ok(status) if status.code() == Some(0) || self.restarting.contains(&gateway) => {}
                 Ok(status) => findings.push(Finding {
