--- a/crates/persimmon_decide/src/forward/attempt.rs
+++ b/crates/persimmon_decide/src/forward/attempt.rs
@@ -57,11 +57,6 @@
         Self { repeatable, max_runs: max_attempts.max(1), runs: 0, sends: 0, tries: 0 }
     }
 
-    /// Whether the next send repeats an earlier one.
-    pub fn is_repeat(&self) -> bool {
-        self.sends > 0
-    }
-
     /// Whether an endpoint may have run it.
     pub fn may_have_run(&self) -> bool {
         self.runs > 0
--- a/crates/persimmon_decide/src/forward/directory.rs
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use super::{Endpoint, EndpointId, EndpointState};
-use crate::load::EndpointHash;
 
 /// The published endpoints, by identity and by service.
 #[derive(Debug, Default)]
@@ -52,11 +51,6 @@
         self.by_id.get(id)
     }
 
-    /// Whether an endpoint is published, by its hash.
-    pub fn contains(&self, endpoint: EndpointHash) -> bool {
-        self.by_id.values().any(|it| it.hash == endpoint)
-    }
-
     /// Every endpoint.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.by_id.values()
--- a/crates/persimmon_decide/src/forward/route.rs
+++ b/crates/persimmon_decide/src/forward/route.rs
@@ -190,9 +190,4 @@
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.services.get(name)
     }
-
-    /// Every route.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.by_host.values().flatten()
-    }
 }
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -1,6 +1,6 @@
 //! The control state: everything that the decisions know.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -278,10 +278,10 @@
         }
     }
 
-    /// Forgets the health of endpoints that are no longer published.
-    pub(crate) fn forget_unpublished(&mut self) {
-        let published: std::collections::HashSet<EndpointHash> =
-            self.directory.iter().map(|endpoint| endpoint.hash).collect();
+    /// Forgets the health of endpoints that are no longer published. Returns those that are.
+    pub(crate) fn forget_unpublished(&mut self) -> HashSet<EndpointHash> {
+        let published: HashSet<_> = self.directory.iter().map(|endpoint| endpoint.hash).collect();
         self.health.retain(|endpoint| published.contains(&endpoint));
+        published
     }
 }
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -133,8 +133,7 @@
     let now = gw.clock.now();
     let mut control = gw.control.borrow_mut();
     control.expire(now);
-    control.forget_unpublished();
-    let published: Vec<_> = control.directory.iter().map(|it| it.hash).collect();
+    let published = control.forget_unpublished();
     drop(control);
     gw.upstream.sweep(|endpoint| published.contains(&endpoint));
 }
