Take an engine that closes before its answer's head as crashed

Ruled out: the stand-in's own 503s (queue full, 2,048 handlers; its counters say 0 refused), a port taken by another fleet, the health watch.

Before: with an engine that crashes before the head, one request took down five of five engines and the caller was told to come back after 1 s; both new cases failed so. After: both pass. Conclusion: an answer without a head is an answer that broke off.

--- a/crates/persimmon_standins/src/engine/builder.rs
+++ b/crates/persimmon_standins/src/engine/builder.rs
@@ -17,6 +17,7 @@
     pub(super) load_lag: Duration,
     pub(super) checks_fence: bool,
     pub(super) crash_marker: Option<String>,
+    pub(super) crashes_before_head: bool,
     pub(super) crash_downtime: Duration,
 }
 
@@ -42,6 +43,7 @@
                 load_lag: Duration::ZERO,
                 checks_fence: false,
                 crash_marker: None,
+                crashes_before_head: false,
                 crash_downtime: Duration::from_millis(500),
             },
             models: vec![model.into()],
@@ -128,6 +130,13 @@
         self
     }
 
+    /// Sets whether a request with the crash marker gets no part of an answer, not even its head.
+    #[must_use]
+    pub fn with_crashes_before_head(mut self, crashes_before_head: bool) -> Self {
+        self.settings.crashes_before_head = crashes_before_head;
+        self
+    }
+
     /// Sets how long connections are refused after a crash.
     #[must_use]
     pub fn with_crash_downtime(mut self, downtime: Duration) -> Self {
--- a/crates/persimmon_standins/src/engine/generate.rs
+++ b/crates/persimmon_standins/src/engine/generate.rs
@@ -85,6 +85,9 @@
         if slot == Err(Stopped::Crashed) {
             return;
         }
+        if self.settings.crashes_before_head && ticket.crash_if_marked(body).is_err() {
+            return;
+        }
         let Ok(mut lines) = call.into_lines() else {
             return;
         };
--- a/crates/persimmonmountd/src/sidecar/engine.rs
+++ b/crates/persimmonmountd/src/sidecar/engine.rs
@@ -217,6 +217,9 @@
         Err(err) => return EngineNews::Failed(failure_before_answer(address, &err)),
     };
     let status = response.status_code;
+    if lacks_head(status, &response.headers) {
+        return EngineNews::Failed(EngineFailure::BrokenOff { life: engine_life(address) });
+    }
     if status != 200 {
         return EngineNews::Failed(EngineFailure::Refused(status));
     }
@@ -226,6 +229,12 @@
     }
 }
 
+/// Whether the connection was closed before an answer began. `minreq` then makes up a 503 without
+/// headers, which isn't the engine's word that it refused.
+fn lacks_head(status: u16, headers: &[(String, String)]) -> bool {
+    status == 503 && headers.is_empty()
+}
+
 /// A connection that was refused carried nothing; after any other error the engine may have run.
 fn failure_before_answer(address: SocketAddr, err: &minreq::Error) -> EngineFailure {
     match err {
--- a/crates/persimmonmountd/tests/process_quarantine.rs
+++ b/crates/persimmonmountd/tests/process_quarantine.rs
@@ -15,8 +15,13 @@
 const MAX_LOST: usize = 2;
 const DEADLINE: Duration = Duration::from_secs(30);
 
-fn start_fleet() -> Fleet {
-    let engine = || Engine::builder(MODEL).with_slots(8).with_crash_marker(MARKER);
+fn start_fleet(crashes_before_head: bool) -> Fleet {
+    let engine = || {
+        Engine::builder(MODEL)
+            .with_slots(8)
+            .with_crash_marker(MARKER)
+            .with_crashes_before_head(crashes_before_head)
+    };
     let mut builder = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"));
     for router in ROUTERS {
         builder = builder.with_router(router, "zone-a");
@@ -35,11 +40,15 @@
 
 /// The caller pays no heed to `Retry-After`.
 #[rstest]
-#[case::at_once(Duration::ZERO)]
-#[case::each_second(Duration::from_secs(1))]
-fn crashing_request_takes_down_two_engines_at_most(#[case] pause: Duration) {
+#[case::at_once(Duration::ZERO, false)]
+#[case::each_second(Duration::from_secs(1), false)]
+#[case::before_the_head(Duration::ZERO, true)]
+fn crashing_request_takes_down_two_engines_at_most(
+    #[case] pause: Duration,
+    #[case] crashes_before_head: bool,
+) {
     const TRIES: usize = 12;
-    let fleet = start_fleet();
+    let fleet = start_fleet(crashes_before_head);
     let request = ChatRequest::new(MODEL, MARKER).with_max_tokens(4);
     for attempt in 0..TRIES {
         let router = ROUTERS[attempt % ROUTERS.len()];
@@ -60,9 +69,11 @@
     fleet.close();
 }
 
-#[test]
-fn caller_is_told_when_to_come_back() {
-    let fleet = start_fleet();
+#[rstest]
+#[case::in_the_answer(false)]
+#[case::before_the_head(true)]
+fn caller_is_told_when_to_come_back(#[case] crashes_before_head: bool) {
+    let fleet = start_fleet(crashes_before_head);
     let request = ChatRequest::new(MODEL, MARKER).with_max_tokens(4);
     let reply = fleet.caller("router-1").unwrap().chat(&request).unwrap();
     let failure = reply.failure().expect("a failure with its outcome");
