Judge an engine's crash by the life in which each run began

Cause: the sidecar compared the life found after an answer broke off with the last life known. Where the watch of the engine's health had seen the next life before, both were equal, so the crash counted as a cut: nothing was recorded and the request went on to the next engine.

The stand-in now crashes in that order if told so.

Conclusion: each run keeps the life in which it began; a crash ends just the runs of earlier lives.

--- a/crates/persimmon_standins/src/engine/mod.rs
+++ b/crates/persimmon_standins/src/engine/mod.rs
@@ -191,12 +191,24 @@
         self.changed.notify_all();
     }
 
+    /// Waits until a health check was answered in this life.
+    fn wait_for_health_check(&self) {
+        let unseen =
+            |state: &mut State| state.health_seen_in != Some(state.incarnation) && !state.closed;
+        let waited = self.changed.wait_while(self.state(), unseen);
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
+    }
+
     fn crash(&self) {
         self.state().crash();
         self.changed.notify_all();
         let Some(relay) = self.relay.get().cloned() else {
             return;
         };
+        if self.settings.crash_is_seen_first {
+            self.wait_for_health_check();
+            return relay.cut();
+        }
         relay.refuse();
         relay.cut();
         let downtime = self.settings.crash_downtime;
--- a/crates/persimmon_standins/src/engine/routes.rs
+++ b/crates/persimmon_standins/src/engine/routes.rs
@@ -81,6 +81,8 @@
             (Method::Get, ["health"]) => {
                 let incarnation = self.state().incarnation;
                 call.reply_json(200, &HealthAnswer { incarnation });
+                self.state().health_seen_in = Some(incarnation);
+                self.changed.notify_all();
             }
             _ => call.reply_empty(404),
         }
--- a/crates/persimmon_standins/src/engine/state.rs
+++ b/crates/persimmon_standins/src/engine/state.rs
@@ -59,6 +59,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) incarnation: u64,
+    /// The life in which a health check was answered last.
+    pub(super) health_seen_in: Option<u64>,
     pub(super) closed: bool,
     pub(super) frozen: bool,
     pub(super) slowness: u32,
@@ -78,6 +80,7 @@
     pub(super) fn new(incarnation: u64, models: Vec<String>, cache: PrefixCache) -> Self {
         Self {
             incarnation,
+            health_seen_in: None,
             closed: false,
             frozen: false,
             slowness: 1,
--- a/crates/persimmonmountd/src/sidecar/runs/progress.rs
+++ b/crates/persimmonmountd/src/sidecar/runs/progress.rs
@@ -66,6 +66,7 @@
             }
         }
         let Some(run) = self.runs.get_mut(&key) else { return };
+        run.engine_life = self.engine_life;
         let Some(engine_run) = engine_run(key, run) else {
             self.on_end(core, key, StreamEnd::Cut);
             return;
@@ -166,16 +167,16 @@
         self.on_end(core, key, end);
     }
 
-    /// Notes the requests in progress if the engine's life has ended since they began.
+    /// Notes the requests in progress whose life of the engine has ended since they began. The
+    /// watch of the engine's health may have seen the next life before.
     pub(super) fn note_crash(&mut self, core: &mut Core, life: Option<u64>) {
-        if life.is_some() && life == self.engine_life {
-            return;
-        }
         self.engine_life = life;
         let now = core.now();
         let mut in_progress = Vec::new();
         for run in self.runs.values_mut() {
-            if matches!(run.stage, Stage::Running { .. } | Stage::Cancelling) && !run.has_crashed {
+            let is_running = matches!(run.stage, Stage::Running { .. } | Stage::Cancelling);
+            let has_outlived = life.is_none() || run.engine_life != life;
+            if is_running && has_outlived && !run.has_crashed {
                 run.has_crashed = true;
                 in_progress.push(run.req.fingerprint);
             }
@@ -183,6 +184,9 @@
         if life.is_none() {
             self.engine_down_until = now.plus_ms(ENGINE_DOWN_MS);
         }
+        if in_progress.is_empty() {
+            return;
+        }
         tracing::warn!(
             "sidecar: the engine crashed with {} requests in progress.",
             in_progress.len()
--- a/crates/persimmonmountd/src/sidecar/runs/run.rs
+++ b/crates/persimmonmountd/src/sidecar/runs/run.rs
@@ -41,6 +41,8 @@
     /// How the run ended, while lines are still held.
     pub(super) ended: Option<StreamEnd>,
     pub(super) tokens: u64,
+    /// The engine's life as it was known when the run began; none if it wasn't known.
+    pub(super) engine_life: Option<u64>,
     /// Whether the engine crashed while it ran.
     pub(super) has_crashed: bool,
     /// Whether it has to run alone.
--- a/crates/persimmonmountd/src/sidecar/runs/submission.rs
+++ b/crates/persimmonmountd/src/sidecar/runs/submission.rs
@@ -159,6 +159,7 @@
             held: VecDeque::new(),
             ended: None,
             tokens: 0,
+            engine_life: None,
             has_crashed: false,
             is_alone,
         };
--- a/crates/persimmonmountd/tests/process_quarantine.rs
+++ b/crates/persimmonmountd/tests/process_quarantine.rs
@@ -15,12 +15,24 @@
 const MAX_LOST: usize = 2;
 const DEADLINE: Duration = Duration::from_secs(30);
 
-fn start_fleet(crashes_before_head: bool) -> Fleet {
+/// How an engine crashes under a request with the marker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Crash {
+    /// After the head of its answer.
+    InAnswer,
+    /// Before the head of its answer.
+    BeforeHead,
+    /// The sidecar sees the next life before the answer breaks off.
+    SeenFirst,
+}
+
+fn start_fleet(crash: Crash) -> Fleet {
     let engine = || {
         Engine::builder(MODEL)
             .with_slots(8)
             .with_crash_marker(MARKER)
-            .with_crashes_before_head(crashes_before_head)
+            .with_crashes_before_head(crash == Crash::BeforeHead)
+            .with_crash_seen_first(crash == Crash::SeenFirst)
     };
     let mut builder = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"));
     for router in ROUTERS {
@@ -40,15 +52,13 @@
 
 /// The caller pays no heed to `Retry-After`.
 #[rstest]
-#[case::at_once(Duration::ZERO, false)]
-#[case::each_second(Duration::from_secs(1), false)]
-#[case::before_the_head(Duration::ZERO, true)]
-fn crashing_request_takes_down_two_engines_at_most(
-    #[case] pause: Duration,
-    #[case] crashes_before_head: bool,
-) {
+#[case::at_once(Duration::ZERO, Crash::InAnswer)]
+#[case::each_second(Duration::from_secs(1), Crash::InAnswer)]
+#[case::before_the_head(Duration::ZERO, Crash::BeforeHead)]
+#[case::seen_first(Duration::ZERO, Crash::SeenFirst)]
+fn crashing_request_takes_down_two_engines_at_most(#[case] pause: Duration, #[case] crash: Crash) {
     const TRIES: usize = 12;
-    let fleet = start_fleet(crashes_before_head);
+    let fleet = start_fleet(crash);
     let request = ChatRequest::new(MODEL, MARKER).with_max_tokens(4);
     for attempt in 0..TRIES {
         let router = ROUTERS[attempt % ROUTERS.len()];
@@ -70,10 +80,11 @@
 }
 
 #[rstest]
-#[case::in_the_answer(false)]
-#[case::before_the_head(true)]
-fn caller_is_told_when_to_come_back(#[case] crashes_before_head: bool) {
-    let fleet = start_fleet(crashes_before_head);
+#[case::in_the_answer(Crash::InAnswer)]
+#[case::before_the_head(Crash::BeforeHead)]
+#[case::seen_first(Crash::SeenFirst)]
+fn caller_is_told_when_to_come_back(#[case] crash: Crash) {
+    let fleet = start_fleet(crash);
     let request = ChatRequest::new(MODEL, MARKER).with_max_tokens(4);
     let reply = fleet.caller("router-1").unwrap().chat(&request).unwrap();
     let failure = reply.failure().expect("a failure with its outcome");
