Carry a request through the router in one direction, and calls by their dispatch

Eight files of the router imported one another. Now front -> routes -> chat, answers, services -> respond -> render, tokens -> exchange, call_exchange, credit -> context -> control, pool, command -> failure, and no file imports one before it. `traffic` is split into `front` (accepting, threads) and `context` (what a thread holds); tokens, the response to a model's answer and the failure of an end have files of their own.

Calls to services had a retry loop of their own in services.rs. They now go by Dispatch, like model requests, with sidecars that attach a call which is sent again (`with_attaching`).

Cause of a fault found on the way: each worker was given the whole deadline anew. A reply that doesn't come now makes its worker suspect for every call, not only for those with a claim. Conclusion: the deadline is the request's, and one decision governs both kinds of request.

--- a/crates/persimmon_decide/src/outcome/dispatch.rs
+++ b/crates/persimmon_decide/src/outcome/dispatch.rs
@@ -67,6 +67,8 @@
     may_have_run: bool,
     /// Whether a piece of the answer has reached the caller.
     delivered: bool,
+    /// Whether a sidecar attaches the same attempt, sent again, to the earlier sending.
+    attaches: bool,
     last_refusal: Option<Refusal>,
     retry_after_ms: Option<u64>,
 }
@@ -84,11 +86,21 @@
             // Another router may have sent the same claim before.
             may_have_run: repeatability == Repeatability::Once,
             delivered: false,
+            attaches: false,
             last_refusal: None,
             retry_after_ms: None,
         }
     }
 
+    /// A call whose sidecar attaches the same attempt, sent again, to the run in progress or repeats
+    /// its answer. A lost reply is then neither settled nor resumed: a call that may not be repeated
+    /// is sent again to its owner, and any other is given up for another candidate.
+    #[must_use]
+    pub fn with_attaching(mut self) -> Self {
+        self.attaches = true;
+        self
+    }
+
     /// Whether the final answer has been given.
     pub fn is_finished(&self) -> bool {
         self.state == State::Finished
@@ -193,6 +205,8 @@
 
     fn on_lost(&mut self) -> Vec<Action> {
         match self.state {
+            State::Submitted if self.attaches && self.is_once() => self.reconnect(State::Submitted),
+            State::Submitted if self.attaches => self.give_up_attempt(),
             State::Submitted | State::Settling => self.reconnect(State::Settling),
             State::Streaming | State::Resuming => self.reconnect(State::Resuming),
             State::New | State::AwaitingBudget | State::Finished => Vec::new(),
@@ -248,6 +262,7 @@
         let candidate = self.candidate();
         let attempt = Attempt(self.attempt);
         match to {
+            State::Submitted => vec![Action::Submit { candidate, attempt }],
             State::Settling => vec![Action::Settle { candidate, attempt }],
             _ => vec![Action::Resume { candidate, attempt }],
         }
@@ -257,7 +272,8 @@
     fn give_up_attempt(&mut self) -> Vec<Action> {
         self.may_have_run = true;
         if self.is_once() {
-            return self.finish(Outcome::Unknown, Cause::Broken);
+            let cause = if self.attaches { Cause::Unreachable } else { Cause::Broken };
+            return self.finish(Outcome::Unknown, cause);
         }
         let mut actions = vec![self.cancel()];
         if self.delivered {
--- a/crates/persimmon_decide/tests/outcome_dispatch.rs
+++ b/crates/persimmon_decide/tests/outcome_dispatch.rs
@@ -26,6 +26,56 @@
     first.into_iter().chain(events.iter().flat_map(|event| dispatch.handle(*event))).collect()
 }
 
+/// Everything asked for while these events happen to a call with three candidates, whose sidecars
+/// attach it to its earlier sending.
+fn play_attaching(kind: Repeatability, events: &[Event]) -> Vec<Action> {
+    let mut dispatch = Dispatch::new(kind, 3, limits()).with_attaching();
+    let first = dispatch.start();
+    first.into_iter().chain(events.iter().flat_map(|event| dispatch.handle(*event))).collect()
+}
+
+/// A call that may not be repeated goes again to its owner only; one that may goes elsewhere, within
+/// the budget.
+#[rstest]
+#[case::once_is_sent_again(Once, &[Event::Lost { attempt: A1 }, ended(StreamEnd::Whole)], &[
+    submit(A1), submit(A1), finish(Outcome::Done, Cause::Answered),
+])]
+#[case::once_is_given_up(Once, &[Event::Lost { attempt: A1 }; 3], &[
+    submit(A1), submit(A1), submit(A1), finish(Outcome::Unknown, Cause::Unreachable),
+])]
+#[case::once_is_refused_again(
+    Once,
+    &[Event::Lost { attempt: A1 }, refused(A1, Refusal::EarlierRunUnknown)],
+    &[
+        submit(A1),
+        submit(A1),
+        finish(Outcome::Unknown, Cause::Refused(Refusal::EarlierRunUnknown)),
+    ],
+)]
+#[case::repeatable_goes_on(Repeatable, &[Event::Lost { attempt: A1 }, Event::Budget { granted: true }], &[
+    submit(A1), cancel(A1), Action::AskBudget, submit(A2),
+])]
+#[case::repeatable_is_out_of_budget(
+    Repeatable,
+    &[Event::Lost { attempt: A1 }, Event::Budget { granted: false }],
+    &[
+        submit(A1),
+        cancel(A1),
+        Action::AskBudget,
+        finish(Outcome::Unknown, Cause::BudgetSpent),
+    ],
+)]
+#[case::repeatable_at_its_deadline(Repeatable, &[Event::DeadlinePassed], &[
+    submit(A1), cancel(A1), finish(Outcome::Unknown, Cause::DeadlinePassed),
+])]
+fn call_attaches_to_its_earlier_sending(
+    #[case] kind: Repeatability,
+    #[case] events: &[Event],
+    #[case] expected: &[Action],
+) {
+    assert_eq!(play_attaching(kind, events), expected);
+}
+
 fn submit(attempt: Attempt) -> Action {
     Action::Submit { candidate: attempt.0 as usize - 1, attempt }
 }
--- a/crates/persimmonmountd/src/router/answers.rs
+++ b/crates/persimmonmountd/src/router/answers.rs
@@ -4,33 +4,19 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use persimmon_decide::outcome::{Dispatch, DispatchLimits, Repeatability, Stamp};
-use persimmon_decide::{Attempt, Fingerprint, Offset, RequestId};
-use persimmon_records::{EndpointName, ModelName, WorkspaceName};
+use persimmon_decide::outcome::{Dispatch, DispatchLimits, Repeatability};
+use persimmon_decide::{Fingerprint, Offset};
 use persimmon_wire::{ModelRequest, RequestRef};
-use serde::{Deserialize, Serialize};
 
 use super::body::Reply;
-use super::chat::respond;
 use super::command::Wanted;
+use super::context::TrafficCx;
 use super::exchange::{Exchange, ExchangeParts, PIECES_WAITING};
 use super::failure::Failure;
 use super::head::Head;
 use super::render::RenderParts;
-use super::routes::plan;
-use super::traffic::TrafficCx;
-
-/// Names an answer in progress: which sidecar keeps it, and for whom. The caller carries it sealed.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(crate) struct AnswerToken {
-    pub(crate) workspace: WorkspaceName,
-    pub(crate) request_id: RequestId,
-    pub(crate) endpoint: EndpointName,
-    pub(crate) stamp: Stamp,
-    pub(crate) attempt: Attempt,
-    pub(crate) model: ModelName,
-}
+use super::respond::respond;
+use super::tokens::AnswerToken;
 
 /// Gives the rest of an answer from an offset on, as events.
 ///
@@ -48,7 +34,8 @@
         let message = format!("the answer token can't be used: {err}");
         Failure::bad_request(StatusCode::BAD_REQUEST, "bad-answer-token", message)
     })?;
-    let plan = plan(cx, head, Wanted::Answer { endpoint: token.endpoint.clone() }).await?;
+    let wanted = Wanted::Answer { endpoint: token.endpoint.clone() };
+    let plan = cx.plan(head.wanting(wanted)).await?;
     if plan.workspace != token.workspace {
         return Err(Failure::bad_request(
             StatusCode::FORBIDDEN,
--- /dev/null
+++ b/crates/persimmonmountd/src/router/call_exchange.rs
@@ -0,0 +1,192 @@
+//! Takes one call through the workers of its service, as its dispatch decides.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::header::HeaderValue;
+use hyper::{Response, StatusCode};
+use persimmon_decide::outcome::{
+    Action, Cause, Dispatch, DispatchLimits, Event, Final, Outcome, Repeatability, StreamEnd,
+};
+use persimmon_decide::{Attempt, MonoMs};
+use persimmon_records::Class;
+use persimmon_wire::{CallReply, ServiceCall};
+use tokio::time::timeout;
+
+use super::body::{self, Reply};
+use super::command::{Command, PlannedEndpoint};
+use super::context::TrafficCx;
+use super::failure::Failure;
+use super::head::Head;
+use super::pool::Link;
+
+/// Times that a call goes again to its owner over a new connection: once for a connection that broke
+/// while it wasn't in use.
+const MAX_AGAIN: u32 = 1;
+
+/// A worker's answer to a call.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    body: Arc<str>,
+    /// Whether it repeats the answer of an earlier sending.
+    repeated: bool,
+}
+
+/// One call on its way.
+pub(crate) struct CallExchange {
+    cx: Rc<TrafficCx>,
+    /// The call, without what differs between sendings.
+    call: ServiceCall,
+    endpoints: Vec<PlannedEndpoint>,
+    dispatch: Dispatch,
+    deadline: MonoMs,
+    /// The attempt that was sent last.
+    sent: Option<Attempt>,
+    answer: Option<Answer>,
+    /// Why the last worker can't tell what became of the call.
+    unknown: Option<String>,
+}
+
+impl CallExchange {
+    /// A call that hasn't been sent. With a claim it goes to the claim's owner only.
+    pub(crate) fn new(
+        cx: Rc<TrafficCx>,
+        head: &Head,
+        endpoints: Vec<PlannedEndpoint>,
+        call: ServiceCall,
+    ) -> Self {
+        let repeatability = match call.claim {
+            Some(_) => Repeatability::Once,
+            None => Repeatability::Repeatable,
+        };
+        let limits = DispatchLimits { max_reconnects: MAX_AGAIN, ..DispatchLimits::default() };
+        let dispatch = Dispatch::new(repeatability, endpoints.len(), limits).with_attaching();
+        let deadline = cx.clock.now().plus_ms(head.deadline_ms(Class::Quick));
+        Self { cx, call, endpoints, dispatch, deadline, sent: None, answer: None, unknown: None }
+    }
+
+    /// Runs the call.
+    ///
+    /// # Errors
+    ///
+    /// It was refused, or may have run without an answer.
+    pub(crate) async fn run(mut self) -> Result<Response<Reply>, Failure> {
+        let mut actions: VecDeque<_> = self.dispatch.start().into();
+        while let Some(action) = actions.pop_front() {
+            let event = match action {
+                Action::Submit { candidate, attempt } => self.submit(candidate, attempt).await,
+                Action::AskBudget => Event::Budget { granted: self.cx.ask_budget().await },
+                Action::Finish(end) => return self.finish(&end),
+                // A call that may be repeated is left to end.
+                Action::Cancel { .. } => continue,
+                // Not asked for, since sidecars attach a call that is sent again.
+                Action::Resume { attempt, .. } | Action::Settle { attempt, .. } => {
+                    Event::Lost { attempt }
+                }
+            };
+            actions.extend(self.dispatch.handle(event));
+        }
+        Err(Failure::stopped())
+    }
+
+    async fn submit(&mut self, candidate: usize, attempt: Attempt) -> Event {
+        let Some(endpoint) = self.endpoints.get(candidate).cloned() else {
+            return Event::ConnectFailed { attempt };
+        };
+        // The connection of the earlier sending may be the one that is lost.
+        let link = match self.sent == Some(attempt) {
+            true => self.cx.pool.fresh_link(&endpoint).await,
+            false => self.cx.pool.link(&endpoint).await,
+        };
+        let link = match link {
+            Ok(link) => link,
+            Err(err) => {
+                tracing::warn!("router: {} can't be reached: {err}.", endpoint.name);
+                self.cx.tell(Command::Suspect { endpoint: endpoint.hash });
+                return Event::ConnectFailed { attempt };
+            }
+        };
+        self.sent = Some(attempt);
+        let reply = self.send(&link).await;
+        match reply {
+            Some(reply) => self.on_reply(attempt, reply),
+            None => self.on_silence(&endpoint, attempt),
+        }
+    }
+
+    /// Sends the call; none if its reply didn't come by the deadline or the connection went silent.
+    async fn send(&self, link: &Link) -> Option<CallReply> {
+        let _link = link.keep_open();
+        let left_ms = self.deadline.ms_since(self.cx.clock.now());
+        let mut message = self.call.clone();
+        message.id.stamp = link.stamp;
+        message.deadline_ms = left_ms;
+        let mut call = link.sidecar.call_request();
+        message.write(call.get().init_call());
+        let reply = tokio::select! {
+            reply = timeout(Duration::from_millis(left_ms), call.send().promise) => reply.ok()?.ok()?,
+            () = link.silence() => return None,
+        };
+        CallReply::read(reply.get().ok()?.get_reply().ok()?).ok()
+    }
+
+    fn on_reply(&mut self, attempt: Attempt, reply: CallReply) -> Event {
+        match reply {
+            CallReply::Answered { status, body, repeated } => {
+                self.answer = Some(Answer { status, body, repeated });
+                Event::Ended { attempt, end: StreamEnd::Whole }
+            }
+            CallReply::Refused(refused) => {
+                let retry_after_ms = (refused.retry_after_ms > 0).then_some(refused.retry_after_ms);
+                Event::Refused { attempt, refusal: refused.refusal, retry_after_ms }
+            }
+            CallReply::Unknown(reason) => {
+                self.unknown = Some(reason);
+                match self.has_time() {
+                    true => Event::Ended { attempt, end: StreamEnd::Cut },
+                    false => Event::DeadlinePassed,
+                }
+            }
+        }
+    }
+
+    fn on_silence(&self, endpoint: &PlannedEndpoint, attempt: Attempt) -> Event {
+        self.cx.pool.discard(&endpoint.name);
+        if !self.has_time() {
+            return Event::DeadlinePassed;
+        }
+        self.cx.tell(Command::Suspect { endpoint: endpoint.hash });
+        Event::Lost { attempt }
+    }
+
+    fn has_time(&self) -> bool {
+        self.cx.clock.now() < self.deadline
+    }
+
+    fn finish(self, end: &Final) -> Result<Response<Reply>, Failure> {
+        self.cx.tell(Command::Ended { outcome: end.outcome });
+        let Some(answer) = self.answer.filter(|_| end.outcome == Outcome::Done) else {
+            return Err(failure_of(end, self.call.claim.is_some(), self.unknown));
+        };
+        let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+        let mut response = body::json(status, answer.body.to_string());
+        let repeated = HeaderValue::from_static(if answer.repeated { "true" } else { "false" });
+        response.headers_mut().insert("persimmon-repeated", repeated);
+        Ok(response)
+    }
+}
+
+/// How a call ended that has no answer. `unknown` is what the last worker said that can't tell.
+fn failure_of(end: &Final, has_claim: bool, unknown: Option<String>) -> Failure {
+    match (end.cause, unknown) {
+        (Cause::NoEndpoint, _) if has_claim => Failure::owner_gone(),
+        (Cause::NoEndpoint, _) => Failure::no_worker(end.outcome),
+        (Cause::Unreachable, Some(reason)) => {
+            Failure::failed(StatusCode::BAD_GATEWAY, "unknown-outcome", Outcome::Unknown, reason)
+        }
+        _ => Failure::ended(end),
+    }
+}
--- a/crates/persimmonmountd/src/router/credit.rs
+++ b/crates/persimmonmountd/src/router/credit.rs
@@ -9,8 +9,8 @@
 use tokio::time::timeout;
 
 use super::command::{Charge, Command, HomeDemand, Payment, Plan};
+use super::context::TrafficCx;
 use super::failure::Failure;
-use super::traffic::TrafficCx;
 
 /// Makes sure that a planned request is within its workspace's limits, asking the limits' homes
 /// for credits if need be.
--- a/crates/persimmonmountd/src/router/exchange/calls.rs
+++ b/crates/persimmonmountd/src/router/exchange/calls.rs
@@ -165,12 +165,6 @@
         });
     }
 
-    pub(super) async fn ask_budget(&self) -> Event {
-        let (reply, rx) = flume::bounded(1);
-        self.cx.tell(Command::AskBudget { reply });
-        Event::Budget { granted: rx.recv_async().await.unwrap_or(false) }
-    }
-
     pub(super) fn request_ref(&self, stamp: Stamp) -> RequestRef {
         RequestRef { workspace: self.parts.workspace.clone(), id: self.parts.template.id.id, stamp }
     }
--- a/crates/persimmonmountd/src/router/exchange/mod.rs
+++ b/crates/persimmonmountd/src/router/exchange/mod.rs
@@ -20,9 +20,9 @@
 use tokio::time::{Instant, timeout};
 
 use super::command::{Command, PlannedEndpoint};
+use super::context::TrafficCx;
 use super::pool::{Link, LinkUse};
 use super::sink::{FRAMES_WAITING, Hearing, Sink};
-use super::traffic::TrafficCx;
 
 /// Time that a caller has to take the next piece of its answer.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -166,7 +166,10 @@
                 self.cancel(candidate, attempt);
                 None
             }
-            Action::AskBudget => Some(self.ask_budget().await),
+            Action::AskBudget => {
+                let granted = self.cx.ask_budget().await;
+                Some(Event::Budget { granted })
+            }
             Action::Finish(_) => None,
         }
     }
--- a/crates/persimmonmountd/src/router/failure.rs
+++ b/crates/persimmonmountd/src/router/failure.rs
@@ -1,10 +1,13 @@
 //! Failures as callers see them: a status, a stable kind, an outcome and the remedy.
 
 use hyper::StatusCode;
-use persimmon_decide::outcome::{Outcome, Refusal};
+use persimmon_decide::outcome::{Cause, Final, Outcome, Refusal};
+use persimmon_decide::recovery::{QuarantineSettings, RetryPacer};
 use persimmon_wire::Refused;
 use serde::Serialize;
 
+use crate::common::random_u64;
+
 /// A failure of one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Failure {
@@ -62,6 +65,66 @@
         }
     }
 
+    /// A request that came while the router stops. It wasn't run.
+    pub(crate) fn draining() -> Self {
+        Self::bad_request(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "draining",
+            "this router is stopping; send the request again, which reaches another",
+        )
+        .with_retry_after_ms(0)
+    }
+
+    /// An exchange that ended without a final answer.
+    pub(crate) fn stopped() -> Self {
+        Self::failed(
+            StatusCode::BAD_GATEWAY,
+            "stopped",
+            Outcome::Unknown,
+            "the router stopped working on the request; resume the answer, or ask again",
+        )
+    }
+
+    /// No worker of a service could be tried, or none is left to try.
+    pub(crate) fn no_worker(outcome: Outcome) -> Self {
+        Self::failed(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no-endpoint",
+            outcome,
+            "no worker of the service can be reached; retry after the given delay",
+        )
+        .with_retry_after_ms(1_000)
+    }
+
+    /// The only worker that may run a call has left the records.
+    pub(crate) fn owner_gone() -> Self {
+        Self::failed(
+            StatusCode::BAD_GATEWAY,
+            "owner-gone",
+            Outcome::Unknown,
+            "the claim's owner is no longer in the records; check with the service whether the call ran",
+        )
+    }
+
+    /// How a request ended that has no whole answer.
+    pub(crate) fn ended(end: &Final) -> Self {
+        let status = match end.outcome {
+            Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Outcome::Done | Outcome::Unknown => StatusCode::BAD_GATEWAY,
+        };
+        let failure = match end.cause {
+            Cause::Refused(refusal) => {
+                let retry_after_ms = end.retry_after_ms.unwrap_or_default();
+                Self::refused(Refused { refusal, retry_after_ms }).with_outcome(end.outcome)
+            }
+            cause => Self::failed(status, cause.as_str(), end.outcome, cause.to_string()),
+        };
+        match end.retry_after_ms.or_else(|| own_retry_after_ms(end.cause)) {
+            Some(ms) => failure.with_retry_after_ms(ms),
+            None => failure,
+        }
+    }
+
     /// Sets when retrying may help.
     #[must_use]
     pub(crate) fn with_retry_after_ms(mut self, ms: u64) -> Self {
@@ -109,6 +172,21 @@
     }
 }
 
+/// When to come back where no sidecar said so. Callers that failed together come back apart.
+fn own_retry_after_ms(cause: Cause) -> Option<u64> {
+    let after_s = match cause {
+        // The fleet has to hear of the crash before the request runs again.
+        Cause::Crashed => u64::from(QuarantineSettings::default().spread_s),
+        Cause::NoEndpoint
+        | Cause::Unreachable
+        | Cause::BudgetSpent
+        | Cause::Withdrawn
+        | Cause::DeadlinePassed => 1,
+        _ => return None,
+    };
+    Some(RetryPacer::retry_after_s(after_s, random_u64()) * 1_000)
+}
+
 fn status_of(refusal: Refusal) -> StatusCode {
     match refusal {
         Refusal::LimitReached => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/persimmonmountd/src/router/traffic.rs
+++ b/crates/persimmonmountd/src/router/front.rs
@@ -1,4 +1,4 @@
-//! The threads that carry callers' requests.
+//! The front of a router: accepts callers' connections and spreads them over threads.
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -12,17 +12,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use persimmon_decide::Sealer;
-use persimmon_decide::load::TokenKey;
-use persimmon_decide::outcome::ClaimSealer;
-use persimmon_wire::FleetKey;
 use tokio::task::LocalSet;
 
-use super::command::Command;
-use super::control::InProgress;
-use super::pool::Pool;
+use super::context::{TrafficCx, TrafficParts};
 use super::routes;
-use crate::common::{Clock, Metrics};
 
 /// Time that a caller has to send a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -33,43 +26,13 @@
 /// Pause after a connection couldn't be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// What every traffic thread is given.
-#[derive(Clone)]
-pub(crate) struct TrafficParts {
-    pub(crate) commands: Sender<Command>,
-    pub(crate) clock: Clock,
-    pub(crate) metrics: Metrics,
-    pub(crate) key: FleetKey,
-    pub(crate) in_progress: InProgress,
-}
-
-/// The state of one traffic thread.
-pub(crate) struct TrafficCx {
-    pub(crate) pool: Pool,
-    pub(crate) clock: Clock,
-    pub(crate) metrics: Metrics,
-    pub(crate) token_key: TokenKey,
-    pub(crate) claims: ClaimSealer,
-    pub(crate) answers: Sealer,
-    pub(crate) in_progress: InProgress,
-    commands: Sender<Command>,
-}
-
-impl TrafficCx {
-    /// Sends a message to the control thread.
-    pub(crate) fn tell(&self, command: Command) {
-        // A closed channel means that the process has ended.
-        let _ended = self.commands.send(command);
-    }
-}
-
 /// Threads that carry callers' requests, and the one that accepts their connections.
 #[derive(Debug)]
-pub(crate) struct Traffic {
+pub(crate) struct Front {
     address: SocketAddr,
 }
 
-impl Traffic {
+impl Front {
     /// Binds `listen` and starts the threads.
     ///
     /// # Errors
@@ -146,17 +109,7 @@
 fn start_thread(number: usize, streams: Receiver<Counted>, parts: TrafficParts) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     thread::Builder::new().name(format!("traffic-{number}")).spawn(move || {
-        let secret = parts.key.secret().to_owned();
-        let cx = Rc::new(TrafficCx {
-            pool: Pool::new(parts.key, parts.clock),
-            clock: parts.clock,
-            metrics: parts.metrics,
-            token_key: TokenKey::from_fleet_key(&secret),
-            claims: ClaimSealer::new(&secret),
-            answers: Sealer::new(&secret, "persimmonmount 2026-12-03 answer token v1"),
-            in_progress: parts.in_progress,
-            commands: parts.commands,
-        });
+        let cx = Rc::new(TrafficCx::new(parts));
         let local = LocalSet::new();
         local.block_on(&runtime, async move {
             tokio::task::spawn_local(close_idle_links(cx.clone()));
--- a/crates/persimmonmountd/src/router/head.rs
+++ b/crates/persimmonmountd/src/router/head.rs
@@ -5,6 +5,7 @@
 use persimmon_decide::RequestId;
 use persimmon_records::{Class, KeyDigest};
 
+use super::command::{PlanRequest, Wanted};
 use super::failure::Failure;
 use crate::common::{TraceContext, random_u64};
 
@@ -54,6 +55,11 @@
         })
     }
 
+    /// The request to be placed that asks for this.
+    pub(crate) fn wanting(&self, wanted: Wanted) -> PlanRequest {
+        PlanRequest { key: self.key, class: self.class, wanted }
+    }
+
     /// The time that the request has, in milliseconds.
     pub(crate) fn deadline_ms(&self, class: Class) -> u64 {
         self.deadline_ms.unwrap_or(match class {
--- a/crates/persimmonmountd/src/router/mod.rs
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -3,27 +3,32 @@
 mod answers;
 mod api;
 mod body;
+mod call_exchange;
 mod chat;
 mod command;
+mod context;
 mod control;
 mod credit;
 mod exchange;
 mod failure;
+mod front;
 mod head;
 mod pool;
 mod render;
+mod respond;
 mod routes;
 mod services;
 mod sink;
-mod traffic;
+mod tokens;
 
 use std::io;
 
 use persimmon_decide::load::TokenKey;
 
 use self::command::Command;
+use self::context::TrafficParts;
 use self::control::{Control, ControlParts, InProgress};
-use self::traffic::{Traffic, TrafficParts};
+use self::front::Front;
 use crate::common::{
     Life, Metrics, NoSidecar, NodeCalls, OpsServer, PeerServer, Readiness, RouterSettings, ask,
     on_stop_signal, print_ready, start_keeper,
@@ -71,7 +76,7 @@
         in_progress,
     };
     let (threads, connections) = (settings.traffic_threads, settings.max_connections);
-    let traffic = Traffic::start(settings.listen, threads, connections, &parts)?;
+    let front = Front::start(settings.listen, threads, connections, &parts)?;
 
     let status_commands = commands.clone();
     let status = move || ask(&status_commands, |reply| Command::Status { reply });
@@ -80,7 +85,7 @@
         let _ended = commands.send(Command::Drain);
     })?;
 
-    let listen = Some(traffic.address());
+    let listen = Some(front.address());
     print_ready("router", common.name.as_str(), listen, peer.address(), ops.address())?;
     control.run(&rx, &keeper_rx);
     Ok(())
--- a/crates/persimmonmountd/src/router/render.rs
+++ b/crates/persimmonmountd/src/router/render.rs
@@ -13,11 +13,10 @@
     Usage,
 };
 use super::body::{self, Reply};
-use super::chat::failure_of;
+use super::context::TrafficCx;
 use super::control::InProgressGuard;
 use super::exchange::{PIECES_WAITING, Progress};
 use super::failure::Failure;
-use super::traffic::TrafficCx;
 
 /// What a renderer needs of the request.
 #[derive(Debug)]
@@ -86,7 +85,7 @@
             let text = match &progress {
                 Progress::Line { offset, line, .. } => self.event(*offset, line),
                 Progress::Final(end) if end.outcome == Outcome::Done => "data: [DONE]\n\n".into(),
-                Progress::Final(_) => format!("data: {}\n\n", failure_of(&progress).to_json()),
+                Progress::Final(end) => format!("data: {}\n\n", Failure::ended(end).to_json()),
             };
             if chunks.send_async(Bytes::from(text)).await.is_err() {
                 return;
@@ -107,7 +106,7 @@
                     Some(Piece::Start { .. }) | None => {}
                 },
                 Progress::Final(last) if last.outcome == Outcome::Done => break,
-                Progress::Final(_) => return Err(failure_of(&progress)),
+                Progress::Final(end) => return Err(Failure::ended(end)),
             }
         }
         let (finish_reason, completion_tokens) = end.ok_or_else(unfinished)?;
--- a/crates/persimmonmountd/src/router/routes.rs
+++ b/crates/persimmonmountd/src/router/routes.rs
@@ -11,10 +11,10 @@
 
 use super::api::{ModelEntry, ModelList};
 use super::body::{self, Reply};
-use super::command::{Command, Plan, PlanRequest, Wanted};
+use super::command::Wanted;
+use super::context::TrafficCx;
 use super::failure::Failure;
 use super::head::{self, Head};
-use super::traffic::TrafficCx;
 use super::{answers, chat, services};
 
 /// Longest path and query, in bytes.
@@ -77,28 +77,13 @@
 }
 
 async fn models(cx: &TrafficCx, head: &Head) -> Result<Response<Reply>, Failure> {
-    let plan = plan(cx, head, Wanted::Models).await?;
+    let plan = cx.plan(head.wanting(Wanted::Models)).await?;
     let entry = |name| ModelEntry { id: name, object: "model", owned_by: "persimmonmount" };
     let data = plan.models.iter().map(|model| entry(model.as_str())).collect();
     let list = ModelList { object: "list", data };
     Ok(body::json(StatusCode::OK, serde_json::to_string(&list).unwrap_or_default()))
 }
 
-/// Asks the control thread where a request may go.
-pub(crate) async fn plan(cx: &TrafficCx, head: &Head, wanted: Wanted) -> Result<Plan, Failure> {
-    let (reply, rx) = flume::bounded(1);
-    let req = PlanRequest { key: head.key, class: head.class, wanted };
-    cx.tell(Command::Plan { req: Box::new(req), reply });
-    rx.recv_async().await.unwrap_or_else(|_| {
-        let failure = Failure::bad_request(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "draining",
-            "this router is stopping; send the request again, which reaches another",
-        );
-        Err(failure.with_retry_after_ms(0))
-    })
-}
-
 impl Route {
     fn of(method: &Method, path: &str, length: usize) -> Result<Self, Failure> {
         if length > MAX_PATH_BYTES {
--- a/crates/persimmonmountd/src/router/services.rs
+++ b/crates/persimmonmountd/src/router/services.rs
@@ -7,20 +7,20 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
-use persimmon_decide::outcome::{Claim, IdempotencyKey, Outcome, Refusal, RetryHint};
-use persimmon_records::{Class, ServiceName};
-use persimmon_wire::{CallReply, ClaimReply, ClaimRequest, Refused, RequestRef, ServiceCall};
+use persimmon_decide::outcome::{Claim, IdempotencyKey, Outcome, Refusal, Stamp};
+use persimmon_decide::{Incarnation, MonoMs};
+use persimmon_records::ServiceName;
+use persimmon_wire::{ClaimReply, ClaimRequest, Refused, RequestRef, ServiceCall};
 use tokio::time::timeout;
 
 use super::api::{ClaimBody, ServiceRequest};
 use super::body::{self, Reply};
+use super::call_exchange::CallExchange;
 use super::command::{Command, Plan, PlannedEndpoint, Wanted};
+use super::context::TrafficCx;
 use super::credit;
 use super::failure::Failure;
 use super::head::{self, Head};
-use super::pool::Link;
-use super::routes::plan;
-use super::traffic::TrafficCx;
 
 /// Time that a sidecar has to issue a claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -45,9 +45,9 @@
     })?;
     let _in_progress = cx.in_progress.enter();
     let wanted = Wanted::Claim { service: service.clone(), key: key.as_str().to_owned() };
-    let plan = plan(cx, head, wanted).await?;
+    let plan = cx.plan(head.wanting(wanted)).await?;
     let request = ClaimRequest { workspace: plan.workspace.clone(), service, key };
-    let mut last = no_worker(Outcome::NotRun);
+    let mut last = Failure::no_worker(Outcome::NotRun);
     for endpoint in &plan.endpoints {
         match claim_at(cx, endpoint, &request).await {
             Some(ClaimReply::Issued { claim, expires_in_ms }) => {
@@ -85,134 +85,38 @@
     let spread =
         key.as_ref().map_or_else(|| head.request_id.to_string(), |key| key.as_str().into());
     let wanted = Wanted::Service { service: service.clone(), key: spread, owner };
-    let plan = plan(cx, head, wanted).await?;
+    let plan = cx.plan(head.wanting(wanted)).await?;
     credit::pay(cx, &plan).await?;
-    let template = call_template(head, &plan, service, &request, claim.map(|(text, _)| text));
-    let response = match template.claim.is_some() {
-        true => call_owner(cx, &plan, template).await,
-        false => call_any(cx, &plan, template).await,
-    }?;
-    Ok(with_trace(response, head))
-}
-
-/// Sends a call with a claim to its owner, which alone may run it.
-async fn call_owner(
-    cx: &Rc<TrafficCx>,
-    plan: &Plan,
-    template: CallTemplate,
-) -> Result<Response<Reply>, Failure> {
-    let endpoint = plan.endpoints.first().ok_or_else(owner_gone)?;
-    for is_fresh in [false, true] {
-        let link = match is_fresh {
-            false => cx.pool.link(endpoint).await,
-            true => cx.pool.fresh_link(endpoint).await,
-        };
-        let Ok(link) = link else { break };
-        match send_call(&link, &template).await {
-            // The owner knows the claim, so the same call can be sent again: it attaches to the
-            // first or repeats its answer.
-            None => cx.pool.discard(&endpoint.name),
-            Some(reply) => return finish(cx, reply),
-        }
+    let claim = claim.map(|(text, _)| text);
+    if claim.is_none() && plan.endpoints.iter().any(|endpoint| !endpoint.repeatable) {
+        return Err(Failure::refused(Refused { refusal: Refusal::NeedsClaim, retry_after_ms: 0 }));
     }
-    cx.tell(Command::Suspect { endpoint: endpoint.hash });
-    cx.tell(Command::Ended { outcome: Outcome::Unknown });
-    Err(Failure::failed(
-        StatusCode::BAD_GATEWAY,
-        "unreachable",
-        Outcome::Unknown,
-        "the claim's owner can't be reached; present the same claim again",
-    )
-    .with_retry_after_ms(1_000))
-}
-
-/// Sends a call without a claim to the workers in turn. Only calls that may be repeated are.
-async fn call_any(
-    cx: &Rc<TrafficCx>,
-    plan: &Plan,
-    template: CallTemplate,
-) -> Result<Response<Reply>, Failure> {
-    if plan.endpoints.iter().any(|endpoint| !endpoint.repeatable) {
-        let refused = Refused { refusal: Refusal::NeedsClaim, retry_after_ms: 0 };
-        return Err(Failure::refused(refused));
-    }
-    let mut last = no_worker(Outcome::NotRun);
-    let mut may_have_run = false;
-    for endpoint in &plan.endpoints {
-        let Ok(link) = cx.pool.link(endpoint).await else {
-            cx.tell(Command::Suspect { endpoint: endpoint.hash });
-            continue;
-        };
-        match send_call(&link, &template).await {
-            Some(CallReply::Refused(refused)) if leads_elsewhere(refused.refusal) => {
-                last = Failure::refused(refused);
-            }
-            Some(CallReply::Unknown(_)) | None => {
-                cx.pool.discard(&endpoint.name);
-                may_have_run = true;
-                if !ask_budget(cx).await {
-                    break;
-                }
-            }
-            Some(reply) => return finish(cx, reply),
-        }
-    }
-    let outcome = if may_have_run { Outcome::Unknown } else { Outcome::NotRun };
-    cx.tell(Command::Ended { outcome });
-    Err(last.with_outcome(outcome))
-}
-
-fn finish(cx: &TrafficCx, reply: CallReply) -> Result<Response<Reply>, Failure> {
-    let result = match reply {
-        CallReply::Answered { status, body, repeated } => {
-            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
-            let mut response = body::json(status, body.to_string());
-            let repeated = HeaderValue::from_static(if repeated { "true" } else { "false" });
-            response.headers_mut().insert("persimmon-repeated", repeated);
-            Ok(response)
-        }
-        CallReply::Refused(refused) => Err(Failure::refused(refused)),
-        CallReply::Unknown(reason) => Err(Failure::failed(
-            StatusCode::BAD_GATEWAY,
-            "unknown-outcome",
-            Outcome::Unknown,
-            reason,
-        )),
-    };
-    let outcome = result.as_ref().map_or_else(Failure::outcome, |_| Outcome::Done);
-    cx.tell(Command::Ended { outcome });
-    result
-}
-
-/// A call, without what differs between sidecars.
-struct CallTemplate {
-    call: ServiceCall,
-    claim: Option<String>,
-    deadline_ms: u64,
+    let call = call_of(head, &plan, service, &request, claim);
+    let exchange = CallExchange::new(cx.clone(), head, plan.endpoints, call);
+    Ok(with_trace(exchange.run().await?, head))
 }
 
-fn call_template(
+/// The call, without what differs between sendings.
+fn call_of(
     head: &Head,
     plan: &Plan,
     service: ServiceName,
     request: &ServiceRequest,
     claim: Option<String>,
-) -> CallTemplate {
-    use persimmon_decide::outcome::Stamp;
-    use persimmon_decide::{Incarnation, MonoMs};
-
-    let deadline_ms = head.deadline_ms(Class::Quick);
-    let stamp = Stamp { incarnation: Incarnation(0), issued_at: MonoMs(0) };
-    let call = ServiceCall {
-        id: RequestRef { workspace: plan.workspace.clone(), id: head.request_id, stamp },
+) -> ServiceCall {
+    ServiceCall {
+        id: RequestRef {
+            workspace: plan.workspace.clone(),
+            id: head.request_id,
+            stamp: Stamp { incarnation: Incarnation(0), issued_at: MonoMs(0) },
+        },
         service,
-        claim: claim.clone(),
+        claim,
         operation: request.operation.clone(),
         body: Arc::from(request.body.to_string()),
-        deadline_ms,
+        deadline_ms: 0,
         traceparent: head.trace.child().to_string(),
-    };
-    CallTemplate { call, claim, deadline_ms }
+    }
 }
 
 async fn claim_at(
@@ -231,31 +135,6 @@
     ClaimReply::read(reply.get().ok()?.get_reply().ok()?).ok()
 }
 
-/// Sends one call; none if its reply didn't come or the connection went silent.
-async fn send_call(link: &Link, template: &CallTemplate) -> Option<CallReply> {
-    let _link = link.keep_open();
-    let mut call = link.sidecar.call_request();
-    let mut message = template.call.clone();
-    message.id.stamp = link.stamp;
-    message.write(call.get().init_call());
-    let limit = Duration::from_millis(template.deadline_ms);
-    let reply = tokio::select! {
-        reply = timeout(limit, call.send().promise) => reply.ok()?.ok()?,
-        () = link.silence() => return None,
-    };
-    CallReply::read(reply.get().ok()?.get_reply().ok()?).ok()
-}
-
-async fn ask_budget(cx: &TrafficCx) -> bool {
-    let (reply, rx) = flume::bounded(1);
-    cx.tell(Command::AskBudget { reply });
-    rx.recv_async().await.unwrap_or(false)
-}
-
-fn leads_elsewhere(refusal: Refusal) -> bool {
-    refusal.hint() == RetryHint::Elsewhere || refusal == Refusal::WrongIncarnation
-}
-
 fn idempotency_key(req: &Request<Incoming>) -> Result<Option<IdempotencyKey>, Failure> {
     let Some(text) = head::text(req.headers(), head::IDEMPOTENCY_KEY)? else { return Ok(None) };
     let key = IdempotencyKey::try_from(text.to_owned());
@@ -271,25 +150,6 @@
     Ok(Some((text.to_owned(), claim)))
 }
 
-fn no_worker(outcome: Outcome) -> Failure {
-    Failure::failed(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "no-endpoint",
-        outcome,
-        "no worker of the service can be reached; retry after the given delay",
-    )
-    .with_retry_after_ms(1_000)
-}
-
-fn owner_gone() -> Failure {
-    Failure::failed(
-        StatusCode::BAD_GATEWAY,
-        "owner-gone",
-        Outcome::Unknown,
-        "the claim's owner is no longer in the records; check with the service whether the call ran",
-    )
-}
-
 fn with_trace(mut response: Response<Reply>, head: &Head) -> Response<Reply> {
     let values = [
         (head::REQUEST_ID, head.request_id.to_string()),
--- a/crates/persimmonmountd/tests/process_lookups.rs
+++ b/crates/persimmonmountd/tests/process_lookups.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use persimmon_standins::fleet::Fleet;
+use persimmon_records::{Limits, PerClass, WorkspaceBuilder};
+use persimmon_standins::ServiceSwitch;
+use persimmon_standins::fleet::{CALLER_KEY, Fleet};
 
 const SERVICE: &str = "registry";
 /// Longer than a stamp can be presented, so that a connection outlives the stamp of its greeting.
@@ -33,3 +35,47 @@
     }
     fleet.close();
 }
+
+/// Workers that take calls and never answer them.
+#[test]
+fn lookup_has_its_answer_by_its_deadline_when_workers_freeze() {
+    const DEADLINE_MS: &str = "1500";
+    /// The deadline, with room for a busy machine; two deadlines in a row are longer.
+    const GIVEN_UP: Duration = Duration::from_millis(2_500);
+    /// Fresh calls enough for the retry budget to grant one retry and more.
+    const CALLS_BEFORE: usize = 40;
+    let limits = Limits { requests_per_second: 10_000, in_progress: 10_000 };
+    let per_class = PerClass { quick: limits, conversation: limits, drafting: limits };
+    let desk = WorkspaceBuilder::new("registry-desk").with_key(CALLER_KEY).with_service(SERVICE);
+    let mut fleet = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
+        .with_router("router-1", "zone-a")
+        .with_workspace(desk.with_limits(per_class).with_total_limits(limits).build())
+        .with_service("registry-1", "zone-a", SERVICE)
+        .with_service("registry-2", "zone-a", SERVICE)
+        .with_service("registry-3", "zone-a", SERVICE)
+        .start()
+        .unwrap();
+    fleet.publish_change(|records| {
+        records.endpoints.iter_mut().for_each(|endpoint| endpoint.repeatable = true);
+    });
+    fleet.wait_in_force().unwrap();
+    let caller = fleet.caller("router-1").unwrap();
+    for number in 0..CALLS_BEFORE {
+        let key = format!("before-{number}");
+        let reply = caller.call_service(SERVICE, ("Idempotency-Key", &key), "look-up").unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+    fleet.services().for_each(|(_, service)| service.switch(ServiceSwitch::Freeze));
+    let request = caller
+        .request(minreq::Method::Post, "/v1/services/registry/calls")
+        .with_header("Idempotency-Key", "frozen")
+        .with_header("Persimmon-Deadline-Ms", DEADLINE_MS)
+        .with_body(r#"{"operation":"look-up","body":{}}"#);
+    let started = Instant::now();
+    let reply = caller.send(request).unwrap();
+    let elapsed = started.elapsed();
+    assert!(elapsed < GIVEN_UP, "answered after {elapsed:?}: {}", reply.body);
+    let failure = reply.failure().expect("a failure with its outcome");
+    assert_eq!(failure.outcome, "unknown", "{failure:?}");
+    fleet.close();
+}
