Keep one type of each time, VM and list of VMs

The monotonic time of persimmon_decide and the wall-clock time of persimmon_records had the same body; one macro in persimmon_records defines both types now.

--- a/crates/persimmon_decide/src/lib.rs
+++ b/crates/persimmon_decide/src/lib.rs
@@ -10,10 +10,9 @@
 pub mod outcome;
 pub mod recovery;
 
-mod clock;
 mod ids;
 mod sealer;
 
-pub use clock::MonoMs;
 pub use ids::{Attempt, Fingerprint, Incarnation, Offset, RequestId, RequestIdError};
+pub use persimmon_records::MonoMs;
 pub use sealer::{SealError, Sealer};
--- a/crates/persimmon_decide/src/membership/mod.rs
+++ b/crates/persimmon_decide/src/membership/mod.rs
@@ -10,11 +10,10 @@
 mod peer_choice;
 mod send_budget;
 mod trust;
-mod vm_list;
 
 pub use digest::{Digest, DigestEntry};
 pub use group::GroupId;
 pub use membership::{Membership, Outgoing, OwnState, Received, ToldLoad, incarnation_at};
 pub use node_id::NodeId;
+pub use persimmon_records::{Vm, VmList, VmName, VmRole, VmState};
 pub use trust::{Standing, Trust};
-pub use vm_list::{Vm, VmList, VmName, VmRole, VmState};
--- a/crates/persimmon_records/src/lib.rs
+++ b/crates/persimmon_records/src/lib.rs
@@ -23,6 +23,7 @@
 mod record_set;
 mod set_digests;
 mod time;
+mod vm_list;
 mod warning;
 mod workspace;
 
@@ -44,6 +45,7 @@
 pub use policy::Policy;
 pub use publication::{Part, Publication};
 pub use record_set::{Generation, RecordSet, SchemaVersion};
-pub use time::UnixMs;
+pub use time::{MonoMs, UnixMs};
+pub use vm_list::{Vm, VmList, VmName, VmRole, VmState};
 pub use warning::{Warning, WarningKind};
 pub use workspace::{Limits, Workspace, WorkspaceBuilder};
--- a/crates/persimmon_records/src/time.rs
+++ b/crates/persimmon_records/src/time.rs
@@ -1,28 +1,60 @@
-//! Wall-clock time as records and claims carry it.
+//! Times in milliseconds: one type for each kind of clock, so that the two are never compared.
 
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
-/// Milliseconds since the Unix epoch, by the wall clock of whichever process read it.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct UnixMs(pub u64);
-
-impl UnixMs {
-    /// This time plus `ms` milliseconds, held at the latest representable time.
-    #[must_use]
-    pub fn plus_ms(self, ms: u64) -> Self {
-        Self(self.0.saturating_add(ms))
-    }
+/// Defines a time of one kind of clock.
+macro_rules! clock_time {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Debug,
+            Clone,
+            Copy,
+            PartialEq,
+            Eq,
+            PartialOrd,
+            Ord,
+            Hash,
+            Default,
+            Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
 
-    /// Milliseconds from `earlier` to this time, or zero if `earlier` is later.
-    #[must_use]
-    pub fn ms_since(self, earlier: Self) -> u64 {
-        self.0.saturating_sub(earlier.0)
-    }
+        impl $name {
+            /// This time plus `ms` milliseconds, held at the latest representable time.
+            #[must_use]
+            pub fn plus_ms(self, ms: u64) -> Self {
+                Self(self.0.saturating_add(ms))
+            }
+
+            /// Milliseconds from `earlier` to this time, or zero if `earlier` is later.
+            #[must_use]
+            pub fn ms_since(self, earlier: Self) -> u64 {
+                self.0.saturating_sub(earlier.0)
+            }
+        }
+    };
+}
+
+clock_time! {
+    /// Milliseconds since the Unix epoch, by the wall clock of whichever process read it.
+    UnixMs
+}
+
+clock_time! {
+    /// Milliseconds on a process's monotonic clock, counted from any fixed start.
+    ///
+    /// ```
+    /// use persimmon_records::MonoMs;
+    ///
+    /// let start = MonoMs(1_000);
+    /// assert_eq!(start.plus_ms(500).ms_since(start), 500);
+    /// ```
+    MonoMs
 }
 
 impl fmt::Display for UnixMs {
--- a/crates/persimmon_decide/src/membership/vm_list.rs
+++ b/crates/persimmon_records/src/vm_list.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use persimmon_records::ZoneName;
 use serde::{Deserialize, Serialize};
 
+use crate::ZoneName;
+
 /// Names a VM of the fleet: a router's, or an endpoint's with the sidecar beside it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/persimmon_standins/src/bin/persimmon-demo/stage.rs
+++ b/crates/persimmon_standins/src/bin/persimmon-demo/stage.rs
@@ -4,12 +4,12 @@
 use std::error::Error;
 
 use persimmon_records::{
-    EndpointBuilder, Generation, RecordSet, Serves, Workspace, WorkspaceBuilder,
+    EndpointBuilder, Generation, RecordSet, Serves, Vm, VmState, Workspace, WorkspaceBuilder,
 };
 use persimmon_standins::fleet::{
     Caller, Daemons, FleetError, IN_FORCE_DEADLINE, SERVING_DEADLINE, StandIn,
 };
-use persimmon_standins::{EngineCounts, ServiceCounts, Vm, VmState};
+use persimmon_standins::{EngineCounts, ServiceCounts};
 
 use crate::programs::Programs;
 
@@ -118,11 +118,8 @@
     /// Publishes the list of VMs, with the VM of `leaving` about to go.
     pub(crate) fn list_vms(&self, leaving: Option<&str>) -> Result<(), Box<dyn Error>> {
         let vm = |name: String| -> Result<Vm, FleetError> {
-            let (role, zone) = self.daemons.place(&name)?;
-            let (zone, peer) = (zone.to_owned(), self.daemons.peer(&name)?);
             let is_leaving = leaving == Some(name.as_str());
-            let state = if is_leaving { VmState::Leaving } else { VmState::Live };
-            Ok(Vm { name, role, peer, zone, state })
+            self.daemons.vm(&name, if is_leaving { VmState::Leaving } else { VmState::Live })
         };
         let vms: Vec<Vm> = self.daemons.names().into_iter().map(vm).collect::<Result<_, _>>()?;
         Ok(self.platform.put("/v1/vms", &serde_json::to_string(&vms)?)?)
--- a/crates/persimmon_standins/src/fleet/daemons.rs
+++ b/crates/persimmon_standins/src/fleet/daemons.rs
@@ -6,6 +6,7 @@
 use std::process::ExitStatus;
 use std::time::Duration;
 
+use persimmon_records::{Vm, VmRole, VmState};
 use rustix::process::Signal;
 use serde::Deserialize;
 use serde_json::Value;
@@ -13,7 +14,6 @@
 use super::FleetError;
 use super::process::{Process, Spawn};
 use super::wait::wait_until;
-use crate::platform::VmRole;
 
 /// The key that the daemons of a fleet under test prove to each other.
 const FLEET_KEY: &str = "fleet-key-for-tests-only";
@@ -138,6 +138,15 @@
         Ok((daemon.role, &daemon.zone))
     }
 
+    /// The VM of the daemon `name`, as the platform lists it.
+    ///
+    /// # Errors
+    /// When there is no such daemon or it isn't running.
+    pub fn vm(&self, name: &str, state: VmState) -> Result<Vm, FleetError> {
+        let (role, zone) = self.place(name)?;
+        Ok(Vm { name: name.into(), role, peer: self.peer(name)?, zone: zone.into(), state })
+    }
+
     /// The lines that the daemon `name` logged, in its earlier lives too.
     ///
     /// # Errors
--- a/crates/persimmon_standins/src/fleet/mod.rs
+++ b/crates/persimmon_standins/src/fleet/mod.rs
@@ -12,10 +12,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use persimmon_records::{EndpointName, Generation, RecordSet};
+use persimmon_records::{EndpointName, Generation, RecordSet, Vm, VmState};
 
 use crate::engine::Engine;
-use crate::platform::{Platform, Vm, VmState};
+use crate::platform::Platform;
 use crate::service::Service;
 
 pub use builder::{CALLER_KEY, FleetBuilder};
@@ -179,15 +179,8 @@
     }
 
     fn vm(&self, name: &str) -> Result<Vm, FleetError> {
-        let (role, zone) = self.daemons.place(name)?;
         let leaving = self.leaving.iter().any(|leaving| leaving == name);
-        Ok(Vm {
-            name: name.to_owned(),
-            role,
-            peer: self.daemons.peer(name)?,
-            zone: zone.to_owned(),
-            state: if leaving { VmState::Leaving } else { VmState::Live },
-        })
+        self.daemons.vm(name, if leaving { VmState::Leaving } else { VmState::Live })
     }
 
     /// Kills every daemon and ends the stand-ins.
--- a/crates/persimmon_standins/src/lib.rs
+++ b/crates/persimmon_standins/src/lib.rs
@@ -16,9 +16,7 @@
     Admission, Engine, EngineBuilder, EngineCounts, EngineSwitch, Fence, MAX_ANSWER_TOKENS,
     Message, expected_answer, prompt_tokens,
 };
-pub use platform::{
-    Platform, PlatformBuilder, PlatformCounts, PlatformSwitch, Vm, VmRole, VmState,
-};
+pub use platform::{Platform, PlatformBuilder, PlatformCounts, PlatformSwitch};
 pub use relay::{Direction, Relay, RelaySwitch};
 pub use relay_control::RelayControl;
 pub use service::{Service, ServiceCounts, ServiceSwitch};
--- a/crates/persimmon_standins/src/platform/mod.rs
+++ b/crates/persimmon_standins/src/platform/mod.rs
@@ -8,47 +8,13 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
+use persimmon_records::Vm;
 use serde::{Deserialize, Serialize};
 
 use crate::http::HttpServer;
 use crate::relay::Relay;
 use state::State;
 
-/// What a VM of the system runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum VmRole {
-    /// A router.
-    Router,
-    /// An endpoint with its sidecar.
-    Endpoint,
-}
-
-/// Whether a VM stays.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum VmState {
-    /// It stays.
-    Live,
-    /// It takes no new work.
-    Leaving,
-}
-
-/// One VM, as the platform lists it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Vm {
-    /// The name of the process of the system on the VM.
-    pub name: String,
-    /// What the VM runs.
-    pub role: VmRole,
-    /// Where the process listens for its peers.
-    pub peer: SocketAddr,
-    /// The availability zone.
-    pub zone: String,
-    /// Whether the VM stays.
-    pub state: VmState,
-}
-
 /// How the platform answers readers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(tag = "mode", rename_all = "snake_case")]
--- a/crates/persimmon_standins/src/platform/routes.rs
+++ b/crates/persimmon_standins/src/platform/routes.rs
@@ -4,11 +4,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use persimmon_records::VmList;
 use serde::Serialize;
 use tiny_http::Method;
 
 use super::state::{Read, State, Version, Versions};
-use super::{Core, PlatformSwitch, Vm};
+use super::{Core, PlatformSwitch};
 use crate::http::{Call, Handler};
 
 /// The longest that a watch waits.
@@ -20,12 +21,6 @@
     value: String,
 }
 
-#[derive(Debug, Serialize)]
-struct VmsAnswer {
-    version: u64,
-    vms: Vec<Vm>,
-}
-
 #[derive(Debug, Serialize)]
 struct Published {
     version: u64,
@@ -70,7 +65,7 @@
     fn read_vms(&self, call: Call) {
         self.count(Read::Vms);
         let watched = self.watch(&call, |state| Some(&state.vms));
-        answer(call, watched, |found| VmsAnswer { version: found.number, vms: found.value });
+        answer(call, watched, |found| VmList { version: found.number, vms: found.value });
     }
 
     fn read_weights(&self, call: Call) {
--- a/crates/persimmon_standins/src/platform/state.rs
+++ b/crates/persimmon_standins/src/platform/state.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
 
-use super::{PlatformCounts, PlatformSwitch, Vm};
+use persimmon_records::Vm;
+
+use super::{PlatformCounts, PlatformSwitch};
 
 /// Versions of a value that are kept for stale answers.
 const MAX_VERSIONS: usize = 16;
--- a/crates/persimmon_standins/tests/platform.rs
+++ b/crates/persimmon_standins/tests/platform.rs
@@ -5,9 +5,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use persimmon_standins::{
-    Direction, Platform, PlatformSwitch, Relay, Service, ServiceSwitch, Vm, VmRole, VmState,
-};
+use persimmon_records::{Vm, VmRole, VmState};
+use persimmon_standins::{Direction, Platform, PlatformSwitch, Relay, Service, ServiceSwitch};
 use rstest::rstest;
 use serde_json::{Value, json};
 
