Learn from resets how long a service's idle connections live

A gateway used connections up to 1 s (requests that may run once) or 4 s old, and after each reset opened a new one that was reset again by the next request.

The decision is IdleLimit in persimmon_decide, with its load played in its tests.

--- /dev/null
+++ b/crates/persimmon_decide/src/forward/idle_limit.rs
@@ -0,0 +1,79 @@
+//! How long an idle connection to an endpoint may be used again.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::MonoMs;
+
+#[derive(Debug, Clone, Copy)]
+struct Learned {
+    most_ms: u64,
+    until: MonoMs,
+}
+
+/// The idle time up to which connections to the endpoints of a service are used again.
+///
+/// Answers the load of a route that is called now and then, before endpoints that drop idle
+/// connections without notice: what is sent next over such a connection is reset, and may have run
+/// as far as a gateway can tell. After one such reset the service's connections are used only while
+/// they are much younger than that one was.
+///
+/// ```
+/// use persimmon_decide::MonoMs;
+/// use persimmon_decide::forward::IdleLimit;
+///
+/// let mut limit = IdleLimit::new();
+/// limit.record_reset(&"ledger".into(), 600, MonoMs(0));
+/// assert_eq!(limit.most_ms("ledger", false, MonoMs(1)), 300);
+/// assert!(limit.most_ms("lookups", false, MonoMs(1)) > 300);
+/// ```
+#[derive(Debug, Default)]
+pub struct IdleLimit {
+    learned: HashMap<Arc<str>, Learned>,
+}
+
+impl IdleLimit {
+    /// Idle time after which a connection isn't used for a request that may run once, in
+    /// milliseconds. Servers commonly keep connections for some seconds and more.
+    const MOST_ONCE_MS: u64 = 1_000;
+    /// Idle time after which a connection isn't used at all, in milliseconds.
+    const MOST_MS: u64 = 4_000;
+    /// Part of the idle time of a connection that was reset in which others are used. The drop may
+    /// have come at any time before it was noticed.
+    const PART: f64 = 0.5;
+    /// Shorter idle times are no cause of a reset, in milliseconds: no server drops connections
+    /// that are in steady use.
+    const LEAST_MS: u64 = 50;
+    /// How long a limit is kept, in milliseconds. A reset has other causes too, and new connections
+    /// have their price.
+    const MEMORY_MS: u64 = 60_000;
+
+    /// Nothing was reset so far.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A connection that had been idle for `idle_ms` was reset before any part of an answer, by an
+    /// endpoint that takes new connections.
+    pub fn record_reset(&mut self, service: &Arc<str>, idle_ms: u64, now: MonoMs) {
+        if idle_ms < Self::LEAST_MS {
+            return;
+        }
+        let most_ms = (idle_ms as f64 * Self::PART) as u64;
+        let most_ms = most_ms.min(self.learned_ms(service, now).unwrap_or(u64::MAX));
+        let until = now.plus_ms(Self::MEMORY_MS);
+        self.learned.insert(service.clone(), Learned { most_ms, until });
+    }
+
+    /// The idle time up to which a connection is used, in milliseconds. `runs_once` tells of a
+    /// request that may run once.
+    pub fn most_ms(&self, service: &str, runs_once: bool, now: MonoMs) -> u64 {
+        let usual_ms = if runs_once { Self::MOST_ONCE_MS } else { Self::MOST_MS };
+        usual_ms.min(self.learned_ms(service, now).unwrap_or(u64::MAX))
+    }
+
+    fn learned_ms(&self, service: &str, now: MonoMs) -> Option<u64> {
+        let learned = self.learned.get(service)?;
+        (now < learned.until).then_some(learned.most_ms)
+    }
+}
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_idle_limit.rs
@@ -0,0 +1,66 @@
+//! Reusing connections to endpoints that drop idle ones without notice.
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::IdleLimit;
+use rstest::rstest;
+
+const SERVICE: &str = "ledger";
+
+/// Sends a request every `pause_ms` for ten minutes to an endpoint that drops connections after
+/// `drop_ms`. Returns how many were reset, and how many took a new connection.
+fn play(pause_ms: u64, drop_ms: u64, learns: bool) -> (u32, u32) {
+    let mut limit = IdleLimit::new();
+    let (mut resets, mut connections) = (0, 0);
+    for number in 1..600_000 / pause_ms {
+        let now = MonoMs(number * pause_ms);
+        if pause_ms > limit.most_ms(SERVICE, true, now) {
+            connections += 1;
+        } else if pause_ms > drop_ms {
+            resets += 1;
+            if learns {
+                limit.record_reset(&SERVICE.into(), pause_ms, now);
+            }
+        }
+    }
+    (resets, connections)
+}
+
+/// Without learning, each request of such a route fails.
+#[rstest]
+#[case::each_half_second(500, 300, 11)]
+#[case::each_tenth(100, 60, 11)]
+fn most_ms_few_requests_are_reset(
+    #[case] pause_ms: u64,
+    #[case] drop_ms: u64,
+    #[case] most_resets: u32,
+) {
+    let (resets, _) = play(pause_ms, drop_ms, true);
+    assert!((1..=most_resets).contains(&resets), "{resets} reset");
+    let (unlearned, _) = play(pause_ms, drop_ms, false);
+    assert!(unlearned > 1_000, "{unlearned} reset");
+}
+
+#[test]
+fn most_ms_steady_use_needs_no_new_connections() {
+    assert_eq!(play(20, 300, true), (0, 0));
+}
+
+#[rstest]
+#[case::halved(&[(600, 0)], 1, 300)]
+#[case::shortest_counts(&[(600, 0), (200, 10), (900, 20)], 30, 100)]
+#[case::forgotten(&[(600, 0)], 60_000, 1_000)]
+#[case::in_steady_use(&[(5, 0)], 1, 1_000)]
+fn most_ms_after_resets(#[case] resets: &[(u64, u64)], #[case] at: u64, #[case] expected: u64) {
+    let mut limit = IdleLimit::new();
+    for (idle_ms, now) in resets {
+        limit.record_reset(&SERVICE.into(), *idle_ms, MonoMs(*now));
+    }
+    assert_eq!(limit.most_ms(SERVICE, true, MonoMs(at)), expected);
+}
+
+#[test]
+fn most_ms_other_services_are_untouched() {
+    let mut limit = IdleLimit::new();
+    limit.record_reset(&SERVICE.into(), 600, MonoMs(0));
+    assert_eq!(limit.most_ms("lookups", false, MonoMs(1)), 4_000);
+}
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -8,9 +8,9 @@
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
     Choice, CrashWatch, Digest, DigestNews, DurationBook, Endpoint, EndpointDirectory, FleetView,
-    HealthBook, HealthSettings, LoadBook, Patience, PeerTable, PickRequest, Picker, PrefixMap,
-    RetryWindow, RouteTable, ServiceRetries, Shutdown, ShutdownSettings, StoreChange, StoreView,
-    WaitingTime,
+    HealthBook, HealthSettings, IdleLimit, LoadBook, Patience, PeerTable, PickRequest, Picker,
+    PrefixMap, RetryWindow, RouteTable, ServiceRetries, Shutdown, ShutdownSettings, StoreChange,
+    StoreView, WaitingTime,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
@@ -60,6 +60,7 @@
     pub(crate) peers: PeerTable,
     pub(crate) shutdown: Shutdown,
     pub(crate) durations: DurationBook,
+    pub(crate) idle_limit: IdleLimit,
     pub(crate) patience: Patience,
     pub(crate) waiting_time: WaitingTime,
     /// When the store last answered; none while this gateway doesn't watch it.
@@ -96,6 +97,7 @@
             peers: PeerTable::new(settings.peers.ip(), settings.seeds.clone()),
             shutdown: Shutdown::new(ShutdownSettings { grace_ms: settings.grace_ms }),
             durations: DurationBook::new(),
+            idle_limit: IdleLimit::new(),
             patience: Patience::new(),
             waiting_time: WaitingTime::new(),
             store_contact: None,
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -61,7 +61,11 @@
     ) -> Result<(Response<Incoming>, Line), Missed> {
         let endpoint = &choice.endpoint;
         let runs_once = self.plan.route.repeatable == Repeatable::Never;
-        let idle = self.gw.upstream.take_idle(endpoint.hash, runs_once);
+        let most_ms = {
+            let control = self.gw.control.borrow();
+            control.idle_limit.most_ms(&self.plan.service, runs_once, self.gw.clock.now())
+        };
+        let idle = self.gw.upstream.take_idle(endpoint.hash, most_ms);
         let mut line = match idle {
             Some(line) => line,
             None => self.connect(endpoint).await?,
@@ -70,10 +74,10 @@
         loop {
             match self.wait_for_head(&mut line, choice, last_event).await {
                 Ok(response) => return Ok((response, line)),
-                Err(SendOrSilence::Send(SendError::NotSent)) if line.is_reused() => {
+                Err(SendOrSilence::Send(SendError::NotSent)) if line.idle_ms().is_some() => {
                     line = self.connect(endpoint).await?;
                 }
-                Err(failed) => return Err(self.miss(failed, choice).await),
+                Err(failed) => return Err(self.miss(failed, choice, line.idle_ms()).await),
             }
         }
     }
@@ -107,13 +111,18 @@
         }
     }
 
-    async fn miss(&self, failed: SendOrSilence, choice: &Choice) -> Missed {
+    async fn miss(&self, failed: SendOrSilence, choice: &Choice, idle_ms: Option<u64>) -> Missed {
         match failed {
             SendOrSilence::Send(SendError::NotSent | SendError::NoConnection(_)) => {
                 Missed::new(AttemptOutcome::NotSent, "not_sent")
             }
             SendOrSilence::Send(SendError::Broken(_)) => {
-                self.record_broken(&choice.endpoint).await;
+                let is_up = self.record_broken(&choice.endpoint).await;
+                if let Some(idle_ms) = idle_ms.filter(|_| is_up) {
+                    let now = self.gw.clock.now();
+                    let mut control = self.gw.control.borrow_mut();
+                    control.idle_limit.record_reset(&self.plan.service, idle_ms, now);
+                }
                 Missed::new(AttemptOutcome::Unknown, "broken")
             }
             SendOrSilence::Silence => Missed::new(AttemptOutcome::Unknown, "silent"),
@@ -121,18 +130,23 @@
     }
 
     /// The connection broke while the endpoint worked on this request. A new connection tells
-    /// whether the endpoint has crashed; if not, the next request uses it.
-    pub(crate) async fn record_broken(&self, endpoint: &Arc<Endpoint>) {
+    /// whether the endpoint has crashed; if not, the next request uses it. Returns whether it could
+    /// be opened.
+    pub(crate) async fn record_broken(&self, endpoint: &Arc<Endpoint>) -> bool {
         let now = self.gw.clock.now();
         self.gw.control.borrow_mut().crashes.record_broken(self.plan.content, endpoint.hash, now);
         let limit = Duration::from_millis(BROKEN_CHECK_MS);
         match tokio::time::timeout(limit, self.connect(endpoint)).await {
-            Ok(Ok(line)) => self.gw.upstream.put_idle(endpoint.hash, line, None),
+            Ok(Ok(line)) => {
+                self.gw.upstream.put_idle(endpoint.hash, line, None);
+                true
+            }
             // Noted by `connect`.
-            Ok(Err(_)) => {}
+            Ok(Err(_)) => false,
             Err(_) => {
                 let now = self.gw.clock.now();
                 self.gw.control.borrow_mut().health.record_unreachable(endpoint.hash, now);
+                false
             }
         }
     }
--- a/crates/persimmon_gateway/src/upstream.rs
+++ b/crates/persimmon_gateway/src/upstream.rs
@@ -21,11 +21,8 @@
 /// Longest time that a connection to an endpoint may take, in milliseconds: many round trips
 /// between zones, and less than the retransmission of a lost opening packet.
 const CONNECT_MS: u64 = 400;
-/// Idle time after which a connection isn't used for a request that may run once, in milliseconds.
-/// The endpoint may be closing it at that moment.
-const MAX_IDLE_ONCE_MS: u64 = 1_000;
-/// Idle time after which a connection isn't used at all, in milliseconds, where the endpoint states
-/// no timeout.
+/// Idle time after which a connection is closed, in milliseconds, where the endpoint states no
+/// timeout: the longest in which any is used.
 const MAX_IDLE_MS: u64 = 4_000;
 /// Part of the endpoint's stated timeout in which a connection is used.
 const IDLE_PART: f64 = 0.6;
@@ -51,7 +48,8 @@
 pub(crate) struct Line {
     sender: SendRequest<Full<Bytes>>,
     _connection: AbortOnDrop,
-    is_reused: bool,
+    /// How long it was idle before it was taken, in milliseconds; none for a new one.
+    idle_ms: Option<u64>,
 }
 
 impl Line {
@@ -69,9 +67,9 @@
         }
     }
 
-    /// Whether it carried an earlier request.
-    pub(crate) fn is_reused(&self) -> bool {
-        self.is_reused
+    /// How long it was idle before it was taken, in milliseconds; none for a new one.
+    pub(crate) fn idle_ms(&self) -> Option<u64> {
+        self.idle_ms
     }
 }
 
@@ -95,27 +93,24 @@
         Self { clock, idle: RefCell::new(HashMap::new()) }
     }
 
-    /// An idle connection that is sound, if there is one. `runs_once` asks for one that was used a
-    /// moment ago.
-    pub(crate) fn take_idle(&self, endpoint: EndpointHash, runs_once: bool) -> Option<Line> {
+    /// An idle connection that is sound and was used at most `most_ms` ago, if there is one.
+    pub(crate) fn take_idle(&self, endpoint: EndpointHash, most_ms: u64) -> Option<Line> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let lines = idle.get_mut(&endpoint)?;
         while let Some(candidate) = lines.pop() {
-            let age_ms = now.ms_since(candidate.since);
-            let most_ms =
-                if runs_once { MAX_IDLE_ONCE_MS.min(candidate.keep_ms) } else { candidate.keep_ms };
+            let idle_ms = now.ms_since(candidate.since);
             // The newest is last: if it is too old, so are the others.
-            if age_ms > most_ms {
-                if runs_once && age_ms <= candidate.keep_ms {
-                    lines.push(candidate);
-                } else {
-                    lines.clear();
-                }
+            if idle_ms > candidate.keep_ms {
+                lines.clear();
+                return None;
+            }
+            if idle_ms > most_ms {
+                lines.push(candidate);
                 return None;
             }
             if candidate.line.sender.is_ready() {
-                return Some(candidate.line);
+                return Some(Line { idle_ms: Some(idle_ms), ..candidate.line });
             }
         }
         None
@@ -128,16 +123,15 @@
             .map_err(SendError::NoConnection)?;
         let (sender, connection) =
             http::client_handshake(stream).await.map_err(SendError::NoConnection)?;
-        Ok(Line { sender, _connection: AbortOnDrop(connection), is_reused: false })
+        Ok(Line { sender, _connection: AbortOnDrop(connection), idle_ms: None })
     }
 
     /// Keeps a connection whose answer has been read to its end. `keep_s` is the timeout that the
     /// endpoint stated, in seconds.
-    pub(crate) fn put_idle(&self, endpoint: EndpointHash, mut line: Line, keep_s: Option<u64>) {
+    pub(crate) fn put_idle(&self, endpoint: EndpointHash, line: Line, keep_s: Option<u64>) {
         if line.sender.is_closed() {
             return;
         }
-        line.is_reused = true;
         let keep_ms = keep_s.map_or(MAX_IDLE_MS, |s| (s as f64 * 1_000.0 * IDLE_PART) as u64);
         let mut idle = self.idle.borrow_mut();
         let lines = idle.entry(endpoint).or_default();
--- a/crates/persimmonmountd/tests/process_gateway_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_answers.rs
@@ -235,6 +235,41 @@
     desk.deployment.close();
 }
 
+/// An endpoint that drops idle connections without notice resets whatever is sent over one next.
+#[rstest]
+#[case::repeatable("/lookup/x", Duration::from_millis(100))]
+#[case::once("/commit/x", Duration::from_millis(1_500))]
+fn idle_connection_that_was_dropped_costs_no_request(#[case] path: &str, #[case] idle: Duration) {
+    const REQUESTS: usize = 4;
+    let desk = Desk::start();
+    desk.both_behave(&Behaviour::ForgetIdle { idle, body: "done".to_owned() });
+    for number in 0..REQUESTS {
+        let answer = desk.call(path, &format!("request-{number}"));
+        assert_eq!(answer.status, 200, "request {number}: {answer:?}");
+        std::thread::sleep(idle + Duration::from_millis(200));
+    }
+    desk.deployment.close();
+}
+
+/// Endpoints that drop idle connections much sooner than is usual. Whether a request that may run
+/// once has run can't be told from a reset, so the first fails.
+#[test]
+fn idle_connections_dropped_soon_cost_one_request() {
+    const IDLE: Duration = Duration::from_millis(200);
+    const REQUESTS: usize = 8;
+    let desk = Desk::start();
+    desk.both_behave(&Behaviour::ForgetIdle { idle: IDLE, body: "done".to_owned() });
+    let mut failed = 0;
+    for number in 0..REQUESTS {
+        let status = desk.call("/commit/x", &format!("request-{number}")).status;
+        assert!([200, 502].contains(&status), "request {number}: {status}");
+        failed += usize::from(status == 502);
+        std::thread::sleep(2 * IDLE);
+    }
+    assert!(failed <= 1, "{failed} of {REQUESTS} failed");
+    desk.deployment.close();
+}
+
 #[test]
 fn endpoint_that_is_gone_costs_no_request() {
     let desk = Desk::start();
