Tell the other gateways at once which content crashes endpoints

A gateway's marks waited for its next regular digest: 40 ms on small fleets, 350 ms at 350 gateways. Each gateway that the request reached in that time let it crash two endpoints of its own.

The process test waits until each gateway shows the content as refused and allows two crashes in all; its stand-in crashes as a process does, closing its port before its connections.

Ruled out on the way: 24 crashes in the first version of the test were a fault of the stand-in, which held its lock while it was away, so that the connection stayed open in silence.

--- a/crates/persimmon_decide/src/forward/crash_watch.rs
+++ b/crates/persimmon_decide/src/forward/crash_watch.rs
@@ -46,13 +46,17 @@
         broken.push((content.0, now));
     }
 
-    /// The endpoint refuses connections: what broke there just before may have crashed it.
-    pub fn record_refused(&mut self, endpoint: EndpointHash, now: MonoMs) {
+    /// The endpoint refuses connections: what broke there just before may have crashed it. Returns
+    /// whether any content is blamed, which the other gateways have to know at once.
+    pub fn record_refused(&mut self, endpoint: EndpointHash, now: MonoMs) -> bool {
+        let mut is_blamed = false;
         for (content, at) in self.broken.remove(&endpoint).unwrap_or_default() {
             if now.ms_since(at) <= Self::BLAME_MS {
                 self.mark(content, endpoint, now);
+                is_blamed = true;
             }
         }
+        is_blamed
     }
 
     /// A peer's mark.
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -101,7 +101,9 @@
                 let now = self.gw.clock.now();
                 let mut control = self.gw.control.borrow_mut();
                 let ejected_ms = control.health.record_unreachable(endpoint.hash, now);
-                control.crashes.record_refused(endpoint.hash, now);
+                if control.crashes.record_refused(endpoint.hash, now) {
+                    self.gw.tell_now.notify_one();
+                }
                 if let Some(suppressed) = self.gw.journal.admit("unreachable", now) {
                     tracing::warn!(target: "endpoint", endpoint = &*endpoint.id, %err, ejected_ms,
                         suppressed, "unreachable");
--- a/crates/persimmonmountd/tests/process_gateway_fleet.rs
+++ b/crates/persimmonmountd/tests/process_gateway_fleet.rs
@@ -160,6 +160,46 @@
     deployment.close();
 }
 
+/// A request that crashes each endpoint that begins to run it, sent to every gateway in turn by a
+/// caller that pays no heed to `Retry-After`.
+#[test]
+fn request_that_crashes_endpoints_is_refused_everywhere() {
+    const GATEWAYS: usize = 3;
+    const TRIES: usize = 12;
+    const MARKER: &str = "crash-the-endpoint";
+    /// Endpoints that it may crash: as many as the first gateway needs to tell.
+    const MAX_CRASHED: u64 = 2;
+    let crash =
+        Behaviour::Crash { marker: MARKER, away: Duration::from_secs(2), body: "done".to_owned() };
+    let mut desk = Desk::start(GATEWAYS as u8);
+    let more: Vec<_> = ["three", "four", "five", "six"]
+        .into_iter()
+        .map(|id| EndpointStandin::start(id, crash.clone()).unwrap())
+        .collect();
+    more.iter().for_each(|endpoint| desk.deployment.publish_endpoint(endpoint, false));
+    desk.one.behave(crash.clone());
+    desk.two.behave(crash);
+    desk.deployment.publish_routes(&[RouteSpec::repeatable("lookup")], &[KEY]);
+    desk.wait_all(GATEWAYS, "/lookup/x", KEY, 200);
+    for attempt in 0..TRIES {
+        let caller = desk.deployment.caller(attempt % GATEWAYS).unwrap();
+        let mut caller = caller.request("POST", "/lookup/x", &format!("crash-{attempt}"));
+        caller = caller.with_key(KEY).with_deadline_ms(3_000);
+        assert_ne!(caller.call(MARKER).unwrap().status, 200);
+        let is_refused = |gateway| {
+            let status = desk.deployment.status(gateway).unwrap();
+            !status.contains("\"quarantined\":[]")
+        };
+        let all_refuse = || (0..GATEWAYS).all(is_refused);
+        assert!(wait_until(all_refuse), "{}", desk.deployment.status(0).unwrap());
+    }
+    let crashes: u64 = more.iter().chain([&desk.one, &desk.two]).map(|it| it.crashes()).sum();
+    assert!(crashes >= 1, "the request never ran");
+    assert!(crashes <= MAX_CRASHED, "{crashes} endpoints crashed");
+    desk.wait_all(GATEWAYS, "/lookup/x", KEY, 200);
+    desk.deployment.close();
+}
+
 #[test]
 fn unreadable_record_harms_no_other() {
     let mut desk = Desk::start(1);
