Soak crashes, delayed bytes, a slow or losing store, and keys taken away

The relay can deliver bytes later; the store stand-in can be slow or lose its answers. New faults have draws of their own, so a seed keeps its earlier ones.

--- a/crates/persimmon_soak/src/callers.rs
+++ b/crates/persimmon_soak/src/callers.rs
@@ -52,6 +52,8 @@
     pub(crate) id: String,
     pub(crate) kind: Kind,
     pub(crate) gateway: usize,
+    /// The caller's key.
+    pub(crate) key: &'static str,
     pub(crate) began: Instant,
     pub(crate) ended: Instant,
     /// The answer, if the gateway took the connection.
@@ -66,7 +68,7 @@
     number: u64,
     seed: u64,
     gateways: &[SocketAddr],
-    key: &str,
+    key: &'static str,
 ) -> Vec<Call> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
     let mut calls = Vec::new();
@@ -103,7 +105,7 @@
         });
         open = reusable.map(|caller| (gateway, caller, used + 1));
         let ended = Instant::now();
-        calls.push(Call { id, kind, gateway, began, ended, answer, is_sent });
+        calls.push(Call { id, kind, gateway, key, began, ended, answer, is_sent });
     }
     calls
 }
--- a/crates/persimmon_soak/src/checks.rs
+++ b/crates/persimmon_soak/src/checks.rs
@@ -7,14 +7,16 @@
 
 use crate::callers::{Call, Kind};
 use crate::schedule::{Fault, Step};
-use crate::soak::STREAM_EVENTS;
+use crate::soak::{REVOCABLE_KEY, STREAM_EVENTS};
 
 /// Longest time that a request may be kept beyond its route's timeout.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
 /// Time after which a leaving endpoint gets nothing new.
 const DRAIN: Duration = Duration::from_secs(2);
+/// Time after which published routes and keys are in force.
+pub(crate) const IN_FORCE: Duration = Duration::from_secs(2);
 /// Time without faults of the store or a process before such a bound holds.
-const CONTACT: Duration = Duration::from_secs(3);
+pub(crate) const CONTACT: Duration = Duration::from_secs(3);
 /// The fleet's bound on repeated sends: a window, a ratio and a slack.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 const BUDGET_RATIO: f64 = 0.2;
@@ -96,6 +98,7 @@
                     find("whole answer", "a short answer broke off".to_owned());
                 }
             }
+            Ok(answer) if answer.status == 401 && self.may_be_revoked(call) => {}
             Ok(answer) if matches!(answer.status, 400 | 401 | 403 | 404) => {
                 find("allowed calls aren't denied", format!("status {}", answer.status));
             }
@@ -116,6 +119,47 @@
         })
     }
 
+    /// The times in which the call's key was taken away.
+    fn revocations(&self, call: &Call) -> impl Iterator<Item = (Instant, Instant)> {
+        let steps = if call.key == REVOCABLE_KEY { self.steps } else { &[] };
+        steps.iter().filter_map(|step| {
+            let Fault::Revoke { for_ms } = step.fault else { return None };
+            let begins = self.started + Duration::from_millis(step.at_ms);
+            Some((begins, begins + Duration::from_millis(for_ms)))
+        })
+    }
+
+    /// Whether a gateway may refuse the call's key, since it was taken away or isn't known to be
+    /// allowed again.
+    fn may_be_revoked(&self, call: &Call) -> bool {
+        self.revocations(call).any(|(begins, ends)| {
+            let is_late = self.may_be_missed(call.gateway, ends, call.ended);
+            begins <= call.ended && (call.began <= ends + IN_FORCE || is_late)
+        })
+    }
+
+    /// Whether a gateway may have missed a change of the routes in this time: the store told nobody,
+    /// its own process was struck, or those of two others, which may be the ones that watch the
+    /// store.
+    fn may_be_missed(&self, gateway: usize, from: Instant, to: Instant) -> bool {
+        let overlapping = self.steps.iter().filter(|step| {
+            let begins = self.started + Duration::from_millis(step.at_ms);
+            let ends = begins + Duration::from_millis(step.fault.lasts_ms()) + CONTACT;
+            begins <= to && from <= ends
+        });
+        let mut others = 0;
+        for step in overlapping {
+            let tells_nobody =
+                matches!(step.fault, Fault::StoreSilent { .. } | Fault::StoreLoses { .. });
+            let process = step.fault.process();
+            others += usize::from(process.is_some());
+            if tells_nobody || process == Some(gateway) || others > 1 {
+                return true;
+            }
+        }
+        false
+    }
+
     fn check_drains(&self) -> Vec<Finding> {
         let mut findings = Vec::new();
         for step in self.steps {
--- a/crates/persimmon_soak/src/schedule.rs
+++ b/crates/persimmon_soak/src/schedule.rs
@@ -76,6 +76,39 @@
         /// How long, in milliseconds.
         for_ms: u64,
     },
+    /// An endpoint's process crashes: it resets its connections and refuses others for a while.
+    Crash {
+        /// The endpoint.
+        endpoint: usize,
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
+    /// What an endpoint and its gateways send each other arrives later, for a while.
+    Delay {
+        /// The endpoint.
+        endpoint: usize,
+        /// How much later, in milliseconds.
+        delay_ms: u64,
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
+    /// The store answers later, for a while.
+    StoreSlow {
+        /// How much later, in milliseconds.
+        delay_ms: u64,
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
+    /// The store's answers are lost for a while.
+    StoreLoses {
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
+    /// One of the callers' keys is taken away for a while.
+    Revoke {
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
     /// A gateway gets SIGHUP.
     Reload {
         /// The gateway.
@@ -96,7 +129,14 @@
 
     /// Whether gateways may know less of the records because of it.
     pub(crate) fn is_of_store(self) -> bool {
-        matches!(self, Self::StoreSilent { .. } | Self::StoreRefuses { .. } | Self::StoreForgets)
+        matches!(
+            self,
+            Self::StoreSilent { .. }
+                | Self::StoreRefuses { .. }
+                | Self::StoreForgets
+                | Self::StoreSlow { .. }
+                | Self::StoreLoses { .. }
+        )
     }
 
     /// How long it lasts, in milliseconds.
@@ -106,6 +146,11 @@
             | Self::Drain { for_ms, .. }
             | Self::StoreSilent { for_ms }
             | Self::StoreRefuses { for_ms, .. }
+            | Self::Crash { for_ms, .. }
+            | Self::Delay { for_ms, .. }
+            | Self::StoreSlow { for_ms, .. }
+            | Self::StoreLoses { for_ms }
+            | Self::Revoke { for_ms }
             | Self::Pause { for_ms, .. } => for_ms,
             // The grace of the stand-ins' settings, and a start.
             Self::Stop { .. } => 5_000,
@@ -139,6 +184,10 @@
     const MEAN_GAP_MS: u64 = 400;
     /// Quiet time at the start and at the end, in milliseconds.
     const QUIET_MS: u64 = 1_500;
+    /// Mean time between two faults of the later kinds, in milliseconds.
+    const MEAN_LATER_GAP_MS: u64 = 1_500;
+    /// Tells the draws of the later kinds from those of the first ones.
+    const LATER: u64 = 0x6c61_7465_7200_0000;
 
     /// Draws the faults of a seed.
     pub fn new(seed: u64, length_ms: u64, gateways: usize, endpoints: usize) -> Self {
@@ -154,10 +203,35 @@
                 at_ms += rng.random_range(0..2 * Self::MEAN_GAP_MS);
             }
         }
+        steps.extend(Self::later_steps(seed, length_ms, endpoints));
+        steps.sort_by_key(|step| step.at_ms);
         steps.retain(|step| step.at_ms + Self::QUIET_MS < length_ms);
         Self { seed, steps }
     }
 
+    /// Faults of kinds that were added later. They have draws of their own, so that a seed keeps its
+    /// first ones.
+    fn later_steps(seed: u64, length_ms: u64, endpoints: usize) -> Vec<Step> {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ Self::LATER);
+        let mut steps = Vec::new();
+        let mut at_ms = Self::QUIET_MS;
+        while at_ms < length_ms {
+            let endpoint = rng.random_range(0..endpoints);
+            let for_ms = rng.random_range(200..3_000);
+            let delay_ms = rng.random_range(5..250);
+            let fault = match rng.random_range(0..6) {
+                0 => Fault::Crash { endpoint, for_ms },
+                1 | 2 => Fault::Delay { endpoint, delay_ms, for_ms },
+                3 => Fault::StoreSlow { delay_ms, for_ms },
+                4 => Fault::StoreLoses { for_ms },
+                _ => Fault::Revoke { for_ms: for_ms + 2_500 },
+            };
+            steps.push(Step { at_ms, fault });
+            at_ms += rng.random_range(0..2 * Self::MEAN_LATER_GAP_MS);
+        }
+        steps
+    }
+
     fn fault(rng: &mut Pcg64Mcg, gateways: usize, endpoints: usize) -> Fault {
         let gateway = rng.random_range(0..gateways);
         let endpoint = rng.random_range(0..endpoints);
