Fuzz HTTP heads and bodies at a gateway's socket

Checked: every message gets an end, no caller gets more answers than its requests ran, nothing runs twice or under an identity that nobody sent, the process lives and hasn't panicked, and an honest caller is served afterwards.

--- /dev/null
+++ b/crates/persimmonmountd/tests/process_gateway_fuzz.rs
@@ -0,0 +1,216 @@
+//! Seeded random HTTP messages to one gateway. Caller, gateway and endpoint have to agree on where
+//! each request ends, whatever is sent.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use persimmon_platform::standin::{Behaviour, Deployment, EndpointStandin, REQUEST_ID, RouteSpec};
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const KEY: &str = "key-1";
+const SEED: u64 = 7_301;
+const THREADS: u64 = 8;
+const MESSAGES_PER_THREAD: u64 = 2_500;
+/// Longest time without a byte of an answer; the routes' limit on heads and the longest wait for an
+/// endpoint are shorter.
+const SILENCE: Duration = Duration::from_secs(10);
+
+/// Lines that parsers are known to read differently, and others beside them.
+const LINES: &[&str] = &[
+    "Content-Length: 0",
+    "Content-Length: 4",
+    "Content-Length: 40",
+    "Content-Length: +4",
+    "Content-Length: 0x4",
+    "Content-Length: 4, 4",
+    "Content-Length:4",
+    "Content-Length : 4",
+    "content-length: 18446744073709551616",
+    "Transfer-Encoding: chunked",
+    "transfer-encoding: CHUNKED",
+    "Transfer-Encoding: chunked, identity",
+    "Transfer-Encoding: xchunked",
+    "Transfer-Encoding:\tchunked",
+    "Transfer-Encoding: \"chunked\"",
+    "Connection: keep-alive",
+    "Connection: close",
+    "Connection: content-length",
+    "Expect: 100-continue",
+    "Host: other.example",
+    "Last-Event-Id: 5",
+    "Deadline-Ms: 900",
+    "X-Fold: a\r\n b",
+    "X-Null: a\0b",
+    "X-Bare: a\nContent-Length: 9",
+    "X-Return: a\rb",
+    "X-High: \u{e9}\u{1f600}",
+    ": no name",
+    "no colon",
+    "Trailer: Content-Length",
+    "TE: trailers",
+    "Upgrade: h2c",
+];
+
+/// Bodies, whole and broken, in both framings.
+const BODIES: &[&str] = &[
+    "",
+    "body",
+    "0\r\n\r\n",
+    "4\r\nbody\r\n0\r\n\r\n",
+    "4;ext=1\r\nbody\r\n0\r\n\r\n",
+    "4\nbody\n0\n\n",
+    "04\r\nbody\r\n0\r\nContent-Length: 7\r\n\r\n",
+    "-4\r\nbody\r\n0\r\n\r\n",
+    "fffffffffffffffff\r\nbody",
+    "4\r\nbodyX\r\n0\r\n\r\n",
+];
+
+const FIRST_LINES: &[&str] = &[
+    "GET /lookup/x HTTP/1.1",
+    "POST  /lookup/x HTTP/1.1",
+    "POST /lookup/x HTTP/1.0",
+    "POST /lookup/x HTTP/2.0",
+    "POST /lookup/%00/../x HTTP/1.1",
+    "POST http://other.example/lookup/x HTTP/1.1",
+    "CONNECT lookup:443 HTTP/1.1",
+    "OPTIONS * HTTP/1.1",
+    "PRI * HTTP/2.0",
+    "",
+];
+
+/// Two requests in a row, the first of which may be broken anywhere.
+fn message(rng: &mut Pcg64Mcg, name: &str) -> Vec<u8> {
+    let usual = "POST /lookup/x HTTP/1.1";
+    let first_line = if rng.random_bool(0.8) { usual } else { one_of(rng, FIRST_LINES) };
+    let mut text = first_line.to_owned();
+    let fixed = [
+        "Host: calls.example".to_owned(),
+        format!("{REQUEST_ID}: {name}-first"),
+        format!("Authorization: Bearer {KEY}"),
+    ];
+    let mut lines: Vec<_> = fixed.into_iter().filter(|_| rng.random_bool(0.97)).collect();
+    let (framing, body) = match rng.random_range(0..4) {
+        0 => ("Content-Length: 4", "body"),
+        1 => ("Transfer-Encoding: chunked", "4\r\nbody\r\n0\r\n\r\n"),
+        _ => (one_of(rng, LINES), one_of(rng, BODIES)),
+    };
+    lines.push(framing.to_owned());
+    for _ in 0..rng.random_range(0..2) {
+        let line = one_of(rng, LINES).to_owned();
+        lines.insert(rng.random_range(0..=lines.len()), line);
+    }
+    for line in lines {
+        text.push_str("\r\n");
+        text.push_str(&line);
+    }
+    text.push_str("\r\n\r\n");
+    text.push_str(body);
+    let mut bytes = text.into_bytes();
+    for _ in 0..rng.random_range(0..3_u32).saturating_sub(1) {
+        break_anywhere(rng, &mut bytes);
+    }
+    let second = format!(
+        "POST /lookup/y HTTP/1.1\r\nHost: calls.example\r\n{REQUEST_ID}: {name}-second\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: 4\r\n\r\nnext"
+    );
+    bytes.extend_from_slice(second.as_bytes());
+    bytes
+}
+
+fn one_of<'a>(rng: &mut Pcg64Mcg, items: &[&'a str]) -> &'a str {
+    items.choose(rng).copied().unwrap_or_default()
+}
+
+/// Changes, drops or inserts one byte, or cuts the rest off.
+fn break_anywhere(rng: &mut Pcg64Mcg, bytes: &mut Vec<u8>) {
+    if bytes.is_empty() {
+        return;
+    }
+    let at = rng.random_range(0..bytes.len());
+    match rng.random_range(0..10) {
+        0..3 => bytes[at] = rng.random(),
+        3..6 => {
+            bytes.remove(at);
+        }
+        6..9 => bytes.insert(at, rng.random()),
+        _ => bytes.truncate(at),
+    }
+}
+
+/// Sends the bytes and reads until the gateway closes.
+fn exchange(gateway: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(gateway).expect("the gateway takes connections");
+    stream.set_read_timeout(Some(SILENCE)).expect("a timeout");
+    // The gateway may close before all is sent, and reset what it didn't read.
+    let _ = stream.write_all(bytes).and_then(|()| stream.shutdown(Shutdown::Write));
+    let mut answer = Vec::new();
+    if let Err(err) = stream.read_to_end(&mut answer) {
+        let kind = err.kind();
+        assert_ne!(kind, std::io::ErrorKind::WouldBlock, "no end: {:?}", text(bytes));
+    }
+    answer
+}
+
+/// The identities in what was sent, broken ones too.
+fn identities(sent: &str) -> impl Iterator<Item = &str> {
+    let named = |line: &'_ str| line.to_ascii_lowercase().starts_with("attempt-id:");
+    let lines = sent.split('\n').filter(move |line| named(line));
+    lines.filter_map(|line| line.split_once(':')).map(|(_, id)| id.trim())
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn random_messages_end_where_all_agree() {
+    let mut deployment = Deployment::new(env!("CARGO_BIN_EXE_persimmonmountd"), 1).unwrap();
+    let endpoint = EndpointStandin::start("one", Behaviour::ok()).unwrap();
+    deployment.publish_endpoint(&endpoint, false);
+    deployment.publish_routes(&[RouteSpec::once("lookup")], &[KEY]);
+    deployment.start_all().unwrap();
+    let gateway = deployment.callers_address(0);
+    let id = deployment.id(0);
+    let exchanges: Vec<_> = thread::scope(|scope| {
+        let play = |thread: u64| {
+            let mut rng = Pcg64Mcg::seed_from_u64(SEED + thread);
+            let one = |_| {
+                // Long enough that a broken one isn't another's.
+                let name = format!("{:016x}", rng.random::<u64>());
+                let bytes = message(&mut rng, &name);
+                let answer = exchange(gateway, &bytes);
+                (bytes, answer)
+            };
+            (0..MESSAGES_PER_THREAD).map(one).collect::<Vec<_>>()
+        };
+        let threads: Vec<_> = (0..THREADS).map(|it| scope.spawn(move || play(it))).collect();
+        threads.into_iter().flat_map(|it| it.join().expect("every message has an end")).collect()
+    });
+
+    let received = endpoint.received();
+    let mut served = 0;
+    let mut unseen: HashMap<_, _> = received.iter().map(|it| (it.id.clone(), it)).collect();
+    assert_eq!(unseen.len(), received.len(), "a request ran twice");
+    for (bytes, answer) in &exchanges {
+        let sent = text(bytes);
+        let ran = identities(&sent).filter(|id| unseen.remove(*id).is_some()).count();
+        let answers = text(answer).matches("HTTP/1.1 200").count();
+        // A caller that closed early may miss an answer, and never has one too many.
+        assert!(answers <= ran, "{answers} answers, {ran} ran: {sent:?}");
+        served += answers;
+    }
+    assert!(unseen.is_empty(), "requests that nobody sent: {unseen:?}");
+    assert!(served > exchanges.len() / 4, "only {served} of {} were answered", exchanges.len());
+    assert_eq!(deployment.id(0), id, "the process is the same");
+    let log = deployment.log(0).join("\n");
+    assert!(!log.contains("panicked"), "{log}");
+    let mut honest = deployment.caller(0).unwrap().request("POST", "/lookup/x", "honest");
+    honest = honest.with_key(KEY);
+    assert_eq!(honest.call("body").unwrap().status, 200);
+    deployment.close();
+}
