Don't blame content that is answered elsewhere for crashes

The log's line is "refused", reason "crashing".

Ruled out: routes and keys (401 and 200 as published), endpoints that still refuse (their relays accept again at the end of the run).

Now a whole answer clears the content's marks, and for 30 to 60 s after one it takes four crashes without an answer in between, rather than two. Content that has never been answered, as a request that crashes each worker, is refused after two as before. Tests play the load and content that turns bad. The finding now shows the end of the gateway's log.

--- a/crates/persimmon_decide/src/forward/crash_watch.rs
+++ b/crates/persimmon_decide/src/forward/crash_watch.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the endpoints that run them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::load::EndpointHash;
 use crate::{Fingerprint, MonoMs};
@@ -11,14 +11,60 @@
     until: MonoMs,
 }
 
+/// Content that was answered whole lately, in two generations of which the older one is dropped.
+#[derive(Debug, Default)]
+struct Answered {
+    newer: HashSet<u64>,
+    older: HashSet<u64>,
+    turned_at: MonoMs,
+}
+
+impl Answered {
+    /// Length of a generation, in milliseconds. Content that is asked for much is answered again
+    /// within it, and content that has turned bad is known no longer than two of them.
+    const GENERATION_MS: u64 = 30_000;
+    /// Contents of a generation at most; with two of them some 150 KB.
+    const MAX_CONTENTS: usize = 4_096;
+
+    fn record(&mut self, content: u64, now: MonoMs) {
+        self.turn(now);
+        if self.newer.len() < Self::MAX_CONTENTS {
+            self.newer.insert(content);
+        }
+    }
+
+    fn turn(&mut self, now: MonoMs) {
+        let age_ms = now.ms_since(self.turned_at);
+        if age_ms < Self::GENERATION_MS {
+            return;
+        }
+        self.older = std::mem::take(&mut self.newer);
+        if age_ms >= 2 * Self::GENERATION_MS {
+            self.older.clear();
+        }
+        self.turned_at = now;
+    }
+
+    fn holds(&self, content: u64, now: MonoMs) -> bool {
+        let age_ms = now.ms_since(self.turned_at);
+        let is_newer = age_ms < 2 * Self::GENERATION_MS && self.newer.contains(&content);
+        is_newer || (age_ms < Self::GENERATION_MS && self.older.contains(&content))
+    }
+}
+
 /// Notices content under which several endpoints crashed, and refuses it from then on.
 ///
 /// A broken connection alone is no crash: answers are also lost for other reasons. It counts as one
 /// if the endpoint can't be reached shortly after. Gateways tell each other the marks, so that a
 /// caller that comes back elsewhere is refused there too.
+///
+/// Answers also the load of content that many callers ask for at the same time: some of it is always
+/// in progress where an endpoint crashes for another reason. Each whole answer clears its marks, and
+/// for a while after one it takes more of them to refuse the content.
 #[derive(Debug, Default)]
 pub struct CrashWatch {
     marks: HashMap<u64, Marks>,
+    answered: Answered,
     /// Requests whose connection broke lately, by endpoint.
     broken: HashMap<EndpointHash, Vec<(u64, MonoMs)>>,
 }
@@ -26,6 +72,9 @@
 impl CrashWatch {
     /// Endpoints that one content may crash.
     const MAX_CRASHES: usize = 2;
+    /// Endpoints that may crash under content that was answered whole lately, without another such
+    /// answer in between: more than fall at once by themselves, and still a bound.
+    const MAX_CRASHES_ANSWERED: usize = 4;
     /// How long after a broken connection an unreachable endpoint counts as crashed by it, in
     /// milliseconds: a crashed process refuses connections at once, and stays away for seconds.
     const BLAME_MS: u64 = 1_000;
@@ -39,6 +88,12 @@
         Self::default()
     }
 
+    /// An endpoint answered this content whole, so it crashes no endpoint by itself.
+    pub fn record_answered(&mut self, content: Fingerprint, now: MonoMs) {
+        self.marks.remove(&content.0);
+        self.answered.record(content.0, now);
+    }
+
     /// The connection to an endpoint broke while it worked on this content.
     pub fn record_broken(&mut self, content: Fingerprint, endpoint: EndpointHash, now: MonoMs) {
         let broken = self.broken.entry(endpoint).or_default();
@@ -67,7 +122,7 @@
     /// Whether this content is refused.
     pub fn refuses(&self, content: Fingerprint, now: MonoMs) -> bool {
         let marks = self.marks.get(&content.0).filter(|marks| marks.until > now);
-        marks.is_some_and(|marks| marks.crashed.len() >= Self::MAX_CRASHES)
+        marks.is_some_and(|marks| marks.crashed.len() >= self.max_crashes(content.0, now))
     }
 
     /// Every content that is refused.
@@ -86,6 +141,14 @@
         pairs.take(count).collect()
     }
 
+    /// Endpoints that may crash under a content before it is refused.
+    fn max_crashes(&self, content: u64, now: MonoMs) -> usize {
+        match self.answered.holds(content, now) {
+            true => Self::MAX_CRASHES_ANSWERED,
+            false => Self::MAX_CRASHES,
+        }
+    }
+
     fn mark(&mut self, content: u64, endpoint: EndpointHash, now: MonoMs) {
         if self.marks.len() >= Self::MAX_MARKS && !self.marks.contains_key(&content) {
             self.marks.retain(|_, marks| marks.until > now);
@@ -94,8 +157,9 @@
             }
         }
         let until = now.plus_ms(Self::MEMORY_MS);
+        let max_crashes = self.max_crashes(content, now);
         let marks = self.marks.entry(content).or_insert(Marks { crashed: Vec::new(), until });
-        if !marks.crashed.contains(&endpoint) && marks.crashed.len() < Self::MAX_CRASHES {
+        if !marks.crashed.contains(&endpoint) && marks.crashed.len() < max_crashes {
             marks.crashed.push(endpoint);
             marks.until = until;
         }
--- a/crates/persimmon_decide/tests/forward_crash_watch.rs
+++ b/crates/persimmon_decide/tests/forward_crash_watch.rs
@@ -69,3 +69,45 @@
     assert!(watch.refuses(BAD, MonoMs(200_000)));
     assert!(!watch.refuses(BAD, MonoMs(400_000)));
 }
+
+/// Content that many ask for, while endpoints crash for another reason.
+#[test]
+fn refuses_content_that_is_answered_elsewhere_is_not_blamed() {
+    const CRASHES: u64 = 20;
+    let mut watch = CrashWatch::new();
+    for number in 1..=CRASHES {
+        let at = number * 10_000;
+        watch.record_answered(BAD, MonoMs(at - 500));
+        // Two at a time, as when a rack fails.
+        crash(&mut watch, EndpointHash(2 * number), at);
+        crash(&mut watch, EndpointHash(2 * number + 1), at);
+        assert!(!watch.refuses(BAD, MonoMs(at + 100)), "after {number} pairs of crashes");
+    }
+}
+
+#[test]
+fn refuses_content_that_has_turned_bad() {
+    let mut watch = CrashWatch::new();
+    watch.record_answered(BAD, MonoMs(1_000));
+    for endpoint in 1..=3 {
+        crash(&mut watch, EndpointHash(endpoint), 1_000 + endpoint);
+        assert!(!watch.refuses(BAD, MonoMs(1_100)));
+    }
+    crash(&mut watch, EndpointHash(4), 1_010);
+    assert!(watch.refuses(BAD, MonoMs(1_100)));
+}
+
+/// Marks of a gateway that has never seen the content answered.
+#[test]
+fn absorb_marks_dont_refuse_what_is_answered_here() {
+    let (mut here, mut there) = (CrashWatch::new(), CrashWatch::new());
+    here.record_answered(BAD, MonoMs(1_000));
+    crash(&mut there, ONE, 1_000);
+    crash(&mut there, TWO, 1_000);
+    for (content, endpoint) in there.newest(16, MonoMs(1_100)) {
+        here.absorb(content, endpoint, MonoMs(1_100));
+    }
+    assert!(!here.refuses(BAD, MonoMs(1_200)));
+    // Without further answers the marks count again.
+    assert!(here.refuses(BAD, MonoMs(62_000)));
+}
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -257,6 +257,7 @@
         let mut control = self.gw.control.borrow_mut();
         control.health.record_outcome(in_flight.endpoint.hash, true, now);
         control.waiting_time.record(&self.plan.service, now.ms_since(in_flight.began));
+        control.crashes.record_answered(self.plan.content, now);
     }
 
     fn record_first_answer(&mut self, choice: &Choice) {
--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -21,6 +21,8 @@
 pub(crate) const REVOCABLE_KEY: &str = "key-2";
 /// One caller in so many has the key that is taken away.
 const REVOCABLE_SHARE: u64 = 4;
+/// Lines of a gateway's log that a finding shows.
+const LOG_LINES: usize = 30;
 /// Time in which everything is over after the last call.
 const SETTLE: Duration = Duration::from_secs(5);
 /// The routes' timeout, in milliseconds.
@@ -330,7 +332,7 @@
                     break;
                 }
                 if Instant::now() > ends {
-                    let seen = format!("gateway {gateway}: {statuses:?}");
+                    let seen = format!("gateway {gateway}: {statuses:?}{}", self.log_end(gateway));
                     findings.push(Finding { promise: "keys are in force everywhere", seen });
                     break;
                 }
@@ -340,6 +342,13 @@
         findings
     }
 
+    /// The last lines of a gateway's log, each after a line break.
+    fn log_end(&self, gateway: usize) -> String {
+        let log = self.deployment.log(gateway);
+        let end = &log[log.len().saturating_sub(LOG_LINES)..];
+        end.iter().map(|line| format!("\n    {line}")).collect()
+    }
+
     /// The status with which a gateway answers this key.
     fn probe(&self, gateway: usize, key: &str) -> io::Result<u16> {
         let caller = self.deployment.caller(gateway)?.request("POST", "/lookup/x", "probe");
