Use a quarter of a reset connection's idle time, so that one reset is enough

Ruled out: the check connection after the reset timing out.

A quarter leaves one lost request where the drop comes within a quarter of the idle time seen. The decision's tests hold the new figures.

--- a/crates/persimmon_decide/src/forward/idle_limit.rs
+++ b/crates/persimmon_decide/src/forward/idle_limit.rs
@@ -24,8 +24,8 @@
 ///
 /// let mut limit = IdleLimit::new();
 /// limit.record_reset(&"ledger".into(), 600, MonoMs(0));
-/// assert_eq!(limit.most_ms("ledger", false, MonoMs(1)), 300);
-/// assert!(limit.most_ms("lookups", false, MonoMs(1)) > 300);
+/// assert_eq!(limit.most_ms("ledger", false, MonoMs(1)), 150);
+/// assert!(limit.most_ms("lookups", false, MonoMs(1)) > 150);
 /// ```
 #[derive(Debug, Default)]
 pub struct IdleLimit {
@@ -39,8 +39,9 @@
     /// Idle time after which a connection isn't used at all, in milliseconds.
     const MOST_MS: u64 = 4_000;
     /// Part of the idle time of a connection that was reset in which others are used. The drop may
-    /// have come at any time before it was noticed.
-    const PART: f64 = 0.5;
+    /// have come at any time before it was noticed, and a request lost weighs more than some new
+    /// connections.
+    const PART: f64 = 0.25;
     /// Shorter idle times are no cause of a reset, in milliseconds: no server drops connections
     /// that are in steady use.
     const LEAST_MS: u64 = 50;
--- a/crates/persimmon_decide/tests/forward_idle_limit.rs
+++ b/crates/persimmon_decide/tests/forward_idle_limit.rs
@@ -46,8 +46,8 @@
 }
 
 #[rstest]
-#[case::halved(&[(600, 0)], 1, 300)]
-#[case::shortest_counts(&[(600, 0), (200, 10), (900, 20)], 30, 100)]
+#[case::after_one(&[(600, 0)], 1, 150)]
+#[case::shortest_counts(&[(600, 0), (200, 10), (900, 20)], 30, 50)]
 #[case::forgotten(&[(600, 0)], 60_000, 1_000)]
 #[case::in_steady_use(&[(5, 0)], 1, 1_000)]
 fn most_ms_after_resets(#[case] resets: &[(u64, u64)], #[case] at: u64, #[case] expected: u64) {
--- a/crates/persimmonmountd/tests/process_gateway_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_answers.rs
@@ -266,7 +266,7 @@
         failed += usize::from(status == 502);
         std::thread::sleep(2 * IDLE);
     }
-    assert!(failed <= 1, "{failed} of {REQUESTS} failed");
+    assert!(failed <= 1, "{failed} of {REQUESTS} failed: {:#?}", desk.deployment.log(0));
     desk.deployment.close();
 }
 
