--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -103,6 +103,10 @@
                 let ejected_ms = control.health.record_unreachable(endpoint.hash, now);
                 if control.crashes.record_refused(endpoint.hash, now) {
                     self.gw.tell_now.notify_one();
+                    if let Some(suppressed) = self.gw.journal.admit("blamed", now) {
+                        tracing::warn!(target: "endpoint", endpoint = &*endpoint.id,
+                            id = &*self.plan.head.id, suppressed, "crashed under its requests");
+                    }
                 }
                 if let Some(suppressed) = self.gw.journal.admit("unreachable", now) {
                     tracing::warn!(target: "endpoint", endpoint = &*endpoint.id, %err, ejected_ms,
@@ -121,9 +125,7 @@
             SendOrSilence::Send(SendError::Broken(_)) => {
                 let is_up = self.record_broken(&choice.endpoint).await;
                 if let Some(idle_ms) = idle_ms.filter(|_| is_up) {
-                    let now = self.gw.clock.now();
-                    let mut control = self.gw.control.borrow_mut();
-                    control.idle_limit.record_reset(&self.plan.service, idle_ms, now);
+                    self.record_reset(&choice.endpoint, idle_ms);
                 }
                 Missed::new(AttemptOutcome::Unknown, "broken")
             }
@@ -131,6 +133,18 @@
         }
     }
 
+    /// The endpoint reset a connection that had been idle for `idle_ms`, and takes new ones.
+    fn record_reset(&self, endpoint: &Endpoint, idle_ms: u64) {
+        let now = self.gw.clock.now();
+        let mut control = self.gw.control.borrow_mut();
+        control.idle_limit.record_reset(&self.plan.service, idle_ms, now);
+        if let Some(suppressed) = self.gw.journal.admit("idle_reset", now) {
+            let most_ms = control.idle_limit.most_ms(&self.plan.service, true, now);
+            tracing::info!(target: "endpoint", endpoint = &*endpoint.id, idle_ms, most_ms,
+                suppressed, "idle connection reset");
+        }
+    }
+
     /// The connection broke while the endpoint worked on this request. A new connection tells
     /// whether the endpoint has crashed; if not, the next request uses it. Returns whether it could
     /// be opened.
