--- a/crates/persimmon_soak/src/callers.rs
+++ b/crates/persimmon_soak/src/callers.rs
@@ -14,6 +14,8 @@
 const PAUSE: Duration = Duration::from_millis(15);
 /// Calls over one connection before a new one is opened.
 const CALLS_PER_CONNECTION: u32 = 20;
+/// Part of the calls whose caller leaves, one in so many.
+const LEAVING_SHARE: u32 = 25;
 
 /// What a call asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +62,8 @@
     pub(crate) answer: io::Result<Answer>,
     /// Whether the request was sent.
     pub(crate) is_sent: bool,
+    /// Whether the caller left without its answer.
+    pub(crate) has_left: bool,
 }
 
 /// Calls until told to stop, and returns every call.
@@ -91,6 +95,7 @@
                 (gateway, Caller::connect(gateways[gateway]), 0)
             }
         };
+        let has_left = rng.random_ratio(1, LEAVING_SHARE);
         let mut is_sent = false;
         let mut reusable = None;
         let answer = connected.and_then(|caller| {
@@ -99,13 +104,26 @@
             let mut caller = caller.with_deadline_ms(4_000);
             caller.send("body")?;
             is_sent = true;
+            if has_left {
+                leave(caller, kind)?;
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
             let answer = caller.receive()?.ok_or(io::ErrorKind::UnexpectedEof)?;
             reusable = (answer.is_whole && !answer.closes).then_some(caller);
             Ok(answer)
         });
         open = reusable.map(|caller| (gateway, caller, used + 1));
         let ended = Instant::now();
-        calls.push(Call { id, kind, gateway, key, began, ended, answer, is_sent });
+        calls.push(Call { id, kind, gateway, key, began, ended, answer, is_sent, has_left });
     }
     calls
 }
+
+/// Closes the connection, once a stream has begun or before a short answer.
+fn leave(mut caller: Caller, kind: Kind) -> io::Result<()> {
+    if kind.is_stream() {
+        caller.wait_for("HTTP/1.1")?;
+    }
+    caller.close();
+    Ok(())
+}
--- a/crates/persimmon_soak/src/checks.rs
+++ b/crates/persimmon_soak/src/checks.rs
@@ -78,6 +78,9 @@
         if call.kind.runs_once() && runs > 1 {
             find("once", format!("ran {runs} times"));
         }
+        if call.has_left {
+            return findings;
+        }
         let is_struck = self.is_struck(call.gateway, call.began, call.ended);
         let took = call.ended.duration_since(call.began);
         if !is_struck && took > self.timeout + TIMEOUT_SLACK {
@@ -112,7 +115,7 @@
 
     /// Whether a fault of its process may excuse what a gateway did in this time.
     fn is_struck(&self, gateway: usize, from: Instant, to: Instant) -> bool {
-        self.steps.iter().filter(|step| step.fault.process() == Some(gateway)).any(|step| {
+        self.steps.iter().filter(|step| step.fault.strikes(gateway)).any(|step| {
             let begins = self.started + Duration::from_millis(step.at_ms);
             let ends = begins + Duration::from_millis(step.fault.lasts_ms()) + CONTACT;
             begins <= to && from <= ends
@@ -151,9 +154,8 @@
         for step in overlapping {
             let tells_nobody =
                 matches!(step.fault, Fault::StoreSilent { .. } | Fault::StoreLoses { .. });
-            let process = step.fault.process();
-            others += usize::from(process.is_some());
-            if tells_nobody || process == Some(gateway) || others > 1 {
+            others += usize::from(step.fault.strikes_any());
+            if tells_nobody || step.fault.strikes(gateway) || others > 1 {
                 return true;
             }
         }
@@ -191,7 +193,7 @@
         let mut own = 0;
         for step in overlapping {
             own += usize::from(drains(step));
-            if step.fault.is_of_store() || step.fault.process().is_some() || own > 1 {
+            if step.fault.is_of_store() || step.fault.strikes_any() || own > 1 {
                 return true;
             }
         }
--- a/crates/persimmon_soak/src/schedule.rs
+++ b/crates/persimmon_soak/src/schedule.rs
@@ -69,6 +69,8 @@
         /// The gateway.
         gateway: usize,
     },
+    /// Every gateway is killed at the same moment, and starts again.
+    KillAll,
     /// A gateway stands still for a while.
     Pause {
         /// The gateway.
@@ -117,16 +119,22 @@
 }
 
 impl Fault {
-    /// The gateway whose process it strikes, if it does.
-    pub(crate) fn process(self) -> Option<usize> {
+    /// Whether it strikes the process of a gateway.
+    pub(crate) fn strikes(self, process: usize) -> bool {
         match self {
             Self::Stop { gateway } | Self::Kill { gateway } | Self::Pause { gateway, .. } => {
-                Some(gateway)
+                gateway == process
             }
-            _ => None,
+            Self::KillAll => true,
+            _ => false,
         }
     }
 
+    /// Whether it strikes the process of any gateway.
+    pub(crate) fn strikes_any(self) -> bool {
+        matches!(self, Self::Stop { .. } | Self::Kill { .. } | Self::Pause { .. } | Self::KillAll)
+    }
+
     /// Whether gateways may know less of the records because of it.
     pub(crate) fn is_of_store(self) -> bool {
         matches!(
@@ -154,7 +162,7 @@
             | Self::Pause { for_ms, .. } => for_ms,
             // The grace of the stand-ins' settings, and a start.
             Self::Stop { .. } => 5_000,
-            Self::Kill { .. } => 1_000,
+            Self::Kill { .. } | Self::KillAll => 1_000,
             _ => 0,
         }
     }
@@ -188,6 +196,10 @@
     const MEAN_LATER_GAP_MS: u64 = 1_500;
     /// Tells the draws of the later kinds from those of the first ones.
     const LATER: u64 = 0x6c61_7465_7200_0000;
+    /// Part of the seeds in whose runs every gateway is killed at once, one in so many.
+    const KILL_ALL_SHARE: u32 = 2;
+    /// Tells the draws of such kills from the others.
+    const KILLS: u64 = 0x6b69_6c6c_7300_0000;
 
     /// Draws the faults of a seed.
     pub fn new(seed: u64, length_ms: u64, gateways: usize, endpoints: usize) -> Self {
@@ -204,6 +216,7 @@
             }
         }
         steps.extend(Self::later_steps(seed, length_ms, endpoints));
+        steps.extend(Self::kill_all(seed, length_ms));
         steps.sort_by_key(|step| step.at_ms);
         steps.retain(|step| step.at_ms + Self::QUIET_MS < length_ms);
         Self { seed, steps }
@@ -232,6 +245,14 @@
         steps
     }
 
+    /// A kill of every gateway, in some runs.
+    fn kill_all(seed: u64, length_ms: u64) -> Option<Step> {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ Self::KILLS);
+        let is_drawn = rng.random_ratio(1, Self::KILL_ALL_SHARE);
+        let at_ms = rng.random_range(Self::QUIET_MS..=length_ms.max(Self::QUIET_MS));
+        is_drawn.then_some(Step { at_ms, fault: Fault::KillAll })
+    }
+
     fn fault(rng: &mut Pcg64Mcg, gateways: usize, endpoints: usize) -> Fault {
         let gateway = rng.random_range(0..gateways);
         let endpoint = rng.random_range(0..endpoints);
--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -246,6 +246,14 @@
                 self.deployment.kill(gateway)?;
                 self.restarting.push(gateway);
             }
+            Fault::KillAll => {
+                for gateway in 0..self.deployment.len() {
+                    if !self.restarting.contains(&gateway) {
+                        self.deployment.kill(gateway)?;
+                        self.restarting.push(gateway);
+                    }
+                }
+            }
             Fault::Pause { gateway, .. } => self.deployment.pause(gateway)?,
             Fault::Reload { gateway } => self.deployment.reload(gateway)?,
         }
