Answer a body that never ends with 408, which says that the request hasn't run

Before: 504, "an endpoint may have run the request", though nothing was sent to one (body_that_never_ends_is_answered_as_not_run failed so). Callers may send a request again after 408 even if it may run once. After: 408, and the connection closes, since the rest of the body may follow.

It now waits until the first 25 bodies are held, as many as fit, and asks for a refusal of each of the other 55, which is stricter.

--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -140,7 +140,7 @@
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
         Ok(Err(_)) => Err(Refusal::BadRequest("the body broke off or can't be read")),
-        Err(_) => Err(Refusal::TimedOut),
+        Err(_) => Err(Refusal::BodyTooSlow),
     }
 }
 
--- a/crates/persimmon_gateway/src/refusal.rs
+++ b/crates/persimmon_gateway/src/refusal.rs
@@ -19,6 +19,8 @@
     NoRoute,
     /// The body is over the limit.
     BodyTooLarge,
+    /// The body didn't come in time.
+    BodyTooSlow,
     /// No routes are known yet.
     NotConfigured,
     /// Endpoints crashed under this content.
@@ -49,13 +51,14 @@
     /// Time for which content that crashes endpoints stays refused, in milliseconds.
     const CRASHING_RETRY_MS: u64 = 300_000;
 
-    /// The status code. 503 says that the request hasn't run and won't.
+    /// The status code. 408 and 503 say that the request hasn't run and won't.
     pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::BadRequest(_) => StatusCode::BAD_REQUEST,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NotConfigured
             | Self::Crashing
             | Self::Leaving
@@ -79,6 +82,7 @@
             Self::NoEndpoint { .. } => "no_endpoint",
             Self::Overloaded { .. } => "overloaded",
             Self::Unknown => "unknown_outcome",
+            Self::BodyTooSlow => "body_too_slow",
             Self::TimedOut => "timed_out",
         }
     }
@@ -96,6 +100,7 @@
             Self::NoEndpoint { .. } => "no endpoint takes requests; not run, send it again",
             Self::Overloaded { .. } => "it can't be answered in time; not run, send it again later",
             Self::Unknown => "an endpoint may have run the request, and its answer is lost",
+            Self::BodyTooSlow => "the body didn't come in time; not run, send it again",
             Self::TimedOut => "the time is over; an endpoint may have run the request",
         }
     }
@@ -126,7 +131,7 @@
             }
         }
         // What follows a request that can't be read may be part of it.
-        if matches!(self, Self::BadRequest(_) | Self::BodyTooLarge) {
+        if matches!(self, Self::BadRequest(_) | Self::BodyTooLarge | Self::BodyTooSlow) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/persimmonmountd/tests/process_gateway_input.rs
+++ b/crates/persimmonmountd/tests/process_gateway_input.rs
@@ -183,9 +183,25 @@
     desk.deployment.close();
 }
 
+/// A body that doesn't come in time was sent to no endpoint, which the answer says.
+#[test]
+fn body_that_never_ends_is_answered_as_not_run() {
+    let mut desk = Desk::start();
+    let route = RouteSpec::once("commit").with_timeout_ms(300);
+    desk.deployment.publish_routes(&[route], &[KEY]);
+    let mut caller = desk.caller();
+    caller.send_raw(message("Content-Length: 100\r\n\r\nhalf").as_bytes()).unwrap();
+    let answer = caller.receive().unwrap().unwrap();
+    assert_eq!((answer.status, answer.closes), (408, true), "{answer:?}");
+    desk.assert_serves();
+    desk.deployment.close();
+}
+
 /// Eighty half-sent bodies of 2 MB are more than the gateway's memory for bodies.
 #[test]
 fn many_half_sent_bodies_are_bounded() {
+    /// Bodies that the memory holds.
+    const HELD: usize = 25;
     let mut desk = Desk::start();
     desk.deployment.set_max_body_bytes(2_000_000);
     desk.deployment.publish_routes(&[RouteSpec::once("large")], &[KEY]);
@@ -196,10 +212,15 @@
     };
     assert!(wait_until(is_in_force));
     let mut open: Vec<_> = (0..80).map(|_| desk.caller()).collect();
-    for caller in &mut open {
+    for caller in &mut open[..HELD] {
+        caller.send_raw(head.as_bytes()).unwrap();
+    }
+    let is_full = || desk.deployment.status(0).unwrap().contains(&format!("\"running\":{HELD},"));
+    assert!(wait_until(is_full), "{}", desk.deployment.status(0).unwrap());
+    for caller in &mut open[HELD..] {
         caller.send_raw(head.as_bytes()).unwrap();
     }
-    for caller in open.iter_mut().rev().take(20) {
+    for caller in &mut open[HELD..] {
         let answer = caller.receive().unwrap().unwrap();
         assert_eq!(answer.status, 503, "{answer:?}");
         assert!(answer.retry_after_s.is_some());
