Tell callers when a gateway will be back where every one is leaving

Gateways now know from digests since when each other one is leaving. Where none stays, they tell the time until the first may be reached again: its grace, a start and the balancer's next question, spread over half a second.

--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -24,7 +24,8 @@
     sequence: u64,
     heard_at: MonoMs,
     revision: u64,
-    is_leaving: bool,
+    /// When its first digest of this life came that said that it is leaving.
+    leaving_since: Option<MonoMs>,
     store_age_ms: Option<u32>,
     retries: Vec<(Arc<str>, ServiceRetries)>,
 }
@@ -66,6 +67,9 @@
     const MAX_RECEIVED_PER_S: u64 = 80;
     /// Other gateways named in one digest. A fleet of hundreds finds itself within seconds by that.
     const TOLD_PEERS: usize = 8;
+    /// Time from a gateway's start until new connections reach it, in milliseconds: it reads the
+    /// records within some tens, and the balancer asks every second whether it is ready.
+    const START_MS: u64 = 1_500;
     /// How long a silent peer is still sent digests, in milliseconds. A restarted process is back
     /// within seconds; a replaced one has another address.
     const MEMORY_MS: u64 = 30_000;
@@ -89,13 +93,14 @@
         if known.is_some_and(|peer| digest.sequence <= peer.sequence) {
             return DigestNews::Old;
         }
+        let leaving_since = known.and_then(|peer| peer.leaving_since).unwrap_or(now);
         let news = if known.is_some() { DigestNews::New } else { DigestNews::Started };
         let peer = Peer {
             incarnation: digest.incarnation,
             sequence: digest.sequence,
             heard_at: now,
             revision: digest.revision,
-            is_leaving: digest.is_leaving,
+            leaving_since: digest.is_leaving.then_some(leaving_since),
             store_age_ms: digest.store_age_ms,
             retries: digest.retries.clone(),
         };
@@ -190,12 +195,23 @@
     /// Whether this gateway watches the platform's store. The first few in the order of their
     /// addresses do; each that doesn't reach the store, or is leaving, is replaced by the next.
     pub fn should_watch(&self, now: MonoMs) -> bool {
-        let before = self
-            .live(now)
-            .filter(|(ip, peer)| **ip < self.own && !peer.is_leaving && !peer.is_cut_from_store());
+        let stays = |peer: &Peer| peer.leaving_since.is_none() && !peer.is_cut_from_store();
+        let before = self.live(now).filter(|(ip, peer)| **ip < self.own && stays(peer));
         before.count() < Self::WATCHERS
     }
 
+    /// Milliseconds until a gateway may be back, where every one is leaving, this one since
+    /// `own_since`; none while another one stays. A process is started again once the time that the
+    /// platform gives it to end, `grace_ms`, is over.
+    pub fn return_ms(&self, own_since: MonoMs, grace_ms: u64, now: MonoMs) -> Option<u64> {
+        if self.live(now).any(|(_, peer)| peer.leaving_since.is_none()) {
+            return None;
+        }
+        let first = self.peers.values().filter_map(|peer| peer.leaving_since).min();
+        let back = first.map_or(own_since, |since| since.min(own_since)).plus_ms(grace_ms);
+        Some(back.ms_since(now) + Self::START_MS)
+    }
+
     /// Whether a peer that watches the store doesn't reach it.
     pub fn is_store_lost(&self, now: MonoMs) -> bool {
         self.live(now).any(|(_, peer)| peer.is_cut_from_store())
--- a/crates/persimmon_decide/src/forward/shutdown.rs
+++ b/crates/persimmon_decide/src/forward/shutdown.rs
@@ -45,6 +45,31 @@
         self.started_at.get_or_insert(now);
     }
 
+    /// Time after which a refused caller comes back to another gateway, in milliseconds: a new
+    /// connection reaches one.
+    const ELSEWHERE_MS: u64 = 20;
+    /// Time over which callers come back that wait for the first gateway to return, in milliseconds.
+    const SPREAD_MS: u64 = 500;
+
+    /// When a refused caller is to come back, in milliseconds. `return_ms` is the time until a
+    /// gateway may be back if every one is leaving, `draw` spreads those that wait for it.
+    ///
+    /// Answers the load of a fleet that is restarted as a whole: a caller that comes back at once
+    /// would be refused once more, and may have no further try.
+    pub fn retry_after_ms(return_ms: Option<u64>, draw: u64) -> u64 {
+        return_ms.map_or(Self::ELSEWHERE_MS, |ms| ms + draw % Self::SPREAD_MS)
+    }
+
+    /// When the signal came, if the gateway is stopping.
+    pub fn started_at(&self) -> Option<MonoMs> {
+        self.started_at
+    }
+
+    /// Time that the process has from the signal on, in milliseconds.
+    pub fn grace_ms(&self) -> u64 {
+        self.grace_ms
+    }
+
     /// Whether the gateway is stopping.
     pub fn is_leaving(&self) -> bool {
         self.started_at.is_some()
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -138,3 +138,39 @@
     assert_eq!(peers.retries("engines", MonoMs(9_000)), ServiceRetries::default());
     assert_eq!(peers.gateways(MonoMs(1_100)), 5);
 }
+
+/// Five gateways that leave one second apart, the last of which refuses a caller.
+#[rstest]
+#[case::first_is_back_in_two_seconds(6_000, Some(3_500))]
+#[case::first_is_due(8_000, Some(1_500))]
+#[case::first_is_late(9_000, Some(1_500))]
+fn return_ms_follows_the_first_that_left(#[case] at: u64, #[case] expected: Option<u64>) {
+    const GRACE_MS: u64 = 8_000;
+    let mut table = PeerTable::new(ip(5), vec![ip(1)]);
+    for last in 1..=4 {
+        let since = MonoMs(u64::from(last - 1) * 1_000);
+        let leaving = |sequence| Digest { is_leaving: true, ..digest(sequence) };
+        table.absorb(ip(last), &leaving(1), since);
+        // Its later digests don't move the time at which it left.
+        table.absorb(ip(last), &leaving(2), since.plus_ms(500));
+    }
+    assert_eq!(table.return_ms(MonoMs(4_000), GRACE_MS, MonoMs(at)), expected);
+}
+
+#[test]
+fn return_ms_another_that_stays_takes_the_request() {
+    let mut table = PeerTable::new(ip(3), vec![ip(1)]);
+    table.absorb(ip(1), &Digest { is_leaving: true, ..digest(1) }, MonoMs(0));
+    table.absorb(ip(2), &digest(1), MonoMs(0));
+    assert_eq!(table.return_ms(MonoMs(100), 8_000, MonoMs(200)), None);
+}
+
+/// A gateway that is back in a new life takes requests again.
+#[test]
+fn return_ms_ends_when_one_is_back() {
+    let mut table = PeerTable::new(ip(2), vec![ip(1)]);
+    table.absorb(ip(1), &Digest { is_leaving: true, ..digest(1) }, MonoMs(0));
+    assert_eq!(table.return_ms(MonoMs(0), 8_000, MonoMs(100)), Some(9_400));
+    table.absorb(ip(1), &Digest { incarnation: 99, ..digest(1) }, MonoMs(8_200));
+    assert_eq!(table.return_ms(MonoMs(0), 8_000, MonoMs(8_300)), None);
+}
--- a/crates/persimmon_decide/tests/forward_shutdown.rs
+++ b/crates/persimmon_decide/tests/forward_shutdown.rs
@@ -57,3 +57,15 @@
     shutdown.begin(START.plus_ms(5_000));
     assert_eq!(shutdown.left_ms(START.plus_ms(8_000)), 0);
 }
+
+#[rstest]
+#[case::others_stay(None, 123, 20)]
+#[case::all_leave(Some(2_250), 123, 2_373)]
+#[case::spread_is_bounded(Some(2_250), 999, 2_749)]
+fn retry_after_ms_leads_to_a_gateway_that_takes(
+    #[case] return_ms: Option<u64>,
+    #[case] draw: u64,
+    #[case] expected: u64,
+) {
+    assert_eq!(Shutdown::retry_after_ms(return_ms, draw), expected);
+}
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use persimmon_decide::forward::{CallerLookup, Route, RouteTable, Workspace};
+use persimmon_decide::forward::{CallerLookup, Route, RouteTable, Shutdown, Workspace};
 use persimmon_decide::{Fingerprint, MonoMs};
 
 use crate::exchange::NO_ENDPOINT_RETRY_MS;
@@ -105,12 +105,15 @@
     deadline: MonoMs,
     now: MonoMs,
 ) -> Result<(), Refusal> {
-    let control = gw.control.borrow();
+    let mut control = gw.control.borrow_mut();
     let most_ms = control.durations.most_ms(&route.name);
-    match control.shutdown.takes(most_ms, deadline.ms_since(now), now) {
-        true => Ok(()),
-        false => Err(Refusal::Leaving),
+    if control.shutdown.takes(most_ms, deadline.ms_since(now), now) {
+        return Ok(());
     }
+    let since = control.shutdown.started_at().unwrap_or(now);
+    let return_ms = control.peers.return_ms(since, control.shutdown.grace_ms(), now);
+    let retry_after_ms = Shutdown::retry_after_ms(return_ms, control.draw());
+    Err(Refusal::Leaving { retry_after_ms })
 }
 
 /// Takes memory for a body of the stated length, or of a usual one if none is stated.
--- a/crates/persimmon_gateway/src/refusal.rs
+++ b/crates/persimmon_gateway/src/refusal.rs
@@ -26,7 +26,10 @@
     /// Endpoints crashed under this content.
     Crashing,
     /// The gateway shuts down and the request would not end in time.
-    Leaving,
+    Leaving {
+        /// When another one takes it, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No endpoint takes the request.
     NoEndpoint {
         /// When one may, in milliseconds.
@@ -46,8 +49,6 @@
 impl Refusal {
     /// Time until a gateway that has just started knows the routes, in milliseconds.
     const START_RETRY_MS: u64 = 500;
-    /// Time until another gateway takes the request, in milliseconds: a new connection reaches one.
-    const LEAVING_RETRY_MS: u64 = 20;
     /// Time for which content that crashes endpoints stays refused, in milliseconds.
     const CRASHING_RETRY_MS: u64 = 300_000;
 
@@ -61,7 +62,7 @@
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NotConfigured
             | Self::Crashing
-            | Self::Leaving
+            | Self::Leaving { .. }
             | Self::NoEndpoint { .. }
             | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -78,7 +79,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::NotConfigured => "not_configured",
             Self::Crashing => "crashing",
-            Self::Leaving => "leaving",
+            Self::Leaving { .. } => "leaving",
             Self::NoEndpoint { .. } => "no_endpoint",
             Self::Overloaded { .. } => "overloaded",
             Self::Unknown => "unknown_outcome",
@@ -96,7 +97,7 @@
             Self::BodyTooLarge => "the body is too large",
             Self::NotConfigured => "the gateway has no routes yet; not run, send it again",
             Self::Crashing => "endpoints crashed under this request; not run, change it",
-            Self::Leaving => "the gateway shuts down; not run, send it again",
+            Self::Leaving { .. } => "the gateway shuts down; not run, send it again",
             Self::NoEndpoint { .. } => "no endpoint takes requests; not run, send it again",
             Self::Overloaded { .. } => "it can't be answered in time; not run, send it again later",
             Self::Unknown => "an endpoint may have run the request, and its answer is lost",
@@ -109,10 +110,9 @@
         match self {
             Self::NotConfigured => Some(Self::START_RETRY_MS),
             Self::Crashing => Some(Self::CRASHING_RETRY_MS),
-            Self::Leaving => Some(Self::LEAVING_RETRY_MS),
-            Self::NoEndpoint { retry_after_ms } | Self::Overloaded { retry_after_ms } => {
-                Some(retry_after_ms)
-            }
+            Self::Leaving { retry_after_ms }
+            | Self::NoEndpoint { retry_after_ms }
+            | Self::Overloaded { retry_after_ms } => Some(retry_after_ms),
             _ => None,
         }
     }
