Judge each service once for the status page

Not measured before and after; the tests of persimmonctl and of the process pages pass. A body that came too slowly counts as not run there.

--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -1,9 +1,11 @@
 //! What a gateway tells operators of itself.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{Endpoint, EndpointState};
+use persimmon_decide::load::EndpointHash;
 use serde::Serialize;
 
 use crate::control::Control;
@@ -80,8 +82,12 @@
         let now = gw.clock.now();
         let count = |outcome: &str| gw.metrics.requests.with_label_values(&[outcome]).get();
         let sum = |outcomes: &[&str]| outcomes.iter().map(|it| count(it)).sum();
-        let endpoints: Vec<_> =
-            control.directory.iter().map(|it| EndpointStatus::of(&control, it, now)).collect();
+        let failing = failing(&control, now);
+        let endpoints: Vec<_> = control
+            .directory
+            .iter()
+            .map(|it| EndpointStatus::of(&control, &failing, it, now))
+            .collect();
         let requests: u32 = endpoints.iter().map(|it| it.requests).sum();
         Self {
             role: "gateway",
@@ -111,19 +117,34 @@
 }
 
 /// Outcomes that say that a request wasn't run.
-const NOT_RUN: [&str; 5] = ["not_configured", "crashing", "leaving", "no_endpoint", "overloaded"];
+const NOT_RUN: [&str; 6] =
+    ["not_configured", "crashing", "leaving", "no_endpoint", "overloaded", "body_too_slow"];
 /// Outcomes that leave open whether a request ran.
 const UNKNOWN: [&str; 3] = ["unknown_outcome", "timed_out", "stream_cut"];
 
+/// Endpoints that fail more often than their services, each service judged once.
+fn failing(control: &Control, now: MonoMs) -> HashSet<EndpointHash> {
+    let services: HashSet<_> = control.directory.iter().map(|it| &it.service).collect();
+    let of_service = |service: &Arc<str>| {
+        let members = control.directory.of_service(service).iter().map(|it| it.hash);
+        control.health.failing(members, now)
+    };
+    services.into_iter().flat_map(of_service).collect()
+}
+
 impl EndpointStatus {
-    fn of(control: &Control, endpoint: &Arc<Endpoint>, now: MonoMs) -> Self {
+    fn of(
+        control: &Control,
+        failing: &HashSet<EndpointHash>,
+        endpoint: &Arc<Endpoint>,
+        now: MonoMs,
+    ) -> Self {
         let hash = endpoint.hash;
-        let service = control.directory.of_service(&endpoint.service).iter().map(|it| it.hash);
         let usage = if endpoint.state == EndpointState::Draining {
             "draining"
         } else if control.health.is_ejected(hash, now) {
             "unreachable"
-        } else if control.health.failing(service, now).contains(&hash) {
+        } else if failing.contains(&hash) {
             "failing"
         } else {
             "in"
