Keep one clock and one set of metrics for all processes

The gateway and the daemon's other roles had a steady clock and the closures that register metrics of their own; persimmon_process holds both now. Nothing changes for callers.

--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -18,10 +18,10 @@
 use tokio::sync::Notify;
 
 use crate::answer::answer;
-use crate::clock::Clock;
 use crate::gateway::Gateway;
 use crate::http;
 use crate::platform::Platform;
+use persimmon_process::Clock;
 
 /// Time between two looks for idle and slow connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -40,7 +40,7 @@
         last_event: Option<u64>,
     ) -> Result<Answered<P>, Missed> {
         let mut in_flight = InFlight::begin(&self.gw, choice);
-        let deadline = self.gw.clock.instant(self.plan.deadline);
+        let deadline = self.gw.clock.instant(self.plan.deadline).into();
         let sent = tokio::time::timeout_at(deadline, self.send(choice, last_event)).await;
         let (response, line) = match sent {
             Ok(result) => result?,
@@ -183,7 +183,7 @@
             tokio::select! {
                 biased;
                 result = sent.as_mut() => return result.map_err(SendOrSilence::Send),
-                () = tokio::time::sleep_until(self.gw.clock.instant(check)) => {
+                () = tokio::time::sleep_until(self.gw.clock.instant(check).into()) => {
                     if self.gives_up(endpoint, started) {
                         return Err(SendOrSilence::Silence);
                     }
@@ -272,7 +272,7 @@
     ) -> Result<Answered<P>, Missed> {
         let keep_s = keep_alive_s(response.headers());
         let (parts, body) = response.into_parts();
-        let deadline = self.gw.clock.instant(self.plan.deadline);
+        let deadline = self.gw.clock.instant(self.plan.deadline).into();
         let whole = Limited::new(body, MAX_GATHERED_BYTES).collect();
         let bytes = match tokio::time::timeout_at(deadline, whole).await {
             Ok(Ok(whole)) => whole.to_bytes(),
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -136,7 +136,7 @@
     /// Waits until an endpoint of the service is published, for a part of the caller's time.
     async fn wait_for_endpoint(&self) {
         let wait_ms = (self.left_ms() / ENDPOINT_WAIT_PART).min(ENDPOINT_WAIT_MS);
-        let until = self.gw.clock.instant(self.gw.clock.now().plus_ms(wait_ms));
+        let until = self.gw.clock.instant(self.gw.clock.now().plus_ms(wait_ms)).into();
         let has_endpoint = || {
             let control = self.gw.control.borrow();
             control.directory.ready(&self.plan.service).next().is_some()
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -4,13 +4,13 @@
 
 use tokio::sync::Notify;
 
-use crate::clock::Clock;
 use crate::control::Control;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::settings::GatewaySettings;
 use crate::upstream::Upstream;
+use persimmon_process::Clock;
 
 /// A running gateway.
 #[derive(Debug)]
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -5,7 +5,6 @@
 mod answer;
 mod body;
 mod callers;
-mod clock;
 mod control;
 mod events;
 mod exchange;
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -1,8 +1,7 @@
 //! Counters and histograms of a gateway, in the customary text format.
 
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-};
+use persimmon_process::MetricSet;
+use prometheus::{HistogramVec, IntCounterVec, IntGauge};
 
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -11,7 +10,7 @@
 /// Every metric of a gateway.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
-    registry: Registry,
+    set: MetricSet,
     /// Callers' requests by route and outcome.
     pub(crate) requests: IntCounterVec,
     /// Attempts at endpoints by outcome.
@@ -39,56 +38,43 @@
     ///
     /// Two metrics have one name.
     pub(crate) fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let histogram = |name: &str, help: &str| {
-            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
-            let histogram = HistogramVec::new(opts, &["route"])?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok::<_, prometheus::Error>(histogram)
-        };
+        let set = MetricSet::default();
+        let histograms =
+            |name: &str, help: &str| set.histograms(name, help, "route", &LATENCY_BUCKETS_S);
         Ok(Self {
-            requests: counters(
+            requests: set.counters(
                 "persimmon_gateway_requests_total",
                 "Callers' requests by outcome.",
                 &["outcome"],
             )?,
-            attempts: counters(
+            attempts: set.counters(
                 "persimmon_gateway_attempts_total",
                 "Attempts at endpoints by outcome.",
                 &["outcome"],
             )?,
-            store_calls: counters(
+            store_calls: set.counters(
                 "persimmon_gateway_store_calls_total",
                 "Calls to the platform's store.",
                 &["kind", "result"],
             )?,
-            digests: counters(
+            digests: set.counters(
                 "persimmon_gateway_digests_total",
                 "Digests between gateways.",
                 &["direction"],
             )?,
-            in_progress: gauge("persimmon_gateway_in_progress", "Requests in progress.")?,
-            routes_version: gauge("persimmon_gateway_routes_version", "Version of the routes.")?,
-            endpoints: gauge("persimmon_gateway_endpoints", "Endpoints published.")?,
-            first_byte: histogram(
+            in_progress: set.gauge("persimmon_gateway_in_progress", "Requests in progress.")?,
+            routes_version: set
+                .gauge("persimmon_gateway_routes_version", "Version of the routes.")?,
+            endpoints: set.gauge("persimmon_gateway_endpoints", "Endpoints published.")?,
+            first_byte: histograms(
                 "persimmon_gateway_first_byte_seconds",
                 "Time to an answer's first byte.",
             )?,
-            whole_answer: histogram(
+            whole_answer: histograms(
                 "persimmon_gateway_whole_answer_seconds",
                 "Time to an answer's end.",
             )?,
-            registry,
+            set,
         })
     }
 
@@ -98,8 +84,6 @@
     ///
     /// A metric can't be written.
     pub(crate) fn encode(&self) -> prometheus::Result<Vec<u8>> {
-        let mut buf = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
-        Ok(buf)
+        self.set.encode()
     }
 }
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -139,7 +139,7 @@
         return Err(Refusal::BodyTooLarge);
     }
     let whole = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout_at(gw.clock.instant(deadline), whole).await {
+    match tokio::time::timeout_at(gw.clock.instant(deadline).into(), whole).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
         Ok(Err(_)) => Err(Refusal::BadRequest("the body broke off or can't be read")),
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -128,7 +128,7 @@
         if piece.is_empty() {
             continue;
         }
-        let deadline = exchange.gw.clock.instant(exchange.plan.deadline);
+        let deadline = exchange.gw.clock.instant(exchange.plan.deadline).into();
         match tokio::time::timeout_at(deadline, tx.send(Ok(piece))).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return PartEnd::CallerGone,
@@ -151,7 +151,7 @@
             return Err(PartEnd::Deadline);
         }
         let check: MonoMs = now.plus_ms(CHECK_MS).min(exchange.plan.deadline);
-        match tokio::time::timeout_at(exchange.gw.clock.instant(check), body.frame()).await {
+        match tokio::time::timeout_at(exchange.gw.clock.instant(check).into(), body.frame()).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(data) => return Ok(data),
                 // Trailers aren't passed on.
--- a/crates/persimmon_gateway/src/upstream.rs
+++ b/crates/persimmon_gateway/src/upstream.rs
@@ -15,8 +15,8 @@
 use thiserror::Error;
 
 use crate::body::AbortOnDrop;
-use crate::clock::Clock;
 use crate::http;
+use persimmon_process::Clock;
 
 /// Longest time that a connection to an endpoint may take, in milliseconds: many round trips
 /// between zones, and less than the retransmission of a lost opening packet.
--- a/crates/persimmonmountd/src/common/metrics.rs
+++ b/crates/persimmonmountd/src/common/metrics.rs
@@ -1,9 +1,7 @@
 //! Metrics of the process, in the customary text format.
 
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
-};
+use persimmon_process::MetricSet;
+use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -12,7 +10,7 @@
 /// Every metric of the process.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
-    registry: Registry,
+    set: MetricSet,
     /// Requests by outcome.
     pub(crate) outcomes: IntCounterVec,
     /// Refusals by reason.
@@ -40,40 +38,33 @@
     ///
     /// Two metrics have one name.
     pub(crate) fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let outcomes = counters("persimmon_outcomes_total", "Requests by outcome.", &["outcome"])?;
-        let refusals = counters("persimmon_refusals_total", "Refusals by reason.", &["reason"])?;
-        let control_bytes = counters(
+        let set = MetricSet::default();
+        let outcomes =
+            set.counters("persimmon_outcomes_total", "Requests by outcome.", &["outcome"])?;
+        let refusals =
+            set.counters("persimmon_refusals_total", "Refusals by reason.", &["reason"])?;
+        let control_bytes = set.counters(
             "persimmon_control_bytes_total",
             "Control traffic, payload bytes.",
             &["direction", "kind"],
         )?;
         let platform_reads =
-            counters("persimmon_platform_reads_total", "Platform reads.", &["kind", "result"])?;
+            set.counters("persimmon_platform_reads_total", "Platform reads.", &["kind", "result"])?;
         let dropped =
-            counters("persimmon_dropped_total", "Frames and datagrams dropped.", &["reason"])?;
-        let retries = counters("persimmon_retries_total", "Retries by result.", &["result"])?;
-        let in_progress = IntGaugeVec::new(
-            Opts::new("persimmon_in_progress", "Requests in progress by state."),
-            &["state"],
-        )?;
-        registry.register(Box::new(in_progress.clone()))?;
+            set.counters("persimmon_dropped_total", "Frames and datagrams dropped.", &["reason"])?;
+        let retries = set.counters("persimmon_retries_total", "Retries by result.", &["result"])?;
+        let in_progress =
+            set.gauges("persimmon_in_progress", "Requests in progress by state.", &["state"])?;
         let generation =
-            IntGauge::new("persimmon_records_generation", "Generation of the records in force.")?;
-        registry.register(Box::new(generation.clone()))?;
-        let first_token = HistogramVec::new(
-            HistogramOpts::new("persimmon_first_token_seconds", "Time to the first token.")
-                .buckets(LATENCY_BUCKETS_S.to_vec()),
-            &["hop"],
+            set.gauge("persimmon_records_generation", "Generation of the records in force.")?;
+        let first_token = set.histograms(
+            "persimmon_first_token_seconds",
+            "Time to the first token.",
+            "hop",
+            &LATENCY_BUCKETS_S,
         )?;
-        registry.register(Box::new(first_token.clone()))?;
         Ok(Self {
-            registry,
+            set,
             outcomes,
             refusals,
             control_bytes,
@@ -92,8 +83,6 @@
     ///
     /// A metric can't be written.
     pub(crate) fn encode(&self) -> prometheus::Result<Vec<u8>> {
-        let mut buf = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
-        Ok(buf)
+        self.set.encode()
     }
 }
--- a/crates/persimmonmountd/src/common/mod.rs
+++ b/crates/persimmonmountd/src/common/mod.rs
@@ -1,6 +1,5 @@
 //! What both roles need: settings, clock, logs, traces, metrics and the operators' pages.
 
-mod clock;
 mod inputs;
 mod keeper;
 mod limits;
@@ -15,7 +14,6 @@
 mod status;
 mod trace_context;
 
-pub(crate) use clock::Clock;
 pub(crate) use inputs::{Input, ask, next_input};
 pub(crate) use keeper::{
     Greeter, Greeting, Keeper, KeeperChange, KeeperCommand, Life, NoSidecar, NodeCalls,
@@ -26,6 +24,7 @@
 pub(crate) use metrics::Metrics;
 pub(crate) use ops::{OpsServer, Readiness};
 pub(crate) use peer_server::PeerServer;
+pub(crate) use persimmon_process::Clock;
 pub(crate) use platform::{Platform, WeightsRead};
 pub(crate) use ready::print_ready;
 pub(crate) use settings::{ROUTER_SPECS, RouterSettings, SIDECAR_SPECS, SidecarSettings};
