Close idle connections beyond a learned limit, and learn nothing from resets of new ones

Now such connections are closed; and a reset of a new connection, as by a worker that loses answers, ends learning for 10 s, since younger connections don't mend that.

--- a/crates/persimmon_decide/src/forward/idle_limit.rs
+++ b/crates/persimmon_decide/src/forward/idle_limit.rs
@@ -7,7 +7,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Learned {
-    most_ms: u64,
+    /// None while resets are known to have another cause.
+    most_ms: Option<u64>,
     until: MonoMs,
 }
 
@@ -16,7 +17,8 @@
 /// Answers the load of a route that is called now and then, before endpoints that drop idle
 /// connections without notice: what is sent next over such a connection is reset, and may have run
 /// as far as a gateway can tell. After one such reset the service's connections are used only while
-/// they are much younger than that one was.
+/// they are much younger than that one was. Endpoints that reset new connections too have another
+/// fault, which younger connections don't mend.
 ///
 /// ```
 /// use persimmon_decide::MonoMs;
@@ -48,6 +50,9 @@
     /// How long a limit is kept, in milliseconds. A reset has other causes too, and new connections
     /// have their price.
     const MEMORY_MS: u64 = 60_000;
+    /// How long nothing is learned after a new connection was reset, in milliseconds: endpoints lose
+    /// answers for some seconds at a time.
+    const OTHER_CAUSE_MS: u64 = 10_000;
 
     /// Nothing was reset so far.
     pub fn new() -> Self {
@@ -57,24 +62,41 @@
     /// A connection that had been idle for `idle_ms` was reset before any part of an answer, by an
     /// endpoint that takes new connections.
     pub fn record_reset(&mut self, service: &Arc<str>, idle_ms: u64, now: MonoMs) {
-        if idle_ms < Self::LEAST_MS {
+        let has_other_cause = self.current(service, now).is_some_and(|it| it.most_ms.is_none());
+        if idle_ms < Self::LEAST_MS || has_other_cause {
             return;
         }
         let most_ms = (idle_ms as f64 * Self::PART) as u64;
         let most_ms = most_ms.min(self.learned_ms(service, now).unwrap_or(u64::MAX));
         let until = now.plus_ms(Self::MEMORY_MS);
-        self.learned.insert(service.clone(), Learned { most_ms, until });
+        self.learned.insert(service.clone(), Learned { most_ms: Some(most_ms), until });
+    }
+
+    /// A connection that had carried nothing was reset before any part of an answer, by an endpoint
+    /// that takes new connections.
+    pub fn record_new_reset(&mut self, service: &Arc<str>, now: MonoMs) {
+        let until = now.plus_ms(Self::OTHER_CAUSE_MS);
+        self.learned.insert(service.clone(), Learned { most_ms: None, until });
+    }
+
+    /// The idle time up to which connections are kept, in milliseconds: older ones are closed, since
+    /// endpoints bound their connections.
+    pub fn keep_ms(&self, service: &str, now: MonoMs) -> u64 {
+        Self::MOST_MS.min(self.learned_ms(service, now).unwrap_or(u64::MAX))
     }
 
     /// The idle time up to which a connection is used, in milliseconds. `runs_once` tells of a
     /// request that may run once.
     pub fn most_ms(&self, service: &str, runs_once: bool, now: MonoMs) -> u64 {
-        let usual_ms = if runs_once { Self::MOST_ONCE_MS } else { Self::MOST_MS };
-        usual_ms.min(self.learned_ms(service, now).unwrap_or(u64::MAX))
+        let keep_ms = self.keep_ms(service, now);
+        if runs_once { keep_ms.min(Self::MOST_ONCE_MS) } else { keep_ms }
+    }
+
+    fn current(&self, service: &str, now: MonoMs) -> Option<&Learned> {
+        self.learned.get(service).filter(|it| now < it.until)
     }
 
     fn learned_ms(&self, service: &str, now: MonoMs) -> Option<u64> {
-        let learned = self.learned.get(service)?;
-        (now < learned.until).then_some(learned.most_ms)
+        self.current(service, now)?.most_ms
     }
 }
--- a/crates/persimmon_decide/tests/forward_idle_limit.rs
+++ b/crates/persimmon_decide/tests/forward_idle_limit.rs
@@ -64,3 +64,17 @@
     limit.record_reset(&SERVICE.into(), 600, MonoMs(0));
     assert_eq!(limit.most_ms("lookups", false, MonoMs(1)), 4_000);
 }
+
+/// Endpoints that lose answers reset new connections too; shorter idle times wouldn't help.
+#[test]
+fn most_ms_resets_of_new_connections_have_another_cause() {
+    let mut limit = IdleLimit::new();
+    limit.record_reset(&SERVICE.into(), 600, MonoMs(0));
+    limit.record_new_reset(&SERVICE.into(), MonoMs(100));
+    limit.record_reset(&SERVICE.into(), 600, MonoMs(200));
+    assert_eq!(limit.most_ms(SERVICE, true, MonoMs(300)), 1_000);
+    assert_eq!(limit.keep_ms(SERVICE, MonoMs(300)), 4_000);
+    // Later resets of idle connections count again.
+    limit.record_reset(&SERVICE.into(), 600, MonoMs(10_100));
+    assert_eq!(limit.keep_ms(SERVICE, MonoMs(10_200)), 150);
+}
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -61,11 +61,12 @@
     ) -> Result<(Response<Incoming>, Line), Missed> {
         let endpoint = &choice.endpoint;
         let runs_once = self.plan.route.repeatable == Repeatable::Never;
-        let most_ms = {
-            let control = self.gw.control.borrow();
-            control.idle_limit.most_ms(&self.plan.service, runs_once, self.gw.clock.now())
+        let (most_ms, keep_ms) = {
+            let (limit, now) = (&self.gw.control.borrow().idle_limit, self.gw.clock.now());
+            let service = &self.plan.service;
+            (limit.most_ms(service, runs_once, now), limit.keep_ms(service, now))
         };
-        let idle = self.gw.upstream.take_idle(endpoint.hash, most_ms);
+        let idle = self.gw.upstream.take_idle(endpoint.hash, most_ms, keep_ms);
         let mut line = match idle {
             Some(line) => line,
             None => self.connect(endpoint).await?,
@@ -124,7 +125,7 @@
             }
             SendOrSilence::Send(SendError::Broken(_)) => {
                 let is_up = self.record_broken(&choice.endpoint).await;
-                if let Some(idle_ms) = idle_ms.filter(|_| is_up) {
+                if is_up {
                     self.record_reset(&choice.endpoint, idle_ms);
                 }
                 Missed::new(AttemptOutcome::Unknown, "broken")
@@ -133,10 +134,14 @@
         }
     }
 
-    /// The endpoint reset a connection that had been idle for `idle_ms`, and takes new ones.
-    fn record_reset(&self, endpoint: &Endpoint, idle_ms: u64) {
+    /// The endpoint reset a connection that had been idle for `idle_ms`, or a new one, and takes new
+    /// ones.
+    fn record_reset(&self, endpoint: &Endpoint, idle_ms: Option<u64>) {
         let now = self.gw.clock.now();
         let mut control = self.gw.control.borrow_mut();
+        let Some(idle_ms) = idle_ms else {
+            return control.idle_limit.record_new_reset(&self.plan.service, now);
+        };
         control.idle_limit.record_reset(&self.plan.service, idle_ms, now);
         if let Some(suppressed) = self.gw.journal.admit("idle_reset", now) {
             let most_ms = control.idle_limit.most_ms(&self.plan.service, true, now);
--- a/crates/persimmon_gateway/src/upstream.rs
+++ b/crates/persimmon_gateway/src/upstream.rs
@@ -93,15 +93,21 @@
         Self { clock, idle: RefCell::new(HashMap::new()) }
     }
 
-    /// An idle connection that is sound and was used at most `most_ms` ago, if there is one.
-    pub(crate) fn take_idle(&self, endpoint: EndpointHash, most_ms: u64) -> Option<Line> {
+    /// An idle connection that is sound and was used at most `most_ms` ago, if there is one. Those
+    /// that were used longer than `keep_ms` ago are closed.
+    pub(crate) fn take_idle(
+        &self,
+        endpoint: EndpointHash,
+        most_ms: u64,
+        keep_ms: u64,
+    ) -> Option<Line> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let lines = idle.get_mut(&endpoint)?;
         while let Some(candidate) = lines.pop() {
             let idle_ms = now.ms_since(candidate.since);
             // The newest is last: if it is too old, so are the others.
-            if idle_ms > candidate.keep_ms {
+            if idle_ms > candidate.keep_ms.min(keep_ms) {
                 lines.clear();
                 return None;
             }
--- a/crates/persimmonmountd/tests/process_gateway_troubles.rs
+++ b/crates/persimmonmountd/tests/process_gateway_troubles.rs
@@ -115,6 +115,26 @@
     deployment.close();
 }
 
+/// Connections that are taken for dropped are closed, since endpoints bound how many they take.
+#[test]
+fn idle_connections_taken_for_dropped_do_not_pile_up() {
+    const IDLE: Duration = Duration::from_millis(100);
+    const REQUESTS: usize = 12;
+    let forgetful = Behaviour::ForgetIdle { idle: IDLE, body: "done".to_owned() };
+    let one = EndpointStandin::start("one", forgetful).unwrap();
+    let relay = Relay::start(one.address()).unwrap();
+    let one = one.at(relay.address());
+    let deployment = start(1, &[&one]);
+    for _ in 0..REQUESTS {
+        call(&deployment, 0, "/commit/x", KEY);
+        thread::sleep(2 * IDLE);
+    }
+    // The last one, and one that is being closed.
+    assert!(relay.open_connections() <= 2, "{} open", relay.open_connections());
+    relay.close();
+    deployment.close();
+}
+
 /// A caller that has moved to another zone goes on with its stream at a gateway there.
 #[test]
 fn caller_that_moves_goes_on_with_its_stream() {
