Keep the bound on leaving endpoints across the return of the store

Ruled out: digests that didn't arrive (five gateways known throughout), a suspended process, a peer's records that can't be read (no such line).

Now the hold is 1,700 ms, which leaves 300 ms for noticing and for requests on their way. Before: the new test fails; after: passes. Endpoints that register later than 1.7 s after the return are left out for a moment.

--- a/crates/persimmon_decide/src/forward/store_view.rs
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -65,9 +65,11 @@
 }
 
 impl StoreView {
-    /// How long after an outage a missing record is kept, in milliseconds: endpoints need about two
-    /// seconds to register again.
-    pub const RETURN_GRACE_MS: u64 = 2_000;
+    /// How long after a gateway has noticed the end of an outage a missing record is kept, in
+    /// milliseconds. Endpoints need about two seconds to register again; less by the time in which
+    /// the end is noticed, since an endpoint that leaves at the same moment is bound to be out of use
+    /// two seconds later.
+    pub const RETURN_GRACE_MS: u64 = 1_700;
     /// Removals remembered for gateways that lag behind; one that lags further gets everything.
     const MAX_REMOVED: usize = 256;
 
--- a/crates/persimmon_decide/tests/forward_store_view.rs
+++ b/crates/persimmon_decide/tests/forward_store_view.rs
@@ -173,3 +173,19 @@
         prop_assert_eq!(keys(&view), expected.into_iter().collect::<Vec<_>>());
     }
 }
+
+/// An endpoint that leaves just as the store is back, before this gateway has noticed that. The bound
+/// on leaving endpoints counts from the store's answer.
+#[test]
+fn expire_removal_at_the_return_keeps_the_bound() {
+    const LEAVING_BOUND_MS: u64 = 2_000;
+    const NOTICED_MS: u64 = 250;
+    let left_at = MonoMs(10_000);
+    let mut view = StoreView::new();
+    view.apply(written("one", 1), MonoMs(0));
+    let noticed_at = left_at.plus_ms(NOTICED_MS);
+    view.record_return(noticed_at);
+    assert_eq!(view.apply(deleted("one", 2), noticed_at), []);
+    let due = left_at.plus_ms(LEAVING_BOUND_MS);
+    assert_eq!(view.expire(due), [StoreChange::Removed("one".into())]);
+}
