Call what is there already in place of second copies

Read of the whole change; behaviour stays as it is, but for one check that is stricter.

- Router: a connection that can't be had is noted in one place (TrafficCx::reached) for model requests and for calls.
- Soak: the faults felt in a time are found once, not in three copies; the two checks at the end share one loop.
The one on idle gateways now has one limit for all rather than one for each, which is stricter, and its findings show the log too.
- RelaySwitch::Delay had no caller and is gone; a test names the request's identity by its constant.

--- a/crates/persimmon_soak/src/checks.rs
+++ b/crates/persimmon_soak/src/checks.rs
@@ -115,11 +115,17 @@
 
     /// Whether a fault of its process may excuse what a gateway did in this time.
     fn is_struck(&self, gateway: usize, from: Instant, to: Instant) -> bool {
-        self.steps.iter().filter(|step| step.fault.strikes(gateway)).any(|step| {
+        self.felt(from, to).any(|fault| fault.strikes(gateway))
+    }
+
+    /// The faults that may be felt in this time: while they last and until contact is kept again.
+    fn felt(&self, from: Instant, to: Instant) -> impl Iterator<Item = Fault> {
+        let is_felt = move |step: &&Step| {
             let begins = self.started + Duration::from_millis(step.at_ms);
             let ends = begins + Duration::from_millis(step.fault.lasts_ms()) + CONTACT;
             begins <= to && from <= ends
-        })
+        };
+        self.steps.iter().filter(is_felt).map(|step| step.fault)
     }
 
     /// The times in which the call's key was taken away.
@@ -145,17 +151,12 @@
     /// its own process was struck, or those of two others, which may be the ones that watch the
     /// store.
     fn may_be_missed(&self, gateway: usize, from: Instant, to: Instant) -> bool {
-        let overlapping = self.steps.iter().filter(|step| {
-            let begins = self.started + Duration::from_millis(step.at_ms);
-            let ends = begins + Duration::from_millis(step.fault.lasts_ms()) + CONTACT;
-            begins <= to && from <= ends
-        });
         let mut others = 0;
-        for step in overlapping {
+        for fault in self.felt(from, to) {
             let tells_nobody =
-                matches!(step.fault, Fault::StoreSilent { .. } | Fault::StoreLoses { .. });
-            others += usize::from(step.fault.strikes_any());
-            if tells_nobody || step.fault.strikes(gateway) || others > 1 {
+                matches!(fault, Fault::StoreSilent { .. } | Fault::StoreLoses { .. });
+            others += usize::from(fault.strikes_any());
+            if tells_nobody || fault.strikes(gateway) || others > 1 {
                 return true;
             }
         }
@@ -184,16 +185,10 @@
     /// Whether gateways may have missed a change: the store or a process was struck, or another
     /// change was made to an endpoint meanwhile.
     fn is_unsettled(&self, from: Instant, to: Instant) -> bool {
-        let drains = |step: &Step| matches!(step.fault, Fault::Drain { .. });
-        let overlapping = self.steps.iter().filter(|step| {
-            let begins = self.started + Duration::from_millis(step.at_ms);
-            let ends = begins + Duration::from_millis(step.fault.lasts_ms()) + CONTACT;
-            begins <= to && from <= ends
-        });
         let mut own = 0;
-        for step in overlapping {
-            own += usize::from(drains(step));
-            if step.fault.is_of_store() || step.fault.strikes_any() || own > 1 {
+        for fault in self.felt(from, to) {
+            own += usize::from(matches!(fault, Fault::Drain { .. }));
+            if fault.is_of_store() || fault.strikes_any() || own > 1 {
                 return true;
             }
         }
--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use persimmon_platform::standin::{Behaviour, Deployment, EndpointStandin, RouteSpec, StoreMode};
+use persimmon_standins::fleet::wait_until;
 use persimmon_standins::{Direction, Relay};
 
 use crate::callers::{Call, call_until};
@@ -306,48 +307,48 @@
         Ok(())
     }
 
-    /// Whether a gateway has nothing in progress.
-    fn is_idle(&self, gateway: usize) -> bool {
-        self.deployment.status(gateway).is_ok_and(|it| it.contains("\"running\":0,"))
+    /// Looks at each running gateway until it is as promised, or says what was seen when the limit for
+    /// all of them is over.
+    fn check_each(
+        &self,
+        promise: &'static str,
+        limit: Duration,
+        look: impl Fn(usize) -> Result<(), String>,
+    ) -> Vec<Finding> {
+        let ends = Instant::now() + limit;
+        let running = (0..self.deployment.len()).filter(|it| !self.restarting.contains(it));
+        let check = |gateway| {
+            let mut seen = Ok(());
+            let is_kept = wait_until(ends.saturating_duration_since(Instant::now()), || {
+                seen = look(gateway);
+                seen.is_ok()
+            });
+            let seen = seen.err().filter(|_| !is_kept)?;
+            let seen = format!("gateway {gateway}: {seen}{}", self.log_end(gateway));
+            Some(Finding { promise, seen })
+        };
+        running.filter_map(check).collect()
     }
 
     /// Requests that a gateway still counts though no caller waits any more.
-    fn check_idle(&mut self) -> Vec<Finding> {
-        let mut findings = Vec::new();
-        for gateway in 0..self.deployment.len() {
-            let ends = Instant::now() + SETTLE;
-            while !self.restarting.contains(&gateway) && !self.is_idle(gateway) {
-                if Instant::now() > ends {
-                    let seen = format!("gateway {gateway}: {:?}", self.deployment.status(gateway));
-                    findings.push(Finding { promise: "nothing is left after the end", seen });
-                    break;
-                }
-                thread::sleep(Duration::from_millis(20));
-            }
-        }
-        findings
+    fn check_idle(&self) -> Vec<Finding> {
+        self.check_each("nothing is left after the end", SETTLE, |gateway| {
+            let status = self.deployment.status(gateway);
+            let is_idle = status.as_ref().is_ok_and(|it| it.contains("\"running\":0,"));
+            if is_idle { Ok(()) } else { Err(format!("{status:?}")) }
+        })
     }
 
     /// Gateways that don't know, some time after the last fault, which keys are allowed.
     fn check_keys(&mut self) -> Vec<Finding> {
         self.allow_revocable(false);
-        let ends = Instant::now() + CONTACT + IN_FORCE;
-        let mut findings = Vec::new();
-        for gateway in 0..self.deployment.len() {
-            while !self.restarting.contains(&gateway) {
-                let statuses = [KEY, REVOCABLE_KEY].map(|key| self.probe(gateway, key));
-                if matches!(statuses, [Ok(200), Ok(401)]) {
-                    break;
-                }
-                if Instant::now() > ends {
-                    let seen = format!("gateway {gateway}: {statuses:?}{}", self.log_end(gateway));
-                    findings.push(Finding { promise: "keys are in force everywhere", seen });
-                    break;
-                }
-                thread::sleep(Duration::from_millis(20));
+        self.check_each("keys are in force everywhere", CONTACT + IN_FORCE, |gateway| {
+            let statuses = [KEY, REVOCABLE_KEY].map(|key| self.probe(gateway, key));
+            match statuses {
+                [Ok(200), Ok(401)] => Ok(()),
+                _ => Err(format!("{statuses:?}")),
             }
-        }
-        findings
+        })
     }
 
     /// The last lines of a gateway's log, each after a line break.
--- a/crates/persimmon_standins/src/bin/persimmon-demo/stage.rs
+++ b/crates/persimmon_standins/src/bin/persimmon-demo/stage.rs
@@ -4,7 +4,7 @@
 use std::error::Error;
 
 use persimmon_records::{
-    EndpointBuilder, Generation, RecordSet, Serves, Vm, VmState, Workspace, WorkspaceBuilder,
+    EndpointBuilder, Generation, RecordSet, Serves, Workspace, WorkspaceBuilder,
 };
 use persimmon_standins::fleet::{
     Caller, Daemons, FleetError, IN_FORCE_DEADLINE, SERVING_DEADLINE, StandIn,
@@ -117,11 +117,7 @@
 
     /// Publishes the list of VMs, with the VM of `leaving` about to go.
     pub(crate) fn list_vms(&self, leaving: Option<&str>) -> Result<(), Box<dyn Error>> {
-        let vm = |name: String| -> Result<Vm, FleetError> {
-            let is_leaving = leaving == Some(name.as_str());
-            self.daemons.vm(&name, if is_leaving { VmState::Leaving } else { VmState::Live })
-        };
-        let vms: Vec<Vm> = self.daemons.names().into_iter().map(vm).collect::<Result<_, _>>()?;
+        let vms = self.daemons.vms(|name| leaving == Some(name))?;
         Ok(self.platform.put("/v1/vms", &serde_json::to_string(&vms)?)?)
     }
 
--- a/crates/persimmon_standins/src/fleet/daemons.rs
+++ b/crates/persimmon_standins/src/fleet/daemons.rs
@@ -138,13 +138,18 @@
         Ok((daemon.role, &daemon.zone))
     }
 
-    /// The VM of the daemon `name`, as the platform lists it.
+    /// The VMs of all daemons, as the platform lists them.
     ///
     /// # Errors
-    /// When there is no such daemon or it isn't running.
-    pub fn vm(&self, name: &str, state: VmState) -> Result<Vm, FleetError> {
-        let (role, zone) = self.place(name)?;
-        Ok(Vm { name: name.into(), role, peer: self.peer(name)?, zone: zone.into(), state })
+    /// When a daemon isn't there.
+    pub fn vms(&self, is_leaving: impl Fn(&str) -> bool) -> Result<Vec<Vm>, FleetError> {
+        let vm = |name: String| {
+            let (role, zone) = self.place(&name)?;
+            let state = if is_leaving(&name) { VmState::Leaving } else { VmState::Live };
+            let peer = self.peer(&name)?;
+            Ok(Vm { name: name.as_str().into(), role, peer, zone: zone.into(), state })
+        };
+        self.names().into_iter().map(vm).collect()
     }
 
     /// The lines that the daemon `name` logged, in its earlier lives too.
--- a/crates/persimmon_standins/src/fleet/mod.rs
+++ b/crates/persimmon_standins/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use persimmon_records::{EndpointName, Generation, RecordSet, Vm, VmState};
+use persimmon_records::{EndpointName, Generation, RecordSet};
 
 use crate::engine::Engine;
 use crate::platform::Platform;
@@ -22,6 +22,7 @@
 pub use caller::{CallError, Caller, ChatRequest, Failure, Reply};
 pub use daemons::Daemons;
 pub use error::FleetError;
+pub use process::send_signal;
 pub use stand_in::StandIn;
 pub use stream::{ChatStream, SseEvent, StreamedAnswer};
 pub use wait::wait_until;
@@ -172,17 +173,11 @@
 
     /// Publishes the list of VMs.
     fn list_vms(&self) -> Result<(), FleetError> {
-        let names = self.daemons.names();
-        let vms: Result<Vec<Vm>, FleetError> = names.iter().map(|name| self.vm(name)).collect();
-        self.platform.set_vms(vms?);
+        let is_leaving = |name: &str| self.leaving.iter().any(|leaving| leaving == name);
+        self.platform.set_vms(self.daemons.vms(is_leaving)?);
         Ok(())
     }
 
-    fn vm(&self, name: &str) -> Result<Vm, FleetError> {
-        let leaving = self.leaving.iter().any(|leaving| leaving == name);
-        self.daemons.vm(name, if leaving { VmState::Leaving } else { VmState::Live })
-    }
-
     /// Kills every daemon and ends the stand-ins.
     pub fn close(self) {
         drop(self.daemons);
--- a/crates/persimmon_standins/src/fleet/process.rs
+++ b/crates/persimmon_standins/src/fleet/process.rs
@@ -75,9 +75,7 @@
 
     /// Sends `signal` to the process.
     pub(super) fn signal(&self, signal: Signal) -> io::Result<()> {
-        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        let id = id.ok_or_else(|| io::Error::other("the process has no id"))?;
-        Ok(kill_process(id, signal)?)
+        send_signal(self.child.id(), signal)
     }
 
     /// Kills the process at once.
@@ -129,6 +127,16 @@
     }
 }
 
+/// Sends `signal` to the process with this id.
+///
+/// # Errors
+/// When there is no such process.
+pub fn send_signal(id: u32, signal: Signal) -> io::Result<()> {
+    let id = i32::try_from(id).ok().and_then(Pid::from_raw);
+    let id = id.ok_or_else(|| io::Error::other("the process has no id"))?;
+    Ok(kill_process(id, signal)?)
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.kill();
--- a/crates/persimmon_standins/src/relay.rs
+++ b/crates/persimmon_standins/src/relay.rs
@@ -44,11 +44,6 @@
         /// The direction.
         direction: Direction,
     },
-    /// What connections carry arrives later, in both directions.
-    Delay {
-        /// How much later, in milliseconds; zero ends the delay.
-        ms: u64,
-    },
     /// Connections that are open now are closed.
     Cut,
     /// New connections are refused.
@@ -153,7 +148,6 @@
             RelaySwitch::Up => return self.accept(),
             RelaySwitch::SilenceOpen { direction } => self.silence_open(direction),
             RelaySwitch::SilenceNew { direction } => self.silence_new(direction),
-            RelaySwitch::Delay { ms } => self.delay(Duration::from_millis(ms)),
             RelaySwitch::Cut => self.cut(),
             RelaySwitch::Refuse => self.refuse(),
         }
@@ -310,7 +304,10 @@
 }
 
 /// Binds a port that was given up, which another socket may hold for a moment.
-fn bind_again(address: SocketAddr) -> io::Result<TcpListener> {
+///
+/// # Errors
+/// When the port isn't free in time.
+pub fn bind_again(address: SocketAddr) -> io::Result<TcpListener> {
     let deadline = Instant::now() + REBIND_DEADLINE;
     loop {
         match TcpListener::bind(address) {
--- a/crates/persimmonmountd/src/router/call_exchange.rs
+++ b/crates/persimmonmountd/src/router/call_exchange.rs
@@ -101,17 +101,11 @@
             true => self.cx.pool.fresh_link(&endpoint).await,
             false => self.cx.pool.link(&endpoint).await,
         };
-        let link = match link {
-            Ok(link) => link,
-            Err(err) => {
-                tracing::warn!("router: {} can't be reached: {err}.", endpoint.name);
-                self.cx.tell(Command::Suspect { endpoint: endpoint.hash });
-                return Event::ConnectFailed { attempt };
-            }
+        let Some(link) = self.cx.reached(&endpoint, link) else {
+            return Event::ConnectFailed { attempt };
         };
         self.sent = Some(attempt);
-        let reply = self.send(&link).await;
-        match reply {
+        match self.send(&link).await {
             Some(reply) => self.on_reply(attempt, reply),
             None => self.on_silence(&endpoint, attempt),
         }
--- a/crates/persimmonmountd/src/router/context.rs
+++ b/crates/persimmonmountd/src/router/context.rs
@@ -6,10 +6,10 @@
 use persimmon_decide::outcome::ClaimSealer;
 use persimmon_wire::FleetKey;
 
-use super::command::{Command, Plan, PlanRequest};
+use super::command::{Command, Plan, PlanRequest, PlannedEndpoint};
 use super::control::InProgress;
 use super::failure::Failure;
-use super::pool::Pool;
+use super::pool::{Link, Pool, PoolError};
 use crate::common::{Clock, Metrics};
 
 /// Names the key under which answer tokens are sealed.
@@ -59,6 +59,19 @@
         let _ended = self.commands.send(command);
     }
 
+    /// The connection to an endpoint, if it could be had. One that couldn't makes the endpoint suspect.
+    pub(crate) fn reached(
+        &self,
+        endpoint: &PlannedEndpoint,
+        link: Result<Link, PoolError>,
+    ) -> Option<Link> {
+        let reached = link.inspect_err(|err| {
+            tracing::warn!("router: {} can't be reached: {err}.", endpoint.name);
+            self.tell(Command::Suspect { endpoint: endpoint.hash });
+        });
+        reached.ok()
+    }
+
     /// Asks the control thread where a request may go.
     ///
     /// # Errors
--- a/crates/persimmonmountd/src/router/exchange/calls.rs
+++ b/crates/persimmonmountd/src/router/exchange/calls.rs
@@ -27,13 +27,8 @@
             true => self.cx.pool.restamped_link(&endpoint).await,
             false => self.cx.pool.link(&endpoint).await,
         };
-        let link = match link {
-            Ok(link) => link,
-            Err(err) => {
-                tracing::warn!("router: {} can't be reached: {err}.", endpoint.name);
-                self.cx.tell(Command::Suspect { endpoint: endpoint.hash });
-                return Event::ConnectFailed { attempt };
-            }
+        let Some(link) = self.cx.reached(&endpoint, link) else {
+            return Event::ConnectFailed { attempt };
         };
         match self.send(&link, &endpoint, candidate, attempt).await {
             Some(admission) => self.on_admission(&endpoint, attempt, admission),
--- a/crates/persimmonmountd/tests/process_gateway_fuzz.rs
+++ b/crates/persimmonmountd/tests/process_gateway_fuzz.rs
@@ -158,9 +158,9 @@
 
 /// The identities in what was sent, broken ones too.
 fn identities(sent: &str) -> impl Iterator<Item = &str> {
-    let named = |line: &'_ str| line.to_ascii_lowercase().starts_with("attempt-id:");
-    let lines = sent.split('\n').filter(move |line| named(line));
-    lines.filter_map(|line| line.split_once(':')).map(|(_, id)| id.trim())
+    let headers = sent.split('\n').filter_map(|line| line.split_once(':'));
+    let named = headers.filter(|(name, _)| name.eq_ignore_ascii_case(REQUEST_ID));
+    named.map(|(_, id)| id.trim())
 }
 
 fn text(bytes: &[u8]) -> String {
--- a/crates/persimmonmountd/tests/process_lookups.rs
+++ b/crates/persimmonmountd/tests/process_lookups.rs
@@ -11,6 +11,14 @@
 const STEADY: Duration = Duration::from_secs(36);
 const BETWEEN_CALLS: Duration = Duration::from_secs(1);
 
+/// Publishes that calls to every worker may be repeated.
+fn permit_repeats(fleet: &mut Fleet) {
+    fleet.publish_change(|records| {
+        records.endpoints.iter_mut().for_each(|endpoint| endpoint.repeatable = true);
+    });
+    fleet.wait_in_force().unwrap();
+}
+
 #[test]
 fn lookups_sent_steadily_are_answered() {
     let mut fleet = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
@@ -18,10 +26,7 @@
         .with_service("registry-1", "zone-a", SERVICE)
         .start()
         .unwrap();
-    fleet.publish_change(|records| {
-        records.endpoints.iter_mut().for_each(|endpoint| endpoint.repeatable = true);
-    });
-    fleet.wait_in_force().unwrap();
+    permit_repeats(&mut fleet);
     let caller = fleet.caller("router-1").unwrap();
     let started = Instant::now();
     let mut number = 0;
@@ -55,10 +60,7 @@
         .with_service("registry-3", "zone-a", SERVICE)
         .start()
         .unwrap();
-    fleet.publish_change(|records| {
-        records.endpoints.iter_mut().for_each(|endpoint| endpoint.repeatable = true);
-    });
-    fleet.wait_in_force().unwrap();
+    permit_repeats(&mut fleet);
     let caller = fleet.caller("router-1").unwrap();
     for number in 0..CALLS_BEFORE {
         let key = format!("before-{number}");
