--- a/crates/persimmon_measure/src/bin/persimmon-measure.rs
+++ b/crates/persimmon_measure/src/bin/persimmon-measure.rs
@@ -1,25 +1,30 @@
 //! Prints figures of running processes: added time, throughput, the cost of control.
 
 use std::fmt::Display;
+use std::path::Path;
 use std::process::ExitCode;
 use std::str::FromStr;
 use std::time::Duration;
 
 use getopts::{Matches, Options};
 use persimmon_measure::{
-    ControlSettings, FirstTokenSettings, Growth, MeasureError, Programs, Shape, ThroughputSettings,
-    measure_control, measure_first_event, measure_first_token, measure_throughput,
+    ControlSettings, FirstTokenSettings, Growth, GrowthPlotError, MeasureError, Programs, Shape,
+    SweepError, ThroughputSettings, measure_control, measure_first_event, measure_first_token,
+    measure_throughput, plot_growth,
 };
 use serde::Serialize;
 use thiserror::Error;
 
-const USAGE: &str = "Usage: cargo measure <first-token|first-event|throughput|control> [options]
+const USAGE: &str =
+    "Usage: cargo measure <first-token|first-event|throughput|control|growth-plot> [options]
 
   first-token  time that router and sidecar add to a streamed request, asked in turns
   first-event  time that a gateway adds to a streamed answer, and its processor time an event
   throughput   tokens a second through one router, then through one sidecar
   control      memory, processor time, control bytes and platform reads of a router and a sidecar
                without traffic, as peers, workspaces, endpoints, chats and connections grow
+  growth-plot  draws worth and cost of a gateway against the fleet's size, from the output of
+               `fleetbench sweep`
 
 Exit codes: 0 measured, 1 a target isn't met, 2 no figure or a command line that can't be read.";
 
@@ -42,10 +47,18 @@
     Usage(#[from] getopts::Fail),
     #[error("--{flag} takes a whole number above 0; see --help")]
     Number { flag: &'static str },
-    #[error("give one of first-token, first-event, throughput, control; see --help")]
+    #[error("give one of first-token, first-event, throughput, control, growth-plot; see --help")]
     Command,
     #[error("nothing grows that is named {0}; take peers, workspaces, endpoints, chats or links")]
     Growth(String),
+    #[error("growth-plot takes --sweep FILE and --svg FILE; see --help")]
+    Files,
+    #[error("can't read {path}: {err}; check the path")]
+    Read { path: String, err: std::io::Error },
+    #[error("{0}")]
+    Sweep(#[from] SweepError),
+    #[error("{0}")]
+    Plot(#[from] GrowthPlotError),
     #[error("{0}")]
     Measure(#[from] MeasureError),
     #[error("can't write JSON: {0}; report this as a fault")]
@@ -69,6 +82,8 @@
     options.optopt("", "only", "control: peers, workspaces, endpoints, chats or links", "NAME");
     options.optopt("", "warm-up-s", "control: seconds before the window (4)", "S");
     options.optopt("", "window-s", "control and throughput: seconds measured (8)", "S");
+    options.optopt("", "sweep", "growth-plot: what `fleetbench sweep` printed", "FILE");
+    options.optopt("", "svg", "growth-plot: the picture to write", "FILE");
     options.optflag("", "json", "print JSON, one object a line");
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
@@ -94,6 +109,7 @@
         "first-event" => first_event(&matches),
         "throughput" => throughput(&matches),
         "control" => control(&matches),
+        "growth-plot" => growth_plot(&matches),
         _ => Err(CommandError::Command),
     }
 }
@@ -145,6 +161,15 @@
     Ok(true)
 }
 
+fn growth_plot(matches: &Matches) -> Result<bool, CommandError> {
+    let file = |name| matches.opt_str(name).ok_or(CommandError::Files);
+    let (path, svg) = (file("sweep")?, file("svg")?);
+    let text = std::fs::read_to_string(&path)
+        .map_err(|err| CommandError::Read { path: path.clone(), err })?;
+    plot_growth(Path::new(&svg), &text.parse()?)?;
+    Ok(true)
+}
+
 fn window(matches: &Matches) -> Result<Duration, CommandError> {
     let default = ControlSettings::default().window;
     Ok(number(matches, "window-s")?.map_or(default, Duration::from_secs))
--- a/crates/persimmon_measure/src/lib.rs
+++ b/crates/persimmon_measure/src/lib.rs
@@ -8,12 +8,14 @@
 mod error;
 mod first_event;
 mod first_token;
+mod growth_plot;
 mod line;
 mod load;
 mod percentile;
 mod proc_fs;
 mod programs;
 mod scrape;
+mod sweep;
 mod throughput;
 mod vms;
 
@@ -23,10 +25,12 @@
 pub use error::MeasureError;
 pub use first_event::{FirstEventFigures, measure_first_event};
 pub use first_token::{FirstTokenFigures, FirstTokenSettings, measure_first_token};
+pub use growth_plot::{GrowthPlotError, plot_growth};
 pub use line::Line;
 pub use load::load_average;
 pub use percentile::percentile;
 pub use proc_fs::{ProcessUse, parse_cpu_ms, parse_cpu_ns, parse_load_average, parse_resident_kib};
 pub use programs::Programs;
 pub use scrape::{Counters, parse_counters};
+pub use sweep::{Spread, Sweep, SweepError, SweepPoint};
 pub use throughput::{Shape, ThroughputFigures, ThroughputSettings, measure_throughput};
