Tell the other gateways which endpoints fail requests

Cause: digests named only endpoints that couldn't be reached. One that fails part of its requests while its health check passes had to fail at least two requests of each gateway before that gateway avoided it.

Ruled out: fewer samples before a gateway avoids an endpoint, since single failures are common (lookups fail for 14% of requests at every endpoint, lost answers for a few percent).

Change: digests hold the outcomes at endpoints that failed anybody lately, good ones too. What peers tell weighs eight outcomes at most, so that a gateway that is served goes by its own. A sum over peers stands once, for loads and for outcomes.

--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::EndpointLoad;
+use super::{EndpointLoad, Outcomes};
 use crate::load::EndpointHash;
 
 /// An endpoint that has read a part of prompts.
@@ -52,6 +52,8 @@
     pub loads: Vec<(EndpointHash, EndpointLoad)>,
     /// Endpoints that it leaves out, with the milliseconds left.
     pub ejections: Vec<(EndpointHash, u64)>,
+    /// Outcomes at endpoints that failed somebody lately.
+    pub outcomes: Vec<(EndpointHash, Outcomes)>,
     /// Counts for the retry bound, by service.
     pub retries: Vec<(Arc<str>, ServiceRetries)>,
     /// Contents that crashed endpoints.
--- a/crates/persimmon_decide/src/forward/health.rs
+++ b/crates/persimmon_decide/src/forward/health.rs
@@ -1,7 +1,11 @@
 //! Which endpoints to avoid, judged by the outcomes of real requests.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 
+use serde::{Deserialize, Serialize};
+
+use super::peer_sums::{Count, PeerSums};
 use crate::MonoMs;
 use crate::load::EndpointHash;
 
@@ -21,6 +25,9 @@
     pub min_samples: f64,
     /// How far a failure rate must lie above that of the whole service.
     pub excess_rate: f64,
+    /// Weight of all that other gateways tell of one endpoint, in outcomes. A gateway that has seen
+    /// more itself goes by that: an endpoint may fail for some gateways only.
+    pub peer_weight: f64,
     /// One in so many requests still goes to an endpoint that fails too often, to see whether it
     /// has recovered.
     pub trial_interval: u64,
@@ -34,11 +41,37 @@
             max_ejection_ms: 3_000,
             min_samples: 4.0,
             excess_rate: 0.15,
+            peer_weight: 8.0,
             trial_interval: 24,
         }
     }
 }
 
+/// Recent outcomes at an endpoint, weighted by age and rounded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Outcomes {
+    /// Requests that ended well.
+    pub good: u32,
+    /// Requests that ended badly by the endpoint's fault.
+    pub bad: u32,
+}
+
+impl Count for Outcomes {
+    fn add(&mut self, other: Self) {
+        self.good = self.good.saturating_add(other.good);
+        self.bad = self.bad.saturating_add(other.bad);
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.good = self.good.saturating_sub(other.good);
+        self.bad = self.bad.saturating_sub(other.bad);
+    }
+
+    fn is_zero(&self) -> bool {
+        self.good == 0 && self.bad == 0
+    }
+}
+
 /// Sums of outcomes whose weight falls with age.
 #[derive(Debug, Clone, Copy, Default)]
 struct DecayingRate {
@@ -56,6 +89,10 @@
     fn samples(&self) -> f64 {
         self.good + self.bad
     }
+
+    fn rounded(&self) -> Outcomes {
+        Outcomes { good: self.good.round() as u32, bad: self.bad.round() as u32 }
+    }
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -72,16 +109,21 @@
 /// An endpoint that can't be reached is left out for a short and growing time. One that fails more
 /// often than its service as a whole is avoided, but still tried now and then. Callers of this
 /// never leave out every endpoint: the picker falls back on avoided ones.
+///
+/// Gateways tell each other the outcomes at endpoints that failed anyone lately, with the good ones.
+/// That answers the load of a large fleet, in which each gateway sends so little to one endpoint that
+/// it would learn of a failing one only by failing several of its own callers' requests there.
 #[derive(Debug)]
 pub struct HealthBook {
     settings: HealthSettings,
     endpoints: HashMap<EndpointHash, EndpointRecord>,
+    peers: PeerSums<Outcomes>,
 }
 
 impl HealthBook {
     /// A book that knows nothing bad.
     pub fn new(settings: HealthSettings) -> Self {
-        Self { settings, endpoints: HashMap::new() }
+        Self { settings, endpoints: HashMap::new(), peers: PeerSums::default() }
     }
 
     /// A request was sent.
@@ -161,40 +203,81 @@
         since.map_or(0, |since| now.ms_since(since))
     }
 
+    /// Replaces what a peer told of its requests' outcomes.
+    pub fn replace_peer(&mut self, peer: IpAddr, outcomes: Vec<(EndpointHash, Outcomes)>) {
+        self.peers.replace(peer, outcomes);
+    }
+
+    /// Forgets a peer that is gone.
+    pub fn drop_peer(&mut self, peer: IpAddr) {
+        self.peers.drop_peer(peer);
+    }
+
+    /// This gateway's outcomes at endpoints that failed it or a peer lately, for the digest: at most
+    /// `count`, those with most failures first. Good outcomes are told too, or a single failure would
+    /// look like an endpoint that always fails.
+    pub fn outcomes(&self, count: usize, now: MonoMs) -> Vec<(EndpointHash, Outcomes)> {
+        let own = |endpoint| self.own_rate(endpoint, now).rounded();
+        let mut suspects: Vec<_> = self
+            .endpoints
+            .keys()
+            .map(|it| (*it, own(*it), self.peers.sum(*it).bad))
+            .filter(|(_, own, told_bad)| own.bad.saturating_add(*told_bad) > 0 && !own.is_zero())
+            .collect();
+        suspects.sort_unstable_by_key(|(endpoint, own, told_bad)| {
+            (std::cmp::Reverse(own.bad.saturating_add(*told_bad)), *endpoint)
+        });
+        suspects.into_iter().take(count).map(|(endpoint, own, _)| (endpoint, own)).collect()
+    }
+
     /// The share of recent requests that failed, or zero while too few are known.
     pub fn failure_rate(&self, endpoint: EndpointHash, now: MonoMs) -> f64 {
-        let Some(record) = self.endpoints.get(&endpoint) else { return 0.0 };
-        let rate = record.rate.decayed(now, self.settings.memory_ms);
         // One good outcome as a prior keeps a single failure from counting as a rate of one.
-        rate.bad / (rate.samples() + 1.0)
+        let share = |rate: DecayingRate| rate.bad / (rate.samples() + 1.0);
+        share(self.own_rate(endpoint, now)).max(share(self.rate(endpoint, now)))
+    }
+
+    fn own_rate(&self, endpoint: EndpointHash, now: MonoMs) -> DecayingRate {
+        let record = self.endpoints.get(&endpoint).copied().unwrap_or_default();
+        record.rate.decayed(now, self.settings.memory_ms)
+    }
+
+    /// Outcomes of this gateway, and those of its peers within their weight.
+    fn rate(&self, endpoint: EndpointHash, now: MonoMs) -> DecayingRate {
+        let mut rate = self.own_rate(endpoint, now);
+        let told = self.peers.sum(endpoint);
+        let (good, bad) = (f64::from(told.good), f64::from(told.bad));
+        let weight = (self.settings.peer_weight / (good + bad).max(1.0)).min(1.0);
+        rate.good += good * weight;
+        rate.bad += bad * weight;
+        rate
     }
 
-    /// Endpoints among `members` that fail more often than the service as a whole.
+    /// Endpoints among `members` that fail more often than the service as a whole, by this gateway's
+    /// outcomes alone or with those of its peers.
     pub fn failing(
         &self,
         members: impl Iterator<Item = EndpointHash>,
         now: MonoMs,
     ) -> Vec<EndpointHash> {
-        let settings = self.settings;
-        let rates: Vec<_> = members
-            .map(|it| {
-                let record = self.endpoints.get(&it).copied().unwrap_or_default();
-                (it, record.rate.decayed(now, settings.memory_ms))
-            })
-            .collect();
-        let bad: f64 = rates.iter().map(|(_, rate)| rate.bad).sum();
-        let samples: f64 = rates.iter().map(|(_, rate)| rate.samples()).sum();
-        rates
-            .into_iter()
-            .filter(|(_, rate)| rate.samples() >= settings.min_samples && rate.bad >= 2.0)
-            .filter(|(_, rate)| {
-                let other_samples = samples - rate.samples();
-                let other_rate =
-                    if other_samples > 0.0 { (bad - rate.bad) / other_samples } else { 1.0 };
-                rate.bad / rate.samples() > other_rate * 1.5 + settings.excess_rate
-            })
-            .map(|(it, _)| it)
-            .collect()
+        let members: Vec<_> = members.collect();
+        let own: Vec<_> = members.iter().map(|it| self.own_rate(*it, now)).collect();
+        let all: Vec<_> = members.iter().map(|it| self.rate(*it, now)).collect();
+        let (of_own, of_all) = (sum(&own), sum(&all));
+        let is_failing =
+            |at: usize| self.stands_out(own[at], of_own) || self.stands_out(all[at], of_all);
+        members.iter().enumerate().filter(|(at, _)| is_failing(*at)).map(|(_, it)| *it).collect()
+    }
+
+    /// Whether one endpoint's failure rate lies well above that of all others.
+    fn stands_out(&self, one: DecayingRate, service: DecayingRate) -> bool {
+        if one.samples() < self.settings.min_samples || one.bad < 2.0 {
+            return false;
+        }
+        let other_samples = service.samples() - one.samples();
+        let other_rate =
+            if other_samples > 0.0 { (service.bad - one.bad) / other_samples } else { 1.0 };
+        one.bad / one.samples() > other_rate * 1.5 + self.settings.excess_rate
     }
 
     /// Whether this request should try an endpoint that fails too often; `draw` is any number.
@@ -207,3 +290,9 @@
         self.endpoints.retain(|endpoint, _| is_published(*endpoint));
     }
 }
+
+fn sum(rates: &[DecayingRate]) -> DecayingRate {
+    let (good, bad) =
+        rates.iter().fold((0.0, 0.0), |(good, bad), it| (good + it.good, bad + it.bad));
+    DecayingRate { good, bad, at: MonoMs(0) }
+}
--- a/crates/persimmon_decide/src/forward/load_book.rs
+++ b/crates/persimmon_decide/src/forward/load_book.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::peer_sums::{Count, PeerSums};
 use crate::load::EndpointHash;
 
 /// What an endpoint has to do.
@@ -16,16 +17,20 @@
     pub unread_tokens: u32,
 }
 
-impl EndpointLoad {
+impl Count for EndpointLoad {
     fn add(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.unread_tokens += other.unread_tokens;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
     }
 
     fn subtract(&mut self, other: Self) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
     }
+
+    fn is_zero(&self) -> bool {
+        self.requests == 0
+    }
 }
 
 /// Counts this gateway's requests in progress exactly, and adds what the others last told. Every
@@ -33,8 +38,7 @@
 #[derive(Debug, Default)]
 pub struct LoadBook {
     own: HashMap<EndpointHash, EndpointLoad>,
-    peers: HashMap<IpAddr, Vec<(EndpointHash, EndpointLoad)>>,
-    peer_sum: HashMap<EndpointHash, EndpointLoad>,
+    peers: PeerSums<EndpointLoad>,
 }
 
 impl LoadBook {
@@ -67,29 +71,18 @@
 
     /// Replaces what a peer told of its requests.
     pub fn replace_peer(&mut self, peer: IpAddr, loads: Vec<(EndpointHash, EndpointLoad)>) {
-        self.drop_peer(peer);
-        for (endpoint, load) in &loads {
-            self.peer_sum.entry(*endpoint).or_default().add(*load);
-        }
-        self.peers.insert(peer, loads);
+        self.peers.replace(peer, loads);
     }
 
     /// Forgets a peer that is gone.
     pub fn drop_peer(&mut self, peer: IpAddr) {
-        for (endpoint, load) in self.peers.remove(&peer).unwrap_or_default() {
-            if let Some(sum) = self.peer_sum.get_mut(&endpoint) {
-                sum.subtract(load);
-                if sum.requests == 0 {
-                    self.peer_sum.remove(&endpoint);
-                }
-            }
-        }
+        self.peers.drop_peer(peer);
     }
 
     /// What the requests of all gateways are at an endpoint.
     pub fn total(&self, endpoint: EndpointHash) -> EndpointLoad {
         let mut total = self.own.get(&endpoint).copied().unwrap_or_default();
-        total.add(self.peer_sum.get(&endpoint).copied().unwrap_or_default());
+        total.add(self.peers.sum(endpoint));
         total
     }
 
--- a/crates/persimmon_decide/tests/forward_digest.rs
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 
 use persimmon_decide::forward::{
-    Digest, EndpointLoad, PartHolder, PeerAddress, ServiceRetries, StoreDelta,
+    Digest, EndpointLoad, Outcomes, PartHolder, PeerAddress, ServiceRetries, StoreDelta,
 };
 use persimmon_decide::load::EndpointHash;
 use proptest::prelude::*;
@@ -24,6 +24,7 @@
         is_leaving: false,
         loads: (0..endpoints).map(|it| (hash(it), load)).collect(),
         ejections: vec![(hash(1), 3_000)],
+        outcomes: (0..4).map(|it| (hash(it), Outcomes { good: 200, bad: 30 })).collect(),
         retries: vec![("engines".into(), ServiceRetries { fresh: 1_000, repeated: 100 })],
         crashes: Vec::new(),
         holders: (0..6).map(|it| PartHolder { part: u64::MAX, endpoint: hash(it) }).collect(),
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -19,6 +19,7 @@
         is_leaving: false,
         loads: Vec::new(),
         ejections: Vec::new(),
+        outcomes: Vec::new(),
         retries: Vec::new(),
         crashes: Vec::new(),
         holders: Vec::new(),
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -22,6 +22,9 @@
 /// Crash marks in one digest; more would crowd a datagram.
 const DIGEST_CRASHES: usize = 16;
 
+/// Endpoints whose outcomes stand in one digest; only those that failed somebody lately do.
+const DIGEST_OUTCOMES: usize = 64;
+
 /// New holders of prompts' parts in one digest, and ones that are told again.
 const DIGEST_NEWS: usize = 48;
 const DIGEST_REPEATED: usize = 6;
@@ -247,6 +250,7 @@
             is_leaving: self.shutdown.is_leaving(),
             loads: self.loads.own_loads().collect(),
             ejections: self.health.ejections(now).collect(),
+            outcomes: self.health.outcomes(DIGEST_OUTCOMES, now),
             retries: retries.filter(|(_, it)| it.fresh + it.repeated > 0).collect(),
             holders: self.prefixes.tell(DIGEST_NEWS, repeated, now),
             crashes: self.crashes.newest(DIGEST_CRASHES, now),
@@ -270,6 +274,7 @@
             self.prefixes.absorb(*holder, now);
         }
         self.loads.replace_peer(from, digest.loads);
+        self.health.replace_peer(from, digest.outcomes);
         news
     }
 
@@ -277,6 +282,7 @@
     pub(crate) fn expire(&mut self, now: MonoMs) {
         for peer in self.peers.expire(now) {
             self.loads.drop_peer(peer);
+            self.health.drop_peer(peer);
         }
     }
 
