Send requests that may run once where failures are least likely

Cause: an endpoint's failures counted only once they stood out from the whole service, and one request in 24 went to it all the same. Chats and commits, which can't be sent again, failed there while lookups and resumable streams could have tried it out.

Ruled out: leaving endpoints out after fewer failures for all requests; repeatable ones lose nothing but time there, and tell when it has recovered.

Change: the chance of a failure costs such a request up to a second of reading, and it never goes to a failing endpoint as a trial.

Tests: forward_picker::{pick_holder_that_failed, pick_failing_endpoint}; the cases `once` fail without the change (the holder is kept, the trial is made).

--- a/crates/persimmon_decide/src/forward/attempt.rs
+++ b/crates/persimmon_decide/src/forward/attempt.rs
@@ -62,6 +62,11 @@
         self.runs > 0
     }
 
+    /// Whether it may run once more if the next endpoint fails it.
+    pub fn may_run_again(&self) -> bool {
+        self.repeatable != Repeatable::Never && self.runs + 1 < self.max_runs
+    }
+
     /// An attempt ended with `outcome`. `has_budget` says whether the fleet may send it again, and
     /// `has_time` whether another endpoint could answer in time.
     pub fn record(
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -28,6 +28,9 @@
     pub even_unread_tokens: u32,
     /// Multiple of the mean load up to which an endpoint counts as not loaded.
     pub even_load_factor: f64,
+    /// What a sure failure costs a request that can't be sent again, in milliseconds. It is worth
+    /// reading a long prompt anew, and little beside the rare failures that every endpoint has.
+    pub failure_cost_ms: f64,
     /// What a load of one more mean costs, in milliseconds: about what the tokens of a request take
     /// longer there over its whole answer.
     pub load_cost_ms: f64,
@@ -56,6 +59,7 @@
             tokens_per_ms: 80.0,
             even_unread_tokens: 30_000,
             even_load_factor: 1.15,
+            failure_cost_ms: 1_000.0,
             load_cost_ms: 40.0,
         }
     }
@@ -83,6 +87,8 @@
     pub service: &'a str,
     /// The parts of its prompt; empty where nothing is gained from a cache.
     pub parts: &'a [PromptPart],
+    /// Whether it may run once more after an endpoint failed it.
+    pub may_repeat: bool,
     /// Endpoints that already failed it.
     pub tried: &'a [EndpointHash],
     /// The gateway's availability zone.
@@ -172,7 +178,8 @@
         let requests: u32 = ready.iter().map(|it| it.load.requests).sum();
         let mean = f64::from(requests) / ready.len().max(1) as f64;
         let failing = view.health.failing(ready.iter().map(|it| it.endpoint.hash), view.now);
-        let is_trial = view.health.is_trial(req.draw);
+        // A failed trial costs a caller its request, unless it can be sent again.
+        let is_trial = req.may_repeat && view.health.is_trial(req.draw);
         let untried: Vec<_> =
             ready.into_iter().filter(|it| !req.tried.contains(&it.endpoint.hash)).collect();
         let is_reached = |it: &Candidate| !view.health.is_ejected(it.endpoint.hash, view.now);
@@ -209,6 +216,7 @@
     settings: &'a PickerSettings,
     view: FleetView<'a>,
     service: &'a str,
+    may_repeat: bool,
     /// By which prompts are kept together.
     key: ChatKey,
     /// Tokens in all.
@@ -231,6 +239,7 @@
             settings,
             view,
             service: req.service,
+            may_repeat: req.may_repeat,
             key: ChatKey(placement_key(req.parts)),
             whole: req.parts.iter().map(|part| part.tokens).sum(),
             shared: shared_tokens(req.parts),
@@ -262,7 +271,7 @@
     }
 
     /// What the prompt costs at an endpoint, in milliseconds: its own reading, the prompts that wait
-    /// there, and the load. Small waits and loads cost nothing, so that gateways whose counts differ
+    /// there, the load, and what failures cost one that can't be sent again. Small waits and loads cost nothing, so that gateways whose counts differ
     /// a little still agree; and a short common start doesn't draw a prompt away from its rank, so
     /// that gateways that know no holders choose the endpoint that the others chose.
     fn cost_ms(&self, it: &Candidate) -> f64 {
@@ -273,7 +282,15 @@
         let reading_ms = f64::from(waiting + unread) / self.settings.tokens_per_ms;
         let even = self.mean * self.settings.even_load_factor + 1.0;
         let excess = (f64::from(it.load.requests) - even).max(0.0);
-        reading_ms + excess / self.mean.max(1.0) * self.settings.load_cost_ms
+        let load_ms = excess / self.mean.max(1.0) * self.settings.load_cost_ms;
+        reading_ms + load_ms + self.failure_ms(it.endpoint.hash)
+    }
+
+    fn failure_ms(&self, endpoint: EndpointHash) -> f64 {
+        if self.may_repeat {
+            return 0.0;
+        }
+        self.view.health.failure_rate(endpoint, self.view.now) * self.settings.failure_cost_ms
     }
 
     fn rank(&self, endpoint: &Endpoint) -> f64 {
--- a/crates/persimmon_decide/tests/forward_attempt.rs
+++ b/crates/persimmon_decide/tests/forward_attempt.rs
@@ -23,6 +23,21 @@
     assert_eq!(AttemptLog::new(repeatable, 2).record(outcome, true, true), expected);
 }
 
+#[rstest]
+#[case::once(Repeatable::Never, 3, [false, false])]
+#[case::two_runs(Repeatable::Always, 2, [true, false])]
+#[case::one_run(Repeatable::FromLastEvent, 1, [false, false])]
+fn may_run_again_counts_runs(
+    #[case] repeatable: Repeatable,
+    #[case] max_attempts: u32,
+    #[case] expected: [bool; 2],
+) {
+    let mut log = AttemptLog::new(repeatable, max_attempts);
+    let before = log.may_run_again();
+    log.record(Failed, true, true);
+    assert_eq!([before, log.may_run_again()], expected);
+}
+
 #[test]
 fn record_without_budget_only_unsent_goes_on() {
     let mut log = AttemptLog::new(Repeatable::Always, 3);
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -53,6 +53,7 @@
         let req = PickRequest {
             service: SERVICE,
             parts: &[],
+            may_repeat: false,
             tried: &[],
             zone: "zone-a",
             draw: self.rng.random(),
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -53,7 +53,17 @@
     }
 
     fn pick(&self, parts: &[PromptPart], tried: &[EndpointHash], draw: u64) -> Option<Choice> {
-        let req = PickRequest { service: SERVICE, parts, tried, zone: "zone-a", draw };
+        self.pick_for(parts, true, tried, draw)
+    }
+
+    fn pick_for(
+        &self,
+        parts: &[PromptPart],
+        may_repeat: bool,
+        tried: &[EndpointHash],
+        draw: u64,
+    ) -> Option<Choice> {
+        let req = PickRequest { service: SERVICE, parts, may_repeat, tried, zone: "zone-a", draw };
         let view = FleetView {
             endpoints: &self.directory,
             loads: &self.loads,
@@ -134,6 +144,44 @@
     }
 }
 
+/// The endpoint that holds a prompt failed a few requests, too few to leave it out.
+#[rstest::rstest]
+#[case::repeatable_stays_with_its_prompt(true, true)]
+#[case::once_goes_where_nothing_failed(false, false)]
+fn pick_holder_that_failed(#[case] may_repeat: bool, #[case] stays: bool) {
+    let mut gateway = Gateway::new(18);
+    let holder = gateway.send(&prompt(5, 1), 1);
+    gateway.loads.end(holder, 0);
+    for is_good in [true, true, false] {
+        gateway.health.record_outcome(holder, is_good, MonoMs(1_000));
+    }
+    let choice = gateway.pick_for(&prompt(5, 2), may_repeat, &[], 2).expect("an endpoint");
+    assert_eq!(choice.endpoint.hash == holder, stays);
+    assert_eq!(choice.fetch_from.is_some_and(|source| source.hash == holder), !stays);
+}
+
+#[rstest::rstest]
+#[case::repeatable_tries_it_now_and_then(true, true)]
+#[case::once_never(false, false)]
+fn pick_failing_endpoint(#[case] may_repeat: bool, #[case] is_tried: bool) {
+    let mut gateway = Gateway::new(4);
+    let failing = endpoint(1).hash;
+    for request in 0..12 {
+        gateway.health.record_outcome(failing, request % 2 == 0, MonoMs(1_000));
+        gateway.health.record_outcome(endpoint(2).hash, true, MonoMs(1_000));
+    }
+    // The others are busy enough for it to be worth a try.
+    for number in [2, 3, 4].repeat(40) {
+        gateway.loads.begin(endpoint(number).hash, 0);
+    }
+    let mut draws = 0..200;
+    let picks_it = |draw| {
+        let choice = gateway.pick_for(&[], may_repeat, &[], draw).expect("an endpoint");
+        choice.endpoint.hash == failing
+    };
+    assert_eq!(draws.any(picks_it), is_tried);
+}
+
 #[test]
 fn pick_gateways_without_knowledge_agree() {
     let (here, there) = (Gateway::new(18), Gateway::new(18));
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -157,6 +157,7 @@
         let req = PickRequest {
             service: &plan.service,
             parts,
+            may_repeat: self.log.may_run_again(),
             tried: &self.tried,
             zone: &self.gw.settings.zone,
             draw,
