Close the longest idle connection of callers when there are too many

Cause: callers that were refused under overload keep their connections, and a gateway that had half of its descriptors taken by them closed each new connection without an answer.

Ruled out: more descriptors for callers, since idle connections fill any number; crashes (no process ended, 60 MB at most).

Change: the connection that is idle longest is closed in favour of a new one.

Test: process_gateway_input::idle_connections_dont_keep_new_callers_out, failed before.

--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -50,6 +50,7 @@
     /// When the first byte of a head came, while the head isn't whole.
     head_since: Cell<Option<MonoMs>>,
     is_busy: Cell<bool>,
+    is_closing: Cell<bool>,
     stop: Notify,
 }
 
@@ -60,6 +61,7 @@
             idle_since: Cell::new(clock.now()),
             head_since: Cell::new(None),
             is_busy: Cell::new(false),
+            is_closing: Cell::new(false),
             stop: Notify::new(),
         }
     }
@@ -81,6 +83,16 @@
         self.idle_since.set(self.clock.now());
     }
 
+    /// Whether no request is in progress or on its way.
+    fn is_idle(&self) -> bool {
+        !self.is_busy.get() && !self.is_closing.get() && self.head_since.get().is_none()
+    }
+
+    fn close(&self) {
+        self.is_closing.set(true);
+        self.stop.notify_one();
+    }
+
     fn is_overdue(&self, idle_ms: u64, head_ms: u64) -> bool {
         let now = self.clock.now();
         match self.head_since.get() {
@@ -149,6 +161,22 @@
     open: RefCell<SlotMap<ConnectionKey, Rc<CallerConnection>>>,
 }
 
+impl Connections {
+    /// Makes room for one more connection if `most` are open: closes the one that is idle longest.
+    /// Callers keep connections for requests that may never come, and a new one has a request now.
+    /// Returns whether there is room.
+    fn make_room(&self, most: usize) -> bool {
+        let open = self.open.borrow();
+        if open.len() < most {
+            return true;
+        }
+        let idle = open.values().filter(|it| it.is_idle());
+        let Some(longest) = idle.min_by_key(|it| it.idle_since.get()) else { return false };
+        longest.close();
+        true
+    }
+}
+
 /// Accepts callers' connections until the process ends.
 pub(crate) async fn accept_callers<P: Platform>(gw: Rc<Gateway<P>>, listener: TcpListener) {
     let connections = Rc::new(Connections::default());
@@ -163,7 +191,7 @@
             }
         };
         let most = gw.settings.max_descriptors / CALLERS_PART;
-        if connections.open.borrow().len() >= most {
+        if !connections.make_room(most) {
             if let Some(suppressed) = gw.journal.admit("callers_full", gw.clock.now()) {
                 tracing::warn!(target: "callers", most, suppressed, "too many connections; one closed");
             }
@@ -236,7 +264,7 @@
         };
         for connection in connections.open.borrow().values() {
             if connection.is_overdue(idle_ms, head_ms) {
-                connection.stop.notify_one();
+                connection.close();
             }
         }
     }
--- a/crates/persimmonmountd/tests/process_gateway_input.rs
+++ b/crates/persimmonmountd/tests/process_gateway_input.rs
@@ -243,3 +243,12 @@
     silent.into_iter().for_each(Caller::close);
     desk.deployment.close();
 }
+
+/// Callers that keep more connections open than the gateway's descriptors allow.
+#[test]
+fn idle_connections_dont_keep_new_callers_out() {
+    let desk = Desk::start();
+    let idle: Vec<_> = (0..600).filter_map(|_| desk.deployment.caller(0).ok()).collect();
+    assert_eq!(idle.len(), 600);
+    desk.assert_serves();
+}
