Refuse by rank and workspace when engines are full

Cause: gateways sent engines all that callers sent. Above their places everything waits, so that all streams begin late, callers leave, and engines work for nobody. The only refusal compared a stream's deadline with the mean time of all requests, and so met short answers alone. Every workspace of the users' sites has the same priority, which took the place of the routes' own: engines were told one urgency for all.

Change: `Admission` says how full an endpoint may be for a request: a little over its places, less for less urgent ranks and for workspaces that have more than an equal share, softly. A refusal tells when the places will have turned over, and a log line its inputs. Between workspaces of one priority the route's decides. The wait for a place grows with each request ahead instead of by whole rounds.

Requests that come back are served late at best, which binds the worth.

--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwarding of HTTP requests straight to endpoints: routes, where a request goes, what follows a
 //! failure, and what the gateways of a fleet tell each other.
 
+mod admission;
 mod attempt;
 mod crash_watch;
 mod digest;
@@ -20,7 +21,9 @@
 mod shutdown;
 mod store_view;
 mod waiting_time;
+mod workspace_shares;
 
+pub use admission::{Admission, AdmissionSettings, Standing};
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
 pub use crash_watch::CrashWatch;
 pub use digest::{Digest, PartHolder, PeerAddress, ServiceRetries};
@@ -32,13 +35,14 @@
 pub use load_book::{EndpointLoad, LoadBook};
 pub use patience::Patience;
 pub use peer_table::{DigestNews, PeerTable};
-pub use picker::{Choice, FleetView, PickRequest, Picker, PickerSettings};
+pub use picker::{Choice, FleetView, NoChoice, PickRequest, Picker, PickerSettings};
 pub use prefix_map::{PrefixMap, PromptPart};
 pub use retry_window::{RetryWindow, RetryWindowSettings};
 pub use route::{
-    CallerLimits, CallerLookup, EngineSpec, Repeatable, Route, RouteTable, ServiceSpec,
+    CallerLimits, CallerLookup, EngineSpec, Rank, Repeatable, Route, RouteTable, ServiceSpec,
     ServiceWeight, Workspace,
 };
 pub use shutdown::{Shutdown, ShutdownSettings};
 pub use store_view::{StoreChange, StoreDelta, StoreRecord, StoreView};
 pub use waiting_time::WaitingTime;
+pub use workspace_shares::WorkspaceShares;
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -89,6 +89,9 @@
     pub parts: &'a [PromptPart],
     /// Whether it may run once more after an endpoint failed it.
     pub may_repeat: bool,
+    /// Fill up to which an endpoint may take it, as a multiple of the endpoint's places; infinite if
+    /// it is taken in any case.
+    pub max_fill: f64,
     /// Endpoints that already failed it.
     pub tried: &'a [EndpointHash],
     /// The gateway's availability zone.
@@ -112,6 +115,15 @@
     pub unread_tokens: u32,
 }
 
+/// Why no endpoint takes a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoChoice {
+    /// Every published endpoint was tried, or there is none.
+    NoEndpoint,
+    /// Each is too full for it.
+    Full,
+}
+
 /// Picks an endpoint for each request: for prompts, the one that begins to answer first, within a
 /// bound on load; otherwise the least loaded.
 #[derive(Debug)]
@@ -125,13 +137,18 @@
         Self { settings }
     }
 
-    /// Picks an endpoint; none if every published one was tried.
-    pub fn pick(&self, req: &PickRequest<'_>, view: FleetView<'_>) -> Option<Choice> {
-        let candidates = Candidates::new(req, view);
-        if req.parts.is_empty() {
-            return candidates.least_loaded(req, view).map(Candidate::without_prompt);
-        }
-        Prompt::new(&self.settings, req, view, &candidates).pick(&candidates)
+    /// Picks an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// None takes the request.
+    pub fn pick(&self, req: &PickRequest<'_>, view: FleetView<'_>) -> Result<Choice, NoChoice> {
+        let candidates = Candidates::new(req, view).with_room(req.max_fill)?;
+        let choice = match req.parts.is_empty() {
+            true => candidates.least_loaded(req, view).map(Candidate::without_prompt),
+            false => Prompt::new(&self.settings, req, view, &candidates).pick(&candidates),
+        };
+        choice.ok_or(NoChoice::NoEndpoint)
     }
 }
 
@@ -196,6 +213,18 @@
         Self { usable, mean }
     }
 
+    /// Those that may take one more request up to this fill.
+    fn with_room(mut self, max_fill: f64) -> Result<Self, NoChoice> {
+        if self.usable.is_empty() {
+            return Err(NoChoice::NoEndpoint);
+        }
+        let has_room = |it: &Candidate| {
+            f64::from(it.load.requests + 1) <= max_fill * f64::from(it.endpoint.slots)
+        };
+        self.usable.retain(has_room);
+        if self.usable.is_empty() { Err(NoChoice::Full) } else { Ok(self) }
+    }
+
     /// The least loaded endpoint. Failures count as load, and of equals one in the own zone is
     /// taken.
     fn least_loaded(&self, req: &PickRequest<'_>, view: FleetView<'_>) -> Option<&Candidate> {
--- a/crates/persimmon_decide/src/forward/route.rs
+++ b/crates/persimmon_decide/src/forward/route.rs
@@ -1,6 +1,6 @@
 //! Routes, services and workspaces in force.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// Whether a request may be sent to an endpoint again after it may have run.
@@ -138,6 +138,19 @@
     services: HashMap<Arc<str>, ServiceSpec>,
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
     keys: HashMap<Arc<str>, Workspace>,
+    /// The priorities of each service's routes.
+    route_priorities: HashMap<Arc<str>, BTreeSet<u8>>,
+    /// The priorities of workspaces; none for those that have no priority of their own.
+    workspace_priorities: BTreeSet<Option<u8>>,
+}
+
+/// Where a request stands among the others of its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rank {
+    /// How many ranks are more urgent.
+    pub place: usize,
+    /// How many ranks there are.
+    pub count: usize,
 }
 
 impl RouteTable {
@@ -149,19 +162,28 @@
         services: Vec<ServiceSpec>,
     ) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        let mut route_priorities: HashMap<Arc<str>, BTreeSet<u8>> = HashMap::new();
         for route in routes {
+            for share in &route.services {
+                route_priorities.entry(share.service.clone()).or_default().insert(route.priority);
+            }
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
-        Self { version, limits, services, by_host, keys: HashMap::new() }
+        let (keys, workspace_priorities) = (HashMap::new(), BTreeSet::from([None]));
+        Self { version, limits, services, by_host, keys, route_priorities, workspace_priorities }
     }
 
     /// Adds the keys of a workspace.
     #[must_use]
     pub fn with_keys(mut self, workspace: &Workspace, keys: Vec<Arc<str>>) -> Self {
+        if self.keys.is_empty() {
+            self.workspace_priorities.clear();
+        }
+        self.workspace_priorities.insert(workspace.priority);
         self.keys.extend(keys.into_iter().map(|key| (key, workspace.clone())));
         self
     }
@@ -186,6 +208,20 @@
         }
     }
 
+    /// The rank of a request. Its workspace's priority goes before its route's, which decides between
+    /// equals.
+    pub fn rank(&self, service: &str, workspace: Option<u8>, route: u8) -> Rank {
+        let key = |workspace: Option<u8>, route: u8| (workspace.unwrap_or(route), route);
+        let routes = self.route_priorities.get(service);
+        let keys: BTreeSet<_> = routes
+            .into_iter()
+            .flatten()
+            .flat_map(|route| self.workspace_priorities.iter().map(move |it| key(*it, *route)))
+            .collect();
+        let own = key(workspace, route);
+        Rank { place: keys.iter().filter(|it| **it < own).count(), count: keys.len() }
+    }
+
     /// A service's published figures.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/crates/persimmon_decide/src/forward/waiting_time.rs
+++ b/crates/persimmon_decide/src/forward/waiting_time.rs
@@ -47,10 +47,18 @@
         self.mean_ms.get(service).copied().unwrap_or(0.0) as u64
     }
 
+    /// When a caller may come back that found no place, in milliseconds: in the time in which the
+    /// places are taken by other requests, give or take half. `draw`, any number, spreads the callers.
+    pub fn turnover_ms(&self, service: &str, draw: u64) -> u64 {
+        let mean_ms = self.mean_ms(service).max(1);
+        mean_ms / 2 + draw % mean_ms
+    }
+
     /// How long a request waits for a place at an endpoint with `slots` places and `load` requests,
-    /// in milliseconds; zero while nothing is known.
+    /// in milliseconds; zero while nothing is known. Places become free one after the other, spread
+    /// over the mean time of a request.
     pub fn wait_ms(&self, service: &str, load: u32, slots: u32) -> u64 {
-        let ahead = (load + 1).saturating_sub(slots);
-        u64::from(ahead.div_ceil(slots.max(1))) * self.mean_ms(service)
+        let ahead = u64::from((load + 1).saturating_sub(slots));
+        ahead * self.mean_ms(service) / u64::from(slots.max(1))
     }
 }
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -54,6 +54,7 @@
             service: SERVICE,
             parts: &[],
             may_repeat: false,
+            max_fill: f64::INFINITY,
             tried: &[],
             zone: "zone-a",
             draw: self.rng.random(),
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -63,7 +63,15 @@
         tried: &[EndpointHash],
         draw: u64,
     ) -> Option<Choice> {
-        let req = PickRequest { service: SERVICE, parts, may_repeat, tried, zone: "zone-a", draw };
+        let req = PickRequest {
+            service: SERVICE,
+            parts,
+            may_repeat,
+            max_fill: f64::INFINITY,
+            tried,
+            zone: "zone-a",
+            draw,
+        };
         let view = FleetView {
             endpoints: &self.directory,
             loads: &self.loads,
@@ -71,7 +79,7 @@
             prefixes: &self.prefixes,
             now: MonoMs(1_000),
         };
-        Picker::new(PickerSettings::default()).pick(&req, view)
+        Picker::new(PickerSettings::default()).pick(&req, view).ok()
     }
 
     fn send(&mut self, parts: &[PromptPart], draw: u64) -> EndpointHash {
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -7,10 +7,11 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Choice, CrashWatch, Digest, DigestNews, DurationBook, Endpoint, EndpointDirectory, FleetView,
-    HealthBook, HealthSettings, IdleLimit, LoadBook, Patience, PeerTable, PickRequest, Picker,
-    PrefixMap, RetryWindow, RouteTable, ServiceRetries, Shutdown, ShutdownSettings, StoreChange,
-    StoreView, WaitingTime,
+    Admission, AdmissionSettings, Choice, CrashWatch, Digest, DigestNews, DurationBook, Endpoint,
+    EndpointDirectory, FleetView, HealthBook, HealthSettings, IdleLimit, LoadBook, NoChoice,
+    Patience, PeerTable, PickRequest, Picker, PrefixMap, Rank, RetryWindow, RouteTable,
+    ServiceRetries, Shutdown, ShutdownSettings, Standing, StoreChange, StoreView, WaitingTime,
+    WorkspaceShares,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
@@ -66,6 +67,7 @@
     pub(crate) idle_limit: IdleLimit,
     pub(crate) patience: Patience,
     pub(crate) waiting_time: WaitingTime,
+    pub(crate) shares: WorkspaceShares,
     /// When the store last answered; none while this gateway doesn't watch it.
     pub(crate) store_contact: Option<MonoMs>,
     /// Requests in progress.
@@ -74,6 +76,7 @@
     pub(crate) quiet_since: MonoMs,
     retries: HashMap<Arc<str>, RetryWindow>,
     picker: Picker,
+    admission: Admission,
     rng: Pcg64Mcg,
     incarnation: u64,
     sequence: u64,
@@ -103,6 +106,8 @@
             idle_limit: IdleLimit::new(),
             patience: Patience::new(),
             waiting_time: WaitingTime::new(),
+            shares: WorkspaceShares::new(),
+            admission: Admission::new(AdmissionSettings::default()),
             store_contact: None,
             in_progress: 0,
             quiet_since: now,
@@ -194,7 +199,11 @@
     }
 
     /// Picks an endpoint.
-    pub(crate) fn pick(&self, req: &PickRequest<'_>, now: MonoMs) -> Option<Choice> {
+    ///
+    /// # Errors
+    ///
+    /// None takes the request.
+    pub(crate) fn pick(&self, req: &PickRequest<'_>, now: MonoMs) -> Result<Choice, NoChoice> {
         let view = FleetView {
             endpoints: &self.directory,
             loads: &self.loads,
@@ -205,6 +214,17 @@
         self.picker.pick(req, view)
     }
 
+    /// Where a request stands among those of its service.
+    pub(crate) fn standing(&self, service: &str, rank: Rank, workspace: &str) -> Standing {
+        let (share, workspaces) = self.shares.share(service, workspace);
+        Standing { rank, share, workspaces }
+    }
+
+    /// How full an endpoint may be to take a request.
+    pub(crate) fn max_fill(&mut self, standing: Standing) -> f64 {
+        self.admission.max_fill(standing, self.rng.random())
+    }
+
     /// A caller's request goes to a service.
     pub(crate) fn record_fresh(&mut self, service: &Arc<str>, now: MonoMs) {
         self.window(service).record_fresh(now);
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -226,9 +226,7 @@
             set(&names.last_event, &last.to_string());
         }
         if plan.route.has_prompt {
-            let priority = plan.workspace.as_ref().and_then(|it| it.priority);
-            let urgency = priority.unwrap_or(plan.route.priority).min(9);
-            headers.insert(&names.urgency, number(u64::from(urgency)));
+            headers.insert(&names.urgency, number(plan.urgency()));
         }
         req
     }
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -11,12 +11,13 @@
 use hyper::header::{HeaderMap, HeaderName};
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    AttemptLog, AttemptOutcome, Choice, Endpoint, FailureKind, NextStep, PickRequest, Repeatable,
+    AttemptLog, AttemptOutcome, Choice, Endpoint, FailureKind, NextStep, NoChoice, PickRequest,
+    Repeatable, Standing,
 };
 use persimmon_decide::load::EndpointHash;
 
 use crate::gateway::Gateway;
-use crate::in_flight::{InFlight, InProgress};
+use crate::in_flight::{InFlight, InProgress, InWorkspace};
 use crate::plan::Plan;
 use crate::platform::Platform;
 use crate::refusal::Refusal;
@@ -83,14 +84,24 @@
     tried: Vec<EndpointHash>,
     sends: u32,
     is_answered: bool,
+    in_workspace: InWorkspace<P>,
     _in_progress: InProgress<P>,
 }
 
 impl<P: Platform> Exchange<P> {
     pub(crate) fn new(gw: Rc<Gateway<P>>, plan: Rc<Plan<P>>, in_progress: InProgress<P>) -> Self {
         let log = AttemptLog::new(plan.route.repeatable, plan.route.max_attempts);
-        let (tried, sends) = (Vec::new(), 0);
-        Self { gw, plan, log, tried, sends, is_answered: false, _in_progress: in_progress }
+        let in_workspace = InWorkspace::begin(&gw, &plan.service, plan.workspace_name());
+        Self {
+            gw,
+            plan,
+            log,
+            tried: Vec::new(),
+            sends: 0,
+            is_answered: false,
+            in_workspace,
+            _in_progress: in_progress,
+        }
     }
 
     /// Milliseconds until the request is given up.
@@ -154,19 +165,35 @@
         let draw = control.draw();
         let plan = &self.plan;
         let parts = if plan.route.has_prompt { &plan.head.parts[..] } else { &[] };
+        let standing = control.standing(&plan.service, plan.rank, self.in_workspace.name());
+        // An answer that has begun is continued in any case.
+        let is_new = self.sends == 0 && plan.head.last_event.is_none();
+        let max_fill = match plan.route.has_prompt && is_new {
+            true => control.max_fill(standing),
+            false => f64::INFINITY,
+        };
         let req = PickRequest {
             service: &plan.service,
             parts,
             may_repeat: self.log.may_run_again(),
+            max_fill,
             tried: &self.tried,
             zone: &self.gw.settings.zone,
             draw,
         };
         let now = self.gw.clock.now();
-        let choice = control.pick(&req, now).ok_or(match self.log.may_have_run() {
-            true => Refusal::Unknown,
-            false => Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS },
-        })?;
+        let choice = match control.pick(&req, now) {
+            Ok(choice) => choice,
+            Err(_) if self.log.may_have_run() => return Err(Refusal::Unknown),
+            Err(NoChoice::NoEndpoint) => {
+                return Err(Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS });
+            }
+            Err(NoChoice::Full) => {
+                self.log_full(standing, max_fill, now);
+                let retry_after_ms = control.waiting_time.turnover_ms(&plan.service, draw);
+                return Err(Refusal::Overloaded { retry_after_ms });
+            }
+        };
         let slots = choice.endpoint.slots;
         let wait_ms = control.waiting_time.wait_ms(&plan.service, choice.load, slots);
         // A stream's caller waits for its start only.
@@ -181,6 +208,16 @@
         Ok(choice)
     }
 
+    fn log_full(&self, standing: Standing, max_fill: f64, now: MonoMs) {
+        let Some(suppressed) = self.gw.journal.admit("full", now) else { return };
+        let Standing { rank, share, workspaces } = standing;
+        tracing::info!(target: "request", id = &*self.plan.head.id,
+            route = &*self.plan.route.name, service = &*self.plan.service,
+            workspace = self.in_workspace.name(), rank = rank.place, ranks = rank.count,
+            share, workspaces, max_fill,
+            suppressed, "every endpoint is too full");
+    }
+
     /// Decides what follows an attempt that brought no good answer: nothing returned means that
     /// another endpoint is tried.
     pub(crate) fn record_miss(
--- a/crates/persimmon_gateway/src/in_flight.rs
+++ b/crates/persimmon_gateway/src/in_flight.rs
@@ -113,3 +113,29 @@
         self.0.metrics.in_progress.dec();
     }
 }
+
+/// Counts a request for its workspace while it is in progress.
+#[derive(Debug)]
+pub(crate) struct InWorkspace<P: Platform> {
+    gw: Rc<Gateway<P>>,
+    service: Arc<str>,
+    workspace: Arc<str>,
+}
+
+impl<P: Platform> InWorkspace<P> {
+    pub(crate) fn begin(gw: &Rc<Gateway<P>>, service: &Arc<str>, workspace: Arc<str>) -> Self {
+        gw.control.borrow_mut().shares.begin(service, &workspace);
+        Self { gw: gw.clone(), service: service.clone(), workspace }
+    }
+
+    /// The workspace's name.
+    pub(crate) fn name(&self) -> &str {
+        &self.workspace
+    }
+}
+
+impl<P: Platform> Drop for InWorkspace<P> {
+    fn drop(&mut self) {
+        self.gw.control.borrow_mut().shares.end(&self.service, &self.workspace);
+    }
+}
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use persimmon_decide::forward::{CallerLookup, Route, RouteTable, Shutdown, Workspace};
+use persimmon_decide::forward::{CallerLookup, Rank, Route, RouteTable, Shutdown, Workspace};
 use persimmon_decide::{Fingerprint, MonoMs};
 
 use crate::exchange::NO_ENDPOINT_RETRY_MS;
@@ -24,6 +24,9 @@
 const START_WAIT_MS: u64 = 1_000;
 const START_WAIT_PART: u64 = 3;
 
+/// The last rank that engines tell apart.
+const MAX_URGENCY: u64 = 9;
+
 /// What stays the same over all attempts of one request.
 #[derive(Debug)]
 pub(crate) struct Plan<P: Platform> {
@@ -31,6 +34,7 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) workspace: Option<Workspace>,
+    pub(crate) rank: Rank,
     pub(crate) body: Bytes,
     _held: HeldBody<P>,
     pub(crate) content: Fingerprint,
@@ -39,6 +43,18 @@
     pub(crate) deadline: MonoMs,
 }
 
+impl<P: Platform> Plan<P> {
+    /// Its urgency at an engine, from 0, which goes first, to 9.
+    pub(crate) fn urgency(&self) -> u64 {
+        (self.rank.place as u64).min(MAX_URGENCY)
+    }
+
+    /// The name of its workspace; empty for a caller without a key.
+    pub(crate) fn workspace_name(&self) -> Arc<str> {
+        self.workspace.as_ref().map_or_else(|| "".into(), |it| it.name.clone())
+    }
+}
+
 /// Routes a request, reads its body and decides whether it is taken.
 pub(crate) async fn plan<P: Platform>(
     gw: &Rc<Gateway<P>>,
@@ -65,7 +81,20 @@
     let service = route.service_for(draw).cloned();
     let service = service.ok_or(Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS })?;
     control.record_fresh(&service, now);
-    Ok(Plan { head, route, service, workspace, body, _held: held, content, arrived, deadline })
+    let own_priority = workspace.as_ref().and_then(|it| it.priority);
+    let rank = routes.rank(&service, own_priority, route.priority);
+    Ok(Plan {
+        head,
+        route,
+        service,
+        workspace,
+        rank,
+        body,
+        _held: held,
+        content,
+        arrived,
+        deadline,
+    })
 }
 
 /// Holds a request that reached a gateway that has just started until it knows the routes, which
