Count failures against a request that runs once only beyond the usual ones

Change: an endpoint's failure rate counts by what it exceeds the mean of those that may be picked.

Test: forward_picker::pick_once_stays_with_its_prompt_where_all_fail_alike.

--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -28,8 +28,8 @@
     pub even_unread_tokens: u32,
     /// Multiple of the mean load up to which an endpoint counts as not loaded.
     pub even_load_factor: f64,
-    /// What a sure failure costs a request that can't be sent again, in milliseconds. It is worth
-    /// reading a long prompt anew, and little beside the rare failures that every endpoint has.
+    /// What a sure failure costs a request that can't be sent again, in milliseconds; rates that every
+    /// endpoint has cost nothing. It is worth reading a long prompt anew.
     pub failure_cost_ms: f64,
     /// What a load of one more mean costs, in milliseconds: about what the tokens of a request take
     /// longer there over its whole answer.
@@ -225,6 +225,13 @@
         if self.usable.is_empty() { Err(NoChoice::Full) } else { Ok(self) }
     }
 
+    /// The mean failure rate.
+    fn failure_rate(&self, view: FleetView<'_>) -> f64 {
+        let rates =
+            self.usable.iter().map(|it| view.health.failure_rate(it.endpoint.hash, view.now));
+        rates.sum::<f64>() / self.usable.len().max(1) as f64
+    }
+
     /// The least loaded endpoint. Failures count as load, and of equals one in the own zone is
     /// taken.
     fn least_loaded(&self, req: &PickRequest<'_>, view: FleetView<'_>) -> Option<&Candidate> {
@@ -255,6 +262,8 @@
     /// Tokens at the start that endpoints probably hold, longest first.
     cached: Vec<(EndpointHash, u32)>,
     mean: f64,
+    /// Mean failure rate of the endpoints that may be picked.
+    usual_failures: f64,
 }
 
 impl<'a> Prompt<'a> {
@@ -274,6 +283,7 @@
             shared: shared_tokens(req.parts),
             cached: view.prefixes.cached(req.parts, view.now),
             mean: candidates.mean,
+            usual_failures: candidates.failure_rate(view),
         }
     }
 
@@ -319,7 +329,8 @@
         if self.may_repeat {
             return 0.0;
         }
-        self.view.health.failure_rate(endpoint, self.view.now) * self.settings.failure_cost_ms
+        let rate = self.view.health.failure_rate(endpoint, self.view.now);
+        (rate - self.usual_failures).max(0.0) * self.settings.failure_cost_ms
     }
 
     fn rank(&self, endpoint: &Endpoint) -> f64 {
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -168,6 +168,23 @@
     assert_eq!(choice.fetch_from.is_some_and(|source| source.hash == holder), !stays);
 }
 
+#[test]
+fn pick_once_stays_with_its_prompt_where_all_fail_alike() {
+    let mut gateway = Gateway::new(18);
+    let holder = gateway.send(&prompt(5, 1), 1);
+    gateway.loads.end(holder, 0);
+    for number in 1..=18 {
+        for request in 0..10 {
+            let is_good = request % 2 == 0;
+            gateway.health.record_outcome(endpoint(number).hash, is_good, MonoMs(1_000));
+        }
+    }
+    // A little less unlucky than the holder; reading the prompt there costs more than that is worth.
+    gateway.health.record_outcome(endpoint(1).hash, true, MonoMs(1_000));
+    let choice = gateway.pick_for(&prompt(5, 2), false, &[], 2).expect("an endpoint");
+    assert_eq!(choice.endpoint.hash, holder);
+}
+
 #[rstest::rstest]
 #[case::repeatable_tries_it_now_and_then(true, true)]
 #[case::once_never(false, false)]
