--- a/crates/persimmon_decide/src/forward/admission.rs
+++ b/crates/persimmon_decide/src/forward/admission.rs
@@ -47,8 +47,7 @@
 /// let admission = Admission::new(AdmissionSettings::default());
 /// let urgent = Standing { rank: Rank { place: 0, count: 3 }, share: 0.1, workspaces: 10 };
 /// let least = Standing { rank: Rank { place: 2, count: 3 }, ..urgent };
-/// assert!(admission.max_fill(urgent, 0.5) > 1.0);
-/// assert!(admission.max_fill(least, 0.5) < 1.0);
+/// assert!(admission.max_fill(urgent, 0.5) > admission.max_fill(least, 0.5));
 /// ```
 #[derive(Debug)]
 pub struct Admission {
