Prove shared outcomes and refusals at full engines with processes

Two process tests of gateways: what callers of one gateway suffered at an endpoint spares those of another, and callers beyond the places of all endpoints are refused at once with a time to come back. Both fail when digests tell no outcomes and nothing is refused by fill.

Streams of routes without prompts are bounded like those of engines: a stream's place is taken for the whole stream, whose mean time says nothing of the target for its start.

--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -206,12 +206,12 @@
         Ok(choice)
     }
 
-    /// How full an endpoint may be to take this request. Engines order what waits there by urgency;
-    /// before plain services, a short queue keeps answers on time.
+    /// How full an endpoint may be to take this request. Places of engines and streams are taken for
+    /// long, so hardly any may wait there; before short calls, a queue as long as the target is kept.
     fn max_fill(&self, control: &mut Control, standing: Standing) -> f64 {
         let plan = &self.plan;
         let fill = control.max_fill(standing);
-        if plan.route.has_prompt {
+        if plan.route.has_prompt || plan.route.is_stream {
             return fill;
         }
         let target_ms = plan.route.target_ms;
--- a/crates/persimmonmountd/tests/process_gateway_troubles.rs
+++ b/crates/persimmonmountd/tests/process_gateway_troubles.rs
@@ -9,6 +9,7 @@
 };
 use persimmon_standins::Relay;
 use rstest::rstest;
+use serde_json::Value;
 
 const KEY: &str = "key-1";
 const REVOKED_KEY: &str = "key-2";
@@ -74,6 +75,71 @@
     deployment.close();
 }
 
+/// What one gateway's callers suffered at an endpoint spares those of another gateway.
+#[test]
+fn endpoint_that_fails_at_one_gateway_is_avoided_by_the_others() {
+    const CALLS: usize = 40;
+    let failing = Behaviour::Answer { status: 500, body: "failed".to_owned() };
+    let lying = EndpointStandin::start("lying", failing).unwrap();
+    let sound: Vec<_> = ["two", "three"]
+        .into_iter()
+        .map(|id| EndpointStandin::start(id, Behaviour::ok()).unwrap())
+        .collect();
+    let all: Vec<_> = sound.iter().chain([&lying]).collect();
+    let deployment = start(2, &all);
+    let knows_failures = |gateway| {
+        let status = deployment.status(gateway).unwrap_or_default();
+        let status: Value = serde_json::from_str(&status).unwrap_or_default();
+        let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+        let rate = |it: &Value| it["failure_rate"].as_f64().unwrap_or(0.0);
+        endpoints.iter().any(|it| it["id"] == "lying" && rate(it) > 0.0)
+    };
+    // Calls of the first gateway only, until the second one has heard of them.
+    assert!(wait_until(|| {
+        (0..CALLS).for_each(|_| drop(call(&deployment, 0, "/lookup/x", KEY)));
+        knows_failures(1)
+    }));
+    let before = lying.received().len();
+    for _ in 0..CALLS {
+        assert_eq!(call(&deployment, 1, "/commit/x", KEY).status, 200);
+    }
+    assert_eq!(lying.received().len(), before);
+    deployment.close();
+}
+
+/// Callers beyond the places of all endpoints are told at once when to come back, and the streams of
+/// the others start.
+#[test]
+fn streams_beyond_all_places_are_refused_at_once() {
+    const CALLERS: usize = 48;
+    /// Two endpoints with eight places each, and a short queue before each of them.
+    const MOST_SERVED: usize = 2 * 10;
+    const LEAST_SERVED: usize = 2 * 7;
+    let pause = Duration::from_millis(300);
+    let slow = Behaviour::Stream { events: EVENTS, pause, cut_after: None };
+    let one = EndpointStandin::start("one", slow.clone()).unwrap();
+    let two = EndpointStandin::start("two", slow).unwrap();
+    let deployment = start(1, &[&one, &two]);
+    let answers: Vec<_> = thread::scope(|scope| {
+        let play = || {
+            let started = Instant::now();
+            (call(&deployment, 0, "/draft/x", KEY), started.elapsed())
+        };
+        let calls: Vec<_> = (0..CALLERS).map(|_| scope.spawn(play)).collect();
+        calls.into_iter().map(|it| it.join().unwrap()).collect()
+    });
+    let (served, refused): (Vec<_>, Vec<_>) =
+        answers.into_iter().partition(|(answer, _)| answer.status == 200);
+    assert!((LEAST_SERVED..=MOST_SERVED).contains(&served.len()), "{} served", served.len());
+    for (answer, took) in refused {
+        assert_eq!(answer.status, 503);
+        assert!(answer.retry_after_s.is_some(), "{answer:?}");
+        assert!(took < pause * EVENTS as u32, "refused after {took:?}");
+    }
+    assert_eq!(one.received().len() + two.received().len(), served.len());
+    deployment.close();
+}
+
 /// Health answers aren't asked for, so that an endpoint that serves is used whatever it says there.
 #[test]
 fn endpoint_that_serves_is_used_without_health_checks() {
