Log how full the least full endpoint was when a request is refused

A refusal for full endpoints named the bound but not the fill that exceeded it, so that its log line didn't hold what decided. The picker now returns the least fill with the refusal; a test of the picker covers endpoints that are left out for their fill.

--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -116,12 +116,15 @@
 }
 
 /// Why no endpoint takes a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum NoChoice {
     /// Every published endpoint was tried, or there is none.
     NoEndpoint,
     /// Each is too full for it.
-    Full,
+    Full {
+        /// The fill of the least full one, as a multiple of its places.
+        least_fill: f64,
+    },
 }
 
 /// Picks an endpoint for each request: for prompts, the one that begins to answer first, within a
@@ -215,14 +218,13 @@
 
     /// Those that may take one more request up to this fill.
     fn with_room(mut self, max_fill: f64) -> Result<Self, NoChoice> {
-        if self.usable.is_empty() {
-            return Err(NoChoice::NoEndpoint);
-        }
+        let least_fill = self.usable.iter().map(Candidate::busy).min_by(f64::total_cmp);
+        let least_fill = least_fill.ok_or(NoChoice::NoEndpoint)?;
         let has_room = |it: &Candidate| {
             f64::from(it.load.requests + 1) <= max_fill * f64::from(it.endpoint.slots)
         };
         self.usable.retain(has_room);
-        if self.usable.is_empty() { Err(NoChoice::Full) } else { Ok(self) }
+        if self.usable.is_empty() { Err(NoChoice::Full { least_fill }) } else { Ok(self) }
     }
 
     /// The mean failure rate.
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -9,7 +9,7 @@
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
     Choice, Endpoint, EndpointDirectory, EndpointLoad, EndpointState, FleetView, HealthBook,
-    HealthSettings, LoadBook, PickRequest, Picker, PickerSettings, PrefixMap, PromptPart,
+    HealthSettings, LoadBook, NoChoice, PickRequest, Picker, PickerSettings, PrefixMap, PromptPart,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -72,6 +72,10 @@
             zone: "zone-a",
             draw,
         };
+        self.pick_req(&req).ok()
+    }
+
+    fn pick_req(&self, req: &PickRequest<'_>) -> Result<Choice, NoChoice> {
         let view = FleetView {
             endpoints: &self.directory,
             loads: &self.loads,
@@ -79,7 +83,7 @@
             prefixes: &self.prefixes,
             now: MonoMs(1_000),
         };
-        Picker::new(PickerSettings::default()).pick(&req, view).ok()
+        Picker::new(PickerSettings::default()).pick(req, view)
     }
 
     fn send(&mut self, parts: &[PromptPart], draw: u64) -> EndpointHash {
@@ -208,6 +212,34 @@
     assert_eq!(draws.any(picks_it), is_tried);
 }
 
+#[rstest::rstest]
+#[case::room_at_one(0.96, Some(2))]
+#[case::room_at_none(0.9, None)]
+fn pick_full_endpoints_are_left_out(#[case] max_fill: f64, #[case] expected: Option<u8>) {
+    let mut gateway = Gateway::new(2);
+    for _ in 0..60 {
+        gateway.loads.begin(endpoint(2).hash, 0);
+    }
+    for _ in 0..64 {
+        gateway.loads.begin(endpoint(1).hash, 0);
+    }
+    let parts = prompt(5, 1);
+    let req = PickRequest {
+        service: SERVICE,
+        parts: &parts,
+        may_repeat: true,
+        max_fill,
+        tried: &[],
+        zone: "zone-a",
+        draw: 1,
+    };
+    let picked = gateway.pick_req(&req);
+    match expected {
+        Some(number) => assert_eq!(picked.unwrap().endpoint.hash, endpoint_hash(number)),
+        None => assert_eq!(picked, Err(NoChoice::Full { least_fill: 60.0 / 64.0 })),
+    }
+}
+
 #[test]
 fn pick_gateways_without_knowledge_agree() {
     let (here, there) = (Gateway::new(18), Gateway::new(18));
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -186,8 +186,8 @@
             Err(NoChoice::NoEndpoint) => {
                 return Err(Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS });
             }
-            Err(NoChoice::Full) => {
-                self.log_full(standing, max_fill, now);
+            Err(NoChoice::Full { least_fill }) => {
+                self.log_full(standing, max_fill, least_fill, now);
                 let retry_after_ms = control.waiting_time.turnover_ms(&plan.service, draw);
                 return Err(Refusal::Overloaded { retry_after_ms });
             }
@@ -218,13 +218,13 @@
         fill * control.waiting_time.max_fill(&plan.service, target_ms, self.left_ms())
     }
 
-    fn log_full(&self, standing: Standing, max_fill: f64, now: MonoMs) {
+    fn log_full(&self, standing: Standing, max_fill: f64, least_fill: f64, now: MonoMs) {
         let Some(suppressed) = self.gw.journal.admit("full", now) else { return };
         let Standing { rank, share, workspaces } = standing;
         tracing::info!(target: "request", id = &*self.plan.head.id,
             route = &*self.plan.route.name, service = &*self.plan.service,
             workspace = self.in_workspace.name(), rank = rank.place, ranks = rank.count,
-            share, workspaces, max_fill,
+            share, workspaces, max_fill, least_fill,
             suppressed, "every endpoint is too full");
     }
 
