Soak surges of callers, and check that refusals tell when to come back

Each run has one surge in which six times the usual callers call, more than endpoints have places, while the other faults go on. A refusal without a time to come back is a finding; the report counts refusals.

--- a/crates/persimmon_soak/src/callers.rs
+++ b/crates/persimmon_soak/src/callers.rs
@@ -66,19 +66,50 @@
     pub(crate) has_left: bool,
 }
 
+/// What callers are told while they call.
+#[derive(Debug, Default)]
+pub(crate) struct Orders {
+    /// Whether everyone stops for good.
+    pub(crate) stop: AtomicBool,
+    /// Whether those call that only do in a surge.
+    pub(crate) surge: AtomicBool,
+}
+
+impl Orders {
+    /// Waits until a caller may call; false if it stops for good.
+    fn wait(&self, is_surge_only: bool) -> bool {
+        loop {
+            thread::sleep(PAUSE);
+            if self.stop.load(Ordering::Relaxed) {
+                return false;
+            }
+            if !is_surge_only || self.surge.load(Ordering::Relaxed) {
+                return true;
+            }
+        }
+    }
+}
+
+/// One caller.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallerSpec {
+    /// Its number, which names its calls.
+    pub(crate) number: u64,
+    /// The seed of its choices.
+    pub(crate) seed: u64,
+    /// Its key.
+    pub(crate) key: &'static str,
+    /// Whether it calls in surges only.
+    pub(crate) is_surge_only: bool,
+}
+
 /// Calls until told to stop, and returns every call.
-pub(crate) fn call_until(
-    stop: &AtomicBool,
-    number: u64,
-    seed: u64,
-    gateways: &[SocketAddr],
-    key: &'static str,
-) -> Vec<Call> {
+pub(crate) fn call_until(orders: &Orders, spec: CallerSpec, gateways: &[SocketAddr]) -> Vec<Call> {
+    let CallerSpec { number, seed, key, is_surge_only } = spec;
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
     let mut calls = Vec::new();
     let mut open: Option<(usize, Caller, u32)> = None;
-    while !stop.load(Ordering::Relaxed) {
-        thread::sleep(PAUSE);
+    while orders.wait(is_surge_only) {
         let kind = match rng.random_range(0..4) {
             0 => Kind::Once,
             1 => Kind::Lookup,
--- a/crates/persimmon_soak/src/checks.rs
+++ b/crates/persimmon_soak/src/checks.rs
@@ -90,6 +90,9 @@
             Ok(answer) if answer.status == 503 && runs > 0 => {
                 find("not run is true", format!("answered 503 and ran {runs} times"));
             }
+            Ok(answer) if answer.status == 503 && answer.retry_after_s.is_none() => {
+                find("a refusal tells when to come back", format!("{answer:?}"));
+            }
             Ok(answer) if answer.status == 200 => {
                 if answer.id.as_deref() != Some(&*call.id) || !answer.is_signed {
                     find("own answer", format!("{answer:?}"));
--- a/crates/persimmon_soak/src/schedule.rs
+++ b/crates/persimmon_soak/src/schedule.rs
@@ -111,6 +111,11 @@
         /// How long, in milliseconds.
         for_ms: u64,
     },
+    /// Many more callers call than endpoints have places, for a while.
+    Surge {
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
     /// A gateway gets SIGHUP.
     Reload {
         /// The gateway.
@@ -159,6 +164,7 @@
             | Self::StoreSlow { for_ms, .. }
             | Self::StoreLoses { for_ms }
             | Self::Revoke { for_ms }
+            | Self::Surge { for_ms }
             | Self::Pause { for_ms, .. } => for_ms,
             // The grace of the stand-ins' settings, and a start.
             Self::Stop { .. } => 5_000,
@@ -200,6 +206,10 @@
     const KILL_ALL_SHARE: u32 = 2;
     /// Tells the draws of such kills from the others.
     const KILLS: u64 = 0x6b69_6c6c_7300_0000;
+    /// Tells the draws of surges from the others.
+    const SURGES: u64 = 0x7375_7267_6500_0000;
+    /// Length of a surge, in milliseconds.
+    const SURGE_MS: std::ops::Range<u64> = 500..3_000;
 
     /// Draws the faults of a seed.
     pub fn new(seed: u64, length_ms: u64, gateways: usize, endpoints: usize) -> Self {
@@ -217,6 +227,7 @@
         }
         steps.extend(Self::later_steps(seed, length_ms, endpoints));
         steps.extend(Self::kill_all(seed, length_ms));
+        steps.push(Self::surge(seed, length_ms));
         steps.sort_by_key(|step| step.at_ms);
         steps.retain(|step| step.at_ms + Self::QUIET_MS < length_ms);
         Self { seed, steps }
@@ -253,6 +264,13 @@
         is_drawn.then_some(Step { at_ms, fault: Fault::KillAll })
     }
 
+    /// One surge of callers in each run.
+    fn surge(seed: u64, length_ms: u64) -> Step {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ Self::SURGES);
+        let at_ms = rng.random_range(Self::QUIET_MS..=length_ms.max(Self::QUIET_MS));
+        Step { at_ms, fault: Fault::Surge { for_ms: rng.random_range(Self::SURGE_MS) } }
+    }
+
     fn fault(rng: &mut Pcg64Mcg, gateways: usize, endpoints: usize) -> Fault {
         let gateway = rng.random_range(0..gateways);
         let endpoint = rng.random_range(0..endpoints);
--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -1,7 +1,7 @@
 //! One run: processes, callers, faults, checks.
 
 use std::io;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -9,7 +9,7 @@
 use persimmon_standins::fleet::wait_until;
 use persimmon_standins::{Direction, Relay};
 
-use crate::callers::{Call, call_until};
+use crate::callers::{Call, CallerSpec, Orders, call_until};
 use crate::checks::{CONTACT, Evidence, Finding, IN_FORCE};
 use crate::schedule::{Fault, Schedule, Step};
 
@@ -22,6 +22,8 @@
 pub(crate) const REVOCABLE_KEY: &str = "key-2";
 /// One caller in so many has the key that is taken away.
 const REVOCABLE_SHARE: u64 = 4;
+/// Callers in a surge for each usual one; with them, more call than endpoints have places.
+const SURGE_FACTOR: u64 = 6;
 /// Lines of a gateway's log that a finding shows.
 const LOG_LINES: usize = 30;
 /// Time in which everything is over after the last call.
@@ -50,6 +52,8 @@
     pub served: usize,
     /// Calls that were refused for their key, which is taken away now and then.
     pub denied: usize,
+    /// Calls that were refused as not run.
+    pub refused: usize,
     /// Broken promises.
     pub findings: Vec<Finding>,
 }
@@ -110,18 +114,20 @@
         let schedule = Schedule::new(seed, length_ms, self.gateways.into(), self.endpoints);
         let mut stage = Stage::start(self)?;
         let started = Instant::now();
-        let stop = AtomicBool::new(false);
+        let orders = Orders::default();
         let addresses: Vec<_> =
             (0..self.gateways).map(|it| stage.deployment.callers_address(it.into())).collect();
         let calls = thread::scope(|scope| {
             let caller = |number| {
-                let (stop, addresses) = (&stop, &addresses[..]);
+                let (orders, addresses) = (&orders, &addresses[..]);
                 let key = if number % REVOCABLE_SHARE == 0 { REVOCABLE_KEY } else { KEY };
-                scope.spawn(move || call_until(stop, number, seed, addresses, key))
+                let is_surge_only = number >= self.callers;
+                let spec = CallerSpec { number, seed, key, is_surge_only };
+                scope.spawn(move || call_until(orders, spec, addresses))
             };
-            let threads: Vec<_> = (0..self.callers).map(caller).collect();
-            let played = stage.play(&schedule.steps, started, self.length);
-            stop.store(true, Ordering::Relaxed);
+            let threads: Vec<_> = (0..self.callers * SURGE_FACTOR).map(caller).collect();
+            let played = stage.play(&schedule.steps, started, self.length, &orders);
+            orders.stop.store(true, Ordering::Relaxed);
             let calls = threads.into_iter().flat_map(|it| it.join().unwrap_or_default());
             played.map(|()| calls.collect::<Vec<_>>())
         })?;
@@ -138,9 +144,12 @@
             answer.as_ref().is_ok_and(|it| it.status == 200 && it.is_whole)
         };
         let served = calls.iter().filter(|call| is_served(&call.answer)).count();
-        let is_denied = |call: &&Call| call.answer.as_ref().is_ok_and(|it| it.status == 401);
-        let denied = calls.iter().filter(is_denied).count();
-        Ok(SoakReport { schedule, calls: calls.len(), served, denied, findings })
+        let with_status = |status| {
+            let has_it = |call: &&Call| call.answer.as_ref().is_ok_and(|it| it.status == status);
+            calls.iter().filter(has_it).count()
+        };
+        let (denied, refused) = (with_status(401), with_status(503));
+        Ok(SoakReport { schedule, calls: calls.len(), served, denied, refused, findings })
     }
 }
 
@@ -179,26 +188,32 @@
         })
     }
 
-    fn play(&mut self, steps: &[Step], started: Instant, length: Duration) -> io::Result<()> {
+    fn play(
+        &mut self,
+        steps: &[Step],
+        started: Instant,
+        length: Duration,
+        orders: &Orders,
+    ) -> io::Result<()> {
         let mut undo: Vec<Undo> = Vec::new();
         let mut steps = steps.iter().peekable();
         while started.elapsed() < length {
             let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
             while let Some(step) = steps.next_if(|step| step.at_ms <= elapsed_ms) {
-                self.begin(step.fault)?;
+                self.begin(step.fault, orders)?;
                 let at = started + Duration::from_millis(step.at_ms + step.fault.lasts_ms());
                 undo.push(Undo { at, fault: step.fault });
             }
             let now = Instant::now();
             let due = undo.extract_if(.., |it| it.at <= now).collect::<Vec<_>>();
-            due.into_iter().try_for_each(|it| self.end(it.fault))?;
+            due.into_iter().try_for_each(|it| self.end(it.fault, orders))?;
             self.restart_ended()?;
             thread::sleep(Duration::from_millis(5));
         }
-        undo.into_iter().try_for_each(|it| self.end(it.fault))
+        undo.into_iter().try_for_each(|it| self.end(it.fault, orders))
     }
 
-    fn begin(&mut self, fault: Fault) -> io::Result<()> {
+    fn begin(&mut self, fault: Fault, orders: &Orders) -> io::Result<()> {
         match fault {
             Fault::EndpointFails { endpoint, kind, count } => {
                 for _ in 0..count {
@@ -237,6 +252,7 @@
             }
             Fault::StoreLoses { .. } => self.deployment.store.set_mode(StoreMode::Losing),
             Fault::Revoke { .. } => self.allow_revocable(false),
+            Fault::Surge { .. } => orders.surge.store(true, Ordering::Relaxed),
             Fault::Stop { gateway } => {
                 if !self.restarting.contains(&gateway) {
                     self.deployment.stop(gateway)?;
@@ -247,21 +263,24 @@
                 self.deployment.kill(gateway)?;
                 self.restarting.push(gateway);
             }
-            Fault::KillAll => {
-                for gateway in 0..self.deployment.len() {
-                    if !self.restarting.contains(&gateway) {
-                        self.deployment.kill(gateway)?;
-                        self.restarting.push(gateway);
-                    }
-                }
-            }
+            Fault::KillAll => self.kill_all()?,
             Fault::Pause { gateway, .. } => self.deployment.pause(gateway)?,
             Fault::Reload { gateway } => self.deployment.reload(gateway)?,
         }
         Ok(())
     }
 
-    fn end(&mut self, fault: Fault) -> io::Result<()> {
+    fn kill_all(&mut self) -> io::Result<()> {
+        for gateway in 0..self.deployment.len() {
+            if !self.restarting.contains(&gateway) {
+                self.deployment.kill(gateway)?;
+                self.restarting.push(gateway);
+            }
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, fault: Fault, orders: &Orders) -> io::Result<()> {
         match fault {
             Fault::Refuse { endpoint, .. } | Fault::Crash { endpoint, .. } => {
                 self.relays[endpoint].accept()
@@ -278,6 +297,10 @@
                 self.deployment.publish_endpoint(&self.endpoints[endpoint], false);
                 Ok(())
             }
+            Fault::Surge { .. } => {
+                orders.surge.store(false, Ordering::Relaxed);
+                Ok(())
+            }
             Fault::StoreSilent { .. }
             | Fault::StoreRefuses { .. }
             | Fault::StoreSlow { .. }
