--- a/crates/persimmon_decide/src/forward/waiting_time.rs
+++ b/crates/persimmon_decide/src/forward/waiting_time.rs
@@ -70,11 +70,12 @@
         1.0 + (limit_ms - mean_ms).max(0.0) * Self::USED_PART / mean_ms
     }
 
-    /// When a caller may come back that found no place, in milliseconds: in the time in which the
-    /// places are taken by other requests, give or take half. `draw`, any number, spreads the callers.
+    /// When a caller may come back that found no place, in milliseconds: in one to three times the time
+    /// in which the places are taken by other requests, since an overload mostly lasts longer than one
+    /// request. `draw`, any number, spreads the callers.
     pub fn turnover_ms(&self, service: &str, draw: u64) -> u64 {
         let mean_ms = self.mean_ms(service).max(1);
-        mean_ms / 2 + draw % mean_ms
+        mean_ms + draw % (2 * mean_ms)
     }
 
     /// How long a request waits for a place at an endpoint with `slots` places and `load` requests,
--- a/crates/persimmon_decide/tests/forward_route.rs
+++ b/crates/persimmon_decide/tests/forward_route.rs
@@ -1,7 +1,7 @@
 //! Routes and keys.
 
 use persimmon_decide::forward::{
-    CallerLimits, CallerLookup, Repeatable, Route, RouteTable, ServiceWeight, Workspace,
+    CallerLimits, CallerLookup, Rank, Repeatable, Route, RouteTable, ServiceWeight, Workspace,
 };
 use rstest::rstest;
 
@@ -69,3 +69,30 @@
     };
     assert_eq!((drawn("a"), drawn("b"), drawn("c")), (900, 100, 0));
 }
+
+#[rstest]
+#[case::no_workspaces(&[], None, 2, (1, 3))]
+#[case::same_priority_goes_by_route(&[Some(1), Some(1)], Some(1), 2, (1, 3))]
+#[case::workspace_before_route(&[Some(0), Some(1)], Some(1), 0, (3, 6))]
+#[case::most_urgent(&[Some(0), Some(1)], Some(0), 0, (0, 6))]
+#[case::workspace_without_priority(&[None, Some(9)], None, 5, (2, 6))]
+fn rank_of_request(
+    #[case] workspaces: &[Option<u8>],
+    #[case] workspace: Option<u8>,
+    #[case] priority: u8,
+    #[case] (place, count): (usize, usize),
+) {
+    let routes = [0, 2, 5].map(|it| Route { priority: it, ..route(&format!("r{it}"), "/a/") });
+    let mut table = table(routes.to_vec());
+    for (number, priority) in workspaces.iter().enumerate() {
+        let workspace = Workspace { name: format!("w{number}").into(), priority: *priority };
+        table = table.with_keys(&workspace, vec![format!("key-{number}").into()]);
+    }
+    assert_eq!(table.rank("ledger", workspace, priority), Rank { place, count });
+}
+
+#[test]
+fn rank_of_unknown_service_is_the_only_one() {
+    let rank = table(vec![route("a", "/a/")]).rank("other", None, 3);
+    assert_eq!(rank, Rank { place: 0, count: 0 });
+}
