Leave no more slots free for other workspaces than they use

Reading the change once more: a workspace that is nearly alone was refused at 0.86 of the slots, though nobody else needed the rest. What is kept for the others is now bounded by what they use.

Test: forward_admission::max_fill_for_others, case nearly_alone, failed before by the rule (0.225 kept for 0.05 used).

--- a/crates/persimmon_decide/src/forward/admission.rs
+++ b/crates/persimmon_decide/src/forward/admission.rs
@@ -2,19 +2,20 @@
 
 use super::Rank;
 
-/// Bounds on the fill of endpoints, as multiples of the places in which they run requests.
+/// Bounds on the fill of endpoints: requests in progress there, as a multiple of their slots.
 #[derive(Debug, Clone, Copy)]
 pub struct AdmissionSettings {
-    /// Fill up to which the most urgent requests are taken. A little over one keeps a short queue at
-    /// each endpoint, so that no place stays empty until the gateways hear that it is free.
+    /// Fill up to which the most urgent requests are taken. A little over one keeps a short queue
+    /// at each endpoint, so that no slot stays empty until the gateways hear that it is free.
     pub full: f64,
     /// How much earlier the least urgent requests are refused than the most urgent ones.
     pub reserve: f64,
     /// Half of the range of fill in which a growing part of the requests is refused. It lies wide
     /// enough for the ranges of all ranks to overlap, so that none is starved by more urgent ones.
     pub softness: f64,
-    /// How much earlier the requests of a workspace are refused that has all requests in progress,
-    /// against one that has its equal part.
+    /// How much earlier the requests of a workspace are refused for its part of the requests in
+    /// progress beyond an equal one, but never by more than what the others use, so that a
+    /// workspace that is nearly alone has nearly all.
     pub fairness: f64,
 }
 
@@ -37,7 +38,7 @@
 
 /// Decides how full an endpoint may be to take a request.
 ///
-/// Answers the load at which engines have no free places: what they then take waits, all streams
+/// Answers the load at which engines have no free slots: what they then take waits, all streams
 /// start late, and callers leave. Refusing the least urgent part at once, and most of all that of a
 /// workspace that sends far more than the others, keeps the rest on time.
 ///
@@ -60,15 +61,16 @@
         Self { settings }
     }
 
-    /// The fill up to which a request is taken, as a multiple of an endpoint's places. `draw`, from 0
-    /// to 1, spreads the refusals over the range of fill.
+    /// The fill up to which a request is taken, as a multiple of an endpoint's slots. `draw`, from
+    /// 0 to 1, spreads the refusals over the range of fill.
     pub fn max_fill(&self, standing: Standing, draw: f64) -> f64 {
         let settings = self.settings;
         let behind =
             standing.rank.place as f64 / standing.rank.count.saturating_sub(1).max(1) as f64;
         let equal = 1.0 / standing.workspaces.max(1) as f64;
         let excess = (standing.share - equal).max(0.0);
-        settings.full - settings.reserve * behind - settings.fairness * excess
-            + settings.softness * (2.0 * draw - 1.0)
+        let for_others = (settings.fairness * excess).min(1.0 - standing.share);
+        let spread = settings.softness * (2.0 * draw - 1.0);
+        settings.full - settings.reserve * behind - for_others + spread
     }
 }
--- a/crates/persimmon_decide/src/forward/health.rs
+++ b/crates/persimmon_decide/src/forward/health.rs
@@ -25,8 +25,9 @@
     pub min_samples: f64,
     /// How far a failure rate must lie above that of the whole service.
     pub excess_rate: f64,
-    /// Weight of all that other gateways tell of one endpoint, in outcomes. A gateway that has seen
-    /// more itself goes by that: an endpoint may fail for some gateways only.
+    /// Weight of all that other gateways tell of one endpoint, in outcomes: twice what a judgement
+    /// needs at least. A gateway that has seen more itself goes by that, since an endpoint may fail
+    /// for some gateways only.
     pub peer_weight: f64,
     /// One in so many requests still goes to an endpoint that fails too often, to see whether it
     /// has recovered.
@@ -110,9 +111,10 @@
 /// often than its service as a whole is avoided, but still tried now and then. Callers of this
 /// never leave out every endpoint: the picker falls back on avoided ones.
 ///
-/// Gateways tell each other the outcomes at endpoints that failed anyone lately, with the good ones.
-/// That answers the load of a large fleet, in which each gateway sends so little to one endpoint that
-/// it would learn of a failing one only by failing several of its own callers' requests there.
+/// Gateways tell each other the outcomes at endpoints that failed anyone lately, with the good
+/// ones. That answers the load of a large fleet, in which each gateway sends so little to one
+/// endpoint that it would learn of a failing one only by failing several of its own callers'
+/// requests there.
 #[derive(Debug)]
 pub struct HealthBook {
     settings: HealthSettings,
@@ -121,6 +123,11 @@
 }
 
 impl HealthBook {
+    /// Failures needed before a failure rate counts; single ones happen everywhere.
+    const MIN_BAD: f64 = 2.0;
+    /// How many times the failure rate of the other endpoints one has to fail, besides the excess.
+    const EXCESS_FACTOR: f64 = 1.5;
+
     /// A book that knows nothing bad.
     pub fn new(settings: HealthSettings) -> Self {
         Self { settings, endpoints: HashMap::new(), peers: PeerSums::default() }
@@ -213,9 +220,9 @@
         self.peers.drop_peer(peer);
     }
 
-    /// This gateway's outcomes at endpoints that failed it or a peer lately, for the digest: at most
-    /// `count`, those with most failures first. Good outcomes are told too, or a single failure would
-    /// look like an endpoint that always fails.
+    /// This gateway's outcomes at endpoints that failed it or a peer lately, for the digest: at
+    /// most `count`, those with most failures first. Good outcomes are told too, or a single
+    /// failure would look like an endpoint that always fails.
     pub fn outcomes(&self, count: usize, now: MonoMs) -> Vec<(EndpointHash, Outcomes)> {
         let own = |endpoint| self.own_rate(endpoint, now).rounded();
         let mut suspects: Vec<_> = self
@@ -253,8 +260,8 @@
         rate
     }
 
-    /// Endpoints among `members` that fail more often than the service as a whole, by this gateway's
-    /// outcomes alone or with those of its peers.
+    /// Endpoints among `members` that fail more often than the service as a whole, by this
+    /// gateway's outcomes alone or with those of its peers.
     pub fn failing(
         &self,
         members: impl Iterator<Item = EndpointHash>,
@@ -271,13 +278,13 @@
 
     /// Whether one endpoint's failure rate lies well above that of all others.
     fn stands_out(&self, one: DecayingRate, service: DecayingRate) -> bool {
-        if one.samples() < self.settings.min_samples || one.bad < 2.0 {
+        if one.samples() < self.settings.min_samples || one.bad < Self::MIN_BAD {
             return false;
         }
         let other_samples = service.samples() - one.samples();
         let other_rate =
             if other_samples > 0.0 { (service.bad - one.bad) / other_samples } else { 1.0 };
-        one.bad / one.samples() > other_rate * 1.5 + self.settings.excess_rate
+        one.bad / one.samples() > other_rate * Self::EXCESS_FACTOR + self.settings.excess_rate
     }
 
     /// Whether this request should try an endpoint that fails too often; `draw` is any number.
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -12,8 +12,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct PickerSettings {
     /// Requests at an endpoint, as a multiple of the service's mean, up to which the endpoint that
-    /// holds a prompt's start is preferred. Kept below the deployment's bound, since counts of other
-    /// gateways are a moment old.
+    /// holds a prompt's start is preferred. Kept below the deployment's bound, since counts of
+    /// other gateways are a moment old.
     pub max_load_factor: f64,
     /// Requests allowed besides; with few requests any single one exceeds a multiple of the mean.
     pub load_floor: f64,
@@ -28,8 +28,8 @@
     pub even_unread_tokens: u32,
     /// Multiple of the mean load up to which an endpoint counts as not loaded.
     pub even_load_factor: f64,
-    /// What a sure failure costs a request that can't be sent again, in milliseconds; rates that every
-    /// endpoint has cost nothing. It is worth reading a long prompt anew.
+    /// What a sure failure costs a request that can't be sent again, in milliseconds; rates that
+    /// every endpoint has cost nothing. It is worth reading a long prompt anew.
     pub failure_cost_ms: f64,
     /// What a load of one more mean costs, in milliseconds: about what the tokens of a request take
     /// longer there over its whole answer.
@@ -37,8 +37,8 @@
 }
 
 impl PickerSettings {
-    /// Part of a deployment's bound up to which endpoints are filled; the rest covers the age of the
-    /// other gateways' counts.
+    /// Part of a deployment's bound up to which endpoints are filled; the rest covers the age of
+    /// the other gateways' counts.
     const BOUND_PART: f64 = 0.85;
 
     /// Settings for a bound on load, as a multiple of the service's mean.
@@ -89,7 +89,7 @@
     pub parts: &'a [PromptPart],
     /// Whether it may run once more after an endpoint failed it.
     pub may_repeat: bool,
-    /// Fill up to which an endpoint may take it, as a multiple of the endpoint's places; infinite if
+    /// Fill up to which an endpoint may take it, as a multiple of the endpoint's slots; infinite if
     /// it is taken in any case.
     pub max_fill: f64,
     /// Endpoints that already failed it.
@@ -122,7 +122,7 @@
     NoEndpoint,
     /// Each is too full for it.
     Full {
-        /// The fill of the least full one, as a multiple of its places.
+        /// The fill of the least full one, as a multiple of its slots.
         least_fill: f64,
     },
 }
@@ -311,10 +311,12 @@
         })
     }
 
-    /// What the prompt costs at an endpoint, in milliseconds: its own reading, the prompts that wait
-    /// there, the load, and what failures cost one that can't be sent again. Small waits and loads cost nothing, so that gateways whose counts differ
-    /// a little still agree; and a short common start doesn't draw a prompt away from its rank, so
-    /// that gateways that know no holders choose the endpoint that the others chose.
+    /// What the prompt costs at an endpoint, in milliseconds: its own reading, the prompts that
+    /// wait there, the load, and failures if it can't be sent again.
+    ///
+    /// Small waits and loads cost nothing, so that gateways whose counts differ a little still
+    /// agree; and a short common start doesn't draw a prompt away from its rank, so that gateways
+    /// that know no holders choose the endpoint that the others chose.
     fn cost_ms(&self, it: &Candidate) -> f64 {
         let cached = self.tokens_at(it.endpoint.hash);
         let saved = if cached * 2 >= self.shared { cached } else { 0 };
@@ -343,9 +345,10 @@
         self.cached.iter().find(|(it, _)| *it == endpoint).map_or(0, |(_, tokens)| *tokens)
     }
 
-    /// The endpoint that holds most of the prompt's start beyond what the chosen one holds. Where no
-    /// holder is known, it is the one that ranks first among all others, since such prompts went there
-    /// before the endpoints or the gateways changed. Asking one that holds nothing moves nothing.
+    /// The endpoint that holds most of the prompt's start beyond what the chosen one holds. Where
+    /// no holder is known, it is the one that ranks first among all others, since such prompts went
+    /// there before the endpoints or the gateways changed. Asking one that holds nothing moves
+    /// nothing.
     fn source(&self, chosen: &Endpoint, own_tokens: u32) -> Option<Arc<Endpoint>> {
         let others = || {
             let of_service = self.view.endpoints.of_service(self.service).iter();
--- a/crates/persimmon_decide/src/forward/route.rs
+++ b/crates/persimmon_decide/src/forward/route.rs
@@ -208,8 +208,8 @@
         }
     }
 
-    /// The rank of a request. Its workspace's priority goes before its route's, which decides between
-    /// equals.
+    /// The rank of a request. Its workspace's priority goes before its route's, which decides
+    /// between equals.
     pub fn rank(&self, service: &str, workspace: Option<u8>, route: u8) -> Rank {
         let key = |workspace: Option<u8>, route: u8| (workspace.unwrap_or(route), route);
         let routes = self.route_priorities.get(service);
--- a/crates/persimmon_decide/src/forward/waiting_time.rs
+++ b/crates/persimmon_decide/src/forward/waiting_time.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// The mean time that endpoints of each service take for a request, without waiting for a place.
+/// The mean time that endpoints of each service take for a request, without waiting for a slot.
 ///
-/// Answers the load at which all places of a service are taken: a request that would wait longer
+/// Answers the load at which all slots of a service are taken: a request that would wait longer
 /// than its caller does is refused at once, and told when there is room.
 ///
 /// ```
@@ -26,7 +26,7 @@
     /// Weight of a new time in the mean. Some twenty requests make a fresh estimate.
     const WEIGHT: f64 = 0.05;
 
-    /// How much longer than on average a place may take to become free.
+    /// How much longer than on average a slot may take to become free.
     const UNEVENNESS: f64 = 1.2;
     /// How far a target has to lie above the mean time to be kept by most requests.
     const REACHABLE: f64 = 1.5;
@@ -39,7 +39,7 @@
         Self::default()
     }
 
-    /// A request at this service that had a place at once took so long, in milliseconds.
+    /// A request at this service that had a slot at once took so long, in milliseconds.
     pub fn record(&mut self, service: &Arc<str>, ms: u64) {
         let ms = ms as f64;
         match self.mean_ms.get_mut(service) {
@@ -55,12 +55,12 @@
         self.mean_ms.get(service).copied().unwrap_or(0.0) as u64
     }
 
-    /// How full an endpoint may be, as a multiple of its places, for a request to be answered within
-    /// `target_ms`; within `deadline_ms` if a request without any wait takes longer than the target.
-    /// At least one, and infinite while nothing is known.
+    /// How full an endpoint may be, as a multiple of its slots, for a request to be answered within
+    /// `target_ms`; within `deadline_ms` if a request without any wait takes longer than the
+    /// target. At least one, and infinite while nothing is known.
     ///
-    /// Answers the load that lasts: where the queue only bounds the deadline, all callers wait until
-    /// it, and are answered late; a shorter queue serves as many, on time.
+    /// Answers the load that lasts: where the queue only bounds the deadline, all callers wait
+    /// until it, and are answered late; a shorter queue serves as many, on time.
     pub fn max_fill(&self, service: &str, target_ms: u64, deadline_ms: u64) -> f64 {
         let Some(mean_ms) = self.mean_ms.get(service).copied().filter(|ms| *ms > 0.0) else {
             return f64::INFINITY;
@@ -70,16 +70,16 @@
         1.0 + (limit_ms - mean_ms).max(0.0) * Self::USED_PART / mean_ms
     }
 
-    /// When a caller may come back that found no place, in milliseconds: in one to three times the time
-    /// in which the places are taken by other requests, since an overload mostly lasts longer than one
-    /// request. `draw`, any number, spreads the callers.
+    /// When a caller may come back that found no slot, in milliseconds: in one to three times the
+    /// time in which the slots are taken by other requests, since an overload mostly lasts longer
+    /// than one request. `draw`, any number, spreads the callers.
     pub fn turnover_ms(&self, service: &str, draw: u64) -> u64 {
         let mean_ms = self.mean_ms(service).max(1);
         mean_ms + draw % (2 * mean_ms)
     }
 
-    /// How long a request waits for a place at an endpoint with `slots` places and `load` requests,
-    /// in milliseconds; zero while nothing is known. Places become free one after the other, spread
+    /// How long a request waits for a slot at an endpoint with `slots` of them and `load` requests,
+    /// in milliseconds; zero while nothing is known. Slots become free one after the other, spread
     /// over the mean time of a request, but not evenly.
     pub fn wait_ms(&self, service: &str, load: u32, slots: u32) -> u64 {
         let ahead = f64::from((load + 1).saturating_sub(slots));
--- a/crates/persimmon_decide/tests/forward_admission.rs
+++ b/crates/persimmon_decide/tests/forward_admission.rs
@@ -1,4 +1,4 @@
-//! Engines without free places, and whom gateways refuse then.
+//! Engines without free slots, and whom gateways refuse then.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -13,7 +13,7 @@
 const SLOTS: usize = 64;
 /// Time that each rank's requests run, in milliseconds: chats, drafts and short answers.
 const WORK_MS: [u64; 3] = [2_000, 3_000, 300];
-/// Longest wait for a place with which a request starts on time, in milliseconds.
+/// Longest wait for a slot with which a request starts on time, in milliseconds.
 const TARGET_MS: u64 = 400;
 const LENGTH_MS: u64 = 20_000;
 
@@ -30,7 +30,7 @@
     }
 }
 
-/// A request, and how long it waited for a place; none if it was refused or never started.
+/// A request, and how long it waited for a slot; none if it was refused or never started.
 struct Request {
     rank: usize,
     workspace: usize,
@@ -167,8 +167,21 @@
     assert!(large >= play.on_time(|_| true) / 4.0, "{large:.3} of the large workspace's");
 }
 
+/// A workspace that is nearly alone leaves no more free than the others use.
+#[rstest]
+#[case::nearly_alone(0.95, 2, 0.05)]
+#[case::half_of_two(0.5, 2, 0.0)]
+#[case::large_of_ten(0.5, 10, 0.2)]
+#[case::alone(1.0, 1, 0.0)]
+fn max_fill_for_others(#[case] share: f64, #[case] workspaces: usize, #[case] earlier: f64) {
+    let settings = AdmissionSettings::default();
+    let standing = Standing { rank: Rank { place: 0, count: 1 }, share, workspaces };
+    let fill = Admission::new(settings).max_fill(standing, 0.5);
+    assert!((settings.full - fill - earlier).abs() < 1e-9, "{fill}");
+}
+
 #[test]
-fn max_fill_free_places_refuse_nobody() {
+fn max_fill_free_slots_refuse_nobody() {
     let play = Play::new(true).run(0.7, 1);
     let on_time = play.on_time(|_| true);
     assert!((on_time - 1.0).abs() < f64::EPSILON, "{on_time:.4}");
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -123,7 +123,8 @@
 fn outcomes_of_peers_dont_condemn_what_serves_this_gateway() {
     let mut fleet = Fleet::new(2, 4);
     let failed = fleet.play(200, 1, |gateway| gateway == 0);
-    // Without avoidance it would be a quarter of one gateway's requests, at the failing rate: 0.075.
+    // Without avoidance it would be a quarter of one gateway's requests, at the failing rate:
+    // 0.075.
     assert!(failed <= 0.025, "{failed:.3} of the requests failed");
     let now = MonoMs(1_000 + LENGTH_MS);
     let avoided = fleet.books[1].failing(fleet.hashes.iter().copied(), now);
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -134,8 +134,8 @@
         }
     }
 
-    /// The endpoint reset a connection that had been idle for `idle_ms`, or a new one, and takes new
-    /// ones.
+    /// The endpoint reset a connection that had been idle for `idle_ms`, or a new one, and takes
+    /// new ones.
     fn record_reset(&self, endpoint: &Endpoint, idle_ms: Option<u64>) {
         let now = self.gw.clock.now();
         let mut control = self.gw.control.borrow_mut();
@@ -243,7 +243,8 @@
         let status = response.status();
         let answered = headers.get(&names.request_id).map(HeaderValue::as_bytes);
         let own = self.plan.head.id.as_bytes();
-        // A late answer to an earlier request says nothing of this one. Refusals may name no request.
+        // A late answer to an earlier request says nothing of this one. Refusals may name no
+        // request.
         if answered.is_some_and(|id| id != own) {
             return Err(Missed::new(AttemptOutcome::Unknown, "foreign_answer"));
         }
@@ -296,8 +297,8 @@
         Ok(Answered::Whole(response))
     }
 
-    /// Reads what is left of a short answer that isn't passed on, so that its connection can be used
-    /// again.
+    /// Reads what is left of a short answer that isn't passed on, so that its connection can be
+    /// used again.
     async fn keep_line(&self, response: Response<Incoming>, line: Line, in_flight: &InFlight<P>) {
         let keep_s = keep_alive_s(response.headers());
         let rest = Limited::new(response.into_body(), MAX_GATHERED_BYTES).collect();
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -32,8 +32,8 @@
 pub(crate) const NO_ENDPOINT_RETRY_MS: u64 = 300;
 /// Time after its start in which a gateway may not know all endpoints, in milliseconds.
 const SETTLED_AFTER_MS: u64 = 5_000;
-/// Longest time that a request waits for an endpoint to be published again, in milliseconds, and the
-/// part of its caller's time that it may take.
+/// Longest time that a request waits for an endpoint to be published again, in milliseconds, and
+/// the part of its caller's time that it may take.
 const ENDPOINT_WAIT_MS: u64 = 2_000;
 const ENDPOINT_WAIT_PART: u64 = 2;
 /// Silence after which a call that may be repeated goes elsewhere, as a multiple of its route's
@@ -137,8 +137,8 @@
         }
     }
 
-    /// Whether an endpoint may appear soon: after a start, or after an outage of the store, endpoints
-    /// register again within about two seconds.
+    /// Whether an endpoint may appear soon: after a start, or after an outage of the store,
+    /// endpoints register again within about two seconds.
     fn may_wait(&self) -> bool {
         let now = self.gw.clock.now();
         let is_settling = self.gw.control.borrow().view.is_settling(now);
@@ -206,8 +206,9 @@
         Ok(choice)
     }
 
-    /// How full an endpoint may be to take this request. Places of engines and streams are taken for
-    /// long, so hardly any may wait there; before short calls, a queue as long as the target is kept.
+    /// How full an endpoint may be to take this request. Slots of engines and streams are taken for
+    /// long, so hardly any may wait there; before short calls, a queue as long as the target is
+    /// kept.
     fn max_fill(&self, control: &mut Control, standing: Standing) -> f64 {
         let plan = &self.plan;
         let fill = control.max_fill(standing);
@@ -282,8 +283,8 @@
         }
     }
 
-    /// Whether a request that got nothing since `started` goes to another endpoint. One that may run
-    /// once never does.
+    /// Whether a request that got nothing since `started` goes to another endpoint. One that may
+    /// run once never does.
     pub(crate) fn gives_up(&self, endpoint: EndpointHash, started: MonoMs) -> bool {
         let now = self.gw.clock.now();
         let is_long = now.ms_since(started) >= self.patience_ms();
@@ -304,7 +305,7 @@
         let now = self.gw.clock.now();
         let mut control = self.gw.control.borrow_mut();
         control.health.record_outcome(in_flight.endpoint.hash, true, now);
-        if in_flight.found_place {
+        if in_flight.found_slot {
             control.waiting_time.record(&self.plan.service, now.ms_since(in_flight.began));
         }
         control.crashes.record_answered(self.plan.content, now);
--- a/crates/persimmon_gateway/src/in_flight.rs
+++ b/crates/persimmon_gateway/src/in_flight.rs
@@ -17,8 +17,9 @@
     /// Tokens of its prompt that the endpoint has yet to read.
     unread_tokens: u32,
     pub(crate) began: MonoMs,
-    /// Whether the endpoint had a free place, as far as known; then it took no time to wait for one.
-    pub(crate) found_place: bool,
+    /// Whether the endpoint had a free slot, as far as known, so that the request didn't wait for
+    /// one.
+    pub(crate) found_slot: bool,
 }
 
 impl<P: Platform> InFlight<P> {
@@ -29,8 +30,8 @@
         control.loads.begin(endpoint.hash, unread_tokens);
         let began = gw.clock.now();
         control.health.record_sent(endpoint.hash, began);
-        let found_place = choice.load < endpoint.slots;
-        Self { gw: gw.clone(), endpoint, unread_tokens, began, found_place }
+        let found_slot = choice.load < endpoint.slots;
+        Self { gw: gw.clone(), endpoint, unread_tokens, began, found_slot }
     }
 
     /// The answer has begun, so the prompt has been read.
--- a/crates/persimmon_soak/src/checks.rs
+++ b/crates/persimmon_soak/src/checks.rs
@@ -150,9 +150,9 @@
         })
     }
 
-    /// Whether a gateway may have missed a change of the routes in this time: the store told nobody,
-    /// its own process was struck, or those of two others, which may be the ones that watch the
-    /// store.
+    /// Whether a gateway may have missed a change of the routes in this time: the store told
+    /// nobody, its own process was struck, or those of two others, which may be the ones that watch
+    /// the store.
     fn may_be_missed(&self, gateway: usize, from: Instant, to: Instant) -> bool {
         let mut others = 0;
         for fault in self.felt(from, to) {
--- a/crates/persimmon_soak/src/schedule.rs
+++ b/crates/persimmon_soak/src/schedule.rs
@@ -233,8 +233,8 @@
         Self { seed, steps }
     }
 
-    /// Faults of kinds that were added later. They have draws of their own, so that a seed keeps its
-    /// first ones.
+    /// Faults of kinds that were added later. They have draws of their own, so that a seed keeps
+    /// its first ones.
     fn later_steps(seed: u64, length_ms: u64, endpoints: usize) -> Vec<Step> {
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ Self::LATER);
         let mut steps = Vec::new();
--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -330,8 +330,8 @@
         Ok(())
     }
 
-    /// Looks at each running gateway until it is as promised, or says what was seen when the limit for
-    /// all of them is over.
+    /// Looks at each running gateway until it is as promised, or says what was seen when the limit
+    /// for all of them is over.
     fn check_each(
         &self,
         promise: &'static str,
--- a/crates/persimmonmountd/tests/process_gateway_troubles.rs
+++ b/crates/persimmonmountd/tests/process_gateway_troubles.rs
@@ -107,8 +107,8 @@
     deployment.close();
 }
 
-/// Callers beyond the places of all endpoints are told at once when to come back, and the streams of
-/// the others start.
+/// Callers beyond the places of all endpoints are told at once when to come back, and the streams
+/// of the others start.
 #[test]
 fn streams_beyond_all_places_are_refused_at_once() {
     const CALLERS: usize = 48;
