Count refusals in a surge apart when the short soak asks what was served

Refusing those at once is what is promised there, so calls refused in the surge, or while its streams still run, don't count as allowed; refusals at any other time count as before, and so does all else in the surge.

--- a/crates/persimmon_soak/src/schedule.rs
+++ b/crates/persimmon_soak/src/schedule.rs
@@ -1,5 +1,7 @@
 //! Which faults happen when.
 
+use std::time::Duration;
+
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -111,7 +113,7 @@
         /// How long, in milliseconds.
         for_ms: u64,
     },
-    /// Many more callers call than endpoints have places, for a while.
+    /// Many more callers call than endpoints have slots, for a while.
     Surge {
         /// How long, in milliseconds.
         for_ms: u64,
@@ -208,6 +210,8 @@
     const KILLS: u64 = 0x6b69_6c6c_7300_0000;
     /// Tells the draws of surges from the others.
     const SURGES: u64 = 0x7375_7267_6500_0000;
+    /// Time after a surge in which its streams still take slots, in milliseconds: the routes' timeout.
+    const SURGE_TAIL_MS: u64 = 3_000;
     /// Length of a surge, in milliseconds.
     const SURGE_MS: std::ops::Range<u64> = 500..3_000;
 
@@ -233,6 +237,14 @@
         Self { seed, steps }
     }
 
+    /// Whether more callers call at this time than usual, or their calls may still be in progress.
+    pub(crate) fn has_surge(&self, at: Duration) -> bool {
+        let at_ms = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+        self.steps.iter().filter(|it| matches!(it.fault, Fault::Surge { .. })).any(|it| {
+            (it.at_ms..it.at_ms + it.fault.lasts_ms() + Self::SURGE_TAIL_MS).contains(&at_ms)
+        })
+    }
+
     /// Faults of kinds that were added later. They have draws of their own, so that a seed keeps
     /// its first ones.
     fn later_steps(seed: u64, length_ms: u64, endpoints: usize) -> Vec<Step> {
