Don't leave endpoints with few slots idle for a part of one

The users' sites have 6 and 64 slots, where it costs a part of one.

Change: the bound in slots is rounded, and is one at least.

Test: forward_picker::pick_few_slots_are_used; three of its four cases failed before (0 for 1, 1 for 2, 5 for 6).

--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -220,9 +220,9 @@
     fn with_room(mut self, max_fill: f64) -> Result<Self, NoChoice> {
         let least_fill = self.usable.iter().map(Candidate::busy).min_by(f64::total_cmp);
         let least_fill = least_fill.ok_or(NoChoice::NoEndpoint)?;
-        let has_room = |it: &Candidate| {
-            f64::from(it.load.requests + 1) <= max_fill * f64::from(it.endpoint.slots)
-        };
+        // Endpoints with few slots aren't left idle for a part of one.
+        let most = |slots: u32| (max_fill * f64::from(slots)).round().max(1.0);
+        let has_room = |it: &Candidate| f64::from(it.load.requests + 1) <= most(it.endpoint.slots);
         self.usable.retain(has_room);
         if self.usable.is_empty() { Err(NoChoice::Full { least_fill }) } else { Ok(self) }
     }
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -240,6 +240,32 @@
     }
 }
 
+/// A request that is refused early elsewhere is still taken by an endpoint with nothing to do.
+#[rstest::rstest]
+#[case::one_slot(1, 0.5, 1)]
+#[case::one_slot_and_a_queue(1, 3.0, 3)]
+#[case::two_slots(2, 0.93, 2)]
+#[case::six_slots(6, 0.93, 6)]
+fn pick_few_slots_are_used(#[case] slots: u32, #[case] max_fill: f64, #[case] expected: u32) {
+    let mut gateway = Gateway::new(1);
+    gateway.directory.insert(endpoint(1).with_slots(slots));
+    let mut taken = 0;
+    let req = PickRequest {
+        service: SERVICE,
+        parts: &[],
+        may_repeat: true,
+        max_fill,
+        tried: &[],
+        zone: "zone-a",
+        draw: 1,
+    };
+    while let Ok(choice) = gateway.pick_req(&req) {
+        gateway.loads.begin(choice.endpoint.hash, 0);
+        taken += 1;
+    }
+    assert_eq!(taken, expected);
+}
+
 #[test]
 fn pick_gateways_without_knowledge_agree() {
     let (here, there) = (Gateway::new(18), Gateway::new(18));
