Work out placement's figures once for each candidate

Reading the change once more: the cost of a candidate, with two decayed failure rates in it, was worked out anew for each comparison, the own rate twice for each pooled one, the usual failure rate also for requests that may be repeated, which don't use it, and a request's standing for attempts that have no bound. Each is now worked out once, where it is used. No figure, bound or order of draws changes.

--- a/crates/persimmon_decide/src/forward/health.rs
+++ b/crates/persimmon_decide/src/forward/health.rs
@@ -241,7 +241,8 @@
     pub fn failure_rate(&self, endpoint: EndpointHash, now: MonoMs) -> f64 {
         // One good outcome as a prior keeps a single failure from counting as a rate of one.
         let share = |rate: DecayingRate| rate.bad / (rate.samples() + 1.0);
-        share(self.own_rate(endpoint, now)).max(share(self.rate(endpoint, now)))
+        let own = self.own_rate(endpoint, now);
+        share(own).max(share(self.with_peers(own, endpoint)))
     }
 
     fn own_rate(&self, endpoint: EndpointHash, now: MonoMs) -> DecayingRate {
@@ -249,9 +250,8 @@
         record.rate.decayed(now, self.settings.memory_ms)
     }
 
-    /// Outcomes of this gateway, and those of its peers within their weight.
-    fn rate(&self, endpoint: EndpointHash, now: MonoMs) -> DecayingRate {
-        let mut rate = self.own_rate(endpoint, now);
+    /// Adds what peers tell of the endpoint, within their weight, to this gateway's outcomes.
+    fn with_peers(&self, mut rate: DecayingRate, endpoint: EndpointHash) -> DecayingRate {
         let told = self.peers.sum(endpoint);
         let (good, bad) = (f64::from(told.good), f64::from(told.bad));
         let weight = (self.settings.peer_weight / (good + bad).max(1.0)).min(1.0);
@@ -267,13 +267,19 @@
         members: impl Iterator<Item = EndpointHash>,
         now: MonoMs,
     ) -> Vec<EndpointHash> {
-        let members: Vec<_> = members.collect();
-        let own: Vec<_> = members.iter().map(|it| self.own_rate(*it, now)).collect();
-        let all: Vec<_> = members.iter().map(|it| self.rate(*it, now)).collect();
-        let (of_own, of_all) = (sum(&own), sum(&all));
-        let is_failing =
-            |at: usize| self.stands_out(own[at], of_own) || self.stands_out(all[at], of_all);
-        members.iter().enumerate().filter(|(at, _)| is_failing(*at)).map(|(_, it)| *it).collect()
+        let rates: Vec<_> = members
+            .map(|it| {
+                let own = self.own_rate(it, now);
+                (it, own, self.with_peers(own, it))
+            })
+            .collect();
+        let of_own = sum(rates.iter().map(|(_, own, _)| *own));
+        let of_all = sum(rates.iter().map(|(_, _, all)| *all));
+        rates
+            .into_iter()
+            .filter(|(_, own, all)| self.stands_out(*own, of_own) || self.stands_out(*all, of_all))
+            .map(|(it, _, _)| it)
+            .collect()
     }
 
     /// Whether one endpoint's failure rate lies well above that of all others.
@@ -298,8 +304,7 @@
     }
 }
 
-fn sum(rates: &[DecayingRate]) -> DecayingRate {
-    let (good, bad) =
-        rates.iter().fold((0.0, 0.0), |(good, bad), it| (good + it.good, bad + it.bad));
+fn sum(rates: impl Iterator<Item = DecayingRate>) -> DecayingRate {
+    let (good, bad) = rates.fold((0.0, 0.0), |(good, bad), it| (good + it.good, bad + it.bad));
     DecayingRate { good, bad, at: MonoMs(0) }
 }
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -241,10 +241,12 @@
             |it: &Candidate| it.busy() + view.health.failure_rate(it.endpoint.hash, view.now);
         let is_far = |it: &Candidate| *it.endpoint.zone != *req.zone;
         let score = |it: &Candidate| rendezvous_score(ChatKey(req.draw), it.endpoint.hash, 1);
-        self.usable.iter().min_by(|a, b| {
-            let by_cost = cost(a).total_cmp(&cost(b));
+        let costs = self.usable.iter().map(|it| (it, cost(it)));
+        let least = costs.min_by(|(a, cost_a), (b, cost_b)| {
+            let by_cost = cost_a.total_cmp(cost_b);
             by_cost.then(is_far(a).cmp(&is_far(b))).then(score(a).total_cmp(&score(b)))
-        })
+        });
+        least.map(|(it, _)| it)
     }
 }
 
@@ -254,7 +256,6 @@
     settings: &'a PickerSettings,
     view: FleetView<'a>,
     service: &'a str,
-    may_repeat: bool,
     /// By which prompts are kept together.
     key: ChatKey,
     /// Tokens in all.
@@ -264,8 +265,9 @@
     /// Tokens at the start that endpoints probably hold, longest first.
     cached: Vec<(EndpointHash, u32)>,
     mean: f64,
-    /// Mean failure rate of the endpoints that may be picked.
-    usual_failures: f64,
+    /// Mean failure rate of the endpoints that may be picked; none if the request may be repeated, to
+    /// which failures cost nothing.
+    usual_failures: Option<f64>,
 }
 
 impl<'a> Prompt<'a> {
@@ -279,13 +281,12 @@
             settings,
             view,
             service: req.service,
-            may_repeat: req.may_repeat,
             key: ChatKey(placement_key(req.parts)),
             whole: req.parts.iter().map(|part| part.tokens).sum(),
             shared: shared_tokens(req.parts),
             cached: view.prefixes.cached(req.parts, view.now),
             mean: candidates.mean,
-            usual_failures: candidates.failure_rate(view),
+            usual_failures: (!req.may_repeat).then(|| candidates.failure_rate(view)),
         }
     }
 
@@ -295,12 +296,13 @@
         let bound = self.settings.max_load_factor * self.mean + self.settings.load_floor;
         let usable = &candidates.usable;
         let under = usable.iter().filter(|it| f64::from(it.load.requests + 1) <= bound);
-        let cheapest = under.min_by(|a, b| {
-            let by_cost = self.cost_ms(a).total_cmp(&self.cost_ms(b));
+        let costs = under.map(|it| (it, self.cost_ms(it)));
+        let cheapest = costs.min_by(|(a, cost_a), (b, cost_b)| {
+            let by_cost = cost_a.total_cmp(cost_b);
             by_cost.then_with(|| self.rank(&a.endpoint).total_cmp(&self.rank(&b.endpoint)))
         });
         let least = || usable.iter().min_by(|a, b| a.busy().total_cmp(&b.busy()));
-        let chosen = cheapest.or_else(least)?;
+        let chosen = cheapest.map(|(it, _)| it).or_else(least)?;
         let cached_tokens = self.tokens_at(chosen.endpoint.hash);
         Some(Choice {
             endpoint: chosen.endpoint.clone(),
@@ -330,11 +332,9 @@
     }
 
     fn failure_ms(&self, endpoint: EndpointHash) -> f64 {
-        if self.may_repeat {
-            return 0.0;
-        }
+        let Some(usual) = self.usual_failures else { return 0.0 };
         let rate = self.view.health.failure_rate(endpoint, self.view.now);
-        (rate - self.usual_failures).max(0.0) * self.settings.failure_cost_ms
+        (rate - usual).max(0.0) * self.settings.failure_cost_ms
     }
 
     fn rank(&self, endpoint: &Endpoint) -> f64 {
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -166,10 +166,9 @@
         let draw = control.draw();
         let plan = &self.plan;
         let parts = if plan.route.has_prompt { &plan.head.parts[..] } else { &[] };
-        let standing = control.standing(&plan.service, plan.rank, self.in_workspace.name());
         // An answer that has begun is continued in any case.
         let is_new = self.sends == 0 && plan.head.last_event.is_none();
-        let max_fill = if is_new { self.max_fill(&mut control, standing) } else { f64::INFINITY };
+        let max_fill = if is_new { self.max_fill(&mut control) } else { f64::INFINITY };
         let req = PickRequest {
             service: &plan.service,
             parts,
@@ -187,7 +186,7 @@
                 return Err(Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS });
             }
             Err(NoChoice::Full { least_fill }) => {
-                self.log_full(standing, max_fill, least_fill, now);
+                self.log_full(&control, max_fill, least_fill, now);
                 let retry_after_ms = control.waiting_time.turnover_ms(&plan.service, draw);
                 return Err(Refusal::Overloaded { retry_after_ms });
             }
@@ -209,9 +208,9 @@
     /// How full an endpoint may be to take this request. Slots of engines and streams are taken for
     /// long, so hardly any may wait there; before short calls, a queue as long as the target is
     /// kept.
-    fn max_fill(&self, control: &mut Control, standing: Standing) -> f64 {
+    fn max_fill(&self, control: &mut Control) -> f64 {
         let plan = &self.plan;
-        let fill = control.max_fill(standing);
+        let fill = control.max_fill(self.standing(control));
         if plan.route.has_prompt || plan.route.is_stream {
             return fill;
         }
@@ -219,9 +218,13 @@
         fill * control.waiting_time.max_fill(&plan.service, target_ms, self.left_ms())
     }
 
-    fn log_full(&self, standing: Standing, max_fill: f64, least_fill: f64, now: MonoMs) {
+    fn standing(&self, control: &Control) -> Standing {
+        control.standing(&self.plan.service, self.plan.rank, self.in_workspace.name())
+    }
+
+    fn log_full(&self, control: &Control, max_fill: f64, least_fill: f64, now: MonoMs) {
         let Some(suppressed) = self.gw.journal.admit("full", now) else { return };
-        let Standing { rank, share, workspaces } = standing;
+        let Standing { rank, share, workspaces } = self.standing(control);
         tracing::info!(target: "request", id = &*self.plan.head.id,
             route = &*self.plan.route.name, service = &*self.plan.service,
             workspace = self.in_workspace.name(), rank = rank.place, ranks = rank.count,
