Pass every removal on to gateways that lag behind a list

Cause: a gateway that had just listed the store knew no removals before its list, but answered peers that lagged behind the list as if it did. They took over its revision and kept endpoints that were gone.

Ruled out: the hold after an outage, as the store was up; the change to placement before it, which decides among the endpoints that are published.

Change: a view's revision is the one up to which all changes are in it. A list sets it to its first page's revision and counts removals before that as unknown, so that peers behind it get everything; removals of records that a view never had are remembered; a list that is older than the view brings nothing back.

The existing tests of the view pass unchanged.

--- a/crates/persimmon_decide/src/forward/store_view.rs
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -31,7 +31,7 @@
 /// What a gateway that lags behind needs from another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreDelta {
-    /// The highest revision of any change that the sender knows.
+    /// The revision up to which the sender knows every change.
     pub revision: u64,
     /// Whether `records` are all that exist, rather than the changes.
     pub is_whole: bool,
@@ -50,10 +50,11 @@
     records: BTreeMap<Arc<str>, StoreRecord>,
     /// Deletions that wait for the end of the grace, with the revision of the deletion.
     held_removals: BTreeMap<Arc<str>, (u64, MonoMs)>,
-    /// The latest removals, oldest first.
+    /// The latest removals, oldest first, also of records that this view never had.
     removed: VecDeque<(u64, Arc<str>)>,
     /// Removals after this revision are all in `removed`.
     removed_from: u64,
+    /// Every change up to this revision is in the view.
     revision: u64,
     grace_until: Option<MonoMs>,
 }
@@ -85,7 +86,7 @@
         }
     }
 
-    /// The highest revision of any change that is known.
+    /// The revision up to which every change is known.
     pub fn revision(&self) -> u64 {
         self.revision
     }
@@ -120,9 +121,13 @@
         self.grace_until.is_some_and(|until| until > now)
     }
 
-    /// Takes in one change from a watch.
+    /// Takes in one change from a watch, which brings them in order.
     pub fn apply(&mut self, record: StoreRecord, now: MonoMs) -> Vec<StoreChange> {
         self.revision = self.revision.max(record.revision);
+        self.put(record, now)
+    }
+
+    fn put(&mut self, record: StoreRecord, now: MonoMs) -> Vec<StoreChange> {
         if self.known_revision(&record.key) >= record.revision {
             return Vec::new();
         }
@@ -134,8 +139,9 @@
         vec![StoreChange::Written(record)]
     }
 
-    /// Takes in a whole list under `prefix`, whose first page was made at revision `as_of`. Records
-    /// that changed later are left to the watch.
+    /// Takes in a whole list under `prefix`, whose first page was made at revision `as_of`. Later
+    /// pages may hold newer records, but not every change since, so that the watch goes on from
+    /// `as_of`.
     pub fn apply_list(
         &mut self,
         prefix: &str,
@@ -143,9 +149,12 @@
         as_of: u64,
         now: MonoMs,
     ) -> Vec<StoreChange> {
+        let known = self.revision;
+        let is_newer = as_of > known;
         let listed: BTreeSet<Arc<str>> = records.iter().map(|record| record.key.clone()).collect();
-        let mut changes: Vec<_> =
-            records.into_iter().flat_map(|record| self.apply(record, now)).collect();
+        // What an older list holds and this view lacks has been removed since.
+        let news = records.into_iter().filter(|it| is_newer || it.revision > known);
+        let mut changes: Vec<_> = news.flat_map(|record| self.put(record, now)).collect();
         let missing: Vec<_> = self
             .records
             .range::<str, _>((Bound::Included(prefix), Bound::Unbounded))
@@ -153,10 +162,12 @@
             .filter(|(key, record)| record.revision <= as_of && !listed.contains(*key))
             .map(|(key, _)| key.clone())
             .collect();
-        if !missing.is_empty() {
-            self.revision = self.revision.max(as_of);
-        }
         changes.extend(missing.into_iter().filter_map(|key| self.remove(key, as_of, now)));
+        if is_newer {
+            self.revision = as_of;
+            // A list doesn't tell what came and went before it.
+            self.removed_from = self.removed_from.max(as_of);
+        }
         changes
     }
 
@@ -169,12 +180,14 @@
             let until = now.plus_ms(delta.grace_ms.min(Self::RETURN_GRACE_MS));
             self.grace_until = self.grace_until.max(Some(until));
         }
-        let changes = match delta.is_whole {
+        match delta.is_whole {
             true => self.apply_list("", delta.records, delta.revision, now),
-            false => delta.records.into_iter().flat_map(|it| self.apply(it, now)).collect(),
-        };
-        self.revision = self.revision.max(delta.revision);
-        changes
+            false => {
+                let changes = delta.records.into_iter().flat_map(|it| self.put(it, now)).collect();
+                self.revision = delta.revision;
+                changes
+            }
+        }
     }
 
     /// Removals whose grace has ended.
@@ -201,12 +214,12 @@
     }
 
     fn remove(&mut self, key: Arc<str>, revision: u64, now: MonoMs) -> Option<StoreChange> {
-        if !self.records.contains_key(&key) {
-            return None;
-        }
         if !self.held_removals.contains_key(&key) {
             self.note_removed(revision, &key);
         }
+        if !self.records.contains_key(&key) {
+            return None;
+        }
         match self.grace_until.filter(|until| *until > now) {
             Some(until) => {
                 self.held_removals.entry(key).or_insert((revision, until));
@@ -221,6 +234,9 @@
     }
 
     fn note_removed(&mut self, revision: u64, key: &Arc<str>) {
+        if self.removed.iter().any(|(at, removed)| *at == revision && removed == key) {
+            return;
+        }
         if self.removed.len() == Self::MAX_REMOVED
             && let Some((oldest, _)) = self.removed.pop_front()
         {
