gateway: log and count how each answer of an endpoint ended

Each endpoint's part of a stream now leaves one line with its framing, its end, whether it stopped inside an event and the bytes that came and went, limited in rate by kind of end; a failed read leaves its cause. persimmon_gateway_answer_parts_total counts answers by framing and end.

EventPosition, which tells inside from between events, is a type of the decisions; nothing decides by it yet.

--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one endpoint: sends the request, waits for the answer and classifies it.
 
+use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use persimmon_decide::forward::{AttemptOutcome, Choice, Endpoint, Repeatable};
 
 use super::{Answered, Exchange, FailedAttempt, MIN_ATTEMPT_MS, OpenStream, keep_alive_timeout_s};
+use crate::framing::Framing;
 use crate::head::number;
 use crate::in_flight::InFlight;
 use crate::platform::Platform;
@@ -269,7 +271,9 @@
             return Err(FailedAttempt::new(AttemptOutcome::Unknown, "unsigned"));
         }
         if status.is_success() && self.plan.route.is_stream {
-            return Ok(Answered::Stream(Box::new(OpenStream { response, connection, in_flight })));
+            let framing = Framing::of(response.headers());
+            let stream = OpenStream { response, framing, connection, in_flight };
+            return Ok(Answered::Stream(Box::new(stream)));
         }
         self.read_complete_answer(response, connection, in_flight).await
     }
@@ -282,17 +286,28 @@
         in_flight: InFlight<P>,
     ) -> Result<Answered<P>, FailedAttempt> {
         let keep_alive_s = keep_alive_timeout_s(response.headers());
+        let framing = Framing::of(response.headers());
         let (parts, body) = response.into_parts();
         let deadline = self.gw.clock.instant(self.plan.deadline).into();
         let reading = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-        let bytes = match tokio::time::timeout_at(deadline, reading).await {
+        let read = tokio::time::timeout_at(deadline, reading).await;
+        let record_end = |end| {
+            self.gw.metrics.answer_parts.with_label_values(&[framing.name(), end]).inc();
+        };
+        let bytes = match read {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => {
+            Ok(Err(err)) => {
+                record_end("broken");
+                self.log_read_error(&*err);
                 self.record_broken(&in_flight.endpoint).await;
                 return Err(FailedAttempt::new(AttemptOutcome::Unknown, "body_broken"));
             }
-            Err(_) => return Err(FailedAttempt::new(AttemptOutcome::Unknown, "deadline")),
+            Err(_) => {
+                record_end("deadline");
+                return Err(FailedAttempt::new(AttemptOutcome::Unknown, "deadline"));
+            }
         };
+        record_end("complete");
         self.gw.upstream.put_idle(in_flight.endpoint.hash, connection, keep_alive_s);
         let status = parts.status;
         let response = Response::from_parts(parts, bytes);
@@ -304,6 +319,15 @@
         Ok(Answered::Complete(response))
     }
 
+    /// Logs why the body of an answer couldn't be read to its end.
+    pub(crate) fn log_read_error(&self, err: &dyn Error) {
+        let now = self.gw.clock.now();
+        let Some(suppressed) = self.gw.log_limiter.admit("read_error", now) else { return };
+        let cause = err.source().map(ToString::to_string);
+        tracing::info!(target: "request", id = &*self.plan.head.id, %err, cause, suppressed,
+            "reading an answer failed");
+    }
+
     /// Reads the rest of a short answer that isn't forwarded, so that its connection can be reused.
     async fn drain_for_reuse(
         &self,
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -17,6 +17,7 @@
 use persimmon_decide::load::EndpointHash;
 
 use crate::control::Control;
+use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::in_flight::{InFlight, InProgress, InWorkspace};
 use crate::plan::Plan;
@@ -49,6 +50,7 @@
 #[derive(Debug)]
 pub(crate) struct OpenStream<P: Platform> {
     pub(crate) response: Response<Incoming>,
+    pub(crate) framing: Framing,
     pub(crate) connection: Connection,
     pub(crate) in_flight: InFlight<P>,
 }
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod events;
 mod exchange;
+mod framing;
 mod gateway;
 mod head;
 mod http;
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) requests: IntCounterVec,
     /// Attempts at endpoints by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Answers of endpoints by framing and by how they ended; a resumed stream has several.
+    pub(crate) answer_parts: IntCounterVec,
     /// Calls to the platform's store by kind and result.
     pub(crate) store_calls: IntCounterVec,
     /// Digests by direction.
@@ -52,6 +54,11 @@
                 "Attempts at endpoints by outcome.",
                 &["outcome"],
             )?,
+            answer_parts: set.counters(
+                "persimmon_gateway_answer_parts_total",
+                "Answers of endpoints by framing and by how they ended; a resumed stream has several.",
+                &["framing", "end"],
+            )?,
             store_calls: set.counters(
                 "persimmon_gateway_store_calls_total",
                 "Calls to the platform's store.",
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -4,12 +4,13 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{AttemptOutcome, NextStep, Repeatable};
+use persimmon_decide::forward::{AttemptOutcome, EventPosition, NextStep, Repeatable};
 use tokio::sync::mpsc;
 
 use crate::body::TruncatedAnswer;
 use crate::events::EventSplitter;
 use crate::exchange::{Answered, Exchange, OpenStream, keep_alive_timeout_s};
+use crate::framing::Framing;
 use crate::platform::Platform;
 
 /// Interval at which a silent stream is checked, in milliseconds.
@@ -28,6 +29,47 @@
     CallerGone,
 }
 
+impl PartEnd {
+    /// Returns the name for logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Broken(why) => why,
+            Self::Deadline => "deadline",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+
+    /// Returns the kind of log line, to limit the rate of each kind.
+    fn log_kind(self) -> &'static str {
+        match self {
+            Self::Complete => "part_complete",
+            Self::Broken(_) => "part_broken",
+            Self::Deadline | Self::CallerGone => "part_stopped",
+        }
+    }
+}
+
+/// What has passed of one endpoint's part of a stream.
+#[derive(Debug)]
+struct PartProgress {
+    framing: Framing,
+    position: EventPosition,
+    received_bytes: u64,
+    sent_bytes: u64,
+}
+
+impl PartProgress {
+    fn new(framing: Framing) -> Self {
+        Self { framing, position: EventPosition::default(), received_bytes: 0, sent_bytes: 0 }
+    }
+
+    fn record_received(&mut self, piece: &[u8]) {
+        self.position.advance(piece);
+        self.received_bytes += piece.len() as u64;
+    }
+}
+
 /// Relays a stream to its end. If the stream can't be completed, the caller sees that it is
 /// truncated.
 pub(crate) async fn relay<P: Platform>(
@@ -39,7 +81,9 @@
     let is_resumable = exchange.plan.route.repeatable == Repeatable::FromLastEvent;
     let mut events = is_resumable.then(|| EventSplitter::new(exchange.plan.head.last_event));
     loop {
-        let end = forward_part(&exchange, &mut stream, &mut events, &tx).await;
+        let mut progress = PartProgress::new(stream.framing);
+        let end = forward_part(&exchange, &mut stream, &mut events, &mut progress, &tx).await;
+        record_part_end(&exchange, &stream, &progress, end);
         let endpoint = stream.in_flight.endpoint.clone();
         match end {
             PartEnd::Complete => {
@@ -87,6 +131,25 @@
     let _ = tx.send(Err(TruncatedAnswer)).await;
 }
 
+/// Counts and logs how an endpoint's part of a stream ended.
+fn record_part_end<P: Platform>(
+    exchange: &Exchange<P>,
+    stream: &OpenStream<P>,
+    progress: &PartProgress,
+    end: PartEnd,
+) {
+    let framing = progress.framing.name();
+    exchange.gw.metrics.answer_parts.with_label_values(&[framing, end.name()]).inc();
+    let now = exchange.gw.clock.now();
+    // Limited by kind of end, so that complete streams don't suppress the others.
+    let Some(suppressed) = exchange.gw.log_limiter.admit(end.log_kind(), now) else { return };
+    tracing::info!(target: "request", id = &*exchange.plan.head.id,
+        endpoint = &*stream.in_flight.endpoint.id, framing, end = end.name(),
+        inside_event = !progress.position.is_between_events(),
+        received_bytes = progress.received_bytes, sent_bytes = progress.sent_bytes, suppressed,
+        "endpoint's part of a stream ended");
+}
+
 fn log_resumed<P: Platform>(
     exchange: &Exchange<P>,
     stream: &OpenStream<P>,
@@ -105,6 +168,7 @@
     exchange: &Exchange<P>,
     stream: &mut OpenStream<P>,
     events: &mut Option<EventSplitter>,
+    progress: &mut PartProgress,
     tx: &mpsc::Sender<Result<Bytes, TruncatedAnswer>>,
 ) -> PartEnd {
     loop {
@@ -116,6 +180,7 @@
             Err(end) => return end,
         };
         stream.in_flight.record_received();
+        progress.record_received(&piece);
         let piece = match events {
             Some(events) => match events.push(&piece) {
                 Ok(piece) => piece,
@@ -131,8 +196,9 @@
             continue;
         }
         let deadline = exchange.gw.clock.instant(exchange.plan.deadline).into();
+        let length = piece.len() as u64;
         match tokio::time::timeout_at(deadline, tx.send(Ok(piece))).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(())) => progress.sent_bytes += length,
             Ok(Err(_)) => return PartEnd::CallerGone,
             Err(_) => return PartEnd::Deadline,
         }
@@ -159,7 +225,10 @@
                 // Trailers aren't forwarded.
                 Err(_) => continue,
             },
-            Ok(Some(Err(_))) => return Err(PartEnd::Broken("broken")),
+            Ok(Some(Err(err))) => {
+                exchange.log_read_error(&err);
+                return Err(PartEnd::Broken("broken"));
+            }
             Ok(None) => return Err(PartEnd::Complete),
             Err(_) if exchange.should_fail_over(endpoint, since) => {
                 return Err(PartEnd::Broken("silent"));
