--- a/crates/persimmon_standins/src/lib.rs
+++ b/crates/persimmon_standins/src/lib.rs
@@ -18,6 +18,6 @@
     Message, expected_answer, prompt_tokens,
 };
 pub use platform::{Platform, PlatformBuilder, PlatformCounts, PlatformSwitch};
-pub use relay::{Direction, Relay, RelaySwitch, rebind};
+pub use relay::{Direction, Relay, RelaySwitch, rebind, reset_on_close};
 pub use relay_control::RelayControl;
 pub use service::{Service, ServiceCounts, ServiceSwitch};
--- a/crates/persimmon_standins/src/relay.rs
+++ b/crates/persimmon_standins/src/relay.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 
 /// Size of a relay's buffer for each connection and direction.
 const RELAY_BUF_BYTES: usize = 16 * 1024;
@@ -321,3 +322,12 @@
         }
     }
 }
+
+/// Makes the connection reset when it is closed, instead of ending in order.
+///
+/// # Errors
+///
+/// The option can't be set.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
--- /dev/null
+++ b/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
@@ -0,0 +1,181 @@
+//! Tests of gateway processes with answers that endpoints break off, in each framing.
+
+use std::time::Duration;
+
+use persimmon_platform::standin::{
+    Answer, Behaviour, BodyEnd, BodyFraming, Deployment, EndpointStandin, RouteSpec, wait_until,
+};
+use rstest::rstest;
+
+const KEY: &str = "key-1";
+const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+const CRLF_EVENTS: &str =
+    "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\nid: 3\r\ndata: c\r\n\r\n";
+/// Length of the first event.
+const ONE_EVENT: usize = 15;
+/// A length within the second event.
+const INSIDE_EVENT: usize = 24;
+
+/// One gateway with the endpoints `one` and `two`.
+struct Fixture {
+    deployment: Deployment,
+    one: EndpointStandin,
+    two: EndpointStandin,
+}
+
+impl Fixture {
+    fn start() -> Self {
+        let mut deployment = Deployment::new(env!("CARGO_BIN_EXE_persimmonmountd"), 1).unwrap();
+        let one = EndpointStandin::start("one", Behaviour::ok()).unwrap();
+        let two = EndpointStandin::start("two", Behaviour::ok()).unwrap();
+        deployment.publish_endpoint(&one, false);
+        deployment.publish_endpoint(&two, false);
+        let routes = [
+            RouteSpec::once("commit"),
+            RouteSpec::repeatable("lookup"),
+            RouteSpec::stream("draft", true),
+            RouteSpec::stream("chat", false),
+        ];
+        deployment.publish_routes(&routes, &[KEY]);
+        deployment.start_all().unwrap();
+        assert!(wait_until(|| {
+            let published = |id: &str| format!("\"endpoint\":\"{id}\"");
+            let log = deployment.log(0).join("\n");
+            log.contains(&published("one")) && log.contains(&published("two"))
+        }));
+        Self { deployment, one, two }
+    }
+
+    fn call(&self, path: &str, id: &str) -> Answer {
+        let caller = self.deployment.caller(0).unwrap().request("POST", path, id);
+        caller.with_key(KEY).with_deadline_ms(4_000).call("the body").unwrap()
+    }
+
+    fn set_behaviours(&self, behaviour: &Behaviour) {
+        self.one.set_behaviour(behaviour.clone());
+        self.two.set_behaviour(behaviour.clone());
+    }
+}
+
+fn body(framing: BodyFraming, body: &str, sent_bytes: usize, end: BodyEnd) -> Behaviour {
+    Behaviour::Body { framing, body: body.to_owned(), sent_bytes, end }
+}
+
+#[rstest]
+#[case::length_closed(BodyFraming::Length, EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+#[case::length_reset(BodyFraming::Length, EVENTS, INSIDE_EVENT, BodyEnd::Reset)]
+#[case::length_between_events(BodyFraming::Length, EVENTS, ONE_EVENT, BodyEnd::Closed)]
+#[case::chunked_closed(BodyFraming::Chunked, EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+#[case::chunked_reset(BodyFraming::Chunked, EVENTS, INSIDE_EVENT, BodyEnd::Reset)]
+#[case::chunked_between_events(BodyFraming::Chunked, EVENTS, ONE_EVENT, BodyEnd::Closed)]
+#[case::chunked_last_chunk(BodyFraming::Chunked, EVENTS, INSIDE_EVENT, BodyEnd::Framed)]
+#[case::until_close_closed(BodyFraming::UntilClose, EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+#[case::until_close_reset(BodyFraming::UntilClose, EVENTS, INSIDE_EVENT, BodyEnd::Reset)]
+#[case::until_close_reset_between(BodyFraming::UntilClose, EVENTS, ONE_EVENT, BodyEnd::Reset)]
+#[case::until_close_after_line(BodyFraming::UntilClose, EVENTS, ONE_EVENT - 1, BodyEnd::Closed)]
+#[case::until_close_crlf(BodyFraming::UntilClose, CRLF_EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+#[case::until_close_no_event(BodyFraming::UntilClose, EVENTS, 0, BodyEnd::Closed)]
+#[case::http_1_0_closed(BodyFraming::Http10, EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+#[case::http_1_0_reset(BodyFraming::Http10, EVENTS, INSIDE_EVENT, BodyEnd::Reset)]
+fn broken_off_stream_isnt_framed_as_complete(
+    #[case] framing: BodyFraming,
+    #[case] events: &str,
+    #[case] sent_bytes: usize,
+    #[case] end: BodyEnd,
+) {
+    let fixture = Fixture::start();
+    fixture.set_behaviours(&body(framing, events, sent_bytes, end));
+    let answer = fixture.call("/chat/x", "request-1");
+    assert!(!(answer.status == 200 && answer.is_complete), "{answer:?}");
+    let runs = fixture.one.received().len() + fixture.two.received().len();
+    assert_eq!(runs, 1, "a stream that may run only once was repeated");
+    fixture.deployment.close();
+}
+
+#[rstest]
+#[case::length(BodyFraming::Length, EVENTS, BodyEnd::Framed)]
+#[case::chunked(BodyFraming::Chunked, EVENTS, BodyEnd::Framed)]
+#[case::until_close(BodyFraming::UntilClose, EVENTS, BodyEnd::Closed)]
+#[case::until_close_crlf(BodyFraming::UntilClose, CRLF_EVENTS, BodyEnd::Closed)]
+#[case::http_1_0(BodyFraming::Http10, EVENTS, BodyEnd::Closed)]
+fn whole_stream_is_framed_as_complete(
+    #[case] framing: BodyFraming,
+    #[case] events: &str,
+    #[case] end: BodyEnd,
+    #[values("/chat/x", "/draft/x")] path: &str,
+) {
+    let fixture = Fixture::start();
+    fixture.set_behaviours(&body(framing, events, events.len(), end));
+    let answer = fixture.call(path, "request-1");
+    assert_eq!((answer.status, &*answer.body), (200, events));
+    assert!(answer.is_complete);
+    fixture.deployment.close();
+}
+
+#[rstest]
+#[case::length(BodyFraming::Length, EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+#[case::chunked(BodyFraming::Chunked, EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+#[case::chunked_last_chunk(BodyFraming::Chunked, EVENTS, INSIDE_EVENT, BodyEnd::Framed)]
+#[case::until_close_closed(BodyFraming::UntilClose, EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+#[case::until_close_reset(BodyFraming::UntilClose, EVENTS, INSIDE_EVENT, BodyEnd::Reset)]
+#[case::until_close_no_event(BodyFraming::UntilClose, EVENTS, 0, BodyEnd::Closed)]
+#[case::http_1_0(BodyFraming::Http10, EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+#[case::until_close_crlf(BodyFraming::UntilClose, CRLF_EVENTS, INSIDE_EVENT, BodyEnd::Closed)]
+fn broken_off_resumable_stream_is_resumed(
+    #[case] framing: BodyFraming,
+    #[case] events: &str,
+    #[case] sent_bytes: usize,
+    #[case] end: BodyEnd,
+) {
+    let fixture = Fixture::start();
+    let whole = Behaviour::Stream { events: 3, pause: Duration::ZERO, cut_after: None };
+    fixture.two.set_behaviour(whole.clone());
+    // The gateway chooses the endpoint; whichever comes first breaks the stream off.
+    for endpoint in [&fixture.one, &fixture.two] {
+        endpoint.set_behaviour(whole.clone());
+    }
+    fixture.one.set_behaviour(body(framing, events, sent_bytes, end));
+    for number in 0..4 {
+        let answer = fixture.call("/draft/x", &format!("request-{number}"));
+        assert_eq!(answer.status, 200);
+        let ids = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
+        assert_eq!(ids.collect::<Vec<_>>(), ["1", "2", "3"], "{answer:?}");
+        assert!(answer.is_complete);
+    }
+    assert!(!fixture.one.received().is_empty(), "no stream was broken off");
+    fixture.deployment.close();
+}
+
+#[rstest]
+#[case::length_closed(BodyFraming::Length, BodyEnd::Closed)]
+#[case::length_reset(BodyFraming::Length, BodyEnd::Reset)]
+#[case::chunked_closed(BodyFraming::Chunked, BodyEnd::Closed)]
+#[case::chunked_reset(BodyFraming::Chunked, BodyEnd::Reset)]
+#[case::until_close_reset(BodyFraming::UntilClose, BodyEnd::Reset)]
+#[case::http_1_0_reset(BodyFraming::Http10, BodyEnd::Reset)]
+fn broken_off_short_answer_is_a_failure(
+    #[case] framing: BodyFraming,
+    #[case] end: BodyEnd,
+    #[values("/commit/x", "/lookup/x")] path: &str,
+) {
+    let fixture = Fixture::start();
+    fixture.set_behaviours(&body(framing, "the whole answer", 7, end));
+    let answer = fixture.call(path, "request-1");
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert!(!answer.is_signed);
+    fixture.deployment.close();
+}
+
+#[rstest]
+#[case::until_close(BodyFraming::UntilClose)]
+#[case::http_1_0(BodyFraming::Http10)]
+fn short_answer_that_ends_with_its_connection_is_delivered(#[case] framing: BodyFraming) {
+    let fixture = Fixture::start();
+    fixture.set_behaviours(&body(framing, "done", 4, BodyEnd::Closed));
+    for number in 0..3 {
+        let answer = fixture.call("/commit/x", &format!("request-{number}"));
+        assert_eq!((answer.status, &*answer.body), (200, "done"));
+        assert!(answer.is_complete && answer.is_signed);
+    }
+    fixture.deployment.close();
+}
