gateway: forward events whose lines end with CRLF or CR

Callers of a resumable route received nothing of a stream whose endpoint ends lines with CRLF: the splitter looked for two LF in a row, held everything back, and gave the stream up after 256 KiB. It finds the end of an event by EventPosition now, which knows the three line ends of event streams.

--- a/crates/persimmon_gateway/src/events.rs
+++ b/crates/persimmon_gateway/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits event streams into complete events.
 
 use bytes::{Buf, Bytes, BytesMut};
+use persimmon_decide::forward::EventPosition;
 use thiserror::Error;
 
 /// The reason why a stream can't be forwarded any further.
@@ -18,6 +19,7 @@
 #[derive(Debug)]
 pub(crate) struct EventSplitter {
     partial: BytesMut,
+    position: EventPosition,
     last: Option<u64>,
     /// Difference between the numbers of consecutive events, once known.
     step: Option<u64>,
@@ -29,7 +31,7 @@
 
     /// Creates a splitter for a stream that continues after event `last`.
     pub(crate) fn new(last: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), last, step: None }
+        Self { partial: BytesMut::new(), position: EventPosition::default(), last, step: None }
     }
 
     /// Returns the number of the last complete event.
@@ -45,17 +47,19 @@
     /// Discards the buffered part of an event, which another endpoint will send again completely.
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
+        self.position = EventPosition::default();
     }
 
     /// Appends bytes and returns all events that are now complete.
     pub(crate) fn push(&mut self, bytes: &Bytes) -> Result<Bytes, EventError> {
+        let end = self.position.advance(bytes);
         // Most pieces consist of complete events, which don't have to be copied.
-        if self.partial.is_empty() && bytes.ends_with(b"\n\n") {
+        if self.partial.is_empty() && end == Some(bytes.len()) {
             self.record_events(bytes)?;
             return Ok(bytes.clone());
         }
+        let end = end.map(|end| self.partial.len() + end);
         self.partial.extend_from_slice(bytes);
-        let end = self.partial.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
         let Some(end) = end else {
             if self.partial.len() > Self::MAX_EVENT_BYTES {
                 return Err(EventError::TooLong);
@@ -68,7 +72,7 @@
     }
 
     fn record_events(&mut self, events: &[u8]) -> Result<(), EventError> {
-        for line in events.split(|byte| *byte == b'\n') {
+        for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
             let Some(rest) = line.strip_prefix(b"id:") else { continue };
             let text = std::str::from_utf8(rest).unwrap_or_default().trim();
             // Only streams with numbered events can be resumed; other ids are ignored.
