gateway: a stream that ends inside an event is broken off, on every route

Cause: whether a stream is complete was decided by what resuming needs. Only streams that may be resumed were split into events, so only there did an unfinished event at the end count; on all other routes the end of the body was the end of the answer. A body without length or chunks ends with its connection, which a failing engine may close in order, and the gateway then framed the rest as complete.

StreamProgress now decides by the events alone, for every stream, framing and route; nothing about resuming enters.

--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -21,6 +21,7 @@
 mod route;
 mod shutdown;
 mod store_view;
+mod stream_progress;
 mod waiting_time;
 mod workspace_shares;
 
@@ -46,5 +47,6 @@
 };
 pub use shutdown::{Shutdown, ShutdownSettings};
 pub use store_view::{StoreChange, StoreDelta, StoreRecord, StoreView};
+pub use stream_progress::{BrokenOff, StreamProgress};
 pub use waiting_time::WaitingTime;
 pub use workspace_shares::WorkspaceShares;
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_stream_progress.rs
@@ -0,0 +1,39 @@
+//! Tests of the decision whether a stream that ended is complete.
+
+use persimmon_decide::forward::{BrokenOff, StreamProgress};
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[rstest]
+#[case::whole("id: 1\ndata: a\n\n", Ok(()))]
+#[case::second_event_cut("id: 1\ndata: a\n\nid: 2\nda", Err(BrokenOff::InsideEvent))]
+#[case::blank_line_missing("id: 1\ndata: a\n", Err(BrokenOff::InsideEvent))]
+#[case::comment_last("id: 1\n\n: end\n", Ok(()))]
+fn check_end_goes_by_events(#[case] text: &str, #[case] expected: Result<(), BrokenOff>) {
+    let mut progress = StreamProgress::new();
+    progress.record(text.as_bytes());
+    assert_eq!(progress.check_end(), expected);
+}
+
+proptest! {
+    #[test]
+    fn check_end_finds_every_cut_inside_an_event(
+        events in prop::collection::vec("[a-z]{0,8}", 1..6),
+        cut in 0usize..128,
+        piece in 1usize..16,
+    ) {
+        let events: Vec<_> = events.iter().map(|data| format!("data: {data}\n\n")).collect();
+        let text = events.concat();
+        let cut = cut.min(text.len());
+        let mut progress = StreamProgress::new();
+        for bytes in text.as_bytes()[..cut].chunks(piece) {
+            progress.record(bytes);
+        }
+        let mut end = 0;
+        let is_boundary = cut == 0 || events.iter().any(|event| {
+            end += event.len();
+            end == cut
+        });
+        prop_assert_eq!(progress.check_end() != Err(BrokenOff::InsideEvent), is_boundary);
+    }
+}
--- a/crates/persimmon_gateway/src/events.rs
+++ b/crates/persimmon_gateway/src/events.rs
@@ -39,11 +39,6 @@
         self.last
     }
 
-    /// Reports whether part of an event is buffered.
-    pub(crate) fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
-    }
-
     /// Discards the buffered part of an event, which another endpoint will send again completely.
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -4,13 +4,12 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{AttemptOutcome, EventPosition, NextStep, Repeatable};
+use persimmon_decide::forward::{AttemptOutcome, BrokenOff, NextStep, Repeatable, StreamProgress};
 use tokio::sync::mpsc;
 
 use crate::body::TruncatedAnswer;
 use crate::events::EventSplitter;
 use crate::exchange::{Answered, Exchange, OpenStream, keep_alive_timeout_s};
-use crate::framing::Framing;
 use crate::platform::Platform;
 
 /// Interval at which a silent stream is checked, in milliseconds.
@@ -53,23 +52,10 @@
 /// What has passed of one endpoint's part of a stream.
 #[derive(Debug)]
 struct PartProgress {
-    framing: Framing,
-    position: EventPosition,
-    received_bytes: u64,
+    received: StreamProgress,
     sent_bytes: u64,
 }
 
-impl PartProgress {
-    fn new(framing: Framing) -> Self {
-        Self { framing, position: EventPosition::default(), received_bytes: 0, sent_bytes: 0 }
-    }
-
-    fn record_received(&mut self, piece: &[u8]) {
-        self.position.advance(piece);
-        self.received_bytes += piece.len() as u64;
-    }
-}
-
 /// Relays a stream to its end. If the stream can't be completed, the caller sees that it is
 /// truncated.
 pub(crate) async fn relay<P: Platform>(
@@ -81,7 +67,8 @@
     let is_resumable = exchange.plan.route.repeatable == Repeatable::FromLastEvent;
     let mut events = is_resumable.then(|| EventSplitter::new(exchange.plan.head.last_event));
     loop {
-        let mut progress = PartProgress::new(stream.framing);
+        let received = StreamProgress::new();
+        let mut progress = PartProgress { received, sent_bytes: 0 };
         let end = forward_part(&exchange, &mut stream, &mut events, &mut progress, &tx).await;
         record_part_end(&exchange, &stream, &progress, end);
         let endpoint = stream.in_flight.endpoint.clone();
@@ -138,15 +125,15 @@
     progress: &PartProgress,
     end: PartEnd,
 ) {
-    let framing = progress.framing.name();
+    let framing = stream.framing.name();
     exchange.gw.metrics.answer_parts.with_label_values(&[framing, end.name()]).inc();
     let now = exchange.gw.clock.now();
     // Limited by kind of end, so that complete streams don't suppress the others.
     let Some(suppressed) = exchange.gw.log_limiter.admit(end.log_kind(), now) else { return };
     tracing::info!(target: "request", id = &*exchange.plan.head.id,
         endpoint = &*stream.in_flight.endpoint.id, framing, end = end.name(),
-        inside_event = !progress.position.is_between_events(),
-        received_bytes = progress.received_bytes, sent_bytes = progress.sent_bytes, suppressed,
+        inside_event = progress.received.is_inside_event(),
+        received_bytes = progress.received.bytes(), sent_bytes = progress.sent_bytes, suppressed,
         "endpoint's part of a stream ended");
 }
 
@@ -174,13 +161,11 @@
     loop {
         let piece = match next_piece(exchange, stream).await {
             Ok(piece) => piece,
-            Err(PartEnd::Complete) if events.as_ref().is_some_and(EventSplitter::has_partial) => {
-                return PartEnd::Broken("partial_event");
-            }
+            Err(PartEnd::Complete) => return check_end(&progress.received),
             Err(end) => return end,
         };
         stream.in_flight.record_received();
-        progress.record_received(&piece);
+        progress.received.record(&piece);
         let piece = match events {
             Some(events) => match events.push(&piece) {
                 Ok(piece) => piece,
@@ -205,6 +190,14 @@
     }
 }
 
+/// Returns how a part ended whose framing, or whose connection, ended in order.
+fn check_end(received: &StreamProgress) -> PartEnd {
+    match received.check_end() {
+        Ok(()) => PartEnd::Complete,
+        Err(BrokenOff::InsideEvent) => PartEnd::Broken("partial_event"),
+    }
+}
+
 /// Returns the next bytes from the endpoint, or how its part ended.
 async fn next_piece<P: Platform>(
     exchange: &Exchange<P>,
