gateway: a connection that closes before the first event is no whole stream

A stream whose connection ended before its first event was framed as complete: 200, signed, nothing in it. With a length or chunks an empty stream says so itself; without, nothing tells it from an endpoint that has just crashed. It counts as broken off now, unless the caller has events already and the rest may be empty, and is resumed where the route allows it.

--- a/crates/persimmon_decide/src/forward/stream_progress.rs
+++ b/crates/persimmon_decide/src/forward/stream_progress.rs
@@ -10,6 +10,9 @@
     /// The last event isn't complete.
     #[error("the stream ended inside an event")]
     InsideEvent,
+    /// The connection closed before the first event, and nothing else says that there is none.
+    #[error("the connection closed before the first event")]
+    NoEvent,
 }
 
 /// Progress of one endpoint's part of a stream.
@@ -17,16 +20,22 @@
 /// An endpoint that crashes closes its connections in order, which looks like the proper end of an
 /// answer without a length or chunks, and it may frame what it has as complete. So the end of a
 /// stream counts as proper only where its events end, whether or not the stream can be resumed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamProgress {
     position: EventPosition,
+    /// Whether the answer's framing shows its end.
+    is_end_framed: bool,
+    /// Whether the part may be empty, since it continues after events that the caller has.
+    continues: bool,
     bytes: u64,
 }
 
 impl StreamProgress {
-    /// Creates the progress of a part of which nothing has arrived.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates the progress of a part of which nothing has arrived. `is_end_framed` says whether a
+    /// length or a last chunk shows the part's end, and `continues` whether it starts after events
+    /// that the caller has.
+    pub fn new(is_end_framed: bool, continues: bool) -> Self {
+        Self { position: EventPosition::default(), is_end_framed, continues, bytes: 0 }
     }
 
     /// Records bytes from the endpoint.
@@ -54,6 +63,9 @@
         if self.is_inside_event() {
             return Err(BrokenOff::InsideEvent);
         }
+        if self.bytes == 0 && !self.is_end_framed && !self.continues {
+            return Err(BrokenOff::NoEvent);
+        }
         Ok(())
     }
 }
--- a/crates/persimmon_decide/tests/forward_stream_progress.rs
+++ b/crates/persimmon_decide/tests/forward_stream_progress.rs
@@ -9,23 +9,41 @@
 #[case::second_event_cut("id: 1\ndata: a\n\nid: 2\nda", Err(BrokenOff::InsideEvent))]
 #[case::blank_line_missing("id: 1\ndata: a\n", Err(BrokenOff::InsideEvent))]
 #[case::comment_last("id: 1\n\n: end\n", Ok(()))]
-fn check_end_goes_by_events(#[case] text: &str, #[case] expected: Result<(), BrokenOff>) {
-    let mut progress = StreamProgress::new();
+fn check_end_goes_by_events(
+    #[case] text: &str,
+    #[case] expected: Result<(), BrokenOff>,
+    #[values(false, true)] is_end_framed: bool,
+    #[values(false, true)] continues: bool,
+) {
+    let mut progress = StreamProgress::new(is_end_framed, continues);
     progress.record(text.as_bytes());
     assert_eq!(progress.check_end(), expected);
 }
 
+#[rstest]
+#[case::until_close(false, false, Err(BrokenOff::NoEvent))]
+#[case::framed(true, false, Ok(()))]
+#[case::after_the_last_event(false, true, Ok(()))]
+fn check_end_without_bytes(
+    #[case] is_end_framed: bool,
+    #[case] continues: bool,
+    #[case] expected: Result<(), BrokenOff>,
+) {
+    assert_eq!(StreamProgress::new(is_end_framed, continues).check_end(), expected);
+}
+
 proptest! {
     #[test]
     fn check_end_finds_every_cut_inside_an_event(
         events in prop::collection::vec("[a-z]{0,8}", 1..6),
         cut in 0usize..128,
         piece in 1usize..16,
+        is_end_framed: bool,
     ) {
         let events: Vec<_> = events.iter().map(|data| format!("data: {data}\n\n")).collect();
         let text = events.concat();
         let cut = cut.min(text.len());
-        let mut progress = StreamProgress::new();
+        let mut progress = StreamProgress::new(is_end_framed, false);
         for bytes in text.as_bytes()[..cut].chunks(piece) {
             progress.record(bytes);
         }
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName};
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
@@ -55,6 +55,13 @@
     pub(crate) in_flight: InFlight<P>,
 }
 
+impl<P: Platform> OpenStream<P> {
+    /// Reports whether the framing shows the body's end, also if there is no body.
+    pub(crate) fn is_end_framed(&self) -> bool {
+        self.framing != Framing::UntilClose || self.response.body().is_end_stream()
+    }
+}
+
 /// An endpoint's answer.
 #[derive(Debug)]
 pub(crate) enum Answered<P: Platform> {
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -67,7 +67,9 @@
     let is_resumable = exchange.plan.route.repeatable == Repeatable::FromLastEvent;
     let mut events = is_resumable.then(|| EventSplitter::new(exchange.plan.head.last_event));
     loop {
-        let received = StreamProgress::new();
+        let last = events.as_ref().and_then(EventSplitter::last);
+        let continues = last.or(exchange.plan.head.last_event).is_some();
+        let received = StreamProgress::new(stream.is_end_framed(), continues);
         let mut progress = PartProgress { received, sent_bytes: 0 };
         let end = forward_part(&exchange, &mut stream, &mut events, &mut progress, &tx).await;
         record_part_end(&exchange, &stream, &progress, end);
@@ -195,6 +197,7 @@
     match received.check_end() {
         Ok(()) => PartEnd::Complete,
         Err(BrokenOff::InsideEvent) => PartEnd::Broken("partial_event"),
+        Err(BrokenOff::NoEvent) => PartEnd::Broken("no_event"),
     }
 }
 
