gateway: an answer of another type on a stream's route ends as its framing says

An endpoint that answers a request on a route for streams with 200 and a JSON body had it broken off: on resumable routes ever since, as an event without an end, and on all routes since broken-off events count everywhere. Only answers that state text/event-stream, or no type, are held to events. Failed before on six cases of answer_of_another_type_on_a_stream_route_is_delivered.

--- a/crates/persimmon_decide/src/forward/stream_progress.rs
+++ b/crates/persimmon_decide/src/forward/stream_progress.rs
@@ -22,7 +22,8 @@
 /// stream counts as proper only where its events end, whether or not the stream can be resumed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StreamProgress {
-    position: EventPosition,
+    /// Position relative to events; none if the answer has none, so that only its framing counts.
+    position: Option<EventPosition>,
     /// Whether the answer's framing shows its end.
     is_end_framed: bool,
     /// Whether the part may be empty, since it continues after events that the caller has.
@@ -31,16 +32,19 @@
 }
 
 impl StreamProgress {
-    /// Creates the progress of a part of which nothing has arrived. `is_end_framed` says whether a
-    /// length or a last chunk shows the part's end, and `continues` whether it starts after events
-    /// that the caller has.
-    pub fn new(is_end_framed: bool, continues: bool) -> Self {
-        Self { position: EventPosition::default(), is_end_framed, continues, bytes: 0 }
+    /// Creates the progress of a part of which nothing has arrived. `has_events` says whether the
+    /// answer consists of events, `is_end_framed` whether a length or a last chunk shows the part's
+    /// end, and `continues` whether it starts after events that the caller has.
+    pub fn new(has_events: bool, is_end_framed: bool, continues: bool) -> Self {
+        let position = has_events.then(EventPosition::default);
+        Self { position, is_end_framed, continues, bytes: 0 }
     }
 
     /// Records bytes from the endpoint.
     pub fn record(&mut self, bytes: &[u8]) {
-        self.position.advance(bytes);
+        if let Some(position) = &mut self.position {
+            position.advance(bytes);
+        }
         self.bytes += bytes.len() as u64;
     }
 
@@ -51,7 +55,7 @@
 
     /// Reports whether the last byte lies inside an event.
     pub fn is_inside_event(&self) -> bool {
-        !self.position.is_between_events()
+        self.position.is_some_and(|it| !it.is_between_events())
     }
 
     /// Checks whether the stream is complete if the part ends here.
--- a/crates/persimmon_decide/tests/forward_stream_progress.rs
+++ b/crates/persimmon_decide/tests/forward_stream_progress.rs
@@ -15,7 +15,7 @@
     #[values(false, true)] is_end_framed: bool,
     #[values(false, true)] continues: bool,
 ) {
-    let mut progress = StreamProgress::new(is_end_framed, continues);
+    let mut progress = StreamProgress::new(true, is_end_framed, continues);
     progress.record(text.as_bytes());
     assert_eq!(progress.check_end(), expected);
 }
@@ -29,7 +29,14 @@
     #[case] continues: bool,
     #[case] expected: Result<(), BrokenOff>,
 ) {
-    assert_eq!(StreamProgress::new(is_end_framed, continues).check_end(), expected);
+    assert_eq!(StreamProgress::new(true, is_end_framed, continues).check_end(), expected);
+}
+
+#[test]
+fn check_end_without_events_goes_by_framing() {
+    let mut progress = StreamProgress::new(false, false, false);
+    progress.record(b"{\"done\":true}");
+    assert_eq!(progress.check_end(), Ok(()));
 }
 
 proptest! {
@@ -43,7 +50,7 @@
         let events: Vec<_> = events.iter().map(|data| format!("data: {data}\n\n")).collect();
         let text = events.concat();
         let cut = cut.min(text.len());
-        let mut progress = StreamProgress::new(is_end_framed, false);
+        let mut progress = StreamProgress::new(true, is_end_framed, false);
         for bytes in text.as_bytes()[..cut].chunks(piece) {
             progress.record(bytes);
         }
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use persimmon_decide::forward::{AttemptOutcome, Choice, Endpoint, Repeatable};
 
@@ -21,6 +21,8 @@
 /// Maximum size of an answer that is buffered before it is forwarded, in bytes. If a buffered
 /// answer is cut off, the request can still be retried.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
+/// Media type of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Timeout for the connection that checks an endpoint after another one broke, in milliseconds: a
 /// few round trips between zones. After it, the endpoint counts as unreachable.
 const RECONNECT_TIMEOUT_MS: u64 = 30;
@@ -272,7 +274,8 @@
         }
         if status.is_success() && self.plan.route.is_stream {
             let framing = Framing::of(response.headers());
-            let stream = OpenStream { response, framing, connection, in_flight };
+            let has_events = has_events(response.headers());
+            let stream = OpenStream { response, framing, has_events, connection, in_flight };
             return Ok(Answered::Stream(Box::new(stream)));
         }
         self.read_complete_answer(response, connection, in_flight).await
@@ -343,3 +346,10 @@
         }
     }
 }
+
+/// Reports whether an answer on a route for streams consists of server-sent events.
+fn has_events(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(CONTENT_TYPE) else { return true };
+    let media_type = value.as_bytes().split(|byte| *byte == b';').next().unwrap_or_default();
+    media_type.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+}
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -65,11 +65,13 @@
     tx: mpsc::Sender<Result<Bytes, TruncatedAnswer>>,
 ) {
     let is_resumable = exchange.plan.route.repeatable == Repeatable::FromLastEvent;
-    let mut events = is_resumable.then(|| EventSplitter::new(exchange.plan.head.last_event));
+    let has_events = stream.has_events;
+    let mut events =
+        (is_resumable && has_events).then(|| EventSplitter::new(exchange.plan.head.last_event));
     loop {
         let last = events.as_ref().and_then(EventSplitter::last);
         let continues = last.or(exchange.plan.head.last_event).is_some();
-        let received = StreamProgress::new(stream.is_end_framed(), continues);
+        let received = StreamProgress::new(has_events, stream.is_end_framed(), continues);
         let mut progress = PartProgress { received, sent_bytes: 0 };
         let end = forward_part(&exchange, &mut stream, &mut events, &mut progress, &tx).await;
         record_part_end(&exchange, &stream, &progress, end);
--- a/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
@@ -61,7 +61,7 @@
 }
 
 fn body(framing: BodyFraming, body: &str, sent_bytes: usize, end: BodyEnd) -> Behaviour {
-    Behaviour::Body { framing, body: body.to_owned(), sent_bytes, end }
+    Behaviour::Body { headers: "", framing, body: body.to_owned(), sent_bytes, end }
 }
 
 #[rstest]
@@ -181,3 +181,26 @@
     }
     fixture.deployment.close();
 }
+
+/// An answer without events on a route for streams ends as its framing says.
+#[rstest]
+#[case::length(BodyFraming::Length)]
+#[case::chunked(BodyFraming::Chunked)]
+#[case::until_close(BodyFraming::UntilClose)]
+fn answer_of_another_type_on_a_stream_route_is_delivered(
+    #[case] framing: BodyFraming,
+    #[values("/chat/x", "/draft/x")] path: &str,
+) {
+    const JSON: &str = "{\"done\":true}";
+    let fixture = Fixture::start();
+    fixture.set_behaviours(&Behaviour::Body {
+        headers: "Content-Type: application/json\r\n",
+        framing,
+        body: JSON.to_owned(),
+        sent_bytes: JSON.len(),
+        end: BodyEnd::Framed,
+    });
+    let answer = fixture.call(path, "request-1");
+    assert_eq!((answer.status, &*answer.body, answer.is_complete), (200, JSON, true));
+    fixture.deployment.close();
+}
