gateway: refuse answers with a transfer coding other than chunked

An answer with Transfer-Encoding: gzip reached its caller still coded, without the header, and framed as complete: the HTTP library reads such a body to the end of the connection, or of the chunks, and the header concerns one connection only. The attempt fails as unsupported_coding now. Failed before, 200 for 502: four cases of answer_with_another_transfer_coding_is_a_failure.

--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -272,24 +272,26 @@
         if status.is_success() && (!is_signed || headers.contains_key(CONTENT_ENCODING)) {
             return Err(FailedAttempt::new(AttemptOutcome::Unknown, "unsigned"));
         }
+        let Ok(framing) = Framing::of(response.headers()) else {
+            return Err(FailedAttempt::new(AttemptOutcome::Unknown, "unsupported_coding"));
+        };
         if status.is_success() && self.plan.route.is_stream {
-            let framing = Framing::of(response.headers());
             let has_events = has_events(response.headers());
             let stream = OpenStream { response, framing, has_events, connection, in_flight };
             return Ok(Answered::Stream(Box::new(stream)));
         }
-        self.read_complete_answer(response, connection, in_flight).await
+        self.read_complete_answer(response, framing, connection, in_flight).await
     }
 
     /// Reads an answer completely before it is forwarded. Fails if the endpoint reports an error.
     async fn read_complete_answer(
         &self,
         response: Response<Incoming>,
+        framing: Framing,
         connection: Connection,
         in_flight: InFlight<P>,
     ) -> Result<Answered<P>, FailedAttempt> {
         let keep_alive_s = keep_alive_timeout_s(response.headers());
-        let framing = Framing::of(response.headers());
         let (parts, body) = response.into_parts();
         let deadline = self.gw.clock.instant(self.plan.deadline).into();
         let reading = Limited::new(body, MAX_BUFFERED_BYTES).collect();
--- a/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
@@ -204,3 +204,22 @@
     assert_eq!((answer.status, &*answer.body, answer.is_complete), (200, JSON, true));
     fixture.deployment.close();
 }
+
+/// The body as forwarded would not be the endpoint's, since the coding applies to one connection.
+#[rstest]
+#[case::coding_and_chunks("Transfer-Encoding: gzip, chunked\r\n")]
+#[case::coding_alone("Transfer-Encoding: gzip\r\n")]
+fn answer_with_another_transfer_coding_is_a_failure(
+    #[case] headers: &'static str,
+    #[values("/commit/x", "/chat/x")] path: &str,
+) {
+    let fixture = Fixture::start();
+    // Chunked by hand, since the stand-in would add its own header.
+    let body = format!("{:x}\r\n{EVENTS}\r\n0\r\n\r\n", EVENTS.len());
+    let (framing, sent_bytes) = (BodyFraming::UntilClose, body.len());
+    let end = BodyEnd::Closed;
+    fixture.set_behaviours(&Behaviour::Body { headers, framing, body, sent_bytes, end });
+    let answer = fixture.call(path, "request-1");
+    assert_eq!(answer.status, 502, "{answer:?}");
+    fixture.deployment.close();
+}
