gateway: reset a caller's connection when an answer without framing breaks off

To an HTTP/1.0 caller a stream has neither a length nor chunks and ends with its connection. One that broke off closed the connection in order, so it looked complete, as it did when the gateway itself was killed, since the kernel closes its sockets in order. The socket is now set to be reset from the start of such an answer until the HTTP library shuts it down, which it does only once everything is sent.

--- a/crates/persimmon_gateway/src/body.rs
+++ b/crates/persimmon_gateway/src/body.rs
@@ -56,6 +56,11 @@
         Self { content: Content::Stream { rx, _relay: AbortOnDrop(relay) }, connection: None }
     }
 
+    /// Reports whether the body is a stream of unknown length.
+    pub(crate) fn is_stream(&self) -> bool {
+        matches!(self.content, Content::Stream { .. })
+    }
+
     /// Sets the caller's connection, which is marked idle when the body is dropped.
     pub(crate) fn with_connection(mut self, connection: Rc<CallerConnection>) -> Self {
         self.connection = Some(connection);
--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -8,11 +8,13 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use hyper::Version;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use persimmon_decide::MonoMs;
 use slotmap::{SlotMap, new_key_type};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -54,6 +56,8 @@
     head_since: Cell<Option<MonoMs>>,
     is_busy: Cell<bool>,
     is_closing: Cell<bool>,
+    /// Whether the answer in progress ends with the connection.
+    is_until_close: Cell<bool>,
     stop: Notify,
 }
 
@@ -65,6 +69,7 @@
             head_since: Cell::new(None),
             is_busy: Cell::new(false),
             is_closing: Cell::new(false),
+            is_until_close: Cell::new(false),
             stop: Notify::new(),
         }
     }
@@ -107,10 +112,31 @@
 }
 
 /// A caller's socket that records the arrival of bytes.
+///
+/// An answer that ends with the connection looks complete whenever the connection closes in order,
+/// which the kernel does also for a process that is killed. So from the start of such an answer the
+/// socket is set to be reset, until all of it has been sent.
 #[derive(Debug)]
 struct CallerStream {
     stream: TcpStream,
     connection: Rc<CallerConnection>,
+    /// Whether closing the socket resets the connection.
+    resets_on_close: bool,
+}
+
+impl CallerStream {
+    fn new(stream: TcpStream, connection: Rc<CallerConnection>) -> Self {
+        Self { stream, connection, resets_on_close: false }
+    }
+
+    fn set_resets_on_close(&mut self, resets_on_close: bool) -> io::Result<()> {
+        if self.resets_on_close != resets_on_close {
+            let linger = resets_on_close.then_some(Duration::ZERO);
+            SockRef::from(&self.stream).set_linger(linger)?;
+            self.resets_on_close = resets_on_close;
+        }
+        Ok(())
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -134,6 +160,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let is_until_close = self.connection.is_until_close.get();
+        self.set_resets_on_close(is_until_close)?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -141,7 +169,9 @@
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
+    /// Closes the connection in order; the HTTP library does so only after a complete answer.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.set_resets_on_close(false)?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
@@ -150,6 +180,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        let is_until_close = self.connection.is_until_close.get();
+        self.set_resets_on_close(is_until_close)?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -225,14 +257,17 @@
         Some(routes) => routes.limits.max_head_bytes,
         None => DEFAULT_HEAD_BYTES,
     };
-    let io = TokioIo::new(CallerStream { stream, connection: connection.clone() });
+    let io = TokioIo::new(CallerStream::new(stream, connection.clone()));
     let service = {
         let (gw, connection) = (gw.clone(), connection.clone());
         service_fn(move |req| {
             let (gw, connection) = (gw.clone(), connection.clone());
             async move {
                 connection.record_head();
+                let version = req.version();
                 let response = answer(&gw, req).await;
+                let is_until_close = version < Version::HTTP_11 && response.body().is_stream();
+                connection.is_until_close.set(is_until_close);
                 Ok::<_, Infallible>(response.map(|body| body.with_connection(connection)))
             }
         })
--- a/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
@@ -54,6 +54,12 @@
         caller.with_key(KEY).with_deadline_ms(4_000).call("the body").unwrap()
     }
 
+    /// Calls as HTTP/1.0, where a stream has neither a length nor chunks.
+    fn call_http_1_0(&self, path: &str, id: &str) -> Answer {
+        let caller = self.deployment.caller(0).unwrap().request("POST", path, id).with_http_1_0();
+        caller.with_key(KEY).with_deadline_ms(4_000).call("the body").unwrap()
+    }
+
     fn set_behaviours(&self, behaviour: &Behaviour) {
         self.one.set_behaviour(behaviour.clone());
         self.two.set_behaviour(behaviour.clone());
@@ -223,3 +229,49 @@
     assert_eq!(answer.status, 502, "{answer:?}");
     fixture.deployment.close();
 }
+
+#[rstest]
+#[case::chunked(BodyFraming::Chunked)]
+#[case::until_close(BodyFraming::UntilClose)]
+fn broken_off_stream_doesnt_look_complete_over_http_1_0(
+    #[case] framing: BodyFraming,
+    #[values(BodyEnd::Closed, BodyEnd::Reset)] end: BodyEnd,
+) {
+    let fixture = Fixture::start();
+    fixture.set_behaviours(&body(framing, EVENTS, INSIDE_EVENT, end));
+    let answer = fixture.call_http_1_0("/chat/x", "request-1");
+    assert!(!answer.is_complete, "{answer:?}");
+    fixture.deployment.close();
+}
+
+#[rstest]
+#[case::chat("/chat/x")]
+#[case::draft("/draft/x")]
+fn whole_stream_is_complete_over_http_1_0(#[case] path: &str) {
+    let fixture = Fixture::start();
+    let events =
+        Behaviour::Stream { events: 200, pause: Duration::from_millis(1), cut_after: None };
+    fixture.set_behaviours(&events);
+    let answer = fixture.call_http_1_0(path, "request-1");
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(answer.body.matches("id: ").count(), 200);
+    fixture.deployment.close();
+}
+
+#[test]
+fn stream_of_a_killed_gateway_doesnt_look_complete_over_http_1_0() {
+    let mut fixture = Fixture::start();
+    fixture.set_behaviours(&Behaviour::Stream {
+        events: 10_000,
+        pause: Duration::from_millis(1),
+        cut_after: None,
+    });
+    let caller = fixture.deployment.caller(0).unwrap().request("POST", "/chat/x", "request-1");
+    let mut caller = caller.with_http_1_0().with_key(KEY).with_deadline_ms(4_000);
+    caller.send("the body").unwrap();
+    caller.wait_for("id: 3").unwrap();
+    fixture.deployment.kill(0).unwrap();
+    let ended = caller.read_to_close();
+    assert!(ended.is_err(), "the connection closed in order");
+    fixture.deployment.close();
+}
