gateway: a stream's body is complete only when its relaying task says so

The relaying task told a broken stream by an error in the channel to the body, and the closed channel counted as the proper end. A task that ends in any other way, by a panic or an abort, closed the channel too, and the caller got what there was as complete. Completing is now an act that consumes the sender, and all else breaks the answer off.

New tests of the body: with the closed channel taken for the end, as before, three of four cases fail (returned, panicked, aborted); they pass now.

--- a/crates/persimmon_gateway/src/answer.rs
+++ b/crates/persimmon_gateway/src/answer.rs
@@ -8,9 +8,8 @@
     UPGRADE,
 };
 use hyper::{Request, Response};
-use tokio::sync::mpsc;
 
-use crate::body::AnswerBody;
+use crate::body::{AnswerBody, piece_channel};
 use crate::exchange::{Answered, Exchange, KEEP_ALIVE, OpenStream, keep_alive_timeout_s};
 use crate::gateway::Gateway;
 use crate::head::RequestHead;
@@ -71,7 +70,7 @@
     let keep_alive_s = keep_alive_timeout_s(head.headers());
     // Another endpoint may continue the stream with a part of a different length.
     head.headers_mut().remove(CONTENT_LENGTH);
-    let (tx, rx) = mpsc::channel(MAX_QUEUED_PIECES);
+    let (tx, rx) = piece_channel(MAX_QUEUED_PIECES);
     let task = tokio::task::spawn_local(relay::relay(exchange, stream, keep_alive_s, tx));
     head.map(|()| AnswerBody::stream(rx, task.abort_handle()))
 }
--- a/crates/persimmon_gateway/src/body.rs
+++ b/crates/persimmon_gateway/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of responses to callers.
 
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -8,6 +9,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use thiserror::Error;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
 use tokio::task::AbortHandle;
 
 use crate::callers::CallerConnection;
@@ -18,6 +20,57 @@
 #[error("the answer is truncated: no endpoint could complete it")]
 pub(crate) struct TruncatedAnswer;
 
+/// The sending end of a stream's body. The answer counts as complete only after [`Self::complete`];
+/// a sender that is dropped before, for whatever reason, leaves a truncated answer.
+#[derive(Debug)]
+pub(crate) struct PieceSender {
+    tx: mpsc::Sender<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+impl PieceSender {
+    /// Sends a piece, waiting for room in the queue.
+    ///
+    /// # Errors
+    ///
+    /// The caller has stopped reading.
+    pub(crate) async fn send(&self, piece: Bytes) -> Result<(), SendError<Bytes>> {
+        self.tx.send(piece).await
+    }
+
+    /// Ends a complete answer.
+    pub(crate) fn complete(self) {
+        self.is_complete.set(true);
+    }
+}
+
+/// The receiving end of a stream's body.
+#[derive(Debug)]
+pub(crate) struct PieceReceiver {
+    rx: mpsc::Receiver<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+impl PieceReceiver {
+    fn poll(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
+        self.rx.poll_recv(cx).map(|piece| match piece {
+            Some(piece) => Some(Ok(Frame::data(piece))),
+            None if self.is_complete.get() => None,
+            None => Some(Err(TruncatedAnswer)),
+        })
+    }
+}
+
+/// Creates the two ends of a stream's body, with at most `max_pieces` queued.
+pub(crate) fn piece_channel(max_pieces: usize) -> (PieceSender, PieceReceiver) {
+    let (tx, rx) = mpsc::channel(max_pieces);
+    let is_complete = Rc::new(Cell::new(false));
+    (PieceSender { tx, is_complete: is_complete.clone() }, PieceReceiver { rx, is_complete })
+}
+
 /// Aborts a task when dropped.
 #[derive(Debug)]
 pub(crate) struct AbortOnDrop(pub(crate) AbortHandle);
@@ -31,7 +84,7 @@
 #[derive(Debug)]
 enum Content {
     Complete(Option<Bytes>),
-    Stream { rx: mpsc::Receiver<Result<Bytes, TruncatedAnswer>>, _relay: AbortOnDrop },
+    Stream { rx: PieceReceiver, _relay: AbortOnDrop },
 }
 
 /// A complete answer, or one that arrives in pieces.
@@ -49,10 +102,7 @@
     }
 
     /// Creates a body from the pieces that the task `relay` sends to the channel.
-    pub(crate) fn stream(
-        rx: mpsc::Receiver<Result<Bytes, TruncatedAnswer>>,
-        relay: AbortHandle,
-    ) -> Self {
+    pub(crate) fn stream(rx: PieceReceiver, relay: AbortHandle) -> Self {
         Self { content: Content::Stream { rx, _relay: AbortOnDrop(relay) }, connection: None }
     }
 
@@ -89,9 +139,7 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Content::Stream { rx, .. } => {
-                rx.poll_recv(cx).map(|piece| piece.map(|piece| piece.map(Frame::data)))
-            }
+            Content::Stream { rx, .. } => rx.poll(cx),
         }
     }
 
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -4,6 +4,8 @@
 
 mod answer;
 mod body;
+#[cfg(test)]
+mod body_tests;
 mod callers;
 mod control;
 mod events;
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -5,9 +5,8 @@
 use hyper::body::Incoming;
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{AttemptOutcome, BrokenOff, NextStep, Repeatable, StreamProgress};
-use tokio::sync::mpsc;
 
-use crate::body::TruncatedAnswer;
+use crate::body::PieceSender;
 use crate::events::EventSplitter;
 use crate::exchange::{Answered, Exchange, OpenStream, keep_alive_timeout_s};
 use crate::platform::Platform;
@@ -56,13 +55,13 @@
     sent_bytes: u64,
 }
 
-/// Relays a stream to its end. If the stream can't be completed, the caller sees that it is
-/// truncated.
+/// Relays a stream to its end. If it returns without completing `tx`, the caller sees that the
+/// answer is truncated.
 pub(crate) async fn relay<P: Platform>(
     mut exchange: Exchange<P>,
     mut stream: OpenStream<P>,
     mut keep_alive_s: Option<u64>,
-    tx: mpsc::Sender<Result<Bytes, TruncatedAnswer>>,
+    tx: PieceSender,
 ) {
     let is_resumable = exchange.plan.route.repeatable == Repeatable::FromLastEvent;
     let has_events = stream.has_events;
@@ -78,16 +77,14 @@
         let endpoint = stream.in_flight.endpoint.clone();
         match end {
             PartEnd::Complete => {
+                tx.complete();
                 exchange.record_success(&stream.in_flight);
                 exchange.gw.upstream.put_idle(endpoint.hash, stream.connection, keep_alive_s);
                 exchange.record_end("answered");
                 return;
             }
             PartEnd::CallerGone => return exchange.record_cut("caller_gone"),
-            PartEnd::Deadline => {
-                exchange.record_cut("timed_out");
-                break;
-            }
+            PartEnd::Deadline => return exchange.record_cut("timed_out"),
             PartEnd::Broken(why) => {
                 // Closes the connection, so that the endpoint stops processing the request.
                 drop(stream);
@@ -100,8 +97,7 @@
                     events.last()
                 });
                 if step != NextStep::Retry || events.is_none() {
-                    exchange.record_cut("stream_cut");
-                    break;
+                    return exchange.record_cut("stream_cut");
                 }
                 let broke_at = exchange.gw.clock.now();
                 match exchange.open(last).await {
@@ -110,16 +106,13 @@
                         log_resumed(&exchange, &stream, last, broke_at);
                     }
                     Ok(Answered::Complete(_)) | Err(_) => {
-                        exchange.record_cut("stream_cut");
-                        break;
+                        return exchange.record_cut("stream_cut");
                     }
                 }
                 keep_alive_s = keep_alive_timeout_s(stream.response.headers());
             }
         }
     }
-    // Shows the caller that the answer is truncated; an error means that the caller is gone.
-    let _ = tx.send(Err(TruncatedAnswer)).await;
 }
 
 /// Counts and logs how an endpoint's part of a stream ended.
@@ -160,7 +153,7 @@
     stream: &mut OpenStream<P>,
     events: &mut Option<EventSplitter>,
     progress: &mut PartProgress,
-    tx: &mpsc::Sender<Result<Bytes, TruncatedAnswer>>,
+    tx: &PieceSender,
 ) -> PartEnd {
     loop {
         let piece = match next_piece(exchange, stream).await {
@@ -186,7 +179,7 @@
         }
         let deadline = exchange.gw.clock.instant(exchange.plan.deadline).into();
         let length = piece.len() as u64;
-        match tokio::time::timeout_at(deadline, tx.send(Ok(piece))).await {
+        match tokio::time::timeout_at(deadline, tx.send(piece)).await {
             Ok(Ok(())) => progress.sent_bytes += length,
             Ok(Err(_)) => return PartEnd::CallerGone,
             Err(_) => return PartEnd::Deadline,
