sidecar: a truncated answer of an engine, a service or the platform is an error

A service whose connection closed in the middle of its answer had the half recorded in the ledger as the call's result, and it was given to the caller with status 200, and again to whoever asked later. A status line cut to HTTP/1.1 40 counted as a refusal (told not run), an order's answer by its status line alone, and half of a model's weights as all of them.

Cause: minreq takes the end of the connection for the end of the body in every framing, a stated length and chunks included, and tells nobody.

Evidence: call_with_truncated_answer_has_unknown_outcome on the code before, with a connection that the client asks to be closed: 2 of 2 cases fail (200 with half a body).

The sidecar's requests go through a small blocking client on hyper, which is linked already and reports each of these. An answer with neither a length nor chunks may still end with its connection; a service's must then at least be whole JSON.

--- a/crates/persimmon_standins/src/http.rs
+++ b/crates/persimmon_standins/src/http.rs
@@ -138,6 +138,21 @@
         let _ = self.0.respond(Response::empty(status));
     }
 
+    /// Sends the first half of an answer. The connection then closes if the client asked for that.
+    pub(crate) fn reply_truncated<T: Serialize>(self, value: &T, is_chunked: bool) {
+        let body = serde_json::to_string(value).unwrap_or_default();
+        let (half, _) = body.split_at(body.len() / 2);
+        let answer = if is_chunked {
+            let length = half.len();
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{length:x}\r\n{half}\r\n")
+        } else {
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", body.len())
+        };
+        let mut out = self.0.into_writer();
+        // Ignores the error, because it means that the client has disconnected.
+        let _ = out.write_all(answer.as_bytes()).and_then(|()| out.flush());
+    }
+
     /// Refuses the call with a `Retry-After` header.
     pub(crate) fn reply_retry_after(self, status: u16, seconds: u64) {
         let mut response = Response::empty(status);
--- a/crates/persimmon_standins/src/service.rs
+++ b/crates/persimmon_standins/src/service.rs
@@ -31,6 +31,11 @@
     Freeze,
     /// Refusal of each call with a 500 before it runs.
     Fail,
+    /// Truncated answers to calls that run: the connection closes in the middle of the body.
+    Truncate {
+        /// Whether the body is chunked; otherwise its length is stated.
+        chunked: bool,
+    },
 }
 
 /// Counts of the calls that the service received.
@@ -149,7 +154,10 @@
         if let ServiceSwitch::Slow { delay_ms } = switch {
             thread::sleep(Duration::from_millis(delay_ms));
         }
-        call.reply_json(200, &confirmation);
+        match switch {
+            ServiceSwitch::Truncate { chunked } => call.reply_truncated(&confirmation, chunked),
+            _ => call.reply_json(200, &confirmation),
+        }
     }
 }
 
--- a/crates/persimmonmountd/src/common/mod.rs
+++ b/crates/persimmonmountd/src/common/mod.rs
@@ -1,6 +1,9 @@
 //! Modules that both roles use: settings, logging, tracing, metrics, operator pages, the peer
 //! server, and the state of the fleet.
 
+mod http_client;
+#[cfg(test)]
+mod http_client_tests;
 mod inputs;
 mod keeper;
 mod limits;
@@ -15,6 +18,7 @@
 mod status;
 mod trace_context;
 
+pub(crate) use http_client::{HttpAnswer, HttpError, HttpRequest};
 pub(crate) use inputs::{Input, ask, next_input};
 pub(crate) use keeper::{
     FleetChange, FleetCommand, FleetState, NoSidecar, NodeCalls, ProcessRun, SidecarHandle,
--- a/crates/persimmonmountd/src/common/platform.rs
+++ b/crates/persimmonmountd/src/common/platform.rs
@@ -1,7 +1,7 @@
 //! Read-only HTTP client for the platform's configuration service.
 
-use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use thiserror::Error;
@@ -9,11 +9,13 @@
 use persimmon_decide::membership::VmList;
 use persimmon_records::ModelName;
 
-use super::Metrics;
+use super::{HttpError, HttpRequest, Metrics};
 
 /// Time allowed for an answer in addition to the requested wait, in seconds.
 const ANSWER_TIMEOUT_S: u64 = 3;
 
+/// Maximum length of an answer, in bytes: that of a value of 1 MB with each character escaped.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Timeout of reading a model's weights, in seconds.
 const WEIGHTS_TIMEOUT_S: u64 = 300;
 /// Retry delay if the weight store throttles a read without a `Retry-After` header, in
@@ -25,7 +27,7 @@
 pub(crate) enum PlatformError {
     /// The platform didn't answer, or its answer couldn't be read.
     #[error("the platform doesn't answer ({0}); the current records stay in force")]
-    Unreachable(#[from] minreq::Error),
+    Unreachable(#[from] HttpError),
     /// The platform refused the read with this HTTP status.
     #[error("the platform answered with status {0}; check the service and the key's name")]
     Status(u16),
@@ -105,19 +107,16 @@
     }
 
     fn request_weights(&self, model: &ModelName) -> Result<WeightsRead, PlatformError> {
-        let url = format!("http://{}/v1/weights/{model}", self.address);
-        let mut response = minreq::get(url).with_timeout(WEIGHTS_TIMEOUT_S).send_lazy()?;
-        match response.status_code {
+        let path = format!("/v1/weights/{model}");
+        let timeout = Duration::from_secs(WEIGHTS_TIMEOUT_S);
+        let answer = HttpRequest::get(self.address, &path, timeout).send()?;
+        match answer.status().as_u16() {
             200 => {
-                io::copy(&mut response, &mut io::sink()).map_err(minreq::Error::IoError)?;
+                answer.discard()?;
                 Ok(WeightsRead::Whole)
             }
             429 => {
-                let after_s = response
-                    .headers
-                    .iter()
-                    .find(|(name, _)| name.eq_ignore_ascii_case("retry-after"))
-                    .and_then(|(_, text)| text.parse().ok());
+                let after_s = answer.header("retry-after").and_then(|text| text.parse().ok());
                 let retry_after_ms =
                     after_s.map_or(DEFAULT_RETRY_AFTER_MS, |s: u64| s.saturating_mul(1_000));
                 Ok(WeightsRead::Throttled { retry_after_ms })
@@ -147,11 +146,10 @@
         path: &str,
         wait_ms: u64,
     ) -> Result<Option<T>, PlatformError> {
-        let url = format!("http://{}{path}", self.address);
-        let timeout_s = ANSWER_TIMEOUT_S + wait_ms.div_ceil(1_000);
-        let response = minreq::get(url).with_timeout(timeout_s).send()?;
-        match response.status_code {
-            200 => Ok(Some(response.json()?)),
+        let timeout = Duration::from_secs(ANSWER_TIMEOUT_S + wait_ms.div_ceil(1_000));
+        let answer = HttpRequest::get(self.address, path, timeout).send()?;
+        match answer.status().as_u16() {
+            200 => Ok(Some(answer.json(MAX_ANSWER_BYTES)?)),
             204 | 404 => Ok(None),
             status => Err(PlatformError::Status(status)),
         }
--- a/crates/persimmonmountd/src/sidecar/engine.rs
+++ b/crates/persimmonmountd/src/sidecar/engine.rs
@@ -14,6 +14,7 @@
 use thiserror::Error;
 
 use super::command::Command;
+use crate::common::{HttpAnswer, HttpError, HttpRequest};
 
 /// Maximum number of lines that an engine thread has sent and the control thread hasn't handled.
 pub(crate) const MAX_LINES_IN_FLIGHT: usize = 32;
@@ -21,6 +22,8 @@
 const MAX_LINE_BYTES: u64 = 64 * 1024;
 /// Timeout of a cancellation, in seconds.
 const CANCEL_TIMEOUT_S: u64 = 5;
+/// Maximum length of an answer that isn't streamed, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
 /// Timeout of a health check, in seconds.
 const HEALTH_TIMEOUT_S: u64 = 1;
 /// Interval between health checks.
@@ -111,8 +114,9 @@
 
 /// Returns the engine's incarnation, or `None` if the engine doesn't respond.
 fn engine_incarnation(address: SocketAddr) -> Option<u64> {
-    let request = minreq::get(format!("http://{address}/v1/health")).with_timeout(HEALTH_TIMEOUT_S);
-    let health: Health = request.send().ok()?.json().ok()?;
+    let timeout = Duration::from_secs(HEALTH_TIMEOUT_S);
+    let answer = HttpRequest::get(address, "/v1/health", timeout).send().ok()?;
+    let health: Health = answer.json(MAX_ANSWER_BYTES).ok()?;
     Some(health.incarnation)
 }
 
@@ -198,10 +202,10 @@
 
 fn send_cancellations(address: SocketAddr, rx: &Receiver<String>) {
     for request_id in rx {
-        let request = minreq::post(format!("http://{address}/v1/cancel"))
-            .with_timeout(CANCEL_TIMEOUT_S)
-            .with_json(&CancelBody { request_id });
-        if let Err(err) = request.and_then(minreq::Request::send) {
+        let timeout = Duration::from_secs(CANCEL_TIMEOUT_S);
+        let body = CancelBody { request_id };
+        let request = HttpRequest::post(address, "/v1/cancel", &body, timeout);
+        if let Err(err) = request.and_then(HttpRequest::send).and_then(HttpAnswer::discard) {
             tracing::warn!("engine: cancellation failed: {err}.");
         }
     }
@@ -209,26 +213,21 @@
 
 /// Runs a request and sends its lines to the control thread. Returns the final update.
 fn generate(address: SocketAddr, run: &EngineRun, commands: &Sender<Command>) -> EngineUpdate {
-    let request = minreq::post(format!("http://{address}/v1/generate"))
-        .with_timeout(run.timeout_s)
-        // A request that follows a redirect might run twice.
-        .with_follow_redirects(false)
-        .with_header("traceparent", run.traceparent.as_str())
-        .with_json(&run.body);
-    let response = match request.and_then(minreq::Request::send_lazy) {
-        Ok(response) => response,
+    let timeout = Duration::from_secs(run.timeout_s);
+    let request = HttpRequest::post(address, "/v1/generate", &run.body, timeout);
+    let sent = request.and_then(|it| it.with_traceparent(run.traceparent.clone()).send());
+    let answer = match sent {
+        Ok(answer) => answer,
         Err(err) => return EngineUpdate::Failed(failure_before_answer(address, &err)),
     };
-    let status = response.status_code;
-    if has_no_response(status, &response.headers) {
-        return EngineUpdate::Failed(EngineFailure::Interrupted {
-            incarnation: engine_incarnation(address),
-        });
-    }
+    let status = answer.status().as_u16();
     if status != 200 {
-        return EngineUpdate::Failed(EngineFailure::Refused(status));
+        return EngineUpdate::Failed(match answer.discard() {
+            Ok(()) => EngineFailure::Refused(status),
+            Err(_) => EngineFailure::Interrupted { incarnation: engine_incarnation(address) },
+        });
     }
-    match read_lines(BufReader::new(response), run, commands) {
+    match read_lines(BufReader::new(answer), run, commands) {
         Some(update) => update,
         None => EngineUpdate::Failed(EngineFailure::Interrupted {
             incarnation: engine_incarnation(address),
@@ -236,22 +235,13 @@
     }
 }
 
-/// Reports whether the engine closed the connection before it responded. `minreq` then returns a
-/// 503 without headers, which doesn't mean that the engine refused the request.
-fn has_no_response(status: u16, headers: &[(String, String)]) -> bool {
-    status == 503 && headers.is_empty()
-}
-
-/// Classifies an error before the answer. Only a refused connection or an unknown address proves
-/// that the engine didn't receive the request; after other errors it may have run.
-fn failure_before_answer(address: SocketAddr, err: &minreq::Error) -> EngineFailure {
-    match err {
-        minreq::Error::IoError(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            EngineFailure::NotSent
-        }
-        minreq::Error::AddressNotFound => EngineFailure::NotSent,
-        _ => EngineFailure::Interrupted { incarnation: engine_incarnation(address) },
+/// Classifies an error before the answer. Only a refused connection proves that the engine didn't
+/// receive the request; after other errors it may have run.
+fn failure_before_answer(address: SocketAddr, err: &HttpError) -> EngineFailure {
+    if err.is_refused() {
+        return EngineFailure::NotSent;
     }
+    EngineFailure::Interrupted { incarnation: engine_incarnation(address) }
 }
 
 /// Sends the lines of an answer to the control thread. Returns the final update, or `None` if the
--- a/crates/persimmonmountd/src/sidecar/order_sender.rs
+++ b/crates/persimmonmountd/src/sidecar/order_sender.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::thread;
+use std::time::Duration;
 
 use flume::{Receiver, Sender, TrySendError};
 use persimmon_decide::orders::{Dispatch, Fence, Order, OrderReply, OrderSettings};
@@ -9,7 +10,7 @@
 use serde::Serialize;
 
 use super::command::Command;
-use crate::common::{Clock, Platform, WeightsRead};
+use crate::common::{Clock, HttpAnswer, HttpError, HttpRequest, Platform, WeightsRead};
 
 /// Maximum number of queued jobs.
 const MAX_WAITING_JOBS: usize = 4;
@@ -126,13 +127,12 @@
     /// and reading the answer.
     fn send(&self, dispatch: &Dispatch) -> OrderReply {
         let body = OrderBody { fence: dispatch.fence, order: &dispatch.order };
-        let request = minreq::post(format!("http://{}/v1/orders", self.engine))
-            .with_timeout(self.timeout_s)
-            .with_json(&body);
+        let timeout = Duration::from_secs(self.timeout_s);
+        let request = HttpRequest::post(self.engine, "/v1/orders", &body, timeout);
         if !dispatch.may_send(self.clock.now()) {
             return OrderReply::Unknown;
         }
-        match request.and_then(minreq::Request::send).map(|response| response.status_code) {
+        match request.and_then(HttpRequest::send).and_then(read_status) {
             Ok(200) => OrderReply::Done,
             Ok(409) => OrderReply::StaleFence,
             Ok(status) => {
@@ -146,3 +146,10 @@
         }
     }
 }
+
+/// Reads an answer to its end and returns its status. An order counts as answered only then.
+fn read_status(answer: HttpAnswer) -> Result<u16, HttpError> {
+    let status = answer.status().as_u16();
+    answer.discard()?;
+    Ok(status)
+}
--- a/crates/persimmonmountd/src/sidecar/service.rs
+++ b/crates/persimmonmountd/src/sidecar/service.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use flume::Sender;
 use persimmon_decide::outcome::{Answer, LedgerKey};
 use serde::Serialize;
+use serde::de::IgnoredAny;
 use serde_json::value::RawValue;
 
 use super::command::Command;
-use crate::common::TraceContext;
+use crate::common::{HttpError, HttpRequest, TraceContext};
 
 /// Maximum length of a service's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 256 * 1024;
@@ -87,31 +89,27 @@
 }
 
 fn call(address: SocketAddr, run: &ServiceRun) -> ServiceResult {
-    let request = minreq::post(format!("http://{address}/v1/calls"))
-        .with_timeout(run.timeout_s)
-        // A call that follows a redirect might run twice.
-        .with_follow_redirects(false)
-        .with_header("traceparent", run.trace.child().to_string())
-        .with_json(&run.body);
-    match request.and_then(minreq::Request::send) {
-        Ok(response) => answered(&response),
-        Err(minreq::Error::IoError(io)) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            ServiceResult::NotSent
-        }
+    match read_answer(address, run) {
+        Ok(result) => result,
+        Err(err) if err.is_refused() => ServiceResult::NotSent,
         Err(err) => {
             ServiceResult::Unknown(format!("the service's answer could not be read: {err}"))
         }
     }
 }
 
-fn answered(response: &minreq::Response) -> ServiceResult {
-    let status = response.status_code;
-    let body = response.as_bytes();
-    if body.len() > MAX_ANSWER_BYTES {
-        return ServiceResult::Unknown("the service's answer is too long to record".into());
-    }
+fn read_answer(address: SocketAddr, run: &ServiceRun) -> Result<ServiceResult, HttpError> {
+    let timeout = Duration::from_secs(run.timeout_s);
+    let request = HttpRequest::post(address, "/v1/calls", &run.body, timeout)?;
+    let answer = request.with_traceparent(run.trace.child().to_string()).send()?;
+    let (status, is_end_framed) = (answer.status().as_u16(), answer.is_end_framed());
+    let body = answer.read_complete(MAX_ANSWER_BYTES)?;
     if status >= 500 {
-        return ServiceResult::Unknown(format!("the service failed with status {status}"));
+        return Ok(ServiceResult::Unknown(format!("the service failed with status {status}")));
+    }
+    // A service that crashes closes its connection like one that has sent everything.
+    if !is_end_framed {
+        serde_json::from_slice::<IgnoredAny>(&body)?;
     }
-    ServiceResult::Answered(Answer { status, body: Arc::from(body) })
+    Ok(ServiceResult::Answered(Answer { status, body: Arc::from(body) }))
 }
--- a/crates/persimmonmountd/tests/process_at_most_once.rs
+++ b/crates/persimmonmountd/tests/process_at_most_once.rs
@@ -95,6 +95,22 @@
     fleet.close();
 }
 
+/// A truncated answer must neither look like the call's result nor be recorded as such.
+#[rstest]
+#[case::length(false)]
+#[case::chunked(true)]
+fn call_with_truncated_answer_has_unknown_outcome(#[case] chunked: bool) {
+    let fleet = fleet(&["booking-1"]);
+    let claim = claim(&fleet, "router-1", "week-12");
+    fleet.services().for_each(|(_, service)| service.switch(ServiceSwitch::Truncate { chunked }));
+    for router in ["router-1", "router-2"] {
+        let reply = call(&fleet.caller(router).unwrap(), &claim, LONG_DEADLINE_MS).unwrap();
+        assert_eq!(outcome(&reply).0, "unknown", "{}", reply.body);
+    }
+    assert_eq!(runs(&fleet), 1);
+    fleet.close();
+}
+
 #[test]
 fn call_concurrently() {
     let fleet = fleet(&["booking-1", "booking-2"]);
