router: a stream whose exchange ended without a result is broken off

The exchange gives up on a caller that reads nothing for 30 s and closes its channel; a caller that then read on got what was queued and the last chunk, so that the response was framed as complete, without data: [DONE]. The renderer now sends an end after the exchange's result, whether the answer or a failure event, and a body that gets none breaks the connection off. Test: with the closed channel taken for the end, as before, stream_without_its_end_is_broken_off::case_2_renderer_gone fails.

--- a/crates/persimmonmountd/src/router/body.rs
+++ b/crates/persimmonmountd/src/router/body.rs
@@ -1,15 +1,16 @@
 //! The bodies of requests and responses.
 
-use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use flume::r#async::RecvStream;
 use futures::StreamExt;
-use futures::stream::Map;
-use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited, StreamBody};
-use hyper::body::{Bytes, Frame, Incoming};
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Bytes, Frame, Incoming};
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use thiserror::Error;
 use tokio::time::timeout;
 
 use super::failure::Failure;
@@ -21,10 +22,51 @@
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
 
-type Chunks = Map<RecvStream<'static, Bytes>, fn(Bytes) -> Result<Frame<Bytes>, Infallible>>;
+/// Error for a stream whose renderer ended without an end. It closes the caller's connection, so
+/// that the stream doesn't look complete.
+#[derive(Debug, Error)]
+#[error("the stream is truncated")]
+pub(crate) struct TruncatedStream;
 
-/// The body of a response: complete, or a stream of chunks.
-pub(crate) type Reply = Either<Full<Bytes>, StreamBody<Chunks>>;
+/// A part of a stream for a caller.
+#[derive(Debug)]
+pub(crate) enum StreamPart {
+    /// One or more events.
+    Events(Bytes),
+    /// The end. A stream without it is truncated.
+    End,
+}
+
+/// The body of a stream of events.
+#[derive(Debug)]
+pub(crate) struct EventBody {
+    parts: RecvStream<'static, StreamPart>,
+    has_ended: bool,
+}
+
+impl Body for EventBody {
+    type Data = Bytes;
+    type Error = TruncatedStream;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedStream>>> {
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        let part = ready!(self.parts.poll_next_unpin(cx));
+        self.has_ended = !matches!(part, Some(StreamPart::Events(_)));
+        Poll::Ready(match part {
+            Some(StreamPart::Events(events)) => Some(Ok(Frame::data(events))),
+            Some(StreamPart::End) => None,
+            None => Some(Err(TruncatedStream)),
+        })
+    }
+}
+
+/// The body of a response: complete, or a stream of events.
+pub(crate) type Reply = Either<Full<Bytes>, EventBody>;
 
 /// Reads a request's body.
 ///
@@ -70,10 +112,9 @@
     response
 }
 
-/// Returns a response of server-sent events, which streams each chunk once it is received.
-pub(crate) fn events(chunks: flume::Receiver<Bytes>) -> Response<Reply> {
-    let frame: fn(Bytes) -> Result<Frame<Bytes>, Infallible> = |chunk| Ok(Frame::data(chunk));
-    let body = StreamBody::new(chunks.into_stream().map(frame));
+/// Returns a response of server-sent events, which streams each part once it is received.
+pub(crate) fn events(parts: flume::Receiver<StreamPart>) -> Response<Reply> {
+    let body = EventBody { parts: parts.into_stream(), has_ended: false };
     let mut response = Response::new(Either::Right(body));
     response.headers_mut().insert(CONTENT_TYPE, EVENTS);
     response.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
--- a/crates/persimmonmountd/src/router/mod.rs
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -3,6 +3,8 @@
 mod answers;
 mod api;
 mod body;
+#[cfg(test)]
+mod body_tests;
 mod call_exchange;
 mod chat;
 mod command;
--- a/crates/persimmonmountd/src/router/render.rs
+++ b/crates/persimmonmountd/src/router/render.rs
@@ -12,7 +12,7 @@
     Chunk, ChunkChoice, Completion, CompletionChoice, Delta, Message, Piece, PromptTokensDetails,
     Usage,
 };
-use super::body::{self, Reply};
+use super::body::{self, Reply, StreamPart};
 use super::context::TrafficCx;
 use super::control::InProgressGuard;
 use super::exchange::{MAX_QUEUED_PIECES, Progress};
@@ -80,18 +80,24 @@
         }
     }
 
-    async fn stream(mut self, chunks: Sender<Bytes>) {
+    /// Sends the events of the answer, and its end once the exchange has finished.
+    async fn stream(mut self, parts: Sender<StreamPart>) {
         while let Some(progress) = self.next().await {
-            let text = match &progress {
-                Progress::Line { offset, line, .. } => self.event(*offset, line),
+            let (text, has_finished) = match &progress {
+                Progress::Line { offset, line, .. } => (self.event(*offset, line), false),
                 Progress::Finished(end) if end.outcome == Outcome::Done => {
-                    "data: [DONE]\n\n".into()
+                    ("data: [DONE]\n\n".into(), true)
                 }
                 Progress::Finished(end) => {
-                    format!("data: {}\n\n", Failure::from_result(end).to_json())
+                    (format!("data: {}\n\n", Failure::from_result(end).to_json()), true)
                 }
             };
-            if chunks.send_async(Bytes::from(text)).await.is_err() {
+            if parts.send_async(StreamPart::Events(Bytes::from(text))).await.is_err() {
+                return;
+            }
+            if has_finished {
+                // An error means that the caller is gone.
+                let _gone = parts.send_async(StreamPart::End).await;
                 return;
             }
         }
