router: reset a caller's connection when an HTTP/1.0 stream breaks off

As in the gateway: to an HTTP/1.0 caller a stream ends with its connection, which the kernel closes in order for a router that is killed. Such a caller had only the missing data: [DONE] to go by. The socket that is reset until its answer is complete moves to persimmon_process, and both roles use it. Failed before: stream_of_killed_router_doesnt_look_complete_over_http_1_0.

--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -14,7 +14,6 @@
 use hyper_util::rt::TokioIo;
 use persimmon_decide::MonoMs;
 use slotmap::{SlotMap, new_key_type};
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -23,7 +22,7 @@
 use crate::gateway::Gateway;
 use crate::http;
 use crate::platform::Platform;
-use persimmon_process::Clock;
+use persimmon_process::{AnswerSocket, Clock, UntilClose};
 
 /// Interval at which idle and slow connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -56,8 +55,7 @@
     head_since: Cell<Option<MonoMs>>,
     is_busy: Cell<bool>,
     is_closing: Cell<bool>,
-    /// Whether the answer in progress ends with the connection.
-    is_until_close: Cell<bool>,
+    until_close: UntilClose,
     stop: Notify,
 }
 
@@ -69,7 +67,7 @@
             head_since: Cell::new(None),
             is_busy: Cell::new(false),
             is_closing: Cell::new(false),
-            is_until_close: Cell::new(false),
+            until_close: UntilClose::default(),
             stop: Notify::new(),
         }
     }
@@ -112,31 +110,10 @@
 }
 
 /// A caller's socket that records the arrival of bytes.
-///
-/// An answer that ends with the connection looks complete whenever the connection closes in order,
-/// which the kernel does also for a process that is killed. So from the start of such an answer the
-/// socket is set to be reset, until all of it has been sent.
 #[derive(Debug)]
 struct CallerStream {
-    stream: TcpStream,
+    socket: AnswerSocket,
     connection: Rc<CallerConnection>,
-    /// Whether closing the socket resets the connection.
-    resets_on_close: bool,
-}
-
-impl CallerStream {
-    fn new(stream: TcpStream, connection: Rc<CallerConnection>) -> Self {
-        Self { stream, connection, resets_on_close: false }
-    }
-
-    fn set_resets_on_close(&mut self, resets_on_close: bool) -> io::Result<()> {
-        if self.resets_on_close != resets_on_close {
-            let linger = resets_on_close.then_some(Duration::ZERO);
-            SockRef::from(&self.stream).set_linger(linger)?;
-            self.resets_on_close = resets_on_close;
-        }
-        Ok(())
-    }
 }
 
 impl AsyncRead for CallerStream {
@@ -146,7 +123,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let result = Pin::new(&mut self.socket).poll_read(cx, buf);
         if buf.filled().len() > before {
             self.connection.record_read();
         }
@@ -160,19 +137,15 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let is_until_close = self.connection.is_until_close.get();
-        self.set_resets_on_close(is_until_close)?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        Pin::new(&mut self.socket).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Pin::new(&mut self.socket).poll_flush(cx)
     }
 
-    /// Closes the connection in order; the HTTP library does so only after a complete answer.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.set_resets_on_close(false)?;
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -180,13 +153,11 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let is_until_close = self.connection.is_until_close.get();
-        self.set_resets_on_close(is_until_close)?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.is_write_vectored()
     }
 }
 
@@ -257,7 +228,8 @@
         Some(routes) => routes.limits.max_head_bytes,
         None => DEFAULT_HEAD_BYTES,
     };
-    let io = TokioIo::new(CallerStream::new(stream, connection.clone()));
+    let socket = AnswerSocket::new(stream, connection.until_close.clone());
+    let io = TokioIo::new(CallerStream { socket, connection: connection.clone() });
     let service = {
         let (gw, connection) = (gw.clone(), connection.clone());
         service_fn(move |req| {
@@ -267,7 +239,7 @@
                 let version = req.version();
                 let response = answer(&gw, req).await;
                 let is_until_close = version < Version::HTTP_11 && response.body().is_stream();
-                connection.is_until_close.set(is_until_close);
+                connection.until_close.set(is_until_close);
                 Ok::<_, Infallible>(response.map(|body| body.with_connection(connection)))
             }
         })
--- a/crates/persimmon_process/src/lib.rs
+++ b/crates/persimmon_process/src/lib.rs
@@ -1,7 +1,9 @@
-//! Clocks and metrics, which every process of the fleet needs in any role.
+//! Clocks, metrics and callers' sockets, which processes of the fleet need in any role.
 
+mod answer_socket;
 mod clock;
 mod metric_set;
 
+pub use answer_socket::{AnswerSocket, UntilClose};
 pub use clock::Clock;
 pub use metric_set::MetricSet;
--- a/crates/persimmon_standins/src/fleet/caller.rs
+++ b/crates/persimmon_standins/src/fleet/caller.rs
@@ -127,7 +127,8 @@
         crate::engine::expected_answer(&self.messages, self.max_tokens)
     }
 
-    fn body(&self, stream: bool) -> String {
+    /// Returns the body of the request.
+    pub fn body(&self, stream: bool) -> String {
         json!({
             "model": self.model,
             "messages": self.messages,
--- a/crates/persimmonmountd/src/router/body.rs
+++ b/crates/persimmonmountd/src/router/body.rs
@@ -95,6 +95,11 @@
     }
 }
 
+/// Reports whether a body is a stream of unknown length.
+pub(crate) fn is_stream(body: &Reply) -> bool {
+    matches!(body, Either::Right(_))
+}
+
 /// Returns a JSON response.
 pub(crate) fn json(status: StatusCode, text: String) -> Response<Reply> {
     let mut response = Response::new(Either::Left(Full::new(Bytes::from(text))));
--- a/crates/persimmonmountd/src/router/front.rs
+++ b/crates/persimmonmountd/src/router/front.rs
@@ -1,6 +1,7 @@
 //! The HTTP front end of a router: accepts callers' connections and distributes them over the
 //! traffic threads.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -10,11 +11,14 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
+use hyper::Version;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use persimmon_process::{AnswerSocket, UntilClose};
 use tokio::task::LocalSet;
 
+use super::body;
 use super::context::{TrafficCx, TrafficParts};
 use super::routes;
 
@@ -142,12 +146,22 @@
     let Ok(stream) = ready.and_then(|()| tokio::net::TcpStream::from_std(stream)) else {
         return;
     };
-    let service = service_fn(|req| routes::handle(cx.clone(), req));
+    let until_close = UntilClose::default();
+    let socket = AnswerSocket::new(stream, until_close.clone());
+    let service = service_fn(|req| {
+        let (cx, until_close) = (cx.clone(), until_close.clone());
+        async move {
+            let version = req.version();
+            let response = routes::handle(cx, req).await?;
+            until_close.set(version < Version::HTTP_11 && body::is_stream(response.body()));
+            Ok::<_, Infallible>(response)
+        }
+    });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(socket), service)
         .await;
     if let Err(err) = served {
         tracing::debug!("router: a caller's connection failed: {err}.");
--- a/crates/persimmonmountd/tests/process_streams.rs
+++ b/crates/persimmonmountd/tests/process_streams.rs
@@ -1,10 +1,12 @@
 //! Tests that each caller gets its own complete answer when connections go silent or are cut and
 //! processes freeze or are killed.
 
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
-use persimmon_standins::fleet::{ChatRequest, ChatStream, Fleet, SseEvent, wait_until};
+use persimmon_standins::fleet::{CALLER_KEY, ChatRequest, ChatStream, Fleet, SseEvent, wait_until};
 use persimmon_standins::{Direction, Engine, EngineSwitch, Relay};
 use rstest::rstest;
 
@@ -215,3 +217,45 @@
     fleet.close();
     relay.close();
 }
+
+/// Starts a stream as HTTP/1.0, where a response of unknown length ends with its connection.
+fn start_http_1_0_stream(fleet: &Fleet, request: &ChatRequest) -> BufReader<TcpStream> {
+    let mut writer = TcpStream::connect(fleet.daemons.listen("router-1").unwrap()).unwrap();
+    writer.set_read_timeout(Some(DEADLINE)).unwrap();
+    let body = request.body(true);
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.0\r\nHost: router\r\nAuthorization: Bearer {CALLER_KEY}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    writer.write_all(head.as_bytes()).unwrap();
+    writer.write_all(body.as_bytes()).unwrap();
+    BufReader::new(writer)
+}
+
+#[test]
+fn stream_of_killed_router_doesnt_look_complete_over_http_1_0() {
+    let (mut fleet, relay) = fleet();
+    let mut reader = start_http_1_0_stream(&fleet, &request("a dossier"));
+    let mut line = String::new();
+    while !line.starts_with("data:") {
+        line.clear();
+        assert!(reader.read_line(&mut line).unwrap() > 0, "the stream ended");
+    }
+    fleet.daemons.kill("router-1").unwrap();
+    let ended = reader.read_to_end(&mut Vec::new());
+    assert!(ended.is_err(), "the connection closed in order");
+    fleet.close();
+    relay.close();
+}
+
+#[test]
+fn whole_stream_closes_in_order_over_http_1_0() {
+    let (fleet, relay) = fleet();
+    let mut reader = start_http_1_0_stream(&fleet, &request("a dossier"));
+    let mut text = String::new();
+    reader.read_to_string(&mut text).unwrap();
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    fleet.close();
+    relay.close();
+}
