--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -5,7 +5,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use persimmon_platform::standin::{Behaviour, Deployment, EndpointStandin, RouteSpec, StoreMode};
+use persimmon_platform::standin::{
+    Behaviour, BodyFraming, Deployment, EndpointStandin, RouteSpec, StoreMode,
+};
 use persimmon_standins::fleet::wait_until;
 use persimmon_standins::{Direction, Relay};
 
@@ -441,9 +443,16 @@
     deployment.publish_routes(&routes.map(|it| it.with_timeout_ms(TIMEOUT_MS)), keys);
 }
 
+/// Smallest kind of a failure that ends a stream inside an event.
+const FIRST_PARTIAL_EVENT: u8 = 216;
+
 /// Returns the behaviour of an endpoint that fails a request, selected by `kind`.
 fn failing(kind: u8) -> Behaviour {
     let cut = Behaviour::Stream { events: STREAM_EVENTS, pause: EVENT_PAUSE, cut_after: Some(2) };
+    if kind >= FIRST_PARTIAL_EVENT {
+        let framings = [BodyFraming::UntilClose, BodyFraming::Http10, BodyFraming::Chunked];
+        return Behaviour::PartialEvent { framing: framings[usize::from(kind) % framings.len()] };
+    }
     match kind % 11 {
         0 => Behaviour::Answer { status: 500, body: "failed".into() },
         1 => Behaviour::NotRun,
