Tests: streams cut anywhere, truncated store pages and digests, truncated replies

400 seeded streams, cut at any byte, in each framing and end, to HTTP/1.1 and 1.0 callers: each is whole or visibly broken, but for those that end in order with their connection between two events, which nothing tells from whole ones. No proper prefix of a store's page, a digest or a delta decodes, so that the store's and peers' legs need no framing. The stand-in caller of routers checks stated lengths, which its HTTP client doesn't.

--- a/crates/persimmon_decide/tests/forward_digest.rs
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -4,6 +4,7 @@
 
 use persimmon_decide::forward::{
     Digest, EndpointLoad, Outcomes, PartHolder, PeerAddress, ServiceRetries, StoreDelta,
+    StoreRecord,
 };
 use persimmon_decide::load::EndpointHash;
 use proptest::prelude::*;
@@ -34,6 +35,21 @@
     }
 }
 
+#[test]
+fn truncated_digest_or_delta_is_an_error() {
+    let record =
+        StoreRecord { key: "servers/i".into(), revision: 4, value: Some(b"{}"[..].into()) };
+    let delta = StoreDelta { revision: 5, is_whole: true, grace_ms: 0, records: vec![record] };
+    let delta = postcard::to_allocvec(&delta).unwrap();
+    for length in 0..delta.len() {
+        assert!(postcard::from_bytes::<StoreDelta>(&delta[..length]).is_err(), "{length} bytes");
+    }
+    let digest = postcard::to_allocvec(&digest(18)).unwrap();
+    for length in 0..digest.len() {
+        assert!(postcard::from_bytes::<Digest>(&digest[..length]).is_err(), "{length} bytes");
+    }
+}
+
 #[test]
 fn digest_round_trips() {
     let bytes = postcard::to_allocvec(&digest(18)).unwrap();
--- a/crates/persimmon_standins/src/fleet/caller.rs
+++ b/crates/persimmon_standins/src/fleet/caller.rs
@@ -21,6 +21,14 @@
     /// A connection that failed or a deadline that passed.
     #[error("the router sent no complete reply ({0}); check its log")]
     NoReply(#[from] minreq::Error),
+    /// A reply that is shorter than its stated length, which the HTTP client doesn't check.
+    #[error("the reply is truncated: {got} of {stated} bytes")]
+    Truncated {
+        /// Bytes received.
+        got: usize,
+        /// Stated length in bytes.
+        stated: usize,
+    },
     /// A stream that failed before its end.
     #[error("the stream failed ({0}); check the router's log")]
     Broken(#[from] std::io::Error),
@@ -219,6 +227,10 @@
     pub fn send(&self, request: minreq::Request) -> Result<Reply, CallError> {
         let reply = request.send()?;
         let body = reply.as_str()?.to_owned();
+        let stated = reply.header("Content-Length").and_then(|text| text.parse().ok());
+        if let Some(stated) = stated.filter(|stated| *stated != body.len()) {
+            return Err(CallError::Truncated { got: body.len(), stated });
+        }
         Ok(Reply { status: reply.status_code, headers: reply.headers, body })
     }
 
--- a/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
@@ -5,6 +5,8 @@
 use persimmon_platform::standin::{
     Answer, Behaviour, BodyEnd, BodyFraming, Deployment, EndpointStandin, RouteSpec, wait_until,
 };
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 
 const KEY: &str = "key-1";
@@ -275,3 +277,44 @@
     assert!(ended.is_err(), "the connection closed in order");
     fixture.deployment.close();
 }
+
+/// Only an answer that ends in order with its connection, and between events, can't be told from a
+/// whole one.
+#[test]
+fn stream_cut_anywhere_is_whole_or_visibly_broken() {
+    const SEED: u64 = 17;
+    const CASES: usize = 400;
+    let framings =
+        [BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose, BodyFraming::Http10];
+    let fixture = Fixture::start();
+    let mut rng = Pcg64Mcg::seed_from_u64(SEED);
+    for number in 0..CASES {
+        let framing = framings[rng.random_range(0..framings.len())];
+        let end = [BodyEnd::Framed, BodyEnd::Closed, BodyEnd::Reset][rng.random_range(0..3)];
+        let sent_bytes = rng.random_range(0..=EVENTS.len());
+        let is_http_1_0 = rng.random_ratio(1, 4);
+        fixture.set_behaviours(&body(framing, EVENTS, sent_bytes, end));
+        let id = format!("request-{number}");
+        let answer = match is_http_1_0 {
+            true => fixture.call_http_1_0("/chat/x", &id),
+            false => fixture.call("/chat/x", &id),
+        };
+        let is_between_events = sent_bytes > 0 && EVENTS[..sent_bytes].ends_with("\n\n");
+        let ends_with_connection = matches!(framing, BodyFraming::UntilClose | BodyFraming::Http10);
+        let looks_whole = match framing {
+            BodyFraming::Chunked => {
+                end == BodyEnd::Framed && (is_between_events || sent_bytes == 0)
+            }
+            _ => ends_with_connection && end != BodyEnd::Reset && is_between_events,
+        };
+        let claims_whole = answer.status == 200 && answer.is_complete;
+        assert!(
+            !claims_whole || answer.body == EVENTS || looks_whole,
+            "case {number}: {framing:?}, {end:?} after {sent_bytes} bytes: {answer:?}"
+        );
+        if sent_bytes == EVENTS.len() && end == BodyEnd::Framed {
+            assert!(claims_whole, "case {number}: {framing:?}: {answer:?}");
+        }
+    }
+    fixture.deployment.close();
+}
