sidecar: an answer with an unreadable line is broken off

A line of an engine's answer that is no JSON was passed on, and the router left it out, so that the caller got an answer that lacks a piece and ends as complete. The sidecar takes the answer for broken off there. Failed before: answer_that_lacks_a_line_isnt_whole::case_1_unreadable_token.

--- a/crates/persimmonmountd/src/sidecar/engine.rs
+++ b/crates/persimmonmountd/src/sidecar/engine.rs
@@ -9,6 +9,7 @@
 use flume::{Receiver, Sender};
 use persimmon_decide::outcome::LedgerKey;
 use persimmon_records::Class;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use thiserror::Error;
@@ -246,7 +247,7 @@
 
 /// Sends the lines of an answer to the control thread. Returns the final update, or `None` if the
 /// answer ended early.
-fn read_lines(
+pub(super) fn read_lines(
     mut reader: impl BufRead,
     run: &EngineRun,
     commands: &Sender<Command>,
@@ -257,6 +258,11 @@
         if read.is_err() || line.pop() != Some(b'\n') {
             return None;
         }
+        // Without a line that can't be read, the answer would be one that lacks a piece.
+        if let Err(err) = serde_json::from_slice::<IgnoredAny>(&line) {
+            tracing::warn!("engine: a line of an answer is no JSON: {err}.");
+            return None;
+        }
         let last = serde_json::from_slice::<LastLine>(&line).ok();
         if let Some(LastLine::End { reason }) = &last
             && reason == "cancelled"
--- a/crates/persimmonmountd/src/sidecar/mod.rs
+++ b/crates/persimmonmountd/src/sidecar/mod.rs
@@ -5,6 +5,8 @@
 mod control;
 mod core;
 mod engine;
+#[cfg(test)]
+mod engine_tests;
 mod order_sender;
 mod orders;
 mod pump;
