gateway: an endpoint that asks for a pause gets no request until it is over

EndpointPauses keeps the end of each pause; the picker leaves paused endpoints out, also of the mean that the load bound is worked out from, of failover and as sources of caches. While every endpoint of a service has paused, callers are refused at once, with the time at which the first is back, spread over half a second. Unreadable values have no effect, absurd ones count as ten minutes; pauses end with their endpoint's record.

--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use super::{
-    Endpoint, EndpointDirectory, EndpointLoad, HealthTracker, LoadTracker, PrefixMap, PromptPart,
+    Endpoint, EndpointDirectory, EndpointLoad, EndpointPauses, HealthTracker, LoadTracker,
+    PrefixMap, PromptPart,
 };
 use crate::MonoMs;
 use crate::load::{ChatKey, EndpointHash, rendezvous_score};
@@ -76,6 +77,8 @@
     pub loads: &'a LoadTracker,
     /// Health of each endpoint.
     pub health: &'a HealthTracker,
+    /// Endpoints that want no requests for a while.
+    pub pauses: &'a EndpointPauses,
     /// Endpoints that have cached parts of prompts.
     pub prefixes: &'a PrefixMap,
     /// Current time.
@@ -122,6 +125,11 @@
 pub enum NoChoice {
     /// No endpoint that the request hasn't tried.
     NoEndpoint,
+    /// Every endpoint that the request hasn't tried wants no requests for a while.
+    Paused {
+        /// Time until the first of them is back, in milliseconds.
+        left_ms: u64,
+    },
     /// No endpoint with room for the request.
     Full {
         /// Fill of the least full endpoint, as a multiple of its slots.
@@ -150,7 +158,7 @@
     ///
     /// Returns [`NoChoice`] if no endpoint can be picked for the request.
     pub fn pick(&self, req: &PickRequest<'_>, view: FleetView<'_>) -> Result<Choice, NoChoice> {
-        let candidates = Candidates::new(req, view).with_room(req.max_fill)?;
+        let candidates = Candidates::new(req, view)?.with_room(req.max_fill)?;
         let choice = match req.parts.is_empty() {
             true => candidates.least_loaded(req, view).map(Candidate::to_choice),
             false => PromptPlacement::new(&self.settings, req, view, &candidates).pick(&candidates),
@@ -193,13 +201,16 @@
 impl Candidates {
     /// Collects the healthy endpoints that the request hasn't tried. If these are less than half of
     /// the untried ones, endpoints with a high failure rate are included; if every untried endpoint
-    /// is ejected, all untried ones are.
-    fn new(req: &PickRequest<'_>, view: FleetView<'_>) -> Self {
+    /// is ejected, all untried ones are. Endpoints that want no requests are never included, and
+    /// the mean is that of the others.
+    fn new(req: &PickRequest<'_>, view: FleetView<'_>) -> Result<Self, NoChoice> {
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
             endpoint: endpoint.clone(),
             load: view.loads.total(endpoint.hash),
         };
-        let ready: Vec<_> = view.endpoints.ready(req.service).map(candidate).collect();
+        let is_paused = |it: &&Arc<Endpoint>| view.pauses.left_ms(it.hash, view.now).is_some();
+        let unpaused = view.endpoints.ready(req.service).filter(|it| !is_paused(it));
+        let ready: Vec<_> = unpaused.map(candidate).collect();
         let requests: u32 = ready.iter().map(|it| it.load.requests).sum();
         let mean = f64::from(requests) / ready.len().max(1) as f64;
         let failing = view.health.failing(ready.iter().map(|it| it.endpoint.hash), view.now);
@@ -207,6 +218,9 @@
         let is_trial = req.may_repeat && view.health.is_trial(req.draw);
         let untried: Vec<_> =
             ready.into_iter().filter(|it| !req.tried.contains(&it.endpoint.hash)).collect();
+        if untried.is_empty() {
+            return Err(Self::none_left(req, view));
+        }
         let is_reachable = |it: &Candidate| !view.health.is_ejected(it.endpoint.hash, view.now);
         let reachable: Vec<_> = untried.iter().filter(|it| is_reachable(it)).cloned().collect();
         let is_healthy = |it: &Candidate| is_trial || !failing.contains(&it.endpoint.hash);
@@ -218,7 +232,14 @@
         } else {
             reachable
         };
-        Self { usable, mean }
+        Ok(Self { usable, mean })
+    }
+
+    /// Returns why no untried endpoint can be picked.
+    fn none_left(req: &PickRequest<'_>, view: FleetView<'_>) -> NoChoice {
+        let untried = view.endpoints.ready(req.service).filter(|it| !req.tried.contains(&it.hash));
+        let left_ms = untried.filter_map(|it| view.pauses.left_ms(it.hash, view.now)).min();
+        left_ms.map_or(NoChoice::NoEndpoint, |left_ms| NoChoice::Paused { left_ms })
     }
 
     /// Removes the endpoints that one more request would fill beyond `max_fill`.
@@ -364,7 +385,9 @@
         let others = || {
             let of_service = self.view.endpoints.of_service(self.service).iter();
             of_service.filter(|it| {
-                it.id != chosen.id && !self.view.health.is_ejected(it.hash, self.view.now)
+                it.id != chosen.id
+                    && !self.view.health.is_ejected(it.hash, self.view.now)
+                    && self.view.pauses.left_ms(it.hash, self.view.now).is_none()
             })
         };
         let known = self
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -4,8 +4,8 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Endpoint, EndpointDirectory, FleetView, HealthSettings, HealthTracker, LoadTracker, Outcomes,
-    PickRequest, Picker, PickerSettings, PrefixMap,
+    Endpoint, EndpointDirectory, EndpointPauses, FleetView, HealthSettings, HealthTracker,
+    LoadTracker, Outcomes, PickRequest, Picker, PickerSettings, PrefixMap,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -63,6 +63,7 @@
         let view = FleetView {
             endpoints: &self.directory,
             loads: &LoadTracker::new(),
+            pauses: &EndpointPauses::new(),
             health: &self.trackers[gateway],
             prefixes: &PrefixMap::new(),
             now,
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -8,10 +8,10 @@
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
     Admission, AdmissionInput, AdmissionSettings, Choice, CrashTracker, Digest, DigestFreshness,
-    DurationTracker, Endpoint, EndpointDirectory, FirstByteTimeout, FleetView, HealthSettings,
-    HealthTracker, IdleLimit, LoadTracker, NoChoice, PeerTable, PickRequest, Picker, PrefixMap,
-    Rank, RetryWindow, RouteTable, ServiceRetries, Shutdown, ShutdownSettings, StoreChange,
-    StoreView, WaitingTime, WorkspaceShares,
+    DurationTracker, Endpoint, EndpointDirectory, EndpointPauses, FirstByteTimeout, FleetView,
+    HealthSettings, HealthTracker, IdleLimit, LoadTracker, NoChoice, PeerTable, PickRequest,
+    Picker, PrefixMap, Rank, RetryWindow, RouteTable, ServiceRetries, Shutdown, ShutdownSettings,
+    StoreChange, StoreView, WaitingTime, WorkspaceShares,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
@@ -61,6 +61,7 @@
     pub(crate) routes: Option<Rc<RouteTable>>,
     pub(crate) loads: LoadTracker,
     pub(crate) health: HealthTracker,
+    pub(crate) pauses: EndpointPauses,
     pub(crate) prefixes: PrefixMap,
     pub(crate) crashes: CrashTracker,
     pub(crate) peers: PeerTable,
@@ -101,6 +102,7 @@
             routes: None,
             loads: LoadTracker::new(),
             health: HealthTracker::new(HealthSettings::default()),
+            pauses: EndpointPauses::new(),
             prefixes: PrefixMap::new(),
             crashes: CrashTracker::new(),
             peers: PeerTable::new(settings.peers.ip(), settings.seeds.clone()),
@@ -212,6 +214,7 @@
             endpoints: &self.directory,
             loads: &self.loads,
             health: &self.health,
+            pauses: &self.pauses,
             prefixes: &self.prefixes,
             now,
         };
@@ -324,9 +327,10 @@
 
     /// Removes the health records of endpoints that are no longer published, and returns the
     /// published ones.
-    pub(crate) fn forget_unpublished(&mut self) -> HashSet<EndpointHash> {
+    pub(crate) fn forget_unpublished(&mut self, now: MonoMs) -> HashSet<EndpointHash> {
         let published: HashSet<_> = self.directory.iter().map(|endpoint| endpoint.hash).collect();
         self.health.retain(|endpoint| published.contains(&endpoint));
+        self.pauses.retain(|endpoint| published.contains(&endpoint), now);
         published
     }
 }
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{
+    CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
+};
 use hyper::{Request, Response, StatusCode};
 use persimmon_decide::forward::{AttemptOutcome, Choice, Endpoint, Repeatable};
 
@@ -259,6 +261,9 @@
         if answered.is_some_and(|id| id != own) {
             return Err(FailedAttempt::new(AttemptOutcome::Unknown, "foreign_answer"));
         }
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            self.record_pause(&in_flight.endpoint, headers.get(RETRY_AFTER));
+        }
         if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
             let why =
                 if status == StatusCode::MISDIRECTED_REQUEST { "misdirected" } else { "refused" };
@@ -283,6 +288,22 @@
         self.read_complete_answer(response, framing, connection, in_flight).await
     }
 
+    /// Records the time for which an endpoint that turned the request away wants no further one.
+    fn record_pause(&self, endpoint: &Endpoint, retry_after: Option<&HeaderValue>) {
+        let Some(value) = retry_after else { return };
+        let now = self.gw.clock.now();
+        let pause_ms = value.to_str().ok().and_then(pause_ms);
+        if let Some(pause_ms) = pause_ms {
+            self.gw.control.borrow_mut().pauses.record(endpoint.hash, pause_ms, now);
+            self.gw.metrics.pauses.with_label_values(&[&*endpoint.service]).inc();
+        }
+        if let Some(suppressed) = self.gw.log_limiter.admit("pause", now) {
+            tracing::info!(target: "endpoint", endpoint = &*endpoint.id,
+                id = &*self.plan.head.id, retry_after = ?value, pause_ms, suppressed,
+                "endpoint wants no requests for a while");
+        }
+    }
+
     /// Reads an answer completely before it is forwarded. Fails if the endpoint reports an error.
     async fn read_complete_answer(
         &self,
@@ -349,6 +370,14 @@
     }
 }
 
+/// Returns the milliseconds of a `Retry-After` header in seconds, which may have a fraction; none if
+/// it can't be read.
+fn pause_ms(text: &str) -> Option<u64> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    // A conversion saturates, so that a huge value is the longest pause.
+    (seconds.is_finite() && seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
+}
+
 /// Reports whether an answer on a route for streams consists of server-sent events.
 fn has_events(headers: &HeaderMap) -> bool {
     let Some(value) = headers.get(CONTENT_TYPE) else { return true };
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -11,8 +11,8 @@
 use hyper::header::{HeaderMap, HeaderName};
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    AdmissionInput, AttemptLog, AttemptOutcome, Choice, Endpoint, FailureKind, NextStep, NoChoice,
-    PickRequest, Repeatable,
+    AdmissionInput, AttemptLog, AttemptOutcome, Choice, Endpoint, EndpointPauses, FailureKind,
+    NextStep, NoChoice, PickRequest, Repeatable,
 };
 use persimmon_decide::load::EndpointHash;
 
@@ -200,6 +200,10 @@
             Err(NoChoice::NoEndpoint) => {
                 return Err(Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS });
             }
+            Err(NoChoice::Paused { left_ms }) => {
+                let retry_after_ms = EndpointPauses::retry_after_ms(left_ms, draw);
+                return Err(Refusal::Paused { retry_after_ms });
+            }
             Err(NoChoice::Full { least_fill }) => {
                 self.log_endpoints_full(&control, max_fill, least_fill, now);
                 let retry_after_ms = control.waiting_time.retry_after_ms(&plan.service, draw);
@@ -313,7 +317,10 @@
         if control.health.silent_ms(endpoint, now) >= ENDPOINT_SILENT_MS {
             control.health.record_unreachable(endpoint, now);
         }
-        let is_other = |hash| !self.tried.contains(&hash) && hash != endpoint;
+        let is_other = |hash| {
+            let is_paused = control.pauses.left_ms(hash, now).is_some();
+            !self.tried.contains(&hash) && hash != endpoint && !is_paused
+        };
         let has_others = control.directory.ready(&self.plan.service).any(|it| is_other(it.hash));
         is_long
             && self.plan.route.repeatable != Repeatable::Never
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Answers of endpoints by framing and by how they ended; a resumed stream has several.
     pub(crate) answer_parts: IntCounterVec,
+    /// Pauses that endpoints asked for, by service.
+    pub(crate) pauses: IntCounterVec,
     /// Calls to the platform's store by kind and result.
     pub(crate) store_calls: IntCounterVec,
     /// Digests by direction.
@@ -59,6 +61,11 @@
                 "Answers of endpoints by framing and by how they ended; a resumed stream has several.",
                 &["framing", "end"],
             )?,
+            pauses: set.counters(
+                "persimmon_gateway_endpoint_pauses_total",
+                "Pauses that endpoints asked for.",
+                &["service"],
+            )?,
             store_calls: set.counters(
                 "persimmon_gateway_store_calls_total",
                 "Calls to the platform's store.",
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -138,7 +138,7 @@
     let now = gw.clock.now();
     let mut control = gw.control.borrow_mut();
     control.expire(now);
-    let published = control.forget_unpublished();
+    let published = control.forget_unpublished(now);
     drop(control);
     gw.upstream.sweep(|endpoint| published.contains(&endpoint));
 }
--- a/crates/persimmon_gateway/src/refusal.rs
+++ b/crates/persimmon_gateway/src/refusal.rs
@@ -40,6 +40,11 @@
         /// Delay until the request may be accepted, in milliseconds.
         retry_after_ms: u64,
     },
+    /// Every endpoint of the service wants no requests for a while.
+    Paused {
+        /// Delay until the first of them is back, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// An endpoint may have run the request, but no complete answer arrived.
     Unknown,
     /// The deadline has passed; an endpoint may have run the request.
@@ -64,7 +69,8 @@
             | Self::Crashing
             | Self::Leaving { .. }
             | Self::NoEndpoint { .. }
-            | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Overloaded { .. }
+            | Self::Paused { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -82,6 +88,7 @@
             Self::Leaving { .. } => "leaving",
             Self::NoEndpoint { .. } => "no_endpoint",
             Self::Overloaded { .. } => "overloaded",
+            Self::Paused { .. } => "paused",
             Self::Unknown => "unknown_outcome",
             Self::BodyTooSlow => "body_too_slow",
             Self::TimedOut => "timed_out",
@@ -100,6 +107,7 @@
             Self::Leaving { .. } => "the gateway is shutting down; request not run, retry it",
             Self::NoEndpoint { .. } => "no endpoint is available; request not run, retry it",
             Self::Overloaded { .. } => "overloaded; request not run, retry it after the delay",
+            Self::Paused { .. } => "every endpoint has paused; request not run, retry it later",
             Self::Unknown => "answer lost; the request may have run, so check before a retry",
             Self::BodyTooSlow => "the body didn't arrive in time; request not run, retry it",
             Self::TimedOut => "deadline passed; the request may have run, so check before a retry",
@@ -112,7 +120,8 @@
             Self::Crashing => Some(Self::CRASHING_RETRY_MS),
             Self::Leaving { retry_after_ms }
             | Self::NoEndpoint { retry_after_ms }
-            | Self::Overloaded { retry_after_ms } => Some(retry_after_ms),
+            | Self::Overloaded { retry_after_ms }
+            | Self::Paused { retry_after_ms } => Some(retry_after_ms),
             _ => None,
         }
     }
