gateway: an endpoint whose answer says that it leaves gets no further request

Gateways ignored the header and went by the store, which may not answer them.

The directory marks such an endpoint by its hash, which changes when it starts again: its record, written again or back after an outage, doesn't make it ready. Placement, retries, failover and resumed streams all choose from what is ready. Marks are bounded and go two minutes after the endpoint's record. Peers learn of it by digest at once; the field stands after the others, where earlier builds ignore it, and digests of earlier builds still read.

--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -64,4 +64,32 @@
     pub holders: Vec<PartHolder>,
     /// Other gateways.
     pub peers: Vec<PeerAddress>,
+    /// Endpoints that have said that they leave. Encoded after the other fields, where builds that
+    /// don't know it ignore it.
+    #[serde(skip)]
+    pub leaving: Vec<EndpointHash>,
+}
+
+impl Digest {
+    /// Encodes the digest for a datagram.
+    ///
+    /// # Errors
+    ///
+    /// The digest can't be encoded.
+    pub fn to_bytes(&self) -> postcard::Result<Vec<u8>> {
+        let mut bytes = postcard::to_allocvec(self)?;
+        bytes.extend(postcard::to_allocvec(&self.leaving)?);
+        Ok(bytes)
+    }
+
+    /// Decodes a datagram, also one of a build that doesn't name leaving endpoints.
+    ///
+    /// # Errors
+    ///
+    /// The bytes aren't a digest.
+    pub fn from_bytes(bytes: &[u8]) -> postcard::Result<Self> {
+        let (digest, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        let leaving = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+        Ok(Self { leaving, ..digest })
+    }
 }
--- a/crates/persimmon_decide/src/forward/directory.rs
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -1,18 +1,31 @@
 //! Index of published endpoints.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use super::{Endpoint, EndpointId, EndpointState};
+use crate::MonoMs;
+use crate::load::EndpointHash;
 
-/// Published endpoints, by ID and by service.
+/// Published endpoints, by ID and by service, and those that have said that they leave.
+///
+/// An endpoint that leaves may be published as ready until the store has taken its word. An endpoint
+/// that starts again has another hash, and isn't leaving.
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
     by_id: BTreeMap<EndpointId, Arc<Endpoint>>,
     by_service: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
+    /// Leaving endpoints, each with the time when it was last published or said so.
+    leaving: HashMap<EndpointHash, MonoMs>,
 }
 
 impl EndpointDirectory {
+    /// Time for which an endpoint that isn't published stays marked as leaving, in milliseconds: far
+    /// longer than an outage of the store takes its record away.
+    pub const LEAVING_KEPT_MS: u64 = 120_000;
+    /// Maximum number of endpoints marked as leaving; further ones aren't marked.
+    pub const MAX_LEAVING: usize = 4_096;
+
     /// Creates an empty directory.
     pub fn new() -> Self {
         Self::default()
@@ -43,7 +56,38 @@
 
     /// Returns the endpoints of a service that accept new requests.
     pub fn ready(&self, service: &str) -> impl Iterator<Item = &Arc<Endpoint>> {
-        self.of_service(service).iter().filter(|it| it.state == EndpointState::Ready)
+        let is_ready =
+            |it: &&Arc<Endpoint>| it.state == EndpointState::Ready && !self.is_leaving(it.hash);
+        self.of_service(service).iter().filter(is_ready)
+    }
+
+    /// Marks an endpoint that says that it leaves, or of which a peer says so. Returns whether that
+    /// is new.
+    pub fn mark_leaving(&mut self, endpoint: EndpointHash, now: MonoMs) -> bool {
+        if self.leaving.len() >= Self::MAX_LEAVING && !self.is_leaving(endpoint) {
+            return false;
+        }
+        self.leaving.insert(endpoint, now).is_none()
+    }
+
+    /// Reports whether an endpoint has said that it leaves.
+    pub fn is_leaving(&self, endpoint: EndpointHash) -> bool {
+        self.leaving.contains_key(&endpoint)
+    }
+
+    /// Returns the published endpoints that are marked as leaving, for peers.
+    pub fn leaving(&self) -> impl Iterator<Item = EndpointHash> {
+        self.by_id.values().map(|it| it.hash).filter(|hash| self.is_leaving(*hash))
+    }
+
+    /// Removes the marks of endpoints that have long not been published.
+    pub fn expire_leaving(&mut self, now: MonoMs) {
+        for endpoint in self.by_id.values() {
+            if let Some(at) = self.leaving.get_mut(&endpoint.hash) {
+                *at = now;
+            }
+        }
+        self.leaving.retain(|_, at| now.ms_since(*at) < Self::LEAVING_KEPT_MS);
     }
 
     /// Returns an endpoint by its ID.
--- a/crates/persimmon_decide/tests/forward_digest.rs
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -32,6 +32,7 @@
         peers: (0..8)
             .map(|it| PeerAddress { ip: IpAddr::from([10, 0, 0, it]), age_ms: 30_000 })
             .collect(),
+        leaving: Vec::new(),
     }
 }
 
@@ -80,3 +81,15 @@
         let _ = postcard::from_bytes::<Digest>(&bytes);
     }
 }
+
+#[test]
+fn builds_that_dont_know_leaving_endpoints_read_the_rest() {
+    let digest = Digest { leaving: vec![EndpointHash(7), EndpointHash(u64::MAX)], ..digest(18) };
+    let bytes = digest.to_bytes().unwrap();
+    assert_eq!(Digest::from_bytes(&bytes).unwrap(), digest);
+    let earlier = postcard::from_bytes::<Digest>(&bytes).unwrap();
+    assert_eq!(earlier, Digest { leaving: Vec::new(), ..digest.clone() });
+    let from_earlier = postcard::to_allocvec(&digest).unwrap();
+    assert_eq!(Digest::from_bytes(&from_earlier).unwrap(), earlier);
+    assert!(Digest::from_bytes(&bytes[..bytes.len() - 1]).is_err());
+}
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -24,6 +24,7 @@
         crashes: Vec::new(),
         holders: Vec::new(),
         peers: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -20,6 +20,8 @@
 use crate::platform::{DecodeError, DecodedRecord, Platform, RecordSubject};
 use crate::settings::GatewaySettings;
 
+/// Maximum number of leaving endpoints in one digest.
+const MAX_DIGEST_LEAVING: usize = 32;
 /// Maximum number of crash marks in one digest; more would take too much of a datagram.
 const MAX_DIGEST_CRASHES: usize = 16;
 
@@ -289,6 +291,7 @@
             holders: self.prefixes.take_announcements(MAX_DIGEST_NEW_HOLDERS, repeated, now),
             crashes: self.crashes.newest(MAX_DIGEST_CRASHES, now),
             peers: self.peers.addresses(draw, now),
+            leaving: self.directory.leaving().take(MAX_DIGEST_LEAVING).collect(),
         }
     }
 
@@ -309,6 +312,13 @@
         for (content, endpoint) in &digest.crashes {
             self.crashes.record_peer_crash(*content, *endpoint, now);
         }
+        for endpoint in &digest.leaving {
+            if self.directory.mark_leaving(*endpoint, now) {
+                let published = self.directory.iter().find(|it| it.hash == *endpoint);
+                tracing::info!(target: "endpoint", endpoint = published.map(|it| &*it.id),
+                    hash = endpoint.0, peer = %from, "a peer says that an endpoint is leaving");
+            }
+        }
         for holder in &digest.holders {
             self.prefixes.record_peer_holder(*holder, now);
         }
@@ -330,6 +340,7 @@
     pub(crate) fn forget_unpublished(&mut self, now: MonoMs) -> HashSet<EndpointHash> {
         let published: HashSet<_> = self.directory.iter().map(|endpoint| endpoint.hash).collect();
         self.health.retain(|endpoint| published.contains(&endpoint));
+        self.directory.expire_leaving(now);
         self.pauses.retain(|endpoint| published.contains(&endpoint), now);
         published
     }
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -261,6 +261,9 @@
         if answered.is_some_and(|id| id != own) {
             return Err(FailedAttempt::new(AttemptOutcome::Unknown, "foreign_answer"));
         }
+        if headers.get(&names.leaving).is_some_and(|value| value == "1") {
+            self.record_leaving(&in_flight.endpoint);
+        }
         if status == StatusCode::SERVICE_UNAVAILABLE {
             self.record_pause(&in_flight.endpoint, headers.get(RETRY_AFTER));
         }
@@ -288,6 +291,18 @@
         self.read_complete_answer(response, framing, connection, in_flight).await
     }
 
+    /// Records that an endpoint says that it leaves, and tells the other gateways at once.
+    fn record_leaving(&self, endpoint: &Endpoint) {
+        let now = self.gw.clock.now();
+        if !self.gw.control.borrow_mut().directory.mark_leaving(endpoint.hash, now) {
+            return;
+        }
+        self.gw.digest_due.notify_one();
+        self.gw.metrics.leaving.with_label_values(&[&*endpoint.service]).inc();
+        tracing::info!(target: "endpoint", endpoint = &*endpoint.id, hash = endpoint.hash.0,
+            id = &*self.plan.head.id, state = ?endpoint.state, "endpoint is leaving");
+    }
+
     /// Records the time for which an endpoint that turned the request away wants no further one.
     fn record_pause(&self, endpoint: &Endpoint, retry_after: Option<&HeaderValue>) {
         let Some(value) = retry_after else { return };
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Answers of endpoints by framing and by how they ended; a resumed stream has several.
     pub(crate) answer_parts: IntCounterVec,
+    /// Endpoints whose answers said that they leave, by service.
+    pub(crate) leaving: IntCounterVec,
     /// Pauses that endpoints asked for, by service.
     pub(crate) pauses: IntCounterVec,
     /// Calls to the platform's store by kind and result.
@@ -61,6 +63,11 @@
                 "Answers of endpoints by framing and by how they ended; a resumed stream has several.",
                 &["framing", "end"],
             )?,
+            leaving: set.counters(
+                "persimmon_gateway_endpoints_leaving_total",
+                "Endpoints whose answers said that they leave.",
+                &["service"],
+            )?,
             pauses: set.counters(
                 "persimmon_gateway_endpoint_pauses_total",
                 "Pauses that endpoints asked for.",
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -48,7 +48,7 @@
             }
         };
         let now = gw.clock.now();
-        match postcard::from_bytes::<Digest>(&buf[..length]) {
+        match Digest::from_bytes(&buf[..length]) {
             Ok(digest) => {
                 gw.metrics.digests.with_label_values(&["received"]).inc();
                 if gw.control.borrow_mut().apply_digest(from.ip(), digest, now)
@@ -109,7 +109,7 @@
 
 async fn send_digest<P: Platform>(gw: &Rc<Gateway<P>>, socket: &UdpSocket, targets: &[IpAddr]) {
     let digest = gw.control.borrow_mut().digest(gw.clock.now());
-    let bytes = match postcard::to_allocvec(&digest) {
+    let bytes = match digest.to_bytes() {
         Ok(bytes) => bytes,
         Err(err) => {
             tracing::warn!(target: "peers", %err, "encoding a digest failed");
--- a/crates/persimmon_gateway/src/platform.rs
+++ b/crates/persimmon_gateway/src/platform.rs
@@ -32,6 +32,8 @@
     pub signature: HeaderName,
     /// Mark of an answer to a request that the endpoint didn't run.
     pub not_run: HeaderName,
+    /// Mark with the value 1 of an answer of an endpoint that leaves.
+    pub leaving: HeaderName,
     /// Headers that only the gateway may set; those of callers are removed.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -142,6 +142,8 @@
         let hash = endpoint.hash;
         let usage = if endpoint.state == EndpointState::Draining {
             "draining"
+        } else if control.directory.is_leaving(hash) {
+            "leaving"
         } else if control.pauses.left_ms(hash, now).is_some() {
             "paused"
         } else if control.health.is_ejected(hash, now) {
