gateway: a pause no longer ends up to a millisecond early

endpoint_that_pauses_gets_no_request failed in 5 of 48 cases when run in a loop, after it had passed at first: one request reached the endpoint within its pause. The clock's readings are rounded down to milliseconds, so that a pause that began late within one ended before its time. It gets one step more; zero is no pause.

--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -23,6 +23,9 @@
 /// Maximum size of an answer that is buffered before it is forwarded, in bytes. If a buffered
 /// answer is cut off, the request can still be retried.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
+/// Step of the clock in milliseconds. Since its readings are rounded down, a pause that began
+/// within a step would otherwise end too soon.
+const CLOCK_STEP_MS: u64 = 1;
 /// Media type of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Timeout for the connection that checks an endpoint after another one broke, in milliseconds: a
@@ -386,11 +389,12 @@
 }
 
 /// Returns the milliseconds of a `Retry-After` header in seconds, which may have a fraction; none if
-/// it can't be read.
+/// it is zero or can't be read.
 fn pause_ms(text: &str) -> Option<u64> {
     let seconds: f64 = text.trim().parse().ok()?;
     // A conversion saturates, so that a huge value is the longest pause.
-    (seconds.is_finite() && seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
+    let ms = (seconds.is_finite() && seconds > 0.0).then(|| (seconds * 1_000.0).ceil() as u64)?;
+    Some(ms.saturating_add(CLOCK_STEP_MS))
 }
 
 /// Reports whether an answer on a route for streams consists of server-sent events.
