--- a/crates/persimmon_decide/src/forward/directory.rs
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -9,8 +9,8 @@
 
 /// Published endpoints, by ID and by service, and those that have said that they leave.
 ///
-/// An endpoint that leaves may be published as ready until the store has taken its word. An endpoint
-/// that starts again has another hash, and isn't leaving.
+/// An endpoint that leaves may still be published as ready, for example while it can't reach the
+/// store. An endpoint that starts again has another hash, and isn't leaving.
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
     by_id: BTreeMap<EndpointId, Arc<Endpoint>>,
@@ -20,8 +20,8 @@
 }
 
 impl EndpointDirectory {
-    /// Time for which an endpoint that isn't published stays marked as leaving, in milliseconds: far
-    /// longer than an outage of the store takes its record away.
+    /// Time for which an endpoint that isn't published stays marked as leaving, in milliseconds. An
+    /// outage of the store removes its record for far less.
     pub const LEAVING_KEPT_MS: u64 = 120_000;
     /// Maximum number of endpoints marked as leaving; further ones aren't marked.
     pub const MAX_LEAVING: usize = 4_096;
--- a/crates/persimmon_decide/src/forward/endpoint_pauses.rs
+++ b/crates/persimmon_decide/src/forward/endpoint_pauses.rs
@@ -7,9 +7,8 @@
 
 /// Endpoints that turned a request away and named the time for which they want no further one.
 ///
-/// Answers the load of engines that protect themselves: until a pause ends, the other endpoints
-/// carry the service, and if none is left, callers are refused at once with the time at which the
-/// first is back.
+/// Handles engines that shed load: until a pause ends, the other endpoints carry the service. If none
+/// is left, callers are refused at once and told when the first endpoint is back.
 #[derive(Debug, Default)]
 pub struct EndpointPauses {
     ends: HashMap<EndpointHash, MonoMs>,
--- a/crates/persimmon_decide/src/forward/event_position.rs
+++ b/crates/persimmon_decide/src/forward/event_position.rs
@@ -3,8 +3,8 @@
 /// Position of an event stream: inside an event, or between two. A stream that ends inside an event
 /// has been broken off.
 ///
-/// Lines end with LF, CR or CRLF; a blank line ends an event. Answers the load of streams whose
-/// framing doesn't show their end, such as those that end with their connection.
+/// Lines end with LF, CR or CRLF; a blank line ends an event. Needed for streams whose framing doesn't
+/// show their end, such as those that end with their connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum EventPosition {
     /// Between events.
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -51,8 +51,7 @@
 pub(crate) struct OpenStream<P: Platform> {
     pub(crate) response: Response<Incoming>,
     pub(crate) framing: Framing,
-    /// Whether the answer consists of events, as answers on routes for streams do unless they state
-    /// another type.
+    /// Whether the answer consists of server-sent events. It does unless it states another type.
     pub(crate) has_events: bool,
     pub(crate) connection: Connection,
     pub(crate) in_flight: InFlight<P>,
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// What has passed of one endpoint's part of a stream.
+/// Progress of one endpoint's part of a stream, as received from it and as sent to the caller.
 #[derive(Debug)]
 struct PartProgress {
     received: StreamProgress,
