gateway: find the ends of events once for each piece of a stream

On resumable routes each byte went through EventPosition twice, in the progress of the part and again in the splitter, which kept a position of its own that had to be reset beside it. The splitter gets the boundary that the progress has found. No behaviour changes; the tests of events, of broken-off and of whole answers pass as they are.

--- a/crates/persimmon_decide/src/forward/stream_progress.rs
+++ b/crates/persimmon_decide/src/forward/stream_progress.rs
@@ -40,12 +40,11 @@
         Self { position, is_end_framed, continues, bytes: 0 }
     }
 
-    /// Records bytes from the endpoint.
-    pub fn record(&mut self, bytes: &[u8]) {
-        if let Some(position) = &mut self.position {
-            position.advance(bytes);
-        }
+    /// Records bytes from the endpoint. Returns the length of the part of `bytes` that ends with the
+    /// last complete event, as [`EventPosition::advance`] does; none if the answer has no events.
+    pub fn record(&mut self, bytes: &[u8]) -> Option<usize> {
         self.bytes += bytes.len() as u64;
+        self.position.as_mut()?.advance(bytes)
     }
 
     /// Returns the number of bytes from the endpoint.
--- a/crates/persimmon_gateway/src/events.rs
+++ b/crates/persimmon_gateway/src/events.rs
@@ -1,7 +1,6 @@
 //! Splits event streams into complete events.
 
 use bytes::{Buf, Bytes, BytesMut};
-use persimmon_decide::forward::EventPosition;
 use thiserror::Error;
 
 /// The reason why a stream can't be forwarded any further.
@@ -19,7 +18,6 @@
 #[derive(Debug)]
 pub(crate) struct EventSplitter {
     partial: BytesMut,
-    position: EventPosition,
     last: Option<u64>,
     /// Difference between the numbers of consecutive events, once known.
     step: Option<u64>,
@@ -31,7 +29,7 @@
 
     /// Creates a splitter for a stream that continues after event `last`.
     pub(crate) fn new(last: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), position: EventPosition::default(), last, step: None }
+        Self { partial: BytesMut::new(), last, step: None }
     }
 
     /// Returns the number of the last complete event.
@@ -42,12 +40,11 @@
     /// Discards the buffered part of an event, which another endpoint will send again completely.
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
-        self.position = EventPosition::default();
     }
 
-    /// Appends bytes and returns all events that are now complete.
-    pub(crate) fn push(&mut self, bytes: &Bytes) -> Result<Bytes, EventError> {
-        let end = self.position.advance(bytes);
+    /// Appends bytes and returns all events that are now complete. `end` is the length of the part
+    /// of `bytes` that ends with the last complete event, if there is one.
+    pub(crate) fn push(&mut self, bytes: &Bytes, end: Option<usize>) -> Result<Bytes, EventError> {
         // Most pieces consist of complete events, which don't have to be copied.
         if self.partial.is_empty() && end == Some(bytes.len()) {
             self.record_events(bytes)?;
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -162,9 +162,9 @@
             Err(end) => return end,
         };
         stream.in_flight.record_received();
-        progress.received.record(&piece);
+        let end = progress.received.record(&piece);
         let piece = match events {
-            Some(events) => match events.push(&piece) {
+            Some(events) => match events.push(&piece, end) {
                 Ok(piece) => piece,
                 Err(err) => {
                     tracing::warn!(target: "request", id = &*exchange.plan.head.id, %err,
