One body for answers that are sent in pieces, in both roles

The gateway and the router had each got a body whose end has to be said, one with a flag beside a channel, the other with a last part in it, and an error type each. The gateway's moves to persimmon_process, beside the socket that both use, and is a body by itself; EventBody, StreamPart and TruncatedStream go. The tests of both bodies keep their assertions and pass, as do the process tests of streams and of broken-off answers.

--- a/crates/persimmon_gateway/src/answer.rs
+++ b/crates/persimmon_gateway/src/answer.rs
@@ -8,8 +8,9 @@
     UPGRADE,
 };
 use hyper::{Request, Response};
+use persimmon_process::piece_channel;
 
-use crate::body::{AnswerBody, piece_channel};
+use crate::body::AnswerBody;
 use crate::exchange::{Answered, Exchange, KEEP_ALIVE, OpenStream, keep_alive_timeout_s};
 use crate::gateway::Gateway;
 use crate::head::RequestHead;
--- a/crates/persimmon_gateway/src/body.rs
+++ b/crates/persimmon_gateway/src/body.rs
@@ -1,76 +1,16 @@
 //! Bodies of responses to callers.
 
-use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use thiserror::Error;
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::error::SendError;
+use persimmon_process::{PieceReceiver, TruncatedAnswer};
 use tokio::task::AbortHandle;
 
 use crate::callers::CallerConnection;
 
-/// Error for an answer that can't be completed. It closes the caller's connection, so that the
-/// answer doesn't look complete.
-#[derive(Debug, Error)]
-#[error("the answer is truncated: no endpoint could complete it")]
-pub(crate) struct TruncatedAnswer;
-
-/// The sending end of a stream's body. The answer counts as complete only after [`Self::complete`];
-/// a sender that is dropped before, for whatever reason, leaves a truncated answer.
-#[derive(Debug)]
-pub(crate) struct PieceSender {
-    tx: mpsc::Sender<Bytes>,
-    is_complete: Rc<Cell<bool>>,
-}
-
-impl PieceSender {
-    /// Sends a piece, waiting for room in the queue.
-    ///
-    /// # Errors
-    ///
-    /// The caller has stopped reading.
-    pub(crate) async fn send(&self, piece: Bytes) -> Result<(), SendError<Bytes>> {
-        self.tx.send(piece).await
-    }
-
-    /// Ends a complete answer.
-    pub(crate) fn complete(self) {
-        self.is_complete.set(true);
-    }
-}
-
-/// The receiving end of a stream's body.
-#[derive(Debug)]
-pub(crate) struct PieceReceiver {
-    rx: mpsc::Receiver<Bytes>,
-    is_complete: Rc<Cell<bool>>,
-}
-
-impl PieceReceiver {
-    fn poll(
-        &mut self,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
-        self.rx.poll_recv(cx).map(|piece| match piece {
-            Some(piece) => Some(Ok(Frame::data(piece))),
-            None if self.is_complete.get() => None,
-            None => Some(Err(TruncatedAnswer)),
-        })
-    }
-}
-
-/// Creates the two ends of a stream's body, with at most `max_pieces` queued.
-pub(crate) fn piece_channel(max_pieces: usize) -> (PieceSender, PieceReceiver) {
-    let (tx, rx) = mpsc::channel(max_pieces);
-    let is_complete = Rc::new(Cell::new(false));
-    (PieceSender { tx, is_complete: is_complete.clone() }, PieceReceiver { rx, is_complete })
-}
-
 /// Aborts a task when dropped.
 #[derive(Debug)]
 pub(crate) struct AbortOnDrop(pub(crate) AbortHandle);
@@ -139,7 +79,7 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Content::Stream { rx, .. } => rx.poll(cx),
+            Content::Stream { rx, .. } => Pin::new(rx).poll_frame(cx),
         }
     }
 
--- a/crates/persimmon_gateway/src/body_tests.rs
+++ b/crates/persimmon_gateway/src/body_tests.rs
@@ -2,9 +2,10 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use persimmon_process::{PieceSender, piece_channel};
 use rstest::rstest;
 
-use crate::body::{AnswerBody, PieceSender, piece_channel};
+use crate::body::AnswerBody;
 
 /// How the task that relays a stream ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -5,8 +5,8 @@
 use hyper::body::Incoming;
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{AttemptOutcome, BrokenOff, NextStep, Repeatable, StreamProgress};
+use persimmon_process::PieceSender;
 
-use crate::body::PieceSender;
 use crate::events::EventSplitter;
 use crate::exchange::{Answered, Exchange, OpenStream, keep_alive_timeout_s};
 use crate::platform::Platform;
--- a/crates/persimmonmountd/src/router/body.rs
+++ b/crates/persimmonmountd/src/router/body.rs
@@ -1,16 +1,12 @@
 //! The bodies of requests and responses.
 
-use std::pin::Pin;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use flume::r#async::RecvStream;
-use futures::StreamExt;
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Bytes, Frame, Incoming};
+use hyper::body::{Bytes, Incoming};
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use thiserror::Error;
+use persimmon_process::PieceReceiver;
 use tokio::time::timeout;
 
 use super::failure::Failure;
@@ -22,51 +18,8 @@
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 const EVENTS: HeaderValue = HeaderValue::from_static("text/event-stream");
 
-/// Error for a stream whose renderer ended without an end. It closes the caller's connection, so
-/// that the stream doesn't look complete.
-#[derive(Debug, Error)]
-#[error("the stream is truncated")]
-pub(crate) struct TruncatedStream;
-
-/// A part of a stream for a caller.
-#[derive(Debug)]
-pub(crate) enum StreamPart {
-    /// One or more events.
-    Events(Bytes),
-    /// The end. A stream without it is truncated.
-    End,
-}
-
-/// The body of a stream of events.
-#[derive(Debug)]
-pub(crate) struct EventBody {
-    parts: RecvStream<'static, StreamPart>,
-    has_ended: bool,
-}
-
-impl Body for EventBody {
-    type Data = Bytes;
-    type Error = TruncatedStream;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedStream>>> {
-        if self.has_ended {
-            return Poll::Ready(None);
-        }
-        let part = ready!(self.parts.poll_next_unpin(cx));
-        self.has_ended = !matches!(part, Some(StreamPart::Events(_)));
-        Poll::Ready(match part {
-            Some(StreamPart::Events(events)) => Some(Ok(Frame::data(events))),
-            Some(StreamPart::End) => None,
-            None => Some(Err(TruncatedStream)),
-        })
-    }
-}
-
 /// The body of a response: complete, or a stream of events.
-pub(crate) type Reply = Either<Full<Bytes>, EventBody>;
+pub(crate) type Reply = Either<Full<Bytes>, PieceReceiver>;
 
 /// Reads a request's body.
 ///
@@ -117,10 +70,9 @@
     response
 }
 
-/// Returns a response of server-sent events, which streams each part once it is received.
-pub(crate) fn events(parts: flume::Receiver<StreamPart>) -> Response<Reply> {
-    let body = EventBody { parts: parts.into_stream(), has_ended: false };
-    let mut response = Response::new(Either::Right(body));
+/// Returns a response of server-sent events, which streams each piece once it is received.
+pub(crate) fn events(pieces: PieceReceiver) -> Response<Reply> {
+    let mut response = Response::new(Either::Right(pieces));
     response.headers_mut().insert(CONTENT_TYPE, EVENTS);
     response.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
     response
--- a/crates/persimmonmountd/src/router/render.rs
+++ b/crates/persimmonmountd/src/router/render.rs
@@ -2,17 +2,18 @@
 
 use std::rc::Rc;
 
-use flume::{Receiver, Sender};
+use flume::Receiver;
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
 use persimmon_decide::outcome::Outcome;
 use persimmon_decide::{MonoMs, Offset};
+use persimmon_process::{PieceSender, piece_channel};
 
 use super::api::{
     Chunk, ChunkChoice, Completion, CompletionChoice, Delta, Message, Piece, PromptTokensDetails,
     Usage,
 };
-use super::body::{self, Reply, StreamPart};
+use super::body::{self, Reply};
 use super::context::TrafficCx;
 use super::control::InProgressGuard;
 use super::exchange::{MAX_QUEUED_PIECES, Progress};
@@ -66,7 +67,7 @@
     /// Returns a failure if a response that isn't streamed has no complete answer.
     pub(crate) async fn into_response(self) -> Result<Response<Reply>, Failure> {
         if self.parts.is_streamed {
-            let (tx, rx) = flume::bounded(MAX_QUEUED_PIECES);
+            let (tx, rx) = piece_channel(MAX_QUEUED_PIECES);
             tokio::task::spawn_local(self.stream(tx));
             return Ok(body::events(rx));
         }
@@ -80,8 +81,8 @@
         }
     }
 
-    /// Sends the events of the answer, and its end once the exchange has finished.
-    async fn stream(mut self, parts: Sender<StreamPart>) {
+    /// Sends the events of the answer, which is complete once the exchange has finished.
+    async fn stream(mut self, pieces: PieceSender) {
         while let Some(progress) = self.next().await {
             let (text, has_finished) = match &progress {
                 Progress::Line { offset, line, .. } => (self.event(*offset, line), false),
@@ -92,13 +93,11 @@
                     (format!("data: {}\n\n", Failure::from_result(end).to_json()), true)
                 }
             };
-            if parts.send_async(StreamPart::Events(Bytes::from(text))).await.is_err() {
+            if pieces.send(Bytes::from(text)).await.is_err() {
                 return;
             }
             if has_finished {
-                // An error means that the caller is gone.
-                let _gone = parts.send_async(StreamPart::End).await;
-                return;
+                return pieces.complete();
             }
         }
     }
