gateway: watch a caller's reads with tokio-util instead of a wrapper of our own

Since the caller's socket became a type of its own, CallerStream passed five calls through to it only to see whether a read brought bytes. InspectReader of tokio-util, a library that the project already uses, does that.

--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -2,10 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use hyper::Version;
@@ -14,9 +11,9 @@
 use hyper_util::rt::TokioIo;
 use persimmon_decide::MonoMs;
 use slotmap::{SlotMap, new_key_type};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio_util::io::InspectReader;
 
 use crate::answer::answer;
 use crate::gateway::Gateway;
@@ -109,58 +106,6 @@
     }
 }
 
-/// A caller's socket that records the arrival of bytes.
-#[derive(Debug)]
-struct CallerStream {
-    socket: AnswerSocket,
-    connection: Rc<CallerConnection>,
-}
-
-impl AsyncRead for CallerStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let result = Pin::new(&mut self.socket).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.connection.record_read();
-        }
-        result
-    }
-}
-
-impl AsyncWrite for CallerStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-}
-
 /// The open connections of callers.
 #[derive(Debug, Default)]
 struct Connections {
@@ -229,7 +174,12 @@
         None => DEFAULT_HEAD_BYTES,
     };
     let socket = AnswerSocket::new(stream, connection.until_close.clone());
-    let io = TokioIo::new(CallerStream { socket, connection: connection.clone() });
+    let arriving = connection.clone();
+    let io = TokioIo::new(InspectReader::new(socket, move |bytes: &[u8]| {
+        if !bytes.is_empty() {
+            arriving.record_read();
+        }
+    }));
     let service = {
         let (gw, connection) = (gw.clone(), connection.clone());
         service_fn(move |req| {
