--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -462,7 +462,7 @@
         5 => Behaviour::ForeignAnswer,
         6 => Behaviour::Unsigned,
         7 => Behaviour::ExtraAnswer,
-        8 => Behaviour::HalfBody,
+        8 => Behaviour::half_body(),
         9 => Behaviour::ForeignRefusal,
         _ => cut,
     }
--- a/crates/persimmonmountd/tests/process_gateway_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_answers.rs
@@ -95,7 +95,7 @@
 #[case::foreign(Behaviour::ForeignAnswer, 502)]
 #[case::foreign_refusal(Behaviour::ForeignRefusal, 502)]
 #[case::unsigned(Behaviour::Unsigned, 502)]
-#[case::half(Behaviour::HalfBody, 502)]
+#[case::half(Behaviour::half_body(), 502)]
 #[case::failed(Behaviour::Answer { status: 500, body: "no".to_owned() }, 500)]
 fn once_request_that_may_have_run_is_sent_once(#[case] behaviour: Behaviour, #[case] status: u16) {
     let fixture = Fixture::start();
@@ -128,7 +128,7 @@
 #[rstest]
 #[case::failed(Behaviour::Answer { status: 500, body: "no".to_owned() })]
 #[case::closed(Behaviour::CloseUnanswered)]
-#[case::half(Behaviour::HalfBody)]
+#[case::half(Behaviour::half_body())]
 #[case::silent(Behaviour::Hang)]
 fn lookup_is_retried_at_another_endpoint(#[case] behaviour: Behaviour) {
     let fixture = Fixture::start();
