--- a/crates/persimmonmountd/tests/process_gateway_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_answers.rs
@@ -2,68 +2,24 @@
 
 use std::time::{Duration, Instant};
 
-use persimmon_platform::standin::{
-    Answer, Behaviour, Deployment, EndpointStandin, RouteSpec, wait_until,
-};
+use persimmon_platform::standin::{Answer, Behaviour, EndpointStandin, GatewayFixture, wait_until};
 use rstest::rstest;
 
-const KEY: &str = "key-1";
+const KEY: &str = GatewayFixture::KEY;
 const STREAM: Behaviour =
     Behaviour::Stream { events: 8, pause: Duration::from_millis(10), cut_after: None };
 
 /// Number of requests after which one of two endpoints has certainly been chosen.
 const MAX_REQUESTS: usize = 100;
 
-/// One gateway with the endpoints `one` and `two`.
-struct Fixture {
-    deployment: Deployment,
-    one: EndpointStandin,
-    two: EndpointStandin,
-}
-
-impl Fixture {
-    fn start() -> Self {
-        let mut deployment = Deployment::new(env!("CARGO_BIN_EXE_persimmonmountd"), 1).unwrap();
-        let one = EndpointStandin::start("one", Behaviour::ok()).unwrap();
-        let two = EndpointStandin::start("two", Behaviour::ok()).unwrap();
-        deployment.publish_endpoint(&one, false);
-        deployment.publish_endpoint(&two, false);
-        let routes = [
-            RouteSpec::once("commit"),
-            RouteSpec::repeatable("lookup"),
-            RouteSpec::stream("draft", true),
-            RouteSpec::stream("chat", false),
-            RouteSpec::once("short").with_timeout_ms(300),
-        ];
-        deployment.publish_routes(&routes, &[KEY]);
-        deployment.start_all().unwrap();
-        // Waits until the gateway knows both endpoints, not only the routes.
-        assert!(wait_until(|| {
-            let published = |id: &str| format!("\"endpoint\":\"{id}\"");
-            let log = deployment.log(0).join("\n");
-            log.contains(&published("one")) && log.contains(&published("two"))
-        }));
-        Self { deployment, one, two }
-    }
-
-    fn call(&self, path: &str, id: &str) -> Answer {
-        let caller = self.deployment.caller(0).unwrap().request("POST", path, id);
-        caller.with_key(KEY).with_deadline_ms(4_000).call("the body").unwrap()
-    }
-
-    fn set_behaviours(&self, behaviour: &Behaviour) {
-        self.one.set_behaviour(behaviour.clone());
-        self.two.set_behaviour(behaviour.clone());
-    }
-
-    fn received_count(&self) -> usize {
-        self.one.received().len() + self.two.received().len()
-    }
+/// Starts one gateway before the endpoints `one` and `two`.
+fn start() -> GatewayFixture {
+    GatewayFixture::start(env!("CARGO_BIN_EXE_persimmonmountd"), 1, &["one", "two"]).unwrap()
 }
 
 #[test]
 fn request_is_forwarded_unchanged() {
-    let fixture = Fixture::start();
+    let fixture = start();
     let caller = fixture.deployment.caller(0).unwrap();
     let answer = caller
         .request("POST", "/commit/a%2Fb?x=1&y=%20", "request-1")
@@ -76,7 +32,7 @@
     assert_eq!((answer.status, &*answer.body), (200, "done"));
     assert!(answer.is_signed && answer.is_complete);
     assert_eq!(answer.id.as_deref(), Some("request-1"));
-    let received = [fixture.one.received(), fixture.two.received()].concat();
+    let received = [fixture.endpoints[0].received(), fixture.endpoints[1].received()].concat();
     let [request] = &received[..] else { panic!("one arrival, not {received:?}") };
     assert_eq!(request.line, "POST /commit/a%2Fb?x=1&y=%20 HTTP/1.1");
     assert_eq!(request.body, b"the body");
@@ -98,9 +54,9 @@
 #[case::half(Behaviour::half_body(), 502)]
 #[case::failed(Behaviour::Answer { status: 500, body: "no".to_owned() }, 500)]
 fn once_request_that_may_have_run_is_sent_once(#[case] behaviour: Behaviour, #[case] status: u16) {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&behaviour);
-    let answer = fixture.call("/commit/x", "request-1");
+    let answer = fixture.call(0, "/commit/x", "request-1").unwrap();
     assert_eq!(answer.status, status);
     // Only a failure that the endpoint answered carries its signature.
     assert_eq!(answer.is_signed, status == 500);
@@ -112,16 +68,16 @@
 #[case::refused(Behaviour::NotRun)]
 #[case::misdirected(Behaviour::Misdirected)]
 fn once_request_that_didnt_run_is_retried(#[case] behaviour: Behaviour) {
-    let fixture = Fixture::start();
-    for endpoint in [&fixture.one, &fixture.two] {
+    let fixture = start();
+    for endpoint in [&fixture.endpoints[0], &fixture.endpoints[1]] {
         endpoint.queue_behaviour(behaviour.clone());
     }
-    fixture.one.set_behaviour(behaviour);
-    let answer = fixture.call("/commit/x", "request-1");
+    fixture.endpoints[0].set_behaviour(behaviour);
+    let answer = fixture.call(0, "/commit/x", "request-1").unwrap();
     // Endpoint `two` refuses only its first request and serves the next one.
     assert!(matches!(answer.status, 200 | 503), "{answer:?}");
     assert!(answer.status == 200 || answer.retry_after_s.is_some());
-    assert_eq!(fixture.call("/commit/x", "request-2").status, 200);
+    assert_eq!(fixture.call(0, "/commit/x", "request-2").unwrap().status, 200);
     fixture.deployment.close();
 }
 
@@ -131,10 +87,10 @@
 #[case::half(Behaviour::half_body())]
 #[case::silent(Behaviour::Hang)]
 fn lookup_is_retried_at_another_endpoint(#[case] behaviour: Behaviour) {
-    let fixture = Fixture::start();
-    fixture.one.set_behaviour(behaviour);
+    let fixture = start();
+    fixture.endpoints[0].set_behaviour(behaviour);
     for number in 0..4 {
-        let answer = fixture.call("/lookup/x", &format!("request-{number}"));
+        let answer = fixture.call(0, "/lookup/x", &format!("request-{number}")).unwrap();
         assert_eq!((answer.status, &*answer.body), (200, "done"));
     }
     fixture.deployment.close();
@@ -142,20 +98,20 @@
 
 #[test]
 fn lookup_runs_on_no_more_endpoints_than_its_route_allows() {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&Behaviour::CloseUnanswered);
-    assert_eq!(fixture.call("/lookup/x", "request-1").status, 502);
+    assert_eq!(fixture.call(0, "/lookup/x", "request-1").unwrap().status, 502);
     assert_eq!(fixture.received_count(), 2);
     fixture.deployment.close();
 }
 
 #[test]
 fn extra_answer_reaches_no_caller() {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&Behaviour::ExtraAnswer);
     for number in 0..6 {
         let id = format!("request-{number}");
-        let answer = fixture.call("/lookup/x", &id);
+        let answer = fixture.call(0, "/lookup/x", &id).unwrap();
         assert_eq!((answer.status, &*answer.body), (200, "done"));
         assert_eq!(answer.id, Some(id));
     }
@@ -169,32 +125,33 @@
 
 #[test]
 fn cut_stream_is_resumed_at_another_endpoint() {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&STREAM);
     let cut = Behaviour::Stream { events: 8, pause: Duration::from_millis(10), cut_after: Some(3) };
-    fixture.one.set_behaviour(cut);
+    fixture.endpoints[0].set_behaviour(cut);
     // The gateway chooses at random between the two endpoints.
     let mut number = 0;
-    while fixture.one.received().is_empty() {
+    while fixture.endpoints[0].received().is_empty() {
         assert!(number < MAX_REQUESTS, "no stream was cut");
-        let answer = fixture.call("/draft/x", &format!("request-{number}"));
+        let answer = fixture.call(0, "/draft/x", &format!("request-{number}")).unwrap();
         assert_eq!(answer.status, 200);
         assert!(answer.is_complete, "{}", answer.body);
         assert_eq!(event_numbers(&answer), (1..=8).collect::<Vec<_>>());
         number += 1;
     }
     // A resumed stream starts after the last complete event.
-    let resumed = fixture.two.received().iter().filter(|it| it.last_event == Some(3)).count();
-    assert!(resumed > 0, "{:?}", fixture.two.received());
+    let resumed =
+        fixture.endpoints[1].received().iter().filter(|it| it.last_event == Some(3)).count();
+    assert!(resumed > 0, "{:?}", fixture.endpoints[1].received());
     fixture.deployment.close();
 }
 
 #[test]
 fn stream_that_may_run_once_is_cut_visibly() {
-    let fixture = Fixture::start();
+    let fixture = start();
     let cut = Behaviour::Stream { events: 8, pause: Duration::from_millis(10), cut_after: Some(3) };
     fixture.set_behaviours(&cut);
-    let answer = fixture.call("/chat/x", "request-1");
+    let answer = fixture.call(0, "/chat/x", "request-1").unwrap();
     assert_eq!(answer.status, 200);
     assert!(!answer.is_complete);
     assert_eq!(fixture.received_count(), 1);
@@ -203,7 +160,7 @@
 
 #[test]
 fn stream_with_last_event_starts_after_it() {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&STREAM);
     let caller = fixture.deployment.caller(0).unwrap().request("POST", "/draft/x", "request-1");
     let answer = caller.with_key(KEY).with_last_event(5).call("").unwrap();
@@ -213,13 +170,15 @@
 
 #[test]
 fn timeout_is_answered_at_once_and_frees_the_endpoint() {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&Behaviour::Hang);
     let started = Instant::now();
-    let answer = fixture.call("/short/x", "request-1");
+    let answer = fixture.call(0, "/short/x", "request-1").unwrap();
     assert_eq!(answer.status, 504);
     assert!(started.elapsed() < Duration::from_millis(800), "{:?}", started.elapsed());
-    assert!(wait_until(|| fixture.one.abandoned() + fixture.two.abandoned() == 1));
+    assert!(
+        wait_until(|| fixture.endpoints[0].abandoned() + fixture.endpoints[1].abandoned() == 1)
+    );
     fixture.deployment.close();
 }
 
@@ -230,14 +189,16 @@
     Behaviour::Stream { events: 10_000, pause: Duration::from_millis(5), cut_after: None }
 )]
 fn caller_that_disconnects_frees_the_endpoint(#[case] path: &str, #[case] behaviour: Behaviour) {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&behaviour);
     let mut caller = fixture.deployment.caller(0).unwrap().request("POST", path, "r").with_key(KEY);
     caller.send("body").unwrap();
     assert!(wait_until(|| fixture.received_count() == 1));
     caller.close();
     let disconnected = Instant::now();
-    assert!(wait_until(|| fixture.one.abandoned() + fixture.two.abandoned() == 1));
+    assert!(
+        wait_until(|| fixture.endpoints[0].abandoned() + fixture.endpoints[1].abandoned() == 1)
+    );
     assert!(disconnected.elapsed() < Duration::from_millis(500), "{:?}", disconnected.elapsed());
     fixture.deployment.close();
 }
@@ -248,10 +209,10 @@
 #[case::once("/commit/x", Duration::from_millis(1_500))]
 fn dropped_idle_connection_fails_no_request(#[case] path: &str, #[case] idle: Duration) {
     const REQUESTS: usize = 4;
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&Behaviour::ResetIdle { idle, body: "done".to_owned() });
     for number in 0..REQUESTS {
-        let answer = fixture.call(path, &format!("request-{number}"));
+        let answer = fixture.call(0, path, &format!("request-{number}")).unwrap();
         assert_eq!(answer.status, 200, "request {number}: {answer:?}");
         std::thread::sleep(idle + Duration::from_millis(200));
     }
@@ -264,11 +225,11 @@
 fn idle_connections_dropped_soon_fail_one_request() {
     const IDLE: Duration = Duration::from_millis(200);
     const REQUESTS: usize = 8;
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&Behaviour::ResetIdle { idle: IDLE, body: "done".to_owned() });
     let mut failed = 0;
     for number in 0..REQUESTS {
-        let status = fixture.call("/commit/x", &format!("request-{number}")).status;
+        let status = fixture.call(0, "/commit/x", &format!("request-{number}")).unwrap().status;
         assert!([200, 502].contains(&status), "request {number}: {status}");
         failed += usize::from(status == 502);
         std::thread::sleep(2 * IDLE);
@@ -279,7 +240,7 @@
 
 #[test]
 fn unreachable_endpoint_fails_no_request() {
-    let fixture = Fixture::start();
+    let fixture = start();
     // Nobody listens on the address of an endpoint that has just crashed.
     let gone = EndpointStandin::start("gone", Behaviour::ok()).unwrap();
     let unused = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -288,7 +249,7 @@
     let record = gone.clone().with_address(address);
     fixture.deployment.publish_endpoint(&record, false);
     for number in 0..20 {
-        assert_eq!(fixture.call("/commit/x", &format!("request-{number}")).status, 200);
+        assert_eq!(fixture.call(0, "/commit/x", &format!("request-{number}")).unwrap().status, 200);
     }
     fixture.deployment.close();
 }
--- a/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
@@ -2,14 +2,12 @@
 
 use std::time::Duration;
 
-use persimmon_platform::standin::{
-    Answer, Behaviour, BodyEnd, BodyFraming, Deployment, EndpointStandin, RouteSpec, wait_until,
-};
+use persimmon_platform::standin::{Answer, Behaviour, BodyEnd, BodyFraming, GatewayFixture};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 
-const KEY: &str = "key-1";
+const KEY: &str = GatewayFixture::KEY;
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 const CRLF_EVENTS: &str =
     "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\nid: 3\r\ndata: c\r\n\r\n";
@@ -21,51 +19,15 @@
 /// Number of requests after which one of two endpoints has certainly been chosen.
 const MAX_REQUESTS: usize = 100;
 
-/// One gateway with the endpoints `one` and `two`.
-struct Fixture {
-    deployment: Deployment,
-    one: EndpointStandin,
-    two: EndpointStandin,
+/// Starts one gateway before the endpoints `one` and `two`.
+fn start() -> GatewayFixture {
+    GatewayFixture::start(env!("CARGO_BIN_EXE_persimmonmountd"), 1, &["one", "two"]).unwrap()
 }
 
-impl Fixture {
-    fn start() -> Self {
-        let mut deployment = Deployment::new(env!("CARGO_BIN_EXE_persimmonmountd"), 1).unwrap();
-        let one = EndpointStandin::start("one", Behaviour::ok()).unwrap();
-        let two = EndpointStandin::start("two", Behaviour::ok()).unwrap();
-        deployment.publish_endpoint(&one, false);
-        deployment.publish_endpoint(&two, false);
-        let routes = [
-            RouteSpec::once("commit"),
-            RouteSpec::repeatable("lookup"),
-            RouteSpec::stream("draft", true),
-            RouteSpec::stream("chat", false),
-        ];
-        deployment.publish_routes(&routes, &[KEY]);
-        deployment.start_all().unwrap();
-        assert!(wait_until(|| {
-            let published = |id: &str| format!("\"endpoint\":\"{id}\"");
-            let log = deployment.log(0).join("\n");
-            log.contains(&published("one")) && log.contains(&published("two"))
-        }));
-        Self { deployment, one, two }
-    }
-
-    fn call(&self, path: &str, id: &str) -> Answer {
-        let caller = self.deployment.caller(0).unwrap().request("POST", path, id);
-        caller.with_key(KEY).with_deadline_ms(4_000).call("the body").unwrap()
-    }
-
-    /// Calls as HTTP/1.0, where a stream has neither a length nor chunks.
-    fn call_http_1_0(&self, path: &str, id: &str) -> Answer {
-        let caller = self.deployment.caller(0).unwrap().request("POST", path, id).with_http_1_0();
-        caller.with_key(KEY).with_deadline_ms(4_000).call("the body").unwrap()
-    }
-
-    fn set_behaviours(&self, behaviour: &Behaviour) {
-        self.one.set_behaviour(behaviour.clone());
-        self.two.set_behaviour(behaviour.clone());
-    }
+/// Calls as HTTP/1.0, where a stream has neither a length nor chunks.
+fn call_http_1_0(fixture: &GatewayFixture, path: &str, id: &str) -> Answer {
+    let caller = fixture.deployment.caller(0).unwrap().request("POST", path, id).with_http_1_0();
+    caller.with_key(KEY).with_deadline_ms(4_000).call("the body").unwrap()
 }
 
 fn body(framing: BodyFraming, body: &str, sent_bytes: usize, end: BodyEnd) -> Behaviour {
@@ -94,11 +56,11 @@
     #[case] sent_bytes: usize,
     #[case] end: BodyEnd,
 ) {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&body(framing, events, sent_bytes, end));
-    let answer = fixture.call("/chat/x", "request-1");
+    let answer = fixture.call(0, "/chat/x", "request-1").unwrap();
     assert!(!(answer.status == 200 && answer.is_complete), "{answer:?}");
-    let runs = fixture.one.received().len() + fixture.two.received().len();
+    let runs = fixture.endpoints[0].received().len() + fixture.endpoints[1].received().len();
     assert_eq!(runs, 1, "a stream that may run only once was repeated");
     fixture.deployment.close();
 }
@@ -115,9 +77,9 @@
     #[case] end: BodyEnd,
     #[values("/chat/x", "/draft/x")] path: &str,
 ) {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&body(framing, events, events.len(), end));
-    let answer = fixture.call(path, "request-1");
+    let answer = fixture.call(0, path, "request-1").unwrap();
     assert_eq!((answer.status, &*answer.body), (200, events));
     assert!(answer.is_complete);
     fixture.deployment.close();
@@ -138,15 +100,15 @@
     #[case] sent_bytes: usize,
     #[case] end: BodyEnd,
 ) {
-    let fixture = Fixture::start();
+    let fixture = start();
     let whole = Behaviour::Stream { events: 3, pause: Duration::ZERO, cut_after: None };
-    fixture.two.set_behaviour(whole);
-    fixture.one.set_behaviour(body(framing, events, sent_bytes, end));
+    fixture.endpoints[1].set_behaviour(whole);
+    fixture.endpoints[0].set_behaviour(body(framing, events, sent_bytes, end));
     // The gateway chooses at random between the two.
     let mut number = 0;
-    while fixture.one.received().is_empty() {
+    while fixture.endpoints[0].received().is_empty() {
         assert!(number < MAX_REQUESTS, "no stream was broken off");
-        let answer = fixture.call("/draft/x", &format!("request-{number}"));
+        let answer = fixture.call(0, "/draft/x", &format!("request-{number}")).unwrap();
         assert_eq!(answer.status, 200);
         let ids = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
         assert_eq!(ids.collect::<Vec<_>>(), ["1", "2", "3"], "{answer:?}");
@@ -168,9 +130,9 @@
     #[case] end: BodyEnd,
     #[values("/commit/x", "/lookup/x")] path: &str,
 ) {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&body(framing, "the whole answer", 7, end));
-    let answer = fixture.call(path, "request-1");
+    let answer = fixture.call(0, path, "request-1").unwrap();
     assert_eq!(answer.status, 502, "{answer:?}");
     assert!(!answer.is_signed);
     fixture.deployment.close();
@@ -180,10 +142,10 @@
 #[case::until_close(BodyFraming::UntilClose)]
 #[case::http_1_0(BodyFraming::Http10)]
 fn short_answer_that_ends_with_its_connection_is_delivered(#[case] framing: BodyFraming) {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&body(framing, "done", 4, BodyEnd::Closed));
     for number in 0..3 {
-        let answer = fixture.call("/commit/x", &format!("request-{number}"));
+        let answer = fixture.call(0, "/commit/x", &format!("request-{number}")).unwrap();
         assert_eq!((answer.status, &*answer.body), (200, "done"));
         assert!(answer.is_complete && answer.is_signed);
     }
@@ -200,7 +162,7 @@
     #[values("/chat/x", "/draft/x")] path: &str,
 ) {
     const JSON: &str = "{\"done\":true}";
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&Behaviour::Body {
         headers: "Content-Type: application/json\r\n",
         framing,
@@ -208,7 +170,7 @@
         sent_bytes: JSON.len(),
         end: BodyEnd::Framed,
     });
-    let answer = fixture.call(path, "request-1");
+    let answer = fixture.call(0, path, "request-1").unwrap();
     assert_eq!((answer.status, &*answer.body, answer.is_complete), (200, JSON, true));
     fixture.deployment.close();
 }
@@ -221,13 +183,13 @@
     #[case] headers: &'static str,
     #[values("/commit/x", "/chat/x")] path: &str,
 ) {
-    let fixture = Fixture::start();
+    let fixture = start();
     // Chunked by hand, since the stand-in would add its own header.
     let body = format!("{:x}\r\n{EVENTS}\r\n0\r\n\r\n", EVENTS.len());
     let (framing, sent_bytes) = (BodyFraming::UntilClose, body.len());
     let end = BodyEnd::Closed;
     fixture.set_behaviours(&Behaviour::Body { headers, framing, body, sent_bytes, end });
-    let answer = fixture.call(path, "request-1");
+    let answer = fixture.call(0, path, "request-1").unwrap();
     assert_eq!(answer.status, 502, "{answer:?}");
     fixture.deployment.close();
 }
@@ -239,9 +201,9 @@
     #[case] framing: BodyFraming,
     #[values(BodyEnd::Closed, BodyEnd::Reset)] end: BodyEnd,
 ) {
-    let fixture = Fixture::start();
+    let fixture = start();
     fixture.set_behaviours(&body(framing, EVENTS, INSIDE_EVENT, end));
-    let answer = fixture.call_http_1_0("/chat/x", "request-1");
+    let answer = call_http_1_0(&fixture, "/chat/x", "request-1");
     assert!(!answer.is_complete, "{answer:?}");
     fixture.deployment.close();
 }
@@ -250,11 +212,11 @@
 #[case::chat("/chat/x")]
 #[case::draft("/draft/x")]
 fn whole_stream_is_complete_over_http_1_0(#[case] path: &str) {
-    let fixture = Fixture::start();
+    let fixture = start();
     let events =
         Behaviour::Stream { events: 200, pause: Duration::from_millis(1), cut_after: None };
     fixture.set_behaviours(&events);
-    let answer = fixture.call_http_1_0(path, "request-1");
+    let answer = call_http_1_0(&fixture, path, "request-1");
     assert_eq!((answer.status, answer.is_complete), (200, true));
     assert_eq!(answer.body.matches("id: ").count(), 200);
     fixture.deployment.close();
@@ -262,7 +224,7 @@
 
 #[test]
 fn stream_of_a_killed_gateway_doesnt_look_complete_over_http_1_0() {
-    let mut fixture = Fixture::start();
+    let mut fixture = start();
     fixture.set_behaviours(&Behaviour::Stream {
         events: 10_000,
         pause: Duration::from_millis(1),
@@ -286,7 +248,7 @@
     const CASES: usize = 400;
     let framings =
         [BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose, BodyFraming::Http10];
-    let fixture = Fixture::start();
+    let fixture = start();
     let mut rng = Pcg64Mcg::seed_from_u64(SEED);
     for number in 0..CASES {
         let framing = framings[rng.random_range(0..framings.len())];
@@ -296,8 +258,8 @@
         fixture.set_behaviours(&body(framing, EVENTS, sent_bytes, end));
         let id = format!("request-{number}");
         let answer = match is_http_1_0 {
-            true => fixture.call_http_1_0("/chat/x", &id),
-            false => fixture.call("/chat/x", &id),
+            true => call_http_1_0(&fixture, "/chat/x", &id),
+            false => fixture.call(0, "/chat/x", &id).unwrap(),
         };
         let is_between_events = sent_bytes > 0 && EVENTS[..sent_bytes].ends_with("\n\n");
         let ends_with_connection = matches!(framing, BodyFraming::UntilClose | BodyFraming::Http10);
--- a/crates/persimmonmountd/tests/process_gateway_pauses.rs
+++ b/crates/persimmonmountd/tests/process_gateway_pauses.rs
@@ -2,56 +2,26 @@
 
 use std::time::{Duration, Instant};
 
-use persimmon_platform::standin::{
-    Answer, Behaviour, Deployment, EndpointStandin, RouteSpec, wait_until,
-};
+use persimmon_platform::standin::{Behaviour, GatewayFixture};
 use rstest::rstest;
 
-const KEY: &str = "key-1";
 /// Time for requests that were already on their way when an endpoint asked for a pause.
 const ON_THE_WAY: Duration = Duration::from_millis(500);
 
-struct Fixture {
-    deployment: Deployment,
-    endpoints: Vec<EndpointStandin>,
+/// Starts one gateway before endpoints with these names.
+fn start(names: &[&str]) -> GatewayFixture {
+    GatewayFixture::start(env!("CARGO_BIN_EXE_persimmonmountd"), 1, names).unwrap()
 }
 
-impl Fixture {
-    fn start(names: &[&str]) -> Self {
-        let mut deployment = Deployment::new(env!("CARGO_BIN_EXE_persimmonmountd"), 1).unwrap();
-        let start = |name: &&str| EndpointStandin::start(name, Behaviour::ok()).unwrap();
-        let endpoints: Vec<_> = names.iter().map(start).collect();
-        endpoints.iter().for_each(|it| deployment.publish_endpoint(it, false));
-        let routes = [
-            RouteSpec::once("commit"),
-            RouteSpec::repeatable("lookup"),
-            RouteSpec::stream("draft", true),
-            RouteSpec::stream("chat", false),
-        ];
-        deployment.publish_routes(&routes, &[KEY]);
-        deployment.start_all().unwrap();
-        assert!(wait_until(|| {
-            let log = deployment.log(0).join("\n");
-            names.iter().all(|name| log.contains(&format!("\"endpoint\":\"{name}\"")))
-        }));
-        Self { deployment, endpoints }
-    }
-
-    fn call(&self, path: &str, id: &str) -> Answer {
-        let caller = self.deployment.caller(0).unwrap().request("POST", path, id);
-        caller.with_key(KEY).with_deadline_ms(4_000).call("the body").unwrap()
-    }
-
-    /// Sends requests until the endpoint `number` has received one.
-    fn call_until_received(&self, number: usize, path: &str) {
-        let endpoint = &self.endpoints[number];
-        let before = endpoint.received().len();
-        for attempt in 0.. {
-            assert!(attempt < 200, "the endpoint was never chosen");
-            self.call(path, &format!("before-{attempt}"));
-            if endpoint.received().len() > before {
-                return;
-            }
+/// Sends requests until the endpoint `number` has received one.
+fn call_until_received(fixture: &GatewayFixture, number: usize, path: &str) {
+    let endpoint = &fixture.endpoints[number];
+    let before = endpoint.received().len();
+    for attempt in 0.. {
+        assert!(attempt < 200, "the endpoint was never chosen");
+        fixture.call(0, path, &format!("before-{attempt}")).unwrap();
+        if endpoint.received().len() > before {
+            return;
         }
     }
 }
@@ -63,14 +33,14 @@
 #[case::chat("/chat/x")]
 fn endpoint_that_pauses_gets_no_request(#[case] path: &str) {
     const PAUSE: Duration = Duration::from_millis(1_200);
-    let fixture = Fixture::start(&["one", "two"]);
+    let fixture = start(&["one", "two"]);
     let pausing = Behaviour::Pause { retry_after: "1.2" };
     fixture.endpoints[0].queue_behaviour(pausing);
-    fixture.call_until_received(0, path);
+    call_until_received(&fixture, 0, path);
     let paused_at = fixture.endpoints[0].received().last().unwrap().at;
     let mut number = 0;
     while paused_at.elapsed() < PAUSE {
-        let answer = fixture.call(path, &format!("request-{number}"));
+        let answer = fixture.call(0, path, &format!("request-{number}")).unwrap();
         assert_eq!(answer.status, 200, "{answer:?}");
         number += 1;
     }
@@ -80,22 +50,22 @@
     assert_eq!(late.count(), 0);
     // One at a time, so that none was on its way.
     assert_eq!(received.iter().filter(|it| in_pause(it.at)).count(), 0);
-    fixture.call_until_received(0, path);
+    call_until_received(&fixture, 0, path);
     fixture.deployment.close();
 }
 
 #[test]
 fn callers_are_refused_at_once_while_every_endpoint_pauses() {
-    let fixture = Fixture::start(&["one", "two"]);
+    let fixture = start(&["one", "two"]);
     fixture.endpoints[0].queue_behaviour(Behaviour::Pause { retry_after: "30" });
     fixture.endpoints[1].queue_behaviour(Behaviour::Pause { retry_after: "20" });
     // The first call meets both, since a refusal as not run is tried elsewhere.
-    let first = fixture.call("/commit/x", "request-0");
-    let received = || -> usize { fixture.endpoints.iter().map(|it| it.received().len()).sum() };
+    let first = fixture.call(0, "/commit/x", "request-0").unwrap();
+    let received = || fixture.received_count();
     assert_eq!((first.status, received()), (503, 2), "{first:?}");
     for number in 1..10 {
         let started = Instant::now();
-        let answer = fixture.call("/commit/x", &format!("request-{number}"));
+        let answer = fixture.call(0, "/commit/x", &format!("request-{number}")).unwrap();
         assert_eq!(answer.status, 503);
         assert!(started.elapsed() < Duration::from_millis(500));
         let retry_after_s = answer.retry_after_s.unwrap();
@@ -114,9 +84,9 @@
 #[case::empty("")]
 #[case::zero("0")]
 fn unreadable_pause_is_none(#[case] retry_after: &'static str) {
-    let fixture = Fixture::start(&["one"]);
+    let fixture = start(&["one"]);
     fixture.endpoints[0].queue_behaviour(Behaviour::Pause { retry_after });
-    assert_eq!(fixture.call("/commit/x", "request-0").status, 503);
-    assert_eq!(fixture.call("/commit/x", "request-1").status, 200);
+    assert_eq!(fixture.call(0, "/commit/x", "request-0").unwrap().status, 503);
+    assert_eq!(fixture.call(0, "/commit/x", "request-1").unwrap().status, 200);
     fixture.deployment.close();
 }
