gateway: log and count what crashes are blamed on

New: a line for each check of an endpoint after a broken answer, with its result and the content; a line when content is refused from now on, also when a peer's crashes tip it; persimmon_gateway_endpoint_checks_total and persimmon_gateway_quarantined_total. No change of logic.

--- a/crates/persimmon_decide/src/forward/crash_tracker.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker.rs
@@ -70,6 +70,8 @@
     answered: AnsweredContent,
     /// Fingerprints of requests whose connection broke recently, with the time, by endpoint.
     broken: HashMap<EndpointHash, Vec<(u64, MonoMs)>>,
+    /// Content refused since the last call of [`Self::take_newly_refused`].
+    newly_refused: Vec<Fingerprint>,
 }
 
 impl CrashTracker {
@@ -141,6 +143,11 @@
         fingerprints.filter(move |fingerprint| self.refuses(Fingerprint(*fingerprint), now))
     }
 
+    /// Returns the content that is refused since the last call, for the log.
+    pub fn take_newly_refused(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.newly_refused)
+    }
+
     /// Returns the most recent crashes, for the digest.
     pub fn newest(&self, count: usize, now: MonoMs) -> Vec<(u64, EndpointHash)> {
         let mut live: Vec<_> =
@@ -178,6 +185,9 @@
         if !crashes.endpoints.contains(&endpoint) && crashes.endpoints.len() < max_crashes {
             crashes.endpoints.push(endpoint);
             crashes.expires_at = expires_at;
+            if crashes.endpoints.len() == max_crashes {
+                self.newly_refused.push(Fingerprint(fingerprint));
+            }
         }
     }
 }
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -111,8 +111,11 @@
                 let now = self.gw.clock.now();
                 let mut control = self.gw.control.borrow_mut();
                 let ejected_ms = control.health.record_unreachable(endpoint.hash, now);
-                if control.crashes.record_refused(endpoint.hash, now) {
+                let is_blamed = control.crashes.record_refused(endpoint.hash, now);
+                drop(control);
+                if is_blamed {
                     self.gw.digest_due.notify_one();
+                    self.gw.log_newly_refused();
                     if let Some(suppressed) = self.gw.log_limiter.admit("blamed", now) {
                         tracing::warn!(target: "endpoint", endpoint = &*endpoint.id,
                             id = &*self.plan.head.id, suppressed,
@@ -172,18 +175,30 @@
         let now = self.gw.clock.now();
         self.gw.control.borrow_mut().crashes.record_broken(self.plan.content, endpoint.hash, now);
         let limit = Duration::from_millis(RECONNECT_TIMEOUT_MS);
-        match tokio::time::timeout(limit, self.connect(endpoint)).await {
+        let result = match tokio::time::timeout(limit, self.connect(endpoint)).await {
             Ok(Ok(connection)) => {
                 self.gw.upstream.put_idle(endpoint.hash, connection, None);
-                true
+                "accepted"
             }
             // `connect` has recorded the failure.
-            Ok(Err(_)) => false,
+            Ok(Err(_)) => "unreachable",
             Err(_) => {
                 let now = self.gw.clock.now();
                 self.gw.control.borrow_mut().health.record_unreachable(endpoint.hash, now);
-                false
+                "timed_out"
             }
+        };
+        self.log_endpoint_check(endpoint, result);
+        result == "accepted"
+    }
+
+    fn log_endpoint_check(&self, endpoint: &Endpoint, result: &'static str) {
+        self.gw.metrics.endpoint.checks.with_label_values(&[result]).inc();
+        let now = self.gw.clock.now();
+        if let Some(suppressed) = self.gw.log_limiter.admit("endpoint_check", now) {
+            tracing::info!(target: "endpoint", endpoint = &*endpoint.id,
+                id = &*self.plan.head.id, content = format!("{:016x}", self.plan.content.0),
+                result, suppressed, "checked an endpoint that broke an answer off");
         }
     }
 
@@ -301,7 +316,7 @@
             return;
         }
         self.gw.digest_due.notify_one();
-        self.gw.metrics.leaving.with_label_values(&[&*endpoint.service]).inc();
+        self.gw.metrics.endpoint.leaving.with_label_values(&[&*endpoint.service]).inc();
         tracing::info!(target: "endpoint", endpoint = &*endpoint.id, hash = endpoint.hash.0,
             id = &*self.plan.head.id, state = ?endpoint.state, "endpoint is leaving");
     }
@@ -313,7 +328,7 @@
         let pause_ms = value.to_str().ok().and_then(pause_ms);
         if let Some(pause_ms) = pause_ms {
             self.gw.control.borrow_mut().pauses.record(endpoint.hash, pause_ms, now);
-            self.gw.metrics.pauses.with_label_values(&[&*endpoint.service]).inc();
+            self.gw.metrics.endpoint.pauses.with_label_values(&[&*endpoint.service]).inc();
         }
         if let Some(suppressed) = self.gw.log_limiter.admit("pause", now) {
             tracing::info!(target: "endpoint", endpoint = &*endpoint.id,
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -52,4 +52,16 @@
             digest_due: Notify::new(),
         }
     }
+
+    /// Counts and logs the content that is refused from now on.
+    pub(crate) fn log_newly_refused(&self) {
+        let now = self.clock.now();
+        for content in self.control.borrow_mut().crashes.take_newly_refused() {
+            self.metrics.endpoint.quarantined.with_label_values(&["content"]).inc();
+            if let Some(suppressed) = self.log_limiter.admit("quarantined", now) {
+                tracing::warn!(target: "request", content = format!("{:016x}", content.0), suppressed,
+                    "content is refused: endpoints crashed while they ran it");
+            }
+        }
+    }
 }
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -17,10 +17,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Answers of endpoints by framing and by how they ended; a resumed stream has several.
     pub(crate) answer_parts: IntCounterVec,
-    /// Endpoints whose answers said that they leave, by service.
-    pub(crate) leaving: IntCounterVec,
-    /// Pauses that endpoints asked for, by service.
-    pub(crate) pauses: IntCounterVec,
+    /// Counters of what endpoints do besides answering.
+    pub(crate) endpoint: EndpointMetrics,
     /// Calls to the platform's store by kind and result.
     pub(crate) store_calls: IntCounterVec,
     /// Digests by direction.
@@ -63,16 +61,7 @@
                 "Answers of endpoints by framing and by how they ended; a resumed stream has several.",
                 &["framing", "end"],
             )?,
-            leaving: set.counters(
-                "persimmon_gateway_endpoints_leaving_total",
-                "Endpoints whose answers said that they leave.",
-                &["service"],
-            )?,
-            pauses: set.counters(
-                "persimmon_gateway_endpoint_pauses_total",
-                "Pauses that endpoints asked for.",
-                &["service"],
-            )?,
+            endpoint: EndpointMetrics::new(&set)?,
             store_calls: set.counters(
                 "persimmon_gateway_store_calls_total",
                 "Calls to the platform's store.",
@@ -108,3 +97,43 @@
         self.set.encode()
     }
 }
+
+/// Counters of what endpoints do besides answering.
+#[derive(Debug, Clone)]
+pub(crate) struct EndpointMetrics {
+    /// Endpoints whose answers said that they leave, by service.
+    pub(crate) leaving: IntCounterVec,
+    /// Pauses that endpoints asked for, by service.
+    pub(crate) pauses: IntCounterVec,
+    /// Checks whether an endpoint that broke an answer off still accepts connections, by result.
+    pub(crate) checks: IntCounterVec,
+    /// What was refused because endpoints crashed while they ran it, by kind.
+    pub(crate) quarantined: IntCounterVec,
+}
+
+impl EndpointMetrics {
+    fn new(set: &MetricSet) -> prometheus::Result<Self> {
+        Ok(Self {
+            leaving: set.counters(
+                "persimmon_gateway_endpoints_leaving_total",
+                "Endpoints whose answers said that they leave.",
+                &["service"],
+            )?,
+            pauses: set.counters(
+                "persimmon_gateway_endpoint_pauses_total",
+                "Pauses that endpoints asked for.",
+                &["service"],
+            )?,
+            checks: set.counters(
+                "persimmon_gateway_endpoint_checks_total",
+                "Checks of endpoints that broke an answer off.",
+                &["result"],
+            )?,
+            quarantined: set.counters(
+                "persimmon_gateway_quarantined_total",
+                "What is refused because endpoints crashed while they ran it.",
+                &["kind"],
+            )?,
+        })
+    }
+}
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -57,6 +57,7 @@
                     // A gateway that has just started needs the state of the others.
                     gw.digest_due.notify_one();
                 }
+                gw.log_newly_refused();
             }
             Err(err) => {
                 if let Some(suppressed) = gw.log_limiter.admit("bad_digest", now) {
