Failing test: a request that crashes endpoints is sent on and on

Three gateways before eight endpoints, four kinds of route, crashes before the head and in the body, endpoints that refuse, fall silent, are back at once or come back under another id; sound requests of the same caller and route beside it, in one run. The endpoints register themselves in the store, as the platform's do.

--- /dev/null
+++ b/crates/persimmonmountd/tests/process_gateway_crashes.rs
@@ -0,0 +1,195 @@
+//! Tests of several gateways before endpoints that crash on some requests.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use persimmon_platform::standin::{
+    BodyFraming, Caller, CrashExit, CrashMoment, CrashPlan, CrashingEndpoint, Deployment,
+    RouteSpec, wait_until,
+};
+use rstest::rstest;
+
+const KEY: &str = "key-1";
+const GATEWAYS: usize = 3;
+const ENDPOINTS: [&str; 8] = ["one", "two", "three", "four", "five", "six", "seven", "eight"];
+const MARKER: &str = "bad00bad";
+const SOUND_BODY: &str = "sound";
+const DEADLINE_MS: u64 = 2_000;
+/// Pause of a caller between two requests.
+const PAUSE: Duration = Duration::from_millis(25);
+/// Pause between two requests that crash endpoints; an endpoint answers or crashes in less.
+const BAD_PAUSE: Duration = Duration::from_millis(80);
+/// Time for which requests that crash endpoints are sent.
+const BAD_TIME: Duration = Duration::from_millis(6_500);
+/// Time that gateways have to tell each other of crashes, from the specification.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Maximum number of requests that may reach endpoints after that, from the specification.
+const MAX_LATE_ARRIVALS: usize = 3;
+/// Number of crashes after which a repeated request is to be refused, from the specification.
+const REPEATED_CRASHES: usize = 3;
+
+fn caller(deployment: &Deployment, gateway: usize, path: &str, id: &str) -> Option<Caller> {
+    let caller = deployment.caller(gateway).ok()?.request("POST", path, id);
+    Some(caller.with_key(KEY).with_deadline_ms(DEADLINE_MS))
+}
+
+/// Sound requests sent and served, first attempts only.
+#[derive(Debug, Default)]
+struct Served {
+    sent: AtomicUsize,
+    served: AtomicUsize,
+}
+
+impl Served {
+    fn record(&self, is_served: bool) {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        self.served.fetch_add(usize::from(is_served), Ordering::Relaxed);
+    }
+
+    fn share(&self) -> f64 {
+        let count = |it: &AtomicUsize| it.load(Ordering::Relaxed) as f64;
+        count(&self.served) / count(&self.sent)
+    }
+}
+
+/// Gateways before endpoints of which each crashes on marked requests.
+struct Fixture {
+    deployment: Deployment,
+    endpoints: Vec<CrashingEndpoint>,
+}
+
+impl Fixture {
+    fn start(plan: CrashPlan) -> Self {
+        let program = env!("CARGO_BIN_EXE_persimmonmountd");
+        let mut deployment = Deployment::new(program, GATEWAYS as u8).unwrap();
+        let start = |name| CrashingEndpoint::start(name, plan, &deployment.store).unwrap();
+        let endpoints: Vec<_> = ENDPOINTS.into_iter().map(start).collect();
+        let routes = [
+            RouteSpec::once("commit"),
+            RouteSpec::repeatable("lookup"),
+            RouteSpec::stream("draft", true),
+            RouteSpec::stream("chat", false),
+        ];
+        deployment.publish_routes(&routes, &[KEY]);
+        deployment.start_all().unwrap();
+        let knows_all = |gateway| {
+            let status = deployment.status(gateway).unwrap_or_default();
+            ENDPOINTS.iter().all(|id| status.contains(&format!("\"id\":\"{id}\"")))
+        };
+        assert!(wait_until(|| (0..GATEWAYS).all(knows_all)));
+        Self { deployment, endpoints }
+    }
+
+    /// Sends sound requests through a gateway while `is_over` is false. Those sent once `is_late`
+    /// is true are counted apart.
+    fn call_soundly(&self, gateway: usize, day: &Day<'_>) {
+        let mut number = 0;
+        while !day.is_over.load(Ordering::Relaxed) {
+            number += 1;
+            let id = format!("sound-{gateway}-{number}");
+            let answer = caller(&self.deployment, gateway, day.path, &id)
+                .and_then(|mut it| it.call(SOUND_BODY).ok());
+            let is_served = answer.is_some_and(|it| it.status == 200 && it.is_complete);
+            let served = match day.is_late.load(Ordering::Relaxed) {
+                true => &day.late,
+                false => &day.early,
+            };
+            served.record(is_served);
+            thread::sleep(PAUSE);
+        }
+    }
+
+    /// Sends the same marked request through all gateways in turn, without waiting for answers.
+    fn call_badly(&self, path: &str) {
+        let until = Instant::now() + BAD_TIME;
+        let mut callers = Vec::new();
+        while Instant::now() < until {
+            let number = callers.len();
+            let id = format!("bad-{number}");
+            let mut caller = caller(&self.deployment, number % GATEWAYS, path, &id).unwrap();
+            caller.send(MARKER).unwrap();
+            callers.push(caller);
+            thread::sleep(BAD_PAUSE);
+        }
+    }
+
+    /// Returns the time of the crash with this number, counted from 1.
+    fn crash(&self, number: usize) -> Option<Instant> {
+        let mut crashes: Vec<_> = self.endpoints.iter().flat_map(|it| it.crashes()).collect();
+        crashes.sort();
+        crashes.get(number - 1).copied()
+    }
+
+    fn arrivals_after(&self, time: Instant) -> usize {
+        let arrivals = self.endpoints.iter().flat_map(|it| it.marked_arrivals());
+        arrivals.filter(|at| *at > time).count()
+    }
+
+    fn close(self) {
+        self.deployment.close();
+    }
+}
+
+/// What is sent in a test, and what came of the sound requests.
+struct Day<'a> {
+    path: &'a str,
+    is_late: AtomicBool,
+    is_over: AtomicBool,
+    early: Served,
+    late: Served,
+}
+
+/// Plays marked requests beside sound ones. Sound requests count as late once the gateways have had
+/// the time to refuse the marked ones.
+fn play(fixture: &Fixture, path: &str) -> Served {
+    let day = Day {
+        path,
+        is_late: AtomicBool::new(false),
+        is_over: AtomicBool::new(false),
+        early: Served::default(),
+        late: Served::default(),
+    };
+    thread::scope(|scope| {
+        for gateway in 0..GATEWAYS {
+            let day = &day;
+            scope.spawn(move || fixture.call_soundly(gateway, day));
+        }
+        let bad = scope.spawn(|| fixture.call_badly(path));
+        thread::sleep(BAD_TIME / 2);
+        day.is_late.store(true, Ordering::Relaxed);
+        bad.join().unwrap();
+        day.is_over.store(true, Ordering::Relaxed);
+    });
+    day.late
+}
+
+/// A caller sends a request that crashes each endpoint that runs it to all gateways in turn, whatever
+/// they tell it, beside sound requests of the same caller on the same route.
+#[rstest]
+fn request_that_crashes_endpoints_is_refused_beside_sound_ones(
+    #[values("/commit/x", "/lookup/x", "/draft/x", "/chat/x")] path: &str,
+    #[values(
+        CrashMoment::BeforeHead,
+        CrashMoment::InBody(BodyFraming::Chunked),
+        CrashMoment::InBody(BodyFraming::UntilClose)
+    )]
+    moment: CrashMoment,
+    #[values(
+        CrashExit::Refusing,
+        CrashExit::Silent,
+        CrashExit::BackAtOnce,
+        CrashExit::BackRenamed
+    )]
+    exit: CrashExit,
+) {
+    let fixture = Fixture::start(CrashPlan { marker: MARKER, moment, exit });
+    let late = play(&fixture, path);
+    assert!(fixture.crash(1).is_some(), "the request never ran");
+    if let Some(third) = fixture.crash(REPEATED_CRASHES) {
+        let arrivals = fixture.arrivals_after(third + CONTACT);
+        assert!(arrivals <= MAX_LATE_ARRIVALS, "{arrivals} requests reached endpoints");
+    }
+    assert!(late.share() >= 0.5, "{late:?}");
+    fixture.close();
+}
