gateway: a crash is blamed on a request however the endpoint goes

Callers saw chats broken off one after the other while one request crashed an endpoint with each of its repeats: 18 more after the third, 28 in all.

Cause: a request was blamed for an endpoint's end only by one path: its connection broke with an error, before the head or on a resumable route, and a new connection was refused within a second. A stream that may run only once never led to the check, nor did an answer whose connection ended in order, and an answer without a length then even cleared its content. An endpoint that fell silent, or whose address was served again by the time of the check, was never found to have crashed.

Change: each request that is left without an answer is kept, on all routes, for whatever reason (break, end inside an event, silence, deadline, caller gone from a silent endpoint); what shows the endpoint's end, in either order, blames it: a refused connection, a 421 from another process, the platform's removal or replacement of its record without notice. A time-out of a connection alone no longer blames: a gateway that is cut off would blame its own callers. Answers that end with their connection clear their content only once the endpoint has outlived them by 5 s. Before each further attempt the content is looked up again, since others may have crashed endpoints meanwhile. Digests carry 64 crashes instead of 16, those of the most suspected content first, so that an endpoint that dies under many requests doesn't crowd the cause out.

--- a/crates/persimmon_decide/tests/forward_crash_tracker.rs
+++ b/crates/persimmon_decide/tests/forward_crash_tracker.rs
@@ -3,13 +3,14 @@
 use persimmon_decide::forward::CrashTracker;
 use persimmon_decide::load::EndpointHash;
 use persimmon_decide::{Fingerprint, MonoMs};
+use rstest::rstest;
 
 const BAD: Fingerprint = Fingerprint(7);
 const ONE: EndpointHash = EndpointHash(1);
 const TWO: EndpointHash = EndpointHash(2);
 
 fn crash(tracker: &mut CrashTracker, endpoint: EndpointHash, at: u64) {
-    tracker.record_broken(BAD, endpoint, MonoMs(at));
+    tracker.record_unanswered(BAD, endpoint, MonoMs(at));
     tracker.record_refused(endpoint, MonoMs(at + 20));
 }
 
@@ -27,7 +28,7 @@
 fn refuses_ignores_broken_connections_alone() {
     let mut tracker = CrashTracker::new();
     for endpoint in 1..10 {
-        tracker.record_broken(BAD, EndpointHash(endpoint), MonoMs(1_000));
+        tracker.record_unanswered(BAD, EndpointHash(endpoint), MonoMs(1_000));
     }
     assert!(!tracker.refuses(BAD, MonoMs(1_100)));
 }
@@ -36,7 +37,7 @@
 fn refuses_ignores_late_connection_refusal() {
     let mut tracker = CrashTracker::new();
     for endpoint in [ONE, TWO] {
-        tracker.record_broken(BAD, endpoint, MonoMs(1_000));
+        tracker.record_unanswered(BAD, endpoint, MonoMs(1_000));
         tracker.record_refused(endpoint, MonoMs(5_000));
     }
     assert!(!tracker.refuses(BAD, MonoMs(5_100)));
@@ -55,7 +56,7 @@
     let (mut here, mut there) = (CrashTracker::new(), CrashTracker::new());
     crash(&mut here, ONE, 1_000);
     crash(&mut there, TWO, 1_000);
-    for (content, endpoint) in there.newest(16, MonoMs(1_100)) {
+    for (content, endpoint) in there.most_urgent(16, MonoMs(1_100)) {
         here.record_peer_crash(content, endpoint, MonoMs(1_100));
     }
     assert!(here.refuses(BAD, MonoMs(1_200)));
@@ -104,10 +105,98 @@
     here.record_answered(BAD, MonoMs(1_000));
     crash(&mut there, ONE, 1_000);
     crash(&mut there, TWO, 1_000);
-    for (content, endpoint) in there.newest(16, MonoMs(1_100)) {
+    for (content, endpoint) in there.most_urgent(16, MonoMs(1_100)) {
         here.record_peer_crash(content, endpoint, MonoMs(1_100));
     }
     assert!(!here.refuses(BAD, MonoMs(1_200)));
     // Without further answers, the two crashes are enough again.
     assert!(here.refuses(BAD, MonoMs(62_000)));
 }
+
+/// Other content that is often answered was in progress at all endpoints that one request crashed.
+#[test]
+fn refuses_ignores_answered_content_beside_the_cause() {
+    const SOUND: Fingerprint = Fingerprint(8);
+    let mut tracker = CrashTracker::new();
+    tracker.record_answered(SOUND, MonoMs(1_000));
+    for endpoint in (1..=8).map(EndpointHash) {
+        tracker.begin(SOUND, endpoint);
+        tracker.begin(BAD, endpoint);
+        tracker.record_ended(endpoint, true, MonoMs(2_000));
+    }
+    assert!(tracker.refuses(BAD, MonoMs(2_100)));
+    assert!(!tracker.refuses(SOUND, MonoMs(2_100)));
+}
+
+/// An endpoint ended; the request had broken off before, still waits, or breaks off afterwards.
+#[rstest]
+#[case::before(|tracker: &mut CrashTracker| {
+    tracker.record_unanswered(BAD, TWO, MonoMs(2_000));
+    tracker.record_ended(TWO, false, MonoMs(6_000));
+})]
+#[case::waiting(|tracker: &mut CrashTracker| {
+    tracker.begin(BAD, TWO);
+    tracker.record_ended(TWO, true, MonoMs(6_000));
+})]
+#[case::after(|tracker: &mut CrashTracker| {
+    tracker.record_ended(TWO, false, MonoMs(2_000));
+    tracker.record_unanswered(BAD, TWO, MonoMs(6_000));
+})]
+#[case::silent_until_the_caller_left(|tracker: &mut CrashTracker| {
+    tracker.begin(BAD, TWO);
+    tracker.end(BAD, TWO, true, MonoMs(2_000));
+    tracker.record_ended(TWO, false, MonoMs(6_000));
+})]
+#[case::closed_in_order(|tracker: &mut CrashTracker| {
+    tracker.record_closed(BAD, TWO, MonoMs(2_000));
+    tracker.expire(MonoMs(3_000));
+    tracker.record_ended(TWO, false, MonoMs(6_000));
+})]
+fn record_ended_blames_unanswered_request(#[case] crash_second: fn(&mut CrashTracker)) {
+    let mut tracker = CrashTracker::new();
+    crash(&mut tracker, ONE, 1_000);
+    crash_second(&mut tracker);
+    assert!(tracker.refuses(BAD, MonoMs(6_100)));
+}
+
+/// Requests that an endpoint answered, or goes on to answer, aren't blamed for its end.
+#[rstest]
+#[case::still_sending(|tracker: &mut CrashTracker| {
+    tracker.begin(BAD, TWO);
+    tracker.record_ended(TWO, false, MonoMs(6_000));
+})]
+#[case::answered(|tracker: &mut CrashTracker| {
+    tracker.begin(BAD, TWO);
+    tracker.end(BAD, TWO, false, MonoMs(2_000));
+    tracker.record_ended(TWO, true, MonoMs(6_000));
+})]
+#[case::broken_long_before(|tracker: &mut CrashTracker| {
+    tracker.record_unanswered(BAD, TWO, MonoMs(2_000));
+    tracker.record_ended(TWO, true, MonoMs(60_000));
+})]
+#[case::outlived(|tracker: &mut CrashTracker| {
+    tracker.record_closed(BAD, TWO, MonoMs(2_000));
+    tracker.expire(MonoMs(9_000));
+    tracker.record_ended(TWO, false, MonoMs(9_100));
+})]
+fn record_ended_ignores_answered_request(#[case] end_second: fn(&mut CrashTracker)) {
+    let mut tracker = CrashTracker::new();
+    crash(&mut tracker, ONE, 1_000);
+    end_second(&mut tracker);
+    assert!(!tracker.refuses(BAD, MonoMs(60_100)));
+}
+
+/// An endpoint crashes under many requests at once, among them the one that crashed another before.
+#[test]
+fn most_urgent_keeps_the_cause_among_many_suspects() {
+    const SUSPECTS: u64 = 100;
+    let mut tracker = CrashTracker::new();
+    crash(&mut tracker, ONE, 1_000);
+    crash(&mut tracker, TWO, 2_000);
+    for fingerprint in (100..100 + SUSPECTS).map(Fingerprint) {
+        tracker.record_unanswered(fingerprint, EndpointHash(3), MonoMs(2_500));
+    }
+    tracker.record_refused(EndpointHash(3), MonoMs(2_510));
+    let urgent = tracker.most_urgent(16, MonoMs(2_520));
+    assert!(urgent.contains(&(BAD.0, ONE)) && urgent.contains(&(BAD.0, TWO)), "{urgent:?}");
+}
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -8,22 +8,23 @@
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
     Admission, AdmissionInput, AdmissionSettings, Choice, CrashTracker, Digest, DigestFreshness,
-    DurationTracker, Endpoint, EndpointDirectory, EndpointPauses, FirstByteTimeout, FleetView,
-    HealthSettings, HealthTracker, IdleLimit, LoadTracker, NoChoice, PeerTable, PickRequest,
-    Picker, PrefixMap, Rank, RetryWindow, RouteTable, ServiceRetries, Shutdown, ShutdownSettings,
-    StoreChange, StoreView, WaitingTime, WorkspaceShares,
+    DurationTracker, Endpoint, EndpointDirectory, EndpointPauses, EndpointState, FirstByteTimeout,
+    FleetView, HealthSettings, HealthTracker, IdleLimit, LoadTracker, NoChoice, PeerTable,
+    PickRequest, Picker, PrefixMap, Rank, RetryWindow, RouteTable, ServiceRetries, Shutdown,
+    ShutdownSettings, StoreChange, StoreView, WaitingTime, WorkspaceShares,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
+use crate::exchange::ENDPOINT_SILENT_MS;
 use crate::platform::{DecodeError, DecodedRecord, Platform, RecordSubject};
 use crate::settings::GatewaySettings;
 
 /// Maximum number of leaving endpoints in one digest.
 const MAX_DIGEST_LEAVING: usize = 32;
 /// Maximum number of crash marks in one digest; more would take too much of a datagram.
-const MAX_DIGEST_CRASHES: usize = 16;
+const MAX_DIGEST_CRASHES: usize = 64;
 
 /// Maximum number of endpoints with outcomes in one digest, which contains only endpoints at which
 /// some gateway's requests have recently failed.
@@ -148,6 +149,7 @@
         &mut self,
         platform: &P,
         changes: Vec<StoreChange>,
+        now: MonoMs,
     ) -> Vec<Applied> {
         let mut applied = Vec::new();
         for change in changes {
@@ -156,7 +158,7 @@
                     let value = record.value.as_deref().unwrap_or_default();
                     match platform.decode(&record.key, value) {
                         Ok(DecodedRecord::Endpoint(endpoint)) => {
-                            applied.push(self.put_endpoint(endpoint));
+                            applied.push(self.put_endpoint(endpoint, now));
                         }
                         Ok(DecodedRecord::Routes(routes)) => applied.push(self.put_routes(routes)),
                         Ok(DecodedRecord::Other) => {}
@@ -164,7 +166,7 @@
                             // Without a readable record, the endpoint's address and state are
                             // unknown.
                             if let RecordSubject::Endpoint(id) = platform.subject(&record.key) {
-                                applied.extend(self.remove_endpoint(&id));
+                                applied.extend(self.remove_endpoint(&id, now));
                             }
                             applied.push(Applied::Unreadable(record.key, err));
                         }
@@ -172,7 +174,7 @@
                 }
                 StoreChange::Removed(key) => {
                     if let RecordSubject::Endpoint(id) = platform.subject(&key) {
-                        applied.extend(self.remove_endpoint(&id));
+                        applied.extend(self.remove_endpoint(&id, now));
                     }
                 }
             }
@@ -180,23 +182,37 @@
         applied
     }
 
-    fn put_endpoint(&mut self, endpoint: Endpoint) -> Applied {
+    fn put_endpoint(&mut self, endpoint: Endpoint, now: MonoMs) -> Applied {
         let id = endpoint.id.clone();
         let hash = endpoint.hash;
         let previous = self.directory.insert(endpoint);
         if let Some(previous) = previous.filter(|previous| previous.hash != hash) {
             self.prefixes.forget(previous.hash);
+            self.record_ended(&previous, now);
         }
         let endpoint = self.directory.get(&id).cloned();
         Applied::Endpoint(endpoint.expect("the endpoint was just inserted"))
     }
 
-    fn remove_endpoint(&mut self, id: &str) -> Option<Applied> {
+    fn remove_endpoint(&mut self, id: &str, now: MonoMs) -> Option<Applied> {
         let endpoint = self.directory.remove(id)?;
         self.prefixes.forget(endpoint.hash);
+        self.record_ended(&endpoint, now);
         Some(Applied::EndpointRemoved(endpoint))
     }
 
+    /// Records that an endpoint has ended. Returns whether content is blamed for it; the caller must
+    /// then notify the other gateways.
+    pub(crate) fn record_ended(&mut self, endpoint: &Endpoint, now: MonoMs) -> bool {
+        let is_leaving =
+            endpoint.state == EndpointState::Draining || self.directory.is_leaving(endpoint.hash);
+        if is_leaving {
+            return false;
+        }
+        let is_silent = self.health.silent_ms(endpoint.hash, now) >= ENDPOINT_SILENT_MS;
+        self.crashes.record_ended(endpoint.hash, is_silent, now)
+    }
+
     fn put_routes(&mut self, routes: RouteTable) -> Applied {
         let version = routes.version;
         if self.routes.as_ref().is_some_and(|known| known.version > version) {
@@ -289,7 +305,7 @@
             outcomes: self.health.outcomes(MAX_DIGEST_OUTCOMES, now),
             retries: retries.filter(|(_, it)| it.fresh + it.repeated > 0).collect(),
             holders: self.prefixes.take_announcements(MAX_DIGEST_NEW_HOLDERS, repeated, now),
-            crashes: self.crashes.newest(MAX_DIGEST_CRASHES, now),
+            crashes: self.crashes.most_urgent(MAX_DIGEST_CRASHES, now),
             peers: self.peers.addresses(draw, now),
             leaving: self.directory.leaving().take(MAX_DIGEST_LEAVING).collect(),
         }
@@ -342,6 +358,7 @@
         self.health.retain(|endpoint| published.contains(&endpoint));
         self.directory.expire_leaving(now);
         self.pauses.retain(|endpoint| published.contains(&endpoint), now);
+        self.crashes.expire(now);
         published
     }
 }
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -48,7 +48,7 @@
         choice: &Choice,
         last_event: Option<u64>,
     ) -> Result<Answered<P>, FailedAttempt> {
-        let mut in_flight = InFlight::begin(&self.gw, choice);
+        let mut in_flight = InFlight::begin(&self.gw, choice, self.plan.content);
         let deadline = self.gw.clock.instant(self.plan.deadline).into();
         let sent = tokio::time::timeout_at(deadline, self.send(choice, last_event)).await;
         let (response, connection) = match sent {
@@ -111,7 +111,9 @@
                 let now = self.gw.clock.now();
                 let mut control = self.gw.control.borrow_mut();
                 let ejected_ms = control.health.record_unreachable(endpoint.hash, now);
-                let is_blamed = control.crashes.record_refused(endpoint.hash, now);
+                // Without a route to the endpoint, nothing says that its process has ended.
+                let is_blamed =
+                    err.is_refused() && control.crashes.record_refused(endpoint.hash, now);
                 drop(control);
                 if is_blamed {
                     self.gw.digest_due.notify_one();
@@ -168,12 +170,13 @@
         }
     }
 
-    /// Records that the connection broke while the endpoint was processing this request. A new
-    /// connection shows whether the endpoint has crashed; if not, the next request uses it. Returns
-    /// whether it could be opened.
+    /// Records that the endpoint broke its answer to this request off. A new connection shows
+    /// whether the endpoint has crashed; if not, the next request uses it. Returns whether it could
+    /// be opened.
     pub(crate) async fn record_broken(&self, endpoint: &Arc<Endpoint>) -> bool {
         let now = self.gw.clock.now();
-        self.gw.control.borrow_mut().crashes.record_broken(self.plan.content, endpoint.hash, now);
+        let content = self.plan.content;
+        self.gw.control.borrow_mut().crashes.record_unanswered(content, endpoint.hash, now);
         let limit = Duration::from_millis(RECONNECT_TIMEOUT_MS);
         let result = match tokio::time::timeout(limit, self.connect(endpoint)).await {
             Ok(Ok(connection)) => {
@@ -285,6 +288,9 @@
         if status == StatusCode::SERVICE_UNAVAILABLE {
             self.record_pause(&in_flight.endpoint, headers.get(RETRY_AFTER));
         }
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            self.record_replaced(&in_flight.endpoint);
+        }
         if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
             let why =
                 if status == StatusCode::MISDIRECTED_REQUEST { "misdirected" } else { "refused" };
@@ -309,6 +315,15 @@
         self.read_complete_answer(response, framing, connection, in_flight).await
     }
 
+    /// Records that another process answers at the address of an endpoint.
+    fn record_replaced(&self, endpoint: &Endpoint) {
+        let now = self.gw.clock.now();
+        if self.gw.control.borrow_mut().record_ended(endpoint, now) {
+            self.gw.digest_due.notify_one();
+            self.gw.log_newly_refused();
+        }
+    }
+
     /// Records that an endpoint says that it leaves, and tells the other gateways at once.
     fn record_leaving(&self, endpoint: &Endpoint) {
         let now = self.gw.clock.now();
@@ -374,7 +389,7 @@
             let outcome = AttemptOutcome::Failed;
             return Err(FailedAttempt { outcome, why: "failed", failure: Some(response) });
         }
-        self.record_success(&in_flight);
+        self.record_success(&in_flight, framing);
         Ok(Answered::Complete(response))
     }
 
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -44,7 +44,7 @@
 const MIN_SILENCE_TIMEOUT_MS: u64 = 250;
 /// Time without data on any request after which an endpoint counts as unreachable, in milliseconds.
 /// A live engine sends data several times a second.
-const ENDPOINT_SILENT_MS: u64 = 600;
+pub(crate) const ENDPOINT_SILENT_MS: u64 = 600;
 
 /// A stream whose response head has arrived.
 #[derive(Debug)]
@@ -177,6 +177,11 @@
 
     fn choose(&self) -> Result<Choice, Refusal> {
         let mut control = self.gw.control.borrow_mut();
+        // Other requests with this content may have crashed endpoints since the last attempt.
+        if control.crashes.refuses(self.plan.content, self.gw.clock.now()) {
+            let has_run = self.log.may_have_run();
+            return Err(if has_run { Refusal::Unknown } else { Refusal::Crashing });
+        }
         let draw = control.draw();
         let plan = &self.plan;
         let parts = if plan.route.has_prompt { &plan.head.parts[..] } else { &[] };
@@ -266,6 +271,11 @@
         if outcome != AttemptOutcome::NotRun {
             control.health.record_outcome(endpoint.hash, false, now);
         }
+        if outcome == AttemptOutcome::Unknown
+            && control.crashes.record_unanswered(self.plan.content, endpoint.hash, now)
+        {
+            self.gw.digest_due.notify_one();
+        }
         let has_budget = control.allows_repeat(&self.plan.service, now);
         let step = self.log.record(outcome, has_budget, has_time);
         self.gw.metrics.attempts.with_label_values(&[why]).inc();
@@ -327,15 +337,20 @@
             && control.allows_repeat(&self.plan.service, now)
     }
 
-    /// Records a complete answer.
-    pub(crate) fn record_success(&self, in_flight: &InFlight<P>) {
+    /// Records an answer that is complete by its framing.
+    pub(crate) fn record_success(&self, in_flight: &InFlight<P>, framing: Framing) {
         let now = self.gw.clock.now();
         let mut control = self.gw.control.borrow_mut();
         control.health.record_outcome(in_flight.endpoint.hash, true, now);
         if in_flight.had_free_slot {
             control.waiting_time.record(&self.plan.service, now.ms_since(in_flight.began));
         }
-        control.crashes.record_answered(self.plan.content, now);
+        match framing {
+            Framing::UntilClose => {
+                control.crashes.record_closed(self.plan.content, in_flight.endpoint.hash, now);
+            }
+            _ => control.crashes.record_answered(self.plan.content, now),
+        }
     }
 
     fn record_first_answer(&mut self, choice: &Choice) {
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -14,6 +14,9 @@
 /// Interval at which a silent stream is checked, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 400;
 
+/// Ends of a part that look the same if the endpoint has crashed.
+const BREAKS: [&str; 3] = ["broken", "partial_event", "no_event"];
+
 /// How the part of a stream from one endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PartEnd {
@@ -78,7 +81,7 @@
         match end {
             PartEnd::Complete => {
                 tx.complete();
-                exchange.record_success(&stream.in_flight);
+                exchange.record_success(&stream.in_flight, stream.framing);
                 exchange.gw.upstream.put_idle(endpoint.hash, stream.connection, keep_alive_s);
                 exchange.record_end("answered");
                 return;
@@ -88,7 +91,7 @@
             PartEnd::Broken(why) => {
                 // Closes the connection, so that the endpoint stops processing the request.
                 drop(stream);
-                if why == "broken" && events.is_some() {
+                if BREAKS.contains(&why) {
                     exchange.record_broken(&endpoint).await;
                 }
                 let step = exchange.record_failure(&endpoint, AttemptOutcome::Unknown, why);
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -282,7 +282,7 @@
     }
     gw.digest_due.notify_one();
     let mut control = gw.control.borrow_mut();
-    let applied = control.apply(&gw.platform, changes);
+    let applied = control.apply(&gw.platform, changes, gw.clock.now());
     let revision = control.view.revision();
     if control.can_route() {
         gw.configured.notify_waiters();
@@ -292,6 +292,7 @@
     }
     gw.metrics.endpoints.set(i64::try_from(control.directory.len()).unwrap_or(i64::MAX));
     drop(control);
+    gw.log_newly_refused();
     for it in applied {
         log_applied(gw, &it, revision);
     }
--- a/crates/persimmon_gateway/src/upstream.rs
+++ b/crates/persimmon_gateway/src/upstream.rs
@@ -43,6 +43,13 @@
     Broken(#[source] hyper::Error),
 }
 
+impl SendError {
+    /// Reports whether nothing listens at the address.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Self::NoConnection(err) if err.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// An open connection to an endpoint.
 #[derive(Debug)]
 pub(crate) struct Connection {
--- a/crates/persimmonmountd/tests/process_gateway_crashes.rs
+++ b/crates/persimmonmountd/tests/process_gateway_crashes.rs
@@ -116,13 +116,14 @@
 
     /// Returns the time of the crash with this number, counted from 1.
     fn crash(&self, number: usize) -> Option<Instant> {
-        let mut crashes: Vec<_> = self.endpoints.iter().flat_map(|it| it.crashes()).collect();
+        let mut crashes: Vec<_> =
+            self.endpoints.iter().flat_map(CrashingEndpoint::crashes).collect();
         crashes.sort();
         crashes.get(number - 1).copied()
     }
 
     fn arrivals_after(&self, time: Instant) -> usize {
-        let arrivals = self.endpoints.iter().flat_map(|it| it.marked_arrivals());
+        let arrivals = self.endpoints.iter().flat_map(CrashingEndpoint::marked_arrivals);
         arrivals.filter(|at| *at > time).count()
     }
 
