--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -199,9 +199,11 @@
         self.gw.metrics.endpoint.checks.with_label_values(&[result]).inc();
         let now = self.gw.clock.now();
         if let Some(suppressed) = self.gw.log_limiter.admit("endpoint_check", now) {
+            let parts: Vec<_> =
+                self.plan.head.parts.iter().map(|it| format!("{:x}", it.id)).collect();
             tracing::info!(target: "endpoint", endpoint = &*endpoint.id,
                 id = &*self.plan.head.id, content = format!("{:016x}", self.plan.content.0),
-                result, suppressed, "checked an endpoint that broke an answer off");
+                parts = parts.join(","), result, suppressed, "checked an endpoint that broke an answer off");
         }
     }
 
