--- a/crates/persimmonmountd/tests/process_gateway_crashes.rs
+++ b/crates/persimmonmountd/tests/process_gateway_crashes.rs
@@ -1,5 +1,6 @@
 //! Tests of several gateways before endpoints that crash on some requests.
 
+use std::io;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,7 +15,9 @@
 const GATEWAYS: usize = 3;
 const ENDPOINTS: [&str; 8] = ["one", "two", "three", "four", "five", "six", "seven", "eight"];
 const MARKER: &str = "bad00bad";
-const SOUND_BODY: &str = "sound";
+/// Prompt parts that all requests share, before and after one that differs.
+const SHARED_PARTS: [&str; 2] = ["aaaa01:700", "aaaa02:90"];
+const SOUND_PART: &str = "50004d";
 const DEADLINE_MS: u64 = 2_000;
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(25);
@@ -28,10 +31,55 @@
 const MAX_LATE_ARRIVALS: usize = 3;
 /// Number of crashes after which a repeated request is to be refused, from the specification.
 const REPEATED_CRASHES: usize = 3;
+/// Number of crashes after which requests with a part in common are to be refused, from the
+/// specification.
+const PART_CRASHES: usize = 5;
 
-fn caller(deployment: &Deployment, gateway: usize, path: &str, id: &str) -> Option<Caller> {
-    let caller = deployment.caller(gateway).ok()?.request("POST", path, id);
-    Some(caller.with_key(KEY).with_deadline_ms(DEADLINE_MS))
+/// A request as its caller sends it.
+#[derive(Debug)]
+struct Request {
+    id: String,
+    /// The prompt part that differs, with the request's own part.
+    parts: (&'static str, String),
+    body: String,
+}
+
+impl Request {
+    /// Returns a sound request. Every other one is unlike all others.
+    fn sound(gateway: usize, number: usize) -> Self {
+        let id = format!("sound-{gateway}-{number}");
+        let body = if number.is_multiple_of(2) { "sound".to_owned() } else { id.clone() };
+        Self { parts: (SOUND_PART, format!("50{gateway}{number:x}")), body, id }
+    }
+
+    /// Returns one repetition of a request that crashes endpoints.
+    fn repeated(number: usize) -> Self {
+        let parts = (SOUND_PART, "bad1".to_owned());
+        Self { id: format!("bad-{number}"), parts, body: MARKER.to_owned() }
+    }
+
+    /// Returns a request with a prompt part that crashes endpoints; no two are alike.
+    fn with_bad_part(number: usize) -> Self {
+        let id = format!("bad-{number}");
+        Self { parts: (MARKER, format!("bad2{number:x}")), body: id.clone(), id }
+    }
+
+    /// Sends the request through a gateway, without waiting for an answer.
+    fn send(&self, deployment: &Deployment, gateway: usize, path: &str) -> io::Result<Caller> {
+        let [first, last] = SHARED_PARTS;
+        let (part, own) = &self.parts;
+        let prompt = format!("{first},{part}:50,{last},{own}:20");
+        let mut caller = deployment
+            .caller(gateway)?
+            .request("POST", path, &self.id)
+            .with_key(KEY)
+            .with_deadline_ms(DEADLINE_MS)
+            .with_header("Model", "m")
+            .with_header("Token-Usage", "860,20")
+            .with_header("Prompt-Prefix", &prompt);
+        caller.send(&self.body)?;
+        Ok(caller)
+    }
 }
 
 /// Sound requests sent and served, first attempts only.
@@ -71,6 +119,7 @@
             RouteSpec::stream("draft", true),
             RouteSpec::stream("chat", false),
         ];
+        let routes = routes.map(RouteSpec::with_prompts);
         deployment.publish_routes(&routes, &[KEY]);
         deployment.start_all().unwrap();
         let knows_all = |gateway| {
@@ -87,10 +136,12 @@
         let mut number = 0;
         while !day.is_over.load(Ordering::Relaxed) {
             number += 1;
-            let id = format!("sound-{gateway}-{number}");
-            let answer = caller(&self.deployment, gateway, day.path, &id)
-                .and_then(|mut it| it.call(SOUND_BODY).ok());
-            let is_served = answer.is_some_and(|it| it.status == 200 && it.is_complete);
+            let request = Request::sound(gateway, number);
+            let answer = request
+                .send(&self.deployment, gateway, day.path)
+                .and_then(|mut caller| caller.receive());
+            let is_served =
+                answer.is_ok_and(|it| it.is_some_and(|it| it.status == 200 && it.is_complete));
             let served = match day.is_late.load(Ordering::Relaxed) {
                 true => &day.late,
                 false => &day.early,
@@ -100,16 +151,14 @@
         }
     }
 
-    /// Sends the same marked request through all gateways in turn, without waiting for answers.
-    fn call_badly(&self, path: &str) {
+    /// Sends marked requests through all gateways in turn, without waiting for answers.
+    fn call_badly(&self, path: &str, request: fn(usize) -> Request) {
         let until = Instant::now() + BAD_TIME;
         let mut callers = Vec::new();
         while Instant::now() < until {
             let number = callers.len();
-            let id = format!("bad-{number}");
-            let mut caller = caller(&self.deployment, number % GATEWAYS, path, &id).unwrap();
-            caller.send(MARKER).unwrap();
-            callers.push(caller);
+            let caller = request(number).send(&self.deployment, number % GATEWAYS, path);
+            callers.push(caller.unwrap());
             thread::sleep(BAD_PAUSE);
         }
     }
@@ -127,6 +176,17 @@
         arrivals.filter(|at| *at > time).count()
     }
 
+    /// Checks that endpoints got few marked requests once the gateways had time to refuse them, and
+    /// that sound requests were served all the same.
+    fn check(&self, crashes: usize, late: &Served) {
+        assert!(self.crash(1).is_some(), "no marked request ran");
+        if let Some(last) = self.crash(crashes) {
+            let arrivals = self.arrivals_after(last + CONTACT);
+            assert!(arrivals <= MAX_LATE_ARRIVALS, "{arrivals} requests reached endpoints");
+        }
+        assert!(late.share() >= 0.5, "{late:?}");
+    }
+
     fn close(self) {
         self.deployment.close();
     }
@@ -143,7 +203,7 @@
 
 /// Plays marked requests beside sound ones. Sound requests count as late once the gateways have had
 /// the time to refuse the marked ones.
-fn play(fixture: &Fixture, path: &str) -> Served {
+fn play(fixture: &Fixture, path: &str, bad_request: fn(usize) -> Request) -> Served {
     let day = Day {
         path,
         is_late: AtomicBool::new(false),
@@ -156,7 +216,7 @@
             let day = &day;
             scope.spawn(move || fixture.call_soundly(gateway, day));
         }
-        let bad = scope.spawn(|| fixture.call_badly(path));
+        let bad = scope.spawn(|| fixture.call_badly(path, bad_request));
         thread::sleep(BAD_TIME / 2);
         day.is_late.store(true, Ordering::Relaxed);
         bad.join().unwrap();
@@ -185,12 +245,32 @@
     exit: CrashExit,
 ) {
     let fixture = Fixture::start(CrashPlan { marker: MARKER, moment, exit });
-    let late = play(&fixture, path);
-    assert!(fixture.crash(1).is_some(), "the request never ran");
-    if let Some(third) = fixture.crash(REPEATED_CRASHES) {
-        let arrivals = fixture.arrivals_after(third + CONTACT);
-        assert!(arrivals <= MAX_LATE_ARRIVALS, "{arrivals} requests reached endpoints");
-    }
-    assert!(late.share() >= 0.5, "{late:?}");
+    let late = play(&fixture, path, Request::repeated);
+    fixture.check(REPEATED_CRASHES, &late);
+    fixture.close();
+}
+
+/// Requests of which no two are alike, but which have a prompt part in common, crash each endpoint
+/// that begins to answer them. Sound ones share their caller, route and other parts.
+#[rstest]
+fn prompt_part_that_crashes_endpoints_is_refused_beside_sound_ones(
+    #[values("/commit/x", "/lookup/x", "/draft/x", "/chat/x")] path: &str,
+    #[values(
+        CrashMoment::BeforeHead,
+        CrashMoment::InBody(BodyFraming::Chunked),
+        CrashMoment::InBody(BodyFraming::UntilClose)
+    )]
+    moment: CrashMoment,
+    #[values(
+        CrashExit::Refusing,
+        CrashExit::Silent,
+        CrashExit::BackAtOnce,
+        CrashExit::BackRenamed
+    )]
+    exit: CrashExit,
+) {
+    let fixture = Fixture::start(CrashPlan { marker: MARKER, moment, exit });
+    let late = play(&fixture, path, Request::with_bad_part);
+    fixture.check(PART_CRASHES, &late);
     fixture.close();
 }
