--- /dev/null
+++ b/crates/persimmon_decide/src/forward/crash_suspects.rs
@@ -0,0 +1,208 @@
+//! Content or prompt parts that were in progress at endpoints that crashed.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+use crate::MonoMs;
+use crate::load::EndpointHash;
+
+/// An endpoint that crashed while it ran a suspect.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Crash {
+    pub(super) endpoint: EndpointHash,
+    /// Time at which the suspect's request was sent.
+    pub(super) sent_at: MonoMs,
+    /// Time at which a gateway learned of the crash.
+    pub(super) at: MonoMs,
+    /// Number of requests with the suspect that the endpoint left without an answer, as far as one
+    /// gateway knows.
+    pub(super) requests: u32,
+}
+
+/// Times of recent complete answers, in two generations. When a new generation starts, the older one
+/// is dropped.
+#[derive(Debug, Default)]
+struct Answered {
+    newer: HashMap<u64, MonoMs>,
+    older: HashMap<u64, MonoMs>,
+    rotated_at: MonoMs,
+}
+
+impl Answered {
+    /// Length of a generation, in milliseconds. Frequently requested content is answered again
+    /// within it, and content that starts to cause crashes remains in the set for at most two
+    /// generations.
+    const GENERATION_MS: u64 = 30_000;
+    /// Maximum number of suspects in a generation; two generations use about 300 KB.
+    const MAX_SUSPECTS: usize = 4_096;
+
+    fn record(&mut self, suspect: u64, at: MonoMs, now: MonoMs) {
+        self.rotate(now);
+        if let Some(known) = self.newer.get_mut(&suspect) {
+            *known = at.max(*known);
+        } else if self.newer.len() < Self::MAX_SUSPECTS {
+            self.newer.insert(suspect, at);
+        }
+    }
+
+    fn rotate(&mut self, now: MonoMs) {
+        let age_ms = now.ms_since(self.rotated_at);
+        if age_ms < Self::GENERATION_MS {
+            return;
+        }
+        self.older = std::mem::take(&mut self.newer);
+        if age_ms >= 2 * Self::GENERATION_MS {
+            self.older.clear();
+        }
+        self.rotated_at = now;
+    }
+
+    /// Returns the time of a suspect's last answer in the two generations.
+    fn last(&self, suspect: u64, now: MonoMs) -> Option<MonoMs> {
+        let age_ms = now.ms_since(self.rotated_at);
+        let newer = self.newer.get(&suspect).filter(|_| age_ms < 2 * Self::GENERATION_MS);
+        let older = self.older.get(&suspect).filter(|_| age_ms < Self::GENERATION_MS);
+        newer.or(older).copied()
+    }
+}
+
+/// Crashes since the last complete answer, by suspect.
+#[derive(Debug, Default)]
+pub(super) struct CrashSuspects {
+    crashes: HashMap<u64, Vec<Crash>>,
+    answered: Answered,
+}
+
+impl CrashSuspects {
+    /// Time for which the crashes of a suspect are stored after the last one, in milliseconds.
+    /// Callers repeat a request that crashed an endpoint within minutes.
+    const CRASH_TTL_MS: u64 = 300_000;
+    /// Age up to which crashes go first in digests, in milliseconds: all gateways receive several
+    /// digests within it.
+    const RECENT_MS: u64 = 10_000;
+    /// Maximum number of crashes stored for one suspect.
+    const MAX_CRASHES: usize = 32;
+    /// Maximum number of suspects.
+    const MAX_SUSPECTS: usize = 512;
+
+    /// Records a complete answer at the time `at`, which clears the suspect of earlier crashes.
+    /// Returns whether there were any.
+    pub(super) fn record_answered(&mut self, suspect: u64, at: MonoMs, now: MonoMs) -> bool {
+        self.answered.record(suspect, at, now);
+        let Some(crashes) = self.crashes.get_mut(&suspect) else { return false };
+        let count = crashes.len();
+        crashes.retain(|it| it.at > at);
+        let is_cleared = crashes.len() < count;
+        if crashes.is_empty() {
+            self.crashes.remove(&suspect);
+        }
+        is_cleared
+    }
+
+    /// Records a crash under one more request with the suspect. Returns whether it adds to what is
+    /// known of the endpoints.
+    pub(super) fn record_crash(&mut self, suspect: u64, crash: Crash, now: MonoMs) -> bool {
+        self.merge_crash(suspect, crash, u32::saturating_add, now)
+    }
+
+    /// Records a crash that a peer reports. Returns whether it adds to what is known of the
+    /// endpoints.
+    pub(super) fn record_peer_crash(&mut self, suspect: u64, crash: Crash, now: MonoMs) -> bool {
+        self.merge_crash(suspect, crash, u32::max, now)
+    }
+
+    fn merge_crash(
+        &mut self,
+        suspect: u64,
+        crash: Crash,
+        merge_requests: fn(u32, u32) -> u32,
+        now: MonoMs,
+    ) -> bool {
+        // A peer may report a crash that an answer has cleared here.
+        if self.answered.last(suspect, now).is_some_and(|answered| crash.at < answered) {
+            return false;
+        }
+        if !self.crashes.contains_key(&suspect) {
+            self.make_room(now);
+        }
+        let crashes = self.crashes.entry(suspect).or_default();
+        if let Some(known) = crashes.iter_mut().find(|it| it.endpoint == crash.endpoint) {
+            let is_later = crash.sent_at > known.sent_at;
+            known.sent_at = crash.sent_at.max(known.sent_at);
+            known.requests = merge_requests(known.requests, crash.requests);
+            return is_later;
+        }
+        if crashes.len() >= Self::MAX_CRASHES {
+            remove_closest(crashes);
+        }
+        let index = crashes.partition_point(|it| it.at <= crash.at);
+        crashes.insert(index, crash);
+        true
+    }
+
+    /// Removes expired suspects, and then the least suspect one, if there are too many.
+    fn make_room(&mut self, now: MonoMs) {
+        if self.crashes.len() < Self::MAX_SUSPECTS {
+            return;
+        }
+        self.crashes.retain(|_, crashes| is_live(crashes, now));
+        if self.crashes.len() < Self::MAX_SUSPECTS {
+            return;
+        }
+        let order = |crashes: &Vec<Crash>| (crashes.len(), crashes.last().map(|it| it.at));
+        let least = self.crashes.iter().min_by_key(|(_, crashes)| order(crashes));
+        if let Some(suspect) = least.map(|(suspect, _)| *suspect) {
+            self.crashes.remove(&suspect);
+        }
+    }
+
+    /// Returns the crashes of a suspect since its last complete answer, oldest first.
+    pub(super) fn crashes(&self, suspect: u64, now: MonoMs) -> &[Crash] {
+        let crashes = self.crashes.get(&suspect).filter(|crashes| is_live(crashes, now));
+        crashes.map_or(&[], Vec::as_slice)
+    }
+
+    /// Reports whether there was a complete answer in the last minute or so.
+    pub(super) fn is_answered(&self, suspect: u64, now: MonoMs) -> bool {
+        self.answered.last(suspect, now).is_some()
+    }
+
+    /// Returns the suspects with at least `count` crashes.
+    pub(super) fn with_crashes(&self, count: usize) -> impl Iterator<Item = u64> {
+        let suspects = self.crashes.iter().filter(move |(_, crashes)| crashes.len() >= count);
+        suspects.map(|(suspect, _)| *suspect)
+    }
+
+    /// Returns the crashes that the other gateways need first, for the digest: among the recent ones
+    /// those of the suspect with most of them, then the newest. An endpoint that crashes under many
+    /// requests thus doesn't crowd out the one that crashed the others too.
+    pub(super) fn most_urgent(&self, count: usize, now: MonoMs) -> Vec<(u64, Crash)> {
+        let mut live: Vec<_> =
+            self.crashes.iter().filter(|(_, crashes)| is_live(crashes, now)).collect();
+        live.sort_by_key(|(suspect, crashes)| {
+            let last = last_crash(crashes);
+            let is_recent = now.ms_since(last) <= Self::RECENT_MS;
+            (Reverse((if is_recent { crashes.len() } else { 0 }, last)), **suspect)
+        });
+        let pairs = live
+            .into_iter()
+            .flat_map(|(suspect, crashes)| crashes.iter().map(|crash| (*suspect, *crash)));
+        pairs.take(count).collect()
+    }
+}
+
+/// Removes the crash that came soonest after another one, which tells least.
+fn remove_closest(crashes: &mut Vec<Crash>) {
+    let gap_ms = |index: &usize| crashes[*index].at.ms_since(crashes[*index - 1].at);
+    if let Some(index) = (1..crashes.len()).min_by_key(gap_ms) {
+        crashes.remove(index);
+    }
+}
+
+fn last_crash(crashes: &[Crash]) -> MonoMs {
+    crashes.last().map_or(MonoMs(0), |crash| crash.at)
+}
+
+fn is_live(crashes: &[Crash], now: MonoMs) -> bool {
+    !crashes.is_empty() && now.ms_since(last_crash(crashes)) < CrashSuspects::CRASH_TTL_MS
+}
--- a/crates/persimmon_decide/src/forward/crash_tracker.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker.rs
@@ -1,69 +1,102 @@
 //! Detection of requests that crash the endpoints that run them.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
+use super::PromptPart;
+use super::crash_suspects::{Crash, CrashSuspects};
 use crate::load::EndpointHash;
 use crate::{Fingerprint, MonoMs};
 
-#[derive(Debug, Clone)]
-struct Crashes {
-    endpoints: Vec<EndpointHash>,
-    expires_at: MonoMs,
+/// What a request consists of that may crash an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestSignature {
+    /// Fingerprint that is equal for a request and its repetitions.
+    pub content: Fingerprint,
+    /// IDs of the prompt's parts that other prompts may share: all but the last.
+    pub parts: Arc<[u64]>,
 }
 
-/// Fingerprints of content with a recent complete answer, in two generations. When a new generation
-/// starts, the older one is dropped.
-#[derive(Debug, Default)]
-struct AnsweredContent {
-    newer: HashSet<u64>,
-    older: HashSet<u64>,
-    rotated_at: MonoMs,
+impl RequestSignature {
+    /// Creates the signature of a request with this prompt.
+    pub fn new(content: Fingerprint, prompt: &[PromptPart]) -> Self {
+        let shared = prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+        Self { content, parts: shared.iter().map(|part| part.id).collect() }
+    }
 }
 
-impl AnsweredContent {
-    /// Length of a generation, in milliseconds. Frequently requested content is answered again
-    /// within it, and content that starts to cause crashes remains in the set for at most two
-    /// generations.
-    const GENERATION_MS: u64 = 30_000;
-    /// Maximum number of fingerprints in a generation; two generations use about 150 KB.
-    const MAX_FINGERPRINTS: usize = 4_096;
-
-    fn record(&mut self, fingerprint: u64, now: MonoMs) {
-        self.rotate(now);
-        if self.newer.len() < Self::MAX_FINGERPRINTS {
-            self.newer.insert(fingerprint);
-        }
-    }
+/// What is refused because endpoints crashed while they ran it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Quarantined {
+    /// Requests with this content.
+    Content(Fingerprint),
+    /// Requests whose prompts contain this part, before the last one.
+    Part(u64),
+}
 
-    fn rotate(&mut self, now: MonoMs) {
-        let age_ms = now.ms_since(self.rotated_at);
-        if age_ms < Self::GENERATION_MS {
-            return;
-        }
-        self.older = std::mem::take(&mut self.newer);
-        if age_ms >= 2 * Self::GENERATION_MS {
-            self.older.clear();
-        }
-        self.rotated_at = now;
-    }
+/// An endpoint that crashed while it ran a request with a prompt part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// ID of the part.
+    pub part: u64,
+    /// Hash of the endpoint.
+    pub endpoint: EndpointHash,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u32,
+    /// Time from the sending of the request to the crash, in milliseconds.
+    pub ran_ms: u32,
+    /// Number of requests with the part that the endpoint left without an answer.
+    pub requests: u32,
+}
 
-    fn contains(&self, fingerprint: u64, now: MonoMs) -> bool {
-        let age_ms = now.ms_since(self.rotated_at);
-        let is_newer = age_ms < 2 * Self::GENERATION_MS && self.newer.contains(&fingerprint);
-        is_newer || (age_ms < Self::GENERATION_MS && self.older.contains(&fingerprint))
-    }
+/// A complete answer to a request with a prompt part that was suspected to crash endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartAnswer {
+    /// ID of the part.
+    pub part: u64,
+    /// Time since the answer, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What a gateway tells the others of crashes.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CrashReports {
+    /// Contents that were in progress at endpoints that crashed.
+    pub contents: Vec<(u64, EndpointHash)>,
+    /// Prompt parts that were in progress at endpoints that crashed.
+    pub parts: Vec<PartCrash>,
+    /// Suspected parts that were answered since.
+    pub answers: Vec<PartAnswer>,
 }
 
 /// A request that an endpoint didn't answer, as far as the gateway can tell.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct UnansweredRequest {
-    fingerprint: u64,
+    signature: RequestSignature,
+    sent_at: MonoMs,
     at: MonoMs,
     /// Whether its answer ended in order, but in a way that a crash can look like.
     looks_answered: bool,
 }
 
-/// Detects content that crashes several endpoints, and refuses it from then on.
+/// A request that an endpoint is processing.
+#[derive(Debug, Clone)]
+struct RunningRequest {
+    signature: RequestSignature,
+    sent_at: MonoMs,
+}
+
+/// Something that is refused, and the endpoints that crashed under it.
+#[derive(Debug)]
+struct Cause {
+    refused: Quarantined,
+    endpoints: HashSet<EndpointHash>,
+}
+
+/// Detects content and prompt parts that crash several endpoints, and refuses them from then on.
 ///
 /// An answer that breaks off or stays away isn't a crash, since answers are also lost for other
 /// reasons. It counts as one if the endpoint has ended: it refuses connections shortly afterwards,
@@ -71,23 +104,31 @@
 /// holds on every route, before and after the head of an answer. Gateways exchange the recorded
 /// crashes, so that a caller that retries at another gateway is refused there too.
 ///
-/// Content that many callers request at the same time is usually in progress at an endpoint that
-/// crashes for another reason. A complete answer therefore clears the crashes of its content, and
-/// for a while after one it takes more crashes to refuse the content; those of endpoints that other,
-/// never answered content crashed don't count.
+/// An endpoint that crashes takes all its requests with it, and only one of them is the cause. A
+/// complete answer therefore clears the content and the parts of its request. For a while after one
+/// it takes more crashes to refuse them. Many requests share a part, so that it is in progress at
+/// many endpoints when they fail together for another reason; a crash of a part therefore counts
+/// only if its request was sent after the previous one that counts. Of several suspects that were in
+/// progress at the same endpoints, only the likeliest is blamed: the one that explains most crashes
+/// with the fewest requests.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
-    /// Recorded crashes, by fingerprint of the content.
-    crashes: HashMap<u64, Crashes>,
-    answered: AnsweredContent,
-    /// Fingerprints of requests in progress, by endpoint.
-    running: HashMap<EndpointHash, Vec<u64>>,
+    contents: CrashSuspects,
+    parts: CrashSuspects,
+    /// What causes the recorded crashes, the likeliest first.
+    causes: Vec<Cause>,
+    /// Requests in progress, by endpoint.
+    running: HashMap<EndpointHash, Vec<RunningRequest>>,
     /// Recent requests without an answer, by endpoint.
     unanswered: HashMap<EndpointHash, Vec<UnansweredRequest>>,
     /// Endpoints that have ended, with the time.
     ended: HashMap<EndpointHash, MonoMs>,
-    /// Content refused since the last call of [`Self::take_newly_refused`].
-    newly_refused: Vec<Fingerprint>,
+    /// Suspected parts with a recent complete answer, with its time, for the other gateways.
+    cleared_parts: Vec<(u64, MonoMs)>,
+    /// What was refused at the last change.
+    quarantined: HashSet<Quarantined>,
+    /// What is refused since the last call of [`Self::take_newly_refused`].
+    newly_refused: Vec<Quarantined>,
 }
 
 impl CrashTracker {
@@ -97,6 +138,13 @@
     /// answer, if no other such answer follows. It is larger than the number of endpoints that
     /// crash at once for other reasons, but still limits the damage.
     const MAX_CRASHES_ANSWERED: usize = 4;
+    /// Number of successive crashes at which the tracker refuses a part.
+    const MAX_PART_CRASHES: usize = 3;
+    /// The same for a part with a recent complete answer. It is larger, since most requests share
+    /// such a part, and while many endpoints are down, none of them may be answered for a while.
+    const MAX_PART_CRASHES_ANSWERED: usize = 5;
+    /// Factor by which a recent complete answer makes a suspect less likely to be a cause.
+    const ANSWERED_DIVISOR: u64 = 2;
     /// Time after a broken connection in which an endpoint that refuses connections counts as
     /// crashed by the request, in milliseconds. A crashed process refuses connections immediately
     /// and doesn't restart for several seconds.
@@ -105,19 +153,16 @@
     /// order, in which it counts as crashed by the request, in milliseconds. The platform removes
     /// an endpoint's record after a few missed heartbeats.
     const END_WINDOW_MS: u64 = 10_000;
+    /// Maximum time between two pieces of data of an endpoint with requests, in milliseconds. A live
+    /// engine sends data several times a second.
+    const MAX_DATA_GAP_MS: u64 = 250;
     /// Time after which an answer that only looks complete counts as complete if its endpoint hasn't
     /// ended, in milliseconds.
     const CONFIRM_MS: u64 = 5_000;
-    /// Time for which crashes are stored, in milliseconds. Callers repeat a request that
-    /// crashed an endpoint within minutes.
-    const CRASH_TTL_MS: u64 = 300_000;
-    /// Age up to which crashes go first in digests, in milliseconds: all gateways receive several
-    /// digests within it.
-    const RECENT_MS: u64 = 10_000;
-    /// Maximum number of crashed endpoints stored for one fingerprint.
-    const MAX_STORED: usize = 16;
-    /// Maximum number of fingerprints with recorded crashes.
-    const MAX_TRACKED: usize = 512;
+    /// Time for which the other gateways are told of an answer that cleared a part, in milliseconds.
+    const CLEARED_MS: u64 = 5_000;
+    /// Maximum number of cleared parts of which the other gateways are told.
+    const MAX_CLEARED: usize = 32;
     /// Maximum number of stored requests without an answer of one endpoint.
     const MAX_UNANSWERED: usize = 256;
 
@@ -126,101 +171,144 @@
         Self::default()
     }
 
-    /// Records that content with this fingerprint was sent to an endpoint.
-    pub fn begin(&mut self, fingerprint: Fingerprint, endpoint: EndpointHash) {
-        self.running.entry(endpoint).or_default().push(fingerprint.0);
+    /// Records that a request is sent to an endpoint.
+    pub fn begin(&mut self, request: &RequestSignature, endpoint: EndpointHash, now: MonoMs) {
+        let running = RunningRequest { signature: request.clone(), sent_at: now };
+        self.running.entry(endpoint).or_default().push(running);
     }
 
-    /// Records that the gateway no longer waits for an answer to content with this fingerprint.
-    /// `is_silent` says whether the endpoint had stopped sending data.
-    pub fn end(
-        &mut self,
-        fingerprint: Fingerprint,
-        endpoint: EndpointHash,
-        is_silent: bool,
-        now: MonoMs,
-    ) {
-        if let Some(running) = self.running.get_mut(&endpoint) {
-            if let Some(index) = running.iter().position(|it| *it == fingerprint.0) {
-                running.swap_remove(index);
-            }
-            if running.is_empty() {
-                self.running.remove(&endpoint);
-            }
+    /// Records that the gateway no longer waits for an answer to a request that was sent at
+    /// `sent_at`.
+    pub fn end(&mut self, request: &RequestSignature, endpoint: EndpointHash, sent_at: MonoMs) {
+        let Some(running) = self.running.get_mut(&endpoint) else { return };
+        let is_it = |it: &RunningRequest| it.sent_at == sent_at && it.signature == *request;
+        if let Some(index) = running.iter().position(is_it) {
+            running.swap_remove(index);
         }
-        if is_silent {
-            self.record_unanswered(fingerprint, endpoint, now);
+        if running.is_empty() {
+            self.running.remove(&endpoint);
         }
     }
 
-    /// Records a complete answer to the content with this fingerprint, which shows that the content
-    /// alone doesn't crash an endpoint.
-    pub fn record_answered(&mut self, fingerprint: Fingerprint, now: MonoMs) {
-        self.crashes.remove(&fingerprint.0);
-        self.answered.record(fingerprint.0, now);
+    /// Records a complete answer to a request, which shows that neither its content nor its parts
+    /// alone crash an endpoint.
+    pub fn record_answered(&mut self, request: &RequestSignature, now: MonoMs) {
+        let mut is_cleared = self.contents.record_answered(request.content.0, now, now);
+        for part in request.parts.iter() {
+            if self.parts.record_answered(*part, now, now) {
+                self.cleared_parts.retain(|(it, _)| it != part);
+                self.cleared_parts.push((*part, now));
+                is_cleared = true;
+            }
+        }
+        if is_cleared {
+            self.find_causes(now);
+        }
     }
 
     /// Records an answer that ended with its connection, and would have looked the same if the
     /// endpoint had crashed. It counts as complete once the endpoint has outlived it.
-    pub fn record_closed(&mut self, fingerprint: Fingerprint, endpoint: EndpointHash, now: MonoMs) {
-        self.push_unanswered(fingerprint, endpoint, true, now);
+    pub fn record_closed(
+        &mut self,
+        request: &RequestSignature,
+        endpoint: EndpointHash,
+        sent_at: MonoMs,
+        now: MonoMs,
+    ) {
+        let signature = request.clone();
+        let request = UnansweredRequest { signature, sent_at, at: now, looks_answered: true };
+        self.add_unanswered(request, endpoint, now);
     }
 
-    /// Records that an endpoint's answer to content with this fingerprint broke off or stayed away.
-    /// Returns whether the content is blamed for the endpoint's end; the caller must then notify the
+    /// Records that an endpoint broke its answer to a request, sent at `sent_at`, off. Returns whether the request is blamed for the endpoint's end; the caller must then notify the
     /// other gateways immediately.
     pub fn record_unanswered(
         &mut self,
-        fingerprint: Fingerprint,
+        request: &RequestSignature,
         endpoint: EndpointHash,
+        sent_at: MonoMs,
         now: MonoMs,
     ) -> bool {
-        let ended = self.ended.get(&endpoint);
-        if ended.is_some_and(|at| now.ms_since(*at) <= Self::END_WINDOW_MS) {
-            self.record_crash(fingerprint.0, endpoint, now);
-            return true;
+        let signature = request.clone();
+        let request = UnansweredRequest { signature, sent_at, at: now, looks_answered: false };
+        self.add_unanswered(request, endpoint, now)
+    }
+
+    /// Records that the gateway gave up a request, sent at `sent_at`, at an endpoint that has sent
+    /// nothing since `silent_since`.
+    pub fn record_silent(
+        &mut self,
+        request: &RequestSignature,
+        endpoint: EndpointHash,
+        sent_at: MonoMs,
+        silent_since: MonoMs,
+    ) {
+        if let Some(at) = last_life_sign(sent_at, silent_since) {
+            let signature = request.clone();
+            let request = UnansweredRequest { signature, sent_at, at, looks_answered: false };
+            self.add_unanswered(request, endpoint, at);
         }
-        self.push_unanswered(fingerprint, endpoint, false, now);
-        false
     }
 
-    fn push_unanswered(
+    /// Blames a request if its endpoint has ended already, or keeps it until that is known. Returns
+    /// whether it is blamed.
+    fn add_unanswered(
         &mut self,
-        fingerprint: Fingerprint,
+        request: UnansweredRequest,
         endpoint: EndpointHash,
-        looks_answered: bool,
         now: MonoMs,
-    ) {
+    ) -> bool {
+        let ended = self.ended.get(&endpoint);
+        if ended.is_some_and(|at| now.ms_since(*at) <= Self::END_WINDOW_MS) {
+            self.blame(&request, endpoint, now);
+            self.find_causes(now);
+            return true;
+        }
         let requests = self.unanswered.entry(endpoint).or_default();
         requests.retain(|it| now.ms_since(it.at) <= Self::END_WINDOW_MS);
-        requests.retain(|it| it.fingerprint != fingerprint.0);
+        let is_known = |it: &UnansweredRequest| {
+            it.sent_at == request.sent_at && it.signature == request.signature
+        };
+        if requests.iter().any(is_known) {
+            return false;
+        }
         if requests.len() >= Self::MAX_UNANSWERED {
             requests.remove(0);
         }
-        let fingerprint = fingerprint.0;
-        requests.push(UnansweredRequest { fingerprint, at: now, looks_answered });
+        requests.push(request);
+        false
     }
 
     /// Records that an endpoint refuses connections, and blames the requests that it left without
-    /// an answer just before. Returns whether any content is blamed; the caller must then notify
-    /// the other gateways immediately.
+    /// an answer just before. Returns whether any request is blamed; the caller must then notify the
+    /// other gateways immediately.
     pub fn record_refused(&mut self, endpoint: EndpointHash, now: MonoMs) -> bool {
         self.blame_unanswered(endpoint, Self::REFUSAL_WINDOW_MS, now)
     }
 
     /// Records that an endpoint has ended without having said that it leaves: another process
     /// answers at its address, or the platform has removed or replaced its record. Blames the
-    /// requests that it left without an answer, and if it `is_silent`, those that still wait for
-    /// one. Returns whether any content is blamed, as [`Self::record_refused`] does.
-    pub fn record_ended(&mut self, endpoint: EndpointHash, is_silent: bool, now: MonoMs) -> bool {
+    /// requests that it left without an answer, and those that still wait for one if it has sent
+    /// nothing `silent_since` then. Returns whether any request is blamed, as
+    /// [`Self::record_refused`] does.
+    pub fn record_ended(
+        &mut self,
+        endpoint: EndpointHash,
+        silent_since: Option<MonoMs>,
+        now: MonoMs,
+    ) -> bool {
         self.ended.insert(endpoint, now);
         let mut is_blamed = self.blame_unanswered(endpoint, Self::END_WINDOW_MS, now);
-        if is_silent {
-            for fingerprint in self.running.get(&endpoint).cloned().unwrap_or_default() {
-                self.record_crash(fingerprint, endpoint, now);
+        let Some(silent_since) = silent_since else { return is_blamed };
+        for running in self.running.get(&endpoint).cloned().unwrap_or_default() {
+            let RunningRequest { signature, sent_at } = running;
+            if let Some(at) = last_life_sign(sent_at, silent_since) {
+                let request = UnansweredRequest { signature, sent_at, at, looks_answered: false };
+                self.blame(&request, endpoint, now);
                 is_blamed = true;
             }
         }
+        self.find_causes(now);
         is_blamed
     }
 
@@ -233,113 +321,202 @@
             self.unanswered.insert(endpoint, kept);
         }
         for request in &blamed {
-            self.record_crash(request.fingerprint, endpoint, now);
+            self.blame(request, endpoint, now);
         }
+        self.find_causes(now);
         !blamed.is_empty()
     }
 
-    /// Accepts the answers whose endpoints have outlived them, and removes old entries.
-    pub fn expire(&mut self, now: MonoMs) {
-        let mut answered = Vec::new();
-        for requests in self.unanswered.values_mut() {
-            requests.retain(|it| {
-                let age_ms = now.ms_since(it.at);
-                let is_answered = it.looks_answered && age_ms > Self::CONFIRM_MS;
-                if is_answered {
-                    answered.push(Fingerprint(it.fingerprint));
-                }
-                !is_answered && age_ms <= Self::END_WINDOW_MS
-            });
+    fn blame(&mut self, request: &UnansweredRequest, endpoint: EndpointHash, now: MonoMs) {
+        let UnansweredRequest { signature, sent_at, at, .. } = request;
+        let crash = Crash { endpoint, sent_at: *sent_at, at: *at, requests: 1 };
+        self.contents.record_crash(signature.content.0, crash, now);
+        for part in signature.parts.iter() {
+            self.parts.record_crash(*part, crash, now);
         }
-        self.unanswered.retain(|_, requests| !requests.is_empty());
-        self.ended.retain(|_, at| now.ms_since(*at) <= Self::END_WINDOW_MS);
-        for fingerprint in answered {
-            self.record_answered(fingerprint, now);
+    }
+
+    /// Records the crashes and answers that a peer reports.
+    pub fn record_peer_reports(&mut self, reports: &CrashReports, now: MonoMs) {
+        let mut is_new = false;
+        for (content, endpoint) in &reports.contents {
+            let crash = Crash { endpoint: *endpoint, sent_at: now, at: now, requests: 1 };
+            is_new |= self.contents.record_peer_crash(*content, crash, now);
+        }
+        for PartCrash { part, endpoint, age_ms, ran_ms, requests } in &reports.parts {
+            let at = before(now, *age_ms);
+            let sent_at = before(at, *ran_ms);
+            let crash = Crash { endpoint: *endpoint, sent_at, at, requests: *requests };
+            is_new |= self.parts.record_peer_crash(*part, crash, now);
+        }
+        for PartAnswer { part, age_ms } in &reports.answers {
+            is_new |= self.parts.record_answered(*part, before(now, *age_ms), now);
+        }
+        if is_new {
+            self.find_causes(now);
         }
     }
 
-    /// Records a crash reported by a peer.
-    pub fn record_peer_crash(&mut self, fingerprint: u64, endpoint: EndpointHash, now: MonoMs) {
-        self.record_crash(fingerprint, endpoint, now);
+    /// Returns what the other gateways need first, with at most `count` crashes each of contents and
+    /// of parts.
+    pub fn reports(&self, count: usize, now: MonoMs) -> CrashReports {
+        let contents = self.contents.most_urgent(count, now).into_iter();
+        let part_crash = |(part, crash): (u64, Crash)| PartCrash {
+            part,
+            endpoint: crash.endpoint,
+            age_ms: age_ms(crash.at, now),
+            ran_ms: age_ms(crash.sent_at, crash.at),
+            requests: crash.requests,
+        };
+        let newest = self.cleared_parts.iter().rev().take(Self::MAX_CLEARED);
+        let recent = newest.filter(|(_, at)| now.ms_since(*at) <= Self::CLEARED_MS);
+        let part_answer =
+            |(part, at): &(u64, MonoMs)| PartAnswer { part: *part, age_ms: age_ms(*at, now) };
+        CrashReports {
+            contents: contents.map(|(content, crash)| (content, crash.endpoint)).collect(),
+            parts: self.parts.most_urgent(count, now).into_iter().map(part_crash).collect(),
+            answers: recent.map(part_answer).collect(),
+        }
     }
 
-    /// Reports whether content with this fingerprint is refused.
-    pub fn refuses(&self, fingerprint: Fingerprint, now: MonoMs) -> bool {
-        let Some(crashes) = self.crashes.get(&fingerprint.0) else { return false };
-        if !self.answered.contains(fingerprint.0, now) {
-            return Self::suffices(crashes, now);
+    /// Determines what causes the recorded crashes: repeatedly the likeliest suspect that accounts
+    /// for enough crashes that no likelier one explains.
+    fn find_causes(&mut self, now: MonoMs) {
+        self.causes.clear();
+        for suspect in self.suspects(now) {
+            if self.is_refused(suspect, now) {
+                let endpoints = self.crashes(suspect, now).iter().map(|it| it.endpoint).collect();
+                self.causes.push(Cause { refused: suspect, endpoints });
+            }
         }
-        let max_crashes = Self::MAX_CRASHES_ANSWERED;
-        if crashes.expires_at <= now || crashes.endpoints.len() < max_crashes {
-            return false;
+        let refused: HashSet<_> = self.refused(now).collect();
+        self.newly_refused.extend(refused.difference(&self.quarantined));
+        self.quarantined = refused;
+    }
+
+    /// Returns all that may be a cause, the likeliest first.
+    fn suspects(&self, now: MonoMs) -> Vec<Quarantined> {
+        let contents = self.contents.with_crashes(Self::MAX_CRASHES).map(Fingerprint);
+        let parts = self.parts.with_crashes(Self::MAX_PART_CRASHES).map(Quarantined::Part);
+        let mut suspects: Vec<_> = contents.map(Quarantined::Content).chain(parts).collect();
+        suspects.sort_by_cached_key(|suspect| {
+            let score = specificity(self.crashes(*suspect, now));
+            let divisor = if self.is_answered(*suspect, now) { Self::ANSWERED_DIVISOR } else { 1 };
+            (Reverse(score / divisor), *suspect)
+        });
+        suspects
+    }
+
+    fn crashes(&self, suspect: Quarantined, now: MonoMs) -> &[Crash] {
+        match suspect {
+            Quarantined::Content(content) => self.contents.crashes(content.0, now),
+            Quarantined::Part(part) => self.parts.crashes(part, now),
         }
-        let explained = self.explained(now);
-        crashes.endpoints.iter().filter(|it| !explained.contains(it)).count() >= max_crashes
     }
 
-    /// Reports whether these crashes suffice to refuse content without a recent complete answer.
-    fn suffices(crashes: &Crashes, now: MonoMs) -> bool {
-        crashes.expires_at > now && crashes.endpoints.len() >= Self::MAX_CRASHES
+    fn is_answered(&self, suspect: Quarantined, now: MonoMs) -> bool {
+        match suspect {
+            Quarantined::Content(content) => self.contents.is_answered(content.0, now),
+            Quarantined::Part(part) => self.parts.is_answered(part, now),
+        }
     }
 
-    /// Returns the endpoints that crashed while they ran refused content without a complete answer.
-    /// Content with such answers that was in progress there isn't blamed.
-    fn explained(&self, now: MonoMs) -> HashSet<EndpointHash> {
-        let is_cause = |fingerprint: u64, crashes: &Crashes| {
-            Self::suffices(crashes, now) && !self.answered.contains(fingerprint, now)
+    /// Reports whether a suspect accounts for enough crashes that no likelier cause explains.
+    fn is_refused(&self, suspect: Quarantined, now: MonoMs) -> bool {
+        let crashes = self.crashes(suspect, now);
+        if crashes.len() < Self::MAX_CRASHES {
+            return false;
+        }
+        let is_explained = |crash: &Crash| {
+            let likelier = self.causes.iter().take_while(|it| it.refused != suspect);
+            likelier.map(|it| &it.endpoints).any(|it| it.contains(&crash.endpoint))
         };
-        let causes = self.crashes.iter().filter(|(it, crashes)| is_cause(**it, crashes));
-        causes.flat_map(|(_, crashes)| crashes.endpoints.iter().copied()).collect()
+        let open = crashes.iter().filter(|it| !is_explained(it));
+        match (suspect, self.is_answered(suspect, now)) {
+            (Quarantined::Content(_), false) => open.count() >= Self::MAX_CRASHES,
+            (Quarantined::Content(_), true) => open.count() >= Self::MAX_CRASHES_ANSWERED,
+            (Quarantined::Part(_), false) => count_successive(open) >= Self::MAX_PART_CRASHES,
+            (Quarantined::Part(_), true) => {
+                count_successive(open) >= Self::MAX_PART_CRASHES_ANSWERED
+            }
+        }
     }
 
-    /// Returns the fingerprints of all refused content.
-    pub fn refused(&self, now: MonoMs) -> impl Iterator<Item = u64> {
-        let fingerprints = self.crashes.keys().copied();
-        fingerprints.filter(move |fingerprint| self.refuses(Fingerprint(*fingerprint), now))
+    /// Reports whether a request is refused.
+    pub fn refuses(&self, request: &RequestSignature, now: MonoMs) -> bool {
+        let parts = request.parts.iter().map(|part| Quarantined::Part(*part));
+        let mut suspects = parts.chain([Quarantined::Content(request.content)]);
+        suspects.any(|suspect| self.is_refused(suspect, now))
     }
 
-    /// Returns the content that is refused since the last call, for the log.
-    pub fn take_newly_refused(&mut self) -> Vec<Fingerprint> {
-        std::mem::take(&mut self.newly_refused)
+    /// Returns all that is refused.
+    pub fn refused(&self, now: MonoMs) -> impl Iterator<Item = Quarantined> {
+        self.suspects(now).into_iter().filter(move |suspect| self.is_refused(*suspect, now))
     }
 
-    /// Returns the crashes that the other gateways need first, for the digest: among the recent ones
-    /// those of the content with most of them, then the newest. An endpoint that crashes under many
-    /// requests thus doesn't crowd out the one request that crashed the others too.
-    pub fn most_urgent(&self, count: usize, now: MonoMs) -> Vec<(u64, EndpointHash)> {
-        let mut live: Vec<_> =
-            self.crashes.iter().filter(|(_, crashes)| crashes.expires_at > now).collect();
-        live.sort_by_key(|(fingerprint, crashes)| {
-            let age_ms = Self::CRASH_TTL_MS - crashes.expires_at.ms_since(now);
-            let recent = if age_ms <= Self::RECENT_MS { crashes.endpoints.len() } else { 0 };
-            (std::cmp::Reverse((recent, crashes.expires_at)), **fingerprint)
-        });
-        let pairs = live.into_iter().flat_map(|(fingerprint, crashes)| {
-            crashes.endpoints.iter().map(|it| (*fingerprint, *it))
-        });
-        pairs.take(count).collect()
+    /// Returns what is refused since the last call, for the log.
+    pub fn take_newly_refused(&mut self) -> Vec<Quarantined> {
+        std::mem::take(&mut self.newly_refused)
     }
 
-    fn record_crash(&mut self, fingerprint: u64, endpoint: EndpointHash, now: MonoMs) {
-        if self.crashes.len() >= Self::MAX_TRACKED && !self.crashes.contains_key(&fingerprint) {
-            self.crashes.retain(|_, crashes| crashes.expires_at > now);
-            if self.crashes.len() >= Self::MAX_TRACKED {
-                return;
-            }
-        }
-        let was_refused = self.refuses(Fingerprint(fingerprint), now);
-        let expires_at = now.plus_ms(Self::CRASH_TTL_MS);
-        let crashes = self
-            .crashes
-            .entry(fingerprint)
-            .or_insert(Crashes { endpoints: Vec::new(), expires_at });
-        if crashes.endpoints.contains(&endpoint) || crashes.endpoints.len() >= Self::MAX_STORED {
-            return;
+    /// Accepts the answers whose endpoints have outlived them, and removes old entries.
+    pub fn expire(&mut self, now: MonoMs) {
+        let mut answered = Vec::new();
+        for requests in self.unanswered.values_mut() {
+            requests.retain(|it| {
+                let age_ms = now.ms_since(it.at);
+                let is_answered = it.looks_answered && age_ms > Self::CONFIRM_MS;
+                if is_answered {
+                    answered.push(it.signature.clone());
+                }
+                !is_answered && age_ms <= Self::END_WINDOW_MS
+            });
         }
-        crashes.endpoints.push(endpoint);
-        crashes.expires_at = expires_at;
-        if !was_refused && self.refuses(Fingerprint(fingerprint), now) {
-            self.newly_refused.push(Fingerprint(fingerprint));
+        self.unanswered.retain(|_, requests| !requests.is_empty());
+        self.ended.retain(|_, at| now.ms_since(*at) <= Self::END_WINDOW_MS);
+        self.cleared_parts.retain(|(_, at)| now.ms_since(*at) <= Self::CLEARED_MS);
+        for request in answered {
+            self.record_answered(&request, now);
         }
+        self.find_causes(now);
     }
 }
+
+/// Returns the number of crashes of which each request was sent after the previous crash. `crashes`
+/// are in the order of their times, oldest first.
+fn count_successive<'a>(crashes: impl Iterator<Item = &'a Crash>) -> usize {
+    let mut last: Option<MonoMs> = None;
+    let follows = |it: &&Crash| {
+        let follows = last.is_none_or(|last| it.sent_at > last);
+        if follows {
+            last = Some(it.at);
+        }
+        follows
+    };
+    crashes.filter(follows).count()
+}
+
+/// Returns how well a suspect explains its crashes: better the more there are, and worse the more
+/// requests with it were in progress, since what most requests have in common is in progress at any
+/// endpoint that crashes.
+fn specificity(crashes: &[Crash]) -> u64 {
+    const SCALE: u64 = 1_000;
+    let count = crashes.len() as u64;
+    let requests: u64 = crashes.iter().map(|it| u64::from(it.requests)).sum();
+    count * count * SCALE / requests.max(1)
+}
+
+/// Returns the latest time at which an endpoint that is silent since `silent_since` may have been
+/// alive; none if the request was sent after it, and so can't be the reason.
+fn last_life_sign(sent_at: MonoMs, silent_since: MonoMs) -> Option<MonoMs> {
+    let at = silent_since.plus_ms(CrashTracker::MAX_DATA_GAP_MS);
+    (sent_at <= at).then_some(at)
+}
+
+fn before(now: MonoMs, age_ms: u32) -> MonoMs {
+    MonoMs(now.0.saturating_sub(u64::from(age_ms)))
+}
+
+fn age_ms(at: MonoMs, now: MonoMs) -> u32 {
+    u32::try_from(now.ms_since(at)).unwrap_or(u32::MAX)
+}
--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{EndpointLoad, Outcomes};
+use super::{CrashReports, EndpointLoad, Outcomes, PartAnswer, PartCrash};
 use crate::load::EndpointHash;
 
 /// An endpoint that has read one part of a prompt.
@@ -68,6 +68,12 @@
     /// don't know it ignore it.
     #[serde(skip)]
     pub leaving: Vec<EndpointHash>,
+    /// Prompt parts that crashed endpoints. Encoded after `leaving`, with the next field.
+    #[serde(skip)]
+    pub part_crashes: Vec<PartCrash>,
+    /// Suspected prompt parts that were answered.
+    #[serde(skip)]
+    pub part_answers: Vec<PartAnswer>,
 }
 
 impl Digest {
@@ -79,17 +85,34 @@
     pub fn to_bytes(&self) -> postcard::Result<Vec<u8>> {
         let mut bytes = postcard::to_allocvec(self)?;
         bytes.extend(postcard::to_allocvec(&self.leaving)?);
+        bytes.extend(postcard::to_allocvec(&(&self.part_crashes, &self.part_answers))?);
         Ok(bytes)
     }
 
-    /// Decodes a datagram, also one of a build that doesn't name leaving endpoints.
+    /// Decodes a datagram, also one of a build that doesn't name leaving endpoints or prompt parts.
     ///
     /// # Errors
     ///
     /// The bytes aren't a digest.
     pub fn from_bytes(bytes: &[u8]) -> postcard::Result<Self> {
         let (digest, rest) = postcard::take_from_bytes::<Self>(bytes)?;
-        let leaving = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
-        Ok(Self { leaving, ..digest })
+        if rest.is_empty() {
+            return Ok(digest);
+        }
+        let (leaving, rest) = postcard::take_from_bytes(rest)?;
+        if rest.is_empty() {
+            return Ok(Self { leaving, ..digest });
+        }
+        let (part_crashes, part_answers) = postcard::from_bytes(rest)?;
+        Ok(Self { leaving, part_crashes, part_answers, ..digest })
+    }
+
+    /// Returns what the digest says of crashes.
+    pub fn crash_reports(&self) -> CrashReports {
+        CrashReports {
+            contents: self.crashes.clone(),
+            parts: self.part_crashes.clone(),
+            answers: self.part_answers.clone(),
+        }
     }
 }
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod attempt;
+mod crash_suspects;
 mod crash_tracker;
 mod digest;
 mod directory;
@@ -28,7 +29,9 @@
 
 pub use admission::{Admission, AdmissionInput, AdmissionSettings};
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
-pub use crash_tracker::CrashTracker;
+pub use crash_tracker::{
+    CrashReports, CrashTracker, PartAnswer, PartCrash, Quarantined, RequestSignature,
+};
 pub use digest::{Digest, PartHolder, PeerAddress, ServiceRetries};
 pub use directory::EndpointDirectory;
 pub use duration_tracker::DurationTracker;
--- a/crates/persimmon_decide/tests/forward_digest.rs
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -3,8 +3,8 @@
 use std::net::IpAddr;
 
 use persimmon_decide::forward::{
-    Digest, EndpointLoad, Outcomes, PartHolder, PeerAddress, ServiceRetries, StoreDelta,
-    StoreRecord,
+    Digest, EndpointLoad, Outcomes, PartAnswer, PartCrash, PartHolder, PeerAddress, ServiceRetries,
+    StoreDelta, StoreRecord,
 };
 use persimmon_decide::load::EndpointHash;
 use proptest::prelude::*;
@@ -33,6 +33,8 @@
             .map(|it| PeerAddress { ip: IpAddr::from([10, 0, 0, it]), age_ms: 30_000 })
             .collect(),
         leaving: Vec::new(),
+        part_crashes: Vec::new(),
+        part_answers: Vec::new(),
     }
 }
 
@@ -93,3 +95,46 @@
     assert_eq!(Digest::from_bytes(&from_earlier).unwrap(), earlier);
     assert!(Digest::from_bytes(&bytes[..bytes.len() - 1]).is_err());
 }
+
+#[test]
+fn builds_that_dont_know_prompt_parts_read_the_rest() {
+    let endpoint = EndpointHash(u64::MAX);
+    let crash = PartCrash { part: 7, endpoint, age_ms: 10, ran_ms: 200, requests: 2 };
+    let digest = Digest {
+        leaving: vec![EndpointHash(7)],
+        part_crashes: vec![crash],
+        part_answers: vec![PartAnswer { part: 8, age_ms: 300 }],
+        ..digest(18)
+    };
+    let bytes = digest.to_bytes().unwrap();
+    assert_eq!(Digest::from_bytes(&bytes).unwrap(), digest);
+    let (_, rest) = postcard::take_from_bytes::<Digest>(&bytes).unwrap();
+    assert_eq!(postcard::from_bytes::<Vec<EndpointHash>>(rest).unwrap(), digest.leaving);
+    let (_, parts) = postcard::take_from_bytes::<Vec<EndpointHash>>(rest).unwrap();
+    let from_earlier = &bytes[..bytes.len() - parts.len()];
+    let earlier = Digest { part_crashes: Vec::new(), part_answers: Vec::new(), ..digest.clone() };
+    assert_eq!(Digest::from_bytes(from_earlier).unwrap(), earlier);
+    assert!(Digest::from_bytes(&bytes[..bytes.len() - 1]).is_err());
+}
+
+/// An endpoint crashes under as many requests as a gateway tells of.
+#[test]
+fn digest_with_all_crashes_fits_the_largest_datagram() {
+    const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+    let hash = |number: u64| EndpointHash(number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let part_crash = |it| PartCrash {
+        part: hash(it).0,
+        endpoint: hash(it),
+        age_ms: 300_000,
+        ran_ms: 15_000,
+        requests: 3,
+    };
+    let digest = Digest {
+        crashes: (0..64).map(|it| (hash(it).0, hash(it))).collect(),
+        part_crashes: (0..64).map(part_crash).collect(),
+        part_answers: (0..32).map(|it| PartAnswer { part: hash(it).0, age_ms: 5_000 }).collect(),
+        ..digest(52)
+    };
+    let length = digest.to_bytes().unwrap().len();
+    assert!(length <= MAX_DATAGRAM_BYTES, "{length} bytes");
+}
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -25,6 +25,8 @@
         holders: Vec::new(),
         peers: Vec::new(),
         leaving: Vec::new(),
+        part_crashes: Vec::new(),
+        part_answers: Vec::new(),
     }
 }
 
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -23,7 +23,8 @@
 
 /// Maximum number of leaving endpoints in one digest.
 const MAX_DIGEST_LEAVING: usize = 32;
-/// Maximum number of crash marks in one digest; more would take too much of a datagram.
+/// Maximum number of crashes of contents, and of prompt parts, in one digest; more would take too
+/// much of a datagram.
 const MAX_DIGEST_CRASHES: usize = 64;
 
 /// Maximum number of endpoints with outcomes in one digest, which contains only endpoints at which
@@ -209,8 +210,15 @@
         if is_leaving {
             return false;
         }
-        let is_silent = self.health.silent_ms(endpoint.hash, now) >= ENDPOINT_SILENT_MS;
-        self.crashes.record_ended(endpoint.hash, is_silent, now)
+        let silent_since = self.silent_since(endpoint.hash, now);
+        self.crashes.record_ended(endpoint.hash, silent_since, now)
+    }
+
+    /// Returns the time since which an endpoint has been silent on all requests; none if it counts as
+    /// reachable.
+    pub(crate) fn silent_since(&self, endpoint: EndpointHash, now: MonoMs) -> Option<MonoMs> {
+        let silent_ms = self.health.silent_ms(endpoint, now);
+        (silent_ms >= ENDPOINT_SILENT_MS).then(|| MonoMs(now.0.saturating_sub(silent_ms)))
     }
 
     fn put_routes(&mut self, routes: RouteTable) -> Applied {
@@ -292,6 +300,7 @@
         let repeated = MAX_DIGEST_REPEATED_HOLDERS
             .min(MAX_REPEATED_HOLDERS_PER_ROUND / self.peers.targets().len().max(1));
         let retries = self.retries.iter().map(|(name, it)| (name.clone(), it.counts(now)));
+        let reports = self.crashes.reports(MAX_DIGEST_CRASHES, now);
         Digest {
             incarnation: self.incarnation,
             sequence: self.sequence,
@@ -305,7 +314,9 @@
             outcomes: self.health.outcomes(MAX_DIGEST_OUTCOMES, now),
             retries: retries.filter(|(_, it)| it.fresh + it.repeated > 0).collect(),
             holders: self.prefixes.take_announcements(MAX_DIGEST_NEW_HOLDERS, repeated, now),
-            crashes: self.crashes.most_urgent(MAX_DIGEST_CRASHES, now),
+            crashes: reports.contents,
+            part_crashes: reports.parts,
+            part_answers: reports.answers,
             peers: self.peers.addresses(draw, now),
             leaving: self.directory.leaving().take(MAX_DIGEST_LEAVING).collect(),
         }
@@ -325,9 +336,7 @@
         for (endpoint, ms) in &digest.ejections {
             self.health.record_peer_ejection(*endpoint, *ms, now);
         }
-        for (content, endpoint) in &digest.crashes {
-            self.crashes.record_peer_crash(*content, *endpoint, now);
-        }
+        self.crashes.record_peer_reports(&digest.crash_reports(), now);
         for endpoint in &digest.leaving {
             if self.directory.mark_leaving(*endpoint, now) {
                 let published = self.directory.iter().find(|it| it.hash == *endpoint);
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -48,7 +48,8 @@
         choice: &Choice,
         last_event: Option<u64>,
     ) -> Result<Answered<P>, FailedAttempt> {
-        let mut in_flight = InFlight::begin(&self.gw, choice, self.plan.content);
+        let mut in_flight = InFlight::begin(&self.gw, choice, &self.plan.signature);
+        self.attempted = in_flight.began;
         let deadline = self.gw.clock.instant(self.plan.deadline).into();
         let sent = tokio::time::timeout_at(deadline, self.send(choice, last_event)).await;
         let (response, connection) = match sent {
@@ -175,8 +176,13 @@
     /// be opened.
     pub(crate) async fn record_broken(&self, endpoint: &Arc<Endpoint>) -> bool {
         let now = self.gw.clock.now();
-        let content = self.plan.content;
-        self.gw.control.borrow_mut().crashes.record_unanswered(content, endpoint.hash, now);
+        let signature = &self.plan.signature;
+        self.gw.control.borrow_mut().crashes.record_unanswered(
+            signature,
+            endpoint.hash,
+            self.attempted,
+            now,
+        );
         let limit = Duration::from_millis(RECONNECT_TIMEOUT_MS);
         let result = match tokio::time::timeout(limit, self.connect(endpoint)).await {
             Ok(Ok(connection)) => {
@@ -200,9 +206,9 @@
         let now = self.gw.clock.now();
         if let Some(suppressed) = self.gw.log_limiter.admit("endpoint_check", now) {
             let parts: Vec<_> =
-                self.plan.head.parts.iter().map(|it| format!("{:x}", it.id)).collect();
+                self.plan.signature.parts.iter().map(|it| format!("{it:x}")).collect();
             tracing::info!(target: "endpoint", endpoint = &*endpoint.id,
-                id = &*self.plan.head.id, content = format!("{:016x}", self.plan.content.0),
+                id = &*self.plan.head.id, content = format!("{:016x}", self.plan.signature.content.0),
                 parts = parts.join(","), result, suppressed, "checked an endpoint that broke an answer off");
         }
     }
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -46,6 +46,10 @@
 /// A live engine sends data several times a second.
 pub(crate) const ENDPOINT_SILENT_MS: u64 = 600;
 
+/// Reasons for failure at which an answer stayed away; the end of the request at its endpoint records
+/// whether the endpoint may have crashed.
+const STAYED_AWAY: [&str; 2] = ["silent", "deadline"];
+
 /// A stream whose response head has arrived.
 #[derive(Debug)]
 pub(crate) struct OpenStream<P: Platform> {
@@ -96,6 +100,8 @@
     log: AttemptLog,
     tried: Vec<EndpointHash>,
     sends: u32,
+    /// Start of the current attempt.
+    attempted: MonoMs,
     is_answered: bool,
     in_workspace: InWorkspace<P>,
     _in_progress: InProgress<P>,
@@ -111,6 +117,7 @@
             log,
             tried: Vec::new(),
             sends: 0,
+            attempted: MonoMs::default(),
             is_answered: false,
             in_workspace,
             _in_progress: in_progress,
@@ -177,8 +184,8 @@
 
     fn choose(&self) -> Result<Choice, Refusal> {
         let mut control = self.gw.control.borrow_mut();
-        // Other requests with this content may have crashed endpoints since the last attempt.
-        if control.crashes.refuses(self.plan.content, self.gw.clock.now()) {
+        // Requests like this one may have crashed endpoints since the last attempt.
+        if control.crashes.refuses(&self.plan.signature, self.gw.clock.now()) {
             let has_run = self.log.may_have_run();
             return Err(if has_run { Refusal::Unknown } else { Refusal::Crashing });
         }
@@ -271,8 +278,10 @@
         if outcome != AttemptOutcome::NotRun {
             control.health.record_outcome(endpoint.hash, false, now);
         }
+        let signature = &self.plan.signature;
         if outcome == AttemptOutcome::Unknown
-            && control.crashes.record_unanswered(self.plan.content, endpoint.hash, now)
+            && !STAYED_AWAY.contains(&why)
+            && control.crashes.record_unanswered(signature, endpoint.hash, self.attempted, now)
         {
             self.gw.digest_due.notify_one();
         }
@@ -323,7 +332,7 @@
         let now = self.gw.clock.now();
         let is_long = now.ms_since(started) >= self.silence_timeout_ms();
         let mut control = self.gw.control.borrow_mut();
-        if control.health.silent_ms(endpoint, now) >= ENDPOINT_SILENT_MS {
+        if control.silent_since(endpoint, now).is_some() {
             control.health.record_unreachable(endpoint, now);
         }
         let is_other = |hash| {
@@ -345,11 +354,13 @@
         if in_flight.had_free_slot {
             control.waiting_time.record(&self.plan.service, now.ms_since(in_flight.began));
         }
+        let signature = &self.plan.signature;
         match framing {
             Framing::UntilClose => {
-                control.crashes.record_closed(self.plan.content, in_flight.endpoint.hash, now);
+                let endpoint = in_flight.endpoint.hash;
+                control.crashes.record_closed(signature, endpoint, in_flight.began, now);
             }
-            _ => control.crashes.record_answered(self.plan.content, now),
+            _ => control.crashes.record_answered(signature, now),
         }
     }
 
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 
+use persimmon_decide::forward::Quarantined;
 use tokio::sync::Notify;
 
 use crate::control::Control;
@@ -53,14 +54,18 @@
         }
     }
 
-    /// Counts and logs the content that is refused from now on.
+    /// Counts and logs what is refused from now on.
     pub(crate) fn log_newly_refused(&self) {
         let now = self.clock.now();
-        for content in self.control.borrow_mut().crashes.take_newly_refused() {
-            self.metrics.endpoint.quarantined.with_label_values(&["content"]).inc();
+        for refused in self.control.borrow_mut().crashes.take_newly_refused() {
+            let (kind, id) = match refused {
+                Quarantined::Content(content) => ("content", content.0),
+                Quarantined::Part(part) => ("part", part),
+            };
+            self.metrics.endpoint.quarantined.with_label_values(&[kind]).inc();
             if let Some(suppressed) = self.log_limiter.admit("quarantined", now) {
-                tracing::warn!(target: "request", content = format!("{:016x}", content.0), suppressed,
-                    "content is refused: endpoints crashed while they ran it");
+                tracing::warn!(target: "request", kind, refused = format!("{id:016x}"), suppressed,
+                    "requests are refused: endpoints crashed while they ran such requests");
             }
         }
     }
--- a/crates/persimmon_gateway/src/in_flight.rs
+++ b/crates/persimmon_gateway/src/in_flight.rs
@@ -3,10 +3,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use persimmon_decide::forward::{Choice, Endpoint};
-use persimmon_decide::{Fingerprint, MonoMs};
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{Choice, Endpoint, RequestSignature};
 
-use crate::exchange::ENDPOINT_SILENT_MS;
 use crate::gateway::Gateway;
 use crate::platform::Platform;
 
@@ -15,7 +14,7 @@
 pub(crate) struct InFlight<P: Platform> {
     gw: Rc<Gateway<P>>,
     pub(crate) endpoint: Arc<Endpoint>,
-    content: Fingerprint,
+    signature: RequestSignature,
     /// Number of tokens of the request's prompt that the endpoint still has to read.
     unread_tokens: u32,
     pub(crate) began: MonoMs,
@@ -24,16 +23,27 @@
 }
 
 impl<P: Platform> InFlight<P> {
-    pub(crate) fn begin(gw: &Rc<Gateway<P>>, choice: &Choice, content: Fingerprint) -> Self {
+    pub(crate) fn begin(
+        gw: &Rc<Gateway<P>>,
+        choice: &Choice,
+        signature: &RequestSignature,
+    ) -> Self {
         let endpoint = choice.endpoint.clone();
         let unread_tokens = choice.unread_tokens;
         let mut control = gw.control.borrow_mut();
         control.loads.begin(endpoint.hash, unread_tokens);
-        control.crashes.begin(content, endpoint.hash);
         let began = gw.clock.now();
+        control.crashes.begin(signature, endpoint.hash, began);
         control.health.record_sent(endpoint.hash, began);
         let had_free_slot = choice.load < endpoint.slots;
-        Self { gw: gw.clone(), endpoint, content, unread_tokens, began, had_free_slot }
+        Self {
+            gw: gw.clone(),
+            endpoint,
+            signature: signature.clone(),
+            unread_tokens,
+            began,
+            had_free_slot,
+        }
     }
 
     /// Records that the answer has started, which means that the endpoint has read the prompt.
@@ -57,8 +67,10 @@
     fn drop(&mut self) {
         let mut control = self.gw.control.borrow_mut();
         let (endpoint, now) = (self.endpoint.hash, self.gw.clock.now());
-        let is_silent = control.health.silent_ms(endpoint, now) >= ENDPOINT_SILENT_MS;
-        control.crashes.end(self.content, endpoint, is_silent, now);
+        control.crashes.end(&self.signature, endpoint, self.began);
+        if let Some(since) = control.silent_since(endpoint, now) {
+            control.crashes.record_silent(&self.signature, endpoint, self.began, since);
+        }
         control.loads.end(endpoint, self.unread_tokens);
         if control.loads.own(endpoint) == 0 {
             control.health.record_idle(endpoint);
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use persimmon_decide::forward::{CallerLookup, Rank, Route, RouteTable, Shutdown, Workspace};
+use persimmon_decide::forward::{
+    CallerLookup, Rank, RequestSignature, Route, RouteTable, Shutdown, Workspace,
+};
 use persimmon_decide::{Fingerprint, MonoMs};
 
 use crate::exchange::NO_ENDPOINT_RETRY_MS;
@@ -37,7 +39,7 @@
     pub(crate) rank: Rank,
     pub(crate) body: Bytes,
     _reservation: BodyReservation<P>,
-    pub(crate) content: Fingerprint,
+    pub(crate) signature: RequestSignature,
     pub(crate) arrived: MonoMs,
     /// Time at which the caller's deadline or the route's timeout expires, whichever is earlier.
     pub(crate) deadline: MonoMs,
@@ -72,9 +74,10 @@
     let body = read_body(gw, body, max_bytes, deadline).await?;
     reservation.resize(body.len());
     let content = content_of(&head, workspace.as_ref(), &body);
+    let signature = RequestSignature::new(content, &head.parts);
     let now = gw.clock.now();
     let mut control = gw.control.borrow_mut();
-    if control.crashes.refuses(content, now) {
+    if control.crashes.refuses(&signature, now) {
         return Err(Refusal::Crashing);
     }
     let draw = control.draw();
@@ -91,7 +94,7 @@
         rank,
         body,
         _reservation: reservation,
-        content,
+        signature,
         arrived,
         deadline,
     })
--- a/crates/persimmonmountd/tests/process_gateway_crashes.rs
+++ b/crates/persimmonmountd/tests/process_gateway_crashes.rs
@@ -182,9 +182,19 @@
         assert!(self.crash(1).is_some(), "no marked request ran");
         if let Some(last) = self.crash(crashes) {
             let arrivals = self.arrivals_after(last + CONTACT);
-            assert!(arrivals <= MAX_LATE_ARRIVALS, "{arrivals} requests reached endpoints");
+            assert!(
+                arrivals <= MAX_LATE_ARRIVALS,
+                "{arrivals} requests reached endpoints; {:#?}",
+                self.quarantines()
+            );
         }
-        assert!(late.share() >= 0.5, "{late:?}");
+        assert!(late.share() >= 0.5, "{late:?}; {:#?}", self.quarantines());
+    }
+
+    /// Returns what the gateways logged of requests that they refuse.
+    fn quarantines(&self) -> Vec<String> {
+        let lines = (0..GATEWAYS).flat_map(|gateway| self.deployment.log(gateway));
+        lines.filter(|line| line.contains("requests are refused")).collect()
     }
 
     fn close(self) {
