gateway: a stream that never ends an event is given up

Cause: the size of an event was limited by the splitter, which only resumable routes have. On the others, a line or comment without end was forwarded until the deadline. Now the progress of a stream limits it on all routes, and the splitter has no limit of its own.

--- a/crates/persimmon_decide/src/forward/stream_progress.rs
+++ b/crates/persimmon_decide/src/forward/stream_progress.rs
@@ -29,22 +29,37 @@
     /// Whether the part may be empty, since it continues after events that the caller has.
     continues: bool,
     bytes: u64,
+    /// Number of bytes after the last complete event.
+    partial_bytes: usize,
 }
 
 impl StreamProgress {
+    /// Maximum size of an event, in bytes. Bytes that reach no end of an event within it are no events.
+    pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
     /// Creates the progress of a part of which nothing has arrived. `has_events` says whether the
     /// answer consists of events, `is_end_framed` whether a length or a last chunk shows the part's
     /// end, and `continues` whether it starts after events that the caller has.
     pub fn new(has_events: bool, is_end_framed: bool, continues: bool) -> Self {
         let position = has_events.then(EventPosition::default);
-        Self { position, is_end_framed, continues, bytes: 0 }
+        Self { position, is_end_framed, continues, bytes: 0, partial_bytes: 0 }
     }
 
     /// Records bytes from the endpoint. Returns the length of the part of `bytes` that ends with the
     /// last complete event, as [`EventPosition::advance`] does; none if the answer has no events.
     pub fn record(&mut self, bytes: &[u8]) -> Option<usize> {
         self.bytes += bytes.len() as u64;
-        self.position.as_mut()?.advance(bytes)
+        let end = self.position.as_mut()?.advance(bytes);
+        self.partial_bytes = match end {
+            Some(end) => bytes.len() - end,
+            None => self.partial_bytes.saturating_add(bytes.len()),
+        };
+        end
+    }
+
+    /// Reports whether the last, incomplete event exceeds [`Self::MAX_EVENT_BYTES`].
+    pub fn is_event_too_long(&self) -> bool {
+        self.partial_bytes > Self::MAX_EVENT_BYTES
     }
 
     /// Returns the number of bytes from the endpoint.
--- a/crates/persimmon_decide/tests/forward_stream_progress.rs
+++ b/crates/persimmon_decide/tests/forward_stream_progress.rs
@@ -62,3 +62,22 @@
         prop_assert_eq!(progress.check_end() != Err(BrokenOff::InsideEvent), is_boundary);
     }
 }
+
+#[rstest]
+#[case::line(b"data: ")]
+#[case::comment(b":")]
+fn is_event_too_long_after_bytes_without_an_end(#[case] start: &[u8]) {
+    let mut progress = StreamProgress::new(true, false, false);
+    progress.record(b"id: 1\ndata: a\n\n");
+    progress.record(start);
+    let piece = vec![b'x'; 1_000];
+    let pieces = StreamProgress::MAX_EVENT_BYTES / piece.len();
+    for _ in 1..pieces {
+        progress.record(&piece);
+    }
+    assert!(!progress.is_event_too_long());
+    (0..2).for_each(|_| drop(progress.record(&piece)));
+    assert!(progress.is_event_too_long());
+    progress.record(b"\n\n");
+    assert!(!progress.is_event_too_long());
+}
--- a/crates/persimmon_gateway/src/events.rs
+++ b/crates/persimmon_gateway/src/events.rs
@@ -6,9 +6,6 @@
 /// The reason why a stream can't be forwarded any further.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub(crate) enum EventError {
-    /// An event exceeds [`EventSplitter::MAX_EVENT_BYTES`].
-    #[error("an event exceeds the size limit")]
-    TooLong,
     /// The number of an event doesn't follow that of the previous one.
     #[error("an event's number doesn't follow that of the previous event")]
     OutOfOrder,
@@ -24,9 +21,6 @@
 }
 
 impl EventSplitter {
-    /// Maximum size of an event, in bytes; limits the buffer of one stream.
-    const MAX_EVENT_BYTES: usize = 256 * 1024;
-
     /// Creates a splitter for a stream that continues after event `last`.
     pub(crate) fn new(last: Option<u64>) -> Self {
         Self { partial: BytesMut::new(), last, step: None }
@@ -43,7 +37,8 @@
     }
 
     /// Appends bytes and returns all events that are now complete. `end` is the length of the part
-    /// of `bytes` that ends with the last complete event, if there is one.
+    /// of `bytes` that ends with the last complete event, if there is one. The caller limits the size
+    /// of an event.
     pub(crate) fn push(&mut self, bytes: &Bytes, end: Option<usize>) -> Result<Bytes, EventError> {
         // Most pieces consist of complete events, which don't have to be copied.
         if self.partial.is_empty() && end == Some(bytes.len()) {
@@ -52,12 +47,7 @@
         }
         let end = end.map(|end| self.partial.len() + end);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = end else {
-            if self.partial.len() > Self::MAX_EVENT_BYTES {
-                return Err(EventError::TooLong);
-            }
-            return Ok(Bytes::new());
-        };
+        let Some(end) = end else { return Ok(Bytes::new()) };
         let complete = self.partial.copy_to_bytes(end);
         self.record_events(&complete)?;
         Ok(complete)
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -166,6 +166,9 @@
         };
         stream.in_flight.record_received();
         let end = progress.received.record(&piece);
+        if progress.received.is_event_too_long() {
+            return PartEnd::Broken("event_too_long");
+        }
         let piece = match events {
             Some(events) => match events.push(&piece, end) {
                 Ok(piece) => piece,
