gateway: bodies in tiny chunks are given up

Cause: bodies were limited by their size alone, 1 MB for answers, and kept piece by piece. The same holds for a caller's body.

--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{
     CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
@@ -18,6 +18,7 @@
 use crate::head::number;
 use crate::in_flight::InFlight;
 use crate::platform::Platform;
+use crate::read_body::read_body;
 use crate::upstream::{Connection, SendError};
 
 /// Maximum size of an answer that is buffered before it is forwarded, in bytes. If a buffered
@@ -371,16 +372,16 @@
         let keep_alive_s = keep_alive_timeout_s(response.headers());
         let (parts, body) = response.into_parts();
         let deadline = self.gw.clock.instant(self.plan.deadline).into();
-        let reading = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-        let read = tokio::time::timeout_at(deadline, reading).await;
+        let read = read_body(body, MAX_BUFFERED_BYTES);
+        let read = tokio::time::timeout_at(deadline, read).await;
         let record_end = |end| {
             self.gw.metrics.answer_parts.with_label_values(&[framing.name(), end]).inc();
         };
         let bytes = match read {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(err)) => {
                 record_end("broken");
-                self.log_read_error(&*err);
+                self.log_read_error(&err);
                 self.record_broken(&in_flight.endpoint).await;
                 return Err(FailedAttempt::new(AttemptOutcome::Unknown, "body_broken"));
             }
@@ -418,7 +419,7 @@
         in_flight: &InFlight<P>,
     ) {
         let keep_alive_s = keep_alive_timeout_s(response.headers());
-        let rest = Limited::new(response.into_body(), MAX_BUFFERED_BYTES).collect();
+        let rest = read_body(response.into_body(), MAX_BUFFERED_BYTES);
         let limit = Duration::from_millis(MIN_ATTEMPT_MS);
         if let Ok(Ok(_)) = tokio::time::timeout(limit, rest).await {
             self.gw.upstream.put_idle(in_flight.endpoint.hash, connection, keep_alive_s);
--- a/crates/persimmon_gateway/src/http.rs
+++ b/crates/persimmon_gateway/src/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
@@ -16,6 +16,7 @@
 use tokio::task::AbortHandle;
 
 use crate::body::AbortOnDrop;
+use crate::read_body::{ReadError, read_body};
 
 /// Host header of the gateway's own requests; their receivers serve only one host.
 const OWN_HOST: &str = "gateway";
@@ -89,7 +90,7 @@
     Http(#[from] hyper::Error),
     /// The answer is truncated or too long.
     #[error("the answer is truncated or too long: {0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] ReadError),
     /// The answer has another status than 200.
     #[error("the request was refused with status {0}")]
     Refused(StatusCode),
@@ -127,8 +128,7 @@
     req.headers_mut().insert(HOST, HeaderValue::from_static(OWN_HOST));
     let response = sender.send_request(req).await?;
     let status = response.status();
-    let body = Limited::new(response.into_body(), max_bytes).collect().await;
-    let body = body.map_err(GetError::Body)?.to_bytes();
+    let body = read_body(response.into_body(), max_bytes).await?;
     if status == StatusCode::OK { Ok(body) } else { Err(GetError::Refused(status)) }
 }
 
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod plan;
 mod platform;
+mod read_body;
 mod refusal;
 mod relay;
 mod run;
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use persimmon_decide::forward::{
     CallerLookup, Rank, RequestSignature, Route, RouteTable, Shutdown, Workspace,
@@ -17,6 +16,7 @@
 use crate::head::RequestHead;
 use crate::in_flight::BodyReservation;
 use crate::platform::Platform;
+use crate::read_body::{ReadError, read_body};
 use crate::refusal::Refusal;
 
 /// Memory reserved for a body of unknown length, in bytes.
@@ -71,7 +71,7 @@
     check_shutdown(gw, &route, deadline, arrived)?;
     let max_bytes = routes.limits.max_body_bytes;
     let mut reservation = reserve_body(gw, &body, max_bytes)?;
-    let body = read_body(gw, body, max_bytes, deadline).await?;
+    let body = read_request_body(gw, body, max_bytes, deadline).await?;
     reservation.resize(body.len());
     let content = content_of(&head, workspace.as_ref(), &body);
     let signature = RequestSignature::new(content, &head.parts);
@@ -161,7 +161,7 @@
 }
 
 /// Reads the whole body, so that a retry can send it again.
-async fn read_body<P: Platform>(
+async fn read_request_body<P: Platform>(
     gw: &Rc<Gateway<P>>,
     body: Incoming,
     max_bytes: usize,
@@ -170,11 +170,16 @@
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(Refusal::BodyTooLarge);
     }
-    let reading = Limited::new(body, max_bytes).collect();
+    let reading = read_body(body, max_bytes);
     match tokio::time::timeout_at(gw.clock.instant(deadline).into(), reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) => Err(Refusal::BadRequest("the body is incomplete or malformed")),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::TooLong)) => Err(Refusal::BodyTooLarge),
+        Ok(Err(ReadError::TooManyPieces)) => {
+            Err(Refusal::BadRequest("the body consists of too many small chunks"))
+        }
+        Ok(Err(ReadError::Broken(_))) => {
+            Err(Refusal::BadRequest("the body is incomplete or malformed"))
+        }
         Err(_) => Err(Refusal::BodyTooSlow),
     }
 }
--- a/crates/persimmonmountd/tests/process_gateway_endless_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_endless_answers.rs
@@ -26,6 +26,10 @@
 const HEADER_VALUE: Behaviour =
     Behaviour::Endless { start: "HTTP/1.1 200 x\r\nX-Long: ", unit: "long" };
 const BODY: Behaviour = Behaviour::Endless { start: "HTTP/1.1 200 x\r\n{echo}\r\n", unit: "more " };
+const CHUNKS: Behaviour = Behaviour::Endless {
+    start: "HTTP/1.1 200 x\r\n{echo}Transfer-Encoding: chunked\r\n\r\n",
+    unit: "4\r\nmore\r\n",
+};
 const CHUNK_EXTENSION: Behaviour = Behaviour::Endless {
     start: "HTTP/1.1 200 x\r\n{echo}Transfer-Encoding: chunked\r\n\r\n4;",
     unit: "more",
@@ -130,6 +134,7 @@
 #[case::header_lines(HEADER_LINES)]
 #[case::header_value(HEADER_VALUE)]
 #[case::body(BODY)]
+#[case::chunks(CHUNKS)]
 #[case::chunk_extension(CHUNK_EXTENSION)]
 #[case::trailers(TRAILERS)]
 #[case::failure(FAILURE)]
