Split the detection of crashes: lost requests, suspects, reports, causes

No change of behaviour: LostRequests keeps what endpoints left unanswered until it is known whether they ended, CrashSuspects the crashes by suspect, CrashTracker decides.

--- a/crates/persimmon_decide/src/forward/crash_tracker.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker.rs
@@ -1,94 +1,14 @@
 //! Detection of requests that crash the endpoints that run them.
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
+use std::collections::HashSet;
 
-use serde::{Deserialize, Serialize};
-
-use super::PromptPart;
 use super::crash_suspects::{Crash, CrashSuspects};
+use super::lost_requests::{LostRequest, LostRequests};
+use super::{CrashReports, PartAnswer, PartCrash, Quarantined, RequestSignature};
 use crate::load::EndpointHash;
 use crate::{Fingerprint, MonoMs};
 
-/// What a request consists of that may crash an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RequestSignature {
-    /// Fingerprint that is equal for a request and its repetitions.
-    pub content: Fingerprint,
-    /// IDs of the prompt's parts that other prompts may share: all but the last.
-    pub parts: Arc<[u64]>,
-}
-
-impl RequestSignature {
-    /// Creates the signature of a request with this prompt.
-    pub fn new(content: Fingerprint, prompt: &[PromptPart]) -> Self {
-        let shared = prompt.split_last().map_or(&[][..], |(_, shared)| shared);
-        Self { content, parts: shared.iter().map(|part| part.id).collect() }
-    }
-}
-
-/// What is refused because endpoints crashed while they ran it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Quarantined {
-    /// Requests with this content.
-    Content(Fingerprint),
-    /// Requests whose prompts contain this part, before the last one.
-    Part(u64),
-}
-
-/// An endpoint that crashed while it ran a request with a prompt part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartCrash {
-    /// ID of the part.
-    pub part: u64,
-    /// Hash of the endpoint.
-    pub endpoint: EndpointHash,
-    /// Time since the crash, in milliseconds.
-    pub age_ms: u32,
-    /// Time from the sending of the request to the crash, in milliseconds.
-    pub ran_ms: u32,
-    /// Number of requests with the part that the endpoint left without an answer.
-    pub requests: u32,
-}
-
-/// A complete answer to a request with a prompt part that was suspected to crash endpoints.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartAnswer {
-    /// ID of the part.
-    pub part: u64,
-    /// Time since the answer, in milliseconds.
-    pub age_ms: u32,
-}
-
-/// What a gateway tells the others of crashes.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct CrashReports {
-    /// Contents that were in progress at endpoints that crashed.
-    pub contents: Vec<(u64, EndpointHash)>,
-    /// Prompt parts that were in progress at endpoints that crashed.
-    pub parts: Vec<PartCrash>,
-    /// Suspected parts that were answered since.
-    pub answers: Vec<PartAnswer>,
-}
-
-/// A request that an endpoint didn't answer, as far as the gateway can tell.
-#[derive(Debug, Clone)]
-struct UnansweredRequest {
-    signature: RequestSignature,
-    sent_at: MonoMs,
-    at: MonoMs,
-    /// Whether its answer ended in order, but in a way that a crash can look like.
-    looks_answered: bool,
-}
-
-/// A request that an endpoint is processing.
-#[derive(Debug, Clone)]
-struct RunningRequest {
-    signature: RequestSignature,
-    sent_at: MonoMs,
-}
-
 /// Something that is refused, and the endpoints that crashed under it.
 #[derive(Debug)]
 struct Cause {
@@ -117,12 +37,7 @@
     parts: CrashSuspects,
     /// What causes the recorded crashes, the likeliest first.
     causes: Vec<Cause>,
-    /// Requests in progress, by endpoint.
-    running: HashMap<EndpointHash, Vec<RunningRequest>>,
-    /// Recent requests without an answer, by endpoint.
-    unanswered: HashMap<EndpointHash, Vec<UnansweredRequest>>,
-    /// Endpoints that have ended, with the time.
-    ended: HashMap<EndpointHash, MonoMs>,
+    lost: LostRequests,
     /// Suspected parts with a recent complete answer, with its time, for the other gateways.
     cleared_parts: Vec<(u64, MonoMs)>,
     /// What was refused at the last change.
@@ -145,26 +60,10 @@
     const MAX_PART_CRASHES_ANSWERED: usize = 5;
     /// Factor by which a recent complete answer makes a suspect less likely to be a cause.
     const ANSWERED_DIVISOR: u64 = 2;
-    /// Time after a broken connection in which an endpoint that refuses connections counts as
-    /// crashed by the request, in milliseconds. A crashed process refuses connections immediately
-    /// and doesn't restart for several seconds.
-    const REFUSAL_WINDOW_MS: u64 = 1_000;
-    /// Time between a missing answer and the platform's word that the endpoint has ended, in either
-    /// order, in which it counts as crashed by the request, in milliseconds. The platform removes
-    /// an endpoint's record after a few missed heartbeats.
-    const END_WINDOW_MS: u64 = 10_000;
-    /// Maximum time between two pieces of data of an endpoint with requests, in milliseconds. A live
-    /// engine sends data several times a second.
-    const MAX_DATA_GAP_MS: u64 = 250;
-    /// Time after which an answer that only looks complete counts as complete if its endpoint hasn't
-    /// ended, in milliseconds.
-    const CONFIRM_MS: u64 = 5_000;
     /// Time for which the other gateways are told of an answer that cleared a part, in milliseconds.
     const CLEARED_MS: u64 = 5_000;
     /// Maximum number of cleared parts of which the other gateways are told.
     const MAX_CLEARED: usize = 32;
-    /// Maximum number of stored requests without an answer of one endpoint.
-    const MAX_UNANSWERED: usize = 256;
 
     /// Creates a tracker without crashes.
     pub fn new() -> Self {
@@ -173,21 +72,12 @@
 
     /// Records that a request is sent to an endpoint.
     pub fn begin(&mut self, request: &RequestSignature, endpoint: EndpointHash, now: MonoMs) {
-        let running = RunningRequest { signature: request.clone(), sent_at: now };
-        self.running.entry(endpoint).or_default().push(running);
+        self.lost.begin(request, endpoint, now);
     }
 
-    /// Records that the gateway no longer waits for an answer to a request that was sent at
-    /// `sent_at`.
+    /// Records that the gateway no longer waits for an answer to a request sent at `sent_at`.
     pub fn end(&mut self, request: &RequestSignature, endpoint: EndpointHash, sent_at: MonoMs) {
-        let Some(running) = self.running.get_mut(&endpoint) else { return };
-        let is_it = |it: &RunningRequest| it.sent_at == sent_at && it.signature == *request;
-        if let Some(index) = running.iter().position(is_it) {
-            running.swap_remove(index);
-        }
-        if running.is_empty() {
-            self.running.remove(&endpoint);
-        }
+        self.lost.end(request, endpoint, sent_at);
     }
 
     /// Records a complete answer to a request, which shows that neither its content nor its parts
@@ -215,13 +105,13 @@
         sent_at: MonoMs,
         now: MonoMs,
     ) {
-        let signature = request.clone();
-        let request = UnansweredRequest { signature, sent_at, at: now, looks_answered: true };
-        self.add_unanswered(request, endpoint, now);
+        let lost = self.lost.add(LostRequest::closed(request, sent_at, now), endpoint, now);
+        self.blame(lost, endpoint, now);
     }
 
-    /// Records that an endpoint broke its answer to a request, sent at `sent_at`, off. Returns whether the request is blamed for the endpoint's end; the caller must then notify the
-    /// other gateways immediately.
+    /// Records that an endpoint broke off its answer to a request sent at `sent_at`. Returns whether
+    /// the request is blamed for the endpoint's end; the caller must then notify the other gateways
+    /// immediately.
     pub fn record_unanswered(
         &mut self,
         request: &RequestSignature,
@@ -229,9 +119,8 @@
         sent_at: MonoMs,
         now: MonoMs,
     ) -> bool {
-        let signature = request.clone();
-        let request = UnansweredRequest { signature, sent_at, at: now, looks_answered: false };
-        self.add_unanswered(request, endpoint, now)
+        let lost = self.lost.add(LostRequest::broken(request, sent_at, now), endpoint, now);
+        self.blame(lost, endpoint, now)
     }
 
     /// Records that the gateway gave up a request, sent at `sent_at`, at an endpoint that has sent
@@ -243,47 +132,19 @@
         sent_at: MonoMs,
         silent_since: MonoMs,
     ) {
-        if let Some(at) = last_life_sign(sent_at, silent_since) {
-            let signature = request.clone();
-            let request = UnansweredRequest { signature, sent_at, at, looks_answered: false };
-            self.add_unanswered(request, endpoint, at);
+        if let Some(request) = LostRequest::silent(request, sent_at, silent_since) {
+            let at = request.at;
+            let lost = self.lost.add(request, endpoint, at);
+            self.blame(lost, endpoint, at);
         }
     }
 
-    /// Blames a request if its endpoint has ended already, or keeps it until that is known. Returns
-    /// whether it is blamed.
-    fn add_unanswered(
-        &mut self,
-        request: UnansweredRequest,
-        endpoint: EndpointHash,
-        now: MonoMs,
-    ) -> bool {
-        let ended = self.ended.get(&endpoint);
-        if ended.is_some_and(|at| now.ms_since(*at) <= Self::END_WINDOW_MS) {
-            self.blame(&request, endpoint, now);
-            self.find_causes(now);
-            return true;
-        }
-        let requests = self.unanswered.entry(endpoint).or_default();
-        requests.retain(|it| now.ms_since(it.at) <= Self::END_WINDOW_MS);
-        let is_known = |it: &UnansweredRequest| {
-            it.sent_at == request.sent_at && it.signature == request.signature
-        };
-        if requests.iter().any(is_known) {
-            return false;
-        }
-        if requests.len() >= Self::MAX_UNANSWERED {
-            requests.remove(0);
-        }
-        requests.push(request);
-        false
-    }
-
     /// Records that an endpoint refuses connections, and blames the requests that it left without
     /// an answer just before. Returns whether any request is blamed; the caller must then notify the
     /// other gateways immediately.
     pub fn record_refused(&mut self, endpoint: EndpointHash, now: MonoMs) -> bool {
-        self.blame_unanswered(endpoint, Self::REFUSAL_WINDOW_MS, now)
+        let lost = self.lost.take_refused(endpoint, now);
+        self.blame(lost, endpoint, now)
     }
 
     /// Records that an endpoint has ended without having said that it leaves: another process
@@ -297,49 +158,36 @@
         silent_since: Option<MonoMs>,
         now: MonoMs,
     ) -> bool {
-        self.ended.insert(endpoint, now);
-        let mut is_blamed = self.blame_unanswered(endpoint, Self::END_WINDOW_MS, now);
-        let Some(silent_since) = silent_since else { return is_blamed };
-        for running in self.running.get(&endpoint).cloned().unwrap_or_default() {
-            let RunningRequest { signature, sent_at } = running;
-            if let Some(at) = last_life_sign(sent_at, silent_since) {
-                let request = UnansweredRequest { signature, sent_at, at, looks_answered: false };
-                self.blame(&request, endpoint, now);
-                is_blamed = true;
-            }
-        }
-        self.find_causes(now);
-        is_blamed
+        let lost = self.lost.take_ended(endpoint, silent_since, now);
+        self.blame(lost, endpoint, now)
     }
 
     /// Records that the platform publishes an endpoint, which thus hasn't ended. A record may also be
     /// removed because the endpoint couldn't renew it.
     pub fn record_published(&mut self, endpoint: EndpointHash) {
-        self.ended.remove(&endpoint);
+        self.lost.record_published(endpoint);
     }
 
-    /// Blames the requests that an endpoint left without an answer within `window_ms`.
-    fn blame_unanswered(&mut self, endpoint: EndpointHash, window_ms: u64, now: MonoMs) -> bool {
-        let Some(requests) = self.unanswered.remove(&endpoint) else { return false };
-        let (blamed, kept): (Vec<_>, Vec<_>) =
-            requests.into_iter().partition(|it| now.ms_since(it.at) <= window_ms);
-        if !kept.is_empty() {
-            self.unanswered.insert(endpoint, kept);
-        }
-        for request in &blamed {
-            self.blame(request, endpoint, now);
+    /// Records that an endpoint crashed while it ran these requests. Returns whether there are any.
+    fn blame(
+        &mut self,
+        requests: impl IntoIterator<Item = LostRequest>,
+        endpoint: EndpointHash,
+        now: MonoMs,
+    ) -> bool {
+        let mut is_blamed = false;
+        for LostRequest { signature, sent_at, at, .. } in requests {
+            let crash = Crash { endpoint, sent_at, at, requests: 1 };
+            self.contents.record_crash(signature.content.0, crash, now);
+            for part in signature.parts.iter() {
+                self.parts.record_crash(*part, crash, now);
+            }
+            is_blamed = true;
         }
-        self.find_causes(now);
-        !blamed.is_empty()
-    }
-
-    fn blame(&mut self, request: &UnansweredRequest, endpoint: EndpointHash, now: MonoMs) {
-        let UnansweredRequest { signature, sent_at, at, .. } = request;
-        let crash = Crash { endpoint, sent_at: *sent_at, at: *at, requests: 1 };
-        self.contents.record_crash(signature.content.0, crash, now);
-        for part in signature.parts.iter() {
-            self.parts.record_crash(*part, crash, now);
+        if is_blamed {
+            self.find_causes(now);
         }
+        is_blamed
     }
 
     /// Records the crashes and answers that a peer reports.
@@ -467,23 +315,10 @@
 
     /// Accepts the answers whose endpoints have outlived them, and removes old entries.
     pub fn expire(&mut self, now: MonoMs) {
-        let mut answered = Vec::new();
-        for requests in self.unanswered.values_mut() {
-            requests.retain(|it| {
-                let age_ms = now.ms_since(it.at);
-                let is_answered = it.looks_answered && age_ms > Self::CONFIRM_MS;
-                if is_answered {
-                    answered.push(it.signature.clone());
-                }
-                !is_answered && age_ms <= Self::END_WINDOW_MS
-            });
-        }
-        self.unanswered.retain(|_, requests| !requests.is_empty());
-        self.ended.retain(|_, at| now.ms_since(*at) <= Self::END_WINDOW_MS);
-        self.cleared_parts.retain(|(_, at)| now.ms_since(*at) <= Self::CLEARED_MS);
-        for request in answered {
+        for request in self.lost.expire(now) {
             self.record_answered(&request, now);
         }
+        self.cleared_parts.retain(|(_, at)| now.ms_since(*at) <= Self::CLEARED_MS);
         self.find_causes(now);
     }
 }
@@ -512,13 +347,6 @@
     count * count * SCALE / requests.max(1)
 }
 
-/// Returns the latest time at which an endpoint that is silent since `silent_since` may have been
-/// alive; none if the request was sent after it, and so can't be the reason.
-fn last_life_sign(sent_at: MonoMs, silent_since: MonoMs) -> Option<MonoMs> {
-    let at = silent_since.plus_ms(CrashTracker::MAX_DATA_GAP_MS);
-    (sent_at <= at).then_some(at)
-}
-
 fn before(now: MonoMs, age_ms: u32) -> MonoMs {
     MonoMs(now.0.saturating_sub(u64::from(age_ms)))
 }
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod attempt;
+mod crash_reports;
 mod crash_suspects;
 mod crash_tracker;
 mod digest;
@@ -15,10 +16,12 @@
 mod health;
 mod idle_limit;
 mod load_tracker;
+mod lost_requests;
 mod peer_sums;
 mod peer_table;
 mod picker;
 mod prefix_map;
+mod request_signature;
 mod retry_window;
 mod route;
 mod shutdown;
@@ -29,9 +32,8 @@
 
 pub use admission::{Admission, AdmissionInput, AdmissionSettings};
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
-pub use crash_tracker::{
-    CrashReports, CrashTracker, PartAnswer, PartCrash, Quarantined, RequestSignature,
-};
+pub use crash_reports::{CrashReports, PartAnswer, PartCrash};
+pub use crash_tracker::CrashTracker;
 pub use digest::{Digest, PartHolder, PeerAddress, ServiceRetries};
 pub use directory::EndpointDirectory;
 pub use duration_tracker::DurationTracker;
@@ -45,6 +47,7 @@
 pub use peer_table::{DigestFreshness, PeerTable};
 pub use picker::{Choice, FleetView, NoChoice, PickRequest, Picker, PickerSettings};
 pub use prefix_map::{PrefixMap, PromptPart};
+pub use request_signature::{Quarantined, RequestSignature};
 pub use retry_window::{RetryWindow, RetryWindowSettings};
 pub use route::{
     CallerLimits, CallerLookup, EngineSpec, Rank, Repeatable, Route, RouteTable, ServiceSpec,
