--- a/crates/persimmon_decide/src/forward/request_signature.rs
+++ b/crates/persimmon_decide/src/forward/request_signature.rs
@@ -1,5 +1,6 @@
 //! What requests have in common that crash endpoints.
 
+use std::fmt;
 use std::sync::Arc;
 
 use super::PromptPart;
@@ -30,3 +31,12 @@
     /// Requests whose prompts contain this part, before the last one.
     Part(u64),
 }
+
+impl fmt::Display for Quarantined {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Content(content) => write!(f, "{:016x}", content.0),
+            Self::Part(part) => write!(f, "part:{part:x}"),
+        }
+    }
+}
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -58,13 +58,13 @@
     pub(crate) fn log_newly_refused(&self) {
         let now = self.clock.now();
         for refused in self.control.borrow_mut().crashes.take_newly_refused() {
-            let (kind, id) = match refused {
-                Quarantined::Content(content) => ("content", content.0),
-                Quarantined::Part(part) => ("part", part),
+            let kind = match refused {
+                Quarantined::Content(_) => "content",
+                Quarantined::Part(_) => "part",
             };
             self.metrics.endpoint.quarantined.with_label_values(&[kind]).inc();
             if let Some(suppressed) = self.log_limiter.admit("quarantined", now) {
-                tracing::warn!(target: "request", kind, refused = format!("{id:016x}"), suppressed,
+                tracing::warn!(target: "request", kind, %refused, suppressed,
                     "requests are refused: endpoints crashed while they ran such requests");
             }
         }
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{Endpoint, EndpointState, Quarantined};
+use persimmon_decide::forward::{Endpoint, EndpointState};
 use persimmon_decide::load::EndpointHash;
 use serde::Serialize;
 
@@ -101,7 +101,7 @@
                 waiting: 0,
                 mean: f64::from(requests) / endpoints.len().max(1) as f64,
             },
-            quarantined: control.crashes.refused(now).map(quarantined_name).collect(),
+            quarantined: control.crashes.refused(now).map(|it| it.to_string()).collect(),
             outcomes: Outcomes {
                 done: count("answered"),
                 not_run: sum(&NOT_RUN),
@@ -116,14 +116,6 @@
     }
 }
 
-/// Returns the text for content or a prompt part that is refused.
-fn quarantined_name(refused: Quarantined) -> String {
-    match refused {
-        Quarantined::Content(content) => format!("{:016x}", content.0),
-        Quarantined::Part(part) => format!("part:{part:x}"),
-    }
-}
-
 /// Outcomes of requests that weren't run.
 const NOT_RUN: [&str; 6] =
     ["not_configured", "crashing", "leaving", "no_endpoint", "overloaded", "body_too_slow"];
