Tests name the platform's headers through its stand-ins only

Found by the read-through: two new tests of the daemon wrote the platform's header names. A caller's prompt and an endpoint's signed or refused head are stand-ins' matters now. One log call is wrapped.

--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -206,11 +206,12 @@
         self.gw.metrics.endpoint.checks.with_label_values(&[result]).inc();
         let now = self.gw.clock.now();
         if let Some(suppressed) = self.gw.log_limiter.admit("endpoint_check", now) {
-            let parts: Vec<_> =
-                self.plan.signature.parts.iter().map(|it| format!("{it:x}")).collect();
+            let signature = &self.plan.signature;
+            let parts: Vec<_> = signature.parts.iter().map(|it| format!("{it:x}")).collect();
             tracing::info!(target: "endpoint", endpoint = &*endpoint.id,
-                id = &*self.plan.head.id, content = format!("{:016x}", self.plan.signature.content.0),
-                parts = parts.join(","), result, suppressed, "checked an endpoint that broke an answer off");
+                id = &*self.plan.head.id, content = format!("{:016x}", signature.content.0),
+                parts = parts.join(","), result, suppressed,
+                "checked an endpoint that broke an answer off");
         }
     }
 
--- a/crates/persimmonmountd/tests/process_gateway_crashes.rs
+++ b/crates/persimmonmountd/tests/process_gateway_crashes.rs
@@ -16,7 +16,7 @@
 const ENDPOINTS: [&str; 8] = ["one", "two", "three", "four", "five", "six", "seven", "eight"];
 const MARKER: &str = "bad00bad";
 /// Prompt parts that all requests share, before and after one that differs.
-const SHARED_PARTS: [&str; 2] = ["aaaa01:700", "aaaa02:90"];
+const SHARED_PARTS: [(&str, u32); 2] = [("aaaa01", 700), ("aaaa02", 90)];
 const SOUND_PART: &str = "50004d";
 const DEADLINE_MS: u64 = 2_000;
 /// Pause of a caller between two requests.
@@ -68,15 +68,12 @@
     fn send(&self, deployment: &Deployment, gateway: usize, path: &str) -> io::Result<Caller> {
         let [first, last] = SHARED_PARTS;
         let (part, own) = &self.parts;
-        let prompt = format!("{first},{part}:50,{last},{own}:20");
         let mut caller = deployment
             .caller(gateway)?
             .request("POST", path, &self.id)
             .with_key(KEY)
             .with_deadline_ms(DEADLINE_MS)
-            .with_header("Model", "m")
-            .with_header("Token-Usage", "860,20")
-            .with_header("Prompt-Prefix", &prompt);
+            .with_prompt(&[first, (part, 50), last, (own, 20)]);
         caller.send(&self.body)?;
         Ok(caller)
     }
--- a/crates/persimmonmountd/tests/process_gateway_endless_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_endless_answers.rs
@@ -20,36 +20,37 @@
 /// Maximum memory of the gateway at its peak, in kilobytes: far less than the endpoints send.
 const MAX_PEAK_KB: u64 = 64 * 1024;
 
-const HEAD: &str = "HTTP/1.1 200 x\r\n{echo}";
+const HEAD: &str = "HTTP/1.1 200 x\r\n{signed}";
 const GARBAGE: Behaviour = Behaviour::Endless { start: "", unit: "garbage " };
 const HEADER_LINES: Behaviour = Behaviour::Endless { start: HEAD, unit: "X-More: more\r\n" };
 const HEADER_VALUE: Behaviour =
     Behaviour::Endless { start: "HTTP/1.1 200 x\r\nX-Long: ", unit: "long" };
-const BODY: Behaviour = Behaviour::Endless { start: "HTTP/1.1 200 x\r\n{echo}\r\n", unit: "more " };
+const BODY: Behaviour =
+    Behaviour::Endless { start: "HTTP/1.1 200 x\r\n{signed}\r\n", unit: "more " };
 const CHUNKS: Behaviour = Behaviour::Endless {
-    start: "HTTP/1.1 200 x\r\n{echo}Transfer-Encoding: chunked\r\n\r\n",
+    start: "HTTP/1.1 200 x\r\n{signed}Transfer-Encoding: chunked\r\n\r\n",
     unit: "4\r\nmore\r\n",
 };
 const CHUNK_EXTENSION: Behaviour = Behaviour::Endless {
-    start: "HTTP/1.1 200 x\r\n{echo}Transfer-Encoding: chunked\r\n\r\n4;",
+    start: "HTTP/1.1 200 x\r\n{signed}Transfer-Encoding: chunked\r\n\r\n4;",
     unit: "more",
 };
 const TRAILERS: Behaviour = Behaviour::Endless {
-    start: "HTTP/1.1 200 x\r\n{echo}Transfer-Encoding: chunked\r\n\r\n4\r\nmore\r\n0\r\n",
+    start: "HTTP/1.1 200 x\r\n{signed}Transfer-Encoding: chunked\r\n\r\n4\r\nmore\r\n0\r\n",
     unit: "X-More: more\r\n",
 };
 const FAILURE: Behaviour =
-    Behaviour::Endless { start: "HTTP/1.1 500 x\r\n{echo}\r\n", unit: "more " };
+    Behaviour::Endless { start: "HTTP/1.1 500 x\r\n{signed}\r\n", unit: "more " };
 const REFUSAL: Behaviour =
-    Behaviour::Endless { start: "HTTP/1.1 503 x\r\n{echo}Not-Executed: 1\r\n\r\n", unit: "no " };
+    Behaviour::Endless { start: "HTTP/1.1 503 x\r\n{not_run}\r\n", unit: "no " };
 const INTERIM: Behaviour =
     Behaviour::Endless { start: "", unit: "HTTP/1.1 102 Processing\r\n\r\n" };
 const EVENT: Behaviour = Behaviour::Endless {
-    start: "HTTP/1.1 200 x\r\n{echo}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
+    start: "HTTP/1.1 200 x\r\n{signed}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
     unit: "more ",
 };
 const COMMENT: Behaviour = Behaviour::Endless {
-    start: "HTTP/1.1 200 x\r\n{echo}Content-Type: text/event-stream\r\n\r\n:",
+    start: "HTTP/1.1 200 x\r\n{signed}Content-Type: text/event-stream\r\n\r\n:",
     unit: "more ",
 };
 
