gateway: digests are short again soon after crashes

Now a digest has those only for 10 s, fewer with more peers, and then at most 12 of each kind, six of one suspect, which is enough for a gateway that starts.

Test: reports_long_after_crashes_are_few; the code before had 64 contents and 32 parts.

--- a/crates/persimmon_decide/src/forward/crash_suspects.rs
+++ b/crates/persimmon_decide/src/forward/crash_suspects.rs
@@ -77,9 +77,13 @@
     /// Time for which the crashes of a suspect are stored after the last one, in milliseconds.
     /// Callers repeat a request that crashed an endpoint within minutes.
     const CRASH_TTL_MS: u64 = 300_000;
-    /// Age up to which crashes go first in digests, in milliseconds: all gateways receive several
-    /// digests within it.
+    /// Age up to which crashes count as recent in digests, in milliseconds: all gateways receive
+    /// several digests within it.
     const RECENT_MS: u64 = 10_000;
+    /// Maximum number of older crashes in a digest.
+    const MAX_OLD: usize = 12;
+    /// Maximum number of them of one suspect, enough to refuse it.
+    const MAX_OLD_PER_SUSPECT: usize = 6;
     /// Maximum number of crashes stored for one suspect.
     const MAX_CRASHES: usize = 32;
     /// Maximum number of suspects.
@@ -173,21 +177,27 @@
         suspects.map(|(suspect, _)| *suspect)
     }
 
-    /// Returns the crashes that the other gateways need first, for the digest: among the recent ones
-    /// those of the suspect with most of them, then the newest. An endpoint that crashes under many
-    /// requests thus doesn't crowd out the one that crashed the others too.
+    /// Returns the crashes that the other gateways need first, for the digest: at most `count` recent
+    /// ones, those of the suspect with most of them first, and a few older ones, for gateways that
+    /// have just started. An endpoint that crashes under many requests thus doesn't crowd out the
+    /// one that crashed the others too, and digests are short again soon after.
     pub(super) fn most_urgent(&self, count: usize, now: MonoMs) -> Vec<(u64, Crash)> {
+        let is_recent = |crashes: &[Crash]| now.ms_since(last_crash(crashes)) <= Self::RECENT_MS;
         let mut live: Vec<_> =
             self.crashes.iter().filter(|(_, crashes)| is_live(crashes, now)).collect();
         live.sort_by_key(|(suspect, crashes)| {
-            let last = last_crash(crashes);
-            let is_recent = now.ms_since(last) <= Self::RECENT_MS;
-            (Reverse((if is_recent { crashes.len() } else { 0 }, last)), **suspect)
+            (Reverse((crashes.len(), last_crash(crashes))), **suspect)
         });
-        let pairs = live
+        let (recent, old): (Vec<_>, Vec<_>) =
+            live.into_iter().partition(|(_, crashes)| is_recent(crashes));
+        let recent = recent
             .into_iter()
             .flat_map(|(suspect, crashes)| crashes.iter().map(|crash| (*suspect, *crash)));
-        pairs.take(count).collect()
+        let old = old.into_iter().flat_map(|(suspect, crashes)| {
+            let step = crashes.len().div_ceil(Self::MAX_OLD_PER_SUSPECT);
+            crashes.iter().step_by(step).map(|crash| (*suspect, *crash))
+        });
+        recent.take(count).chain(old.take(Self::MAX_OLD)).collect()
     }
 }
 
--- a/crates/persimmon_decide/tests/forward_crash_parts.rs
+++ b/crates/persimmon_decide/tests/forward_crash_parts.rs
@@ -208,3 +208,27 @@
     }
     assert!(refuses(&tracker, &[BAD], 5_000));
 }
+
+/// Digests are short again after many crashes, and still tell a gateway that starts what is refused.
+#[test]
+fn reports_long_after_crashes_are_few() {
+    const MAX_OLD: usize = 12;
+    let mut tracker = CrashTracker::new();
+    for number in 0..40 {
+        let at = 1_000 + number * 300;
+        crash(&mut tracker, &[BAD], number, at);
+        for other in 0..10 {
+            let sound = request(&[1_000 + number], 10_000 + 10 * number + other);
+            let endpoint = EndpointHash(100 + number);
+            tracker.record_unanswered(&sound, endpoint, MonoMs(at - RUN_MS), MonoMs(at));
+            tracker.record_refused(endpoint, MonoMs(at));
+        }
+    }
+    assert!(tracker.reports(64, MonoMs(13_000)).contents.len() >= 64);
+    let later = MonoMs(60_000);
+    let reports = tracker.reports(64, later);
+    assert!(reports.parts.len() <= MAX_OLD && reports.contents.len() <= MAX_OLD, "{reports:?}");
+    let mut started = CrashTracker::new();
+    started.record_peer_reports(&reports, later);
+    assert!(refuses(&started, &[BAD], later.0));
+}
--- a/crates/persimmon_decide/tests/forward_digest.rs
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -130,8 +130,8 @@
         requests: 3,
     };
     let digest = Digest {
-        crashes: (0..64).map(|it| (hash(it).0, hash(it))).collect(),
-        part_crashes: (0..64).map(part_crash).collect(),
+        crashes: (0..76).map(|it| (hash(it).0, hash(it))).collect(),
+        part_crashes: (0..76).map(part_crash).collect(),
         part_answers: (0..32).map(|it| PartAnswer { part: hash(it).0, age_ms: 5_000 }).collect(),
         ..digest(52)
     };
--- a/crates/persimmon_gateway/src/control.rs
+++ b/crates/persimmon_gateway/src/control.rs
@@ -26,6 +26,9 @@
 /// Maximum number of crashes of contents, and of prompt parts, in one digest; more would take too
 /// much of a datagram.
 const MAX_DIGEST_CRASHES: usize = 64;
+/// Maximum number of recent crashes of each kind in one round of digests to all peers; with more
+/// peers, each digest contains fewer.
+const MAX_CRASHES_PER_ROUND: usize = 800;
 
 /// Maximum number of endpoints with outcomes in one digest, which contains only endpoints at which
 /// some gateway's requests have recently failed.
@@ -298,10 +301,11 @@
     pub(crate) fn digest(&mut self, now: MonoMs) -> Digest {
         self.sequence += 1;
         let draw = self.draw();
-        let repeated = MAX_DIGEST_REPEATED_HOLDERS
-            .min(MAX_REPEATED_HOLDERS_PER_ROUND / self.peers.targets().len().max(1));
+        let targets = self.peers.targets().len().max(1);
+        let repeated = MAX_DIGEST_REPEATED_HOLDERS.min(MAX_REPEATED_HOLDERS_PER_ROUND / targets);
         let retries = self.retries.iter().map(|(name, it)| (name.clone(), it.counts(now)));
-        let reports = self.crashes.reports(MAX_DIGEST_CRASHES, now);
+        let max_crashes = MAX_DIGEST_CRASHES.min(MAX_CRASHES_PER_ROUND / targets);
+        let reports = self.crashes.reports(max_crashes, now);
         Digest {
             incarnation: self.incarnation,
             sequence: self.sequence,
