--- a/crates/persimmon_decide/src/forward/crash_reports.rs
+++ b/crates/persimmon_decide/src/forward/crash_reports.rs
@@ -4,50 +4,26 @@
 
 use crate::load::EndpointHash;
 
-/// An endpoint that crashed while it ran requests with the same content.
+/// An endpoint that crashed while it ran requests with the same content or prompt part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ContentCrash {
-    /// Fingerprint of the content.
-    pub content: u64,
+pub struct CrashReport {
+    /// Fingerprint of the content, or ID of the part.
+    pub suspect: u64,
     /// Hash of the endpoint.
     pub endpoint: EndpointHash,
     /// Time since the crash, in milliseconds.
     pub age_ms: u32,
     /// Time from the sending of the last of the requests to the crash, in milliseconds.
     pub ran_ms: u32,
-    /// Number of requests with the content that the endpoint left without an answer.
+    /// Number of requests with the suspect that the endpoint left without an answer.
     pub requests: u32,
 }
 
-/// A complete answer to a request whose content was suspected to crash endpoints.
+/// A complete answer to a request whose content or prompt part was suspected to crash endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ContentAnswer {
-    /// Fingerprint of the content.
-    pub content: u64,
-    /// Time since the answer, in milliseconds.
-    pub age_ms: u32,
-}
-
-/// An endpoint that crashed while it ran requests with a prompt part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartCrash {
-    /// ID of the part.
-    pub part: u64,
-    /// Hash of the endpoint.
-    pub endpoint: EndpointHash,
-    /// Time since the crash, in milliseconds.
-    pub age_ms: u32,
-    /// Time from the sending of the last of the requests to the crash, in milliseconds.
-    pub ran_ms: u32,
-    /// Number of requests with the part that the endpoint left without an answer.
-    pub requests: u32,
-}
-
-/// A complete answer to a request with a prompt part that was suspected to crash endpoints.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartAnswer {
-    /// ID of the part.
-    pub part: u64,
+pub struct AnswerReport {
+    /// Fingerprint of the content, or ID of the part.
+    pub suspect: u64,
     /// Time since the answer, in milliseconds.
     pub age_ms: u32,
 }
@@ -56,11 +32,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct CrashReports {
     /// Contents that were in progress at endpoints that crashed.
-    pub contents: Vec<ContentCrash>,
+    pub contents: Vec<CrashReport>,
     /// Prompt parts that were in progress at endpoints that crashed.
-    pub parts: Vec<PartCrash>,
+    pub parts: Vec<CrashReport>,
     /// Suspected contents that were answered since.
-    pub content_answers: Vec<ContentAnswer>,
+    pub content_answers: Vec<AnswerReport>,
     /// Suspected parts that were answered since.
-    pub part_answers: Vec<PartAnswer>,
+    pub part_answers: Vec<AnswerReport>,
 }
--- a/crates/persimmon_decide/src/forward/crash_tracker/exchange.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker/exchange.rs
@@ -1,33 +1,29 @@
 //! What gateways tell each other of crashes, and what they make of it.
 
 use super::super::crash_suspects::Crash;
-use super::super::{ContentAnswer, ContentCrash, CrashReports, PartAnswer, PartCrash, Quarantined};
+use super::super::{AnswerReport, CrashReport, CrashReports, Quarantined};
 use super::CrashTracker;
 use crate::{Fingerprint, MonoMs};
 
 impl CrashTracker {
     /// Records the crashes and answers that a peer reports.
     pub fn record_peer_reports(&mut self, reports: &CrashReports, now: MonoMs) {
+        let content = |id| Quarantined::Content(Fingerprint(id));
+        let part = Quarantined::Part;
         let mut is_new = false;
-        for ContentCrash { content, endpoint, age_ms, ran_ms, requests } in &reports.contents {
-            let at = before(now, *age_ms);
-            let sent_at = before(at, *ran_ms);
-            let crash = Crash { endpoint: *endpoint, sent_at, at, requests: *requests };
-            is_new |=
-                self.record_peer_crash(Quarantined::Content(Fingerprint(*content)), crash, now);
+        let contents = reports.contents.iter().map(|it| (content(it.suspect), it));
+        let parts = reports.parts.iter().map(|it| (part(it.suspect), it));
+        for (suspect, report) in contents.chain(parts) {
+            let at = before(now, report.age_ms);
+            let sent_at = before(at, report.ran_ms);
+            let CrashReport { endpoint, requests, .. } = *report;
+            let crash = Crash { endpoint, sent_at, at, requests };
+            is_new |= self.record_peer_crash(suspect, crash, now);
         }
-        for PartCrash { part, endpoint, age_ms, ran_ms, requests } in &reports.parts {
-            let at = before(now, *age_ms);
-            let sent_at = before(at, *ran_ms);
-            let crash = Crash { endpoint: *endpoint, sent_at, at, requests: *requests };
-            is_new |= self.record_peer_crash(Quarantined::Part(*part), crash, now);
-        }
-        for ContentAnswer { content, age_ms } in &reports.content_answers {
-            let suspect = Quarantined::Content(Fingerprint(*content));
-            is_new |= self.record_answer(suspect, before(now, *age_ms), now);
-        }
-        for PartAnswer { part, age_ms } in &reports.part_answers {
-            is_new |= self.record_answer(Quarantined::Part(*part), before(now, *age_ms), now);
+        let contents = reports.content_answers.iter().map(|it| (content(it.suspect), it));
+        let parts = reports.part_answers.iter().map(|it| (part(it.suspect), it));
+        for (suspect, report) in contents.chain(parts) {
+            is_new |= self.record_answer(suspect, before(now, report.age_ms), now);
         }
         if is_new {
             self.find_causes(now);
@@ -37,12 +33,9 @@
     /// Records a crash that a peer reports, unless it was followed by an answer here, of which the
     /// peer is then told. Returns whether it adds to what is known of the endpoints.
     fn record_peer_crash(&mut self, suspect: Quarantined, crash: Crash, now: MonoMs) -> bool {
-        let (suspects, id) = match suspect {
-            Quarantined::Content(content) => (&mut self.contents, content.0),
-            Quarantined::Part(part) => (&mut self.parts, part),
-        };
-        let answered = suspects.last_answer(id, now).filter(|at| crash.at < *at);
-        let Some(at) = answered else { return suspects.record_peer_crash(id, crash, now) };
+        let (records, id) = self.suspects.records_mut(suspect);
+        let answered = records.last_answer(id, now).filter(|at| crash.at < *at);
+        let Some(at) = answered else { return records.record_peer_crash(id, crash, now) };
         if now.ms_since(at) <= Self::CLEARED_MS {
             self.record_cleared(suspect, at);
         }
@@ -52,49 +45,41 @@
     /// Returns what the other gateways need first, with at most `count` crashes each of contents and
     /// of parts.
     pub fn reports(&self, count: usize, now: MonoMs) -> CrashReports {
-        let contents = self.contents.most_urgent(count, now).into_iter();
-        let part_crash = |(part, crash): (u64, Crash)| PartCrash {
-            part,
-            endpoint: crash.endpoint,
-            age_ms: age_ms(crash.at, now),
-            ran_ms: age_ms(crash.sent_at, crash.at),
-            requests: crash.requests,
-        };
-        let content_crash = |(content, crash): (u64, Crash)| ContentCrash {
-            content,
+        let report = |(suspect, crash): (u64, Crash)| CrashReport {
+            suspect,
             endpoint: crash.endpoint,
             age_ms: age_ms(crash.at, now),
             ran_ms: age_ms(crash.sent_at, crash.at),
             requests: crash.requests,
         };
+        let contents = self.suspects.contents.most_urgent(count, now).into_iter();
+        let parts = self.suspects.parts.most_urgent(count, now).into_iter();
         CrashReports {
-            contents: contents.map(content_crash).collect(),
-            parts: self.parts.most_urgent(count, now).into_iter().map(part_crash).collect(),
-            content_answers: self.content_answers(now).take(Self::MAX_CLEARED).collect(),
-            part_answers: self.part_answers(now).take(Self::MAX_CLEARED).collect(),
+            contents: contents.map(report).collect(),
+            parts: parts.map(report).collect(),
+            content_answers: self.recent_answers(now, |suspect| match suspect {
+                Quarantined::Content(content) => Some(content.0),
+                Quarantined::Part(_) => None,
+            }),
+            part_answers: self.recent_answers(now, |suspect| match suspect {
+                Quarantined::Part(part) => Some(part),
+                Quarantined::Content(_) => None,
+            }),
         }
     }
 
-    /// Returns the suspects that were answered recently, the latest first, each with the age of the
-    /// answer in milliseconds.
-    fn recently_cleared(&self, now: MonoMs) -> impl Iterator<Item = (Quarantined, u32)> {
-        let recent =
-            self.cleared.iter().filter(move |(_, at)| now.ms_since(*at) <= Self::CLEARED_MS);
-        recent.rev().map(move |(suspect, at)| (*suspect, age_ms(*at, now)))
-    }
-
-    fn content_answers(&self, now: MonoMs) -> impl Iterator<Item = ContentAnswer> {
-        self.recently_cleared(now).filter_map(|(suspect, age_ms)| match suspect {
-            Quarantined::Content(content) => Some(ContentAnswer { content: content.0, age_ms }),
-            Quarantined::Part(_) => None,
-        })
-    }
-
-    fn part_answers(&self, now: MonoMs) -> impl Iterator<Item = PartAnswer> {
-        self.recently_cleared(now).filter_map(|(suspect, age_ms)| match suspect {
-            Quarantined::Part(part) => Some(PartAnswer { part, age_ms }),
-            Quarantined::Content(_) => None,
-        })
+    /// Returns the suspects of one kind, those with an ID, that were answered recently, the latest
+    /// first.
+    fn recent_answers(
+        &self,
+        now: MonoMs,
+        id: impl Fn(Quarantined) -> Option<u64>,
+    ) -> Vec<AnswerReport> {
+        let recent = self.cleared.iter().filter(|(_, at)| now.ms_since(*at) <= Self::CLEARED_MS);
+        let report = |(suspect, at): &(Quarantined, MonoMs)| {
+            Some(AnswerReport { suspect: id(*suspect)?, age_ms: age_ms(*at, now) })
+        };
+        recent.rev().filter_map(report).take(Self::MAX_CLEARED).collect()
     }
 }
 
--- a/crates/persimmon_decide/src/forward/crash_tracker/mod.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker/mod.rs
@@ -1,17 +1,20 @@
 //! Detection of requests that crash the endpoints that run them.
 
 mod exchange;
+mod known_suspects;
 
 use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::net::IpAddr;
 
-use super::crash_suspects::{Crash, CrashSuspects, likelihood};
+use known_suspects::KnownSuspects;
+
+use super::crash_suspects::{Crash, likelihood};
 use super::crash_trials::CrashTrials;
 use super::lost_requests::{LostRequest, LostRequests};
 use super::{Quarantined, RequestSignature};
+use crate::MonoMs;
 use crate::load::EndpointHash;
-use crate::{Fingerprint, MonoMs};
 
 /// Something that is refused, and the endpoints that crashed under it.
 #[derive(Debug)]
@@ -38,8 +41,7 @@
 /// again what is refused, if many requests may share it, since nothing else could clear it.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
-    contents: CrashSuspects,
-    parts: CrashSuspects,
+    suspects: KnownSuspects,
     /// What causes the recorded crashes, the likeliest first.
     causes: Vec<Cause>,
     lost: LostRequests,
@@ -78,7 +80,7 @@
     }
 
     /// Sets the gateways that try again what is refused: `own` and those that it hears.
-    pub fn set_gateways(&mut self, own: IpAddr, heard: impl Iterator<Item = IpAddr>) {
+    pub fn set_gateways(&mut self, own: IpAddr, heard: impl Iterator<Item = IpAddr> + Clone) {
         self.trials.set_gateways(own, heard);
     }
 
@@ -115,10 +117,8 @@
 
     /// Records an answer at the time `at`. Returns whether it clears the suspect of earlier crashes.
     fn record_answer(&mut self, suspect: Quarantined, at: MonoMs, now: MonoMs) -> bool {
-        let is_cleared = match suspect {
-            Quarantined::Content(content) => self.contents.record_answered(content.0, at, now),
-            Quarantined::Part(part) => self.parts.record_answered(part, at, now),
-        };
+        let (records, id) = self.suspects.records_mut(suspect);
+        let is_cleared = records.record_answered(id, at, now);
         if is_cleared {
             self.trials.record_answered(suspect);
         }
@@ -220,9 +220,9 @@
         let mut is_blamed = false;
         for LostRequest { signature, sent_at, at, .. } in requests {
             let crash = Crash { endpoint, sent_at, at, requests: 1 };
-            self.contents.record_crash(signature.content.0, crash, now);
-            for part in signature.parts.iter() {
-                self.parts.record_crash(*part, crash, now);
+            for suspect in suspects_of(&signature) {
+                let (records, id) = self.suspects.records_mut(suspect);
+                records.record_crash(id, crash, now);
             }
             is_blamed = true;
         }
@@ -236,9 +236,10 @@
     /// for enough crashes that no likelier one explains.
     fn find_causes(&mut self, now: MonoMs) {
         self.causes.clear();
-        for suspect in self.suspects(now) {
+        for suspect in self.by_likelihood(now) {
             if self.is_refused(suspect, now) {
-                let endpoints = self.crashes(suspect, now).iter().map(|it| it.endpoint).collect();
+                let crashes = self.suspects.crashes(suspect, now);
+                let endpoints = crashes.iter().map(|it| it.endpoint).collect();
                 self.causes.push(Cause { refused: suspect, endpoints });
             }
         }
@@ -251,34 +252,19 @@
     }
 
     /// Returns all that may be a cause, the likeliest first.
-    fn suspects(&self, now: MonoMs) -> Vec<Quarantined> {
-        let contents = self.contents.with_crashes(Self::MAX_CRASHES).map(Fingerprint);
-        let parts = self.parts.with_crashes(Self::MAX_PART_CRASHES).map(Quarantined::Part);
-        let mut suspects: Vec<_> = contents.map(Quarantined::Content).chain(parts).collect();
+    fn by_likelihood(&self, now: MonoMs) -> Vec<Quarantined> {
+        let known = self.suspects.with_crashes(Self::MAX_CRASHES, Self::MAX_PART_CRASHES);
+        let mut suspects: Vec<_> = known.collect();
         suspects.sort_by_cached_key(|suspect| {
-            let is_answered = self.is_answered(*suspect, now);
-            (Reverse(likelihood(self.crashes(*suspect, now), is_answered)), *suspect)
+            let is_answered = self.suspects.is_answered(*suspect, now);
+            (Reverse(likelihood(self.suspects.crashes(*suspect, now), is_answered)), *suspect)
         });
         suspects
     }
 
-    fn crashes(&self, suspect: Quarantined, now: MonoMs) -> &[Crash] {
-        match suspect {
-            Quarantined::Content(content) => self.contents.crashes(content.0, now),
-            Quarantined::Part(part) => self.parts.crashes(part, now),
-        }
-    }
-
-    fn is_answered(&self, suspect: Quarantined, now: MonoMs) -> bool {
-        match suspect {
-            Quarantined::Content(content) => self.contents.is_answered(content.0, now),
-            Quarantined::Part(part) => self.parts.is_answered(part, now),
-        }
-    }
-
     /// Reports whether a suspect accounts for enough crashes that no likelier cause explains.
     fn is_refused(&self, suspect: Quarantined, now: MonoMs) -> bool {
-        let crashes = self.crashes(suspect, now);
+        let crashes = self.suspects.crashes(suspect, now);
         if crashes.len() < Self::MAX_CRASHES {
             return false;
         }
@@ -287,7 +273,7 @@
             likelier.map(|it| &it.endpoints).any(|it| it.contains(&crash.endpoint))
         };
         let open = crashes.iter().filter(|it| !is_explained(it));
-        match (suspect, self.is_answered(suspect, now)) {
+        match (suspect, self.suspects.is_answered(suspect, now)) {
             (Quarantined::Content(_), false) => open.count() >= Self::MAX_CRASHES,
             (Quarantined::Content(_), true) => count_successive(open) >= Self::MAX_CRASHES_ANSWERED,
             (Quarantined::Part(_), false) => count_successive(open) >= Self::MAX_PART_CRASHES,
@@ -300,33 +286,37 @@
     /// Reports whether a request is refused. It isn't if it is this gateway's turn to try again what
     /// the request would be refused for.
     pub fn refuses(&self, request: &RequestSignature, now: MonoMs) -> bool {
-        let (refused, allowed): (Vec<_>, Vec<_>) =
-            suspects_of(request).partition(|suspect| self.is_refused(*suspect, now));
-        let is_trial = |it: &Quarantined| {
-            let is_other_cause = |other: &Quarantined| self.may_cause_instead(*other, *it, now);
-            self.is_trial_due(*it, now) && !allowed.iter().any(is_other_cause)
-        };
-        !refused.iter().all(is_trial)
+        let is_refused = |it| self.is_refused(it, now) && !self.is_trial(it, request, now);
+        suspects_of(request).any(is_refused)
+    }
+
+    /// Reports whether the request may try again one of its suspects, `refused`.
+    fn is_trial(&self, refused: Quarantined, request: &RequestSignature, now: MonoMs) -> bool {
+        let is_other_cause =
+            |it| !self.is_refused(it, now) && self.may_cause_instead(it, refused, now);
+        self.is_trial_due(refused, now) && !suspects_of(request).any(is_other_cause)
     }
 
     fn is_trial_due(&self, suspect: Quarantined, now: MonoMs) -> bool {
-        let sent_at = self.crashes(suspect, now).iter().map(|it| it.sent_at);
+        let sent_at = self.suspects.crashes(suspect, now).iter().map(|it| it.sent_at);
         // Few requests have a content in common that was never answered.
-        let is_shared = matches!(suspect, Quarantined::Part(_)) || self.is_answered(suspect, now);
+        let is_shared =
+            matches!(suspect, Quarantined::Part(_)) || self.suspects.is_answered(suspect, now);
         is_shared && self.trials.is_due(suspect, sent_at, now)
     }
 
     /// Reports whether `suspect` may be the cause of crashes for which `refused` is refused: it was never
     /// answered, and is less common among the requests that endpoints lost.
     fn may_cause_instead(&self, suspect: Quarantined, refused: Quarantined, now: MonoMs) -> bool {
-        let crashes = self.crashes(suspect, now).len();
-        let is_less_common = 4 * crashes < 3 * self.crashes(refused, now).len();
-        crashes >= Self::MAX_CRASHES && is_less_common && !self.is_answered(suspect, now)
+        let crashes = self.suspects.crashes(suspect, now).len();
+        let is_less_common = 4 * crashes < 3 * self.suspects.crashes(refused, now).len();
+        let is_answered = self.suspects.is_answered(suspect, now);
+        crashes >= Self::MAX_CRASHES && is_less_common && !is_answered
     }
 
     /// Returns all that is refused.
     pub fn refused(&self, now: MonoMs) -> impl Iterator<Item = Quarantined> {
-        self.suspects(now).into_iter().filter(move |suspect| self.is_refused(*suspect, now))
+        self.by_likelihood(now).into_iter().filter(move |suspect| self.is_refused(*suspect, now))
     }
 
     /// Returns what is refused since the last call, for the log.
@@ -341,11 +331,8 @@
         }
         self.cleared.retain(|(_, at)| now.ms_since(*at) <= Self::CLEARED_MS);
         self.find_causes(now);
-        let (contents, parts) = (&self.contents, &self.parts);
-        self.trials.retain(|suspect| match suspect {
-            Quarantined::Content(content) => !contents.crashes(content.0, now).is_empty(),
-            Quarantined::Part(part) => !parts.crashes(part, now).is_empty(),
-        });
+        let suspects = &self.suspects;
+        self.trials.retain(|it| !suspects.crashes(it, now).is_empty());
     }
 }
 
--- a/crates/persimmon_decide/src/forward/crash_trials.rs
+++ b/crates/persimmon_decide/src/forward/crash_trials.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 
 use super::Quarantined;
-use super::gateway_rank::{GatewayKey, gateway_score};
+use super::gateway_rank::GatewayRank;
 use crate::MonoMs;
 
 /// A suspect that is refused, or was since its last answer.
@@ -24,9 +24,8 @@
 /// The gateways therefore take turns, in an order that all of them know, and cease after a few.
 #[derive(Debug, Default)]
 pub(super) struct CrashTrials {
-    own: Option<GatewayKey>,
-    /// The other gateways that are heard now.
-    others: Vec<GatewayKey>,
+    /// Order of the gateways that take turns.
+    rank: GatewayRank,
     refusals: HashMap<Quarantined, Refusal>,
 }
 
@@ -44,9 +43,12 @@
     const SUBJECT: u64 = 0;
 
     /// Sets the gateways that take turns: this one and those that it hears.
-    pub(super) fn set_gateways(&mut self, own: IpAddr, heard: impl Iterator<Item = IpAddr>) {
-        self.own = Some(GatewayKey::of(own));
-        self.others = heard.filter(|it| *it != own).map(GatewayKey::of).collect();
+    pub(super) fn set_gateways(
+        &mut self,
+        own: IpAddr,
+        heard: impl Iterator<Item = IpAddr> + Clone,
+    ) {
+        self.rank.set(own, heard);
     }
 
     /// Records that a suspect is refused from now on.
@@ -87,16 +89,10 @@
         // Other gateways refuse the suspect up to some hundred milliseconds earlier.
         let trials_from = since.plus_ms(Self::FIRST_MS / 2);
         let failed = sent_at.filter(|at| *at > trials_from).count();
-        let gateways = 1 + self.others.len() as u64;
+        let (rank, gateways) =
+            (self.rank.before_own(Self::SUBJECT) as u64, self.rank.gateways() as u64);
         let may_try = !is_tried && tries < Self::MAX_FAILED && failed < Self::MAX_FAILED;
-        may_try && turn(now) % gateways == self.rank()
-    }
-
-    /// Returns the position of this gateway in the order of those that take turns.
-    fn rank(&self) -> u64 {
-        let score = |key| gateway_score(Self::SUBJECT, key);
-        let Some(own) = self.own.map(score) else { return 0 };
-        self.others.iter().filter(|it| score(**it) < own).count() as u64
+        may_try && turn(now) % gateways == rank
     }
 
     /// Removes the suspects for which `is_kept` is false.
--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -3,12 +3,10 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::{
-    ContentAnswer, ContentCrash, CrashReports, EndpointLoad, LimitReport, Outcomes, PartAnswer,
-    PartCrash,
-};
+use super::{AnswerReport, CrashReport, CrashReports, EndpointLoad, LimitReport, Outcomes};
 use crate::load::EndpointHash;
 
 /// An endpoint that has read one part of a prompt.
@@ -84,10 +82,10 @@
     pub leaving: Vec<EndpointHash>,
     /// Prompt parts that crashed endpoints. Encoded after `leaving`, with the next field.
     #[serde(skip)]
-    pub part_crashes: Vec<PartCrash>,
+    pub part_crashes: Vec<CrashReport>,
     /// Suspected prompt parts that were answered.
     #[serde(skip)]
-    pub part_answers: Vec<PartAnswer>,
+    pub part_answers: Vec<AnswerReport>,
     /// Limits that endpoints named to the gateway. Encoded after `part_answers`.
     #[serde(skip)]
     pub limits: Vec<LimitReport>,
@@ -96,7 +94,7 @@
     pub crash_details: Vec<CrashDetail>,
     /// Suspected contents that were answered.
     #[serde(skip)]
-    pub content_answers: Vec<ContentAnswer>,
+    pub content_answers: Vec<AnswerReport>,
     /// Version of the routes in force; zero if none are. Encoded after `content_answers`.
     #[serde(skip)]
     pub routes_version: u64,
@@ -125,26 +123,22 @@
     ///
     /// The bytes aren't a digest.
     pub fn from_bytes(bytes: &[u8]) -> postcard::Result<Self> {
-        let (digest, rest) = postcard::take_from_bytes::<Self>(bytes)?;
-        if rest.is_empty() {
-            return Ok(digest);
-        }
-        let (leaving, rest) = postcard::take_from_bytes(rest)?;
-        if rest.is_empty() {
-            return Ok(Self { leaving, ..digest });
-        }
-        let ((part_crashes, part_answers), rest) = postcard::take_from_bytes(rest)?;
-        let digest = Self { leaving, part_crashes, part_answers, ..digest };
-        if rest.is_empty() {
-            return Ok(digest);
-        }
-        let (limits, rest) = postcard::take_from_bytes(rest)?;
-        if rest.is_empty() {
-            return Ok(Self { limits, ..digest });
-        }
-        let ((crash_details, content_answers), rest) = postcard::take_from_bytes(rest)?;
-        let routes_version = if rest.is_empty() { 0 } else { postcard::from_bytes(rest)? };
-        Ok(Self { limits, crash_details, content_answers, routes_version, ..digest })
+        let (digest, mut rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        let leaving = take_section(&mut rest)?;
+        let (part_crashes, part_answers) = take_section(&mut rest)?;
+        let limits = take_section(&mut rest)?;
+        let (crash_details, content_answers) = take_section(&mut rest)?;
+        let routes_version = take_section(&mut rest)?;
+        Ok(Self {
+            leaving,
+            part_crashes,
+            part_answers,
+            limits,
+            crash_details,
+            content_answers,
+            routes_version,
+            ..digest
+        })
     }
 
     /// Returns what the digest says of crashes.
@@ -152,9 +146,9 @@
         // Earlier builds send no details.
         let earlier = CrashDetail { age_ms: 0, ran_ms: 0, requests: 1 };
         let details = self.crash_details.iter().copied().chain(std::iter::repeat(earlier));
-        let content = |((content, endpoint), detail): (&(u64, EndpointHash), CrashDetail)| {
+        let content = |((suspect, endpoint), detail): (&(u64, EndpointHash), CrashDetail)| {
             let CrashDetail { age_ms, ran_ms, requests } = detail;
-            ContentCrash { content: *content, endpoint: *endpoint, age_ms, ran_ms, requests }
+            CrashReport { suspect: *suspect, endpoint: *endpoint, age_ms, ran_ms, requests }
         };
         CrashReports {
             contents: self.crashes.iter().zip(details).map(content).collect(),
@@ -164,3 +158,14 @@
         }
     }
 }
+
+/// Decodes the next section of a datagram and removes it from `rest`. Builds that don't know the section
+/// end the datagram before it.
+fn take_section<T: DeserializeOwned + Default>(rest: &mut &[u8]) -> postcard::Result<T> {
+    if rest.is_empty() {
+        return Ok(T::default());
+    }
+    let (section, following) = postcard::take_from_bytes(rest)?;
+    *rest = following;
+    Ok(section)
+}
--- a/crates/persimmon_decide/src/forward/gateway_shares.rs
+++ b/crates/persimmon_decide/src/forward/gateway_shares.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 
 use super::EndpointLimits;
-use super::gateway_rank::{GatewayKey, gateway_score};
+use super::gateway_rank::GatewayRank;
 use crate::load::EndpointHash;
 
 /// Divides limits on the rate of requests among the gateways of a fleet.
@@ -14,11 +14,7 @@
 /// doesn't know, and takes much less than its share.
 #[derive(Debug, Default)]
 pub(super) struct GatewayShares {
-    all: Vec<IpAddr>,
-    /// Address and rendezvous key of this gateway.
-    own: Option<(IpAddr, GatewayKey)>,
-    /// Rendezvous keys of the other gateways.
-    other_keys: Vec<GatewayKey>,
+    rank: GatewayRank,
     /// Number of gateways that are heard now, including this one.
     heard: usize,
 }
@@ -34,15 +30,8 @@
     /// Sets the gateways of the fleet and the number of those that are heard; returns whether
     /// anything has changed.
     pub(super) fn set(&mut self, own: IpAddr, all: &[IpAddr], heard: usize) -> bool {
-        let is_known = self.own.is_some_and(|(ip, _)| ip == own) && self.all == all;
-        if std::mem::replace(&mut self.heard, heard) == heard && is_known {
-            return false;
-        }
-        let others = all.iter().filter(|it| **it != own);
-        self.other_keys = others.map(|it| GatewayKey::of(*it)).collect();
-        self.own = Some((own, GatewayKey::of(own)));
-        self.all = all.to_vec();
-        true
+        let is_other_number = std::mem::replace(&mut self.heard, heard) != heard;
+        self.rank.set(own, all.iter().copied()) || is_other_number
     }
 
     /// Returns this gateway's share of a limit, in requests per second; zero if other gateways share
@@ -50,12 +39,9 @@
     pub(super) fn share_per_s(&self, endpoint: EndpointHash, per_s: Option<f32>) -> f64 {
         let Some(per_s) = per_s else { return 0.0 };
         let per_s = f64::from(per_s).max(EndpointLimits::MIN_PER_S);
-        let known = 1 + self.other_keys.len();
+        let known = self.rank.gateways();
         let sharing = Self::sharing(per_s).min(known);
-        let score = |key| gateway_score(endpoint.0, key);
-        let own = self.own.map_or(0.0, |(_, key)| score(key));
-        let before = self.other_keys.iter().filter(|it| score(**it) < own).count();
-        if before >= sharing {
+        if self.rank.before_own(endpoint.0) >= sharing {
             return 0.0;
         }
         let is_cut_off = 2 * self.heard <= known && known > 1;
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -43,7 +43,7 @@
 pub use admission::{Admission, AdmissionInput, AdmissionSettings};
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
 pub use attempt_end::{AttemptEnd, CrashEvidence, FailureReason};
-pub use crash_reports::{ContentAnswer, ContentCrash, CrashReports, PartAnswer, PartCrash};
+pub use crash_reports::{AnswerReport, CrashReport, CrashReports};
 pub use crash_tracker::CrashTracker;
 pub use digest::{CrashDetail, Digest, PartHolder, PeerAddress, ServiceRetries};
 pub use directory::EndpointDirectory;
--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -198,7 +198,7 @@
     }
 
     /// Returns the addresses of the other gateways that are heard.
-    pub fn heard(&self, now: MonoMs) -> impl Iterator<Item = IpAddr> {
+    pub fn heard(&self, now: MonoMs) -> impl Iterator<Item = IpAddr> + Clone {
         self.live(now).map(|(ip, _)| *ip)
     }
 
@@ -274,7 +274,7 @@
         self.live(now).any(|(_, peer)| peer.is_cut_off_from_store())
     }
 
-    fn live(&self, now: MonoMs) -> impl Iterator<Item = (&IpAddr, &Peer)> {
+    fn live(&self, now: MonoMs) -> impl Iterator<Item = (&IpAddr, &Peer)> + Clone {
         let silent_ms = self.silent_ms();
         self.peers.iter().filter(move |(_, peer)| now.ms_since(peer.contact_at) <= silent_ms)
     }
--- a/crates/persimmon_decide/tests/forward_crash_parts.rs
+++ b/crates/persimmon_decide/tests/forward_crash_parts.rs
@@ -3,7 +3,8 @@
 use std::net::IpAddr;
 
 use persimmon_decide::forward::{
-    CrashReports, CrashTracker, PartAnswer, PartCrash, PromptPart, Quarantined, RequestSignature,
+    AnswerReport, CrashReport, CrashReports, CrashTracker, PromptPart, Quarantined,
+    RequestSignature,
 };
 use persimmon_decide::load::EndpointHash;
 use persimmon_decide::{Fingerprint, MonoMs};
@@ -174,13 +175,18 @@
     (0..4).for_each(|number| crash(&mut here, &[RARE], number, 1_000 + number * 300));
     assert!(refuses(&here, &[RARE], 2_000));
     // The answer came before the last crash.
-    let answers = vec![PartAnswer { part: RARE, age_ms: 1_000 }];
+    let answers = vec![AnswerReport { suspect: RARE, age_ms: 1_000 }];
     let reports = CrashReports { part_answers: answers, ..CrashReports::default() };
     here.record_peer_reports(&reports, MonoMs(2_700));
     assert!(!refuses(&here, &[RARE], 2_700));
     // A peer that hasn't heard of the answer repeats a crash before it.
-    let old =
-        PartCrash { part: RARE, endpoint: EndpointHash(9), age_ms: 2_000, ran_ms: 9, requests: 1 };
+    let old = CrashReport {
+        suspect: RARE,
+        endpoint: EndpointHash(9),
+        age_ms: 2_000,
+        ran_ms: 9,
+        requests: 1,
+    };
     let reports = CrashReports { parts: vec![old], ..CrashReports::default() };
     here.record_peer_reports(&reports, MonoMs(2_800));
     let left = here.reports(64, MonoMs(2_800)).parts;
@@ -193,7 +199,7 @@
     crash(&mut tracker, &[SHARED, RARE], 1, 1_000);
     answer(&mut tracker, &[SHARED], 100, 2_000);
     let cleared = tracker.reports(64, MonoMs(3_000)).part_answers;
-    assert_eq!(cleared, [PartAnswer { part: SHARED, age_ms: 1_000 }]);
+    assert_eq!(cleared, [AnswerReport { suspect: SHARED, age_ms: 1_000 }]);
     assert!(tracker.reports(64, MonoMs(9_000)).part_answers.is_empty());
 }
 
@@ -251,7 +257,7 @@
         crash(&mut tracker, parts, number, at);
     }
     let reports = tracker.reports(64, MonoMs(7_000));
-    let named = reports.parts.iter().filter(|it| it.part == BAD).count();
+    let named = reports.parts.iter().filter(|it| it.suspect == BAD).count();
     assert!(named >= 5, "{named} of {} crashes", reports.parts.len());
 }
 
--- a/crates/persimmon_decide/tests/forward_crash_tracker.rs
+++ b/crates/persimmon_decide/tests/forward_crash_tracker.rs
@@ -223,7 +223,7 @@
     }
     tracker.record_refused(EndpointHash(3), MonoMs(2_510));
     let urgent = tracker.reports(16, MonoMs(2_520)).contents;
-    let names = |endpoint| urgent.iter().any(|it| it.content == BAD.0 && it.endpoint == endpoint);
+    let names = |endpoint| urgent.iter().any(|it| it.suspect == BAD.0 && it.endpoint == endpoint);
     assert!(names(ONE) && names(TWO), "{urgent:?}");
 }
 
--- a/crates/persimmon_decide/tests/forward_digest.rs
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -3,8 +3,8 @@
 use std::net::IpAddr;
 
 use persimmon_decide::forward::{
-    ContentAnswer, ContentCrash, CrashDetail, Digest, EndpointLoad, LimitReport, Outcomes,
-    PartAnswer, PartCrash, PartHolder, PeerAddress, ServiceRetries, StoreDelta, StoreRecord,
+    AnswerReport, CrashDetail, CrashReport, Digest, EndpointLoad, LimitReport, Outcomes,
+    PartHolder, PeerAddress, ServiceRetries, StoreDelta, StoreRecord,
 };
 use persimmon_decide::load::EndpointHash;
 use proptest::prelude::*;
@@ -45,7 +45,7 @@
 #[test]
 fn truncated_digest_or_delta_is_an_error() {
     let record =
-        StoreRecord { key: "servers/i".into(), revision: 4, value: Some(b"{}"[..].into()) };
+        StoreRecord { key: "records/a".into(), revision: 4, value: Some(b"{}"[..].into()) };
     let delta = StoreDelta { revision: 5, is_whole: true, grace_ms: 0, records: vec![record] };
     let delta = postcard::to_allocvec(&delta).unwrap();
     for length in 0..delta.len() {
@@ -123,11 +123,11 @@
 #[test]
 fn builds_that_dont_know_prompt_parts_read_the_rest() {
     let endpoint = EndpointHash(u64::MAX);
-    let crash = PartCrash { part: 7, endpoint, age_ms: 10, ran_ms: 200, requests: 2 };
+    let crash = CrashReport { suspect: 7, endpoint, age_ms: 10, ran_ms: 200, requests: 2 };
     let digest = Digest {
         leaving: vec![EndpointHash(7)],
         part_crashes: vec![crash],
-        part_answers: vec![PartAnswer { part: 8, age_ms: 300 }],
+        part_answers: vec![AnswerReport { suspect: 8, age_ms: 300 }],
         ..digest(18)
     };
     let bytes = digest.to_bytes().unwrap();
@@ -147,7 +147,7 @@
     let ended = LimitReport { endpoint: EndpointHash(10), per_s: None, age_ms: 0 };
     let digest = Digest {
         leaving: vec![EndpointHash(7)],
-        part_answers: vec![PartAnswer { part: 8, age_ms: 300 }],
+        part_answers: vec![AnswerReport { suspect: 8, age_ms: 300 }],
         limits: vec![report, ended],
         ..digest(18)
     };
@@ -169,14 +169,14 @@
         crashes: vec![(7, endpoint)],
         limits: vec![LimitReport { endpoint, per_s: Some(4.3), age_ms: 120 }],
         crash_details: vec![CrashDetail { age_ms: 1_200, ran_ms: 40, requests: 3 }],
-        content_answers: vec![ContentAnswer { content: 8, age_ms: 300 }],
+        content_answers: vec![AnswerReport { suspect: 8, age_ms: 300 }],
         routes_version: 300,
         ..digest(18)
     };
     let bytes = digest.to_bytes().unwrap();
     let read = Digest::from_bytes(&bytes).unwrap();
     assert_eq!(read, digest);
-    let crash = ContentCrash { content: 7, endpoint, age_ms: 1_200, ran_ms: 40, requests: 3 };
+    let crash = CrashReport { suspect: 7, endpoint, age_ms: 1_200, ran_ms: 40, requests: 3 };
     assert_eq!(read.crash_reports().contents, [crash]);
     let details = postcard::to_allocvec(&(&digest.crash_details, &digest.content_answers)).unwrap();
     let version = postcard::to_allocvec(&digest.routes_version).unwrap();
@@ -189,7 +189,7 @@
     assert_eq!((earlier.crash_details.clone(), earlier.content_answers.clone()), without);
     assert_eq!(
         earlier.crash_reports().contents,
-        [ContentCrash { age_ms: 0, ran_ms: 0, requests: 1, ..crash }]
+        [CrashReport { age_ms: 0, ran_ms: 0, requests: 1, ..crash }]
     );
     assert_decodes_only_whole_sections(&digest);
 }
@@ -199,8 +199,8 @@
 fn digest_with_all_crashes_fits_the_largest_datagram() {
     const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
     let hash = |number: u64| EndpointHash(number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    let part_crash = |it| PartCrash {
-        part: hash(it).0,
+    let part_crash = |it| CrashReport {
+        suspect: hash(it).0,
         endpoint: hash(it),
         age_ms: 300_000,
         ran_ms: 15_000,
@@ -210,10 +210,12 @@
         crashes: (0..76).map(|it| (hash(it).0, hash(it))).collect(),
         crash_details: vec![CrashDetail { age_ms: 300_000, ran_ms: 15_000, requests: 3 }; 76],
         content_answers: (0..32)
-            .map(|it| ContentAnswer { content: hash(it).0, age_ms: 5_000 })
+            .map(|it| AnswerReport { suspect: hash(it).0, age_ms: 5_000 })
             .collect(),
         part_crashes: (0..76).map(part_crash).collect(),
-        part_answers: (0..32).map(|it| PartAnswer { part: hash(it).0, age_ms: 5_000 }).collect(),
+        part_answers: (0..32)
+            .map(|it| AnswerReport { suspect: hash(it).0, age_ms: 5_000 })
+            .collect(),
         limits: (0..128)
             .map(|it| LimitReport { endpoint: hash(it), per_s: Some(4.3), age_ms: 100_000 })
             .collect(),
--- a/crates/persimmon_decide/tests/forward_store_eras.rs
+++ b/crates/persimmon_decide/tests/forward_store_eras.rs
@@ -111,7 +111,7 @@
     Restart(usize),
 }
 
-const KEYS: [&str; 2] = ["op/config", "op/other"];
+const KEYS: [&str; 2] = ["records/a", "records/b"];
 
 fn step(gateways: usize) -> impl Strategy<Value = Step> {
     prop_oneof![
--- a/crates/persimmon_gateway/src/control/digests.rs
+++ b/crates/persimmon_gateway/src/control/digests.rs
@@ -5,7 +5,7 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    ContentCrash, CrashDetail, Digest, DigestFreshness, Endpoint, EndpointState, LimitReport,
+    CrashDetail, CrashReport, Digest, DigestFreshness, Endpoint, EndpointState, LimitReport,
     StoreEra,
 };
 
@@ -62,8 +62,8 @@
         let max_crashes = MAX_DIGEST_CRASHES.min(MAX_CRASHES_PER_ROUND / targets);
         let reports = self.crashes.reports(max_crashes, now);
         let contents = reports.contents.iter();
-        let detail = |it: &ContentCrash| {
-            let ContentCrash { age_ms, ran_ms, requests, .. } = *it;
+        let detail = |it: &CrashReport| {
+            let CrashReport { age_ms, ran_ms, requests, .. } = *it;
             CrashDetail { age_ms, ran_ms, requests }
         };
         let details = contents.clone().map(detail);
@@ -80,7 +80,7 @@
             outcomes: self.health.outcomes(MAX_DIGEST_OUTCOMES, now),
             retries: retries.filter(|(_, it)| it.fresh + it.repeated > 0).collect(),
             holders: self.prefixes.take_announcements(MAX_DIGEST_NEW_HOLDERS, repeated, now),
-            crashes: contents.map(|it| (it.content, it.endpoint)).collect(),
+            crashes: contents.map(|it| (it.suspect, it.endpoint)).collect(),
             crash_details: details.collect(),
             content_answers: reports.content_answers,
             routes_version: self.routes_version(),
--- a/crates/persimmon_gateway/src/control/records.rs
+++ b/crates/persimmon_gateway/src/control/records.rs
@@ -50,6 +50,9 @@
     /// Compares the records of a gateway that has just started with those of its peers. Returns whether
     /// they may be used from now on.
     pub(crate) fn update_startup(&mut self, now: MonoMs) -> bool {
+        if self.startup.is_complete() {
+            return false;
+        }
         let latest = self.peers.latest_records(now);
         let own = RecordsVersion { position: self.view.revision(), routes: self.routes_version() };
         self.startup.update(own, latest, now)
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -90,8 +90,8 @@
         let suppressed = gw.log_limiter.admit("peer_limit", gw.clock.now());
         let Some(suppressed) = suppressed else { continue };
         tracing::info!(target: "endpoint", endpoint = endpoint.as_ref().map(|it| &*it.id),
-            hash = report.endpoint.0, limit = report.per_s.map(tracing::field::display), age_ms = report.age_ms, %peer,
-            suppressed, "a peer says that an endpoint's limit has changed");
+            hash = report.endpoint.0, limit = report.per_s.map(tracing::field::display),
+            age_ms = report.age_ms, %peer, suppressed, "a peer says that an endpoint's limit has changed");
     }
 }
 
@@ -225,11 +225,12 @@
 async fn adopt_routes<P: Platform>(gw: &Rc<Gateway<P>>) {
     let (own, peer) = {
         let control = gw.control.borrow();
-        let own = control.routes_version();
         // Before the era of the store's first restoration, positions tell who is ahead.
-        let was_restored = StoreEra::of(control.view.revision()) > StoreEra::default();
-        let peer = control.peers.ahead_in_routes(own, gw.clock.now()).filter(|_| was_restored);
-        let Some(peer) = peer else { return };
+        if StoreEra::of(control.view.revision()) == StoreEra::default() {
+            return;
+        }
+        let own = control.routes_version();
+        let Some(peer) = control.peers.ahead_in_routes(own, gw.clock.now()) else { return };
         (own, peer)
     };
     match fetch(SocketAddr::new(peer, gw.settings.peers.port()), 0).await {
--- a/crates/persimmon_soak/src/checks.rs
+++ b/crates/persimmon_soak/src/checks.rs
@@ -7,7 +7,7 @@
 
 use crate::callers::{Call, CallKind, whole_events};
 use crate::schedule::{Fault, Step};
-use crate::soak::{ENDPOINT_PREFIX, REVOCABLE_KEY, STREAM_EVENTS, version_of};
+use crate::testbed::{ENDPOINT_PREFIX, REVOCABLE_KEY, STREAM_EVENTS, version_of};
 
 /// Time by which an answer may exceed its route's timeout.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
@@ -189,9 +189,10 @@
     fn may_miss_change(&self, gateway: usize, from: Instant, to: Instant) -> bool {
         let mut others = 0;
         for fault in self.active_faults(from, to) {
-            let is_store_silent =
-                matches!(fault, Fault::StoreSilent { .. } | Fault::StoreLoses { .. })
-                    || matches!(fault, Fault::StoreRestored { .. });
+            let is_store_silent = matches!(
+                fault,
+                Fault::StoreSilent { .. } | Fault::StoreLoses { .. } | Fault::StoreRestored { .. }
+            );
             others += usize::from(fault.disrupts_any());
             if is_store_silent || fault.disrupts(gateway) || others > 1 {
                 return true;
--- a/crates/persimmon_soak/src/lib.rs
+++ b/crates/persimmon_soak/src/lib.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod schedule;
 mod soak;
+mod testbed;
 
 pub use checks::Finding;
 pub use schedule::{Fault, Schedule, Step};
--- a/crates/persimmon_standins/src/engine/mod.rs
+++ b/crates/persimmon_standins/src/engine/mod.rs
@@ -11,7 +11,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::thread;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -205,24 +204,12 @@
     fn crash(&self) {
         self.state().crash();
         self.changed.notify_all();
-        let Some(relay) = self.relay.get().cloned() else {
-            return;
-        };
+        let Some(relay) = self.relay.get() else { return };
         if self.settings.cuts_after_health_check {
             self.wait_for_health_check();
             return relay.cut();
         }
-        relay.refuse();
-        relay.cut();
-        let downtime = self.settings.crash_downtime;
-        thread::spawn(move || {
-            thread::sleep(downtime);
-            if let Err(error) = relay.accept() {
-                eprintln!(
-                    "engine stand-in can't bind its port after a crash ({error}); restart it"
-                );
-            }
-        });
+        relay.crash("engine", self.settings.crash_downtime);
     }
 }
 
--- a/crates/persimmon_standins/src/relay.rs
+++ b/crates/persimmon_standins/src/relay.rs
@@ -218,6 +218,20 @@
         Ok(())
     }
 
+    /// Closes all connections, and refuses new ones for `downtime`, as a program does that crashes and is
+    /// started again. An error is printed, with `name` for the program.
+    pub(crate) fn crash(&self, name: &'static str, downtime: Duration) {
+        self.refuse();
+        self.cut();
+        let relay = self.clone();
+        thread::spawn(move || {
+            thread::sleep(downtime);
+            if let Err(err) = relay.accept() {
+                eprintln!("{name} stand-in can't bind its port after a crash ({err}); restart it");
+            }
+        });
+    }
+
     /// Stops the relay and closes its connections, for all handles.
     pub fn close(self) {
         self.state().closed = true;
--- a/crates/persimmon_standins/src/service.rs
+++ b/crates/persimmon_standins/src/service.rs
@@ -157,15 +157,9 @@
     /// Breaks all connections, and refuses new ones for [`CRASH_DOWNTIME`].
     fn crash(&self) {
         self.state().counts.crashes += 1;
-        let Some(relay) = self.relay.get().cloned() else { return };
-        relay.refuse();
-        relay.cut();
-        thread::spawn(move || {
-            thread::sleep(CRASH_DOWNTIME);
-            if let Err(err) = relay.accept() {
-                eprintln!("service stand-in can't bind its port after a crash ({err}); restart it");
-            }
-        });
+        if let Some(relay) = self.relay.get() {
+            relay.crash("service", CRASH_DOWNTIME);
+        }
     }
 
     fn call(&self, mut call: Call) {
--- a/crates/persimmonmountd/src/sidecar/calls.rs
+++ b/crates/persimmonmountd/src/sidecar/calls.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 
 use flume::Sender;
-use persimmon_decide::membership::NodeId;
 use persimmon_decide::outcome::{
     Answer, Begin, Claim, ClaimSealer, LedgerKey, LedgerLimits, Outcome, PresentedCall, Refusal,
     Repeatability, check_unclaimed_call,
 };
 use persimmon_decide::recovery::{Probation, ProbationStep, RunMode};
 use persimmon_decide::{Fingerprint, MonoMs, RequestId};
-use persimmon_records::{Serves, ServiceName, VmName, WorkspaceName};
+use persimmon_records::{Serves, ServiceName, WorkspaceName};
 use persimmon_wire::{CallReply, ClaimReply, ClaimRequest, Refused, ServiceCall};
 
 use super::core::Core;
@@ -113,8 +112,7 @@
         let now = core.now();
         if let ServiceResult::Crashed(reason) = result {
             tracing::warn!("sidecar: service crashed while it ran a call: {reason}.");
-            let site = NodeId::of(&VmName::new(core.name.as_str()));
-            core.fleet.quarantine_mut().record_crash([call.fingerprint], site, now);
+            core.record_crash([call.fingerprint]);
         }
         if call.is_alone {
             self.probation.release(call.fingerprint);
--- a/crates/persimmonmountd/src/sidecar/core.rs
+++ b/crates/persimmonmountd/src/sidecar/core.rs
@@ -2,13 +2,14 @@
 
 use std::sync::Arc;
 
-use persimmon_decide::MonoMs;
+use persimmon_decide::membership::NodeId;
 use persimmon_decide::outcome::{Ledger, LedgerLimits, Outcome, Refusal};
 use persimmon_decide::recovery::{
     Clocks, HoldReason, Leaving, LeavingSettings, NotServing, RecordStatus,
 };
+use persimmon_decide::{Fingerprint, MonoMs};
 use persimmon_records::{
-    Endpoint, EndpointName, Policy, RecordIndex, RecordSet, Workspace, WorkspaceName,
+    Endpoint, EndpointName, Policy, RecordIndex, RecordSet, VmName, Workspace, WorkspaceName,
 };
 use persimmon_wire::Refused;
 
@@ -143,6 +144,13 @@
         })
     }
 
+    /// Records that what runs beside this sidecar crashed while requests with this content ran on it.
+    pub(crate) fn record_crash(&mut self, in_progress: impl IntoIterator<Item = Fingerprint>) {
+        let site = NodeId::of(&VmName::new(self.name.as_str()));
+        let now = self.now();
+        self.fleet.quarantine_mut().record_crash(in_progress, site, now);
+    }
+
     /// Counts a refusal in the metrics.
     pub(crate) fn count_refusal(&self, refused: &Refused) {
         self.metrics.refusals.with_label_values(&[refused.refusal.as_str()]).inc();
--- a/crates/persimmonmountd/src/sidecar/runs/progress.rs
+++ b/crates/persimmonmountd/src/sidecar/runs/progress.rs
@@ -4,7 +4,6 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::load::{AdmittedKey, QueueUpdate, Work};
-use persimmon_decide::membership::{NodeId, VmName};
 use persimmon_decide::outcome::{LedgerKey, Outcome, PushError, StreamEnd};
 use persimmon_decide::recovery::{ProbationRefusal, ProbationStep};
 
@@ -174,7 +173,6 @@
     /// run is compared with the incarnation at its start.
     pub(super) fn record_crash(&mut self, core: &mut Core, incarnation: Option<u64>) {
         self.engine_incarnation = incarnation;
-        let now = core.now();
         let mut in_progress = Vec::new();
         for run in self.runs.values_mut() {
             let is_running = matches!(run.stage, Stage::Running { .. } | Stage::Cancelling);
@@ -185,14 +183,13 @@
             }
         }
         if incarnation.is_none() {
-            self.engine_down_until = now.plus_ms(ENGINE_RETRY_MS);
+            self.engine_down_until = core.now().plus_ms(ENGINE_RETRY_MS);
         }
         if in_progress.is_empty() {
             return;
         }
         tracing::warn!("sidecar: engine crashed with {} requests in progress.", in_progress.len());
-        let site = NodeId::of(&VmName::new(core.name.as_str()));
-        core.fleet.quarantine_mut().record_crash(in_progress, site, now);
+        core.record_crash(in_progress);
     }
 
     /// Ends a run after all its lines were moved to the output.
--- a/crates/persimmonmountd/tests/process_gateway_crashes.rs
+++ b/crates/persimmonmountd/tests/process_gateway_crashes.rs
@@ -136,10 +136,7 @@
         let routes = routes.map(|it| it.with_prompts().with_target_ms(target_ms));
         deployment.publish_routes(&routes, &[KEY]);
         deployment.start_all().unwrap();
-        let knows_all = |gateway| {
-            let status = deployment.status(gateway).unwrap_or_default();
-            names.iter().all(|id| status.contains(&format!("\"id\":\"{id}\"")))
-        };
+        let knows_all = |gateway| names.iter().all(|id| deployment.knows(gateway, id));
         let is_known = wait_until(|| (0..GATEWAYS).all(knows_all));
         let logs = || (0..GATEWAYS).map(|it| deployment.log(it)).collect::<Vec<_>>();
         assert!(is_known, "an endpoint isn't known everywhere: {:#?}", logs());
--- a/crates/persimmonmountd/tests/process_gateway_leaving.rs
+++ b/crates/persimmonmountd/tests/process_gateway_leaving.rs
@@ -70,12 +70,9 @@
         fixture.deployment.withdraw_endpoint(&fixture.endpoints[0]);
         fixture.wait_for_log(0, "endpoint removed").unwrap();
     }
-    let published = |log: Vec<String>| {
-        log.iter().filter(|it| it.contains("endpoint published") && it.contains("\"one\"")).count()
-    };
-    let before = published(fixture.deployment.log(0));
+    let before = fixture.deployment.count_published(0, "one");
     fixture.deployment.publish_endpoint(&fixture.endpoints[0], false);
-    assert!(wait_until(|| published(fixture.deployment.log(0)) > before));
+    assert!(wait_until(|| fixture.deployment.count_published(0, "one") > before));
     assert_one_gets_nothing(&fixture, 0, "/commit/x");
     fixture.deployment.close();
 }
--- a/crates/persimmonmountd/tests/process_gateway_limits.rs
+++ b/crates/persimmonmountd/tests/process_gateway_limits.rs
@@ -280,10 +280,7 @@
     load(&fixture, &[0, 1], "/lookup/x", Duration::from_secs(4));
     fixture.endpoints[0].set_limit(None);
     fixture.deployment.publish_restarted_endpoint(&fixture.endpoints[0], 1_700_000_000_000);
-    let published = |gateway: usize| {
-        let log = fixture.deployment.log(gateway);
-        log.iter().filter(|it| it.contains("endpoint published") && it.contains("\"one\"")).count()
-    };
+    let published = |gateway| fixture.deployment.count_published(gateway, "one");
     assert!(wait_until(|| published(0) > 1 && published(1) > 1));
     let from = Instant::now();
     load(&fixture, &[0, 1], "/lookup/x", Duration::from_secs(2));
--- a/crates/persimmonmountd/tests/process_gateway_store_eras.rs
+++ b/crates/persimmonmountd/tests/process_gateway_store_eras.rs
@@ -32,16 +32,11 @@
     deployment.publish_routes(&[RouteSpec::once("commit")], keys);
     deployment.start_all().unwrap();
     for gateway in 0..GATEWAYS {
-        assert!(wait_until(|| endpoints.iter().all(|it| knows(&deployment, gateway, it))));
+        assert!(wait_until(|| endpoints.iter().all(|it| deployment.knows(gateway, it.id()))));
     }
     deployment
 }
 
-fn knows(deployment: &Deployment, gateway: usize, endpoint: &EndpointStandin) -> bool {
-    let status = deployment.status(gateway).unwrap_or_default();
-    status.contains(&format!("\"id\":\"{}\"", endpoint.id()))
-}
-
 /// Returns the status of a call; none if the connection broke.
 fn call(deployment: &Deployment, gateway: usize, key: &str) -> Option<u16> {
     let caller = deployment.caller(gateway).ok()?.request("POST", "/commit/x", "request");
@@ -151,11 +146,14 @@
     let deployment = start(&[&one], &[KEY], names_era);
     let copy = deployment.store.copy();
     deployment.publish_endpoint(&two, false);
-    assert!(wait_until(|| (0..GATEWAYS).all(|gateway| knows(&deployment, gateway, &two))));
+    assert!(wait_until(|| (0..GATEWAYS).all(|gateway| deployment.knows(gateway, two.id()))));
     restore(&deployment, &copy);
     let back = Instant::now();
     while back.elapsed() < REWRITTEN / 2 {
-        assert!((0..GATEWAYS).all(|gateway| knows(&deployment, gateway, &two)), "dropped too soon");
+        assert!(
+            (0..GATEWAYS).all(|gateway| deployment.knows(gateway, two.id())),
+            "dropped too soon"
+        );
         thread::sleep(PAUSE);
     }
     if is_written_again {
@@ -164,7 +162,7 @@
     thread::sleep((CONTACT + REWRITTEN).saturating_sub(back.elapsed()));
     for gateway in 0..GATEWAYS {
         let log = deployment.log(gateway);
-        assert_eq!(knows(&deployment, gateway, &two), is_written_again, "{gateway}: {log:#?}");
+        assert_eq!(deployment.knows(gateway, two.id()), is_written_again, "{gateway}: {log:#?}");
     }
     assert_eq!(call(&deployment, 0, KEY), Some(200));
     deployment.close();
--- a/crates/persimmonmountd/tests/process_gateway_troubles.rs
+++ b/crates/persimmonmountd/tests/process_gateway_troubles.rs
@@ -34,10 +34,7 @@
     endpoints.iter().for_each(|endpoint| deployment.publish_endpoint(endpoint, false));
     deployment.publish_routes(&routes(), &[KEY, REVOKED_KEY]);
     deployment.start_all().unwrap();
-    let knows_all = |gateway| {
-        let status = deployment.status(gateway).unwrap_or_default();
-        endpoints.iter().all(|it| status.contains(&format!("\"id\":\"{}\"", it.id())))
-    };
+    let knows_all = |gateway| endpoints.iter().all(|it| deployment.knows(gateway, it.id()));
     assert!(wait_until(|| (0..usize::from(gateways)).all(knows_all)));
     deployment
 }
--- a/crates/persimmonmountd/tests/process_gateway_versions.rs
+++ b/crates/persimmonmountd/tests/process_gateway_versions.rs
@@ -73,14 +73,8 @@
 
 /// Waits until a gateway has logged each endpoint at least `times` times.
 fn wait_until_published(fixture: &GatewayFixture, gateway: usize, times: usize) {
-    let count = |log: &[String], name: &str| {
-        let id = format!("\"endpoint\":\"{name}\"");
-        log.iter().filter(|it| it.contains("endpoint published") && it.contains(&id)).count()
-    };
-    assert!(wait_until(|| {
-        let log = fixture.deployment.log(gateway);
-        ENDPOINTS.iter().all(|name| count(&log, name) >= times)
-    }));
+    let count = |name: &&str| fixture.deployment.count_published(gateway, name);
+    assert!(wait_until(|| ENDPOINTS.iter().all(|name| count(name) >= times)));
 }
 
 /// Result of taking up a stream.
