Holders beside the endpoints store what began streams, for when all gateways end at once

Cause: what began a stream was known to gateways only. Ruled out: facts that outlive the gateways (records show which versions serve, not which of them began a stream; the caller returns only its own ids; a prompt's last part may be a session's, held by engines of both versions), a version by hash of the request's id (it changes with the fleet, and halves the endpoints that a prompt may go to), the engines' memory copies (priced, and for one run). Change: a third role, holder, one process on each endpoint's VM. With the first event a gateway sends the origin to three holders by rendezvous, those beside endpoints of the stream's own version first; a take-up asks up to four a version, in parallel with the gateways. A holder that doesn't reply eight times in a row is passed over for 5 s. An origin that isn't certain stays a refusal. The line on a lookup names who was asked and who didn't reply. Evidence: process_gateway_holders, 13 cases: all gateways killed, twice, after a take-up, most of them, one back early, the store away, the old version left, holders ended. Without holders (the last two tests) everything is refused.

--- a/crates/persimmon_decide/src/forward/stream_message.rs
+++ b/crates/persimmon_decide/src/forward/stream_message.rs
@@ -1,4 +1,4 @@
-//! Messages between gateways on what began streams.
+//! Messages between gateways, and between gateways and holders, on what began streams.
 
 use std::sync::Arc;
 
@@ -28,6 +28,8 @@
         /// The origin; none if the sender doesn't know the stream.
         origin: Option<Arc<StreamOrigin>>,
     },
+    /// The reply of a holder to [`Self::Begun`].
+    Stored,
 }
 
 impl StreamMessage {
--- a/crates/persimmon_decide/src/forward/stream_versions.rs
+++ b/crates/persimmon_decide/src/forward/stream_versions.rs
@@ -21,13 +21,17 @@
         Self(Fingerprint::of(format!("{workspace}\0{first_id}").as_bytes()).0)
     }
 
-    /// Returns the `count` gateways of `fleet` other than `own` that remember the stream, those with
-    /// the lowest rendezvous score first.
+    /// Returns the `count` gateways of `fleet` other than `own` that remember the stream.
     pub fn holders(self, own: IpAddr, fleet: &[IpAddr], count: usize) -> Vec<IpAddr> {
+        self.rank(fleet.iter().copied().filter(|it| *it != own), count)
+    }
+
+    /// Returns the `count` addresses with the lowest rendezvous score for the stream, the lowest first.
+    pub(super) fn rank(self, addresses: impl Iterator<Item = IpAddr>, count: usize) -> Vec<IpAddr> {
         let score = |ip| gateway_score(self.0, GatewayKey::of(ip));
-        let others = fleet.iter().copied().filter(|it| *it != own);
-        let mut scored: Vec<_> = others.map(|it| (score(it), it)).collect();
+        let mut scored: Vec<_> = addresses.map(|it| (score(it), it)).collect();
         scored.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
+        scored.dedup_by_key(|(_, ip)| *ip);
         scored.into_iter().take(count).map(|(_, ip)| ip).collect()
     }
 }
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod digests;
 mod records;
+mod streams;
 
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -14,8 +15,8 @@
     EndpointDirectory, EndpointLimits, EndpointPauses, FirstByteTimeout, FleetView, HealthSettings,
     HealthTracker, IdleLimit, LimitReport, LoadTracker, NoChoice, PeerTable, PickRequest, Picker,
     PrefixMap, Rank, RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown,
-    ShutdownSettings, StartupRecords, StoreEra, StoreView, StreamVersions, WaitingTime,
-    WorkspaceShares,
+    ShutdownSettings, StartupRecords, StoreEra, StoreView, StreamHolders, StreamVersions,
+    WaitingTime, WorkspaceShares,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
@@ -42,6 +43,7 @@
     pub(crate) limits: EndpointLimits,
     /// What began the streams that callers may take up again.
     pub(crate) streams: StreamVersions,
+    pub(crate) holders: StreamHolders,
     /// Software versions of each service, for streams of unknown origin.
     pub(crate) served: ServedVersions,
     pub(crate) prefixes: PrefixMap,
@@ -93,6 +95,7 @@
             pauses: EndpointPauses::new(),
             limits: EndpointLimits::new(),
             streams: StreamVersions::new(),
+            holders: StreamHolders::new(),
             served: ServedVersions::new(),
             prefixes: PrefixMap::new(),
             crashes: CrashTracker::new(),
@@ -216,6 +219,8 @@
         self.limits.retain(|endpoint| published.contains(&endpoint), now);
         self.crashes.expire(now);
         self.streams.expire(now);
+        let addresses: HashSet<_> = self.directory.iter().map(|it| it.address.ip()).collect();
+        self.holders.retain(|ip| addresses.contains(&ip));
         for endpoint in self.directory.iter() {
             self.served.record(&endpoint.service, &endpoint.version, now);
         }
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -1,4 +1,5 @@
-//! The gateway role: forwards callers' HTTP requests directly to endpoints, without a sidecar.
+//! The gateway role: forwards callers' HTTP requests directly to endpoints, without a sidecar; and the
+//! holder role, which stores on endpoints' VMs what gateways must not lose when all of them end.
 //!
 //! `persimmon_decide::forward` makes all decisions; this crate does the I/O and reads the clock.
 
@@ -13,6 +14,7 @@
 mod framing;
 mod gateway;
 mod head;
+mod holder;
 mod http;
 mod in_flight;
 mod log_limiter;
@@ -32,6 +34,7 @@
 mod stream_versions;
 mod upstream;
 
+pub use holder::{HolderSettings, run_holder};
 pub use logging::start_logging;
 pub use platform::{DecodeError, DecodedRecord, HeaderNames, Platform, RecordPage, RecordSubject};
 pub use run::run_gateway;
--- a/crates/persimmon_gateway/src/ops.rs
+++ b/crates/persimmon_gateway/src/ops.rs
@@ -27,6 +27,15 @@
 
 /// Serves readiness, metrics, status and records, each under its own path, on `listener`.
 pub(crate) async fn serve_ops<P: Platform>(gw: Rc<Gateway<P>>, listener: TcpListener) {
+    serve(listener, move |req| answer(&gw, req)).await;
+}
+
+/// Serves the pages that `answer` returns until the process ends.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    answer: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>> + 'static,
+) {
+    let answer = Rc::new(answer);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -36,10 +45,10 @@
                 continue;
             }
         };
-        let gw = gw.clone();
+        let answer = answer.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |req| {
-                let response = answer(&gw, &req);
+                let response = answer(&req);
                 async move { Ok::<_, Infallible>(response) }
             });
             let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -53,19 +62,28 @@
 fn answer<P: Platform>(gw: &Gateway<P>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
     match req.uri().path() {
         "/ready" => ready(gw),
-        "/metrics" => match gw.metrics.encode() {
-            Ok(text) => reply(StatusCode::OK, text.into()),
-            Err(err) => failure("metrics", &err),
-        },
+        "/metrics" => metrics_page(gw.metrics.encode()),
         "/status" => match serde_json::to_vec(&Status::of(gw)) {
             Ok(text) => reply(StatusCode::OK, text.into()),
             Err(err) => failure("status", &err),
         },
         RECORDS_PATH => records(gw, req.uri().query()),
-        _ => reply(StatusCode::NOT_FOUND, Bytes::from_static(b"no such page\n")),
+        _ => no_such_page(),
     }
 }
 
+/// Returns the page with the metrics.
+pub(crate) fn metrics_page(encoded: prometheus::Result<Vec<u8>>) -> Response<Full<Bytes>> {
+    match encoded {
+        Ok(text) => reply(StatusCode::OK, text.into()),
+        Err(err) => failure("metrics", &err),
+    }
+}
+
+pub(crate) fn no_such_page() -> Response<Full<Bytes>> {
+    reply(StatusCode::NOT_FOUND, Bytes::from_static(b"no such page\n"))
+}
+
 fn ready<P: Platform>(gw: &Gateway<P>) -> Response<Full<Bytes>> {
     if gw.control.borrow().is_ready() {
         reply(StatusCode::OK, Bytes::from_static(b"ready\n"))
--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -2,7 +2,7 @@
 //! that begin here.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
@@ -32,7 +32,7 @@
 enum Source {
     /// It is remembered here.
     Own,
-    /// A peer told it.
+    /// A peer or a holder told it.
     Peer,
     /// The service has had one version only.
     OnlyVersion,
@@ -52,7 +52,24 @@
     }
 }
 
-/// A question to peers that is waiting for replies.
+/// What was found out about the origin of a stream.
+#[derive(Debug)]
+struct Lookup {
+    origin: Option<Arc<StreamOrigin>>,
+    source: Source,
+    /// Gateways and holders that were asked, if any, and those of them that didn't reply.
+    asked: Vec<IpAddr>,
+    silent: Vec<IpAddr>,
+}
+
+impl Lookup {
+    /// Creates the result of a lookup without questions.
+    fn found(origin: Arc<StreamOrigin>, source: Source) -> Self {
+        Self { origin: Some(origin), source, asked: Vec::new(), silent: Vec::new() }
+    }
+}
+
+/// A question to peers and holders that is waiting for replies.
 #[derive(Debug)]
 struct Query {
     asked: Vec<IpAddr>,
@@ -65,6 +82,12 @@
     fn is_done(&self) -> bool {
         self.origin.borrow().is_some() || self.replied.borrow().len() == self.asked.len()
     }
+
+    /// Returns those that were asked and haven't replied.
+    fn silent(&self) -> Vec<IpAddr> {
+        let replied = self.replied.borrow();
+        self.asked.iter().copied().filter(|it| !replied.contains(it)).collect()
+    }
 }
 
 /// Messages on streams to and from the other gateways.
@@ -113,6 +136,7 @@
         query
     }
 
+    /// Records a reply, of a peer or a holder.
     fn record_reply(&self, from: IpAddr, stream: StreamKey, origin: Option<Arc<StreamOrigin>>) {
         let query = self.queries.borrow().get(&stream).and_then(Weak::upgrade);
         let Some(query) = query.filter(|it| it.asked.contains(&from)) else { return };
@@ -139,12 +163,14 @@
             gw.streams.send(&StreamMessage::Reply { stream, origin }, from);
         }
         StreamMessage::Reply { stream, origin } => {
+            gw.control.borrow_mut().holders.record_reply(from.ip());
             gw.streams.record_reply(from.ip(), stream, origin);
         }
+        StreamMessage::Stored => gw.control.borrow_mut().holders.record_reply(from.ip()),
     }
 }
 
-/// Tells peers of streams that have begun, until the process ends.
+/// Tells peers and holders of streams that have begun, until the process ends.
 pub(crate) async fn tell_begun<P: Platform>(gw: Rc<Gateway<P>>) {
     loop {
         gw.streams.begun.notified().await;
@@ -152,16 +178,22 @@
         let mut control = gw.control.borrow_mut();
         let untold = control.streams.take_untold();
         let fleet = control.peers.fleet();
-        drop(control);
         let own = gw.settings.peers.ip();
+        let now = gw.clock.now();
         let mut messages: BTreeMap<(IpAddr, Arc<StreamOrigin>), Vec<StreamKey>> = BTreeMap::new();
+        let mut holders = BTreeSet::new();
         for (stream, origin) in untold {
-            for holder in stream.holders(own, &fleet, StreamVersions::HOLDERS) {
-                messages.entry((holder, origin.clone())).or_default().push(stream);
+            let peers = stream.holders(own, &fleet, StreamVersions::HOLDERS);
+            let selected = control.select_holders(stream, &origin, now);
+            holders.extend(selected.iter().copied());
+            for ip in peers.into_iter().chain(selected) {
+                messages.entry((ip, origin.clone())).or_default().push(stream);
             }
         }
-        for ((holder, origin), streams) in messages {
-            let to = SocketAddr::new(holder, gw.settings.peers.port());
+        holders.into_iter().for_each(|it| control.holders.record_sent(it, now));
+        drop(control);
+        for ((ip, origin), streams) in messages {
+            let to = SocketAddr::new(ip, gw.settings.peers.port());
             for streams in streams.chunks(StreamMessage::MAX_STREAMS) {
                 let (origin, streams) = (origin.clone(), streams.to_vec());
                 gw.streams.send(&StreamMessage::Begun { origin, streams }, to);
@@ -183,7 +215,7 @@
         return Ok(None);
     }
     let started = gw.clock.now();
-    let (origin, source) = look_up(gw, plan).await;
+    let Lookup { origin, source, asked, silent } = look_up(gw, plan).await;
     gw.metrics.stream_lookups.with_label_values(&[source.name()]).inc();
     let now = gw.clock.now();
     if let Some(suppressed) = gw.log_limiter.admit("stream_version", now) {
@@ -192,7 +224,7 @@
             first_id = plan.head.first_id.as_deref(),
             service = origin.as_ref().map(|it| &*it.service),
             version = origin.as_ref().map(|it| &*it.version),
-            source = source.name(), ms = now.ms_since(started),
+            source = source.name(), ms = now.ms_since(started), ?asked, ?silent,
             heard = control.peers.gateways(now), gateways = control.peers.fleet().len(),
             revision = StoreEra::revision(control.view.revision()), suppressed, "version that began a stream");
     }
@@ -202,20 +234,21 @@
     origin.map(Some).ok_or(Refusal::UnknownStream)
 }
 
-async fn look_up<P: Platform>(
-    gw: &Rc<Gateway<P>>,
-    plan: &Plan<P>,
-) -> (Option<Arc<StreamOrigin>>, Source) {
+async fn look_up<P: Platform>(gw: &Rc<Gateway<P>>, plan: &Plan<P>) -> Lookup {
     let names_first = plan.head.first_id.is_some();
+    let (mut asked, mut silent) = (Vec::new(), Vec::new());
     if names_first {
         let stream = plan.stream();
         let known = gw.control.borrow().streams.origin(stream).cloned();
-        if known.is_some() {
-            return (known, Source::Own);
+        if let Some(known) = known {
+            return Lookup::found(known, Source::Own);
         }
-        let told = ask(gw, stream).await;
-        if told.is_some() {
-            return (told, Source::Peer);
+        let query = ask(gw, plan, stream).await;
+        asked.clone_from(&query.asked);
+        silent = query.silent();
+        let origin = query.origin.borrow().clone();
+        if origin.is_some() {
+            return Lookup { origin, source: Source::Peer, asked, silent };
         }
     }
     let control = gw.control.borrow();
@@ -226,16 +259,22 @@
     match only.filter(|_| knows_versions || !names_first) {
         Some(version) => {
             let service = plan.service.clone();
-            (Some(Arc::new(StreamOrigin { service, version })), Source::OnlyVersion)
+            let origin = Arc::new(StreamOrigin { service, version });
+            Lookup { asked, silent, ..Lookup::found(origin, Source::OnlyVersion) }
         }
-        None => (None, Source::Unknown),
+        None => Lookup { origin: None, source: Source::Unknown, asked, silent },
     }
 }
 
-/// Asks the gateways that may remember a stream what began it.
-async fn ask<P: Platform>(gw: &Gateway<P>, stream: StreamKey) -> Option<Arc<StreamOrigin>> {
-    let fleet = gw.control.borrow().peers.fleet();
-    let asked = stream.holders(gw.settings.peers.ip(), &fleet, MAX_ASKED);
+/// Asks the gateways and holders that may remember a stream what began it.
+async fn ask<P: Platform>(gw: &Gateway<P>, plan: &Plan<P>, stream: StreamKey) -> Rc<Query> {
+    let asked = {
+        let control = gw.control.borrow();
+        let fleet = control.peers.fleet();
+        let mut asked = stream.holders(gw.settings.peers.ip(), &fleet, MAX_ASKED);
+        asked.extend(control.holders_to_ask(stream, &plan.route));
+        asked
+    };
     let query = gw.streams.open_query(stream, asked);
     for wait_ms in QUERY_WAITS_MS {
         if query.is_done() {
@@ -254,5 +293,5 @@
             }
         }
     }
-    query.origin.borrow().clone()
+    query
 }
--- a/crates/persimmonmountd/src/main.rs
+++ b/crates/persimmonmountd/src/main.rs
@@ -1,8 +1,9 @@
-//! The fleet's daemon, which runs in one of three roles: `persimmonmountd router`, `sidecar` or
-//! `gateway`.
+//! The fleet's daemon, which runs in one of four roles: `persimmonmountd router`, `sidecar`,
+//! `gateway` or `holder`.
 
 mod common;
 mod gateway;
+mod holder;
 mod router;
 mod sidecar;
 
@@ -23,6 +24,7 @@
 Usage: persimmonmountd router [settings]
        persimmonmountd sidecar [settings]
        persimmonmountd gateway [settings]
+       persimmonmountd holder [settings]
 
 The fleet key is read from PERSIMMON_FLEET_KEY. Exit codes: 0 after a graceful shutdown,
 1 if the daemon failed to run, 2 if its settings are invalid.";
@@ -37,13 +39,16 @@
         "router" => start(&ROUTER_SPECS, rest, run_router),
         "sidecar" => start(&SIDECAR_SPECS, rest, run_sidecar),
         "gateway" => start(&gateway::SPECS, rest, gateway::run),
+        "holder" => start(&holder::SPECS, rest, holder::run),
         "--help" | "-h" => {
             println!("{BRIEF}\n\nRun `persimmonmountd router --help` for the settings of a role.");
             ExitCode::SUCCESS
         }
         "--version" | "-V" => print_version(),
         _ => {
-            eprintln!("the first argument must be a role: router, sidecar or gateway; see --help");
+            eprintln!(
+                "the first argument must be a role: router, sidecar, gateway or holder; see --help"
+            );
             ExitCode::from(EXIT_USAGE)
         }
     }
--- /dev/null
+++ b/crates/persimmonmountd/tests/process_gateway_holders.rs
@@ -0,0 +1,241 @@
+//! Tests of streams that callers take up again after many or all gateways have ended at one moment, with
+//! holders beside the endpoints.
+
+mod version_streams;
+
+use std::net::IpAddr;
+use std::thread;
+use std::time::Duration;
+
+use persimmon_platform::standin::{Deployment, GatewayFixture, HolderProcess, StoreMode};
+use rstest::rstest;
+
+use version_streams::{
+    BREAK_AT, ENDPOINTS, EVENTS, GATEWAYS, MIN_TAKEN_UP, PROGRAM, STREAMS, Stream, TakenUp, begin,
+    publish_versions, read_stream, take_up, wait_until_published,
+};
+
+/// Time in which the last streams that have begun reach the holders.
+const STORED_WITHIN: Duration = Duration::from_millis(200);
+const ALL: &[usize] = &[0, 1, 2];
+
+struct Fleet {
+    fixture: GatewayFixture,
+    holders: Vec<Option<HolderProcess>>,
+}
+
+impl Fleet {
+    /// Starts gateways before endpoints of two versions; each endpoint has a holder beside it.
+    fn start() -> Self {
+        let deployment = Deployment::new(PROGRAM, GATEWAYS).unwrap();
+        let holders = (0..ENDPOINTS.len())
+            .map(|number| Some(deployment.start_holder(deployment.endpoint_ip(number)).unwrap()))
+            .collect();
+        let fixture = GatewayFixture::start_on(deployment, &ENDPOINTS).unwrap();
+        publish_versions(&fixture);
+        Self { fixture, holders }
+    }
+
+    /// Begins streams at every gateway.
+    fn begin(&self, prefix: &str) -> Vec<Stream> {
+        let at = |gateway: &usize| {
+            begin(&self.fixture, *gateway, &format!("{prefix}-{gateway}"), STREAMS)
+        };
+        let streams = ALL.iter().flat_map(at).collect();
+        thread::sleep(STORED_WITHIN);
+        streams
+    }
+
+    fn kill(&mut self, gateways: &[usize]) {
+        gateways.iter().for_each(|it| self.fixture.deployment.kill(*it).unwrap());
+    }
+
+    fn restart(&mut self, gateways: &[usize]) {
+        gateways.iter().for_each(|it| self.fixture.deployment.restart(*it).unwrap());
+    }
+
+    /// Waits until restarted gateways know all endpoints.
+    fn wait_restarted(&self, gateways: &[usize]) {
+        for gateway in gateways {
+            self.fixture.deployment.wait_ready(*gateway).unwrap();
+            wait_until_published(&self.fixture, *gateway, 1);
+        }
+    }
+
+    fn close_holders(&mut self, numbers: &[usize]) {
+        for number in numbers {
+            if let Some(holder) = self.holders[*number].take() {
+                holder.close();
+            }
+        }
+    }
+
+    fn close(self) {
+        self.fixture.deployment.close();
+    }
+}
+
+#[test]
+fn stream_goes_on_after_all_gateways_were_killed() {
+    let mut fleet = Fleet::start();
+    let mut streams = fleet.begin("stream");
+    fleet.kill(ALL);
+    fleet.restart(ALL);
+    fleet.wait_restarted(ALL);
+    let share = take_up(&fleet.fixture, 1, &mut streams, EVENTS, "again");
+    assert!(share >= MIN_TAKEN_UP, "{share} went on: {:#?}", fleet.fixture.deployment.log(1));
+    // New streams begin as before.
+    fleet.begin("new");
+    fleet.close();
+}
+
+/// The second kill comes right after the first, or once the streams have gone on for a while.
+#[rstest]
+#[case::in_short_succession(false)]
+#[case::after_taking_up(true)]
+fn stream_goes_on_after_all_gateways_were_killed_twice(#[case] is_taken_up_between: bool) {
+    let mut fleet = Fleet::start();
+    let mut streams = fleet.begin("stream");
+    for round in ["first", "second"] {
+        fleet.kill(ALL);
+        fleet.restart(ALL);
+        if round == "first" && !is_taken_up_between {
+            continue;
+        }
+        fleet.wait_restarted(ALL);
+        let until = if round == "first" { 2 * BREAK_AT } else { EVENTS };
+        let share = take_up(&fleet.fixture, 2, &mut streams, until, round);
+        assert!(share >= MIN_TAKEN_UP, "{share} went on");
+        thread::sleep(STORED_WITHIN);
+    }
+    fleet.close();
+}
+
+/// The endpoints of the old version leave, with their VMs or without, before or after the kill.
+#[rstest]
+fn stream_of_a_version_that_has_left_isnt_joined_after_all_gateways_were_killed(
+    #[values(false, true)] has_left_before: bool,
+    #[values(false, true)] leave_with_vms: bool,
+) {
+    let mut fleet = Fleet::start();
+    let mut streams = fleet.begin("stream");
+    let leave = |fleet: &mut Fleet| {
+        fleet.fixture.endpoints[..2]
+            .iter()
+            .for_each(|it| fleet.fixture.deployment.withdraw_endpoint(it));
+        if leave_with_vms {
+            fleet.close_holders(&[0, 1]);
+        }
+    };
+    if has_left_before {
+        leave(&mut fleet);
+        for gateway in ALL {
+            fleet.fixture.wait_for_log(*gateway, "endpoint removed").unwrap();
+        }
+    }
+    fleet.kill(ALL);
+    if !has_left_before {
+        leave(&mut fleet);
+    }
+    fleet.restart(ALL);
+    for gateway in ALL {
+        fleet.fixture.deployment.wait_ready(*gateway).unwrap();
+        fleet.fixture.wait_for_log(*gateway, "\"endpoint\":\"v2-b\"").unwrap();
+    }
+    take_up(&fleet.fixture, 0, &mut streams, EVENTS, "again");
+    let (of_old, of_new): (Vec<_>, Vec<_>) =
+        streams.into_iter().partition(|it| it.endpoints[0].starts_with("v1"));
+    assert!(of_old.iter().all(|it| it.last_event == BREAK_AT), "a stream went on");
+    let went_on = of_new.iter().filter(|it| it.last_event == EVENTS).count();
+    assert!(went_on as f64 >= MIN_TAKEN_UP * of_new.len() as f64, "{went_on} of {}", of_new.len());
+    fleet.close();
+}
+
+#[test]
+fn stream_goes_on_after_most_gateways_were_killed() {
+    let mut fleet = Fleet::start();
+    let mut streams = fleet.begin("stream");
+    fleet.kill(&[0, 1]);
+    let share = take_up(&fleet.fixture, 2, &mut streams, 2 * BREAK_AT, "left");
+    assert!(share >= MIN_TAKEN_UP, "{share} went on");
+    fleet.restart(&[0, 1]);
+    fleet.wait_restarted(&[0, 1]);
+    let share = take_up(&fleet.fixture, 0, &mut streams, EVENTS, "restarted");
+    assert!(share >= MIN_TAKEN_UP, "{share} went on");
+    fleet.close();
+}
+
+/// Some gateways start again much later than the first.
+#[test]
+fn stream_goes_on_at_the_first_gateway_that_is_back() {
+    let mut fleet = Fleet::start();
+    let mut streams = fleet.begin("stream");
+    fleet.kill(ALL);
+    fleet.restart(&[2]);
+    fleet.wait_restarted(&[2]);
+    let share = take_up(&fleet.fixture, 2, &mut streams, 2 * BREAK_AT, "first");
+    assert!(share >= MIN_TAKEN_UP, "{share} went on: {:#?}", fleet.fixture.deployment.log(2));
+    thread::sleep(Duration::from_secs(2));
+    fleet.kill(&[2]);
+    fleet.restart(ALL);
+    fleet.wait_restarted(ALL);
+    let share = take_up(&fleet.fixture, 0, &mut streams, EVENTS, "later");
+    assert!(share >= MIN_TAKEN_UP, "{share} went on");
+    fleet.close();
+}
+
+#[test]
+fn stream_goes_on_after_a_kill_while_the_store_was_away() {
+    let mut fleet = Fleet::start();
+    let mut streams = fleet.begin("stream");
+    fleet.fixture.deployment.store.set_mode(StoreMode::Silent);
+    fleet.kill(ALL);
+    fleet.restart(ALL);
+    fleet.fixture.wait_for_log(1, "\"started\"").unwrap();
+    for stream in &mut streams[..2] {
+        let id = format!("{}-away", stream.first_id);
+        let end = read_stream(&fleet.fixture, 1, &id, stream, EVENTS).unwrap();
+        assert!(matches!(end, TakenUp::Refused(503)), "{end:?}");
+    }
+    fleet.fixture.deployment.store.set_mode(StoreMode::Serving);
+    fleet.wait_restarted(ALL);
+    let share = take_up(&fleet.fixture, 1, &mut streams, EVENTS, "back");
+    assert!(share >= MIN_TAKEN_UP, "{share} went on");
+    fleet.close();
+}
+
+/// Each stream is stored at three of the four holders, if they reply.
+#[rstest]
+#[case::one_of_each_version(&[0, 2], MIN_TAKEN_UP)]
+#[case::all(&[0, 1, 2, 3], 0.0)]
+fn stream_is_known_or_refused_after_holders_have_ended(#[case] ended: &[usize], #[case] min: f64) {
+    let mut fleet = Fleet::start();
+    let mut streams = fleet.begin("stream");
+    fleet.close_holders(ended);
+    fleet.kill(ALL);
+    fleet.restart(ALL);
+    fleet.wait_restarted(ALL);
+    let share = take_up(&fleet.fixture, 1, &mut streams, EVENTS, "again");
+    assert!(share >= min, "{share} went on");
+    fleet.close();
+}
+
+/// A line of a refused stream names who was asked and who didn't reply.
+#[test]
+fn log_of_a_stream_of_unknown_origin_names_silent_holders() {
+    let mut fleet = Fleet::start();
+    let mut streams = fleet.begin("stream");
+    fleet.close_holders(&[0, 1, 2, 3]);
+    fleet.kill(ALL);
+    fleet.restart(ALL);
+    fleet.wait_restarted(ALL);
+    take_up(&fleet.fixture, 1, &mut streams[..1], EVENTS, "again");
+    fleet.fixture.wait_for_log(1, "\"source\":\"unknown\"").unwrap();
+    let log = fleet.fixture.deployment.log(1);
+    let line = log.iter().find(|it| it.contains("\"source\":\"unknown\"")).unwrap();
+    for number in 0..ENDPOINTS.len() {
+        let ip = IpAddr::from(fleet.fixture.deployment.endpoint_ip(number));
+        assert_eq!(line.matches(&ip.to_string()).count(), 2, "{line}");
+    }
+    fleet.close();
+}
