gateway: an endpoint whose address another one has isn't used

Cause: endpoints that crash start again at their addresses under other ids, and their earlier records stay published for up to three heartbeats. Requests went to those, got 421, went to the next such record and were refused, once for each request. Ruled out: ejecting them as unreachable (if all are, all are tried again); waiting for the store (its word comes seconds later). Change: an endpoint isn't ready while one that started later is published at its address, nor for 5 s after another process has answered there. A gateway that has just started lets a request wait for an endpoint also after attempts that didn't run.

--- a/crates/persimmon_decide/src/forward/directory.rs
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -1,6 +1,7 @@
 //! Index of published endpoints.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::{Endpoint, EndpointId, EndpointState};
@@ -11,12 +12,20 @@
 ///
 /// An endpoint that leaves may still be published as ready, for example while it can't reach the
 /// store. An endpoint that starts again has another hash, and isn't leaving.
+///
+/// Handles crashes of many endpoints at one moment, which start again at their addresses under other IDs
+/// while their earlier records are still published: an endpoint isn't used once a later one is published
+/// at its address, or once another process has answered there.
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
     by_id: BTreeMap<EndpointId, Arc<Endpoint>>,
     by_service: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
     /// Leaving endpoints, each with the time when it was last published or said so.
     leaving: HashMap<EndpointHash, MonoMs>,
+    /// Endpoints at whose address another process has answered, each with the time.
+    replaced: HashMap<EndpointHash, MonoMs>,
+    /// Published endpoint at each address that started last.
+    latest: HashMap<SocketAddr, Arc<Endpoint>>,
 }
 
 impl EndpointDirectory {
@@ -26,6 +35,10 @@
     /// Maximum number of endpoints marked as leaving; further ones aren't marked.
     pub const MAX_LEAVING: usize = 4_096;
 
+    /// Time for which an endpoint isn't used after another process has answered at its address, in
+    /// milliseconds. The record of an endpoint that has ended lapses sooner.
+    pub const REPLACED_KEPT_MS: u64 = 5_000;
+
     /// Creates an empty directory.
     pub fn new() -> Self {
         Self::default()
@@ -36,6 +49,7 @@
         let previous = self.remove(&endpoint.id.clone());
         let endpoint = Arc::new(endpoint);
         self.by_id.insert(endpoint.id.clone(), endpoint.clone());
+        self.update_latest(endpoint.address);
         self.by_service.entry(endpoint.service.clone()).or_default().push(endpoint);
         previous
     }
@@ -46,9 +60,18 @@
         if let Some(peers) = self.by_service.get_mut(&endpoint.service) {
             peers.retain(|peer| peer.id != endpoint.id);
         }
+        self.update_latest(endpoint.address);
         Some(endpoint)
     }
 
+    fn update_latest(&mut self, address: SocketAddr) {
+        let at_address = self.by_id.values().filter(|it| it.address == address);
+        match at_address.max_by_key(|it| it.started_unix_ms()) {
+            Some(latest) => self.latest.insert(address, latest.clone()),
+            None => self.latest.remove(&address),
+        };
+    }
+
     /// Returns all endpoints of a service, including draining ones.
     pub fn of_service(&self, service: &str) -> &[Arc<Endpoint>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -56,11 +79,25 @@
 
     /// Returns the endpoints of a service that accept new requests.
     pub fn ready(&self, service: &str) -> impl Iterator<Item = &Arc<Endpoint>> {
-        let is_ready =
-            |it: &&Arc<Endpoint>| it.state == EndpointState::Ready && !self.is_leaving(it.hash);
+        let is_ready = |it: &&Arc<Endpoint>| {
+            it.state == EndpointState::Ready && !self.is_leaving(it.hash) && !self.is_replaced(it)
+        };
         self.of_service(service).iter().filter(is_ready)
     }
 
+    /// Marks an endpoint at whose address another process has answered.
+    pub fn mark_replaced(&mut self, endpoint: EndpointHash, now: MonoMs) {
+        self.replaced.insert(endpoint, now);
+    }
+
+    /// Reports whether another process has an endpoint's address, by its answer or by a record.
+    pub fn is_replaced(&self, endpoint: &Endpoint) -> bool {
+        let is_earlier =
+            |latest: &Arc<Endpoint>| endpoint.started_unix_ms() < latest.started_unix_ms();
+        self.replaced.contains_key(&endpoint.hash)
+            || self.latest.get(&endpoint.address).is_some_and(is_earlier)
+    }
+
     /// Marks an endpoint that says that it leaves, or of which a peer says so. Returns whether that
     /// is new.
     pub fn mark_leaving(&mut self, endpoint: EndpointHash, now: MonoMs) -> bool {
@@ -80,8 +117,10 @@
         self.by_id.values().map(|it| it.hash).filter(|hash| self.is_leaving(*hash))
     }
 
-    /// Removes the marks of endpoints that have long not been published.
-    pub fn expire_leaving(&mut self, now: MonoMs) {
+    /// Removes the marks of endpoints that have long not been published, and of those at whose address
+    /// another process answered some time ago.
+    pub fn expire_marks(&mut self, now: MonoMs) {
+        self.replaced.retain(|_, at| now.ms_since(*at) < Self::REPLACED_KEPT_MS);
         for endpoint in self.by_id.values() {
             if let Some(at) = self.leaving.get_mut(&endpoint.hash) {
                 *at = now;
--- a/crates/persimmon_decide/src/forward/endpoint.rs
+++ b/crates/persimmon_decide/src/forward/endpoint.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Returns the Unix time of the endpoint's start in milliseconds, if published.
+    pub fn started_unix_ms(&self) -> Option<u64> {
+        self.started_unix_ms
+    }
+
     /// Reports whether an endpoint published this record before the other one.
     pub fn is_older_than(&self, other: &Self) -> bool {
         let starts = self.started_unix_ms.zip(other.started_unix_ms);
--- a/crates/persimmon_gateway/src/control/attempts.rs
+++ b/crates/persimmon_gateway/src/control/attempts.rs
@@ -1,7 +1,9 @@
 //! What the ends of attempts, and of endpoints, say.
 
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{AttemptEnd, CrashEvidence, CrashTracker, Endpoint, EndpointState};
+use persimmon_decide::forward::{
+    AttemptEnd, CrashEvidence, CrashTracker, Endpoint, EndpointState, FailureReason,
+};
 use persimmon_decide::load::EndpointHash;
 
 use super::Control;
@@ -51,6 +53,9 @@
             }
             CrashEvidence::StayedAway | CrashEvidence::None => false,
         };
+        if end == AttemptEnd::Failed(FailureReason::Misdirected) {
+            self.directory.mark_replaced(hash, now);
+        }
         if let Some(is_healthy) = end.is_healthy() {
             self.health.record_outcome(hash, is_healthy, now);
         }
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -214,7 +214,7 @@
     pub(crate) fn forget_unpublished(&mut self, now: MonoMs) -> HashSet<EndpointHash> {
         let published: HashSet<_> = self.directory.iter().map(|endpoint| endpoint.hash).collect();
         self.health.retain(|endpoint| published.contains(&endpoint));
-        self.directory.expire_leaving(now);
+        self.directory.expire_marks(now);
         self.pauses.retain(|endpoint| published.contains(&endpoint), now);
         self.limits.retain(|endpoint| published.contains(&endpoint), now);
         self.crashes.expire(now);
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -200,7 +200,9 @@
         let now = self.gw.clock.now();
         let is_settling = self.gw.control.borrow().view.is_settling(now);
         match refusal {
-            Refusal::NoEndpoint { .. } => self.sends == 0 && (is_settling || now.0 < STARTUP_MS),
+            Refusal::NoEndpoint { .. } => {
+                !self.log.may_have_run() && (is_settling || now.0 < STARTUP_MS)
+            }
             Refusal::VersionGone => is_settling,
             _ => false,
         }
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -160,6 +160,8 @@
             "draining"
         } else if control.directory.is_leaving(hash) {
             "leaving"
+        } else if control.directory.is_replaced(endpoint) {
+            "replaced"
         } else if control.pauses.left_ms(hash, now).is_some() {
             "paused"
         } else if control.limits.wait_ms(hash, now).is_some() {
