Holder: metrics, one reading of the command line for both roles of the platform

Cause: the read-through: the holder's start repeated the gateway's, its metrics weren't served in the deployment, and its settings had no test.

--- a/crates/persimmonmountd/src/gateway.rs
+++ b/crates/persimmonmountd/src/gateway.rs
@@ -14,21 +14,39 @@
 const LOG: Setting =
     Setting::new("log", "FILTER", "log filter by module and level").with_default("info");
 
-/// The command-line settings of the gateway role. All other settings are in the platform's settings
+/// The command-line settings of the gateway and holder roles. All other settings are in the platform's settings
 /// file.
 pub(crate) const SPECS: [Setting; 2] = [METRICS_PORT, LOG];
 
-/// Runs the role.
+/// What a role on the users' platform is started with.
+pub(crate) struct CommandLine {
+    /// Path of the platform's settings file.
+    pub(crate) path: PathBuf,
+    /// Port for metrics, if any.
+    pub(crate) metrics_port: Option<u16>,
+}
+
+/// Reads the command-line settings of a role on the users' platform, and starts its logging.
 ///
 /// # Errors
 ///
-/// Returns an error if the settings are invalid or an address can't be bound.
-pub(crate) fn run(mut settings: Settings) -> Result<(), StartError> {
-    let metrics_port: Option<u16> = settings.optional("metrics-port");
+/// The settings are invalid.
+pub(crate) fn start(mut settings: Settings) -> Result<CommandLine, StartError> {
+    let metrics_port = settings.optional("metrics-port");
     let log: Option<String> = settings.optional("log");
     settings.finish().map_err(StartError::Settings)?;
     start_logging(log.as_deref().unwrap_or("info"));
     let path = PathBuf::from(env::var_os(SETTINGS_VARIABLE).unwrap_or_default());
+    Ok(CommandLine { path, metrics_port })
+}
+
+/// Runs the role.
+///
+/// # Errors
+///
+/// Returns an error if the settings are invalid or an address can't be bound.
+pub(crate) fn run(settings: Settings) -> Result<(), StartError> {
+    let CommandLine { path, metrics_port } = start(settings)?;
     let gateway = read_settings(&path, metrics_port).map_err(StartError::File)?;
     let reload = move || reload(&path, metrics_port);
     run_gateway(UsersPlatform::new(), gateway, reload).map_err(StartError::Io)
--- a/crates/persimmonmountd/src/main.rs
+++ b/crates/persimmonmountd/src/main.rs
@@ -39,7 +39,7 @@
         "router" => start(&ROUTER_SPECS, rest, run_router),
         "sidecar" => start(&SIDECAR_SPECS, rest, run_sidecar),
         "gateway" => start(&gateway::SPECS, rest, gateway::run),
-        "holder" => start(&holder::SPECS, rest, holder::run),
+        "holder" => start(&gateway::SPECS, rest, holder::run),
         "--help" | "-h" => {
             println!("{BRIEF}\n\nRun `persimmonmountd router --help` for the settings of a role.");
             ExitCode::SUCCESS
--- a/crates/persimmonmountd/tests/process_gateway_holders.rs
+++ b/crates/persimmonmountd/tests/process_gateway_holders.rs
@@ -239,3 +239,21 @@
     }
     fleet.close();
 }
+
+#[test]
+fn holder_counts_streams_and_ends_at_once_when_it_is_stopped() {
+    let mut fleet = Fleet::start();
+    let streams = fleet.begin("stream");
+    let mut stored = 0;
+    for holder in &mut fleet.holders {
+        let holder = holder.take().unwrap();
+        let metrics = holder.page("/metrics").unwrap();
+        let line = metrics.lines().find(|it| it.starts_with("persimmon_holder_streams ")).unwrap();
+        stored += line.rsplit(' ').next().unwrap().parse::<usize>().unwrap();
+        assert!(metrics.contains("persimmon_holder_messages_total{kind=\"begun\"}"), "{metrics}");
+        assert_eq!(holder.page("/other").unwrap(), "no such page\n");
+        assert_eq!(holder.stop().unwrap().code(), Some(0));
+    }
+    assert_eq!(stored, 3 * streams.len(), "each stream is stored three times");
+    fleet.close();
+}
