gateway: endpoints that answered for another are the last resort, and a request waits before it

An endpoint with a published successor is never picked. One condition decides on waiting, before the choice in place of after it.

--- a/crates/persimmon_decide/src/forward/directory.rs
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -79,10 +79,20 @@
 
     /// Returns the endpoints of a service that accept new requests.
     pub fn ready(&self, service: &str) -> impl Iterator<Item = &Arc<Endpoint>> {
-        let is_ready = |it: &&Arc<Endpoint>| {
-            it.state == EndpointState::Ready && !self.is_leaving(it.hash) && !self.is_replaced(it)
+        self.accepting(service).filter(|it| !self.replaced.contains_key(&it.hash))
+    }
+
+    /// Returns the endpoints of a service that would be ready, had no other process answered at their
+    /// addresses.
+    pub fn replaced(&self, service: &str) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.accepting(service).filter(|it| self.replaced.contains_key(&it.hash))
+    }
+
+    fn accepting(&self, service: &str) -> impl Iterator<Item = &Arc<Endpoint>> {
+        let accepts = |it: &&Arc<Endpoint>| {
+            it.state == EndpointState::Ready && !self.is_leaving(it.hash) && !self.has_successor(it)
         };
-        self.of_service(service).iter().filter(is_ready)
+        self.of_service(service).iter().filter(accepts)
     }
 
     /// Marks an endpoint at whose address another process has answered.
@@ -92,10 +102,13 @@
 
     /// Reports whether another process has an endpoint's address, by its answer or by a record.
     pub fn is_replaced(&self, endpoint: &Endpoint) -> bool {
-        let is_earlier =
-            |latest: &Arc<Endpoint>| endpoint.started_unix_ms() < latest.started_unix_ms();
-        self.replaced.contains_key(&endpoint.hash)
-            || self.latest.get(&endpoint.address).is_some_and(is_earlier)
+        self.replaced.contains_key(&endpoint.hash) || self.has_successor(endpoint)
+    }
+
+    /// Reports whether an endpoint that started later is published at the address.
+    fn has_successor(&self, endpoint: &Endpoint) -> bool {
+        let latest = self.latest.get(&endpoint.address);
+        latest.is_some_and(|it| endpoint.started_unix_ms() < it.started_unix_ms())
     }
 
     /// Marks an endpoint that says that it leaves, or of which a peer says so. Returns whether that
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -228,15 +228,21 @@
 impl Candidates {
     /// Collects the healthy endpoints that the request hasn't tried. If these are less than half of
     /// the untried ones, endpoints with a high failure rate are included; if every untried endpoint
-    /// is ejected, all untried ones are. Endpoints that want no requests now are never included, and
+    /// is ejected, all untried ones are. Endpoints at whose addresses other processes have answered
+    /// are included only if no other is left. Endpoints that want no requests now are never included, and
     /// the mean is that of the others.
     fn new(req: &PickRequest<'_>, view: FleetView<'_>) -> Result<Self, NoChoice> {
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
             endpoint: endpoint.clone(),
             load: view.loads.total(endpoint.hash),
         };
-        let open = view.endpoints.ready(req.service).filter(|it| view.is_open(it.hash));
-        let ready: Vec<_> = open.map(candidate).collect();
+        let is_open = |it: &&Arc<Endpoint>| view.is_open(it.hash);
+        let open = view.endpoints.ready(req.service).filter(is_open);
+        let mut ready: Vec<_> = open.map(candidate).collect();
+        if !ready.iter().any(|it| req.allows(&it.endpoint)) {
+            let replaced = view.endpoints.replaced(req.service).filter(is_open);
+            ready.extend(replaced.map(candidate));
+        }
         let requests: u32 = ready.iter().map(|it| it.load.requests).sum();
         let mean = f64::from(requests) / ready.len().max(1) as f64;
         let failing = view.health.failing(ready.iter().map(|it| it.endpoint.hash), view.now);
--- a/crates/persimmon_decide/tests/forward_directory_leaving.rs
+++ b/crates/persimmon_decide/tests/forward_directory_leaving.rs
@@ -107,6 +107,7 @@
     directory.mark_replaced(endpoint(1).hash, MonoMs(0));
     directory.insert(endpoint(1));
     assert!(!is_ready(&directory));
+    assert_eq!(directory.replaced(SERVICE).count(), 1);
     directory.expire_marks(MonoMs(EndpointDirectory::REPLACED_KEPT_MS - 1));
     assert!(!is_ready(&directory));
     directory.expire_marks(MonoMs(EndpointDirectory::REPLACED_KEPT_MS));
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -98,6 +98,23 @@
     }
 }
 
+#[test]
+fn replaced_endpoints_are_picked_only_if_no_other_is_left() {
+    let mut gateway = Gateway::new(2);
+    let one = gateway.pick(&[], &[], 0).unwrap().endpoint.hash;
+    let two = gateway.pick(&[], &[one], 0).unwrap().endpoint.hash;
+    gateway.directory.mark_replaced(one, MonoMs(1_000));
+    for draw in 0..50 {
+        assert_eq!(gateway.pick(&[], &[], draw).unwrap().endpoint.hash, two);
+    }
+    // The other one has failed the request.
+    assert_eq!(gateway.pick(&[], &[two], 0).unwrap().endpoint.hash, one);
+    gateway.directory.mark_replaced(two, MonoMs(1_000));
+    let picked = |draw| gateway.pick(&[], &[], draw).unwrap().endpoint.hash;
+    assert!((0..50).any(|draw| picked(draw) == one) && (0..50).any(|draw| picked(draw) == two));
+    assert!(gateway.pick(&[], &[one, two], 0).is_none());
+}
+
 #[rstest::rstest]
 #[case::usual(2.0, 1.7)]
 #[case::tight(1.25, 1.0625)]
--- a/crates/persimmon_decide/tests/forward_stream_versions.rs
+++ b/crates/persimmon_decide/tests/forward_stream_versions.rs
@@ -106,6 +106,7 @@
         StreamMessage::Query { stream: StreamKey(u64::MAX) },
         StreamMessage::Reply { stream: StreamKey(7), origin: Some(origin(1)) },
         StreamMessage::Reply { stream: StreamKey(7), origin: None },
+        StreamMessage::Stored,
     ];
     for message in messages {
         let bytes = message.to_bytes().unwrap();
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -153,13 +153,10 @@
     /// The request failed and no further attempt is allowed.
     pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Answered<P>, Refusal> {
         loop {
-            let choice = match self.choose() {
-                Err(refusal) if self.may_wait(refusal) => {
-                    self.wait_for_endpoint().await;
-                    self.choose()?
-                }
-                choice => choice?,
-            };
+            if self.may_wait() && !self.has_ready_endpoint() {
+                self.wait_for_endpoint().await;
+            }
+            let choice = self.choose()?;
             let failed = match self.attempt(&choice, last_event).await {
                 Ok(answered) => {
                     self.record_first_answer(&choice);
@@ -195,17 +192,22 @@
     }
 
     /// Reports whether to wait for an endpoint instead of refusing. After a start of the gateway or an
-    /// outage of the store, endpoints register again within about two seconds.
-    fn may_wait(&self, refusal: Refusal) -> bool {
+    /// outage of the store, endpoints register again within about two seconds, and so does one that has
+    /// started at the address of another.
+    fn may_wait(&self) -> bool {
         let now = self.gw.clock.now();
-        let is_settling = self.gw.control.borrow().view.is_settling(now);
-        match refusal {
-            Refusal::NoEndpoint { .. } => {
-                !self.log.may_have_run() && (is_settling || now.0 < STARTUP_MS)
-            }
-            Refusal::VersionGone => is_settling,
-            _ => false,
+        let control = self.gw.control.borrow();
+        let is_settling = control.view.is_settling(now);
+        if self.version.is_some() {
+            return is_settling && self.tried.is_empty();
         }
+        let is_replaced = || control.directory.replaced(&self.plan.service).next().is_some();
+        !self.log.may_have_run() && (is_settling || now.0 < STARTUP_MS || is_replaced())
+    }
+
+    fn has_ready_endpoint(&self) -> bool {
+        let control = self.gw.control.borrow();
+        control.directory.ready(&self.plan.service).any(|it| self.allows_version(it))
     }
 
     /// Waits until an endpoint of the service is published, for a limited part of the request's
@@ -213,11 +215,7 @@
     async fn wait_for_endpoint(&self) {
         let wait_ms = (self.left_ms() / ENDPOINT_WAIT_DIVISOR).min(ENDPOINT_WAIT_MS);
         let until = self.gw.clock.instant(self.gw.clock.now().plus_ms(wait_ms)).into();
-        let has_endpoint = || {
-            let control = self.gw.control.borrow();
-            control.directory.ready(&self.plan.service).any(|it| self.allows_version(it))
-        };
-        while !has_endpoint() {
+        while !self.has_ready_endpoint() {
             let changed = self.gw.configured.notified();
             if tokio::time::timeout_at(until, changed).await.is_err() {
                 return;
