--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -32,7 +32,7 @@
 enum Source {
     /// It is remembered here.
     Own,
-    /// A peer or a holder told it.
+    /// A peer or a holder has it.
     Peer,
     /// The service has had one version only.
     OnlyVersion,
@@ -170,7 +170,7 @@
     }
 }
 
-/// Tells peers and holders of streams that have begun, until the process ends.
+/// Sends the streams that have begun to peers and holders, until the process ends.
 pub(crate) async fn tell_begun<P: Platform>(gw: Rc<Gateway<P>>) {
     loop {
         gw.streams.begun.notified().await;
--- a/crates/persimmonmountd/tests/process_gateway_holders.rs
+++ b/crates/persimmonmountd/tests/process_gateway_holders.rs
@@ -54,7 +54,7 @@
         gateways.iter().for_each(|it| self.fixture.deployment.restart(*it).unwrap());
     }
 
-    /// Waits until restarted gateways know all endpoints.
+    /// Waits until restarted gateways have the records of all endpoints.
     fn wait_restarted(&self, gateways: &[usize]) {
         for gateway in gateways {
             self.fixture.deployment.wait_ready(*gateway).unwrap();
--- a/crates/persimmonmountd/tests/version_streams/mod.rs
+++ b/crates/persimmonmountd/tests/version_streams/mod.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Sets the versions of a fixture's endpoints and publishes them, until all gateways know.
+/// Sets the versions of a fixture's endpoints and publishes them, until all gateways have them.
 pub(crate) fn publish_versions(fixture: &GatewayFixture) {
     fixture.set_behaviours(&streaming(None));
     for endpoint in &fixture.endpoints {
