--- a/crates/persimmon_decide/src/forward/directory.rs
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -1,6 +1,6 @@
 //! Index of published endpoints.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -24,8 +24,8 @@
     leaving: HashMap<EndpointHash, MonoMs>,
     /// Endpoints at whose address another process has answered, each with the time.
     replaced: HashMap<EndpointHash, MonoMs>,
-    /// Published endpoint at each address that started last.
-    latest: HashMap<SocketAddr, Arc<Endpoint>>,
+    /// Published endpoints at whose address one that started later is published.
+    succeeded: HashSet<EndpointHash>,
 }
 
 impl EndpointDirectory {
@@ -49,7 +49,7 @@
         let previous = self.remove(&endpoint.id.clone());
         let endpoint = Arc::new(endpoint);
         self.by_id.insert(endpoint.id.clone(), endpoint.clone());
-        self.update_latest(endpoint.address);
+        self.update_succeeded(endpoint.address);
         self.by_service.entry(endpoint.service.clone()).or_default().push(endpoint);
         previous
     }
@@ -60,16 +60,21 @@
         if let Some(peers) = self.by_service.get_mut(&endpoint.service) {
             peers.retain(|peer| peer.id != endpoint.id);
         }
-        self.update_latest(endpoint.address);
+        self.succeeded.remove(&endpoint.hash);
+        self.update_succeeded(endpoint.address);
         Some(endpoint)
     }
 
-    fn update_latest(&mut self, address: SocketAddr) {
-        let at_address = self.by_id.values().filter(|it| it.address == address);
-        match at_address.max_by_key(|it| it.started_unix_ms()) {
-            Some(latest) => self.latest.insert(address, latest.clone()),
-            None => self.latest.remove(&address),
-        };
+    fn update_succeeded(&mut self, address: SocketAddr) {
+        let at_address = || self.by_id.values().filter(|it| it.address == address);
+        let latest = at_address().map(|it| it.started_unix_ms()).max().flatten();
+        for endpoint in at_address() {
+            if endpoint.started_unix_ms() < latest {
+                self.succeeded.insert(endpoint.hash);
+            } else {
+                self.succeeded.remove(&endpoint.hash);
+            }
+        }
     }
 
     /// Returns all endpoints of a service, including draining ones.
@@ -90,7 +95,9 @@
 
     fn accepting(&self, service: &str) -> impl Iterator<Item = &Arc<Endpoint>> {
         let accepts = |it: &&Arc<Endpoint>| {
-            it.state == EndpointState::Ready && !self.is_leaving(it.hash) && !self.has_successor(it)
+            it.state == EndpointState::Ready
+                && !self.is_leaving(it.hash)
+                && !self.succeeded.contains(&it.hash)
         };
         self.of_service(service).iter().filter(accepts)
     }
@@ -101,14 +108,8 @@
     }
 
     /// Reports whether another process has an endpoint's address, by its answer or by a record.
-    pub fn is_replaced(&self, endpoint: &Endpoint) -> bool {
-        self.replaced.contains_key(&endpoint.hash) || self.has_successor(endpoint)
-    }
-
-    /// Reports whether an endpoint that started later is published at the address.
-    fn has_successor(&self, endpoint: &Endpoint) -> bool {
-        let latest = self.latest.get(&endpoint.address);
-        latest.is_some_and(|it| endpoint.started_unix_ms() < it.started_unix_ms())
+    pub fn is_replaced(&self, endpoint: EndpointHash) -> bool {
+        self.replaced.contains_key(&endpoint) || self.succeeded.contains(&endpoint)
     }
 
     /// Marks an endpoint that says that it leaves, or of which a peer says so. Returns whether that
--- a/crates/persimmon_decide/src/forward/stream_holders.rs
+++ b/crates/persimmon_decide/src/forward/stream_holders.rs
@@ -63,10 +63,13 @@
     ) -> Vec<IpAddr> {
         let present = candidates.filter(|it| self.is_present(it.ip, now));
         let (own, others): (Vec<_>, Vec<_>) = present.partition(|it| *it.version == *version);
-        let ranked = |of: Vec<HolderCandidate>| {
-            stream.rank(of.into_iter().map(|it| it.ip), Self::PER_STREAM).into_iter()
-        };
-        ranked(own).chain(ranked(others)).take(Self::PER_STREAM).collect()
+        let ips = |of: Vec<HolderCandidate>| of.into_iter().map(|it| it.ip);
+        let mut selected = stream.rank(ips(own), Self::PER_STREAM);
+        let missing = Self::PER_STREAM - selected.len();
+        if missing > 0 {
+            selected.extend(stream.rank(ips(others), missing));
+        }
+        selected
     }
 
     /// Returns the holders that may have stored a stream of unknown version, the likeliest of each
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -153,7 +153,7 @@
     /// The request failed and no further attempt is allowed.
     pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Answered<P>, Refusal> {
         loop {
-            if self.may_wait() && !self.has_ready_endpoint() {
+            if !self.has_ready_endpoint() && self.may_wait() {
                 self.wait_for_endpoint().await;
             }
             let choice = self.choose()?;
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -160,7 +160,7 @@
             "draining"
         } else if control.directory.is_leaving(hash) {
             "leaving"
-        } else if control.directory.is_replaced(endpoint) {
+        } else if control.directory.is_replaced(hash) {
             "replaced"
         } else if control.pauses.left_ms(hash, now).is_some() {
             "paused"
--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -57,16 +57,8 @@
 struct Lookup {
     origin: Option<Arc<StreamOrigin>>,
     source: Source,
-    /// Gateways and holders that were asked, if any, and those of them that didn't reply.
-    asked: Vec<IpAddr>,
-    silent: Vec<IpAddr>,
-}
-
-impl Lookup {
-    /// Creates the result of a lookup without questions.
-    fn found(origin: Arc<StreamOrigin>, source: Source) -> Self {
-        Self { origin: Some(origin), source, asked: Vec::new(), silent: Vec::new() }
-    }
+    /// The question to others, if there was one.
+    query: Option<Rc<Query>>,
 }
 
 /// A question to peers and holders that is waiting for replies.
@@ -215,11 +207,13 @@
         return Ok(None);
     }
     let started = gw.clock.now();
-    let Lookup { origin, source, asked, silent } = look_up(gw, plan).await;
+    let Lookup { origin, source, query } = look_up(gw, plan).await;
     gw.metrics.stream_lookups.with_label_values(&[source.name()]).inc();
     let now = gw.clock.now();
     if let Some(suppressed) = gw.log_limiter.admit("stream_version", now) {
         let control = gw.control.borrow();
+        let asked = query.as_ref().map_or(&[][..], |it| &it.asked);
+        let silent = query.as_ref().map_or_else(Vec::new, |it| it.silent());
         tracing::info!(target: "request", id = &*plan.head.id,
             first_id = plan.head.first_id.as_deref(),
             service = origin.as_ref().map(|it| &*it.service),
@@ -236,19 +230,18 @@
 
 async fn look_up<P: Platform>(gw: &Rc<Gateway<P>>, plan: &Plan<P>) -> Lookup {
     let names_first = plan.head.first_id.is_some();
-    let (mut asked, mut silent) = (Vec::new(), Vec::new());
+    let mut query = None;
     if names_first {
         let stream = plan.stream();
-        let known = gw.control.borrow().streams.origin(stream).cloned();
-        if let Some(known) = known {
-            return Lookup::found(known, Source::Own);
+        let origin = gw.control.borrow().streams.origin(stream).cloned();
+        if origin.is_some() {
+            return Lookup { origin, source: Source::Own, query };
         }
-        let query = ask(gw, plan, stream).await;
-        asked.clone_from(&query.asked);
-        silent = query.silent();
-        let origin = query.origin.borrow().clone();
+        let asked = ask(gw, plan, stream).await;
+        let origin = asked.origin.borrow().clone();
+        query = Some(asked);
         if origin.is_some() {
-            return Lookup { origin, source: Source::Peer, asked, silent };
+            return Lookup { origin, source: Source::Peer, query };
         }
     }
     let control = gw.control.borrow();
@@ -259,10 +252,10 @@
     match only.filter(|_| knows_versions || !names_first) {
         Some(version) => {
             let service = plan.service.clone();
-            let origin = Arc::new(StreamOrigin { service, version });
-            Lookup { asked, silent, ..Lookup::found(origin, Source::OnlyVersion) }
+            let origin = Some(Arc::new(StreamOrigin { service, version }));
+            Lookup { origin, source: Source::OnlyVersion, query }
         }
-        None => Lookup { origin: None, source: Source::Unknown, asked, silent },
+        None => Lookup { origin: None, source: Source::Unknown, query },
     }
 }
 
--- a/crates/persimmonmountd/tests/process_gateway_holders.rs
+++ b/crates/persimmonmountd/tests/process_gateway_holders.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Kills gateways, starts them again and waits until they have the records of all endpoints.
+    fn replace(&mut self, gateways: &[usize]) {
+        self.kill(gateways);
+        self.restart(gateways);
+        self.wait_restarted(gateways);
+    }
+
     fn close_holders(&mut self, numbers: &[usize]) {
         for number in numbers {
             if let Some(holder) = self.holders[*number].take() {
@@ -79,9 +86,7 @@
 fn stream_goes_on_after_all_gateways_were_killed() {
     let mut fleet = Fleet::start();
     let mut streams = fleet.begin("stream");
-    fleet.kill(ALL);
-    fleet.restart(ALL);
-    fleet.wait_restarted(ALL);
+    fleet.replace(ALL);
     let share = take_up(&fleet.fixture, 1, &mut streams, EVENTS, "again");
     assert!(share >= MIN_TAKEN_UP, "{share} went on: {:#?}", fleet.fixture.deployment.log(1));
     // New streams begin as before.
@@ -212,9 +217,7 @@
     let mut fleet = Fleet::start();
     let mut streams = fleet.begin("stream");
     fleet.close_holders(ended);
-    fleet.kill(ALL);
-    fleet.restart(ALL);
-    fleet.wait_restarted(ALL);
+    fleet.replace(ALL);
     let share = take_up(&fleet.fixture, 1, &mut streams, EVENTS, "again");
     assert!(share >= min, "{share} went on");
     fleet.close();
@@ -226,9 +229,7 @@
     let mut fleet = Fleet::start();
     let mut streams = fleet.begin("stream");
     fleet.close_holders(&[0, 1, 2, 3]);
-    fleet.kill(ALL);
-    fleet.restart(ALL);
-    fleet.wait_restarted(ALL);
+    fleet.replace(ALL);
     take_up(&fleet.fixture, 1, &mut streams[..1], EVENTS, "again");
     fleet.fixture.wait_for_log(1, "\"source\":\"unknown\"").unwrap();
     let log = fleet.fixture.deployment.log(1);
