gateway: requests that were sent to endpoints that were down aren't blamed

Logs of the blamed requests: an endpoint falls silent, a request that is sent to it later breaks when the endpoint starts again, and was blamed for its end. So the sound content got three of its five crashes, and the cause's own repetitions counted against its likelihood. And a trial that went to an endpoint that was still down was lost.

Ruled out: the trials' turns (none was due, as the content was never answered), crowded digests (all three gateways had the same crashes).

Change: what breaks at an endpoint that had been silent for 600 ms when the request was sent says nothing of the request. A trial goes only to an endpoint that has shown that it lives since the refusal, or after 5 s to any. Each trial is logged.

--- a/crates/persimmon_decide/src/forward/attempt_end.rs
+++ b/crates/persimmon_decide/src/forward/attempt_end.rs
@@ -1,6 +1,7 @@
 //! How an attempt at an endpoint ended, and what that says of the endpoint.
 
-use super::AttemptOutcome;
+use super::{AttemptOutcome, HealthTracker};
+use crate::MonoMs;
 
 /// Why an attempt brought no usable answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -130,6 +131,17 @@
         }
     }
 
+    /// Returns what [`Self::crash_evidence`] does for a request sent at `sent_at` to an endpoint that has
+    /// sent nothing since `silent_since`. An endpoint that was down before the request was sent has
+    /// ended for another reason, and closes the connection when it starts again.
+    pub fn crash_evidence_of(self, sent_at: MonoMs, silent_since: MonoMs) -> CrashEvidence {
+        let was_down = sent_at.ms_since(silent_since) >= HealthTracker::SILENT_MS;
+        match self.crash_evidence() {
+            CrashEvidence::Unanswered if was_down => CrashEvidence::None,
+            evidence => evidence,
+        }
+    }
+
     /// Returns whether the end counts for or against the endpoint's health; none if it says nothing
     /// of it.
     pub fn is_healthy(self) -> Option<bool> {
--- a/crates/persimmon_decide/src/forward/crash_tracker/mod.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker/mod.rs
@@ -4,7 +4,7 @@
 mod known_suspects;
 
 use std::cmp::Reverse;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 
 use known_suspects::KnownSuspects;
@@ -23,6 +23,17 @@
     endpoints: HashSet<EndpointHash>,
 }
 
+/// Whether a request may go to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashVerdict {
+    /// Nothing of the request is refused.
+    Sound,
+    /// Something of the request is refused, and this request tries it again.
+    Trial,
+    /// The request isn't sent.
+    Refused,
+}
+
 /// Detects content and prompt parts that crash several endpoints, and refuses them from then on.
 ///
 /// An answer that breaks off or stays away isn't a crash, since answers are also lost for other
@@ -38,7 +49,9 @@
 /// was answered shortly before, therefore counts only if its request was sent after the previous one
 /// that counts. Of several suspects that were in progress at the same endpoints, only the likeliest is
 /// blamed: the one that explains most crashes with the fewest requests. The gateways take turns to try
-/// again what is refused, if many requests may share it, since nothing else could clear it.
+/// again what is refused, if many requests may share it, since nothing else could clear it. They do so
+/// at endpoints that are known to live: where all endpoints have failed together, a request that is sent
+/// to one that is still down would seem to have crashed it.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     suspects: KnownSuspects,
@@ -48,6 +61,8 @@
     /// Suspects with a recent complete answer, with its time, for the other gateways.
     cleared: Vec<(Quarantined, MonoMs)>,
     trials: CrashTrials,
+    /// Last time at which each endpoint sent data or was published for the first time.
+    alive: HashMap<EndpointHash, MonoMs>,
     /// What was refused at the last change.
     quarantined: HashSet<Quarantined>,
     /// What is refused since the last call of [`Self::take_newly_refused`].
@@ -73,6 +88,9 @@
     const CLEARED_MS: u64 = 5_000;
     /// Maximum number of cleared contents, and of parts, of which the other gateways are told.
     const MAX_CLEARED: usize = 32;
+    /// Time for which an endpoint's last sign of life is kept, in milliseconds: it spans the turns in
+    /// which refused requests are tried again.
+    const ALIVE_KEPT_MS: u64 = 60_000;
 
     /// Creates a tracker without crashes.
     pub fn new() -> Self {
@@ -175,9 +193,10 @@
         }
     }
 
-    /// Records that an endpoint sent data, so that it was only slow to answer requests that were given
-    /// up.
-    pub fn record_alive(&mut self, endpoint: EndpointHash) {
+    /// Records that an endpoint sent data or has just started, so that it was only slow to answer requests
+    /// that were given up.
+    pub fn record_alive(&mut self, endpoint: EndpointHash, now: MonoMs) {
+        self.alive.insert(endpoint, now);
         self.lost.record_alive(endpoint);
     }
 
@@ -283,13 +302,32 @@
         }
     }
 
-    /// Reports whether a request is refused. It isn't if it is this gateway's turn to try again what
-    /// the request would be refused for.
+    /// Reports whether a request is refused at any endpoint. It isn't if it is this gateway's turn to
+    /// try again what the request would be refused for.
     pub fn refuses(&self, request: &RequestSignature, now: MonoMs) -> bool {
         let is_refused = |it| self.is_refused(it, now) && !self.is_trial(it, request, now);
         suspects_of(request).any(is_refused)
     }
 
+    /// Returns whether a request may go to an endpoint.
+    pub fn verdict(
+        &self,
+        request: &RequestSignature,
+        endpoint: EndpointHash,
+        now: MonoMs,
+    ) -> CrashVerdict {
+        let alive_at = self.alive.get(&endpoint).copied();
+        let mut verdict = CrashVerdict::Sound;
+        for suspect in suspects_of(request).filter(|it| self.is_refused(*it, now)) {
+            let is_trial = self.is_trial(suspect, request, now);
+            if !is_trial || !self.trials.allows_endpoint(suspect, alive_at, now) {
+                return CrashVerdict::Refused;
+            }
+            verdict = CrashVerdict::Trial;
+        }
+        verdict
+    }
+
     /// Reports whether the request may try again one of its suspects, `refused`.
     fn is_trial(&self, refused: Quarantined, request: &RequestSignature, now: MonoMs) -> bool {
         let is_other_cause =
@@ -330,6 +368,7 @@
             self.record_answered(&request, now);
         }
         self.cleared.retain(|(_, at)| now.ms_since(*at) <= Self::CLEARED_MS);
+        self.alive.retain(|_, at| now.ms_since(*at) < Self::ALIVE_KEPT_MS);
         self.find_causes(now);
         let suspects = &self.suspects;
         self.trials.retain(|it| !suspects.crashes(it, now).is_empty());
--- a/crates/persimmon_decide/src/forward/crash_trials.rs
+++ b/crates/persimmon_decide/src/forward/crash_trials.rs
@@ -33,6 +33,9 @@
     /// Time from the refusal to the first trial, in milliseconds. Requests that were sent before are
     /// answered or lost by then.
     const FIRST_MS: u64 = 1_000;
+    /// Time after the first trial could be sent from which an endpoint needn't have shown that it lives,
+    /// in milliseconds. It only can if there are requests without the suspect, or if it starts again.
+    const UNPROVEN_MS: u64 = 4_000;
     /// Length of a gateway's turn, in milliseconds: the platform removes the record of an endpoint that
     /// a trial has silenced within it.
     const TURN_MS: u64 = 10_000;
@@ -95,6 +98,19 @@
         may_try && turn(now) % gateways == rank
     }
 
+    /// Reports whether a request with a refused suspect may be tried at an endpoint that last showed at
+    /// `alive_at` that it lives.
+    pub(super) fn allows_endpoint(
+        &self,
+        suspect: Quarantined,
+        alive_at: Option<MonoMs>,
+        now: MonoMs,
+    ) -> bool {
+        let Some(refusal) = self.refusals.get(&suspect) else { return false };
+        let unproven_from = refusal.since.plus_ms(Self::FIRST_MS + Self::UNPROVEN_MS);
+        alive_at.is_some_and(|at| at > refusal.since) || now >= unproven_from
+    }
+
     /// Removes the suspects for which `is_kept` is false.
     pub(super) fn retain(&mut self, is_kept: impl Fn(Quarantined) -> bool) {
         self.refusals.retain(|suspect, _| is_kept(*suspect));
--- a/crates/persimmon_decide/src/forward/health.rs
+++ b/crates/persimmon_decide/src/forward/health.rs
@@ -123,6 +123,9 @@
 }
 
 impl HealthTracker {
+    /// Time without data on any request after which an endpoint counts as unreachable, in milliseconds.
+    /// A live engine sends data several times a second.
+    pub const SILENT_MS: u64 = 600;
     /// Minimum number of failures before a failure rate counts; single failures are normal.
     const MIN_FAILURES: f64 = 2.0;
     /// Factor by which an endpoint's failure rate must exceed that of the other endpoints, in
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -45,7 +45,7 @@
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
 pub use attempt_end::{AttemptEnd, CrashEvidence, FailureReason};
 pub use crash_reports::{AnswerReport, CrashReport, CrashReports};
-pub use crash_tracker::CrashTracker;
+pub use crash_tracker::{CrashTracker, CrashVerdict};
 pub use digest::{CrashDetail, Digest, PartHolder, PeerAddress, ServiceRetries};
 pub use directory::EndpointDirectory;
 pub use duration_tracker::DurationTracker;
--- a/crates/persimmon_decide/tests/crash_model/mod.rs
+++ b/crates/persimmon_decide/tests/crash_model/mod.rs
@@ -6,7 +6,8 @@
 use std::net::IpAddr;
 
 use persimmon_decide::forward::{
-    CrashTracker, HealthSettings, HealthTracker, PromptPart, Quarantined, RequestSignature,
+    AttemptEnd, CrashEvidence, CrashTracker, CrashVerdict, FailureReason, HealthSettings,
+    HealthTracker, PromptPart, Quarantined, RequestSignature,
 };
 use persimmon_decide::load::EndpointHash;
 use persimmon_decide::{Fingerprint, MonoMs};
@@ -37,6 +38,9 @@
 const BAD_CONTENT: u64 = 999;
 /// Time without data after which gateways send a silent endpoint nothing more, as they tell each other.
 const EJECTED_AFTER_MS: u64 = 850;
+/// Interval at which an ejection ends, and the time until gateways eject the endpoint again.
+const EJECTION_MS: u64 = 1_000;
+const TRIED_MS: u64 = 150;
 /// Time without data after which a request may be given up, and for which an endpoint must be silent
 /// when the platform reports its end.
 const SILENT_MS: u64 = 600;
@@ -52,12 +56,19 @@
     SilentUnderPart,
     /// One content that comes again and again; endpoints fall silent.
     SilentUnderContent,
+    /// The same, but gateways try silent endpoints again now and then, and what waits there breaks when
+    /// they restart.
+    BrokenUnderContent,
 }
 
 impl Variant {
     fn is_silent(self) -> bool {
         self != Self::Refusing
     }
+
+    fn repeats_content(self) -> bool {
+        matches!(self, Self::SilentUnderContent | Self::BrokenUnderContent)
+    }
 }
 
 /// A random setting of the model.
@@ -131,7 +142,11 @@
     Fail {
         is_all: bool,
     },
-    Restart(usize),
+    /// The endpoint starts again, and the connections of its earlier run close.
+    Restart {
+        endpoint: usize,
+        life: u64,
+    },
     Tick,
     Digest {
         from: usize,
@@ -179,7 +194,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut setting = Setting::draw(&mut rng);
         // A request that crashes endpoints does so from its first run on.
-        setting.was_sound &= variant != Variant::SilentUnderContent;
+        setting.was_sound &= !variant.repeats_content();
         let mut fleet = Self {
             variant,
             now: 0,
@@ -236,8 +251,14 @@
                 Event::GiveUp(run) => self.give_up(run),
                 Event::Ended(life) => self.report_end(life),
                 Event::Fail { is_all } => self.fail_together(is_all),
-                Event::Restart(endpoint) => {
+                Event::Restart { endpoint, life } => {
+                    if self.variant == Variant::BrokenUnderContent {
+                        self.break_connections(life);
+                    }
                     self.lives[endpoint] = Some(self.started);
+                    for gateway in &mut self.gateways {
+                        gateway.record_alive(EndpointHash(self.started), MonoMs(self.now));
+                    }
                     self.started += 1;
                 }
                 Event::Tick => {
@@ -263,7 +284,7 @@
         let number = 1_000_000 + self.requests;
         let workspace = 10 + self.rng.random_range(0..WORKSPACE_PARTS);
         let subject = 100 + self.rng.random_range(0..SUBJECTS);
-        let is_repeated = self.variant == Variant::SilentUnderContent;
+        let is_repeated = self.variant.repeats_content();
         let third = if is_bad && !is_repeated { BAD_PART } else { subject };
         let content = match self.variant {
             Variant::Refusing => number,
@@ -297,13 +318,22 @@
             return false;
         }
         let alive = self.lives.iter().enumerate().filter_map(|(it, life)| Some((it, (*life)?)));
-        let seems_up = |it: &&(usize, u64, u64)| self.now < it.2 + EJECTED_AFTER_MS;
+        let seems_up = |it: &&(usize, u64, u64)| {
+            let silent_ms = self.now - it.2;
+            let is_tried = silent_ms % EJECTION_MS < TRIED_MS;
+            silent_ms < EJECTED_AFTER_MS || is_tried && self.variant == Variant::BrokenUnderContent
+        };
         let silent = self.silent.iter().filter(seems_up).map(|(it, life, _)| (*it, *life));
         let up: Vec<_> = alive.chain(silent).collect();
         if up.is_empty() {
             return true;
         }
         (run.endpoint, run.life) = up[self.rng.random_range(0..up.len())];
+        let verdict =
+            self.gateways[run.gateway].verdict(&run.signature, EndpointHash(run.life), now);
+        if verdict == CrashVerdict::Refused {
+            return false;
+        }
         run.sent_at = now;
         self.gateways[run.gateway].begin(&run.signature, EndpointHash(run.life), now);
         if self.variant.is_silent() {
@@ -339,6 +369,7 @@
         }
         let left_ms = self.rng.random_range(10..=self.setting.longest_ms);
         self.push(left_ms, Event::Finish(run.clone()));
+        self.gateways[run.gateway].record_alive(EndpointHash(run.life), MonoMs(self.now));
         if self.variant.is_silent() {
             self.send_data(run);
         }
@@ -348,7 +379,7 @@
         if self.is_up(&run) {
             let endpoint = EndpointHash(run.life);
             self.health[run.gateway].record_received(endpoint, true, MonoMs(self.now));
-            self.gateways[run.gateway].record_alive(endpoint);
+            self.gateways[run.gateway].record_alive(endpoint, MonoMs(self.now));
             self.push(DATA_INTERVAL_MS, Event::Data(run));
         }
     }
@@ -416,7 +447,7 @@
     fn crash(&mut self, endpoint: usize) {
         let Some(life) = self.lives[endpoint].take() else { return };
         let downtime_ms = self.setting.downtime_ms;
-        self.push(downtime_ms, Event::Restart(endpoint));
+        self.push(downtime_ms, Event::Restart { endpoint, life });
         if self.variant.is_silent() {
             self.silent.push((endpoint, life, self.now));
             let lease_ms = self.rng.random_range(700..=downtime_ms.max(900));
@@ -441,6 +472,25 @@
         }
     }
 
+    /// Ends the requests that still wait for an endpoint which was silent.
+    fn break_connections(&mut self, life: u64) {
+        let (now, endpoint) = (MonoMs(self.now), EndpointHash(life));
+        let broken: Vec<Run> = self.running.iter().filter(|it| it.life == life).cloned().collect();
+        for run in broken {
+            self.end(&run);
+            let silent_ms = self.health[run.gateway].silent_ms(endpoint, now);
+            let silent_since = MonoMs(self.now - silent_ms);
+            let end = AttemptEnd::Failed(FailureReason::Broken);
+            let evidence = end.crash_evidence_of(run.sent_at, silent_since);
+            let tracker = &mut self.gateways[run.gateway];
+            if evidence == CrashEvidence::Unanswered
+                && tracker.record_unanswered(&run.signature, endpoint, run.sent_at, now)
+            {
+                self.push(DIGEST_DELAY_MS, Event::Digest { from: run.gateway });
+            }
+        }
+    }
+
     fn fail_together(&mut self, is_all: bool) {
         let count = if is_all { self.lives.len() } else { self.lives.len() / 3 };
         (0..count).for_each(|endpoint| self.crash(endpoint));
@@ -459,7 +509,7 @@
     /// Returns the number of crashes after which the cause must be refused.
     pub(crate) fn crashes_to_refuse(&self) -> usize {
         match self.variant {
-            Variant::SilentUnderContent => CONTENT_CRASHES,
+            Variant::SilentUnderContent | Variant::BrokenUnderContent => CONTENT_CRASHES,
             Variant::Refusing | Variant::SilentUnderPart => PART_CRASHES,
         }
     }
--- a/crates/persimmon_decide/tests/forward_attempt_end.rs
+++ b/crates/persimmon_decide/tests/forward_attempt_end.rs
@@ -1,5 +1,6 @@
 //! What the end of an attempt says of its request and of its endpoint.
 
+use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{AttemptEnd, AttemptOutcome, CrashEvidence, FailureReason};
 use rstest::rstest;
 
@@ -49,6 +50,22 @@
     assert_eq!((end.crash_evidence(), end.is_healthy()), (CrashEvidence::StayedAway, None));
 }
 
+/// A process that starts again closes the connections of the one before, also those on which requests
+/// came when that one was down already.
+#[rstest]
+#[case::sent_before_the_silence(1_000, 1_000, CrashEvidence::Unanswered)]
+#[case::sent_while_slow(1_000, 1_590, CrashEvidence::Unanswered)]
+#[case::sent_to_a_dead_endpoint(1_000, 1_600, CrashEvidence::None)]
+#[case::alive_until_its_end(2_000, 1_500, CrashEvidence::Unanswered)]
+fn broken_request(
+    #[case] silent_since: u64,
+    #[case] sent_at: u64,
+    #[case] evidence: CrashEvidence,
+) {
+    let end = AttemptEnd::Failed(FailureReason::Broken);
+    assert_eq!(end.crash_evidence_of(MonoMs(sent_at), MonoMs(silent_since)), evidence);
+}
+
 /// Only what a crash looks like is worth a connection to see whether the endpoint has crashed.
 #[rstest]
 #[case::broken(FailureReason::Broken, true)]
--- a/crates/persimmon_decide/tests/forward_crash_fleet.rs
+++ b/crates/persimmon_decide/tests/forward_crash_fleet.rs
@@ -57,6 +57,9 @@
 #[case::under_a_content(Variant::SilentUnderContent, 0..60)]
 #[case::gateways_that_know_of_different_answers(Variant::SilentUnderPart, 264..265)]
 #[case::crashes_that_are_reported_late(Variant::SilentUnderPart, 250..251)]
+#[case::requests_that_wait_for_dead_endpoints(Variant::BrokenUnderContent, 12..13)]
+#[case::requests_that_break_at_a_restart(Variant::BrokenUnderContent, 46..47)]
+#[case::trials_while_endpoints_are_down(Variant::BrokenUnderContent, 274..275)]
 fn cause_that_silences_endpoints_is_refused_and_sound_requests_arent(
     #[case] variant: Variant,
     #[case] seeds: Range<u64>,
--- a/crates/persimmon_decide/tests/forward_crash_tracker.rs
+++ b/crates/persimmon_decide/tests/forward_crash_tracker.rs
@@ -238,7 +238,7 @@
         tracker.record_silent(&bad(), endpoint, MonoMs(1_000), MonoMs(1_000));
         tracker.end(&bad(), endpoint, MonoMs(1_000));
         if is_slow {
-            tracker.record_alive(endpoint);
+            tracker.record_alive(endpoint, MonoMs(1_500));
         }
         assert_eq!(tracker.record_ended(endpoint, None, MonoMs(4_000)), is_blamed);
     }
--- a/crates/persimmon_gateway/src/control/attempts.rs
+++ b/crates/persimmon_gateway/src/control/attempts.rs
@@ -2,12 +2,11 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    AttemptEnd, CrashEvidence, CrashTracker, Endpoint, EndpointState, FailureReason,
+    AttemptEnd, CrashEvidence, CrashTracker, Endpoint, EndpointState, FailureReason, HealthTracker,
 };
 use persimmon_decide::load::EndpointHash;
 
 use super::Control;
-use crate::exchange::ENDPOINT_SILENT_MS;
 use crate::in_flight::Attempt;
 
 impl Control {
@@ -35,9 +34,11 @@
         let hash = endpoint.hash;
         self.crashes.end(signature, hash, *began);
         let silent_ms = self.health.silent_ms(hash, now);
-        let stayed_away = end.crash_evidence() == CrashEvidence::StayedAway;
+        let silent_since = MonoMs(now.0.saturating_sub(silent_ms));
+        let evidence = end.crash_evidence_of(*began, silent_since);
+        let stayed_away = evidence == CrashEvidence::StayedAway;
         let is_silent = stayed_away && silent_ms >= CrashTracker::MAX_DATA_GAP_MS;
-        let must_tell = match end.crash_evidence() {
+        let must_tell = match evidence {
             CrashEvidence::Answered => self.crashes.record_answered(signature, now),
             CrashEvidence::AnsweredUnlessEnded => {
                 self.crashes.record_closed(signature, hash, *began, now);
@@ -47,8 +48,7 @@
                 self.crashes.record_unanswered(signature, hash, *began, now)
             }
             CrashEvidence::StayedAway if is_silent => {
-                let since = MonoMs(now.0.saturating_sub(silent_ms));
-                self.crashes.record_silent(signature, hash, *began, since);
+                self.crashes.record_silent(signature, hash, *began, silent_since);
                 false
             }
             CrashEvidence::StayedAway | CrashEvidence::None => false,
@@ -74,6 +74,6 @@
     /// reachable.
     pub(crate) fn silent_since(&self, endpoint: EndpointHash, now: MonoMs) -> Option<MonoMs> {
         let silent_ms = self.health.silent_ms(endpoint, now);
-        (silent_ms >= ENDPOINT_SILENT_MS).then(|| MonoMs(now.0.saturating_sub(silent_ms)))
+        (silent_ms >= HealthTracker::SILENT_MS).then(|| MonoMs(now.0.saturating_sub(silent_ms)))
     }
 }
--- a/crates/persimmon_gateway/src/control/records.rs
+++ b/crates/persimmon_gateway/src/control/records.rs
@@ -168,6 +168,9 @@
         let id = endpoint.id.clone();
         let hash = endpoint.hash;
         let previous = self.directory.insert(endpoint);
+        if previous.as_ref().is_none_or(|it| it.hash != hash) {
+            self.crashes.record_alive(hash, now);
+        }
         if let Some(previous) = previous.filter(|previous| previous.hash != hash) {
             self.prefixes.forget(previous.hash);
             self.record_ended(&previous, now);
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -12,8 +12,8 @@
 use hyper::header::{HeaderMap, HeaderName};
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    AdmissionInput, AttemptEnd, AttemptLog, Choice, Endpoint, EndpointPauses, FailureKind,
-    FailureReason, NextStep, NoChoice, PickRequest, Repeatable, StreamOrigin,
+    AdmissionInput, AttemptEnd, AttemptLog, Choice, CrashVerdict, Endpoint, EndpointPauses,
+    FailureKind, FailureReason, NextStep, NoChoice, PickRequest, Repeatable, StreamOrigin,
 };
 use persimmon_decide::load::EndpointHash;
 
@@ -43,9 +43,6 @@
 const SILENCE_TIMEOUT_FACTOR: u64 = 2;
 /// Minimum of that time, in milliseconds.
 const MIN_SILENCE_TIMEOUT_MS: u64 = 250;
-/// Time without data on any request after which an endpoint counts as unreachable, in milliseconds.
-/// A live engine sends data several times a second.
-pub(crate) const ENDPOINT_SILENT_MS: u64 = 600;
 
 /// A stream whose response head has arrived.
 #[derive(Debug)]
@@ -250,12 +247,12 @@
         let choice = match control.pick(&req, now) {
             Ok(choice) => choice,
             Err(_) if self.log.may_have_run() => return Err(Refusal::Unknown),
-            Err(NoChoice::NoEndpoint) if self.version.is_some() && self.tried.is_empty() => {
-                return Err(Refusal::VersionGone);
-            }
-            Err(NoChoice::NoEndpoint) => {
-                return Err(Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS });
+            Err(NoChoice::Full { least_fill }) => {
+                self.log_endpoints_full(&control, max_fill, least_fill, now);
+                let retry_after_ms = control.waiting_time.retry_after_ms(&plan.service, draw);
+                return Err(Refusal::Overloaded { retry_after_ms });
             }
+            Err(NoChoice::NoEndpoint) => return Err(self.no_endpoint()),
             Err(NoChoice::Paused { left_ms }) => {
                 let retry_after_ms = EndpointPauses::retry_after_ms(left_ms, draw);
                 return Err(Refusal::Paused { retry_after_ms });
@@ -264,11 +261,6 @@
                 let retry_after_ms = EndpointPauses::retry_after_ms(left_ms, draw);
                 return Err(Refusal::Limited { retry_after_ms });
             }
-            Err(NoChoice::Full { least_fill }) => {
-                self.log_endpoints_full(&control, max_fill, least_fill, now);
-                let retry_after_ms = control.waiting_time.retry_after_ms(&plan.service, draw);
-                return Err(Refusal::Overloaded { retry_after_ms });
-            }
         };
         let slots = choice.endpoint.slots;
         let wait_ms = control.waiting_time.wait_ms(&plan.service, choice.load, slots);
@@ -281,10 +273,34 @@
         if self.sends == 0 && wait_ms > 0 && is_late {
             return Err(Refusal::Overloaded { retry_after_ms: wait_ms });
         }
+        let verdict = control.crashes.verdict(&plan.signature, choice.endpoint.hash, now);
+        self.check_verdict(verdict, &choice.endpoint)?;
         control.limits.record_sent(choice.endpoint.hash, now);
         Ok(choice)
     }
 
+    /// Returns the refusal of a request for which no endpoint is left that it hasn't tried.
+    fn no_endpoint(&self) -> Refusal {
+        if self.version.is_some() && self.tried.is_empty() {
+            return Refusal::VersionGone;
+        }
+        Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS }
+    }
+
+    /// Refuses a request that may crash the endpoint, unless it is a trial.
+    fn check_verdict(&self, verdict: CrashVerdict, endpoint: &Endpoint) -> Result<(), Refusal> {
+        match verdict {
+            CrashVerdict::Sound => Ok(()),
+            CrashVerdict::Trial => {
+                tracing::info!(target: "request", id = &*self.plan.head.id,
+                    endpoint = &*endpoint.id, "a request is tried that is refused as crashing");
+                Ok(())
+            }
+            CrashVerdict::Refused if self.log.may_have_run() => Err(Refusal::Unknown),
+            CrashVerdict::Refused => Err(Refusal::Crashing),
+        }
+    }
+
     /// Returns the fill up to which an endpoint accepts this request, as a multiple of its slots.
     /// Requests with prompts and streams occupy a slot for a long time, so hardly any may queue;
     /// short calls may queue for as long as their target latency allows.
--- a/crates/persimmon_gateway/src/in_flight.rs
+++ b/crates/persimmon_gateway/src/in_flight.rs
@@ -72,9 +72,10 @@
     /// Records that the endpoint sent data.
     pub(crate) fn record_received(&self) {
         let endpoint = self.attempt.endpoint.hash;
+        let now = self.gw.clock.now();
         let mut control = self.gw.control.borrow_mut();
-        control.health.record_received(endpoint, true, self.gw.clock.now());
-        control.crashes.record_alive(endpoint);
+        control.health.record_received(endpoint, true, now);
+        control.crashes.record_alive(endpoint, now);
     }
 
     /// Ends the attempt.
--- a/crates/persimmonmountd/tests/process_gateway_crashes.rs
+++ b/crates/persimmonmountd/tests/process_gateway_crashes.rs
@@ -204,10 +204,13 @@
         assert!(late.share() >= 0.5, "{late:?}; {:#?}", self.quarantines());
     }
 
-    /// Returns what the gateways logged of requests that they refuse.
+    /// Returns what the gateways logged of requests that they refuse, and of those that they try again.
     fn quarantines(&self) -> Vec<String> {
         let lines = (0..GATEWAYS).flat_map(|gateway| self.deployment.log(gateway));
-        lines.filter(|line| line.contains("requests are refused")).collect()
+        let is_of_refusal = |line: &String| {
+            line.contains("requests are refused") || line.contains("refused as crashing")
+        };
+        lines.filter(is_of_refusal).collect()
     }
 
     fn close(self) {
