gateway: the store is watched, and records fetched, also when most of a large fleet ends

Digests that were due every 1.28 s were sent every 2 s, so the counts that placement goes by were older than designed.

Change: any gateway may begin to watch while no watcher is heard for 1.5 s; watchers send digests every 500 ms; fetching is a task of its own and asks the peers that were heard last; digests are sent when they are due; in fleets of more than 40, only watchers announce changes at once, and a gateway that starts gets one digest from each.

The model of 103 gateways of which 3, 15 or 101 are left: first watcher within 4 s (5.1 s before by design).

--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -30,6 +30,8 @@
     leaving_since: Option<MonoMs>,
     store_age_ms: Option<u32>,
     retries: Vec<(Arc<str>, ServiceRetries)>,
+    /// Time at which fetching records from it last failed.
+    failed_at: Option<MonoMs>,
 }
 
 /// Discovers the other gateways from a few seeds, and stores the content of their latest digests.
@@ -42,6 +44,8 @@
     contacts: BTreeMap<IpAddr, MonoMs>,
     /// Addresses that peers have reported, with the time of the latest contact.
     reported: BTreeMap<IpAddr, MonoMs>,
+    /// Time of the last digest of a gateway that watches the store, or else of the first digest.
+    watched_at: MonoMs,
 }
 
 impl Peer {
@@ -51,6 +55,22 @@
     fn is_cut_off_from_store(&self) -> bool {
         self.store_age_ms.is_some_and(|age_ms| u64::from(age_ms) > PeerTable::STORE_LOST_MS)
     }
+
+    /// Reports whether the peer stays, and can reach the store as far as it is known.
+    fn may_watch(&self) -> bool {
+        self.leaving_since.is_none() && !self.is_cut_off_from_store()
+    }
+
+    /// Reports whether the peer watches the store and was heard a short while ago.
+    fn is_watching(&self, now: MonoMs) -> bool {
+        let is_heard = now.ms_since(self.contact_at) <= PeerTable::WATCHER_SILENT_MS;
+        self.store_age_ms.is_some() && is_heard
+    }
+
+    /// Reports whether the peer hasn't been heard since records couldn't be fetched from it.
+    fn has_failed(&self) -> bool {
+        self.failed_at.is_some_and(|at| at >= self.contact_at)
+    }
 }
 
 impl PeerTable {
@@ -60,6 +80,18 @@
     /// milliseconds. It covers a watch that returns after 600 ms, a slow answer and the age of a
     /// digest.
     const STORE_LOST_MS: u64 = 1_100;
+    /// Maximum interval between the digests of a gateway that watches the store, in milliseconds. It
+    /// bounds the time until the others notice that it has ended.
+    const WATCHER_INTERVAL_MS: u64 = 500;
+    /// Time without a digest after which a watcher counts as gone, in milliseconds: three of its
+    /// digests.
+    const WATCHER_SILENT_MS: u64 = 1_500;
+    /// Mean number of gateways that begin to watch the store in one check, once no watcher is heard.
+    const VOLUNTEERS: u64 = 8;
+    /// Number of peers among which one is chosen to fetch records from.
+    const FETCH_CHOICES: usize = 4;
+    /// Maximum number of peers up to which a gateway that has fetched changes announces them itself.
+    const MAX_ECHO_PEERS: usize = 40;
     /// Minimum time for which the counts of a silent peer are used, in milliseconds. It spans
     /// several digests, so that the peer's requests stay counted when a datagram is lost.
     pub const SILENT_MS: u64 = 1_500;
@@ -87,7 +119,7 @@
     /// Creates a table that contains only the seeds.
     pub fn new(own: IpAddr, seeds: Vec<IpAddr>) -> Self {
         let (peers, contacts, reported) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Self { own, seeds, peers, contacts, reported }
+        Self { own, seeds, peers, contacts, reported, watched_at: MonoMs(0) }
     }
 
     /// Replaces the seeds.
@@ -104,6 +136,9 @@
         if known.is_some_and(|peer| digest.sequence <= peer.sequence) {
             return DigestFreshness::Stale;
         }
+        if digest.store_age_ms.is_some() || self.peers.is_empty() {
+            self.watched_at = now;
+        }
         let leaving_since = known.and_then(|peer| peer.leaving_since).unwrap_or(now);
         let freshness =
             if known.is_some() { DigestFreshness::Newer } else { DigestFreshness::NewIncarnation };
@@ -116,6 +151,7 @@
             leaving_since: digest.is_leaving.then_some(leaving_since),
             store_age_ms: digest.store_age_ms,
             retries: digest.retries.clone(),
+            failed_at: None,
         };
         self.peers.insert(from, peer);
         self.contacts.insert(from, now);
@@ -180,9 +216,17 @@
 
     /// Returns the interval between two digests, in milliseconds. It grows with the fleet, to limit
     /// the rate of digests that each gateway receives.
-    pub fn interval_ms(&self) -> u64 {
+    pub fn interval_ms(&self, is_watching: bool) -> u64 {
         let peers = self.targets().len() as u64;
-        (peers * 1_000 / Self::MAX_RECEIVED_PER_S).max(Self::MIN_INTERVAL_MS)
+        let interval_ms = (peers * 1_000 / Self::MAX_RECEIVED_PER_S).max(Self::MIN_INTERVAL_MS);
+        if is_watching { interval_ms.min(Self::WATCHER_INTERVAL_MS) } else { interval_ms }
+    }
+
+    /// Reports whether a gateway that has new records sends a digest at once. In a large fleet, only
+    /// those that read them from the store do: every gateway hears these, and announcements by all to
+    /// all would grow with the square of their number.
+    pub fn announces_changes(&self, is_watching: bool) -> bool {
+        is_watching || self.peers.len() <= Self::MAX_ECHO_PEERS
     }
 
     /// Returns the time without a digest after which a peer counts as silent, in milliseconds.
@@ -236,25 +280,42 @@
         ahead.max_by_key(|(_, peer)| peer.routes).map(|(ip, _)| *ip)
     }
 
-    /// Returns a peer whose revision is later than `revision`; the random number `draw` chooses
-    /// among several.
+    /// Returns a peer whose revision is later than `revision`. The random number `draw` chooses among
+    /// those that were heard last, since others may have ended.
     pub fn ahead_of(&self, revision: u64, draw: u64, now: MonoMs) -> Option<IpAddr> {
-        let ahead: Vec<_> = self
-            .live(now)
-            .filter(|(_, peer)| peer.revision > revision)
-            .map(|(ip, _)| *ip)
-            .collect();
+        let is_ahead = |peer: &Peer| peer.revision > revision && !peer.has_failed();
+        let mut ahead: Vec<_> = self.live(now).filter(|(_, peer)| is_ahead(peer)).collect();
+        ahead.sort_by_key(|(_, peer)| std::cmp::Reverse(peer.contact_at));
+        ahead.truncate(Self::FETCH_CHOICES);
         let at = draw.checked_rem(ahead.len() as u64)?;
-        ahead.get(usize::try_from(at).ok()?).copied()
+        ahead.get(usize::try_from(at).ok()?).map(|(ip, _)| **ip)
+    }
+
+    /// Records that records couldn't be fetched from a peer. It isn't asked again until it is heard.
+    pub fn record_fetch_failed(&mut self, ip: IpAddr, now: MonoMs) {
+        if let Some(peer) = self.peers.get_mut(&ip) {
+            peer.failed_at = Some(now);
+        }
     }
 
-    /// Reports whether this gateway should watch the platform's store. The first few gateways in
-    /// address order do; one that can't reach the store or is shutting down is replaced by the
-    /// next.
-    pub fn should_watch(&self, now: MonoMs) -> bool {
-        let stays = |peer: &Peer| peer.leaving_since.is_none() && !peer.is_cut_off_from_store();
-        let before = self.live(now).filter(|(ip, peer)| **ip < self.own && stays(peer));
-        before.count() < Self::WATCHERS
+    /// Reports whether this gateway should watch the platform's store; `is_watching` says whether it
+    /// does now.
+    ///
+    /// The first few gateways in address order do; one that can't reach the store or is shutting down
+    /// is replaced by the next. Handles most gateways of a large fleet that end at one moment: it takes
+    /// seconds until all of them count as gone, among them those that are next in order. So while no
+    /// watcher is heard, any gateway may begin, by the random number `draw`, and those that are first
+    /// in order among the actual watchers go on.
+    pub fn should_watch(&self, is_watching: bool, draw: u64, now: MonoMs) -> bool {
+        let before = self.live(now).filter(|(ip, peer)| **ip < self.own && peer.may_watch());
+        if is_watching {
+            return before.filter(|(_, peer)| peer.is_watching(now)).count() < Self::WATCHERS;
+        }
+        if before.count() < Self::WATCHERS {
+            return true;
+        }
+        let is_watched = now.ms_since(self.watched_at) <= Self::WATCHER_SILENT_MS;
+        !is_watched && draw % (self.contacts.len() as u64).max(1) < Self::VOLUNTEERS
     }
 
     /// Returns the milliseconds until a gateway may be available again if every gateway is shutting
--- a/crates/persimmon_decide/src/forward/prefix_map.rs
+++ b/crates/persimmon_decide/src/forward/prefix_map.rs
@@ -111,18 +111,30 @@
         let mut announced: Vec<_> = self.unannounced.drain(..count).collect();
         for _ in 0..max_repeated.min(self.rotation.len()) {
             let Some(part) = self.rotation.pop_front() else { break };
-            let holders = self.holders.get(&part).map_or(&[][..], Vec::as_slice);
-            let fresh = holders.iter().filter(|it| now.ms_since(it.used_at) < Self::HOLDER_TTL_MS);
-            let Some(newest) = fresh.max_by_key(|it| it.used_at) else {
+            let Some(holder) = self.newest_holder(part, now) else {
                 self.in_rotation.remove(&part);
                 continue;
             };
-            announced.push(PartHolder { part, endpoint: newest.endpoint });
+            announced.push(holder);
             self.rotation.push_back(part);
         }
         announced
     }
 
+    /// Returns one holder for each of up to `max` shared parts, those first that were used or announced
+    /// last, for a gateway that has just started.
+    pub fn known_holders(&self, max: usize, now: MonoMs) -> Vec<PartHolder> {
+        let parts = self.rotation.iter().rev();
+        parts.filter_map(|part| self.newest_holder(*part, now)).take(max).collect()
+    }
+
+    fn newest_holder(&self, part: u64, now: MonoMs) -> Option<PartHolder> {
+        let holders = self.holders.get(&part)?.iter();
+        let fresh = holders.filter(|it| now.ms_since(it.used_at) < Self::HOLDER_TTL_MS);
+        let newest = fresh.max_by_key(|it| it.used_at)?;
+        Some(PartHolder { part, endpoint: newest.endpoint })
+    }
+
     /// Returns the length of the prompt's prefix that each endpoint has probably cached, in tokens,
     /// longest first.
     pub fn cached(&self, parts: &[PromptPart], now: MonoMs) -> Vec<(EndpointHash, u32)> {
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -4,6 +4,8 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{Digest, DigestFreshness, PeerAddress, PeerTable, ServiceRetries};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 
 fn ip(last: u8) -> IpAddr {
@@ -55,13 +57,13 @@
     #[case] digest_of: impl Fn(u8) -> Digest,
     #[case] expected: bool,
 ) {
-    assert_eq!(last_of_five(digest_of).should_watch(MonoMs(1_050)), expected);
+    assert_eq!(last_of_five(digest_of).should_watch(false, u64::MAX, MonoMs(1_050)), expected);
 }
 
 #[test]
 fn should_watch_replaces_silent_peers() {
     let peers = last_of_five(|_| digest(1));
-    assert!(peers.should_watch(MonoMs(1_000 + PeerTable::SILENT_MS + 1)));
+    assert!(peers.should_watch(false, u64::MAX, MonoMs(1_000 + PeerTable::SILENT_MS + 1)));
 }
 
 /// A peer never counts as silent between two of its digests, however large the fleet is.
@@ -80,13 +82,89 @@
         for other in (0..gateways).filter(|other| *other != own) {
             peers.record_digest(address(other), &digest(1), MonoMs(1_000));
         }
-        let before_next = MonoMs(1_000 + peers.interval_ms() + 50);
+        let before_next = MonoMs(1_000 + peers.interval_ms(false) + 50);
+        for watcher in (0..2).filter(|other| *other != own) {
+            let latest = Digest { store_age_ms: Some(100), ..digest(2) };
+            peers.record_digest(address(watcher), &latest, MonoMs(before_next.0 - 400));
+        }
         assert_eq!(peers.gateways(before_next), usize::from(gateways));
-        watchers += usize::from(peers.should_watch(before_next));
+        watchers += usize::from(peers.should_watch(false, u64::MAX, before_next));
     }
     assert_eq!(watchers, 2);
 }
 
+/// All gateways of a large fleet but a few end at one moment. The others count as running for seconds,
+/// among them all that are first in order.
+#[rstest]
+#[case::few_are_left(3)]
+#[case::some_are_left(15)]
+#[case::only_the_watchers_end(101)]
+fn should_watch_begins_soon_when_watchers_end(#[case] left: u16) {
+    const GATEWAYS: u16 = 103;
+    const CHECK_MS: u64 = 100;
+    const MAX_MS: u64 = 4_000;
+    let address = |number: u16| IpAddr::from([10, 0, 0, number as u8]);
+    let mut rng = Pcg64Mcg::seed_from_u64(u64::from(left));
+    let mut fleet: Vec<_> = (GATEWAYS - left..GATEWAYS)
+        .map(|own| {
+            let mut peers = PeerTable::new(address(own), Vec::new());
+            for other in (0..GATEWAYS).filter(|other| *other != own) {
+                let store_age_ms = (other < 2).then_some(100);
+                peers.record_digest(
+                    address(other),
+                    &Digest { store_age_ms, ..digest(1) },
+                    MonoMs(1_000),
+                );
+            }
+            (own, peers, false)
+        })
+        .collect();
+    let (mut first, mut most) = (None, 0);
+    for check in 0..100 {
+        let now = MonoMs(1_000 + check * CHECK_MS);
+        for (_, peers, is_watching) in &mut fleet {
+            *is_watching = peers.should_watch(*is_watching, rng.random(), now);
+        }
+        let watching: Vec<_> = fleet.iter().filter(|it| it.2).map(|it| it.0).collect();
+        if !watching.is_empty() {
+            first.get_or_insert(now.0 - 1_000);
+            most = most.max(watching.len());
+        }
+        // The digests of those that are left.
+        for own in GATEWAYS - left..GATEWAYS {
+            let store_age_ms = watching.contains(&own).then_some(50);
+            let next = Digest { store_age_ms, ..digest(2 + check) };
+            for (_, peers, _) in fleet.iter_mut().filter(|it| it.0 != own) {
+                peers.record_digest(address(own), &next, now);
+            }
+        }
+    }
+    let at_end: Vec<_> = fleet.iter().filter(|it| it.2).map(|it| it.0).collect();
+    assert!(first.is_some_and(|ms| ms <= MAX_MS), "{first:?}");
+    assert!(most <= 24, "{most} gateways watched at one time");
+    assert_eq!(at_end, [GATEWAYS - left, GATEWAYS - left + 1]);
+}
+
+/// Peers that have ended still count as live for seconds in a large fleet.
+#[test]
+fn ahead_of_prefers_peers_that_were_heard_last() {
+    let mut peers = PeerTable::new(ip(250), Vec::new());
+    for number in 1..=100 {
+        peers.record_digest(ip(number), &Digest { revision: 9, ..digest(1) }, MonoMs(1_000));
+    }
+    peers.record_digest(ip(50), &Digest { revision: 9, ..digest(2) }, MonoMs(2_000));
+    for number in 60..=62 {
+        peers.record_digest(ip(number), &Digest { revision: 8, ..digest(2) }, MonoMs(1_900));
+    }
+    let chosen: Vec<_> = (0..4).filter_map(|it| peers.ahead_of(7, it, MonoMs(2_100))).collect();
+    assert_eq!(chosen, [ip(50), ip(60), ip(61), ip(62)]);
+    peers.record_fetch_failed(ip(50), MonoMs(2_200));
+    let chosen = (0..4).filter_map(|it| peers.ahead_of(7, it, MonoMs(2_200)));
+    assert!(chosen.into_iter().all(|it| it != ip(50)));
+    peers.record_digest(ip(50), &Digest { revision: 9, ..digest(3) }, MonoMs(2_300));
+    assert_eq!(peers.ahead_of(7, 0, MonoMs(2_300)), Some(ip(50)));
+}
+
 #[test]
 fn addresses_limits_each_draw_and_covers_all_peers() {
     let mut peers = PeerTable::new(ip(250), Vec::new());
@@ -104,7 +182,7 @@
 
 #[test]
 fn should_watch_alone() {
-    assert!(PeerTable::new(ip(9), vec![ip(9)]).should_watch(MonoMs(0)));
+    assert!(PeerTable::new(ip(9), vec![ip(9)]).should_watch(false, u64::MAX, MonoMs(0)));
 }
 
 #[test]
--- a/crates/persimmon_gateway/src/control/digests.rs
+++ b/crates/persimmon_gateway/src/control/digests.rs
@@ -6,7 +6,7 @@
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
     CrashDetail, CrashReport, Digest, DigestFreshness, Endpoint, EndpointState, LimitReport,
-    StoreEra,
+    PartHolder, StoreEra,
 };
 
 use super::Control;
@@ -34,6 +34,10 @@
 /// Maximum number of repeated announcements in one round of digests to all peers; with more peers,
 /// each digest contains fewer.
 const MAX_REPEATED_HOLDERS_PER_ROUND: usize = 250;
+/// Maximum number of such endpoints in a digest to a gateway that has just started, and the number that
+/// it gets from all peers together.
+const MAX_NEWCOMER_HOLDERS: usize = 400;
+const NEWCOMER_HOLDERS: usize = 6_400;
 
 impl Control {
     /// Marks draining endpoints as leaving when the store has come back from a copy: gateways that start
@@ -53,11 +57,26 @@
 
     /// Creates the next digest for the other gateways.
     pub(crate) fn digest(&mut self, now: MonoMs) -> Digest {
+        let targets = self.peers.targets().len().max(1);
+        let repeated = MAX_DIGEST_REPEATED_HOLDERS.min(MAX_REPEATED_HOLDERS_PER_ROUND / targets);
+        let holders = self.prefixes.take_announcements(MAX_DIGEST_NEW_HOLDERS, repeated, now);
+        self.digest_with(holders, now)
+    }
+
+    /// Creates the next digest for gateways that weren't known. It holds more of what changes seldom, and
+    /// leaves what is new to the next one for all.
+    pub(crate) fn newcomer_digest(&mut self, now: MonoMs) -> Digest {
+        let targets = self.peers.targets().len().max(1);
+        let max = MAX_NEWCOMER_HOLDERS.min(NEWCOMER_HOLDERS / targets);
+        let holders = self.prefixes.known_holders(max, now);
+        self.digest_with(holders, now)
+    }
+
+    fn digest_with(&mut self, holders: Vec<PartHolder>, now: MonoMs) -> Digest {
         self.mark_draining_if_restored(now);
         self.sequence += 1;
         let draw = self.draw();
         let targets = self.peers.targets().len().max(1);
-        let repeated = MAX_DIGEST_REPEATED_HOLDERS.min(MAX_REPEATED_HOLDERS_PER_ROUND / targets);
         let retries = self.retries.iter().map(|(name, it)| (name.clone(), it.counts(now)));
         let max_crashes = MAX_DIGEST_CRASHES.min(MAX_CRASHES_PER_ROUND / targets);
         let reports = self.crashes.reports(max_crashes, now);
@@ -79,7 +98,7 @@
             ejections: self.health.ejections(now).collect(),
             outcomes: self.health.outcomes(MAX_DIGEST_OUTCOMES, now),
             retries: retries.filter(|(_, it)| it.fresh + it.repeated > 0).collect(),
-            holders: self.prefixes.take_announcements(MAX_DIGEST_NEW_HOLDERS, repeated, now),
+            holders,
             crashes: contents.map(|it| (it.suspect, it.endpoint)).collect(),
             crash_details: details.collect(),
             content_answers: reports.content_answers,
@@ -116,6 +135,7 @@
         }
         if freshness == DigestFreshness::NewIncarnation {
             self.update_gateways(now);
+            self.newcomers.push(from);
         }
         let changed = digest.limits.iter().filter(|it| self.limits.record_peer(it, now));
         self.changed_limits.extend(changed);
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod streams;
 
 use std::collections::{HashMap, HashSet};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -57,6 +58,10 @@
     pub(crate) shares: WorkspaceShares,
     /// Time of the store's last answer; none while this gateway doesn't watch the store.
     pub(crate) store_contact: Option<MonoMs>,
+    /// Whether this gateway reads the store, or tries to.
+    pub(crate) is_watching: bool,
+    /// Gateways that weren't known and haven't got a digest since.
+    pub(crate) newcomers: Vec<IpAddr>,
     /// Number of requests in progress.
     pub(crate) in_progress: usize,
     /// End of the last request.
@@ -108,6 +113,8 @@
             shares: WorkspaceShares::new(),
             admission: Admission::new(AdmissionSettings::default()),
             store_contact: None,
+            is_watching: true,
+            newcomers: Vec::new(),
             in_progress: 0,
             idle_since: now,
             retries: HashMap::new(),
@@ -200,6 +207,12 @@
         self.retries.entry(service.clone()).or_insert_with(|| RetryWindow::new(settings))
     }
 
+    /// Reports whether this gateway should read the store.
+    pub(crate) fn should_watch(&mut self, now: MonoMs) -> bool {
+        let draw = self.draw();
+        self.peers.should_watch(self.is_watching, draw, now)
+    }
+
     /// Removes the loads and outcomes reported by peers that no longer send digests.
     pub(crate) fn expire(&mut self, now: MonoMs) {
         for peer in self.peers.expire(now) {
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -33,6 +33,10 @@
     /// Notified when a change should be sent to the other gateways without waiting for the next
     /// regular digest.
     pub(crate) digest_due: Notify,
+    /// Notified when a gateway that wasn't known is to get a digest.
+    pub(crate) newcomer: Notify,
+    /// Notified when a peer has later records.
+    pub(crate) peer_ahead: Notify,
     pub(crate) streams: StreamExchange,
 }
 
@@ -53,6 +57,8 @@
             body_bytes: Cell::new(0),
             configured: Notify::new(),
             digest_due: Notify::new(),
+            newcomer: Notify::new(),
+            peer_ahead: Notify::new(),
             streams: StreamExchange::default(),
         }
     }
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod logging;
 mod metrics;
 mod ops;
+mod peer_records;
 mod peers;
 mod plan;
 mod platform;
--- a/crates/persimmon_gateway/src/run.rs
+++ b/crates/persimmon_gateway/src/run.rs
@@ -13,6 +13,7 @@
 use crate::http;
 use crate::metrics::Metrics;
 use crate::ops;
+use crate::peer_records;
 use crate::peers;
 use crate::platform::Platform;
 use crate::settings::GatewaySettings;
@@ -87,6 +88,7 @@
     spawn_local(stream_versions::tell_begun(gw.clone()));
     spawn_local(peers::receive(gw.clone(), socket.clone()));
     spawn_local(peers::send(gw.clone(), socket));
+    spawn_local(peer_records::follow(gw.clone()));
     spawn_local(callers::accept_callers(gw.clone(), callers));
     Ok(())
 }
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -121,13 +121,18 @@
 
 /// Waits until this gateway should watch the store. Only a few gateways do so at a time.
 async fn wait_for_turn<P: Platform>(gw: &Rc<Gateway<P>>, reader: &mut Reader) {
-    gw.control.borrow_mut().store_contact = None;
+    {
+        let mut control = gw.control.borrow_mut();
+        control.store_contact = None;
+        control.is_watching = false;
+    }
     tracing::info!(target: "store", "other gateways watch the store");
     loop {
         tokio::time::sleep(Duration::from_millis(WATCH_CHECK_INTERVAL_MS)).await;
         let now = gw.clock.now();
         let mut control = gw.control.borrow_mut();
-        if control.peers.should_watch(now) {
+        if control.should_watch(now) {
+            control.is_watching = true;
             let is_store_lost = control.peers.is_store_lost(now);
             if is_store_lost {
                 // Records may have expired while the other gateways couldn't reach the store.
@@ -156,7 +161,7 @@
 /// Lists and watches over one connection until it fails, or until this gateway should no longer
 /// watch the store.
 async fn session<P: Platform>(gw: &Rc<Gateway<P>>, reader: &mut Reader) -> Result<(), StoreError> {
-    if reader.is_synced && !gw.control.borrow().peers.should_watch(gw.clock.now()) {
+    if reader.is_synced && !gw.control.borrow_mut().should_watch(gw.clock.now()) {
         return Ok(());
     }
     let own = gw.settings.peers.ip();
@@ -171,7 +176,7 @@
         reader.revision = listed?;
         reader.is_synced = true;
     }
-    while gw.control.borrow().peers.should_watch(gw.clock.now()) {
+    while gw.control.borrow_mut().should_watch(gw.clock.now()) {
         let known = reader.revision.max(gw.control.borrow().view.revision());
         let watched = watch(gw, &mut connection, known).await;
         record_call(gw, "watch", &watched);
@@ -322,8 +327,10 @@
     if changes.is_empty() {
         return;
     }
-    gw.digest_due.notify_one();
     let mut control = gw.control.borrow_mut();
+    if control.peers.announces_changes(control.is_watching) {
+        gw.digest_due.notify_one();
+    }
     let applied = control.apply(&gw.platform, changes, gw.clock.now());
     let position = control.view.revision();
     let revision = StoreEra::revision(position);
