Picker: short calls aren't sent by counts older than they are

Load: 389 calls a second of 30 ms through 103 gateways to six endpoints of six slots, and twice that. Cause: peers' counts come every 1.28 s.

Change: a count weighs as much as a call is long compared with the interval, against the mean of all counts; loads are rounded to steps that grow as the weight falls, from a random start for each request. Placement of prompts is as before.

--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -59,7 +59,7 @@
 pub use idle_limit::IdleLimit;
 pub use load_tracker::{EndpointLoad, LoadTracker};
 pub use peer_table::{DigestFreshness, PeerTable};
-pub use picker::{Choice, FleetView, NoChoice, PickRequest, Picker, PickerSettings};
+pub use picker::{Choice, FleetView, NoChoice, PickRequest, Picker, PickerSettings, count_weight};
 pub use prefix_map::{PrefixMap, PromptPart};
 pub use request_signature::{Quarantined, RequestSignature};
 pub use retry_window::{RetryWindow, RetryWindowSettings};
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -114,10 +114,23 @@
     pub tried: &'a [EndpointHash],
     /// Availability zone of the gateway.
     pub zone: &'a str,
+    /// Weight of what peers report of one endpoint's load, against the mean of what they report; see
+    /// [`count_weight`]. It only matters for requests without a prompt.
+    pub count_weight: f64,
     /// Random number that breaks ties.
     pub draw: u64,
 }
 
+/// Returns the weight of peers' counts that are up to `age_ms` old, for requests that take `answer_ms`.
+///
+/// Handles short calls in large fleets: when a count arrives, the requests that it counted have long
+/// ended, and all gateways that go by it send theirs to the same endpoint until the next one. The
+/// weight is never zero, so that lasting differences still count.
+pub fn count_weight(answer_ms: u64, age_ms: u64) -> f64 {
+    const MIN_WEIGHT: f64 = 0.02;
+    (answer_ms as f64 / age_ms.max(1) as f64).clamp(MIN_WEIGHT, 1.0)
+}
+
 impl PickRequest<'_> {
     /// Reports whether the request may go to an endpoint: it hasn't failed the request, and has the
     /// right version.
@@ -199,19 +212,21 @@
 struct Candidate {
     endpoint: Arc<Endpoint>,
     load: EndpointLoad,
+    /// Requests that are probably in progress now, given the age of the peers' counts.
+    expected: f64,
 }
 
 impl Candidate {
     /// Returns the requests in progress as a multiple of the endpoint's slots.
     fn fill(&self) -> f64 {
-        f64::from(self.load.requests) / f64::from(self.endpoint.slots)
+        self.expected / f64::from(self.endpoint.slots)
     }
 
     fn to_choice(&self) -> Choice {
         Choice {
             endpoint: self.endpoint.clone(),
             fetch_from: None,
-            load: self.load.requests,
+            load: self.expected.round() as u32,
             cached_tokens: 0,
             unread_tokens: 0,
         }
@@ -235,6 +250,7 @@
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
             endpoint: endpoint.clone(),
             load: view.loads.total(endpoint.hash),
+            expected: 0.0,
         };
         let is_open = |it: &&Arc<Endpoint>| view.is_open(it.hash);
         let open = view.endpoints.ready(req.service).filter(is_open);
@@ -245,6 +261,14 @@
         }
         let requests: u32 = ready.iter().map(|it| it.load.requests).sum();
         let mean = f64::from(requests) / ready.len().max(1) as f64;
+        let own: u32 = ready.iter().map(|it| view.loads.own(it.endpoint.hash)).sum();
+        let mean_of_peers = f64::from(requests.saturating_sub(own)) / ready.len().max(1) as f64;
+        for it in &mut ready {
+            let own = view.loads.own(it.endpoint.hash);
+            let of_peers = f64::from(it.load.requests.saturating_sub(own));
+            let weight = if req.parts.is_empty() { req.count_weight } else { 1.0 };
+            it.expected = f64::from(own) + weight * of_peers + (1.0 - weight) * mean_of_peers;
+        }
         let failing = view.health.failing(ready.iter().map(|it| it.endpoint.hash), view.now);
         // A failed trial costs the caller its request unless the request can be repeated.
         let is_trial = req.may_repeat && view.health.is_trial(req.draw);
@@ -287,8 +311,7 @@
         let least_fill = least_fill.ok_or(NoChoice::NoEndpoint)?;
         // Rounds so that a fractional limit doesn't leave slots of small endpoints idle.
         let max_requests = |slots: u32| (max_fill * f64::from(slots)).round().max(1.0);
-        let has_room =
-            |it: &Candidate| f64::from(it.load.requests + 1) <= max_requests(it.endpoint.slots);
+        let has_room = |it: &Candidate| it.expected + 1.0 <= max_requests(it.endpoint.slots);
         self.usable.retain(has_room);
         if self.usable.is_empty() { Err(NoChoice::Full { least_fill }) } else { Ok(self) }
     }
@@ -302,9 +325,21 @@
 
     /// Returns the least loaded endpoint, where the failure rate counts as load. Among equals, an
     /// endpoint in the gateway's own zone is preferred.
+    ///
+    /// The less the peers' counts say, the larger is the step to which loads are rounded, from a random
+    /// start for each request: otherwise every gateway would follow the same small differences.
     fn least_loaded(&self, req: &PickRequest<'_>, view: FleetView<'_>) -> Option<&Candidate> {
-        let cost =
-            |it: &Candidate| it.fill() + view.health.failure_rate(it.endpoint.hash, view.now);
+        const MAX_STEP: f64 = 0.5;
+        let step = MAX_STEP * (1.0 - req.count_weight);
+        let start = req.draw as f64 / u64::MAX as f64;
+        let rounded = |it: &Candidate| match step {
+            0.0 => it.expected,
+            step => (it.expected / step + start).floor() * step,
+        };
+        let cost = |it: &Candidate| {
+            let fill = rounded(it) / f64::from(it.endpoint.slots);
+            fill + view.health.failure_rate(it.endpoint.hash, view.now)
+        };
         let is_other_zone = |it: &Candidate| *it.endpoint.zone != *req.zone;
         let score = |it: &Candidate| rendezvous_score(ChatKey(req.draw), it.endpoint.hash, 1);
         let costs = self.usable.iter().map(|it| (it, cost(it)));
--- a/crates/persimmon_decide/tests/forward_endpoint_limits.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_limits.rs
@@ -164,6 +164,7 @@
             version: None,
             tried: &[],
             zone: "zone-a",
+            count_weight: 1.0,
             draw: 0,
         };
         let view = FleetView {
--- a/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
@@ -60,6 +60,7 @@
             version: None,
             tried,
             zone: "zone-a",
+            count_weight: 1.0,
             draw,
         };
         Picker::new(PickerSettings::default()).pick(&req, view)
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -59,6 +59,7 @@
             version: None,
             tried: &[],
             zone: "zone-a",
+            count_weight: 1.0,
             draw: self.rng.random(),
         };
         let view = FleetView {
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -72,6 +72,7 @@
             version: None,
             tried,
             zone: "zone-a",
+            count_weight: 1.0,
             draw,
         };
         self.pick_req(&req).ok()
@@ -253,6 +254,7 @@
         version: None,
         tried: &[],
         zone: "zone-a",
+        count_weight: 1.0,
         draw: 1,
     };
     let picked = gateway.pick_req(&req);
@@ -284,6 +286,7 @@
         version: None,
         tried: &[],
         zone: "zone-a",
+        count_weight: 1.0,
         draw: 1,
     };
     while let Ok(choice) = gateway.pick_req(&req) {
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -17,7 +17,7 @@
     HealthTracker, IdleLimit, LimitReport, LoadTracker, NoChoice, PeerTable, PickRequest, Picker,
     PrefixMap, Rank, RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown,
     ShutdownSettings, StartupRecords, StoreEra, StoreView, StreamHolders, StreamVersions,
-    WaitingTime, WorkspaceShares,
+    WaitingTime, WorkspaceShares, count_weight,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Returns the weight of peers' counts for requests to a service that need no prompt.
+    pub(crate) fn count_weight(&self, service: &str) -> f64 {
+        match self.waiting_time.mean_ms(service) {
+            0 => 1.0,
+            answer_ms => count_weight(answer_ms, self.peers.interval_ms(false)),
+        }
+    }
+
     /// Picks an endpoint for a request.
     ///
     /// # Errors
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -241,6 +241,7 @@
             version: self.version.as_deref(),
             tried: &self.tried,
             zone: &self.gw.settings.zone,
+            count_weight: control.count_weight(&plan.service),
             draw,
         };
         let now = self.gw.clock.now();
