gateway: connections with unfinished heads give way to new ones

Cause: only idle connections gave way, so that none of 50 honest callers was served until the heads' time-out (reset at the first call in the process test).

Change: which connection gives way is a decision: unfinished heads of 500 ms and more first, the oldest one of the address with most of them, then idle connections, then heads that have just begun. What is closed is logged, at a limited rate, and counted.

--- /dev/null
+++ b/crates/persimmon_decide/src/forward/caller_room.rs
@@ -0,0 +1,64 @@
+//! Which open connection gives way when a gateway has no room for a new one.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::net::IpAddr;
+
+use crate::MonoMs;
+
+/// What a caller does on an open connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerActivity {
+    /// Nothing, since its last answer or since the connection was opened.
+    Idle,
+    /// It has sent a part of a request's head.
+    PartialHead,
+    /// It has a request in progress.
+    Request,
+}
+
+/// An open connection of a caller.
+#[derive(Debug, Clone, Copy)]
+pub struct OpenConnection<K> {
+    /// Key of the connection.
+    pub key: K,
+    /// Address of the caller.
+    pub address: IpAddr,
+    /// What the caller does.
+    pub activity: CallerActivity,
+    /// Start of the activity.
+    pub since: MonoMs,
+}
+
+/// Age from which an unfinished head gives way before idle connections, in milliseconds. A sound
+/// caller's head arrives within a few round trips.
+const MIN_HEAD_AGE_MS: u64 = 500;
+
+/// Returns the connection that gives way to a new one; none if each has a request in progress.
+///
+/// Handles callers that open more connections than the gateway can hold and send only parts of heads, or
+/// nothing: a new connection usually has a request. Unfinished heads give way first, then idle
+/// connections, the longest first, and then heads that have only just begun. Of unfinished heads, the
+/// oldest one of the address with most of them gives way, so that a slow caller isn't cut for the
+/// connections of another.
+pub fn connection_to_close<K: Copy>(open: &[OpenConnection<K>], now: MonoMs) -> Option<K> {
+    let of = |activity| open.iter().filter(move |it| it.activity == activity);
+    let is_old = |it: &&OpenConnection<K>| now.ms_since(it.since) >= MIN_HEAD_AGE_MS;
+    let heads = || of(CallerActivity::PartialHead);
+    let chosen = oldest_of_most(heads().filter(is_old))
+        .or_else(|| of(CallerActivity::Idle).min_by_key(|it| it.since))
+        .or_else(|| oldest_of_most(heads()));
+    chosen.map(|it| it.key)
+}
+
+/// Returns the oldest connection of the address that has most of these.
+fn oldest_of_most<'a, K>(
+    connections: impl Iterator<Item = &'a OpenConnection<K>>,
+) -> Option<&'a OpenConnection<K>> {
+    let connections: Vec<_> = connections.collect();
+    let mut counts: HashMap<IpAddr, usize> = HashMap::new();
+    for it in &connections {
+        *counts.entry(it.address).or_default() += 1;
+    }
+    connections.into_iter().max_by_key(|it| (counts[&it.address], Reverse(it.since)))
+}
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod attempt;
 mod attempt_end;
+mod caller_room;
 mod crash_reports;
 mod crash_suspects;
 mod crash_tracker;
@@ -44,6 +45,7 @@
 pub use admission::{Admission, AdmissionInput, AdmissionSettings};
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
 pub use attempt_end::{AttemptEnd, CrashEvidence, FailureReason};
+pub use caller_room::{CallerActivity, OpenConnection, connection_to_close};
 pub use crash_reports::{AnswerReport, CrashReport, CrashReports};
 pub use crash_tracker::{CrashTracker, CrashVerdict};
 pub use digest::{CrashDetail, Digest, PartHolder, PeerAddress, ServiceRetries};
--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{CallerActivity, OpenConnection, connection_to_close};
 use slotmap::{SlotMap, new_key_type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -46,6 +48,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     clock: Clock,
+    address: IpAddr,
     /// End of the last answer, or the time when the connection was opened.
     idle_since: Cell<MonoMs>,
     /// Arrival of a request head's first byte; none unless the head is still incomplete.
@@ -57,9 +60,10 @@
 }
 
 impl CallerConnection {
-    fn new(clock: Clock) -> Self {
+    fn new(clock: Clock, address: IpAddr) -> Self {
         Self {
             clock,
+            address,
             idle_since: Cell::new(clock.now()),
             head_since: Cell::new(None),
             is_busy: Cell::new(false),
@@ -86,9 +90,13 @@
         self.idle_since.set(self.clock.now());
     }
 
-    /// Reports whether the connection has no request in progress, not even a partial head.
-    fn is_idle(&self) -> bool {
-        !self.is_busy.get() && !self.is_closing.get() && self.head_since.get().is_none()
+    /// Returns what the caller does, and since when.
+    fn activity(&self) -> (CallerActivity, MonoMs) {
+        match self.head_since.get() {
+            _ if self.is_busy.get() => (CallerActivity::Request, self.idle_since.get()),
+            Some(since) => (CallerActivity::PartialHead, since),
+            None => (CallerActivity::Idle, self.idle_since.get()),
+        }
     }
 
     fn close(&self) {
@@ -113,18 +121,26 @@
 }
 
 impl Connections {
-    /// Makes room for a new connection. If `max_connections` are open, closes the one with the
-    /// longest idle time, since callers keep connections for requests that may never follow,
-    /// whereas a new connection usually has a request. Returns whether there is room.
-    fn make_room(&self, max_connections: usize) -> bool {
+    /// Closes a connection that gives way to a new one, and returns what its caller was doing; none if
+    /// each has a request in progress.
+    fn make_room(&self, now: MonoMs) -> Option<CallerActivity> {
         let open = self.open.borrow();
-        if open.len() < max_connections {
-            return true;
-        }
-        let idle = open.values().filter(|it| it.is_idle());
-        let Some(longest) = idle.min_by_key(|it| it.idle_since.get()) else { return false };
-        longest.close();
-        true
+        let candidates: Vec<_> = open
+            .iter()
+            .filter(|(_, connection)| !connection.is_closing.get())
+            .map(|(key, connection)| {
+                let (activity, since) = connection.activity();
+                OpenConnection { key, address: connection.address, activity, since }
+            })
+            .collect();
+        let closed = open.get(connection_to_close(&candidates, now)?)?;
+        let (activity, _) = closed.activity();
+        closed.close();
+        Some(activity)
+    }
+
+    fn len(&self) -> usize {
+        self.open.borrow().len()
     }
 }
 
@@ -133,8 +149,8 @@
     let connections = Rc::new(Connections::default());
     tokio::task::spawn_local(sweep(gw.clone(), connections.clone()));
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(err) => {
                 tracing::warn!(target: "callers", %err, "accepting a connection failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -142,18 +158,14 @@
             }
         };
         let max_connections = gw.settings.max_descriptors / DESCRIPTORS_PER_CALLER;
-        if !connections.make_room(max_connections) {
-            if let Some(suppressed) = gw.log_limiter.admit("callers_full", gw.clock.now()) {
-                tracing::warn!(target: "callers", most = max_connections, suppressed,
-                    "too many connections, none of them idle; new connection closed");
-            }
+        if connections.len() >= max_connections && !make_room(&gw, &connections) {
             continue;
         }
         if let Err(err) = http::configure(&stream) {
             tracing::debug!(target: "callers", %err, "a new connection was already closed");
             continue;
         }
-        let connection = Rc::new(CallerConnection::new(gw.clock));
+        let connection = Rc::new(CallerConnection::new(gw.clock, from.ip()));
         let key = connections.open.borrow_mut().insert(connection.clone());
         let (gw, connections) = (gw.clone(), connections.clone());
         tokio::task::spawn_local(async move {
@@ -163,6 +175,22 @@
     }
 }
 
+/// Makes room for a new connection, and logs and counts what gave way. Returns whether there is room.
+fn make_room<P: Platform>(gw: &Gateway<P>, connections: &Connections) -> bool {
+    let now = gw.clock.now();
+    let closed = match connections.make_room(now) {
+        Some(CallerActivity::PartialHead) => "unfinished_head",
+        Some(CallerActivity::Idle) => "idle",
+        Some(CallerActivity::Request) | None => "new",
+    };
+    gw.metrics.callers.closed.with_label_values(&[closed]).inc();
+    if let Some(suppressed) = gw.log_limiter.admit("callers_full", now) {
+        tracing::warn!(target: "callers", open = connections.len(), closed, suppressed,
+            "too many connections; one is closed");
+    }
+    closed != "new"
+}
+
 /// Serves one connection until either side closes it.
 async fn serve<P: Platform>(
     gw: Rc<Gateway<P>>,
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub(crate) resumed: IntCounterVec,
     /// Counters of what endpoints do besides answering.
     pub(crate) endpoint: EndpointMetrics,
+    /// Counters of callers' connections.
+    pub(crate) callers: CallerMetrics,
     /// Calls to the platform's store by kind and result.
     pub(crate) store_calls: IntCounterVec,
     /// Digests by direction.
@@ -78,6 +80,7 @@
                 &["by"],
             )?,
             endpoint: EndpointMetrics::new(&set)?,
+            callers: CallerMetrics::new(&set)?,
             store_calls: set.counters(
                 "persimmon_gateway_store_calls_total",
                 "Calls to the platform's store.",
@@ -118,6 +121,24 @@
     }
 }
 
+/// Counters of callers' connections.
+#[derive(Debug, Clone)]
+pub(crate) struct CallerMetrics {
+    /// Connections that were closed for lack of room, by what the caller was doing.
+    pub(crate) closed: IntCounterVec,
+}
+
+impl CallerMetrics {
+    fn new(set: &MetricSet) -> prometheus::Result<Self> {
+        let closed = set.counters(
+            "persimmon_gateway_callers_closed_total",
+            "Connections of callers that were closed for lack of room, by what the caller was doing.",
+            &["doing"],
+        )?;
+        Ok(Self { closed })
+    }
+}
+
 /// Counters of what endpoints do besides answering.
 #[derive(Debug, Clone)]
 pub(crate) struct EndpointMetrics {
--- a/crates/persimmonmountd/tests/process_gateway_input.rs
+++ b/crates/persimmonmountd/tests/process_gateway_input.rs
@@ -1,5 +1,7 @@
 //! Tests that bad input gets a clear error and doesn't affect other callers.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use persimmon_platform::standin::{
@@ -28,6 +30,22 @@
         self.deployment.caller(0).unwrap()
     }
 
+    /// Returns the times in which callers on new connections are served, the shortest first.
+    fn times(&self, callers: usize, name: &str) -> Vec<Duration> {
+        let mut times: Vec<_> = (0..callers)
+            .map(|number| {
+                let started = Instant::now();
+                let id = format!("{name}-{number}");
+                let caller = self.caller().request("POST", "/commit/x", &id).with_key(KEY);
+                let answer = caller.with_deadline_ms(2_000).call("body").unwrap();
+                assert_eq!(answer.status, 200, "{id}: {answer:?}");
+                started.elapsed()
+            })
+            .collect();
+        times.sort();
+        times
+    }
+
     /// Checks that another caller is served and that the endpoint ran only its request.
     fn assert_serves(&self) {
         let mut caller = self.caller().request("POST", "/commit/x", "honest").with_key(KEY);
@@ -37,6 +55,11 @@
     }
 }
 
+/// Returns the 95th percentile of times in ascending order.
+fn p95(times: &[Duration]) -> Duration {
+    times[times.len() * 95 / 100]
+}
+
 /// Returns a head with a route, a key and a request id, followed by `rest`.
 fn message(rest: &str) -> String {
     format!(
@@ -253,3 +276,51 @@
     assert_eq!(idle.len(), 600);
     fixture.assert_serves();
 }
+
+/// Callers send half of a head on more connections than the gateway has room for, and then nothing, or
+/// one byte now and then.
+#[rstest]
+#[case::nothing_more(600, false)]
+#[case::many(3_000, false)]
+#[case::a_byte_now_and_then(600, true)]
+fn half_sent_heads_delay_no_caller(#[case] connections: usize, #[case] trickles: bool) {
+    const CALLERS: usize = 50;
+    const ROUNDS: usize = 3;
+    /// Target for the 95th percentile of the time that such connections add, in milliseconds.
+    const MAX_ADDED: Duration = Duration::from_millis(20);
+    let fixture = Fixture::start();
+    let alone = fixture.times(CALLERS, "alone");
+    let mut hostile = Vec::new();
+    for _ in 0..connections {
+        let Ok(mut caller) = fixture.deployment.caller(0) else { continue };
+        if caller.send_raw(b"POST /commit/x HTTP/1.1\r\nHost: calls").is_ok() {
+            hostile.push(caller);
+        }
+    }
+    assert!(hostile.len() >= 600, "{} connections", hostile.len());
+    let is_over = AtomicBool::new(false);
+    let beside = thread::scope(|scope| {
+        if trickles {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    // Those that the gateway has closed fail.
+                    hostile.retain_mut(|it| it.send_raw(b"x").is_ok());
+                    thread::sleep(Duration::from_millis(50));
+                }
+            });
+        }
+        let rounds =
+            (0..ROUNDS).map(|round| p95(&fixture.times(CALLERS, &format!("beside-{round}"))));
+        let beside: Vec<_> = rounds.collect();
+        is_over.store(true, Ordering::Relaxed);
+        beside
+    });
+    // Other processes of the machine can only add to the time.
+    let added = beside.iter().min().unwrap().saturating_sub(p95(&alone));
+    assert!(added < MAX_ADDED, "{added:?} more; {beside:?}, alone {alone:?}");
+    let metrics = fixture.deployment.metrics(0).unwrap();
+    assert!(metrics.contains("persimmon_gateway_callers_closed_total{doing="), "{metrics}");
+    let log = fixture.deployment.log(0);
+    assert!(log.iter().any(|line| line.contains("too many connections")), "{log:#?}");
+    fixture.deployment.close();
+}
