decide: holders of streams are found while their version is being released

All gateways lose power while a version's endpoints start one after the other. A stream is stored beside the three endpoints of its version that rank first when it begins; when it is taken up, more have started, and the four that rank first then are others.

Change: a take-up also asks those that ranked first among the endpoints of a version that had started by some moment, 24 at most; their number grows with the logarithm of the fleet.

--- a/crates/persimmon_decide/src/forward/stream_holders.rs
+++ b/crates/persimmon_decide/src/forward/stream_holders.rs
@@ -22,6 +22,8 @@
     pub ip: IpAddr,
     /// Software version of that endpoint.
     pub version: Arc<str>,
+    /// Start of that endpoint, in milliseconds since 1970 by the platform's clock; zero if not known.
+    pub started_unix_ms: u64,
 }
 
 /// Selects the holders of each stream and tracks which of them reply.
@@ -30,6 +32,10 @@
 /// holders run on the endpoints' VMs and still have the streams. Holders beside endpoints of the stream's
 /// own version go first: they leave when the stream can't go on in any case. A VM without a holder is
 /// found by its silence, and the next one in rank takes its place.
+///
+/// A version that is being released has a few endpoints when its first streams begin and hundreds a few
+/// seconds later. So those are asked too that ranked first among the endpoints of their version that
+/// had started by some moment; their number grows with the logarithm of all.
 #[derive(Debug, Default)]
 pub struct StreamHolders {
     contacts: HashMap<IpAddr, Contact>,
@@ -41,8 +47,10 @@
     /// Number of holders of each version that are asked for a stream. It exceeds [`Self::PER_STREAM`],
     /// since endpoints come and go and silent holders are replaced in between.
     pub const ASKED_PER_VERSION: usize = 4;
-    /// Maximum number of holders that are asked for a stream.
+    /// Maximum number of holders that are asked for a stream as they rank first now.
     pub const MAX_ASKED: usize = 16;
+    /// Maximum number of holders that are asked as they ranked first when fewer endpoints had started.
+    pub const MAX_EARLIER: usize = 24;
     /// Number of messages in a row without a reply after which a holder counts as absent.
     const MAX_UNANSWERED: u32 = 8;
     /// Interval at which an absent holder is tried again, in milliseconds.
@@ -78,18 +86,40 @@
         stream: StreamKey,
         candidates: impl Iterator<Item = HolderCandidate>,
     ) -> Vec<IpAddr> {
-        let mut by_version: BTreeMap<Arc<str>, Vec<IpAddr>> = BTreeMap::new();
+        let mut by_version: BTreeMap<Arc<str>, Vec<HolderCandidate>> = BTreeMap::new();
         for candidate in candidates {
-            by_version.entry(candidate.version).or_default().push(candidate.ip);
+            by_version.entry(candidate.version.clone()).or_default().push(candidate);
+        }
+        let (mut ranked, mut earlier) = (Vec::new(), Vec::new());
+        for of_version in by_version.into_values() {
+            let ips = of_version.iter().map(|it| it.ip);
+            let first = stream.rank(ips, Self::ASKED_PER_VERSION);
+            let displaced = Self::displaced(stream, of_version);
+            earlier.extend(displaced.into_iter().filter(|it| !first.contains(it)).enumerate());
+            ranked.extend(first.into_iter().enumerate());
+        }
+        let in_order = |mut of: Vec<(usize, IpAddr)>, max: usize| {
+            of.sort_by_key(|(position, _)| *position);
+            of.into_iter().map(|(_, ip)| ip).take(max)
+        };
+        let ranked = in_order(ranked, Self::MAX_ASKED);
+        ranked.chain(in_order(earlier, Self::MAX_EARLIER)).collect()
+    }
+
+    /// Returns the candidates of one version that were among the first in rank until others started, those
+    /// that were displaced last first.
+    fn displaced(stream: StreamKey, mut of_version: Vec<HolderCandidate>) -> Vec<IpAddr> {
+        of_version.sort_by_key(|it| (it.started_unix_ms, it.ip));
+        let (mut first, mut displaced) = (Vec::new(), Vec::new());
+        for candidate in of_version {
+            first.push(candidate.ip);
+            let kept = stream.rank(first.iter().copied(), Self::PER_STREAM);
+            displaced
+                .extend(first.into_iter().filter(|it| !kept.contains(it) && *it != candidate.ip));
+            first = kept;
         }
-        let mut ranked: Vec<_> = by_version
-            .into_values()
-            .flat_map(|ips| {
-                stream.rank(ips.into_iter(), Self::ASKED_PER_VERSION).into_iter().enumerate()
-            })
-            .collect();
-        ranked.sort_by_key(|(position, _)| *position);
-        ranked.into_iter().map(|(_, ip)| ip).take(Self::MAX_ASKED).collect()
+        displaced.reverse();
+        displaced
     }
 
     /// Records a message to a holder that it has to reply to.
--- a/crates/persimmon_decide/tests/forward_stream_holders.rs
+++ b/crates/persimmon_decide/tests/forward_stream_holders.rs
@@ -24,7 +24,11 @@
 fn candidates(old: usize, new: usize) -> Vec<HolderCandidate> {
     let version = |number| if number < old { OLD } else { NEW };
     (0..old + new)
-        .map(|number| HolderCandidate { ip: ip(number), version: version(number).into() })
+        .map(|number| HolderCandidate {
+            ip: ip(number),
+            version: version(number).into(),
+            started_unix_ms: number as u64,
+        })
         .collect()
 }
 
@@ -53,7 +57,11 @@
 #[test]
 fn asked_is_bounded_with_many_versions() {
     let all: Vec<_> = (0..60)
-        .map(|it| HolderCandidate { ip: ip(it), version: format!("v{}", it % 20).into() })
+        .map(|it| HolderCandidate {
+            ip: ip(it),
+            version: format!("v{}", it % 20).into(),
+            started_unix_ms: 0,
+        })
         .collect();
     let asked = StreamHolders::asked(stream(1), all.iter().cloned());
     assert_eq!(asked.len(), StreamHolders::MAX_ASKED);
@@ -186,6 +194,31 @@
     assert!(share >= min, "{share} found");
 }
 
+/// A version is released while its streams begin: its endpoints start one after the other. Then all
+/// gateways end.
+#[rstest]
+fn stream_is_found_after_its_version_has_grown(
+    #[values(12, 52, 160)] endpoints: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = Fleet::new(endpoints, endpoints, 0.0, seed);
+    let all = fleet.all.clone();
+    let mut began = 0;
+    for started in endpoints + 1..=2 * endpoints {
+        fleet.all = all[..started].to_vec();
+        for _ in 0..4 {
+            fleet.begin(stream(began), NEW, MonoMs(began));
+            began += 1;
+        }
+    }
+    let found = (0..began).filter(|it| fleet.find(stream(*it)).is_some()).count();
+    assert_eq!(found as u64, began);
+    let most_asked = (0..began)
+        .map(|it| StreamHolders::asked(stream(it), fleet.all.iter().cloned()).len())
+        .max();
+    assert!(most_asked <= Some(StreamHolders::MAX_ASKED + StreamHolders::MAX_EARLIER));
+}
+
 /// 100,000 streams in progress over a fleet of 160 endpoints.
 #[test]
 fn state_and_messages_are_bounded_with_100_000_streams() {
--- a/crates/persimmon_gateway/src/control/streams.rs
+++ b/crates/persimmon_gateway/src/control/streams.rs
@@ -34,5 +34,9 @@
 }
 
 fn candidate(endpoint: &Endpoint) -> HolderCandidate {
-    HolderCandidate { ip: endpoint.address.ip(), version: endpoint.version.clone() }
+    HolderCandidate {
+        ip: endpoint.address.ip(),
+        version: endpoint.version.clone(),
+        started_unix_ms: endpoint.started_unix_ms().unwrap_or(0),
+    }
 }
