Read-through: counts weighed only for short calls, one address of a peer, one publisher of test endpoints

No change of behaviour; found by reading the whole change again.

- Picker: each pick looked this gateway's own load of each endpoint up twice more, and listed and sorted all peers for the weight of their counts, also for prompts, which don't use it.
Now only requests without a prompt do, and once.
- Digests: the gateways that get one were listed and sorted twice for each digest.
- The address of a peer was put together in five places, now in Gateway::peer_address; the endpoints at an address in two, now in EndpointDirectory::at_address; the refusal of requests that may crash endpoints in two, now in Exchange::crashing.
- Callers: whether there is room was decided by comparing a log value.
- Tests: forward_fleet_health and forward_short_calls published their endpoints with the same loop, now forward_endpoints::publish; the crash model's settings in a file of their own.

--- a/crates/persimmon_decide/src/forward/directory.rs
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -66,9 +66,9 @@
     }
 
     fn update_succeeded(&mut self, address: SocketAddr) {
-        let at_address = || self.by_id.values().filter(|it| it.address == address);
-        let latest = at_address().map(|it| it.started_unix_ms()).max().flatten();
-        for endpoint in at_address() {
+        let at_address: Vec<_> = self.at_address(address).cloned().collect();
+        let latest = at_address.iter().map(|it| it.started_unix_ms()).max().flatten();
+        for endpoint in at_address {
             if endpoint.started_unix_ms() < latest {
                 self.succeeded.insert(endpoint.hash);
             } else {
@@ -148,6 +148,11 @@
         self.by_id.get(id)
     }
 
+    /// Returns the endpoints that are published at an address.
+    pub fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.iter().filter(move |it| it.address == address)
+    }
+
     /// Returns an endpoint by its hash.
     pub fn by_hash(&self, hash: EndpointHash) -> Option<&Arc<Endpoint>> {
         self.iter().find(|it| it.hash == hash)
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -115,7 +115,7 @@
     /// Availability zone of the gateway.
     pub zone: &'a str,
     /// Weight of what peers report of one endpoint's load, against the mean of what they report; see
-    /// [`count_weight`]. It only matters for requests without a prompt.
+    /// [`count_weight`]. One for requests with a prompt, which are placed by the counts as they are.
     pub count_weight: f64,
     /// Random number that breaks ties.
     pub draw: u64,
@@ -247,10 +247,9 @@
     /// are included only if no other is left. Endpoints that want no requests now are never included, and
     /// the mean is that of the others.
     fn new(req: &PickRequest<'_>, view: FleetView<'_>) -> Result<Self, NoChoice> {
-        let candidate = |endpoint: &Arc<Endpoint>| Candidate {
-            endpoint: endpoint.clone(),
-            load: view.loads.total(endpoint.hash),
-            expected: 0.0,
+        let candidate = |endpoint: &Arc<Endpoint>| {
+            let load = view.loads.total(endpoint.hash);
+            Candidate { endpoint: endpoint.clone(), load, expected: f64::from(load.requests) }
         };
         let is_open = |it: &&Arc<Endpoint>| view.is_open(it.hash);
         let open = view.endpoints.ready(req.service).filter(is_open);
@@ -261,13 +260,8 @@
         }
         let requests: u32 = ready.iter().map(|it| it.load.requests).sum();
         let mean = f64::from(requests) / ready.len().max(1) as f64;
-        let own: u32 = ready.iter().map(|it| view.loads.own(it.endpoint.hash)).sum();
-        let mean_of_peers = f64::from(requests.saturating_sub(own)) / ready.len().max(1) as f64;
-        for it in &mut ready {
-            let own = view.loads.own(it.endpoint.hash);
-            let of_peers = f64::from(it.load.requests.saturating_sub(own));
-            let weight = if req.parts.is_empty() { req.count_weight } else { 1.0 };
-            it.expected = f64::from(own) + weight * of_peers + (1.0 - weight) * mean_of_peers;
+        if req.count_weight < 1.0 {
+            weigh_peers(&mut ready, req.count_weight, view.loads);
         }
         let failing = view.health.failing(ready.iter().map(|it| it.endpoint.hash), view.now);
         // A failed trial costs the caller its request unless the request can be repeated.
@@ -353,6 +347,17 @@
     }
 }
 
+/// Weighs what peers report of each endpoint's load against the mean of what they report. This gateway's
+/// own requests count as they are.
+fn weigh_peers(candidates: &mut [Candidate], weight: f64, loads: &LoadTracker) {
+    let own: Vec<_> = candidates.iter().map(|it| f64::from(loads.own(it.endpoint.hash))).collect();
+    let of_peers = |(it, own): (&Candidate, &f64)| it.expected - own;
+    let mean = candidates.iter().zip(&own).map(of_peers).sum::<f64>() / own.len().max(1) as f64;
+    for (it, own) in candidates.iter_mut().zip(own) {
+        it.expected = own + weight * (it.expected - own) + (1.0 - weight) * mean;
+    }
+}
+
 /// Chooses the endpoint for one request with a prompt.
 #[derive(Debug)]
 struct PromptPlacement<'a> {
--- a/crates/persimmon_decide/tests/crash_model/mod.rs
+++ b/crates/persimmon_decide/tests/crash_model/mod.rs
@@ -1,6 +1,8 @@
 //! Model of gateways before endpoints that crash on requests with one prompt part or with one content,
 //! beside sound requests and endpoints that fail for other reasons.
 
+mod setting;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::IpAddr;
@@ -14,6 +16,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use setting::Setting;
+pub(crate) use setting::Variant;
+
 /// Parts of all prompts of a route, and of all prompts of a workspace.
 const ROUTE_PART: u64 = 1;
 const WORKSPACE_PARTS: u64 = 4;
@@ -47,72 +52,6 @@
 /// Interval at which an endpoint sends data of each answer.
 const DATA_INTERVAL_MS: u64 = 100;
 
-/// What crashes endpoints, and how they go.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Variant {
-    /// A prompt part; endpoints refuse connections afterwards.
-    Refusing,
-    /// A prompt part; endpoints keep their connections open and send nothing more.
-    SilentUnderPart,
-    /// One content that comes again and again; endpoints fall silent.
-    SilentUnderContent,
-    /// The same, but gateways try silent endpoints again now and then, and what waits there breaks when
-    /// they restart.
-    BrokenUnderContent,
-}
-
-impl Variant {
-    fn is_silent(self) -> bool {
-        self != Self::Refusing
-    }
-
-    fn repeats_content(self) -> bool {
-        matches!(self, Self::SilentUnderContent | Self::BrokenUnderContent)
-    }
-}
-
-/// A random setting of the model.
-#[derive(Debug)]
-pub(crate) struct Setting {
-    gateways: usize,
-    endpoints: usize,
-    bad_interval_ms: u64,
-    sound_interval_ms: u64,
-    longest_ms: u64,
-    downtime_ms: u64,
-    digest_loss: f64,
-    /// Whether requests with the bad part were answered before.
-    was_sound: bool,
-    /// Whether an interrupted request is resumed at another endpoint.
-    is_resumable: bool,
-    /// Times at which a third of the endpoints, or all of them, fail together.
-    failures: Vec<(u64, bool)>,
-}
-
-impl Setting {
-    /// Reports whether endpoints fail for other reasons too.
-    pub(crate) fn fails_otherwise(&self) -> bool {
-        !self.failures.is_empty()
-    }
-
-    fn draw(rng: &mut Pcg64Mcg) -> Self {
-        Self {
-            gateways: rng.random_range(1..=6),
-            endpoints: rng.random_range(6..=30),
-            bad_interval_ms: rng.random_range(40..=3_000),
-            sound_interval_ms: rng.random_range(8..=60),
-            longest_ms: rng.random_range(50..=1_800),
-            downtime_ms: rng.random_range(500..=4_000),
-            digest_loss: rng.random_range(0.0..0.1),
-            was_sound: rng.random(),
-            is_resumable: rng.random(),
-            failures: (0..rng.random_range(0..4))
-                .map(|_| (rng.random_range(0..END_MS), rng.random_ratio(1, 3)))
-                .collect(),
-        }
-    }
-}
-
 #[derive(Debug, Clone)]
 struct Run {
     signature: RequestSignature,
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -1,11 +1,13 @@
 //! Endpoints that fail some of their requests although they are reachable, in a fleet of gateways.
 
-use std::net::{IpAddr, SocketAddr};
+mod forward_endpoints;
+
+use std::net::IpAddr;
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings,
-    HealthTracker, LoadTracker, Outcomes, PickRequest, Picker, PickerSettings, PrefixMap,
+    EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings, HealthTracker,
+    LoadTracker, Outcomes, PickRequest, Picker, PickerSettings, PrefixMap,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -35,16 +37,7 @@
 
 impl Fleet {
     fn new(gateways: usize, endpoints: u8) -> Self {
-        let mut directory = EndpointDirectory::new();
-        let mut hashes = Vec::new();
-        for number in 0..endpoints {
-            let address = SocketAddr::from(([10, 0, 0, number], 8_000));
-            let endpoint =
-                Endpoint::new(&format!("endpoint-{number}"), Some(1), SERVICE.into(), address)
-                    .with_slots(64);
-            hashes.push(endpoint.hash);
-            directory.insert(endpoint);
-        }
+        let (directory, hashes) = forward_endpoints::publish(SERVICE, endpoints, 64);
         let trackers =
             (0..gateways).map(|_| HealthTracker::new(HealthSettings::default())).collect();
         Self { directory, hashes, trackers, rng: Pcg64Mcg::seed_from_u64(11) }
--- a/crates/persimmon_decide/tests/forward_short_calls.rs
+++ b/crates/persimmon_decide/tests/forward_short_calls.rs
@@ -1,14 +1,16 @@
 //! Short calls to a few endpoints through a fleet of gateways, whose counts of each other's requests are
 //! older than a call takes.
 
+mod forward_endpoints;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings,
-    HealthTracker, LoadTracker, PickRequest, Picker, PickerSettings, PrefixMap, count_weight,
+    EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings, HealthTracker,
+    LoadTracker, PickRequest, Picker, PickerSettings, PrefixMap, count_weight,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -41,16 +43,8 @@
 
 impl Fleet {
     fn new(gateways: usize, endpoints: usize, interval_ms: u64) -> Self {
-        let mut directory = EndpointDirectory::new();
-        let mut hashes = Vec::new();
-        for number in 0..endpoints {
-            let address = SocketAddr::from(([10, 0, 0, number as u8], 8_000));
-            let endpoint =
-                Endpoint::new(&format!("endpoint-{number}"), Some(1), SERVICE.into(), address)
-                    .with_slots(SLOTS as u32);
-            hashes.push(endpoint.hash);
-            directory.insert(endpoint);
-        }
+        let (directory, hashes) =
+            forward_endpoints::publish(SERVICE, endpoints as u8, SLOTS as u32);
         let loads = (0..gateways).map(|_| LoadTracker::new()).collect();
         let rng = Pcg64Mcg::seed_from_u64(7);
         Self { directory, hashes, loads, held: vec![0; endpoints], interval_ms, rng }
--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -123,7 +123,7 @@
 impl Connections {
     /// Closes a connection that gives way to a new one, and returns what its caller was doing; none if
     /// each has a request in progress.
-    fn make_room(&self, now: MonoMs) -> Option<CallerActivity> {
+    fn close_one(&self, now: MonoMs) -> Option<CallerActivity> {
         let open = self.open.borrow();
         let candidates: Vec<_> = open
             .iter()
@@ -178,7 +178,8 @@
 /// Makes room for a new connection, and logs and counts what gave way. Returns whether there is room.
 fn make_room<P: Platform>(gw: &Gateway<P>, connections: &Connections) -> bool {
     let now = gw.clock.now();
-    let closed = match connections.make_room(now) {
+    let gave_way = connections.close_one(now);
+    let closed = match gave_way {
         Some(CallerActivity::PartialHead) => "unfinished_head",
         Some(CallerActivity::Idle) => "idle",
         Some(CallerActivity::Request) | None => "new",
@@ -188,7 +189,7 @@
         tracing::warn!(target: "callers", open = connections.len(), closed, suppressed,
             "too many connections; one is closed");
     }
-    closed != "new"
+    gave_way.is_some()
 }
 
 /// Serves one connection until either side closes it.
--- a/crates/persimmon_gateway/src/control/digests.rs
+++ b/crates/persimmon_gateway/src/control/digests.rs
@@ -60,7 +60,7 @@
         let targets = self.peers.targets().len().max(1);
         let repeated = MAX_DIGEST_REPEATED_HOLDERS.min(MAX_REPEATED_HOLDERS_PER_ROUND / targets);
         let holders = self.prefixes.take_announcements(MAX_DIGEST_NEW_HOLDERS, repeated, now);
-        self.digest_with(holders, now)
+        self.digest_with(holders, targets, now)
     }
 
     /// Creates the next digest for gateways that weren't known. It holds more of what changes seldom, and
@@ -69,14 +69,14 @@
         let targets = self.peers.targets().len().max(1);
         let max = MAX_NEWCOMER_HOLDERS.min(NEWCOMER_HOLDERS / targets);
         let holders = self.prefixes.known_holders(max, now);
-        self.digest_with(holders, now)
+        self.digest_with(holders, targets, now)
     }
 
-    fn digest_with(&mut self, holders: Vec<PartHolder>, now: MonoMs) -> Digest {
+    /// Creates the next digest with these holders; `targets` gateways get one in each round.
+    fn digest_with(&mut self, holders: Vec<PartHolder>, targets: usize, now: MonoMs) -> Digest {
         self.mark_draining_if_restored(now);
         self.sequence += 1;
         let draw = self.draw();
-        let targets = self.peers.targets().len().max(1);
         let retries = self.retries.iter().map(|(name, it)| (name.clone(), it.counts(now)));
         let max_crashes = MAX_DIGEST_CRASHES.min(MAX_CRASHES_PER_ROUND / targets);
         let reports = self.crashes.reports(max_crashes, now);
--- a/crates/persimmon_gateway/src/control/records.rs
+++ b/crates/persimmon_gateway/src/control/records.rs
@@ -186,8 +186,8 @@
     /// records may outlast them for seconds.
     fn record_predecessors_ended(&mut self, id: &str, now: MonoMs) {
         let Some(address) = self.directory.get(id).map(|it| it.address) else { return };
-        let is_predecessor = |it: &&Arc<Endpoint>| it.address == address && *it.id != *id;
-        let predecessors: Vec<_> = self.directory.iter().filter(is_predecessor).cloned().collect();
+        let at_address = self.directory.at_address(address);
+        let predecessors: Vec<_> = at_address.filter(|it| *it.id != *id).cloned().collect();
         for endpoint in predecessors {
             self.record_ended(&endpoint, now);
         }
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -224,8 +224,7 @@
         let mut control = self.gw.control.borrow_mut();
         // Requests like this one may have crashed endpoints since the last attempt.
         if control.crashes.refuses(&self.plan.signature, self.gw.clock.now()) {
-            let has_run = self.log.may_have_run();
-            return Err(if has_run { Refusal::Unknown } else { Refusal::Crashing });
+            return Err(self.crashing());
         }
         let draw = control.draw();
         let plan = &self.plan;
@@ -241,7 +240,7 @@
             version: self.version.as_deref(),
             tried: &self.tried,
             zone: &self.gw.settings.zone,
-            count_weight: control.count_weight(&plan.service),
+            count_weight: if parts.is_empty() { control.count_weight(&plan.service) } else { 1.0 },
             draw,
         };
         let now = self.gw.clock.now();
@@ -297,11 +296,15 @@
                     endpoint = &*endpoint.id, "a request is tried that is refused as crashing");
                 Ok(())
             }
-            CrashVerdict::Refused if self.log.may_have_run() => Err(Refusal::Unknown),
-            CrashVerdict::Refused => Err(Refusal::Crashing),
+            CrashVerdict::Refused => Err(self.crashing()),
         }
     }
 
+    /// Returns the refusal of a request that may crash endpoints.
+    fn crashing(&self) -> Refusal {
+        if self.log.may_have_run() { Refusal::Unknown } else { Refusal::Crashing }
+    }
+
     /// Returns the fill up to which an endpoint accepts this request, as a multiple of its slots.
     /// Requests with prompts and streams occupy a slot for a long time, so hardly any may queue;
     /// short calls may queue for as long as their target latency allows.
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of a gateway, which run on one thread.
 
 use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
 
 use persimmon_decide::forward::Quarantined;
 use tokio::sync::Notify;
@@ -63,6 +64,12 @@
         }
     }
 
+    /// Returns the address at which another gateway, or a holder, on the VM with this address receives
+    /// messages.
+    pub(crate) fn peer_address(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.settings.peers.port())
+    }
+
     /// Counts and logs what is refused from now on.
     pub(crate) fn log_newly_refused(&self) {
         let now = self.clock.now();
--- a/crates/persimmon_gateway/src/peer_records.rs
+++ b/crates/persimmon_gateway/src/peer_records.rs
@@ -61,8 +61,7 @@
         let Some(peer) = control.peers.ahead_of(known, draw, gw.clock.now()) else { return false };
         (known, peer)
     };
-    let address = SocketAddr::new(peer, gw.settings.peers.port());
-    match fetch(address, known).await {
+    match fetch(gw.peer_address(peer), known).await {
         Ok(delta) => {
             let now = gw.clock.now();
             tracing::info!(target: "records", %peer, revision = StoreEra::revision(delta.revision),
@@ -95,7 +94,7 @@
         let Some(peer) = control.peers.ahead_in_routes(own, gw.clock.now()) else { return };
         (own, peer)
     };
-    match fetch(SocketAddr::new(peer, gw.settings.peers.port()), 0).await {
+    match fetch(gw.peer_address(peer), 0).await {
         Ok(delta) => {
             if gw.control.borrow_mut().adopt_routes(&gw.platform, delta) {
                 let version = gw.control.borrow().routes_version();
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -179,7 +179,7 @@
         }
     };
     for ip in targets {
-        let to = SocketAddr::new(*ip, gw.settings.peers.port());
+        let to = gw.peer_address(*ip);
         match socket.send_to(&bytes, to).await {
             Ok(_) => gw.metrics.digests.with_label_values(&["sent"]).inc(),
             Err(err) => tracing::debug!(target: "peers", %to, %err, "sending a digest failed"),
--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -185,7 +185,7 @@
         holders.into_iter().for_each(|it| control.holders.record_sent(it, now));
         drop(control);
         for ((ip, origin), streams) in messages {
-            let to = SocketAddr::new(ip, gw.settings.peers.port());
+            let to = gw.peer_address(ip);
             for streams in streams.chunks(StreamMessage::MAX_STREAMS) {
                 let (origin, streams) = (origin.clone(), streams.to_vec());
                 gw.streams.send(&StreamMessage::Begun { origin, streams }, to);
@@ -275,7 +275,7 @@
         }
         for ip in &query.asked {
             if !query.replied.borrow().contains(ip) {
-                let to = SocketAddr::new(*ip, gw.settings.peers.port());
+                let to = gw.peer_address(*ip);
                 gw.streams.send(&StreamMessage::Query { stream }, to);
             }
         }
