Show that a late second refusal makes a request run twice (case 1)

Claimed: TWICE, and REFUSED with it. A refusal without an Attempt-Id counts as the answer to the request that was sent last, although it may be an extra answer to an earlier one on the same connection.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,8 @@
 //! and 2 if the case couldn't run. With TROUBLE=0 in the environment, the disruption is left out.
 
 mod platform;
+mod late_refusal;
+mod leave;
 mod memory;
 mod stop;
 
@@ -13,7 +15,9 @@
     let [name, record] = &args[..] else { return ExitCode::from(2) };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let played = platform::open_record(record).and_then(|()| match name.as_str() {
+        "leave" => leave::play(has_trouble),
         "stop" => stop::play(has_trouble),
+        "late-refusal" => late_refusal::play(has_trouble),
         "memory" => memory::play(has_trouble),
         _ => Err(io::Error::other("unknown case")),
     });
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -5,6 +5,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -22,6 +23,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn listen(fd: i32, backlog: i32) -> i32;
 }
 pub const SIGTERM: i32 = 15;
 
@@ -158,7 +160,8 @@
     state: Arc<(Mutex<StoreState>, Condvar)>,
 }
 
-/// One machine's path to the store. While it is cut, nothing passes, without a reset.
+/// One machine's path to the store. While it is cut, nothing passes, without a reset: open connections are
+/// silent, and new ones hang, as the listener's queue is full and the kernel drops their first packets.
 #[derive(Clone)]
 pub struct StorePath {
     pub address: SocketAddr,
@@ -204,13 +207,34 @@
         let listener = TcpListener::bind((ip, STORE_PORT))?;
         let path = StorePath { address: listener.local_addr()?, cut: Arc::default() };
         let (store, of_path) = (self.clone(), path.clone());
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let (store, path) = (store.clone(), of_path.clone());
+        thread::spawn(move || store.accept(listener, &of_path));
+        Ok(path)
+    }
+
+    fn accept(&self, mut listener: TcpListener, path: &StorePath) {
+        loop {
+            let _ = listener.set_nonblocking(true);
+            while !path.cut.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep_ms(1);
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let (store, path) = (self.clone(), path.clone());
                 thread::spawn(move || store.serve(stream, &path));
             }
-        });
-        Ok(path)
+            drop(listener);
+            let Ok(full) = TcpListener::bind(path.address) else { return };
+            // SAFETY: shortens the queue of an open listener.
+            unsafe { listen(full.as_raw_fd(), 0) };
+            let waiting: Vec<_> = (0..2)
+                .filter_map(|_| TcpStream::connect_timeout(&path.address, Duration::from_millis(20)).ok())
+                .collect();
+            path.wait_while_cut();
+            drop((waiting, full));
+            let Ok(next) = TcpListener::bind(path.address) else { return };
+            listener = next;
+        }
     }
 
     fn serve(&self, stream: TcpStream, path: &StorePath) {
@@ -313,6 +337,8 @@
     pub arrivals: Mutex<Vec<Arrival>>,
     /// Requests, by id, whose answer was sent to its end.
     pub ended: Mutex<Vec<(u64, String)>>,
+    /// Begins (1) and ends (-1) of requests, with their times.
+    pub changes: Mutex<Vec<(u64, i64)>>,
 }
 
 pub type Worker = Arc<WorkerState>;
@@ -342,6 +368,7 @@
         is_leaving: AtomicBool::new(false),
         arrivals: Mutex::default(),
         ended: Mutex::default(),
+        changes: Mutex::default(),
     });
     let of_listener = worker.clone();
     thread::spawn(move || {
@@ -368,6 +395,14 @@
         )
     }
 
+    pub fn begin(&self, _arrival: &Arrival) {
+        self.changes.lock().unwrap().push((ms(), 1));
+    }
+
+    pub fn end(&self, _arrival: &Arrival) {
+        self.changes.lock().unwrap().push((ms(), -1));
+    }
+
     /// Headers of every answer.
     pub fn echo(&self, arrival: &Arrival) -> String {
         let leaving = if self.is_leaving.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" };
@@ -557,6 +592,8 @@
     pub store: Store,
     pub gateways: Vec<Gateway>,
     pub paths: Vec<StorePath>,
+    /// ContactMs, DrainMs and ConfigApplyMs.
+    pub bounds: [u64; 3],
 }
 
 const PROGRAM: &str = "target/release/persimmonmountd";
@@ -575,7 +612,7 @@
             if ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok()) {
                 let directory = std::env::temp_dir().join(format!("review-{}-{}-{}", std::process::id(), net[0], net[1]));
                 fs::create_dir_all(&directory)?;
-                return Ok(Self { net, directory, store: Store::default(), gateways: Vec::new(), paths: Vec::new() });
+                return Ok(Self { net, directory, store: Store::default(), gateways: Vec::new(), paths: Vec::new(), bounds: [3_000, 2_000, 2_000] });
             }
         }
         Err(io::Error::other("no free addresses"))
@@ -619,6 +656,7 @@
         let seeds: Vec<_> = (0..count.min(3))
             .map(|it| format!("\"{}:{CONTROL_PORT}\"", self.ip(GATEWAY_IPS + it)))
             .collect();
+        let [contact, drain, apply] = self.bounds;
         let settings = format!(
             "Node = \"edge-khomas-a-{}\"\nRole = \"gateway\"\nMachineClass = \"edge\"\n\
              Serves = [\"edge\",\"control_plane\"]\nIp = \"{ip}\"\nZone = \"khomas-a\"\nRegion = \"khomas\"\n\
@@ -627,8 +665,8 @@
              [Zones]\nkhomas-a = \"khomas\"\n\
              [Listen]\nFront = \"{ip}:{FRONT_PORT}\"\nReadiness = \"{ip}:{READY_PORT}\"\nControl = \"{ip}:{CONTROL_PORT}\"\n\
              [Limits]\nCpuShare = 0.19\nCores = 1\nMemoryMb = 260\nMaxFds = 4200\nLinkMbps = 1000.0\nDiskMb = 0\n\
-             [Bounds]\nSeedLagS = 3\nReuseAfterS = 2\nContactMs = 3000\nAckMs = 4000\nCatchUpS = 4\nDrainMs = 2000\n\
-             GraceS = 8\nLossSlackMs = 200\nConfigApplyMs = 2000\nRollbackSlackMs = 250\nMaxStretchMs = 5000\n\
+             [Bounds]\nSeedLagS = 3\nReuseAfterS = 2\nContactMs = {contact}\nAckMs = 4000\nCatchUpS = 4\nDrainMs = {drain}\n\
+             GraceS = 8\nLossSlackMs = 200\nConfigApplyMs = {apply}\nRollbackSlackMs = 250\nMaxStretchMs = 5000\n\
              RetryBudgetRatio = 0.2\nBudgetWindowS = 10\nRetrySlack = 52\nRecoverS = 12\nPassMs = 120\n\
              ReuseWindowS = 10\nCapX = 2\n\
              [Platform]\nAddress = \"{}\"\nform = \"read\"\nReadsPerS = 2000\nHistoryS = 20\n",
