--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Needs the build of the deploy file and review/build.sh. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/cases leave review/5/record.txt
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod late_refusal;
 mod leave;
 mod memory;
+mod second_answer;
 mod stop;
 
 use std::io;
@@ -16,6 +17,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let played = platform::open_record(record).and_then(|()| match name.as_str() {
         "leave" => leave::play(has_trouble),
+        "second-answer" => second_answer::play(has_trouble),
         "stop" => stop::play(has_trouble),
         "late-refusal" => late_refusal::play(has_trouble),
         "memory" => memory::play(has_trouble),
