--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -110,7 +110,7 @@
         let (is_over, answered) = (is_over.clone(), answered.clone());
         uploaders.push(thread::spawn(move || {
             let is_extra = number >= USUAL;
-            sleep_ms(number as u64 * 20 + if is_extra { BUSY_FROM_MS } else { 0 });
+            sleep_ms(number as u64 * 5 + if is_extra { BUSY_FROM_MS } else { 0 });
             let until = Instant::now() + Duration::from_millis(BUSY_MS);
             let mut turn = 0;
             while !(is_extra && Instant::now() > until) && !is_over.load(Ordering::SeqCst) {
