--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,7 +2,7 @@
 //! and 2 if the case couldn't run. With TROUBLE=0 in the environment, the disruption is left out.
 
 mod platform;
-mod late_refusal;
+mod keys;
 mod leave;
 mod memory;
 mod second_answer;
@@ -19,7 +19,7 @@
         "leave" => leave::play(has_trouble),
         "second-answer" => second_answer::play(has_trouble),
         "stop" => stop::play(has_trouble),
-        "late-refusal" => late_refusal::play(has_trouble),
+        "keys" => keys::play(has_trouble),
         "memory" => memory::play(has_trouble),
         _ => Err(io::Error::other("unknown case")),
     });
