--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A dead_code -o target/review/cases review/standin/main.rs
+rustc --edition 2024 -O -o target/review/cases review/standin/main.rs
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -89,10 +89,6 @@
         self.headers.iter().find(|(it, _)| it == name).map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or("")
-    }
-
     pub fn path(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or("")
     }
@@ -319,7 +315,6 @@
 pub struct Arrival {
     pub at_ms: u64,
     pub id: String,
-    pub from: SocketAddr,
     pub head: Head,
     pub body_bytes: usize,
 }
@@ -337,8 +332,6 @@
     pub arrivals: Mutex<Vec<Arrival>>,
     /// Requests, by id, whose answer was sent to its end.
     pub ended: Mutex<Vec<(u64, String)>>,
-    /// Begins (1) and ends (-1) of requests, with their times.
-    pub changes: Mutex<Vec<(u64, i64)>>,
 }
 
 pub type Worker = Arc<WorkerState>;
@@ -368,7 +361,6 @@
         is_leaving: AtomicBool::new(false),
         arrivals: Mutex::default(),
         ended: Mutex::default(),
-        changes: Mutex::default(),
     });
     let of_listener = worker.clone();
     thread::spawn(move || {
@@ -395,14 +387,6 @@
         )
     }
 
-    pub fn begin(&self, _arrival: &Arrival) {
-        self.changes.lock().unwrap().push((ms(), 1));
-    }
-
-    pub fn end(&self, _arrival: &Arrival) {
-        self.changes.lock().unwrap().push((ms(), -1));
-    }
-
     /// Headers of every answer.
     pub fn echo(&self, arrival: &Arrival) -> String {
         let leaving = if self.is_leaving.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" };
@@ -424,7 +408,7 @@
                 return;
             }
             let id = head.get("attempt-id").unwrap_or("").to_owned();
-            let arrival = Arrival { at_ms: ms(), id, from, head, body_bytes: body.len() };
+            let arrival = Arrival { at_ms: ms(), id, head, body_bytes: body.len() };
             if arrival.head.get("expect-instance").is_some_and(|it| it != self.id) {
                 let answer =
                     format!("HTTP/1.1 421 x\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
@@ -495,7 +479,6 @@
 pub struct Answer {
     /// Zero if the connection ended before the head.
     pub status: u16,
-    pub head: Head,
     pub body: Vec<u8>,
     pub is_whole: bool,
 }
@@ -521,7 +504,7 @@
         match Head::read(&mut self.reader) {
             Ok(Some(head)) => {
                 let (body, is_whole) = read_body(&mut self.reader, &head, true);
-                Answer { status: head.status(), head, body, is_whole }
+                Answer { status: head.status(), body, is_whole }
             }
             Ok(None) | Err(_) => Answer::default(),
         }
@@ -685,9 +668,6 @@
         Ok(Gateway { child, ip })
     }
 
-    pub fn log(&self, number: u8) -> String {
-        fs::read_to_string(self.directory.join(format!("gateway-{number}.log"))).unwrap_or_default()
-    }
 }
 
 impl Drop for Deployment {
--- a/review/standin/second_answer.rs
+++ b/review/standin/second_answer.rs
@@ -13,12 +13,12 @@
 const WORKERS: u8 = 5;
 const GARBLING_WORKERS: u8 = 3;
 /// Most of such a worker's answers that are followed by a second one, in 1,000.
-const GARBLED_PER_1000: u64 = 50;
-const GARBLED_FOR_MS: u64 = 6_000;
+const GARBLED_PER_1000: u64 = 30;
+const GARBLED_FOR_MS: u64 = 5_500;
 const EVENTS: u64 = 12;
 const PACE_MS: u64 = 25;
 const CLIENTS: usize = 12;
-const TURNS: usize = 16;
+const TURNS: usize = 18;
 
 fn event(number: u64, arrival: &Arrival, worker: &WorkerState) -> String {
     format!("id: {number}\ndata: {} by {}\n\n", arrival.id, worker.id)
