--- a/crates/persimmon_gateway/src/answer.rs
+++ b/crates/persimmon_gateway/src/answer.rs
@@ -15,7 +15,7 @@
 use crate::exchange::{Answered, Exchange, KEEP_ALIVE, OpenStream, keep_alive_timeout_s};
 use crate::gateway::Gateway;
 use crate::head::RequestHead;
-use crate::in_flight::InProgress;
+use crate::open_requests::InProgress;
 use crate::plan::plan;
 use crate::platform::Platform;
 use crate::refusal::Refusal;
@@ -32,13 +32,14 @@
     req: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let arrived = gw.clock.now();
-    let in_progress = InProgress::begin(gw);
+    let in_progress = InProgress::begin(gw, arrived);
     let (parts, body) = req.into_parts();
     let head = match RequestHead::read(&parts, gw.platform.headers()) {
         Ok(head) => head,
         Err(refusal) => return refuse(gw, "", refusal),
     };
     let id = head.id.clone();
+    in_progress.set_id(&id);
     let mut plan = match plan(gw, head, body, arrived).await {
         Ok(plan) => plan,
         Err(refusal) => return refuse(gw, &id, refusal),
@@ -51,6 +52,7 @@
         plan.prefer_service(&origin.service);
     }
     let version = origin.map(|it| it.version.clone());
+    in_progress.record_accepted(&plan.route.name);
     let mut exchange = Exchange::new(gw.clone(), Rc::new(plan), version, in_progress);
     let mut response = match exchange.open(None).await {
         Ok(Answered::Complete(response)) => {
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -62,8 +62,6 @@
     pub(crate) is_watching: bool,
     /// Gateways that weren't known and haven't got a digest since.
     pub(crate) newcomers: Vec<IpAddr>,
-    /// Number of requests in progress.
-    pub(crate) in_progress: usize,
     /// End of the last request.
     pub(crate) idle_since: MonoMs,
     retries: HashMap<Arc<str>, RetryWindow>,
@@ -115,7 +113,6 @@
             store_contact: None,
             is_watching: true,
             newcomers: Vec::new(),
-            in_progress: 0,
             idle_since: now,
             retries: HashMap::new(),
             marked_era: StoreEra::default(),
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -15,6 +15,7 @@
 use crate::framing::Framing;
 use crate::head::number;
 use crate::in_flight::InFlight;
+use crate::open_requests::RequestStage;
 use crate::platform::Platform;
 use crate::read_body::read_body;
 use crate::upstream::{Connection, SendError};
@@ -122,6 +123,7 @@
     }
 
     fn record_send(&mut self, choice: &Choice) {
+        self.in_progress.set_stage(RequestStage::Sent);
         let now = self.gw.clock.now();
         let mut control = self.gw.control.borrow_mut();
         if self.sends > 0 {
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -20,7 +20,8 @@
 use crate::control::Control;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
-use crate::in_flight::{InFlight, InProgress, InWorkspace};
+use crate::in_flight::{InFlight, InWorkspace};
+use crate::open_requests::{InProgress, RequestStage};
 use crate::plan::Plan;
 use crate::platform::Platform;
 use crate::refusal::Refusal;
@@ -109,7 +110,7 @@
     sends: u32,
     is_answered: bool,
     in_workspace: InWorkspace<P>,
-    _in_progress: InProgress<P>,
+    in_progress: InProgress<P>,
 }
 
 impl<P: Platform> Exchange<P> {
@@ -133,7 +134,7 @@
             sends: 0,
             is_answered: false,
             in_workspace,
-            _in_progress: in_progress,
+            in_progress,
         }
     }
 
@@ -412,6 +413,7 @@
         if std::mem::replace(&mut self.is_answered, true) {
             return;
         }
+        self.in_progress.set_stage(RequestStage::Answering);
         let now = self.gw.clock.now();
         let ms = now.ms_since(self.plan.arrived);
         self.gw.control.borrow_mut().first_byte_timeout.record(&self.plan.route.name, ms);
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::control::Control;
 use crate::log_limiter::LogLimiter;
 use crate::metrics::Metrics;
+use crate::open_requests::OpenRequests;
 use crate::platform::Platform;
 use crate::settings::GatewaySettings;
 use crate::stream_versions::StreamExchange;
@@ -27,6 +28,8 @@
     pub(crate) log_limiter: LogLimiter,
     /// Notified when the known records may be stale and the store has to be listed again.
     pub(crate) resync: Notify,
+    /// Callers' requests in progress.
+    pub(crate) requests: OpenRequests,
     /// Memory reserved for callers' bodies, in bytes.
     pub(crate) body_bytes: Cell<usize>,
     /// Notified after changes to the records while routes and endpoints are known.
@@ -55,6 +58,7 @@
             metrics,
             log_limiter: LogLimiter::new(),
             resync: Notify::new(),
+            requests: OpenRequests::default(),
             body_bytes: Cell::new(0),
             configured: Notify::new(),
             digest_due: Notify::new(),
--- a/crates/persimmon_gateway/src/in_flight.rs
+++ b/crates/persimmon_gateway/src/in_flight.rs
@@ -131,27 +131,6 @@
     }
 }
 
-/// Counts a caller's request while it is in progress.
-#[derive(Debug)]
-pub(crate) struct InProgress<P: Platform>(Rc<Gateway<P>>);
-
-impl<P: Platform> InProgress<P> {
-    pub(crate) fn begin(gw: &Rc<Gateway<P>>) -> Self {
-        gw.control.borrow_mut().in_progress += 1;
-        gw.metrics.in_progress.inc();
-        Self(gw.clone())
-    }
-}
-
-impl<P: Platform> Drop for InProgress<P> {
-    fn drop(&mut self) {
-        let mut control = self.0.control.borrow_mut();
-        control.in_progress -= 1;
-        control.idle_since = self.0.clock.now();
-        self.0.metrics.in_progress.dec();
-    }
-}
-
 /// Counts a request for its workspace while it is in progress.
 #[derive(Debug)]
 pub(crate) struct InWorkspace<P: Platform> {
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod log_limiter;
 mod logging;
 mod metrics;
+mod open_requests;
 mod ops;
 mod peer_records;
 mod peers;
@@ -36,7 +37,7 @@
 mod upstream;
 
 pub use holder::{HolderSettings, run_holder};
-pub use logging::start_logging;
+pub use logging::Logging;
 pub use platform::{DecodeError, DecodedRecord, HeaderNames, Platform, RecordPage, RecordSubject};
 pub use run::run_gateway;
 pub use settings::GatewaySettings;
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -13,6 +13,8 @@
     set: MetricSet,
     /// Callers' requests by outcome.
     pub(crate) requests: IntCounterVec,
+    /// Requests that arrived during the shutdown, by decision.
+    pub(crate) shutdown_decisions: IntCounterVec,
     /// Attempts at endpoints by outcome.
     pub(crate) attempts: IntCounterVec,
     /// Answers of endpoints by framing and by how they ended; a resumed stream has several.
@@ -59,6 +61,11 @@
                 "Callers' requests by outcome.",
                 &["outcome"],
             )?,
+            shutdown_decisions: set.counters(
+                "persimmon_gateway_shutdown_decisions_total",
+                "Requests that arrived during the shutdown, by decision.",
+                &["decision"],
+            )?,
             attempts: set.counters(
                 "persimmon_gateway_attempts_total",
                 "Attempts at endpoints by outcome.",
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -80,7 +80,7 @@
     let routes = gw.control.borrow().routes_in_force().ok_or(Refusal::NotConfigured)?;
     let (route, workspace) = find_route(&routes, &head)?;
     let deadline = deadline_of(&head, &route, arrived);
-    check_shutdown(gw, &route, deadline, arrived)?;
+    check_shutdown(gw, &head, &route, deadline, arrived)?;
     let max_bytes = routes.limits.max_body_bytes;
     let mut reservation = reserve_body(gw, &body, max_bytes)?;
     let body = read_request_body(gw, body, max_bytes, deadline).await?;
@@ -147,16 +147,26 @@
 /// Refuses a request that would not finish before the process exits.
 fn check_shutdown<P: Platform>(
     gw: &Rc<Gateway<P>>,
+    head: &RequestHead,
     route: &Route,
     deadline: MonoMs,
     now: MonoMs,
 ) -> Result<(), Refusal> {
     let mut control = gw.control.borrow_mut();
+    let Some(since) = control.shutdown.started_at() else { return Ok(()) };
     let max_ms = control.durations.max_ms(&route.name);
-    if control.shutdown.accepts(max_ms, deadline.ms_since(now), now) {
+    let deadline_ms = deadline.ms_since(now);
+    let is_accepted = control.shutdown.accepts(max_ms, deadline_ms, now);
+    let decision = if is_accepted { "accepted" } else { "refused" };
+    gw.metrics.shutdown_decisions.with_label_values(&[decision]).inc();
+    if let Some(suppressed) = gw.log_limiter.admit("shutdown", now) {
+        tracing::info!(target: "request", id = &*head.id, route = &*route.name, decision, max_ms,
+            deadline_ms, left_ms = control.shutdown.left_ms(now), stopping_ms = now.ms_since(since),
+            suppressed, "request during the shutdown");
+    }
+    if is_accepted {
         return Ok(());
     }
-    let since = control.shutdown.started_at().unwrap_or(now);
     let return_ms = control.peers.return_ms(since, control.shutdown.grace_ms(), now);
     let retry_after_ms = Shutdown::retry_after_ms(return_ms, control.draw());
     Err(Refusal::Leaving { retry_after_ms })
--- a/crates/persimmon_gateway/src/run.rs
+++ b/crates/persimmon_gateway/src/run.rs
@@ -58,18 +58,30 @@
         }
     }
     gw.control.borrow_mut().shutdown.begin(gw.clock.now());
-    tracing::info!(target: "gateway", in_progress = gw.control.borrow().in_progress,
+    tracing::info!(target: "gateway", in_progress = gw.requests.len(),
         grace_ms = gw.settings.grace_ms, "stopping");
     while !may_exit(&gw) {
         tokio::time::sleep(EXIT_CHECK_INTERVAL).await;
     }
-    tracing::info!(target: "gateway", in_progress = gw.control.borrow().in_progress, "stopped");
+    log_requests_cut(&gw);
+    tracing::info!(target: "gateway", in_progress = gw.requests.len(), "stopped");
     Ok(())
 }
 
 fn may_exit<P: Platform>(gw: &Gateway<P>) -> bool {
     let control = gw.control.borrow();
-    control.shutdown.may_exit(control.in_progress, control.idle_since, gw.clock.now())
+    control.shutdown.may_exit(gw.requests.len(), control.idle_since, gw.clock.now())
+}
+
+/// Counts and logs the requests that end because the process exits.
+fn log_requests_cut<P: Platform>(gw: &Gateway<P>) {
+    let now = gw.clock.now();
+    for request in gw.requests.list() {
+        gw.metrics.requests.with_label_values(&["exit"]).inc();
+        tracing::warn!(target: "request", id = &*request.id, route = &*request.route,
+            stage = request.stage.name(), ms = now.ms_since(request.arrived),
+            "request cut off by the exit");
+    }
 }
 
 async fn start<P: Platform>(gw: &Rc<Gateway<P>>) -> io::Result<()> {
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -102,7 +102,7 @@
             records_source: if control.store_contact.is_some() { "store" } else { "peers" },
             leaving: control.shutdown.is_leaving(),
             load: Load {
-                running: control.in_progress,
+                running: gw.requests.len(),
                 waiting: 0,
                 mean: f64::from(requests) / endpoints.len().max(1) as f64,
             },
--- a/crates/persimmonmountd/src/gateway.rs
+++ b/crates/persimmonmountd/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::env;
 use std::path::{Path, PathBuf};
 
-use persimmon_gateway::{GatewaySettings, run_gateway, start_logging};
+use persimmon_gateway::{GatewaySettings, Logging, run_gateway};
 use persimmon_platform::{SETTINGS_VARIABLE, SettingsFileError, UsersPlatform, read_settings};
 use persimmon_settings::{Setting, Settings};
 
@@ -24,6 +24,8 @@
     pub(crate) path: PathBuf,
     /// Port for metrics, if any.
     pub(crate) metrics_port: Option<u16>,
+    /// The process's log.
+    pub(crate) logging: Logging,
 }
 
 /// Reads the command-line settings of a role on the users' platform, and starts its logging.
@@ -35,9 +37,9 @@
     let metrics_port = settings.optional("metrics-port");
     let log: Option<String> = settings.optional("log");
     settings.finish().map_err(StartError::Settings)?;
-    start_logging(log.as_deref().unwrap_or("info"));
+    let logging = Logging::start(log.as_deref().unwrap_or("info"));
     let path = PathBuf::from(env::var_os(SETTINGS_VARIABLE).unwrap_or_default());
-    Ok(CommandLine { path, metrics_port })
+    Ok(CommandLine { path, metrics_port, logging })
 }
 
 /// Runs the role.
@@ -46,10 +48,12 @@
 ///
 /// Returns an error if the settings are invalid or an address can't be bound.
 pub(crate) fn run(settings: Settings) -> Result<(), StartError> {
-    let CommandLine { path, metrics_port } = start(settings)?;
+    let CommandLine { path, metrics_port, logging } = start(settings)?;
     let gateway = read_settings(&path, metrics_port).map_err(StartError::File)?;
     let reload = move || reload(&path, metrics_port);
-    run_gateway(UsersPlatform::new(), gateway, reload).map_err(StartError::Io)
+    let result = run_gateway(UsersPlatform::new(), gateway, reload);
+    logging.close();
+    result.map_err(StartError::Io)
 }
 
 fn reload(path: &Path, metrics_port: Option<u16>) -> Option<GatewaySettings> {
--- a/crates/persimmonmountd/src/holder.rs
+++ b/crates/persimmonmountd/src/holder.rs
@@ -13,7 +13,9 @@
 ///
 /// Returns an error if the settings are invalid or an address can't be bound.
 pub(crate) fn run(settings: Settings) -> Result<(), StartError> {
-    let CommandLine { path, metrics_port } = gateway::start(settings)?;
+    let CommandLine { path, metrics_port, logging } = gateway::start(settings)?;
     let holder = read_holder_settings(&path, metrics_port).map_err(StartError::File)?;
-    run_holder(&holder).map_err(StartError::Io)
+    let result = run_holder(&holder);
+    logging.close();
+    result.map_err(StartError::Io)
 }
