--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -13,8 +13,6 @@
     set: MetricSet,
     /// Callers' requests by outcome.
     pub(crate) requests: IntCounterVec,
-    /// Requests that arrived during the shutdown, by decision.
-    pub(crate) shutdown_decisions: IntCounterVec,
     /// Attempts at endpoints by outcome.
     pub(crate) attempts: IntCounterVec,
     /// Answers of endpoints by framing and by how they ended; a resumed stream has several.
@@ -25,7 +23,7 @@
     pub(crate) resumed: IntCounterVec,
     /// Counters of what endpoints do besides answering.
     pub(crate) endpoint: EndpointMetrics,
-    /// Counters of callers' connections.
+    /// Counters of callers' connections and of the shutdown.
     pub(crate) callers: CallerMetrics,
     /// Calls to the platform's store by kind and result.
     pub(crate) store_calls: IntCounterVec,
@@ -61,11 +59,6 @@
                 "Callers' requests by outcome.",
                 &["outcome"],
             )?,
-            shutdown_decisions: set.counters(
-                "persimmon_gateway_shutdown_decisions_total",
-                "Requests that arrived during the shutdown, by decision.",
-                &["decision"],
-            )?,
             attempts: set.counters(
                 "persimmon_gateway_attempts_total",
                 "Attempts at endpoints by outcome.",
@@ -128,11 +121,13 @@
     }
 }
 
-/// Counters of callers' connections.
+/// Counters of callers' connections and of the shutdown.
 #[derive(Debug, Clone)]
 pub(crate) struct CallerMetrics {
     /// Connections that were closed for lack of room, by what the caller was doing.
     pub(crate) closed: IntCounterVec,
+    /// Requests that arrived during the shutdown, by decision.
+    pub(crate) shutdown_decisions: IntCounterVec,
 }
 
 impl CallerMetrics {
@@ -142,7 +137,12 @@
             "Connections of callers that were closed for lack of room, by what the caller was doing.",
             &["doing"],
         )?;
-        Ok(Self { closed })
+        let shutdown_decisions = set.counters(
+            "persimmon_gateway_shutdown_decisions_total",
+            "Requests that arrived during the shutdown, by decision.",
+            &["decision"],
+        )?;
+        Ok(Self { closed, shutdown_decisions })
     }
 }
 
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -158,7 +158,7 @@
     let deadline_ms = deadline.ms_since(now);
     let is_accepted = control.shutdown.accepts(max_ms, deadline_ms, now);
     let decision = if is_accepted { "accepted" } else { "refused" };
-    gw.metrics.shutdown_decisions.with_label_values(&[decision]).inc();
+    gw.metrics.callers.shutdown_decisions.with_label_values(&[decision]).inc();
     if let Some(suppressed) = gw.log_limiter.admit("shutdown", now) {
         tracing::info!(target: "request", id = &*head.id, route = &*route.name, decision, max_ms,
             deadline_ms, left_ms = control.shutdown.left_ms(now), stopping_ms = now.ms_since(since),
