gateway: the rest of a refused request's body is read

A caller that was still sending its body when it was refused got a broken pipe in place of the refusal, and with it no promise that the request hasn't run.

--- a/crates/persimmon_gateway/src/answer.rs
+++ b/crates/persimmon_gateway/src/answer.rs
@@ -20,6 +20,7 @@
 use crate::open_requests::InProgress;
 use crate::plan::{Plan, plan};
 use crate::platform::Platform;
+use crate::read_body::discard_rest;
 use crate::refusal::Refusal;
 use crate::relay;
 use crate::shutdown;
@@ -46,7 +47,10 @@
     let accepted = gw.cut_off.run_until_cancelled(accept(gw, head, &mut body, arrived)).await;
     let (plan, version) = match accepted.unwrap_or_else(|| Err(shutdown::refusal(gw))) {
         Ok(accepted) => accepted,
-        Err(refusal) => return refuse(gw, &id, refusal),
+        Err(refusal) => {
+            discard_rest(body, gw.max_body_bytes());
+            return refuse(gw, &id, refusal);
+        }
     };
     in_progress.record_accepted(&plan.route.name);
     let mut exchange = Exchange::new(gw.clone(), Rc::new(plan), version, in_progress);
