--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -5,7 +5,9 @@
 
 use persimmon_decide::forward::Quarantined;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
+use crate::callers::Connections;
 use crate::control::Control;
 use crate::log_limiter::LogLimiter;
 use crate::metrics::Metrics;
@@ -28,6 +30,11 @@
     pub(crate) log_limiter: LogLimiter,
     /// Notified when the known records may be stale and the store has to be listed again.
     pub(crate) resync: Notify,
+    /// Open connections of callers.
+    pub(crate) callers: Connections,
+    /// Cancelled shortly before the process exits; requests without an answer are then answered with an
+    /// error.
+    pub(crate) cut_off: CancellationToken,
     /// Callers' requests in progress.
     pub(crate) requests: OpenRequests,
     /// Memory reserved for callers' bodies, in bytes.
@@ -58,6 +65,8 @@
             metrics,
             log_limiter: LogLimiter::new(),
             resync: Notify::new(),
+            callers: Connections::default(),
+            cut_off: CancellationToken::new(),
             requests: OpenRequests::default(),
             body_bytes: Cell::new(0),
             configured: Notify::new(),
@@ -74,6 +83,11 @@
         SocketAddr::new(ip, self.settings.peers.port())
     }
 
+    /// Returns the maximum size of a request's body, in bytes; 0 while no routes are known.
+    pub(crate) fn max_body_bytes(&self) -> usize {
+        self.control.borrow().routes.as_ref().map_or(0, |routes| routes.limits.max_body_bytes)
+    }
+
     /// Counts and logs what is refused from now on.
     pub(crate) fn log_newly_refused(&self) {
         let now = self.clock.now();
