gateway: keep a connection only while its answers carry request ids

What callers saw: an endpoint that sent a refusal without a request id a second time, late, on a kept connection made the gateway refuse the next request, or the one after it, which that endpoint was running. The gateway sent it to a second endpoint, or answered 503, which promises that it doesn't run.

Cause: only the request id tells a late copy from the answer that is due. A refusal may lack it, and its connection was put back all the same, so that the copy met a waiting request. Class: an answer is matched to its request by its place on the connection instead of by what it carries.

An answer without an id now ends its connection. On a kept connection each answer so far has carried its request's id, so a copy of any of them names another request and counts as an unknown outcome. A refusal without an id that does arrive is therefore the endpoint's answer to this request, and still leads to another endpoint or to a 503.

--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -2,6 +2,7 @@
 //! that the gateways of a fleet exchange.
 
 mod admission;
+mod answer_owner;
 mod attempt;
 mod attempt_end;
 mod caller_room;
@@ -43,6 +44,7 @@
 mod workspace_shares;
 
 pub use admission::{Admission, AdmissionInput, AdmissionSettings};
+pub use answer_owner::AnswerOwner;
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
 pub use attempt_end::{AttemptEnd, CrashEvidence, FailureReason};
 pub use caller_room::{CallerActivity, OpenConnection, connection_to_close};
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -9,7 +9,9 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use persimmon_decide::forward::{AttemptEnd, Choice, Endpoint, FailureReason, Repeatable};
+use persimmon_decide::forward::{
+    AnswerOwner, AttemptEnd, Choice, Endpoint, FailureReason, Repeatable,
+};
 
 use super::{Answered, Exchange, FailedAttempt, MIN_ATTEMPT_MS, OpenStream, keep_alive_timeout_s};
 use crate::framing::Framing;
@@ -285,10 +287,9 @@
         let headers = response.headers();
         let status = response.status();
         let answered = headers.get(&names.request_id).map(HeaderValue::as_bytes);
-        let own = self.plan.head.id.as_bytes();
-        // A late answer to an earlier request gives no information about this one. Refusals may
-        // lack the request id.
-        if answered.is_some_and(|id| id != own) {
+        let owner = AnswerOwner::of(answered, self.plan.head.id.as_bytes());
+        // A late answer to an earlier request gives no information about this one.
+        if owner == AnswerOwner::Other {
             return Err(fail(in_flight, FailureReason::ForeignAnswer));
         }
         self.record_statements(&in_flight, status, headers);
@@ -298,10 +299,13 @@
                 true => FailureReason::Misdirected,
                 false => FailureReason::Refused,
             };
-            self.drain_for_reuse(response, connection, &in_flight).await;
+            // Refusals may lack the request id.
+            if owner.keeps_connection() {
+                self.drain_for_reuse(response, connection, &in_flight).await;
+            }
             return Err(fail(in_flight, reason));
         }
-        if answered.is_none() {
+        if owner == AnswerOwner::Unnamed {
             return Err(fail(in_flight, FailureReason::UnnamedAnswer));
         }
         let is_signed = headers.contains_key(&names.signature);
