tests: a running request isn't refused by the copy of a refusal

With a single endpoint, a late copy without a request id made the gateway answer 503 while that endpoint ran the request.

--- a/crates/persimmonmountd/tests/process_gateway_refusals.rs
+++ b/crates/persimmonmountd/tests/process_gateway_refusals.rs
@@ -90,6 +90,19 @@
     fixture.deployment.close();
 }
 
+/// Without another endpoint, a refusal is what the caller gets.
+#[rstest]
+fn running_request_is_not_refused_by_copy(
+    #[values("/commit/x", "/lookup/x")] path: &str,
+    #[values(CopyMoment::NextRequest, CopyMoment::SecondNextRequest)] copy: CopyMoment,
+) {
+    let fixture = start(&["one"]);
+    let answers = call_refused_twice(&fixture, path, Refusal { copy: Some(copy), ..FULL });
+    check(&fixture, &answers);
+    assert!(answers[1..].iter().all(|it| it.status == 200), "{answers:#?}");
+    fixture.deployment.close();
+}
+
 #[rstest]
 #[case::lookup("/lookup/x")]
 #[case::draft("/draft/x")]
