gateway: a stream's version isn't concluded from the only one served

Callers saw a stream that had begun at an endpoint of a new software version go on at one of the old version (ORDER), if they took it up at a gateway that was cut off while the new version joined.

Cause: when no peer or holder answered, the gateway took the only version that had served in the last minute, provided that it still counted more than half of the fleet as live. Peers stay live for at least 1.5 s after their last digest (five in a fleet of 100, by calculation), so for that time both the contacts and the records dated from before the cut, and silence passed for proof.

Now a caller that names its first attempt goes on only by what this gateway, a peer or a holder remembers of that stream. All else is refused (503, unknown_stream), also where the conclusion happened to be right: a stream that nobody who answers remembers, at a gateway in step that has run for a minute and seen one version.

A gateway that stands still instead passed before too: its peers answer once it runs again.

--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -8,9 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_decide::forward::{
-    ServedVersions, StoreEra, StreamKey, StreamMessage, StreamOrigin, StreamVersions,
-};
+use persimmon_decide::forward::{StoreEra, StreamKey, StreamMessage, StreamOrigin, StreamVersions};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -34,7 +32,7 @@
     Own,
     /// A peer or a holder has it.
     Peer,
-    /// The service has had one version only.
+    /// The caller names no first attempt, and the service has had one version only.
     OnlyVersion,
     /// It wasn't found.
     Unknown,
@@ -228,35 +226,29 @@
     origin.map(Some).ok_or(Refusal::UnknownStream)
 }
 
+/// Looks up what began a stream. Nothing is concluded from which versions have served, unless the caller
+/// names no first attempt: on a gateway that is cut off, the records and contacts may be out of date.
 async fn look_up<P: Platform>(gw: &Rc<Gateway<P>>, plan: &Plan<P>) -> Lookup {
-    let names_first = plan.head.first_id.is_some();
-    let mut query = None;
-    if names_first {
-        let stream = plan.stream();
-        let origin = gw.control.borrow().streams.origin(stream).cloned();
-        if origin.is_some() {
-            return Lookup { origin, source: Source::Own, query };
-        }
-        let asked = ask(gw, plan, stream).await;
-        let origin = asked.origin.borrow().clone();
-        query = Some(asked);
-        if origin.is_some() {
-            return Lookup { origin, source: Source::Peer, query };
-        }
+    if plan.head.first_id.is_none() {
+        return look_up_only_version(gw, plan);
     }
-    let control = gw.control.borrow();
-    let now = gw.clock.now();
-    // A gateway that has just started, or hears few others, may not know of other versions.
-    let knows_versions = now.0 >= ServedVersions::KEPT_MS && control.peers.hears_most(now);
-    let only = control.served.only(&plan.service).cloned();
-    match only.filter(|_| knows_versions || !names_first) {
-        Some(version) => {
-            let service = plan.service.clone();
-            let origin = Some(Arc::new(StreamOrigin { service, version }));
-            Lookup { origin, source: Source::OnlyVersion, query }
-        }
-        None => Lookup { origin: None, source: Source::Unknown, query },
+    let stream = plan.stream();
+    let origin = gw.control.borrow().streams.origin(stream).cloned();
+    if origin.is_some() {
+        return Lookup { origin, source: Source::Own, query: None };
     }
+    let query = ask(gw, plan, stream).await;
+    let origin = query.origin.borrow().clone();
+    let source = if origin.is_some() { Source::Peer } else { Source::Unknown };
+    Lookup { origin, source, query: Some(query) }
+}
+
+fn look_up_only_version<P: Platform>(gw: &Gateway<P>, plan: &Plan<P>) -> Lookup {
+    let only = gw.control.borrow().served.only(&plan.service).cloned();
+    let service = plan.service.clone();
+    let origin = only.map(|version| Arc::new(StreamOrigin { service, version }));
+    let source = if origin.is_some() { Source::OnlyVersion } else { Source::Unknown };
+    Lookup { origin, source, query: None }
 }
 
 /// Asks the gateways and holders that may remember a stream what began it.
--- a/crates/persimmonmountd/tests/process_gateway_holders.rs
+++ b/crates/persimmonmountd/tests/process_gateway_holders.rs
@@ -32,7 +32,7 @@
             .map(|number| Some(deployment.start_holder(deployment.endpoint_ip(number)).unwrap()))
             .collect();
         let fixture = GatewayFixture::start_on(deployment, &ENDPOINTS).unwrap();
-        publish_versions(&fixture);
+        publish_versions(&fixture, 0..GATEWAYS.into());
         Self { fixture, holders }
     }
 
--- a/crates/persimmonmountd/tests/process_gateway_versions.rs
+++ b/crates/persimmonmountd/tests/process_gateway_versions.rs
@@ -17,7 +17,7 @@
         deployment.isolate_gateways();
     }
     let fixture = GatewayFixture::start_on(deployment, &ENDPOINTS).unwrap();
-    publish_versions(&fixture);
+    publish_versions(&fixture, 0..GATEWAYS.into());
     fixture
 }
 
--- a/crates/persimmonmountd/tests/version_streams/mod.rs
+++ b/crates/persimmonmountd/tests/version_streams/mod.rs
@@ -1,6 +1,7 @@
 //! Streams that callers take up again at gateways before endpoints of two software versions.
 
 use std::io;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use persimmon_platform::standin::{Behaviour, Caller, GatewayFixture, wait_until};
@@ -52,14 +53,14 @@
     }
 }
 
-/// Sets the versions of a fixture's endpoints and publishes them, until all gateways have them.
-pub(crate) fn publish_versions(fixture: &GatewayFixture) {
+/// Sets the versions of a fixture's endpoints and publishes them, until these gateways have them.
+pub(crate) fn publish_versions(fixture: &GatewayFixture, gateways: Range<usize>) {
     fixture.set_behaviours(&streaming(None));
     for endpoint in &fixture.endpoints {
         endpoint.set_version(&endpoint.id()[..2]);
         fixture.deployment.publish_endpoint(endpoint, false);
     }
-    for gateway in 0..usize::from(GATEWAYS) {
+    for gateway in gateways {
         wait_until_published(fixture, gateway, 2);
     }
 }
