soak: planned stops, and a check that they lose no request

Some answers last beyond the grace period, and in odd seeds a third of the bodies comes in chunks with pauses. A request that reached an endpoint must get its whole answer, unless the endpoint was still at work in the last sixth of the grace period on a request that was sent within 3 s of SIGTERM, or the timeout was reached; one that reached none must get some answer. Each loss is printed with its times after SIGTERM and the gateway's log lines. The usual runs check the same beside a stop that no other fault excuses; the schedules of their seeds are as before.

--- a/crates/persimmon_soak/src/callers.rs
+++ b/crates/persimmon_soak/src/callers.rs
@@ -69,8 +69,8 @@
     pub(crate) ended: Instant,
     /// Answer, or the error that ended the connection.
     pub(crate) answer: io::Result<Answer>,
-    /// Whether the whole request was sent.
-    pub(crate) is_sent: bool,
+    /// When the last byte of the request was sent, if it was.
+    pub(crate) sent: Option<Instant>,
     /// Whether the caller closed the connection before the end of the answer.
     pub(crate) is_abandoned: bool,
     /// The stream that the call takes up again.
@@ -110,7 +110,7 @@
 
 impl CallerControls {
     /// Waits until the caller may send a request. Returns false if it has to stop.
-    fn wait(&self, is_surge_only: bool) -> bool {
+    pub(crate) fn wait(&self, is_surge_only: bool) -> bool {
         loop {
             thread::sleep(PAUSE);
             if self.stop.load(Ordering::Relaxed) {
@@ -167,7 +167,7 @@
             }
         };
         let is_abandoned = rng.random_ratio(1, ABANDON_ONE_IN);
-        let mut is_sent = false;
+        let mut sent = None;
         let mut reusable = None;
         let answer = connected.and_then(|caller| {
             let path = format!("/{}/x", kind.route());
@@ -177,7 +177,7 @@
                 caller = caller.with_last_event(stream.last_event).with_first_id(&stream.first_id);
             }
             caller.send("body")?;
-            is_sent = true;
+            sent = Some(Instant::now());
             if is_abandoned {
                 abandon(caller, kind)?;
                 return Err(io::ErrorKind::ConnectionAborted.into());
@@ -189,7 +189,7 @@
         open = reusable.map(|caller| (gateway, caller, used + 1));
         let ended = Instant::now();
         let call =
-            Call { id, kind, gateway, key, began, ended, answer, is_sent, is_abandoned, takes_up };
+            Call { id, kind, gateway, key, began, ended, answer, sent, is_abandoned, takes_up };
         broken = call.broken_stream();
         calls.push(call);
     }
--- a/crates/persimmon_soak/src/checks.rs
+++ b/crates/persimmon_soak/src/checks.rs
@@ -1,12 +1,14 @@
 //! Checks the gateways' promises against what callers and endpoints observed.
 
 use std::collections::{HashMap, HashSet};
+use std::io;
 use std::time::{Duration, Instant};
 
-use persimmon_platform::standin::ReceivedRequest;
+use persimmon_platform::standin::{Answer, ReceivedRequest};
 
 use crate::callers::{Call, CallKind, whole_events};
 use crate::schedule::{Fault, Step};
+use crate::stops::{LOST_IN_STOP, READ_AND_UNANSWERED, READ_LIMIT, STOP_SLACK};
 use crate::testbed::{ENDPOINT_PREFIX, REVOCABLE_KEY, STREAM_EVENTS, version_of};
 
 /// Time by which an answer may exceed its route's timeout.
@@ -18,6 +20,8 @@
 /// Time after a fault of the store or a process until gateways have recovered and meet these limits
 /// again.
 pub(crate) const RECOVERY_TIME: Duration = Duration::from_secs(3);
+/// Grace period in the stand-ins' settings.
+const GRACE: Duration = Duration::from_secs(4);
 /// Retry budget of the fleet: in each window, the number of retries may not exceed
 /// `BUDGET_RATIO * calls + BUDGET_SLACK`.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
@@ -60,6 +64,7 @@
             let runs = runs.get(&*call.id).copied().unwrap_or(0);
             findings.extend(self.check_call(call, runs));
         }
+        findings.extend(self.check_stops());
         findings.extend(self.check_drains());
         findings.extend(self.check_budget());
         findings.extend(self.check_unknown_requests());
@@ -122,7 +127,7 @@
             Ok(answer) if matches!(answer.status, 400 | 401 | 403 | 404) => {
                 report("allowed calls aren't denied", format!("status {}", answer.status));
             }
-            Err(err) if call.is_sent && !is_disrupted && runs > 0 => {
+            Err(err) if call.sent.is_some() && !is_disrupted && runs > 0 => {
                 report(
                     "no request is lost",
                     format!("the request ran, but the connection ended: {err}"),
@@ -201,6 +206,57 @@
         false
     }
 
+    /// Finds requests that a gateway read and didn't answer beside a planned stop, though no other
+    /// fault excuses it.
+    fn check_stops(&self) -> Vec<Finding> {
+        let mut arrivals: HashMap<&str, Vec<(usize, &ReceivedRequest)>> = HashMap::new();
+        for (endpoint, received) in self.received.iter().enumerate() {
+            for request in received {
+                arrivals.entry(&*request.id).or_default().push((endpoint, request));
+            }
+        }
+        let check = |call: &Call| {
+            let arrivals = arrivals.get(&*call.id).map_or(&[][..], |it| it);
+            let promise = self.broken_in_stop(call, arrivals)?;
+            let at_ms = call.began.duration_since(self.started).as_millis();
+            Some(Finding { promise, seen: format!("{at_ms} ms: {call:?}, {arrivals:?}") })
+        };
+        self.calls.iter().filter_map(check).collect()
+    }
+
+    /// Returns the promise that a call broke beside a planned stop of its gateway.
+    fn broken_in_stop(
+        &self,
+        call: &Call,
+        arrivals: &[(usize, &ReceivedRequest)],
+    ) -> Option<&'static str> {
+        let sent = call.sent.filter(|_| !call.is_abandoned)?;
+        let is_complete = call.answer.as_ref().is_ok_and(|it| it.is_complete);
+        let is_timed_out = call.ended - call.began + TIMEOUT_SLACK >= self.timeout;
+        let stop = Fault::Stop { gateway: call.gateway };
+        let is_beside_stop = self.steps.iter().filter(|it| it.fault == stop).any(|step| {
+            let stop = self.started + Duration::from_millis(step.at_ms);
+            (stop..=stop + GRACE + STOP_SLACK).contains(&call.ended)
+        });
+        if is_complete || is_timed_out || !is_beside_stop {
+            return None;
+        }
+        let mut faults = self.active_faults(call.began, call.ended);
+        let is_excused = faults.any(|fault| {
+            let used = |it| arrivals.is_empty() || arrivals.iter().any(|(used, _)| *used == it);
+            (fault != stop && fault.disrupts(call.gateway))
+                || fault.disrupted_endpoint().is_some_and(used)
+        });
+        if is_excused || arrivals.iter().any(|(_, it)| it.breaks_off) {
+            return None;
+        }
+        match arrivals {
+            [] if call.ended - sent <= READ_LIMIT => None,
+            [] => Some(READ_AND_UNANSWERED),
+            _ => Some(LOST_IN_STOP),
+        }
+    }
+
     fn check_drains(&self) -> Vec<Finding> {
         let mut findings = Vec::new();
         for step in self.steps {
@@ -334,6 +390,11 @@
     }
 }
 
+/// Reports whether an answer has this status and is complete.
+pub(crate) fn is_whole(answer: &io::Result<Answer>, status: u16) -> bool {
+    answer.as_ref().is_ok_and(|it| it.status == status && it.is_complete)
+}
+
 /// Returns the software version of the endpoint that sent an event.
 fn version_of_event(event: &str) -> Option<&'static str> {
     let (_, endpoint) = event.trim_end().rsplit_once(ENDPOINT_PREFIX)?;
--- a/crates/persimmon_soak/src/main.rs
+++ b/crates/persimmon_soak/src/main.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use getopts::{Matches, Options};
-use persimmon_soak::{Soak, SoakReport};
+use persimmon_soak::{Soak, SoakReport, StopSettings};
 
 const EXIT_USAGE: u8 = 2;
+/// Number of callers for each gateway with `--stops`.
+const STOP_CALLERS: u64 = 24;
 
 fn main() -> ExitCode {
     let mut options = Options::new();
@@ -18,6 +20,9 @@
     options.optopt("", "seconds", "length of a run in seconds, 10 by default", "SECONDS");
     options.optopt("", "gateways", "number of gateways, 3 by default", "COUNT");
     options.optopt("", "endpoints", "number of endpoints, 6 by default", "COUNT");
+    options.optflag("", "stops", "stop gateways as planned, without other faults");
+    options.optopt("", "grace", "grace period with --stops in seconds, 8 by default", "SECONDS");
+    options.optopt("", "warm", "time before the first stop in seconds, 2 by default", "SECONDS");
     let args: Vec<_> = env::args().skip(1).collect();
     let matches = match options.parse(&args) {
         Ok(matches) => matches,
@@ -51,11 +56,17 @@
     };
     let gateways = u8::try_from(number("gateways", 3)?).map_err(|err| err.to_string())?;
     let endpoints = usize::try_from(number("endpoints", 6)?).map_err(|err| err.to_string())?;
-    let soak = Soak::new(&program)
+    let mut soak = Soak::new(&program)
         .with_gateways(gateways.max(1))
         .with_endpoints(endpoints.max(1))
         .with_callers(4 * u64::from(gateways.max(1)))
         .with_length(Duration::from_secs(number("seconds", 10)?));
+    if matches.opt_present("stops") {
+        let warm = Duration::from_secs(number("warm", 2)?);
+        let settings = StopSettings { grace_s: number("grace", 8)?, warm };
+        let callers = STOP_CALLERS * u64::from(gateways.max(1));
+        soak = soak.with_callers(callers).with_stops(settings);
+    }
     let first = number("first", 1)?;
     let mut broken = 0;
     for seed in first..first + number("seeds", 1)? {
@@ -67,13 +78,16 @@
 }
 
 fn print(report: &SoakReport) {
-    let SoakReport { schedule, calls, served, denied, refused_in_surge, findings } = report;
+    let SoakReport { schedule, calls, served, denied, refused_in_surge, findings, counts } = report;
     let faults = schedule.steps.len();
     let seed = schedule.seed;
     println!(
         "seed {seed}: {calls} calls, {served} served, {denied} denied, {refused_in_surge} refused \
          in a surge, {faults} faults"
     );
+    for (name, count) in counts {
+        println!("  {count:>6} {name}");
+    }
     if findings.is_empty() {
         return;
     }
--- a/crates/persimmon_soak/src/schedule.rs
+++ b/crates/persimmon_soak/src/schedule.rs
@@ -152,6 +152,18 @@
         }
     }
 
+    /// Returns the endpoint whose connections the fault disrupts.
+    pub(crate) fn disrupted_endpoint(self) -> Option<usize> {
+        match self {
+            Self::Cut { endpoint }
+            | Self::Silence { endpoint, .. }
+            | Self::Refuse { endpoint, .. }
+            | Self::Crash { endpoint, .. }
+            | Self::Delay { endpoint, .. } => Some(endpoint),
+            _ => None,
+        }
+    }
+
     /// Reports whether the fault disrupts the process of any gateway.
     pub(crate) fn disrupts_any(self) -> bool {
         matches!(self, Self::Stop { .. } | Self::Kill { .. } | Self::Pause { .. } | Self::KillAll)
@@ -247,6 +259,12 @@
     /// Length of a surge, in milliseconds.
     const SURGE_MS: std::ops::Range<u64> = 500..3_000;
 
+    /// Combined with the seed to draw planned stops.
+    const STOPS_SALT: u64 = 0x7374_6f70_7300_0000;
+    /// Time after SIGTERM at which settings are read again or routes published, in milliseconds. The
+    /// process still runs then.
+    const BESIDE_STOP_MS: std::ops::Range<u64> = 0..2_500;
+
     /// Draws the schedule of a seed.
     pub fn new(seed: u64, length_ms: u64, gateways: usize, endpoints: usize) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -271,6 +289,34 @@
         Self { seed, steps }
     }
 
+    /// Draws planned stops that overlap, after `warm_ms`. A gateway that has ended is stopped again after
+    /// a while. Settings are read again and routes published in between.
+    pub(crate) fn of_stops(
+        seed: u64,
+        length_ms: u64,
+        gateways: usize,
+        (warm_ms, grace_ms): (u64, u64),
+    ) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ Self::STOPS_SALT);
+        let mut steps = Vec::new();
+        for gateway in 0..gateways {
+            let mut at_ms = warm_ms + rng.random_range(0..grace_ms / 2);
+            while at_ms + grace_ms + Self::QUIET_MS < length_ms {
+                steps.push(Step { at_ms, fault: Fault::Stop { gateway } });
+                let fault = match rng.random_range(0..3) {
+                    0 => Fault::PublishRoutes,
+                    _ => Fault::Reload { gateway },
+                };
+                let later_ms = rng.random_range(Self::BESIDE_STOP_MS);
+                steps.push(Step { at_ms: at_ms + later_ms, fault });
+                let runs_ms = Self::QUIET_MS + rng.random_range(0..grace_ms);
+                at_ms += grace_ms + runs_ms;
+            }
+        }
+        steps.sort_by_key(|step| step.at_ms);
+        Self { seed, steps }
+    }
+
     /// Reports whether a surge, or calls that started in it, may be in progress at this time.
     pub(crate) fn has_surge(&self, at: Duration) -> bool {
         let at_ms = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crate::callers::{Call, CallerControls, CallerSpec, run_caller};
-use crate::checks::{Finding, Observations};
+use crate::checks::{Finding, Observations, is_whole};
 use crate::schedule::Schedule;
+use crate::stops::{RunSize, StopCount, StopSettings, run_stops};
 use crate::testbed::{KEY, REVOCABLE_KEY, TIMEOUT_MS, Testbed};
 
 /// One in this many callers uses the revocable key.
@@ -24,6 +25,8 @@
     endpoints: usize,
     callers: u64,
     length: Duration,
+    /// Settings if gateways are only stopped as planned.
+    stops: Option<StopSettings>,
 }
 
 /// Result of a run.
@@ -42,6 +45,8 @@
     pub refused_in_surge: usize,
     /// Broken promises.
     pub findings: Vec<Finding>,
+    /// Counts of a run with planned stops only; empty otherwise.
+    pub counts: StopCount,
 }
 
 impl Soak {
@@ -54,6 +59,7 @@
             endpoints: 6,
             callers: 12,
             length: Duration::from_secs(10),
+            stops: None,
         }
     }
 
@@ -85,12 +91,24 @@
         self
     }
 
+    /// Makes runs stop gateways as planned, and inject no other fault.
+    #[must_use]
+    pub fn with_stops(mut self, settings: StopSettings) -> Self {
+        self.stops = Some(settings);
+        self
+    }
+
     /// Runs one seed.
     ///
     /// # Errors
     ///
     /// Returns an error if a process or a stand-in can't be started or controlled.
     pub fn run(&self, seed: u64) -> io::Result<SoakReport> {
+        if let Some(settings) = self.stops {
+            let Self { gateways, endpoints, callers, length, .. } = *self;
+            let size = RunSize { gateways, endpoints, callers, length };
+            return run_stops(&self.program, size, settings, seed);
+        }
         let length_ms = u64::try_from(self.length.as_millis()).unwrap_or(u64::MAX);
         let schedule = Schedule::new(seed, length_ms, self.gateways.into(), self.endpoints);
         let mut testbed = Testbed::start(&self.program, self.gateways, self.endpoints)?;
@@ -121,10 +139,7 @@
         };
         let mut findings = observations.findings();
         findings.extend(testbed.close());
-        let is_served = |answer: &io::Result<persimmon_platform::standin::Answer>| {
-            answer.as_ref().is_ok_and(|it| it.status == 200 && it.is_complete)
-        };
-        let served = calls.iter().filter(|call| is_served(&call.answer)).count();
+        let served = calls.iter().filter(|call| is_whole(&call.answer, 200)).count();
         let with_status = |status| {
             let has_it =
                 move |call: &&Call| call.answer.as_ref().is_ok_and(|it| it.status == status);
@@ -134,6 +149,7 @@
         let in_surge = |call: &&Call| schedule.has_surge(call.began.duration_since(started));
         let refused_in_surge = with_status(503).filter(in_surge).count();
         let calls = calls.len();
-        Ok(SoakReport { schedule, calls, served, denied, refused_in_surge, findings })
+        let counts = StopCount::new();
+        Ok(SoakReport { schedule, calls, served, denied, refused_in_surge, findings, counts })
     }
 }
--- a/crates/persimmon_soak/src/testbed/mod.rs
+++ b/crates/persimmon_soak/src/testbed/mod.rs
@@ -2,7 +2,7 @@
 
 mod final_checks;
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -15,7 +15,7 @@
 };
 use persimmon_standins::{Direction, Relay};
 
-use crate::callers::CallerControls;
+use crate::callers::{CallKind, CallerControls};
 use crate::schedule::{Fault, Step};
 
 /// Interval between two copies of the store, and the age of the oldest one that is kept.
@@ -52,14 +52,61 @@
     is_revocable_allowed: bool,
     /// Copies of the store, the oldest first.
     copies: VecDeque<(Instant, StoreCopy)>,
+    timeouts: Timeouts,
+    /// Log lines about requests of gateways that have ended.
+    logs: Vec<String>,
+    /// Gateways that were restarted, each with the time.
+    restarts: Vec<(usize, Instant)>,
+}
+
+/// Timeouts of the routes, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Timeouts {
+    pub(crate) call_ms: u64,
+    pub(crate) stream_ms: u64,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self { call_ms: TIMEOUT_MS, stream_ms: TIMEOUT_MS }
+    }
+}
+
+impl Timeouts {
+    /// Returns the timeout of the route for this kind of calls.
+    pub(crate) fn of(self, kind: CallKind) -> u64 {
+        if kind.is_stream() { self.stream_ms } else { self.call_ms }
+    }
+
+    fn publish_routes(self, deployment: &mut Deployment, is_revocable_allowed: bool) {
+        let Self { call_ms, stream_ms } = self;
+        let routes = [
+            RouteSpec::once("commit").with_timeout_ms(call_ms),
+            RouteSpec::repeatable("lookup").with_timeout_ms(call_ms),
+            RouteSpec::stream("draft", true).with_timeout_ms(stream_ms),
+            RouteSpec::stream("chat", false).with_timeout_ms(stream_ms),
+        ];
+        let keys = if is_revocable_allowed { &[KEY, REVOCABLE_KEY][..] } else { &[KEY] };
+        deployment.publish_routes(&routes, keys);
+    }
 }
 
 impl Testbed {
     /// Starts gateways, which run `program`, and endpoints, all with the usual behaviour.
     pub(crate) fn start(program: &str, gateways: u8, endpoint_count: usize) -> io::Result<Self> {
-        let mut deployment = Deployment::new(program, gateways)?;
         let usual =
             Behaviour::Mixed { events: STREAM_EVENTS, pause: EVENT_PAUSE, body: "done".into() };
+        let deployment = Deployment::new(program, gateways)?;
+        Self::start_on(deployment, endpoint_count, &usual, Timeouts::default())
+    }
+
+    /// Starts gateways before endpoints with this behaviour.
+    pub(crate) fn start_on(
+        mut deployment: Deployment,
+        endpoint_count: usize,
+        usual: &Behaviour,
+        timeouts: Timeouts,
+    ) -> io::Result<Self> {
         let (mut endpoints, mut relays) = (Vec::new(), Vec::new());
         for number in 0..endpoint_count {
             let endpoint =
@@ -70,7 +117,7 @@
             relays.push(relay);
         }
         endpoints.iter().for_each(|endpoint| deployment.publish_endpoint(endpoint, false));
-        publish_routes(&mut deployment, true);
+        timeouts.publish_routes(&mut deployment, true);
         deployment.start_all()?;
         Ok(Self {
             deployment,
@@ -79,6 +126,9 @@
             restarting: Vec::new(),
             is_revocable_allowed: true,
             copies: VecDeque::new(),
+            timeouts,
+            logs: Vec::new(),
+            restarts: Vec::new(),
         })
     }
 
@@ -151,7 +201,7 @@
             }
             Fault::StoreForgets => self.deployment.store.compact_history(),
             Fault::PublishRoutes => {
-                publish_routes(&mut self.deployment, self.is_revocable_allowed);
+                self.timeouts.publish_routes(&mut self.deployment, self.is_revocable_allowed);
             }
             Fault::Crash { endpoint, .. } => {
                 self.relays[endpoint].refuse();
@@ -218,7 +268,7 @@
                 Some(false) => self.deployment.publish_endpoint(endpoint, true),
             }
         }
-        publish_routes(&mut self.deployment, self.is_revocable_allowed);
+        self.timeouts.publish_routes(&mut self.deployment, self.is_revocable_allowed);
     }
 
     fn kill_all(&mut self) -> io::Result<()> {
@@ -270,14 +320,38 @@
 
     fn set_revocable_allowed(&mut self, is_allowed: bool) {
         self.is_revocable_allowed = is_allowed;
-        publish_routes(&mut self.deployment, is_allowed);
+        self.timeouts.publish_routes(&mut self.deployment, is_allowed);
+    }
+
+    /// Keeps what a gateway's log says of requests.
+    fn keep_log(&mut self, gateway: usize) {
+        let is_of_request = |it: &String| it.contains("\"target\":\"request\"");
+        self.logs.extend(self.deployment.log(gateway).into_iter().filter(is_of_request));
+    }
+
+    /// Returns the log lines of gateways that have ended that contain this id.
+    pub(crate) fn log_of(&self, id: &str) -> impl Iterator<Item = &str> {
+        let quoted = format!("\"{id}\"");
+        self.logs.iter().filter(move |it| it.contains(&quoted)).map(String::as_str)
+    }
+
+    /// Returns when a gateway was restarted, in order.
+    pub(crate) fn restarts_of(&self, gateway: usize) -> impl DoubleEndedIterator<Item = Instant> {
+        self.restarts.iter().filter(move |(it, _)| *it == gateway).map(|(_, at)| *at)
+    }
+
+    /// Returns when each endpoint has written its whole answer to a request.
+    pub(crate) fn finished(&self) -> Vec<HashMap<String, Instant>> {
+        self.endpoints.iter().map(EndpointStandin::finished).collect()
     }
 
     /// Restarts the gateways that have ended.
     fn restart_ended(&mut self) -> io::Result<()> {
         for gateway in std::mem::take(&mut self.restarting) {
             if self.deployment.has_ended(gateway) {
+                self.keep_log(gateway);
                 self.deployment.restart(gateway)?;
+                self.restarts.push((gateway, Instant::now()));
             } else {
                 self.restarting.push(gateway);
             }
@@ -291,17 +365,6 @@
     if endpoint.is_multiple_of(2) { "v1" } else { "v2" }
 }
 
-fn publish_routes(deployment: &mut Deployment, is_revocable_allowed: bool) {
-    let routes = [
-        RouteSpec::once("commit"),
-        RouteSpec::repeatable("lookup"),
-        RouteSpec::stream("draft", true),
-        RouteSpec::stream("chat", false),
-    ];
-    let keys = if is_revocable_allowed { &[KEY, REVOCABLE_KEY][..] } else { &[KEY] };
-    deployment.publish_routes(&routes.map(|it| it.with_timeout_ms(TIMEOUT_MS)), keys);
-}
-
 /// Returns the behaviour of an endpoint that fails a request, selected by `kind`.
 fn failing(kind: u8) -> Behaviour {
     let cut = Behaviour::Stream { events: STREAM_EVENTS, pause: EVENT_PAUSE, cut_after: Some(2) };
