--- a/crates/persimmon_soak/src/stops.rs
+++ b/crates/persimmon_soak/src/stops.rs
@@ -196,6 +196,9 @@
     }
 
     fn count_stops(&mut self) {
+        let stall_ms = self.testbed.longest_stall.as_millis();
+        let stall_ms = usize::try_from(stall_ms).unwrap_or(usize::MAX);
+        self.counts.insert("ms, longest stall of the soak itself".to_owned(), stall_ms);
         for (gateway, stop) in self.stops.clone() {
             self.count(&format!("stops of {}", age_name(self.age(gateway, stop))));
         }
@@ -226,7 +229,10 @@
             if call.ended - sent <= READ_LIMIT {
                 return self.count("not counted: maybe unread");
             }
-            let seen = format!("{:?}, sent {:?} before", call.answer, call.ended - sent);
+            let ended = call.answer.as_ref().map(|it| it.status).map_err(io::Error::kind);
+            let after = self.stop_of(call).map(|(stop, _)| ms_since(call.ended, stop));
+            let before = call.ended - sent;
+            let seen = format!("{ended:?} {after:?} ms after SIGTERM, sent {before:?} before");
             return self.report(READ_AND_UNANSWERED, call, &seen);
         }
         self.check_lost(call, sent, &work);
--- a/crates/persimmon_soak/src/testbed/mod.rs
+++ b/crates/persimmon_soak/src/testbed/mod.rs
@@ -21,6 +21,8 @@
 /// Interval between two copies of the store, and the age of the oldest one that is kept.
 const COPY_INTERVAL: Duration = Duration::from_millis(250);
 const COPY_AGE: Duration = Duration::from_millis(2_500);
+/// Pause of the loop that injects faults.
+const LOOP_PAUSE: Duration = Duration::from_millis(5);
 /// Number of events of every stream.
 pub(crate) const STREAM_EVENTS: u64 = 6;
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
@@ -57,6 +59,8 @@
     logs: Vec<String>,
     /// Gateways that were restarted, each with the time.
     restarts: Vec<(usize, Instant)>,
+    /// Longest time by which the loop that injects faults overslept: a sign of a busy machine.
+    pub(crate) longest_stall: Duration,
 }
 
 /// Timeouts of the routes, in milliseconds.
@@ -129,6 +133,7 @@
             timeouts,
             logs: Vec::new(),
             restarts: Vec::new(),
+            longest_stall: Duration::ZERO,
         })
     }
 
@@ -170,7 +175,9 @@
             }
             self.restart_ended()?;
             self.copy_store(now);
-            thread::sleep(Duration::from_millis(5));
+            let asleep = Instant::now();
+            thread::sleep(LOOP_PAUSE);
+            self.longest_stall = self.longest_stall.max(asleep.elapsed() - LOOP_PAUSE);
         }
         active.into_iter().try_for_each(|it| self.clear(it.fault, controls))
     }
