platform: an unreadable item no longer hides the others of its page

What callers saw: nothing reached a gateway any more. While one item of the store's list or watch couldn't be read, the whole answer was an error. A gateway that was running kept retrying the same watch and stayed at the records it had; one that started was never ready.

Cause: read_page and read_changes decoded all items as one value and collected them into one Result, so that one key with half of a surrogate pair, one value that isn't base64 text, or one field of another type failed the page.

Evidence: with the decoding before this change, process_gateway_odd_entries failed in item_that_cannot_be_read_leaves_the_others for half a character, a value that isn't base64, a value of another type and a nested value, each written before the start and while the gateways ran (8 of 8; the log repeats "a page of records can't be read"). A value of null passed before, as a removal. The other cases of this test, about entries whose value can't be used, passed before as well and are kept: nested 200,000 deep, numbers and ports out of range, bytes that aren't text, 1 MB.

Each item is now decoded by itself. One whose value can't be read stays as a record with an empty value, which is no valid record, so that an earlier one under its key isn't used; one without key or revision is skipped. Both are logged. Skipping nested values doesn't recurse.

--- a/crates/persimmon_gateway/src/platform.rs
+++ b/crates/persimmon_gateway/src/platform.rs
@@ -45,8 +45,10 @@
 /// One page of the platform's records.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordPage {
-    /// The records.
+    /// The records. One whose value can't be read has an empty value.
     pub records: Vec<StoreRecord>,
+    /// Faults of items that can't be read, wholly or in their value.
+    pub unreadable: Vec<DecodeError>,
     /// Whether another page follows.
     pub has_more: bool,
     /// Revision of the store when it created the page.
@@ -76,7 +78,7 @@
 }
 
 /// Error for a body or record that can't be decoded.
-#[derive(Debug, Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{what} can't be read: {why}")]
 pub struct DecodeError {
     /// Kind of the data.
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -248,6 +248,13 @@
         // The pages aren't one snapshot; the watch returns all changes after the first page.
         as_of.get_or_insert(page.as_of);
         let is_empty = page.records.is_empty();
+        if is_empty
+            && page.has_more
+            && let Some(err) = page.unreadable.into_iter().next()
+        {
+            // Without a key, the next page can't be requested.
+            return Err(err.into());
+        }
         records.extend(page.records);
         if !page.has_more || is_empty {
             break;
@@ -298,6 +305,11 @@
         return Err(StoreError::EarlierEra(era.0));
     }
     let mut page = decode(&gw.platform, &page.body)?;
+    for err in &page.unreadable {
+        if let Some(suppressed) = gw.log_limiter.admit("items", gw.clock.now()) {
+            tracing::warn!(target: "store", %err, suppressed, "invalid item; the others are used");
+        }
+    }
     page.as_of = era.position(page.as_of);
     for record in &mut page.records {
         record.revision = era.position(record.revision);
