gateway: changes that can't be read are replaced by a list

What callers saw: gateways stayed at old records for good. Once the changes since their revision didn't fit into one answer that they read (16 MB; one entry of 1 MB, written 14 times while they couldn't reach the store), or couldn't be decoded, every further watch asked for the same changes and failed alike.

Cause: a failed watch was retried from the same revision whatever the reason. Only 410 and a restoration led to a list.

Evidence: changes_that_do_not_fit_into_one_answer_are_followed failed before (neither gateway had a later endpoint after 15 s) and passes now. A list has pages of limited size and only the latest value of each record, so that it can be read however often an entry was written. Answers that break off or time out are retried as before, since a list costs more calls.

--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::http::{self, GetError, Page};
 use crate::platform::{DecodeError, Platform, RecordPage};
+use crate::read_body::ReadError;
 
 /// Time that one watch waits for a change, in milliseconds. Its answer shows that the gateway
 /// reaches the store, so it must arrive well before the peers assume that it doesn't.
@@ -62,6 +63,19 @@
     Decode(#[from] DecodeError),
 }
 
+impl StoreError {
+    /// Reports whether the store answered, but not with what can be read.
+    fn is_unreadable(&self) -> bool {
+        let is_large =
+            |err: &ReadError| matches!(err, ReadError::TooLong | ReadError::TooManyPieces);
+        match self {
+            Self::Decode(_) => true,
+            Self::Get(GetError::Body(err)) => is_large(err),
+            _ => false,
+        }
+    }
+}
+
 impl From<GetError> for StoreError {
     fn from(err: GetError) -> Self {
         match err {
@@ -103,7 +117,14 @@
                 tracing::info!(target: "store", "store has dropped the history; listing again");
                 reader.is_synced = false;
             }
-            Err(err) => back_off(&gw, &mut reader, &err).await,
+            Err(err) => {
+                // The same changes would be as unreadable in the next answer; a list has no history.
+                if reader.is_synced && err.is_unreadable() {
+                    tracing::warn!(target: "store", %err, "changes are unreadable; listing again");
+                    reader.is_synced = false;
+                }
+                back_off(&gw, &mut reader, &err).await;
+            }
         }
     }
 }
--- a/crates/persimmonmountd/tests/process_gateway_odd_entries.rs
+++ b/crates/persimmonmountd/tests/process_gateway_odd_entries.rs
@@ -1,7 +1,9 @@
 //! Tests of gateways whose store contains entries of another writer: they keep running, keep following
 //! changes, and use the other endpoints only.
 
-use persimmon_platform::standin::{Behaviour, Deployment, EndpointStandin, RouteSpec, wait_until};
+use persimmon_platform::standin::{
+    Behaviour, Deployment, EndpointStandin, RouteSpec, StoreMode, wait_until,
+};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -10,6 +12,8 @@
 const GATEWAYS: usize = 2;
 const DEPTH: usize = 200_000;
 const LARGE_VALUE_BYTES: usize = 1024 * 1024;
+/// Number of large values that don't fit into one answer of the store that a gateway reads.
+const LARGE_WRITES: usize = 14;
 const CALLS: usize = 6;
 const ODD_KEY: &str = "servers/odd";
 
@@ -235,3 +239,18 @@
     assert_follows(&deployment, &ids, &one);
     deployment.close();
 }
+
+/// A large value that is written again and again while no gateway reaches the store makes the next answer
+/// too long to read.
+#[test]
+fn changes_that_do_not_fit_into_one_answer_are_followed() {
+    let one = EndpointStandin::start("one", Behaviour::ok()).unwrap();
+    let deployment = start(&[&one], |_| {});
+    let ids = ids(&deployment);
+    let refused = (0..GATEWAYS).map(|it| deployment.ip(it)).collect();
+    deployment.store.set_mode(StoreMode::Refusing(refused));
+    (0..LARGE_WRITES).for_each(|_| deployment.store.put(ODD_KEY, vec![b' '; LARGE_VALUE_BYTES]));
+    deployment.store.set_mode(StoreMode::Serving);
+    assert_follows(&deployment, &ids, &one);
+    deployment.close();
+}
