platform: entries with an odd id, address or type name no endpoint

What callers saw: requests went to an entry of another writer. One whose id can't stand in a header got them without the header that names the expected endpoint (only a warning was logged), so that whatever listens there ran them; one with the address 0.0.0.0 led to whatever listens on the gateway's own machine.

Cause: decoding checked the types of the fields that are used, but not whether id and address can be used, nor the type of ColdRemainingMs.

Such a record is now unreadable: it names no endpoint, and an earlier one under its key isn't used.

--- a/crates/persimmonmountd/tests/process_gateway_odd_entries.rs
+++ b/crates/persimmonmountd/tests/process_gateway_odd_entries.rs
@@ -120,7 +120,13 @@
 #[case::port_too_large("Address", "\"127.0.0.1:65536\"")]
 #[case::port_far_too_large("Address", "\"127.0.0.1:99999\"")]
 #[case::port_negative("Address", "\"127.0.0.1:-1\"")]
+#[case::address_unspecified("Address", "\"0.0.0.0:PORT\"")]
+#[case::address_unspecified_v6("Address", "\"[::]:PORT\"")]
+#[case::address_broadcast("Address", "\"255.255.255.255:PORT\"")]
+#[case::address_multicast("Address", "\"224.0.0.1:PORT\"")]
 #[case::address_by_name("Address", "\"localhost:PORT\"")]
+#[case::cold_of_another_type("ColdRemainingMs", "\"long\"")]
+#[case::cold_infinite("ColdRemainingMs", "1e400")]
 fn entry_with_an_odd_field_is_not_used(
     #[case] field: &str,
     #[case] text: &str,
@@ -173,6 +179,20 @@
     check(ODD_KEY, &with_text(&odd, field, &text), &odd, is_before_start);
 }
 
+#[rstest]
+#[case::line_break("servers/od\nd".to_owned())]
+#[case::null("servers/\u{0}".to_owned())]
+#[case::not_ascii(format!("servers/{}", "\u{e9}".repeat(96)))]
+#[case::empty_id("servers/".to_owned())]
+#[case::long_controls(format!("servers/{}", "\u{1}".repeat(192)))]
+fn entry_with_an_odd_id_is_not_used(
+    #[case] key: String,
+    #[values(false, true)] is_before_start: bool,
+) {
+    let odd = odd_endpoint();
+    check(&key, entry(&odd).to_string().as_bytes(), &odd, is_before_start);
+}
+
 /// Numbers of the right type at their limits, and unknown fields, however odd, only mustn't disturb.
 #[rstest]
 #[case::largest_numbers("Seq", "18446744073709551615")]
