gateway: an entry of a service that isn't named replaces no endpoint

What callers saw: an endpoint in use got no more requests once another writer left an entry with its address, a service that the routes don't name and a later `born`.

Cause: of two endpoints at one address, the one that started later counts as its successor whatever its service. An entry of a service that isn't named is to name no worker.

Evidence: entry_of_an_unknown_service_replaces_no_endpoint failed in both cases before (entry written before the start, and while the gateways ran).

The directory gets the names of the services of the routes in force, and compares starts only among their endpoints; a later version of the routes has them compared again. Services that the routes do name still succeed one another, since a new version of the software may take over an address under another service. Until there are routes, all count as named. A successor of an unnamed service is also no evidence of a crash.

--- a/crates/persimmon_decide/src/forward/directory.rs
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -26,6 +26,8 @@
     replaced: HashMap<EndpointHash, MonoMs>,
     /// Published endpoints at whose address one that started later is published.
     succeeded: HashSet<EndpointHash>,
+    /// Services of the routes in force; none until there are routes.
+    services: Option<HashSet<Arc<str>>>,
 }
 
 impl EndpointDirectory {
@@ -44,6 +46,22 @@
         Self::default()
     }
 
+    /// Sets the services of the routes in force. The records of others name no endpoint to use, so that they
+    /// succeed none at their addresses.
+    pub fn set_services(&mut self, services: HashSet<Arc<str>>) {
+        if self.services.as_ref() == Some(&services) {
+            return;
+        }
+        self.services = Some(services);
+        let addresses: HashSet<_> = self.by_id.values().map(|it| it.address).collect();
+        addresses.into_iter().for_each(|it| self.update_succeeded(it));
+    }
+
+    /// Reports whether the routes in force name a service, or there are none yet.
+    pub fn is_service_known(&self, service: &str) -> bool {
+        self.services.as_ref().is_none_or(|it| it.contains(service))
+    }
+
     /// Adds or replaces an endpoint, and returns the replaced one.
     pub fn insert(&mut self, endpoint: Endpoint) -> Option<Arc<Endpoint>> {
         let previous = self.remove(&endpoint.id.clone());
@@ -67,7 +85,8 @@
 
     fn update_succeeded(&mut self, address: SocketAddr) {
         let at_address: Vec<_> = self.at_address(address).cloned().collect();
-        let latest = at_address.iter().map(|it| it.started_unix_ms()).max().flatten();
+        let known = at_address.iter().filter(|it| self.is_service_known(&it.service));
+        let latest = known.map(|it| it.started_unix_ms()).max().flatten();
         for endpoint in at_address {
             if endpoint.started_unix_ms() < latest {
                 self.succeeded.insert(endpoint.hash);
--- a/crates/persimmon_decide/src/forward/route.rs
+++ b/crates/persimmon_decide/src/forward/route.rs
@@ -1,6 +1,6 @@
 //! Published routes, services and workspaces.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 /// Whether a request that may have run can be sent to an endpoint again.
@@ -189,6 +189,11 @@
         self
     }
 
+    /// Returns the names of the services that are configured or that routes lead to.
+    pub fn service_names(&self) -> HashSet<Arc<str>> {
+        self.services.keys().chain(self.route_priorities.keys()).cloned().collect()
+    }
+
     /// Returns the route on this host with the longest prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/persimmon_gateway/src/control/records.rs
+++ b/crates/persimmon_gateway/src/control/records.rs
@@ -185,7 +185,11 @@
     /// Records that the endpoints whose address now belongs to the endpoint `id` have ended. Their
     /// records may outlast them for seconds.
     fn record_predecessors_ended(&mut self, id: &str, now: MonoMs) {
-        let Some(address) = self.directory.get(id).map(|it| it.address) else { return };
+        let Some(endpoint) = self.directory.get(id) else { return };
+        if !self.directory.is_service_known(&endpoint.service) {
+            return;
+        }
+        let address = endpoint.address;
         let at_address = self.directory.at_address(address);
         let predecessors: Vec<_> = at_address.filter(|it| *it.id != *id).cloned().collect();
         for endpoint in predecessors {
@@ -205,6 +209,7 @@
         if self.routes.as_ref().is_some_and(|known| known.version > version) {
             return Applied::StaleRoutes(version);
         }
+        self.directory.set_services(routes.service_names());
         self.routes = Some(Rc::new(routes));
         self.routes_value = value;
         Applied::Routes(version)
--- a/crates/persimmonmountd/tests/process_gateway_odd_entries.rs
+++ b/crates/persimmonmountd/tests/process_gateway_odd_entries.rs
@@ -229,6 +229,33 @@
     deployment.close();
 }
 
+/// An entry of a service that isn't configured names no worker, so that it doesn't replace the one at
+/// its address either.
+#[rstest]
+fn entry_of_an_unknown_service_replaces_no_endpoint(#[values(false, true)] is_before_start: bool) {
+    let one = EndpointStandin::start("one", Behaviour::ok()).unwrap();
+    let mut value = entry(&one);
+    value["Service"] = json!("nowhere");
+    value["born"] = json!(1_700_000_000_000_u64);
+    let put = |deployment: &Deployment| deployment.store.put(ODD_KEY, value.to_string());
+    let deployment = start(&[&one], |it| {
+        if is_before_start {
+            put(it);
+        }
+    });
+    if !is_before_start {
+        put(&deployment);
+    }
+    // Follows all changes up to this one.
+    let later = EndpointStandin::start("later", Behaviour::ok()).unwrap();
+    deployment.publish_unrelated_endpoint(&later);
+    assert!(wait_until(|| (0..GATEWAYS).all(|it| deployment.knows(it, "later"))));
+    for call in 0..CALLS {
+        assert_eq!(status_of_call(&deployment, call % GATEWAYS), 200, "{:#?}", deployment.log(0));
+    }
+    deployment.close();
+}
+
 /// Item of the store that can't be read, among others: `from` is replaced with `to` in its answers.
 #[rstest]
 #[case::key_with_half_a_character("odd-key", "\\ud800")]
