platform: an entry that lacks a field names no endpoint

What callers saw: a draining endpoint got requests again once another writer had replaced its entry with a ready one without Version, Seq, born or ColdRemainingMs.

Cause: these fields had defaults, or weren't read, so that such an entry counted as the endpoint's own. Without born it even counted as another endpoint than the draining one.

--- a/crates/persimmonmountd/tests/process_gateway_odd_entries.rs
+++ b/crates/persimmonmountd/tests/process_gateway_odd_entries.rs
@@ -256,6 +256,30 @@
     deployment.close();
 }
 
+/// A draining endpoint isn't used again because of an entry of another writer that lacks fields.
+#[rstest]
+fn draining_endpoint_stays_unused_after_an_entry_without_a_field(
+    #[values("Version", "Seq", "born", "ColdRemainingMs", "State", "Zone")] field: &str,
+) {
+    let one = EndpointStandin::start("one", Behaviour::ok()).unwrap();
+    let two = EndpointStandin::start("two", Behaviour::ok()).unwrap();
+    let deployment = start(&[&one, &two], |_| {});
+    deployment.publish_endpoint(&one, true);
+    let mut value = entry(&one);
+    value.as_object_mut().unwrap().remove(field);
+    deployment.store.put("servers/one", value.to_string());
+    // Follows all changes up to this one.
+    let later = EndpointStandin::start("later", Behaviour::ok()).unwrap();
+    deployment.publish_unrelated_endpoint(&later);
+    assert!(wait_until(|| (0..GATEWAYS).all(|it| deployment.knows(it, "later"))));
+    let before = one.received().len();
+    for call in 0..CALLS {
+        assert_eq!(status_of_call(&deployment, call % GATEWAYS), 200);
+    }
+    assert_eq!(one.received().len(), before, "{:#?}", deployment.log(0));
+    deployment.close();
+}
+
 /// Item of the store that can't be read, among others: `from` is replaced with `to` in its answers.
 #[rstest]
 #[case::key_with_half_a_character("odd-key", "\\ud800")]
