gateway: answers are written before a connection or the process ends

- An answer that was complete but not yet written was dropped at the exit, or by the timeout for heads, once a byte followed the request: the connection counted as one with a partial head.
A connection now has a request in progress until its answer is written, which the socket reports.

--- a/crates/persimmon_process/src/answer_socket.rs
+++ b/crates/persimmon_process/src/answer_socket.rs
@@ -11,14 +11,30 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Says whether the answer in progress on an [`AnswerSocket`] ends with the connection.
+#[derive(Debug, Default)]
+struct AnswerFlags {
+    is_until_close: Cell<bool>,
+    is_unwritten: Cell<bool>,
+}
+
+/// State of the answers on an [`AnswerSocket`], for whoever serves the connection.
 #[derive(Debug, Clone, Default)]
-pub struct UntilClose(Rc<Cell<bool>>);
+pub struct AnswerState(Rc<AnswerFlags>);
+
+impl AnswerState {
+    /// Sets, before an answer's head is sent, whether the answer ends with the connection.
+    pub fn set_until_close(&self, is_until_close: bool) {
+        self.0.is_until_close.set(is_until_close);
+    }
+
+    /// Records that an answer is complete. A part of it may still wait to be written.
+    pub fn record_complete(&self) {
+        self.0.is_unwritten.set(true);
+    }
 
-impl UntilClose {
-    /// Sets the value before the answer's head is sent.
-    pub fn set(&self, is_until_close: bool) {
-        self.0.set(is_until_close);
+    /// Reports whether a part of a complete answer waits to be written.
+    pub fn is_unwritten(&self) -> bool {
+        self.0.is_unwritten.get()
     }
 }
 
@@ -30,14 +46,14 @@
 #[derive(Debug)]
 pub struct AnswerSocket {
     stream: TcpStream,
-    until_close: UntilClose,
+    state: AnswerState,
     resets_on_close: bool,
 }
 
 impl AnswerSocket {
-    /// Creates a socket whose answers `until_close` describes.
-    pub fn new(stream: TcpStream, until_close: UntilClose) -> Self {
-        Self { stream, until_close, resets_on_close: false }
+    /// Creates a socket whose answers have this state.
+    pub fn new(stream: TcpStream, state: AnswerState) -> Self {
+        Self { stream, state, resets_on_close: false }
     }
 
     fn set_resets_on_close(&mut self, resets_on_close: bool) -> io::Result<()> {
@@ -66,12 +82,14 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let is_until_close = self.until_close.0.get();
+        let is_until_close = self.state.0.is_until_close.get();
         self.set_resets_on_close(is_until_close)?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
+    /// An HTTP library flushes the socket when it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.state.0.is_unwritten.set(false);
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -86,7 +104,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let is_until_close = self.until_close.0.get();
+        let is_until_close = self.state.0.is_until_close.get();
         self.set_resets_on_close(is_until_close)?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
--- a/crates/persimmon_process/src/lib.rs
+++ b/crates/persimmon_process/src/lib.rs
@@ -6,6 +6,6 @@
 mod metric_set;
 
 pub use answer_body::{PieceReceiver, PieceSender, TruncatedAnswer, piece_channel};
-pub use answer_socket::{AnswerSocket, UntilClose};
+pub use answer_socket::{AnswerSocket, AnswerState};
 pub use clock::Clock;
 pub use metric_set::MetricSet;
--- a/crates/persimmonmountd/src/router/front.rs
+++ b/crates/persimmonmountd/src/router/front.rs
@@ -15,7 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use persimmon_process::{AnswerSocket, UntilClose};
+use persimmon_process::{AnswerSocket, AnswerState};
 use tokio::task::LocalSet;
 
 use super::body;
@@ -146,14 +146,14 @@
     let Ok(stream) = ready.and_then(|()| tokio::net::TcpStream::from_std(stream)) else {
         return;
     };
-    let until_close = UntilClose::default();
-    let socket = AnswerSocket::new(stream, until_close.clone());
+    let state = AnswerState::default();
+    let socket = AnswerSocket::new(stream, state.clone());
     let service = service_fn(|req| {
-        let (cx, until_close) = (cx.clone(), until_close.clone());
+        let (cx, state) = (cx.clone(), state.clone());
         async move {
             let version = req.version();
             let response = routes::handle(cx, req).await?;
-            until_close.set(version < Version::HTTP_11 && body::is_stream(response.body()));
+            state.set_until_close(version < Version::HTTP_11 && body::is_stream(response.body()));
             Ok::<_, Infallible>(response)
         }
     });
