--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -60,7 +60,8 @@
     idle_since: Cell<MonoMs>,
     /// Arrival of a request head's first byte; none unless the head is still incomplete.
     head_since: Cell<Option<MonoMs>>,
-    is_busy: Cell<bool>,
+    /// Whether a request is in progress.
+    has_request: Cell<bool>,
     is_closing: Cell<bool>,
     has_answered: Cell<bool>,
     /// Whether the rest of a refused request's body is being read.
@@ -76,7 +77,7 @@
             address,
             idle_since: Cell::new(clock.now()),
             head_since: Cell::new(None),
-            is_busy: Cell::new(false),
+            has_request: Cell::new(false),
             is_closing: Cell::new(false),
             has_answered: Cell::new(false),
             is_discarding: Cell::new(false),
@@ -92,18 +93,18 @@
     }
 
     fn record_head(&self) {
-        self.is_busy.set(true);
+        self.has_request.set(true);
         self.head_since.set(None);
     }
 
     /// Reports whether a request is in progress, or a part of its body or answer still on its way.
     fn is_busy(&self) -> bool {
-        self.is_busy.get() || self.is_discarding.get() || self.answers.is_unwritten()
+        self.has_request.get() || self.is_discarding.get() || self.answers.is_unwritten()
     }
 
     /// Records that an answer is complete, or abandoned.
     pub(crate) fn record_answered(&self) {
-        self.is_busy.set(false);
+        self.has_request.set(false);
         self.answers.record_complete();
         self.has_answered.set(true);
         self.idle_since.set(self.clock.now());
@@ -158,8 +159,7 @@
         Some(activity)
     }
 
-    /// Closes the connections that callers of a gateway that shuts down needn't keep, each after the
-    /// answer in progress.
+    /// Closes the connections that a shutdown closes now, each after the answer in progress.
     pub(crate) fn close_unused(&self, shutdown: &Shutdown, now: MonoMs) {
         for connection in self.open.borrow().values() {
             let (activity, since) = connection.activity();
@@ -169,8 +169,7 @@
             let is_kept = connection.is_closing.get()
                 || connection.is_discarding.get()
                 || activity == CallerActivity::PartialHead;
-            let closes = !is_kept && shutdown.closes_connection(is_used, since, now);
-            if closes {
+            if !is_kept && shutdown.closes_connection(is_used, since, now) {
                 connection.close();
             }
         }
--- a/crates/persimmon_gateway/src/open_requests.rs
+++ b/crates/persimmon_gateway/src/open_requests.rs
@@ -78,8 +78,8 @@
 impl<P: Platform> InProgress<P> {
     /// Begins a request that arrived at this time.
     pub(crate) fn begin(gw: &Rc<Gateway<P>>, arrived: MonoMs) -> Self {
-        let request =
-            OpenRequest { id: "".into(), route: "".into(), stage: RequestStage::Arriving, arrived };
+        let (id, route, stage) = (Arc::default(), Arc::default(), RequestStage::Arriving);
+        let request = OpenRequest { id, route, stage, arrived };
         let key = gw.requests.open.borrow_mut().insert(request);
         gw.metrics.in_progress.inc();
         Self { gw: gw.clone(), key }
