gateway: routes stay closed once the last key is taken away

Callers saw: after a deployment's last key was taken away, every request was run, with a revoked key or with one that never existed, at all gateways and for as long as those records were in force.

Cause: RouteTable::caller took a table without keys for one without workspaces, whose routes are open; whether the record lists workspaces wasn't kept.

A table that replaces one that required a key requires one too, so that a record that no longer has the list doesn't open the routes of a running gateway.

--- a/crates/persimmon_decide/src/forward/route.rs
+++ b/crates/persimmon_decide/src/forward/route.rs
@@ -121,7 +121,7 @@
 /// Result of looking up a caller's key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallerLookup {
-    /// An unidentified caller: the route needs no key, or no workspace is published.
+    /// An unidentified caller: the route needs no key, or no route does.
     Anonymous,
     /// The workspace that owns the key.
     Known(Workspace),
@@ -139,9 +139,11 @@
     services: HashMap<Arc<str>, ServiceSpec>,
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
     keys: HashMap<Arc<str>, Workspace>,
+    /// Whether callers need a key, even if no workspace has one.
+    requires_key: bool,
     /// Priorities of each service's routes.
     route_priorities: HashMap<Arc<str>, BTreeSet<u8>>,
-    /// Priorities of the workspaces; `None` stands for workspaces without one.
+    /// Priorities of the workspaces; `None` stands for workspaces without one. Empty without workspaces.
     workspace_priorities: BTreeSet<Option<u8>>,
 }
 
@@ -174,16 +176,36 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
-        let (keys, workspace_priorities) = (HashMap::new(), BTreeSet::from([None]));
-        Self { version, limits, services, by_host, keys, route_priorities, workspace_priorities }
+        Self {
+            version,
+            limits,
+            services,
+            by_host,
+            keys: HashMap::new(),
+            requires_key: false,
+            route_priorities,
+            workspace_priorities: BTreeSet::new(),
+        }
+    }
+
+    /// Refuses callers without a workspace's key, except on routes that need none.
+    #[must_use]
+    pub fn requiring_key(mut self) -> Self {
+        self.requires_key = true;
+        self
     }
 
-    /// Adds the keys of a workspace.
+    /// Requires a key if the table `previous`, which this one replaces, does. Keys that are taken away
+    /// never open a route.
+    #[must_use]
+    pub fn replacing(self, previous: &Self) -> Self {
+        if previous.requires_key { self.requiring_key() } else { self }
+    }
+
+    /// Adds a workspace and its keys, of which there may be none.
     #[must_use]
     pub fn with_keys(mut self, workspace: &Workspace, keys: Vec<Arc<str>>) -> Self {
-        if self.keys.is_empty() {
-            self.workspace_priorities.clear();
-        }
+        self = self.requiring_key();
         self.workspace_priorities.insert(workspace.priority);
         self.keys.extend(keys.into_iter().map(|key| (key, workspace.clone())));
         self
@@ -209,7 +231,7 @@
         let known = key.and_then(|key| self.keys.get(key));
         match known {
             Some(workspace) => CallerLookup::Known(workspace.clone()),
-            None if route.is_public || self.keys.is_empty() => CallerLookup::Anonymous,
+            None if route.is_public || !self.requires_key => CallerLookup::Anonymous,
             None => CallerLookup::Unknown,
         }
     }
@@ -219,10 +241,15 @@
     pub fn rank(&self, service: &str, workspace: Option<u8>, route: u8) -> Rank {
         let key = |workspace: Option<u8>, route: u8| (workspace.unwrap_or(route), route);
         let routes = self.route_priorities.get(service);
+        let no_workspace = BTreeSet::from([None]);
+        let workspaces = match &self.workspace_priorities {
+            none if none.is_empty() => &no_workspace,
+            priorities => priorities,
+        };
         let keys: BTreeSet<_> = routes
             .into_iter()
             .flatten()
-            .flat_map(|route| self.workspace_priorities.iter().map(move |it| key(*it, *route)))
+            .flat_map(|route| workspaces.iter().map(move |it| key(*it, *route)))
             .collect();
         let own = key(workspace, route);
         Rank { position: keys.iter().filter(|it| **it < own).count(), count: keys.len() }
--- a/crates/persimmon_decide/tests/forward_route.rs
+++ b/crates/persimmon_decide/tests/forward_route.rs
@@ -33,6 +33,10 @@
     RouteTable::new(7, limits, routes, Vec::new())
 }
 
+fn desk() -> Workspace {
+    Workspace { name: "desk".into(), priority: Some(1) }
+}
+
 #[rstest]
 #[case::longest_prefix("calls.example", "/a/b/c", Some("deep"))]
 #[case::shorter_prefix("calls.example", "/a/x", Some("shallow"))]
@@ -59,6 +63,28 @@
     assert_eq!(closed.caller(&public, None), CallerLookup::Anonymous);
 }
 
+#[rstest]
+#[case::workspace_without_keys(|it: RouteTable| it.with_keys(&desk(), Vec::new()))]
+#[case::no_workspaces(RouteTable::requiring_key)]
+#[case::replaces_keys(|it: RouteTable| it.replacing(&table(Vec::new()).with_keys(&desk(), vec!["key-1".into()])))]
+#[case::replaces_no_keys(|it: RouteTable| it.replacing(&table(Vec::new()).requiring_key()))]
+fn caller_is_unknown_without_keys(#[case] close: fn(RouteTable) -> RouteTable) {
+    let route = route("a", "/a/");
+    let closed = close(table(vec![route.clone()]));
+    assert_eq!(closed.caller(&route, Some("key-1")), CallerLookup::Unknown);
+    assert_eq!(closed.caller(&route, None), CallerLookup::Unknown);
+    let public = Route { is_public: true, ..route };
+    assert_eq!(closed.caller(&public, None), CallerLookup::Anonymous);
+    assert_eq!(closed.rank("ledger", None, 0).count, 1);
+}
+
+#[test]
+fn caller_is_anonymous_if_no_table_required_a_key() {
+    let route = route("a", "/a/");
+    let open = table(vec![route.clone()]).replacing(&table(Vec::new()));
+    assert_eq!(open.caller(&route, Some("key-1")), CallerLookup::Anonymous);
+}
+
 #[test]
 fn service_for_draws_in_proportion_to_weights() {
     let services = [("a", 90), ("b", 10), ("c", 0)];
@@ -91,6 +117,15 @@
     assert_eq!(table.rank("ledger", workspace, priority), Rank { position, count });
 }
 
+#[test]
+fn rank_counts_workspaces_without_keys() {
+    let routes = [0, 2, 5].map(|it| Route { priority: it, ..route(&format!("r{it}"), "/a/") });
+    let first = Workspace { name: "first".into(), priority: Some(0) };
+    let table = table(routes.to_vec()).with_keys(&first, Vec::new());
+    let table = table.with_keys(&desk(), vec!["key-1".into()]);
+    assert_eq!(table.rank("ledger", Some(1), 0), Rank { position: 3, count: 6 });
+}
+
 #[test]
 fn rank_of_unknown_service_is_the_only_one() {
     let rank = table(vec![route("a", "/a/")]).rank("other", None, 3);
--- a/crates/persimmon_gateway/src/control/records.rs
+++ b/crates/persimmon_gateway/src/control/records.rs
@@ -210,6 +210,10 @@
             return Applied::StaleRoutes(version);
         }
         self.directory.set_services(routes.service_names());
+        let routes = match &self.routes {
+            Some(previous) => routes.replacing(previous),
+            None => routes,
+        };
         self.routes = Some(Rc::new(routes));
         self.routes_value = value;
         Applied::Routes(version)
--- a/crates/persimmonmountd/tests/process_gateway_fleet.rs
+++ b/crates/persimmonmountd/tests/process_gateway_fleet.rs
@@ -73,6 +73,36 @@
     fixture.deployment.close();
 }
 
+/// A gateway that starts by the records without keys has only these to go by. If they leave out the
+/// workspaces, it can't tell that there were any.
+#[rstest]
+#[case::workspace_without_keys(Some(&[("desk", &[][..])][..]), true)]
+#[case::no_workspaces(Some(&[][..]), true)]
+#[case::no_list_of_workspaces(None, false)]
+fn nobody_is_let_in_once_the_last_key_is_gone(
+    #[case] workspaces: Option<&[(&str, &[&str])]>,
+    #[case] is_kept_by_restart: bool,
+) {
+    let mut fixture = Fixture::start(2);
+    fixture.wait_for_status(2, "/commit/x", KEY, 200);
+    assert_eq!(fixture.status(0, "/commit/x", "stranger"), 401);
+    fixture.deployment.publish_workspaces(&[RouteSpec::once("commit")], workspaces);
+    let took = fixture.wait_for_status(2, "/commit/x", KEY, 401);
+    assert!(took < APPLY_LIMIT, "{took:?}");
+    if is_kept_by_restart {
+        fixture.deployment.kill(1).unwrap();
+        fixture.deployment.restart(1).unwrap();
+        let is_ready = || fixture.deployment.is_ready(1);
+        assert!(wait_until(is_ready), "{:#?}", fixture.deployment.log(1));
+    }
+    let runs = fixture.one.received().len() + fixture.two.received().len();
+    for (gateway, key) in [(0, KEY), (0, "stranger"), (1, KEY), (1, "stranger")] {
+        assert_eq!(fixture.status(gateway, "/commit/x", key), 401, "gateway {gateway}, {key}");
+    }
+    assert_eq!(fixture.one.received().len() + fixture.two.received().len(), runs);
+    fixture.deployment.close();
+}
+
 #[rstest]
 #[case::first(0)]
 #[case::second(1)]
