gateway: sound events before wrong bytes are passed on

Callers got a stream that ended as complete without its last events, when an endpoint sent those events in one read with bytes that don't follow, such as a second answer. All events of a read were checked, and counted as the last ones delivered, before any was passed on; a bad one then dropped them all, and the stream was resumed after events the caller never got.

EventNumbers decides which part of the events follows, and records nothing. The relay passes that part on, counts it (for resumption, the holder of the stream and its statistics) once it is handed over, and only then treats the rest as broken. The same order holds before an event that is too long. What was counted is now what was sent, whatever ends a part.

--- a/crates/persimmon_gateway/src/events.rs
+++ b/crates/persimmon_gateway/src/events.rs
@@ -1,34 +1,39 @@
 //! Splits event streams into complete events.
 
 use bytes::{Buf, Bytes, BytesMut};
-use thiserror::Error;
+use persimmon_decide::forward::EventNumbers;
 
-/// The reason why a stream can't be forwarded any further.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-pub(crate) enum EventError {
-    /// The number of an event doesn't follow that of the previous one.
-    #[error("an event's number doesn't follow that of the previous event")]
-    OutOfOrder,
-}
-
-/// Splits a byte stream into complete events and tracks the number of the last one.
+/// Splits a byte stream into complete events and tracks the number of the last one passed on.
 #[derive(Debug)]
 pub(crate) struct EventSplitter {
     partial: BytesMut,
-    last: Option<u64>,
-    /// Difference between the numbers of consecutive events, once known.
-    step: Option<u64>,
+    numbers: EventNumbers,
+}
+
+/// Complete events that may be passed on.
+#[derive(Debug)]
+pub(crate) struct SplitEvents {
+    pub(crate) bytes: Bytes,
+    /// The numbers to record once the events have been passed on.
+    pub(crate) numbers: EventNumbers,
+    /// Whether the number of the event after these doesn't follow.
+    pub(crate) is_broken: bool,
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after event `last`.
     pub(crate) fn new(last: Option<u64>) -> Self {
-        Self { partial: BytesMut::new(), last, step: None }
+        Self { partial: BytesMut::new(), numbers: EventNumbers::new(last) }
     }
 
-    /// Returns the number of the last complete event.
+    /// Returns the number of the last event that was passed on.
     pub(crate) fn last(&self) -> Option<u64> {
-        self.last
+        self.numbers.last()
+    }
+
+    /// Records that events have been passed on.
+    pub(crate) fn record_passed(&mut self, numbers: EventNumbers) {
+        self.numbers = numbers;
     }
 
     /// Discards the buffered part of an event, which another endpoint will send again completely.
@@ -36,40 +41,23 @@
         self.partial.clear();
     }
 
-    /// Appends bytes and returns all events that are now complete. `end` is the length of the part
-    /// of `bytes` that ends with the last complete event, if there is one. The caller limits the size
-    /// of an event.
-    pub(crate) fn push(&mut self, bytes: &Bytes, end: Option<usize>) -> Result<Bytes, EventError> {
+    /// Appends bytes and returns the events that are now complete and follow. `end` is the length of
+    /// the part of `bytes` that ends with the last complete event, if there is one. The caller limits
+    /// the size of an event.
+    pub(crate) fn push(&mut self, bytes: &Bytes, end: Option<usize>) -> SplitEvents {
+        let mut complete = self.complete(bytes, end);
+        let sound = self.numbers.check(&complete);
+        complete.truncate(sound.length);
+        SplitEvents { bytes: complete, numbers: sound.numbers, is_broken: sound.is_broken }
+    }
+
+    fn complete(&mut self, bytes: &Bytes, end: Option<usize>) -> Bytes {
         // Most pieces consist of complete events, which don't have to be copied.
         if self.partial.is_empty() && end == Some(bytes.len()) {
-            self.record_events(bytes)?;
-            return Ok(bytes.clone());
+            return bytes.clone();
         }
         let end = end.map(|end| self.partial.len() + end);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = end else { return Ok(Bytes::new()) };
-        let complete = self.partial.copy_to_bytes(end);
-        self.record_events(&complete)?;
-        Ok(complete)
-    }
-
-    fn record_events(&mut self, events: &[u8]) -> Result<(), EventError> {
-        for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
-            let Some(rest) = line.strip_prefix(b"id:") else { continue };
-            let text = std::str::from_utf8(rest).unwrap_or_default().trim();
-            // Only streams with numbered events can be resumed; other ids are ignored.
-            let Ok(number) = text.parse::<u64>() else { continue };
-            if self.last.is_some_and(|last| number <= last) {
-                return Err(EventError::OutOfOrder);
-            }
-            if let Some(last) = self.last {
-                let step = *self.step.get_or_insert(number - last);
-                if number - last != step {
-                    return Err(EventError::OutOfOrder);
-                }
-            }
-            self.last = Some(number);
-        }
-        Ok(())
+        end.map(|end| self.partial.copy_to_bytes(end)).unwrap_or_default()
     }
 }
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -169,34 +169,57 @@
         };
         stream.in_flight.record_received();
         let end = progress.received.record(&piece);
-        if progress.received.is_event_too_long() {
-            return PartEnd::Broken(FailureReason::EventTooLong);
-        }
-        let piece = match events {
-            Some(events) => match events.push(&piece, end) {
-                Ok(piece) => piece,
-                Err(err) => {
-                    tracing::warn!(target: "request", id = &*exchange.plan.head.id, %err,
-                        "invalid event in a stream");
-                    return PartEnd::Broken(FailureReason::BadEvent);
-                }
-            },
-            None => piece,
+        // Sound events are passed on before what follows them ends the part.
+        let broken = progress.received.is_event_too_long().then_some(FailureReason::EventTooLong);
+        let (piece, numbers, broken) = match events {
+            Some(events) => {
+                let split = events.push(&piece, end);
+                let is_bad = split.is_broken;
+                (
+                    split.bytes,
+                    Some(split.numbers),
+                    is_bad.then_some(FailureReason::BadEvent).or(broken),
+                )
+            }
+            None if broken.is_some() => (piece.slice(..end.unwrap_or(0)), None, broken),
+            None => (piece, None, None),
         };
-        if piece.is_empty() {
-            continue;
+        if !piece.is_empty() {
+            if let Err(end) = send_piece(exchange, stream, progress, tx, piece).await {
+                return end;
+            }
+            if let (Some(events), Some(numbers)) = (events.as_mut(), numbers) {
+                events.record_passed(numbers);
+            }
         }
-        exchange.record_events(stream.in_flight.endpoint());
-        let deadline = exchange.gw.clock.instant(exchange.plan.deadline).into();
-        let length = piece.len() as u64;
-        match tokio::time::timeout_at(deadline, tx.send(piece)).await {
-            Ok(Ok(())) => progress.sent_bytes += length,
-            Ok(Err(_)) => return PartEnd::CallerGone,
-            Err(_) => return PartEnd::Deadline,
+        if let Some(reason) = broken {
+            tracing::warn!(target: "request", id = &*exchange.plan.head.id,
+                reason = reason.name(), "invalid event in a stream");
+            return PartEnd::Broken(reason);
         }
     }
 }
 
+/// Passes bytes on to the caller.
+async fn send_piece<P: Platform>(
+    exchange: &mut Exchange<P>,
+    stream: &OpenStream<P>,
+    progress: &mut PartProgress,
+    tx: &PieceSender,
+    piece: Bytes,
+) -> Result<(), PartEnd> {
+    let deadline = exchange.gw.clock.instant(exchange.plan.deadline).into();
+    let length = piece.len() as u64;
+    match tokio::time::timeout_at(deadline, tx.send(piece)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(_)) => return Err(PartEnd::CallerGone),
+        Err(_) => return Err(PartEnd::Deadline),
+    }
+    progress.sent_bytes += length;
+    exchange.record_events(stream.in_flight.endpoint());
+    Ok(())
+}
+
 /// Returns how a part ended whose framing, or whose connection, ended in order.
 fn check_end(received: &StreamProgress) -> PartEnd {
     match received.check_end() {
--- a/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_broken_answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use persimmon_decide::forward::StreamProgress;
 use persimmon_platform::standin::{Answer, Behaviour, BodyEnd, BodyFraming, GatewayFixture};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -118,6 +119,66 @@
     fixture.deployment.close();
 }
 
+/// The wrong bytes come in one read with the sound events before them. The other endpoint has
+/// nothing after the third event, so an event that was dropped but counted would be missing from a
+/// complete answer.
+#[rstest]
+#[case::second_answer("HTTP/1.1 200 x\r\nA: b\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n", 3)]
+#[case::second_events("id: 1\ndata: a\n\n", 3)]
+#[case::number_skipped("id: 5\ndata: e\n\n", 3)]
+#[case::no_event("garbage", 3)]
+#[case::after_two_events("id: 1\ndata: a\n\n", 2)]
+fn sound_events_before_wrong_bytes_are_delivered(
+    #[case] wrong: &str,
+    #[case] sound_events: usize,
+    #[values(BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose)]
+    framing: BodyFraming,
+) {
+    let events = format!("{}{wrong}", &EVENTS[..sound_events * ONE_EVENT]);
+    check_resumed_after(framing, &events);
+}
+
+#[rstest]
+fn sound_events_before_an_endless_one_are_delivered(
+    #[values(BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose)]
+    framing: BodyFraming,
+) {
+    let events = format!("{EVENTS}data: {}", "x".repeat(StreamProgress::MAX_EVENT_BYTES + 1));
+    check_resumed_after(framing, &events);
+}
+
+#[rstest]
+fn sound_events_of_a_stream_that_cant_be_resumed_are_delivered(
+    #[values(BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose)]
+    framing: BodyFraming,
+) {
+    let fixture = start();
+    let events = format!("{EVENTS}data: {}", "x".repeat(StreamProgress::MAX_EVENT_BYTES + 1));
+    fixture.set_behaviours(&body(framing, &events, events.len(), BodyEnd::Framed));
+    let answer = fixture.call(0, "/chat/x", "request-1").unwrap();
+    assert!(!answer.is_complete && answer.body.starts_with(EVENTS), "{answer:?}");
+    fixture.deployment.close();
+}
+
+/// Checks that streams are whole while one of two endpoints sends `events` in one write.
+fn check_resumed_after(framing: BodyFraming, events: &str) {
+    let fixture = start();
+    let whole = Behaviour::Stream { events: 3, pause: Duration::ZERO, cut_after: None };
+    fixture.endpoints[1].set_behaviour(whole);
+    let end = if framing == BodyFraming::UntilClose { BodyEnd::Closed } else { BodyEnd::Framed };
+    fixture.endpoints[0].set_behaviour(body(framing, events, events.len(), end));
+    let mut number = 0;
+    while fixture.endpoints[0].received().is_empty() {
+        assert!(number < MAX_REQUESTS, "no stream was broken off");
+        let answer = fixture.call(0, "/draft/x", &format!("request-{number}")).unwrap();
+        let ids = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
+        assert_eq!(ids.collect::<Vec<_>>(), ["1", "2", "3"], "{answer:?}");
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{answer:?}");
+        number += 1;
+    }
+    fixture.deployment.close();
+}
+
 #[rstest]
 #[case::length_closed(BodyFraming::Length, BodyEnd::Closed)]
 #[case::length_reset(BodyFraming::Length, BodyEnd::Reset)]
