--- a/crates/persimmon_decide/src/forward/shutdown.rs
+++ b/crates/persimmon_decide/src/forward/shutdown.rs
@@ -175,7 +175,8 @@
         }
     }
 
-    /// Reports whether the process may exit: none of the callers' connections is awaited (`busy`), and no request has been in progress since `idle_since`; or no time remains.
+    /// Reports whether the process may exit: none of the callers' connections is awaited (`busy`), and no
+    /// request has been in progress since `idle_since`; or no time remains.
     pub fn may_exit(&self, busy: usize, idle_since: MonoMs, now: MonoMs) -> bool {
         let Some(started_at) = self.started_at else { return false };
         let is_idle = busy == 0 && now.ms_since(idle_since) >= Self::MIN_IDLE_MS;
