--- a/crates/persimmonmountd/tests/process_gateway_stop.rs
+++ b/crates/persimmonmountd/tests/process_gateway_stop.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use persimmon_platform::standin::{
-    Answer, Behaviour, BodyEnd, BodyFraming, Caller, Deployment, GatewayFixture, RouteSpec,
+    Answer, Behaviour, BodyEnd, BodyFraming, Caller, Deployment, GatewayFixture, REQUEST_ID,
+    RouteSpec,
 };
 use rstest::rstest;
 use socket2::{Domain, Socket, Type};
@@ -88,10 +89,11 @@
 }
 
 /// Sends the head of a request whose body of `length` bytes follows.
-fn send_head(caller: &mut Caller, path: &str, headers: &str, length: usize) {
+fn send_head(caller: &mut Caller, path: &str, id: Option<&str>, length: usize) {
+    let id = id.map(|id| format!("{REQUEST_ID}: {id}\r\n")).unwrap_or_default();
     let head = format!(
-        "POST {path} HTTP/1.1\r\nHost: calls.example\r\n{headers}Authorization: Bearer {KEY}\r\n\
-         Content-Length: {length}\r\n\r\n"
+        "POST {path} HTTP/1.1\r\nHost: calls.example\r\n{id}Deadline-Ms: 12000\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: {length}\r\n\r\n"
     );
     caller.send_raw(head.as_bytes()).unwrap();
 }
@@ -148,7 +150,7 @@
 fn request_whose_body_ends_late_in_a_stop_isnt_sent() {
     let fixture = start();
     let head = format!(
-        "POST /chat/x HTTP/1.1\r\nHost: calls.example\r\nAttempt-Id: slow\r\nDeadline-Ms: 12000\r\n\
+        "POST /chat/x HTTP/1.1\r\nHost: calls.example\r\n{REQUEST_ID}: slow\r\nDeadline-Ms: 12000\r\n\
          Authorization: Bearer {KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     let mut caller = connect(&fixture);
@@ -164,12 +166,12 @@
 }
 
 #[rstest]
-#[case::leaving("/chat/x", "Attempt-Id: long\r\nDeadline-Ms: 12000\r\n", 503)]
-#[case::unknown_route("/none/x", "Attempt-Id: long\r\n", 404)]
-#[case::no_id("/chat/x", "", 400)]
+#[case::leaving("/chat/x", Some("long"), 503)]
+#[case::unknown_route("/none/x", Some("long"), 404)]
+#[case::no_id("/chat/x", None, 400)]
 fn refusal_reaches_a_caller_that_is_still_sending_its_body(
     #[case] path: &str,
-    #[case] headers: &str,
+    #[case] id: Option<&str>,
     #[case] expected: u16,
 ) {
     let fixture = start();
@@ -178,7 +180,7 @@
     other.send("body").unwrap();
     stop(&fixture, Duration::from_millis(3_200));
     let mut caller = connect(&fixture);
-    send_head(&mut caller, path, headers, 80_000);
+    send_head(&mut caller, path, id, 80_000);
     for _ in 0..8 {
         caller.send_raw(&[b'x'; 10_000]).unwrap();
         thread::sleep(Duration::from_millis(20));
@@ -192,7 +194,7 @@
 fn connection_of_a_refused_caller_stays_open_after_its_body() {
     let fixture = start();
     let mut caller = connect(&fixture);
-    send_head(&mut caller, "/none/x", "Attempt-Id: none\r\n", 8);
+    send_head(&mut caller, "/none/x", Some("none"), 8);
     caller.send_raw(b"half").unwrap();
     assert_eq!(caller.receive().unwrap().unwrap().status, 404);
     caller.send_raw(b"more").unwrap();
@@ -256,7 +258,7 @@
 fn send_on_narrow_connection(fixture: &GatewayFixture, path: &str, version: &str) -> TcpStream {
     let mut caller = connect_narrow(fixture).unwrap();
     let head = format!(
-        "POST {path} HTTP/{version}\r\nHost: calls.example\r\nAttempt-Id: large\r\nDeadline-Ms: 12000\r\n\
+        "POST {path} HTTP/{version}\r\nHost: calls.example\r\n{REQUEST_ID}: large\r\nDeadline-Ms: 12000\r\n\
          Authorization: Bearer {KEY}\r\n\r\n"
     );
     caller.write_all(head.as_bytes()).unwrap();
