--- a/crates/persimmon_decide/src/forward/event_numbers.rs
+++ b/crates/persimmon_decide/src/forward/event_numbers.rs
@@ -39,7 +39,15 @@
     /// ends with the last numbered event before it: what lies between may belong to the wrong bytes,
     /// and otherwise comes again when the stream is resumed.
     pub fn check(self, events: &[u8]) -> SoundEvents {
-        let mut sound = SoundEvents { length: 0, numbers: self, is_broken: false };
+        match self.after(events) {
+            Some(numbers) => SoundEvents { length: events.len(), numbers, is_broken: false },
+            None => self.sound_part(events),
+        }
+    }
+
+    /// Returns the sound part of `events`, one of which doesn't follow.
+    fn sound_part(self, events: &[u8]) -> SoundEvents {
+        let mut sound = SoundEvents { length: 0, numbers: self, is_broken: true };
         let mut position = EventPosition::default();
         let mut start = 0;
         for (at, byte) in events.iter().enumerate() {
@@ -47,9 +55,7 @@
                 continue;
             }
             let event = &events[start..=at];
-            let Some(numbers) = sound.numbers.after(event) else {
-                return SoundEvents { is_broken: true, ..sound };
-            };
+            let Some(numbers) = sound.numbers.after(event) else { break };
             // The LF of a CRLF belongs to the event that the CR ended.
             if numbers != sound.numbers || (start == sound.length && event == b"\n") {
                 sound.length = at + 1;
@@ -57,12 +63,12 @@
             sound.numbers = numbers;
             start = at + 1;
         }
-        SoundEvents { length: events.len(), ..sound }
+        sound
     }
 
-    /// Returns the numbers after an event, or `None` if its number doesn't follow.
-    fn after(mut self, event: &[u8]) -> Option<Self> {
-        for line in event.split(|byte| matches!(byte, b'\n' | b'\r')) {
+    /// Returns the numbers after these events, or `None` if the number of one doesn't follow.
+    fn after(mut self, events: &[u8]) -> Option<Self> {
+        for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
             let Some(rest) = line.strip_prefix(b"id:") else { continue };
             let text = std::str::from_utf8(rest).unwrap_or_default().trim();
             // Only streams with numbered events can be resumed; other ids are ignored.
--- a/crates/persimmon_decide/src/forward/route.rs
+++ b/crates/persimmon_decide/src/forward/route.rs
@@ -241,15 +241,12 @@
     pub fn rank(&self, service: &str, workspace: Option<u8>, route: u8) -> Rank {
         let key = |workspace: Option<u8>, route: u8| (workspace.unwrap_or(route), route);
         let routes = self.route_priorities.get(service);
-        let no_workspace = BTreeSet::from([None]);
-        let workspaces = match &self.workspace_priorities {
-            none if none.is_empty() => &no_workspace,
-            priorities => priorities,
-        };
+        let no_workspace = self.workspace_priorities.is_empty().then_some(None);
+        let workspaces = || self.workspace_priorities.iter().copied().chain(no_workspace);
         let keys: BTreeSet<_> = routes
             .into_iter()
             .flatten()
-            .flat_map(|route| workspaces.iter().map(move |it| key(*it, *route)))
+            .flat_map(|route| workspaces().map(move |it| key(it, *route)))
             .collect();
         let own = key(workspace, route);
         Rank { position: keys.iter().filter(|it| **it < own).count(), count: keys.len() }
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -131,6 +131,13 @@
         self.can_route() && !self.shutdown.is_leaving()
     }
 
+    /// Returns the milliseconds until a gateway may be available again if every gateway is shutting down;
+    /// none if another gateway stays.
+    pub(crate) fn return_ms(&self, now: MonoMs) -> Option<u64> {
+        let since = self.shutdown.started_at().unwrap_or(now);
+        self.peers.return_ms(since, self.shutdown.grace_ms(), now)
+    }
+
     /// Returns a random number.
     pub(crate) fn draw(&mut self) -> u64 {
         self.rng.random()
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -174,12 +174,8 @@
         let (piece, numbers, broken) = match events {
             Some(events) => {
                 let split = events.push(&piece, end);
-                let is_bad = split.is_broken;
-                (
-                    split.bytes,
-                    Some(split.numbers),
-                    is_bad.then_some(FailureReason::BadEvent).or(broken),
-                )
+                let bad_event = split.is_broken.then_some(FailureReason::BadEvent);
+                (split.bytes, Some(split.numbers), bad_event.or(broken))
             }
             None if broken.is_some() => (piece.slice(..end.unwrap_or(0)), None, broken),
             None => (piece, None, None),
--- a/crates/persimmon_gateway/src/shutdown.rs
+++ b/crates/persimmon_gateway/src/shutdown.rs
@@ -78,8 +78,7 @@
     let now = gw.clock.now();
     let max_ms = control.durations.max_ms(&route.name);
     let deadline_ms = deadline.ms_since(now);
-    let has_other_gateway =
-        control.peers.return_ms(since, control.shutdown.grace_ms(), now).is_none();
+    let has_other_gateway = control.return_ms(now).is_none();
     let req = UnsentRequest {
         deadline_ms,
         max_ms,
@@ -102,9 +101,7 @@
 /// Returns the refusal of a request that no endpoint has, with the delay until another gateway
 /// accepts it.
 pub(crate) fn refusal<P: Platform>(gw: &Gateway<P>) -> Refusal {
-    let now = gw.clock.now();
     let mut control = gw.control.borrow_mut();
-    let since = control.shutdown.started_at().unwrap_or(now);
-    let return_ms = control.peers.return_ms(since, control.shutdown.grace_ms(), now);
+    let return_ms = control.return_ms(gw.clock.now());
     Refusal::Leaving { retry_after_ms: Shutdown::retry_after_ms(return_ms, control.draw()) }
 }
