Gateways: neighbours that are cut off from the store are replaced in one wave

Cause: each watcher was replaced by the next gateway in order, which tried the store until a time-out before the next ones did. Neighbours in order share a zone, so that the time grew with the number cut off: a first time-out of 1.1 s, and 0.6 s for each two gateways more.

Now, once all watchers are cut off, eight gateways that a hash spreads over the fleet try at once. They stop when the first in order watch again. From 16 gateways that can't reach the store on, its outage is more probable, and they follow one another as before, to spare the store their calls.

--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
+use super::gateway_rank::{GatewayKey, gateway_score};
 use super::{Digest, PeerAddress, RecordsVersion, ServiceRetries};
 use crate::MonoMs;
 
@@ -56,6 +57,11 @@
         self.store_age_ms.is_some_and(|age_ms| u64::from(age_ms) > PeerTable::STORE_LOST_MS)
     }
 
+    /// Reports whether the peer watches the store, and can reach it.
+    fn reaches_store(&self) -> bool {
+        self.store_age_ms.is_some() && !self.is_cut_off_from_store()
+    }
+
     /// Returns the time of the store's last answer to the peer, as its last digest gives it; none if it
     /// doesn't watch the store, or never got one.
     fn store_contact(&self) -> Option<MonoMs> {
@@ -95,6 +101,14 @@
     const WATCHER_SILENT_MS: u64 = 1_500;
     /// Mean number of gateways that begin to watch the store in one check, once no watcher is heard.
     const VOLUNTEERS: u64 = 8;
+    /// Number of gateways that take over at once from watchers that are cut off from the store. They are
+    /// spread over the fleet, since what cuts one off often does so to its neighbours.
+    const STAND_INS: usize = 8;
+    /// Number of gateways cut off from the store from which its outage is more probable than that of
+    /// single paths, so that each watcher is replaced by one other at a time.
+    const MAX_CUT_OFF: usize = 2 * Self::STAND_INS;
+    /// Subject by which gateways are ranked as stand-ins.
+    const STAND_IN_SUBJECT: u64 = 0x0073_746f_7265;
     /// Number of peers among which one is chosen to fetch records from.
     const FETCH_CHOICES: usize = 4;
     /// Maximum number of peers up to which a gateway that has fetched changes announces them itself.
@@ -312,19 +326,33 @@
     /// is replaced by the next. Handles most gateways of a large fleet that end at one moment: it takes
     /// seconds until all of them count as gone, among them those that are next in order. So while no
     /// watcher is heard, any gateway may begin, by the random number `draw`, and those that are first
-    /// in order among the actual watchers go on.
+    /// in order among the actual watchers go on. Handles neighbours that are cut off from the store
+    /// together, too: if each were replaced by the next, one time-out after the other would pass.
     pub fn should_watch(&self, is_watching: bool, draw: u64, now: MonoMs) -> bool {
         let before = self.live(now).filter(|(ip, peer)| **ip < self.own && peer.may_watch());
         if is_watching {
             return before.filter(|(_, peer)| peer.is_watching(now)).count() < Self::WATCHERS;
         }
-        if before.count() < Self::WATCHERS {
+        if before.count() < Self::WATCHERS || self.is_stand_in(now) {
             return true;
         }
         let is_watched = now.ms_since(self.watched_at) <= Self::WATCHER_SILENT_MS;
         !is_watched && draw % (self.contacts.len() as u64).max(1) < Self::VOLUNTEERS
     }
 
+    /// Reports whether this gateway is among those that take over if no watcher reaches the store.
+    fn is_stand_in(&self, now: MonoMs) -> bool {
+        let cut_off = self.live(now).filter(|(_, peer)| peer.is_cut_off_from_store()).count();
+        let is_reached = self.live(now).any(|(_, peer)| peer.reaches_store());
+        if is_reached || !(Self::WATCHERS..Self::MAX_CUT_OFF).contains(&cut_off) {
+            return false;
+        }
+        let score = |ip| gateway_score(Self::STAND_IN_SUBJECT, GatewayKey::of(ip));
+        let own = score(self.own);
+        let others = self.live(now).filter(|(_, peer)| peer.may_watch());
+        others.filter(|(ip, _)| score(**ip) < own).count() < Self::STAND_INS
+    }
+
     /// Returns the milliseconds until a gateway may be available again if every gateway is shutting
     /// down, this one since `own_since`; none if another gateway stays. The platform restarts a
     /// process once its termination grace period, `grace_ms`, has passed.
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -36,6 +36,71 @@
     }
 }
 
+/// Milliseconds between two checks of the gateways whether to watch the store, and from the cut to the
+/// digests that show it, and time after which a call that isn't answered has failed.
+const CHECK_MS: u64 = 100;
+const NOTICED_MS: u64 = 1_200;
+const CALL_TIMEOUT_MS: u64 = 600;
+
+/// Guards against a time until some gateway watches the store again that grows with the number of
+/// neighbours that are cut off from it together.
+#[rstest]
+#[case::both_of_four(4, 2)]
+#[case::three_of_five(5, 3)]
+#[case::a_third_of_eighteen(18, 6)]
+#[case::a_third_of_103(103, 34)]
+fn should_watch_is_taken_over_in_one_wave(#[case] gateways: u16, #[case] cut_off: u16) {
+    let address = |number: u16| IpAddr::from([10, (number / 20) as u8, 0, (number % 20) as u8]);
+    let mut fleet: Vec<_> =
+        (0..gateways).map(|own| PeerTable::new(address(own), vec![address(0)])).collect();
+    // Time of the first call of each gateway that watches.
+    let mut watching: Vec<Option<u64>> = (0..gateways).map(|it| (it < 2).then_some(0)).collect();
+    let mut most = 0;
+    for step in 0..40 {
+        let at = step * CHECK_MS;
+        let now = MonoMs(10_000 + at);
+        let age_ms = |number: u16, since: u64| match number < cut_off {
+            true if since == 0 => Some((NOTICED_MS + at) as u32),
+            true => (at >= since + CALL_TIMEOUT_MS).then_some(u32::MAX),
+            false => Some(50),
+        };
+        for own in 0..gateways {
+            let peers = &mut fleet[usize::from(own)];
+            for other in (0..gateways).filter(|it| *it != own) {
+                let store_age_ms = watching[usize::from(other)].and_then(|it| age_ms(other, it));
+                let latest = Digest { store_age_ms, ..digest(step + 1) };
+                peers.record_digest(address(other), &latest, now);
+            }
+        }
+        for own in 0..gateways {
+            let known = watching[usize::from(own)];
+            let watches = fleet[usize::from(own)].should_watch(known.is_some(), u64::MAX, now);
+            watching[usize::from(own)] = watches.then_some(known.unwrap_or(at));
+        }
+        most = most.max(watching.iter().flatten().count());
+        if (cut_off..gateways).any(|it| watching[usize::from(it)].is_some()) {
+            assert!(at < CALL_TIMEOUT_MS, "taken over {at} ms after it was noticed");
+            assert!(most <= 2 + 8 + 2, "{most} gateways watched at one time");
+            return;
+        }
+    }
+    panic!("no gateway took the watch over");
+}
+
+/// In an outage of the store, gateways try it a few at a time.
+#[test]
+fn should_watch_limits_the_stand_ins_in_an_outage() {
+    let mut peers = PeerTable::new(IpAddr::from([10, 1, 0, 1]), vec![ip(1)]);
+    let cut_off = |sequence| Digest { store_age_ms: Some(9_000), ..digest(sequence) };
+    for number in 1..=16 {
+        peers.record_digest(ip(number), &cut_off(1), MonoMs(1_000));
+    }
+    for number in 17..=80 {
+        peers.record_digest(ip(number), &digest(1), MonoMs(1_000));
+    }
+    assert!(!peers.should_watch(false, u64::MAX, MonoMs(1_050)));
+}
+
 #[test]
 fn store_contact_is_the_latest_of_all_peers() {
     let mut peers = last_of_five(|_| digest(1));
--- a/crates/persimmonmountd/tests/process_gateway_watchers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_watchers.rs
@@ -38,6 +38,7 @@
 #[rstest]
 #[case::both_of_four(4, 2)]
 #[case::three_of_five(5, 3)]
+#[case::a_third_of_eighteen(18, 6)]
 fn removed_endpoint_is_out_of_use_in_time_though_the_watchers_are_cut_off(
     #[case] gateways: u8,
     #[case] cut_off_count: usize,
