gateway: an unframed success without a byte isn't a whole answer

Cause: an answer without a length or chunks ends with its connection, so that nothing was a whole body. An endpoint that ends after the head leaves the same. Such a success now counts as broken off: repeated if the request may be, 502 otherwise. A stated length of zero, and a status without a body, are as before.

Evidence: process_gateway_wrong_answers::answer_cut_inside_its_head_is_no_success, 24 cases, of which the two calls until close failed before; all pass.

--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -12,6 +12,7 @@
 use persimmon_decide::forward::{
     AnswerOwner, AnswerType, AttemptEnd, Choice, Endpoint, FailureReason, Repeatable,
 };
+use thiserror::Error;
 
 use super::{Answered, Exchange, FailedAttempt, MIN_ATTEMPT_MS, OpenStream, keep_alive_timeout_s};
 use crate::framing::Framing;
@@ -19,7 +20,7 @@
 use crate::in_flight::InFlight;
 use crate::open_requests::RequestStage;
 use crate::platform::Platform;
-use crate::read_body::read_body;
+use crate::read_body::{ReadError, read_body};
 use crate::upstream::{Connection, SendError};
 
 /// Maximum size of an answer that is buffered before it is forwarded, in bytes. If a buffered
@@ -42,6 +43,17 @@
     Other(FailureReason),
 }
 
+/// The reason why the body of an answer couldn't be read to its end.
+#[derive(Debug, Error)]
+enum AnswerError {
+    #[error(transparent)]
+    Read(#[from] ReadError),
+    /// An endpoint that ends after the head of an answer without a length leaves the same as a whole answer
+    /// without a body.
+    #[error("the answer ended after its head")]
+    Empty,
+}
+
 impl From<FailureReason> for SendFailure {
     fn from(reason: FailureReason) -> Self {
         Self::Other(reason)
@@ -362,8 +374,10 @@
     ) -> Result<Answered<P>, FailedAttempt> {
         let keep_alive_s = keep_alive_timeout_s(response.headers());
         let (parts, mut body) = response.into_parts();
+        let may_be_empty =
+            framing.is_end_framed() || body.is_end_stream() || !parts.status.is_success();
         let deadline = self.gw.clock.instant(self.plan.deadline).into();
-        let read = read_body(&mut body, MAX_BUFFERED_BYTES);
+        let read = read_answer(&mut body, may_be_empty);
         let read = tokio::time::timeout_at(deadline, read).await;
         let record_end = |end| {
             self.gw.metrics.answer_parts.with_label_values(&[framing.name(), end]).inc();
@@ -421,6 +435,15 @@
     }
 }
 
+/// Reads the body of an answer that is forwarded whole.
+async fn read_answer(body: &mut Incoming, may_be_empty: bool) -> Result<Bytes, AnswerError> {
+    let bytes = read_body(body, MAX_BUFFERED_BYTES).await?;
+    if bytes.is_empty() && !may_be_empty {
+        return Err(AnswerError::Empty);
+    }
+    Ok(bytes)
+}
+
 /// Ends an attempt that brought no usable answer.
 fn fail<P: Platform>(in_flight: InFlight<P>, reason: FailureReason) -> FailedAttempt {
     in_flight.close(AttemptEnd::Failed(reason));
--- a/crates/persimmonmountd/tests/process_gateway_wrong_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_wrong_answers.rs
@@ -209,6 +209,58 @@
     assert_eq!(fault_of_stream(&answer, EVENTS), None, "{answer:?}");
 }
 
+/// Guards against successes made of a head that its endpoint didn't complete, or after which it ended: the
+/// connection ends at each of its bytes, at the first attempt or the second.
+#[rstest]
+#[case::call("/lookup/x")]
+#[case::call_that_runs_once("/commit/x")]
+#[case::stream("/chat/x")]
+#[case::resumable_stream("/draft/x")]
+fn answer_cut_inside_its_head_is_no_success(
+    #[case] path: &str,
+    #[values(BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose)]
+    framing: BodyFraming,
+    #[values(BodyEnd::Closed, BodyEnd::Reset)] end: BodyEnd,
+) {
+    const STEP: usize = 7;
+    let fixture = start();
+    let is_stream = matches!(path, "/chat/x" | "/draft/x");
+    let (body, content_type) = if is_stream { (EVENTS, EVENT_STREAM) } else { (CALL_BODY, "") };
+    let Behaviour::Raw { bytes, .. } = wrong(200, content_type, framing, body) else { panic!() };
+    let first = match is_stream {
+        true => cut_stream(BodyFraming::Chunked, EVENT_BYTES, BodyEnd::Reset),
+        false => Behaviour::Body {
+            headers: "",
+            framing: BodyFraming::Length,
+            body: CALL_BODY.to_owned(),
+            sent_bytes: 4,
+            end: BodyEnd::Closed,
+        },
+    };
+    let mut faults = Vec::new();
+    for name in ["first", "second"] {
+        let id = |cut| format!("request-{name}-{cut:03}");
+        // The names of the endpoints are equally long.
+        let signed = format!("Attempt-Id: {}\r\nResponse-Seal: seal-one\r\n", id(0));
+        let head_bytes = bytes.replace("{signed}", &signed).find("\r\n\r\n").unwrap() + 4;
+        for cut in (0..head_bytes).step_by(STEP).chain(head_bytes - 4..=head_bytes) {
+            let head = Behaviour::Raw { bytes: bytes.clone(), sent_bytes: Some(cut), end };
+            let script = match name {
+                "first" => vec![head],
+                _ => vec![first.clone(), head],
+            };
+            let answer = play(&fixture, &script, path, &id(cut));
+            let is_success = (200..300).contains(&answer.status);
+            if is_success && (answer.is_complete || !is_stream || !EVENTS.starts_with(&answer.body))
+            {
+                faults.push(format!("{name} attempt cut after {cut} of {head_bytes}: {answer:?}"));
+            }
+        }
+    }
+    fixture.deployment.close();
+    assert!(faults.is_empty(), "{}: {:#?}", faults.len(), &faults[..faults.len().min(12)]);
+}
+
 /// The same for calls: an error that follows an answer that broke off is never a success.
 #[test]
 fn wrong_answer_never_completes_a_broken_call() {
