Store: the end of an outage that another gateway saw first is no sign that there was none

The last time without an answer to any gateway is now kept, and counts for as long as removals are deferred after it. The decision's test plays an outage of 4 s whose end two gateways notice 0.4 and more apart.

--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use super::gateway_rank::{GatewayKey, gateway_score};
-use super::{Digest, PeerAddress, RecordsVersion, ServiceRetries};
+use super::{Digest, PeerAddress, RecordsVersion, ServiceRetries, StoreView};
 use crate::MonoMs;
 
 /// How a received digest relates to the last one of the same sender.
@@ -47,6 +47,16 @@
     reported: BTreeMap<IpAddr, MonoMs>,
     /// Time of the last digest of a gateway that watches the store, or else of the first digest.
     watched_at: MonoMs,
+    /// Time of the store's last answer to any gateway of the fleet.
+    store_contact: Option<MonoMs>,
+    store_gap: Option<StoreGap>,
+}
+
+/// The last time for which the store answered no gateway of the fleet.
+#[derive(Debug, Clone, Copy)]
+struct StoreGap {
+    lost_since: MonoMs,
+    reached_at: MonoMs,
 }
 
 impl Peer {
@@ -62,13 +72,6 @@
         self.store_age_ms.is_some() && !self.is_cut_off_from_store()
     }
 
-    /// Returns the time of the store's last answer to the peer, as its last digest gives it; none if it
-    /// doesn't watch the store, or never got one.
-    fn store_contact(&self) -> Option<MonoMs> {
-        let age_ms = u64::from(self.store_age_ms?);
-        self.contact_at.0.checked_sub(age_ms).map(MonoMs)
-    }
-
     /// Reports whether the peer stays, and can reach the store as far as it is known.
     fn may_watch(&self) -> bool {
         self.leaving_since.is_none() && !self.is_cut_off_from_store()
@@ -140,7 +143,8 @@
     /// Creates a table that contains only the seeds.
     pub fn new(own: IpAddr, seeds: Vec<IpAddr>) -> Self {
         let (peers, contacts, reported) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Self { own, seeds, peers, contacts, reported, watched_at: MonoMs(0) }
+        let (watched_at, store_contact, store_gap) = (MonoMs(0), None, None);
+        Self { own, seeds, peers, contacts, reported, watched_at, store_contact, store_gap }
     }
 
     /// Replaces the seeds.
@@ -176,6 +180,11 @@
         };
         self.peers.insert(from, peer);
         self.contacts.insert(from, now);
+        // None if the store has never answered the peer.
+        let store_contact = digest.store_age_ms.and_then(|ms| now.0.checked_sub(u64::from(ms)));
+        if let Some(at) = store_contact {
+            self.record_store_contact(MonoMs(at));
+        }
         for listed in digest.peers.iter().filter(|it| it.ip != self.own) {
             let contact_at = MonoMs(now.0.saturating_sub(u64::from(listed.age_ms)));
             let known = self.reported.entry(listed.ip).or_insert(contact_at);
@@ -365,10 +374,25 @@
         Some(restart.ms_since(now) + Self::STARTUP_MS)
     }
 
-    /// Returns the time of the store's last answer to any other gateway that watches it, or did so until
-    /// its last digest; none if there is no such gateway.
-    pub fn store_contact(&self) -> Option<MonoMs> {
-        self.peers.values().filter_map(Peer::store_contact).max()
+    /// Records that the store answered a gateway of the fleet at `at`.
+    pub fn record_store_contact(&mut self, at: MonoMs) {
+        let Some(last) = self.store_contact else {
+            self.store_contact = Some(at);
+            return;
+        };
+        if at.ms_since(last) > Self::STORE_LOST_MS {
+            self.store_gap = Some(StoreGap { lost_since: last, reached_at: at });
+        }
+        self.store_contact = Some(last.max(at));
+    }
+
+    /// Returns the time of the last answer before which the store was lost to the whole fleet, or else of its
+    /// last answer to any gateway; none if none is known. Handles gateways that notice the end of an
+    /// outage a little later than others.
+    pub fn store_lost_since(&self, now: MonoMs) -> Option<MonoMs> {
+        let is_recent =
+            |it: &StoreGap| now.ms_since(it.reached_at) <= StoreView::RECONNECT_GRACE_MS;
+        self.store_gap.filter(is_recent).map(|it| it.lost_since).or(self.store_contact)
     }
 
     /// Reports whether a peer that watches the store can't reach it.
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -102,17 +102,36 @@
 }
 
 #[test]
-fn store_contact_is_the_latest_of_all_peers() {
+fn store_lost_since_is_the_latest_answer_to_any_gateway() {
     let mut peers = last_of_five(|_| digest(1));
-    assert_eq!(peers.store_contact(), None);
+    assert_eq!(peers.store_lost_since(MonoMs(1_000)), None);
     let age = |sequence, ms| Digest { store_age_ms: Some(ms), ..digest(sequence) };
     peers.record_digest(ip(1), &age(2, 900), MonoMs(2_000));
     peers.record_digest(ip(2), &age(2, 300), MonoMs(2_000));
     // One that never got an answer.
     peers.record_digest(ip(3), &age(2, u32::MAX), MonoMs(2_000));
-    assert_eq!(peers.store_contact(), Some(MonoMs(1_700)));
-    peers.record_digest(ip(2), &age(3, 1_500), MonoMs(3_000));
-    assert_eq!(peers.store_contact(), Some(MonoMs(1_500)));
+    assert_eq!(peers.store_lost_since(MonoMs(2_000)), Some(MonoMs(1_700)));
+    // Both are cut off.
+    peers.record_digest(ip(1), &age(3, 1_900), MonoMs(3_000));
+    peers.record_digest(ip(2), &age(3, 1_300), MonoMs(3_000));
+    assert_eq!(peers.store_lost_since(MonoMs(3_000)), Some(MonoMs(1_700)));
+}
+
+/// Guards against a gateway that takes the end of an outage, which another one noticed before it, for a
+/// sign that there was none.
+#[test]
+fn store_lost_since_spans_an_outage_that_another_gateway_saw_end() {
+    let mut peers = last_of_five(|_| digest(1));
+    let age = |sequence, ms| Digest { store_age_ms: Some(ms), ..digest(sequence) };
+    peers.record_digest(ip(1), &age(2, 100), MonoMs(2_100));
+    peers.record_store_contact(MonoMs(2_050));
+    // The store is down from 2,100 to 6,000; gateway 1 reaches it first.
+    peers.record_digest(ip(1), &age(3, 50), MonoMs(6_100));
+    assert_eq!(peers.store_lost_since(MonoMs(6_500)), Some(MonoMs(2_050)));
+    peers.record_digest(ip(1), &age(4, 50), MonoMs(6_600));
+    assert_eq!(peers.store_lost_since(MonoMs(7_700)), Some(MonoMs(2_050)));
+    // By then, endpoints have written their records again.
+    assert_eq!(peers.store_lost_since(MonoMs(7_800)), Some(MonoMs(6_550)));
 }
 
 /// Returns the table of gateway 9, which has just received digests from gateways 1 to 4.
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -219,12 +219,6 @@
         self.retries.entry(service.clone()).or_insert_with(|| RetryWindow::new(settings))
     }
 
-    /// Returns the time of the store's last answer to any gateway of the fleet; none if it isn't known.
-    pub(crate) fn fleet_store_contact(&self) -> Option<MonoMs> {
-        let own = self.store_contact.filter(|at| *at > MonoMs(0));
-        own.max(self.peers.store_contact())
-    }
-
     /// Reports whether this gateway should read the store.
     pub(crate) fn should_watch(&mut self, now: MonoMs) -> bool {
         let draw = self.draw();
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -254,7 +254,8 @@
 fn record_success<P: Platform>(gw: &Gateway<P>, reader: &mut Reader) {
     let now = gw.clock.now();
     let mut control = gw.control.borrow_mut();
-    let last_contact = control.fleet_store_contact();
+    let last_contact = control.peers.store_lost_since(now);
+    control.peers.record_store_contact(now);
     control.store_contact = Some(now);
     let failing_since = reader.failing_since.take();
     let takeover = std::mem::replace(&mut reader.takeover, Takeover::No);
--- a/crates/persimmonmountd/tests/process_gateway_stop.rs
+++ b/crates/persimmonmountd/tests/process_gateway_stop.rs
@@ -20,6 +20,8 @@
 const STREAM_TIMEOUT_MS: u64 = 12_000;
 /// Time after which a load balancer that checks every second sends a stopping gateway no new connections.
 const BALANCER_NOTICE: Range<Duration> = Duration::from_secs(2)..Duration::from_millis(2_500);
+/// Timeout of the route for calls that run once, in milliseconds.
+const COMMIT_TIMEOUT_MS: u64 = 2_000;
 const EVENT_PAUSE_MS: u64 = 50;
 /// Size of an answer that a slow caller reads for longer than an idle gateway runs on after SIGTERM.
 const LARGE_BYTES: usize = 400_000;
@@ -34,7 +36,7 @@
     deployment.set_grace_s(GRACE_S);
     let mut fixture = GatewayFixture::start_on(deployment, &["one", "two"]).unwrap();
     let routes = [
-        RouteSpec::once("commit").with_timeout_ms(2_000),
+        RouteSpec::once("commit").with_timeout_ms(COMMIT_TIMEOUT_MS),
         RouteSpec::repeatable("lookup").with_timeout_ms(2_000),
         RouteSpec::stream("draft", true).with_timeout_ms(STREAM_TIMEOUT_MS),
         RouteSpec::stream("chat", false).with_timeout_ms(STREAM_TIMEOUT_MS),
@@ -146,6 +148,53 @@
     fixture.deployment.close();
 }
 
+/// Guards against requests that are passed on late in a stop and cut without an answer at its end: in calm,
+/// with nothing else in progress, at any moment after the load balancer has noticed. A request that may
+/// run only once isn't passed on unless it is answered in full.
+#[rstest]
+fn late_requests_are_answered_at_any_moment_of_a_stop(
+    #[values("/commit/x", "/lookup/x", "/chat/x", "/draft/x")] path: &str,
+    #[values(100, 900, 3_000)] takes_ms: u64,
+) {
+    const FROM_MS: u64 = 2_300;
+    const EXIT_MS: u64 = GRACE_S * 1_000 - 200;
+    const STEP_MS: u64 = 100;
+    let fixture = start();
+    caller_with_history(&fixture, path).close();
+    fixture.set_behaviours(&answer_within(takes_ms));
+    // A caller in each connection keeps the process running until the end.
+    let mut other = request(connect(&fixture), "/lookup/x", "other");
+    other.send_chunks(&["begun"], Duration::ZERO).unwrap();
+    stop(&fixture, Duration::from_millis(FROM_MS));
+    let late: Vec<_> = (FROM_MS..EXIT_MS)
+        .step_by(STEP_MS as usize)
+        .map(|at| {
+            let id = format!("late-{at}");
+            // Refused or reset once the process has closed its port.
+            let caller = fixture.deployment.caller(0).map(|it| request(it, path, &id));
+            let called = thread::spawn(move || caller.and_then(|mut it| it.call("body")));
+            thread::sleep(Duration::from_millis(STEP_MS));
+            (id, called)
+        })
+        .collect();
+    let mut passed_on = 0;
+    for (id, called) in late {
+        let answer = called.join().unwrap();
+        assert_not_lost(&fixture, &id, &answer);
+        let is_passed_on = has_reached_endpoint(&fixture, &id);
+        passed_on += usize::from(is_passed_on);
+        if is_passed_on && path != "/lookup/x" {
+            let answer = answer.unwrap();
+            let is_over = path == "/commit/x" && takes_ms > COMMIT_TIMEOUT_MS;
+            let expected = if is_over { 504 } else { 200 };
+            assert_eq!((answer.status, answer.is_complete), (expected, true), "{id}: {answer:?}");
+        }
+    }
+    // Deadlines of streams are longer than the time left.
+    assert!(passed_on > 0 || path != "/lookup/x" || takes_ms > 900, "no request was passed on");
+    fixture.deployment.close();
+}
+
 #[test]
 fn request_whose_body_ends_late_in_a_stop_isnt_sent() {
     let fixture = start();
