--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -334,6 +334,13 @@
         self.read_complete_answer(response, framing, connection, in_flight).await
     }
 
+    /// Reports whether an answer is a further part of a stream: the caller already has the answer's head, or
+    /// takes the stream up again.
+    fn continues_stream(&self) -> bool {
+        let is_resumable = self.plan.route.repeatable == Repeatable::FromLastEvent;
+        is_resumable && (self.is_answered || self.plan.head.last_event.is_some())
+    }
+
     /// Returns the stream whose head has arrived. Fails if the answer can't be a part of the stream that the
     /// caller has begun to get.
     fn open_stream(
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -189,13 +189,6 @@
         shutdown::refusal(&self.gw)
     }
 
-    /// Reports whether an answer is a further part of a stream: the caller already has the answer's head, or
-    /// takes the stream up again.
-    fn continues_stream(&self) -> bool {
-        let is_resumable = self.plan.route.repeatable == Repeatable::FromLastEvent;
-        is_resumable && (self.is_answered || self.plan.head.last_event.is_some())
-    }
-
     /// Reports whether an endpoint has the version that began the stream.
     fn allows_version(&self, endpoint: &Endpoint) -> bool {
         self.version.as_ref().is_none_or(|version| *version == endpoint.version)
--- a/crates/persimmonmountd/tests/process_gateway_wrong_answers.rs
+++ b/crates/persimmonmountd/tests/process_gateway_wrong_answers.rs
@@ -2,7 +2,7 @@
 
 use persimmon_platform::standin::{
     Answer, AttemptScript, Behaviour, BodyEnd, BodyFraming, Deployment, EndpointStandin,
-    GatewayFixture,
+    GatewayFixture, signed_headers,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -241,7 +241,7 @@
     for name in ["first", "second"] {
         let id = |cut| format!("request-{name}-{cut:03}");
         // The names of the endpoints are equally long.
-        let signed = format!("Attempt-Id: {}\r\nResponse-Seal: seal-one\r\n", id(0));
+        let signed = signed_headers(&id(0), "one");
         let head_bytes = bytes.replace("{signed}", &signed).find("\r\n\r\n").unwrap() + 4;
         for cut in (0..head_bytes).step_by(STEP).chain(head_bytes - 4..=head_bytes) {
             let head = Behaviour::Raw { bytes: bytes.clone(), sent_bytes: Some(cut), end };
