Gateways: age of the records in force, and how far each fetch from a peer got

Logs couldn't tell apart whether a fetch from a peer is late because of the bytes of the set, the source's queue, its time-out or a processor: a failed fetch said only that no answer came. Each fetch now says when the connection was open, when the answer began, how many bytes came and how long it took, also where it fails; the source says how many bytes it sent and how long it took to make them; routes in force say how long it took to apply them. How old the records in force are, with the reason (current, fetching, waiting, store_lost, unheard), is in metrics, in the status page and, while they aren't current, in the log once a second.

--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -30,6 +30,7 @@
 mod peer_table;
 mod picker;
 mod prefix_map;
+mod records_age;
 mod request_signature;
 mod retry_window;
 mod route;
@@ -69,6 +70,7 @@
 pub use peer_table::{DigestFreshness, PeerTable};
 pub use picker::{Choice, FleetView, NoChoice, PickRequest, Picker, PickerSettings, count_weight};
 pub use prefix_map::{PrefixMap, PromptPart};
+pub use records_age::{AgeReason, RecordsAge};
 pub use request_signature::{Quarantined, RequestSignature};
 pub use retry_window::{RetryWindow, RetryWindowSettings};
 pub use route::{
--- a/crates/persimmon_gateway/src/control/digests.rs
+++ b/crates/persimmon_gateway/src/control/digests.rs
@@ -122,6 +122,12 @@
         if freshness == DigestFreshness::Stale {
             return freshness;
         }
+        // None if the store has never answered the peer.
+        let answered_at = digest.store_age_ms.and_then(|ms| now.0.checked_sub(u64::from(ms)));
+        if let Some(at) = answered_at {
+            let own = self.view.revision();
+            self.records_age.record_answer(digest.revision, MonoMs(at), own, now);
+        }
         for (endpoint, ms) in &digest.ejections {
             self.health.record_peer_ejection(*endpoint, *ms, now);
         }
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -15,7 +15,7 @@
     Admission, AdmissionInput, AdmissionSettings, Choice, CrashTracker, DurationTracker,
     EndpointDirectory, EndpointLimits, EndpointPauses, FirstByteTimeout, FleetView, HealthSettings,
     HealthTracker, IdleLimit, LimitReport, LoadTracker, NoChoice, PeerTable, PickRequest, Picker,
-    PrefixMap, Rank, RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown,
+    PrefixMap, Rank, RecordsAge, RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown,
     ShutdownSettings, StartupRecords, StoreEra, StoreView, StreamHolders, StreamVersions,
     WaitingTime, WorkspaceShares, count_weight,
 };
@@ -34,6 +34,10 @@
 pub(crate) struct Control {
     pub(crate) view: StoreView,
     pub(crate) startup: StartupRecords,
+    /// Age of the records in force.
+    pub(crate) records_age: RecordsAge,
+    /// Whether later records are being fetched from a peer.
+    pub(crate) is_fetching: bool,
     pub(crate) directory: EndpointDirectory,
     pub(crate) routes: Option<Rc<RouteTable>>,
     /// Value of the record of `routes`.
@@ -90,6 +94,8 @@
         Self {
             view: StoreView::new().with_heartbeat_ms(settings.heartbeat_ms),
             startup: StartupRecords::new(),
+            records_age: RecordsAge::new(),
+            is_fetching: false,
             directory: EndpointDirectory::new(),
             routes: None,
             routes_value: None,
--- a/crates/persimmon_gateway/src/http.rs
+++ b/crates/persimmon_gateway/src/http.rs
@@ -15,11 +15,10 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
-use crate::body::AbortOnDrop;
 use crate::read_body::{ReadError, read_body};
 
 /// Host header of the gateway's own requests; their receivers serve only one host.
-const OWN_HOST: &str = "gateway";
+pub(crate) const OWN_HOST: &str = "gateway";
 /// Idle time before the first keep-alive probe. With the interval and the number of probes below, a
 /// dead peer is detected after about three seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -102,21 +101,6 @@
     TimedOut,
 }
 
-/// Gets a page over a new connection within `limit`.
-pub(crate) async fn get(
-    address: SocketAddr,
-    path: &str,
-    max_bytes: usize,
-    limit: Duration,
-) -> Result<Bytes, GetError> {
-    let answered = async {
-        let (mut sender, driver) = client_handshake(connect(address, limit).await?).await?;
-        let _driver = AbortOnDrop(driver);
-        Ok(get_over(&mut sender, path, max_bytes).await?.body)
-    };
-    tokio::time::timeout(limit, answered).await.map_err(|_| GetError::TimedOut)?
-}
-
 /// A page and its headers.
 #[derive(Debug)]
 pub(crate) struct Page {
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod status;
 mod store_reader;
 mod stream_versions;
+mod transfer;
 mod upstream;
 
 pub use holder::{HolderSettings, run_holder};
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms of a gateway in the Prometheus text format.
 
 use persimmon_process::MetricSet;
-use prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -25,6 +25,8 @@
     pub(crate) endpoint: EndpointMetrics,
     /// Counters of callers' connections and of the shutdown.
     pub(crate) callers: CallerMetrics,
+    /// Age of the records in force, and their exchange with peers.
+    pub(crate) records: RecordMetrics,
     /// Calls to the platform's store by kind and result.
     pub(crate) store_calls: IntCounterVec,
     /// Digests by direction.
@@ -81,6 +83,7 @@
             )?,
             endpoint: EndpointMetrics::new(&set)?,
             callers: CallerMetrics::new(&set)?,
+            records: RecordMetrics::new(&set)?,
             store_calls: set.counters(
                 "persimmon_gateway_store_calls_total",
                 "Calls to the platform's store.",
@@ -121,6 +124,53 @@
     }
 }
 
+/// Age of the records in force, and their exchange with peers.
+#[derive(Debug, Clone)]
+pub(crate) struct RecordMetrics {
+    /// Time since the store last confirmed the records in force, in milliseconds.
+    pub(crate) age_ms: IntGauge,
+    /// 1 for the reason of that age, 0 for all others.
+    pub(crate) age_reason: IntGaugeVec,
+    /// Fetches from peers by result.
+    pub(crate) fetches: IntCounterVec,
+    /// Bytes of records exchanged with peers by direction.
+    pub(crate) bytes: IntCounterVec,
+    /// Duration of fetches from peers by result.
+    pub(crate) fetch_seconds: HistogramVec,
+}
+
+impl RecordMetrics {
+    fn new(set: &MetricSet) -> prometheus::Result<Self> {
+        Ok(Self {
+            age_ms: set.gauge(
+                "persimmon_gateway_records_age_ms",
+                "Time since the store last confirmed the records in force.",
+            )?,
+            age_reason: set.gauges(
+                "persimmon_gateway_records_age_reason",
+                "1 for the reason of the age of the records in force, 0 for all others.",
+                &["reason"],
+            )?,
+            fetches: set.counters(
+                "persimmon_gateway_record_fetches_total",
+                "Fetches of records from peers by result.",
+                &["result"],
+            )?,
+            bytes: set.counters(
+                "persimmon_gateway_record_bytes_total",
+                "Bytes of records exchanged with peers.",
+                &["direction"],
+            )?,
+            fetch_seconds: set.histograms(
+                "persimmon_gateway_record_fetch_seconds",
+                "Duration of fetches of records from peers.",
+                "result",
+                &LATENCY_BUCKETS_S,
+            )?,
+        })
+    }
+}
+
 /// Counters of callers' connections and of the shutdown.
 #[derive(Debug, Clone)]
 pub(crate) struct CallerMetrics {
--- a/crates/persimmon_gateway/src/ops.rs
+++ b/crates/persimmon_gateway/src/ops.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use persimmon_decide::forward::StoreEra;
 use tokio::net::TcpListener;
 
 use crate::gateway::Gateway;
@@ -95,9 +96,19 @@
 /// Returns the records that changed after the revision in the query, or all records without one.
 fn records<P: Platform>(gw: &Gateway<P>, query: Option<&str>) -> Response<Full<Bytes>> {
     let revision = query.and_then(|it| it.strip_prefix(SINCE)).and_then(|it| it.parse().ok());
+    let started = Instant::now();
     let delta = gw.control.borrow().view.since(revision.unwrap_or(0), gw.clock.now());
     match delta.to_bytes() {
-        Ok(bytes) => reply(StatusCode::OK, bytes.into()),
+        Ok(bytes) => {
+            gw.metrics.records.bytes.with_label_values(&["sent"]).inc_by(bytes.len() as u64);
+            if let Some(suppressed) = gw.log_limiter.admit("records_sent", gw.clock.now()) {
+                let took_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+                tracing::info!(target: "records", bytes = bytes.len(), is_whole = delta.is_whole,
+                    since = revision.map(StoreEra::revision), took_us, suppressed,
+                    "sent records to a peer");
+            }
+            reply(StatusCode::OK, bytes.into())
+        }
         Err(err) => failure("records", &err),
     }
 }
--- a/crates/persimmon_gateway/src/peer_records.rs
+++ b/crates/persimmon_gateway/src/peer_records.rs
@@ -12,6 +12,7 @@
 use crate::ops::{RECORDS_PATH, SINCE};
 use crate::platform::Platform;
 use crate::store_reader;
+use crate::transfer::{self, Progress};
 
 /// Maximum interval at which a gateway checks whether a peer is ahead.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -61,17 +62,27 @@
         let Some(peer) = control.peers.ahead_of(known, draw, gw.clock.now()) else { return false };
         (known, peer)
     };
-    match fetch(gw.peer_address(peer), known).await {
+    let progress = Progress::start();
+    gw.control.borrow_mut().is_fetching = true;
+    let fetched = fetch(gw.peer_address(peer), known, &progress).await;
+    gw.control.borrow_mut().is_fetching = false;
+    record_fetch(gw, &progress, fetched.is_ok());
+    match fetched {
         Ok(delta) => {
             let now = gw.clock.now();
             tracing::info!(target: "records", %peer, revision = StoreEra::revision(delta.revision),
                 era = StoreEra::of(delta.revision).0, known = StoreEra::revision(known),
-                is_whole = delta.is_whole, "fetched records from a peer");
+                is_whole = delta.is_whole, bytes = progress.bytes(),
+                connected_ms = progress.connected_ms(), answered_ms = progress.answered_ms(),
+                took_ms = progress.elapsed_ms(), "fetched records from a peer");
             let changes = gw.control.borrow_mut().view.apply_peer(delta, now);
             store_reader::apply(gw, changes);
         }
         Err(err) => {
-            tracing::warn!(target: "records", %peer, %err, "fetching records from a peer failed");
+            tracing::warn!(target: "records", %peer, %err, known = StoreEra::revision(known),
+                bytes = progress.bytes(), connected_ms = progress.connected_ms(),
+                answered_ms = progress.answered_ms(), took_ms = progress.elapsed_ms(),
+                "fetching records from a peer failed");
         }
     }
     let mut control = gw.control.borrow_mut();
@@ -81,6 +92,15 @@
     true
 }
 
+fn record_fetch<P: Platform>(gw: &Gateway<P>, progress: &Progress, is_ok: bool) {
+    let result = if is_ok { "ok" } else { "failed" };
+    let metrics = &gw.metrics.records;
+    metrics.fetches.with_label_values(&[result]).inc();
+    metrics.bytes.with_label_values(&["received"]).inc_by(progress.bytes() as u64);
+    let seconds = progress.elapsed_ms() as f64 / 1_000.0;
+    metrics.fetch_seconds.with_label_values(&[result]).observe(seconds);
+}
+
 /// Fetches the routes of a peer that has later ones. Gateways keep routes that a store has lost by coming
 /// back from an older copy, until they are written again.
 async fn adopt_routes<P: Platform>(gw: &Rc<Gateway<P>>) {
@@ -94,7 +114,10 @@
         let Some(peer) = control.peers.ahead_in_routes(own, gw.clock.now()) else { return };
         (own, peer)
     };
-    match fetch(gw.peer_address(peer), 0).await {
+    let progress = Progress::start();
+    let fetched = fetch(gw.peer_address(peer), 0, &progress).await;
+    record_fetch(gw, &progress, fetched.is_ok());
+    match fetched {
         Ok(delta) => {
             if gw.control.borrow_mut().adopt_routes(&gw.platform, delta) {
                 let version = gw.control.borrow().routes_version();
@@ -117,8 +140,12 @@
     Format(#[from] postcard::Error),
 }
 
-async fn fetch(address: SocketAddr, known: u64) -> Result<StoreDelta, FetchError> {
+async fn fetch(
+    address: SocketAddr,
+    known: u64,
+    progress: &Progress,
+) -> Result<StoreDelta, FetchError> {
     let path = format!("{RECORDS_PATH}?{SINCE}{known}");
-    let body = http::get(address, &path, MAX_DELTA_BYTES, FETCH_TIMEOUT).await?;
+    let body = transfer::get(address, &path, MAX_DELTA_BYTES, FETCH_TIMEOUT, progress).await?;
     Ok(StoreDelta::from_bytes(&body)?)
 }
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use persimmon_decide::forward::{Digest, DigestFreshness, StoreEra, StreamMessage};
+use persimmon_decide::forward::{AgeReason, Digest, DigestFreshness, StoreEra, StreamMessage};
 use tokio::net::UdpSocket;
 
 use crate::gateway::Gateway;
@@ -196,11 +196,35 @@
     gw.resync.notify_one();
 }
 
+/// Updates the metrics of the age of the records in force, and logs why they aren't current.
+fn report_records_age<P: Platform>(gw: &Gateway<P>) {
+    let now = gw.clock.now();
+    let control = gw.control.borrow();
+    let age_ms = control.records_age.age_ms(now);
+    let reason = control.records_age.reason(control.is_fetching, now);
+    let metrics = &gw.metrics.records;
+    // Without a confirmation, the records are as old as the process.
+    let shown_ms = age_ms.unwrap_or(now.0);
+    metrics.age_ms.set(i64::try_from(shown_ms).unwrap_or(i64::MAX));
+    for it in AgeReason::ALL {
+        metrics.age_reason.with_label_values(&[it.name()]).set(i64::from(it == reason));
+    }
+    if reason != AgeReason::Current
+        && let Some(suppressed) = gw.log_limiter.admit("records_age", now)
+    {
+        let (known, latest) = (control.view.revision(), control.records_age.latest());
+        tracing::warn!(target: "records", age_ms, reason = reason.name(),
+            known = StoreEra::revision(known), latest = latest.map(StoreEra::revision),
+            routes = control.routes_version(), suppressed, "records in force aren't current");
+    }
+}
+
 fn sweep<P: Platform>(gw: &Rc<Gateway<P>>) {
     let now = gw.clock.now();
     let mut control = gw.control.borrow_mut();
     control.expire(now);
     let published = control.forget_unpublished(now);
     drop(control);
+    report_records_age(gw);
     gw.upstream.sweep(|endpoint| published.contains(&endpoint));
 }
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -31,6 +31,10 @@
     store_era: u64,
     /// Milliseconds since the store last answered; none if this gateway doesn't watch the store.
     store_age_ms: Option<u64>,
+    /// Milliseconds since the store last confirmed the records in force; none if it never has.
+    records_age_ms: Option<u64>,
+    /// Reason for that age.
+    records_age_reason: &'static str,
     /// Number of live gateways, including this one.
     gateways: usize,
     endpoints: Vec<EndpointStatus>,
@@ -115,6 +119,8 @@
             revision: StoreEra::revision(control.view.revision()),
             store_era: StoreEra::of(control.view.revision()).0,
             store_age_ms: control.store_contact.map(|at| now.ms_since(at)),
+            records_age_ms: control.records_age.age_ms(now),
+            records_age_reason: control.records_age.reason(control.is_fetching, now).name(),
             gateways: control.peers.gateways(now),
             retries: control.retry_counts(now).map(RetryStatus::of).collect(),
             endpoints,
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -1,7 +1,7 @@
 //! Lists and watches the platform's records.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -257,6 +257,8 @@
     let last_contact = control.peers.store_lost_since(now);
     control.peers.record_store_contact(now);
     control.store_contact = Some(now);
+    let own = control.view.revision();
+    control.records_age.record_answer(own, now, own, now);
     let failing_since = reader.failing_since.take();
     let takeover = std::mem::replace(&mut reader.takeover, Takeover::No);
     if failing_since.is_none() && takeover == Takeover::No {
@@ -400,15 +402,18 @@
 
 /// Applies changes and logs their effects.
 pub(crate) fn apply<P: Platform>(gw: &Rc<Gateway<P>>, changes: Vec<StoreChange>) {
+    let mut control = gw.control.borrow_mut();
+    let position = control.view.revision();
+    control.records_age.record_position(position);
     if changes.is_empty() {
         return;
     }
-    let mut control = gw.control.borrow_mut();
     if control.peers.announces_changes(control.is_watching) {
         gw.digest_due.notify_one();
     }
+    let started = Instant::now();
     let applied = control.apply(&gw.platform, changes, gw.clock.now());
-    let position = control.view.revision();
+    let took_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
     let revision = StoreEra::revision(position);
     gw.metrics.store_era.set(i64::try_from(StoreEra::of(position).0).unwrap_or(i64::MAX));
     if control.can_route() {
@@ -421,15 +426,16 @@
     drop(control);
     gw.log_newly_refused();
     for it in applied {
-        log_applied(gw, &it, revision);
+        log_applied(gw, &it, revision, took_us);
     }
 }
 
-fn log_applied<P: Platform>(gw: &Gateway<P>, applied: &Applied, revision: u64) {
+fn log_applied<P: Platform>(gw: &Gateway<P>, applied: &Applied, revision: u64, took_us: u64) {
     let Some(suppressed) = gw.log_limiter.admit("records", gw.clock.now()) else { return };
     match applied {
         Applied::Routes(version) => {
-            tracing::info!(target: "records", version, revision, suppressed, "routes in force");
+            tracing::info!(target: "records", version, revision, took_us, suppressed,
+                "routes in force");
         }
         Applied::StaleRoutes(version) => {
             tracing::warn!(target: "records", version, revision, suppressed,
