--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -98,6 +98,9 @@
     /// Version of the routes in force; zero if none are. Encoded after `content_answers`.
     #[serde(skip)]
     pub routes_version: u64,
+    /// Whether the gateway reads notices of changes. Encoded after `routes_version`.
+    #[serde(skip)]
+    pub reads_notices: bool,
 }
 
 impl Digest {
@@ -113,11 +116,12 @@
         bytes.extend(postcard::to_allocvec(&self.limits)?);
         bytes.extend(postcard::to_allocvec(&(&self.crash_details, &self.content_answers))?);
         bytes.extend(postcard::to_allocvec(&self.routes_version)?);
+        bytes.extend(postcard::to_allocvec(&self.reads_notices)?);
         Ok(bytes)
     }
 
     /// Decodes a datagram, also one of a build that doesn't name leaving endpoints, prompt parts,
-    /// limits, the details of crashes or the version of routes.
+    /// limits, the details of crashes, the version of routes or notices.
     ///
     /// # Errors
     ///
@@ -129,6 +133,7 @@
         let limits = take_section(&mut rest)?;
         let (crash_details, content_answers) = take_section(&mut rest)?;
         let routes_version = take_section(&mut rest)?;
+        let reads_notices = take_section(&mut rest)?;
         Ok(Self {
             leaving,
             part_crashes,
@@ -137,6 +142,7 @@
             crash_details,
             content_answers,
             routes_version,
+            reads_notices,
             ..digest
         })
     }
--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -27,6 +27,8 @@
     revision: u64,
     /// Version of the routes in force.
     routes: u64,
+    /// Whether the peer's build reads notices of changes.
+    reads_notices: bool,
     /// Arrival time of the first digest of this incarnation that announced its shutdown.
     leaving_since: Option<MonoMs>,
     store_age_ms: Option<u32>,
@@ -83,6 +85,11 @@
         self.store_age_ms.is_some() && is_heard
     }
 
+    /// Reports whether records later than `revision` can be fetched from the peer, as far as it is known.
+    fn is_ahead_of(&self, revision: u64) -> bool {
+        self.revision > revision && !self.has_failed()
+    }
+
     /// Reports whether the peer hasn't been heard since records couldn't be fetched from it.
     fn has_failed(&self) -> bool {
         self.failed_at.is_some_and(|at| at >= self.contact_at)
@@ -112,8 +119,9 @@
     const MAX_CUT_OFF: usize = 2 * Self::STAND_INS;
     /// Subject by which gateways are ranked as stand-ins.
     const STAND_IN_SUBJECT: u64 = 0x0073_746f_7265;
-    /// Number of peers among which one is chosen to fetch records from.
-    const FETCH_CHOICES: usize = 4;
+    /// Maximum time by which a peer may have been heard earlier than another one to be asked for records as
+    /// probably, in milliseconds.
+    const FETCH_SPREAD_MS: u64 = 500;
     /// Maximum number of peers up to which a gateway that has fetched changes announces them itself.
     const MAX_ECHO_PEERS: usize = 40;
     /// Minimum time for which the counts of a silent peer are used, in milliseconds. It spans
@@ -173,6 +181,7 @@
             contact_at: now,
             revision: digest.revision,
             routes: digest.routes_version,
+            reads_notices: digest.reads_notices,
             leaving_since: digest.is_leaving.then_some(leaving_since),
             store_age_ms: digest.store_age_ms,
             retries: digest.retries.clone(),
@@ -252,11 +261,32 @@
         if is_watching { interval_ms.min(Self::WATCHER_INTERVAL_MS) } else { interval_ms }
     }
 
-    /// Reports whether a gateway that has new records sends a digest at once. In a large fleet, only
-    /// those that read them from the store do: every gateway hears these, and announcements by all to
-    /// all would grow with the square of their number.
-    pub fn announces_changes(&self, is_watching: bool) -> bool {
-        is_watching || self.peers.len() <= Self::MAX_ECHO_PEERS
+    /// Reports whether a gateway that has new records sends a digest at once, since a peer's build doesn't
+    /// read notices. In a large fleet, only those that read them from the store do: every gateway hears
+    /// these, and announcements by all to all would grow with the square of their number.
+    pub fn announces_changes(&self, is_watching: bool, now: MonoMs) -> bool {
+        let has_earlier_builds = self.live(now).any(|(_, peer)| !peer.reads_notices);
+        has_earlier_builds && (is_watching || self.peers.len() <= Self::MAX_ECHO_PEERS)
+    }
+
+    /// Returns the gateways that are heard and read notices, each with the position up to which it is known
+    /// to have every change.
+    pub fn notified(&self, now: MonoMs) -> impl Iterator<Item = (IpAddr, u64)> {
+        let readers = self.live(now).filter(|(_, peer)| peer.reads_notices);
+        readers.map(|(ip, peer)| (*ip, peer.revision))
+    }
+
+    /// Reports whether a peer's build reads notices of changes, and serves updates with patches.
+    pub fn reads_notices(&self, ip: IpAddr) -> bool {
+        self.peers.get(&ip).is_some_and(|peer| peer.reads_notices)
+    }
+
+    /// Records a peer's notice that it has every change up to `position`.
+    pub fn record_notice(&mut self, from: IpAddr, position: u64, now: MonoMs) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.revision = peer.revision.max(position);
+            peer.contact_at = peer.contact_at.max(now);
+        }
     }
 
     /// Returns the time without a digest after which a peer counts as silent, in milliseconds.
@@ -304,19 +334,36 @@
         self.live(now).map(|(_, peer)| of_peer(peer)).reduce(latest)
     }
 
-    /// Returns a peer with a later version of the routes than `version`, the latest one.
-    pub fn ahead_in_routes(&self, version: u64, now: MonoMs) -> Option<IpAddr> {
+    /// Returns a peer with the latest version of the routes, if that is later than `version`. The random
+    /// number `draw` chooses among several.
+    pub fn ahead_in_routes(&self, version: u64, draw: u64, now: MonoMs) -> Option<IpAddr> {
         let ahead = self.live(now).filter(|(_, peer)| peer.routes > version);
-        ahead.max_by_key(|(_, peer)| peer.routes).map(|(ip, _)| *ip)
+        let latest = ahead.clone().map(|(_, peer)| peer.routes).max()?;
+        let ahead: Vec<_> = ahead.filter(|(_, peer)| peer.routes == latest).collect();
+        let at = draw.checked_rem(ahead.len() as u64)?;
+        ahead.get(usize::try_from(at).ok()?).map(|(ip, _)| **ip)
+    }
+
+    /// Reports whether a peer is known to have later records than `revision`.
+    pub fn is_ahead_of(&self, revision: u64, now: MonoMs) -> bool {
+        self.live(now).any(|(_, peer)| peer.is_ahead_of(revision))
     }
 
-    /// Returns a peer whose revision is later than `revision`. The random number `draw` chooses among
-    /// those that were heard last, since others may have ended.
-    pub fn ahead_of(&self, revision: u64, draw: u64, now: MonoMs) -> Option<IpAddr> {
-        let is_ahead = |peer: &Peer| peer.revision > revision && !peer.has_failed();
-        let mut ahead: Vec<_> = self.live(now).filter(|(_, peer)| is_ahead(peer)).collect();
+    /// Returns a peer whose revision is later than `revision`, unless it is excluded. The random number `draw`
+    /// chooses among those that were heard last, since others may have ended: the more peers have a change,
+    /// the more of them share the load of those that lack it.
+    pub fn ahead_of(
+        &self,
+        revision: u64,
+        draw: u64,
+        is_excluded: impl Fn(&IpAddr) -> bool,
+        now: MonoMs,
+    ) -> Option<IpAddr> {
+        let ahead = self.live(now).filter(|(_, peer)| peer.is_ahead_of(revision));
+        let mut ahead: Vec<_> = ahead.filter(|(ip, _)| !is_excluded(ip)).collect();
         ahead.sort_by_key(|(_, peer)| std::cmp::Reverse(peer.contact_at));
-        ahead.truncate(Self::FETCH_CHOICES);
+        let last = ahead.first()?.1.contact_at;
+        ahead.retain(|(_, peer)| last.ms_since(peer.contact_at) < Self::FETCH_SPREAD_MS);
         let at = draw.checked_rem(ahead.len() as u64)?;
         ahead.get(usize::try_from(at).ok()?).map(|(ip, _)| **ip)
     }
--- a/crates/persimmon_decide/tests/forward_digest.rs
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -39,6 +39,7 @@
         crash_details: Vec::new(),
         content_answers: Vec::new(),
         routes_version: 0,
+        reads_notices: false,
     }
 }
 
@@ -97,6 +98,12 @@
     }
 }
 
+/// Returns the encoded sections that follow those on crashes.
+fn version_and_notices(digest: &Digest) -> Vec<u8> {
+    let version = postcard::to_allocvec(&digest.routes_version).unwrap();
+    [version, postcard::to_allocvec(&digest.reads_notices).unwrap()].concat()
+}
+
 /// A digest cut off inside a section is an error; one that lacks whole sections is an earlier build's.
 fn assert_decodes_only_whole_sections(digest: &Digest) {
     let parts = (&digest.part_crashes, &digest.part_answers);
@@ -108,6 +115,7 @@
         postcard::to_allocvec(&digest.limits).unwrap().len(),
         postcard::to_allocvec(&details).unwrap().len(),
         postcard::to_allocvec(&digest.routes_version).unwrap().len(),
+        postcard::to_allocvec(&digest.reads_notices).unwrap().len(),
     ];
     let ends: Vec<usize> = (1..=sections.len()).map(|it| sections[..it].iter().sum()).collect();
     let bytes = digest.to_bytes().unwrap();
@@ -165,7 +173,7 @@
     let limits = postcard::to_allocvec(&digest.limits).unwrap();
     let details = postcard::to_allocvec(&(&digest.crash_details, &digest.content_answers)).unwrap();
     let earlier = Digest { limits: Vec::new(), ..digest.clone() };
-    let version = postcard::to_allocvec(&digest.routes_version).unwrap();
+    let version = version_and_notices(&digest);
     let from_earlier = &bytes[..bytes.len() - version.len() - details.len() - limits.len()];
     assert_eq!(Digest::from_bytes(from_earlier).unwrap(), earlier);
     assert_decodes_only_whole_sections(&digest);
@@ -188,7 +196,7 @@
     let crash = CrashReport { suspect: 7, endpoint, age_ms: 1_200, ran_ms: 40, requests: 3 };
     assert_eq!(read.crash_reports().contents, [crash]);
     let details = postcard::to_allocvec(&(&digest.crash_details, &digest.content_answers)).unwrap();
-    let version = postcard::to_allocvec(&digest.routes_version).unwrap();
+    let version = version_and_notices(&digest);
     let without_version = &bytes[..bytes.len() - version.len()];
     let expected = Digest { routes_version: 0, ..digest.clone() };
     assert_eq!(Digest::from_bytes(without_version).unwrap(), expected);
@@ -203,6 +211,17 @@
     assert_decodes_only_whole_sections(&digest);
 }
 
+#[test]
+fn builds_that_dont_read_notices_read_the_rest() {
+    let digest = Digest { routes_version: 300, reads_notices: true, ..digest(18) };
+    let bytes = digest.to_bytes().unwrap();
+    assert_eq!(Digest::from_bytes(&bytes).unwrap(), digest);
+    let from_earlier = &bytes[..bytes.len() - 1];
+    let earlier = Digest { reads_notices: false, ..digest.clone() };
+    assert_eq!(Digest::from_bytes(from_earlier).unwrap(), earlier);
+    assert_decodes_only_whole_sections(&digest);
+}
+
 /// An endpoint crashes under as many requests as a gateway tells of.
 #[test]
 fn digest_with_all_crashes_fits_the_largest_datagram() {
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -8,6 +8,9 @@
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 
+/// Excludes no peer.
+const NONE: fn(&IpAddr) -> bool = |_| false;
+
 fn ip(last: u8) -> IpAddr {
     IpAddr::from([10, 0, 0, last])
 }
@@ -33,6 +36,7 @@
         crash_details: Vec::new(),
         content_answers: Vec::new(),
         routes_version: 0,
+        reads_notices: false,
     }
 }
 
@@ -243,6 +247,26 @@
     assert_eq!(at_end, [GATEWAYS - left, GATEWAYS - left + 1]);
 }
 
+/// The load of those that lack a change is shared by all that have it.
+#[test]
+fn ahead_of_draws_among_all_peers_heard_lately() {
+    let mut peers = PeerTable::new(ip(250), Vec::new());
+    for number in 1..=100 {
+        let at = MonoMs(1_000 + u64::from(number));
+        peers.record_digest(ip(number), &Digest { revision: 9, ..digest(1) }, at);
+    }
+    let mut rng = Pcg64Mcg::seed_from_u64(44);
+    let mut asked = std::collections::BTreeMap::<_, u32>::new();
+    for _ in 0..1_000 {
+        let ahead = peers.ahead_of(7, rng.random(), NONE, MonoMs(1_200)).unwrap();
+        *asked.entry(ahead).or_default() += 1;
+    }
+    assert_eq!(asked.len(), 100);
+    assert!(asked.values().all(|it| *it < 40), "{asked:?}");
+    let excluded = |it: &IpAddr| *it != ip(7);
+    assert_eq!(peers.ahead_of(7, rng.random(), excluded, MonoMs(1_200)), Some(ip(7)));
+}
+
 /// Peers that have ended still count as live for seconds in a large fleet.
 #[test]
 fn ahead_of_prefers_peers_that_were_heard_last() {
@@ -254,13 +278,14 @@
     for number in 60..=62 {
         peers.record_digest(ip(number), &Digest { revision: 8, ..digest(2) }, MonoMs(1_900));
     }
-    let chosen: Vec<_> = (0..4).filter_map(|it| peers.ahead_of(7, it, MonoMs(2_100))).collect();
+    let chosen: Vec<_> =
+        (0..4).filter_map(|it| peers.ahead_of(7, it, NONE, MonoMs(2_100))).collect();
     assert_eq!(chosen, [ip(50), ip(60), ip(61), ip(62)]);
     peers.record_fetch_failed(ip(50), MonoMs(2_200));
-    let chosen = (0..4).filter_map(|it| peers.ahead_of(7, it, MonoMs(2_200)));
+    let chosen = (0..4).filter_map(|it| peers.ahead_of(7, it, NONE, MonoMs(2_200)));
     assert!(chosen.into_iter().all(|it| it != ip(50)));
     peers.record_digest(ip(50), &Digest { revision: 9, ..digest(3) }, MonoMs(2_300));
-    assert_eq!(peers.ahead_of(7, 0, MonoMs(2_300)), Some(ip(50)));
+    assert_eq!(peers.ahead_of(7, 0, NONE, MonoMs(2_300)), Some(ip(50)));
 }
 
 #[test]
@@ -308,11 +333,11 @@
 fn ahead_of_returns_live_peer_with_later_revision() {
     let peers = last_of_five(|number| Digest { revision: u64::from(number), ..digest(1) });
     for draw in 0..20 {
-        let ahead = peers.ahead_of(2, draw, MonoMs(1_100)).expect("two peers are ahead");
+        let ahead = peers.ahead_of(2, draw, NONE, MonoMs(1_100)).expect("two peers are ahead");
         assert!([ip(3), ip(4)].contains(&ahead));
     }
-    assert_eq!(peers.ahead_of(4, 0, MonoMs(1_100)), None);
-    assert_eq!(peers.ahead_of(2, 0, MonoMs(9_000)), None);
+    assert_eq!(peers.ahead_of(4, 0, NONE, MonoMs(1_100)), None);
+    assert_eq!(peers.ahead_of(2, 0, NONE, MonoMs(9_000)), None);
 }
 
 #[test]
--- a/crates/persimmon_gateway/src/control/digests.rs
+++ b/crates/persimmon_gateway/src/control/digests.rs
@@ -103,6 +103,7 @@
             crash_details: details.collect(),
             content_answers: reports.content_answers,
             routes_version: self.routes_version(),
+            reads_notices: true,
             part_crashes: reports.parts,
             part_answers: reports.part_answers,
             peers: self.peers.addresses(draw, now),
--- /dev/null
+++ b/crates/persimmon_gateway/src/control/fan_out.rs
@@ -0,0 +1,105 @@
+//! How changes of the records are passed on.
+
+use std::net::IpAddr;
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{
+    ChangeNotice, FanOutInput, NoticeTo, StoreChange, StoreUpdate, UpdateError,
+};
+use rand::RngExt;
+
+use super::Control;
+
+/// A notice and the gateway that gets it.
+pub(crate) type AddressedNotice = (IpAddr, ChangeNotice);
+
+impl Control {
+    /// Returns the notices to send now that the records have changed, if they have. `is_from_store` says
+    /// whether the store sent the change to this gateway.
+    pub(crate) fn spread(&mut self, is_from_store: bool, now: MonoMs) -> Vec<AddressedNotice> {
+        let update = self.small_update(now);
+        let input = FanOutInput {
+            own: self.view.revision(),
+            is_small: update.is_some(),
+            is_watching: self.is_watching,
+            peers: &self.peers,
+            now,
+        };
+        let own = input.own;
+        let draw = || self.rng.random();
+        let notices = self.fan_out.record_position(&input, is_from_store, draw);
+        address(notices, own, update.as_ref())
+    }
+
+    /// Applies a peer's notice to the view. Returns the changes to put in force, or the reason why the notice's
+    /// update can't be applied, and the notices to pass on.
+    pub(crate) fn apply_notice(
+        &mut self,
+        from: IpAddr,
+        notice: ChangeNotice,
+        now: MonoMs,
+    ) -> (Result<Vec<StoreChange>, UpdateError>, Vec<AddressedNotice>) {
+        self.peers.record_notice(from, notice.position, now);
+        let applied = match notice.update {
+            Some(update) => self.view.apply_update(update, now),
+            None => Ok(Vec::new()),
+        };
+        let update = self.small_update(now);
+        let input = FanOutInput {
+            own: self.view.revision(),
+            is_small: update.is_some(),
+            is_watching: self.is_watching,
+            peers: &self.peers,
+            now,
+        };
+        let own = input.own;
+        let (position, relay_to) = (notice.position, notice.relay_to);
+        let notices = self.fan_out.record_notice(from, position, relay_to, &input);
+        (applied, address(notices, own, update.as_ref()))
+    }
+
+    /// Returns the notices of a round that is due.
+    pub(crate) fn due_notices(&mut self, now: MonoMs) -> Vec<AddressedNotice> {
+        let input = FanOutInput {
+            own: self.view.revision(),
+            is_small: false,
+            is_watching: self.is_watching,
+            peers: &self.peers,
+            now,
+        };
+        let own = input.own;
+        let notices = self.fan_out.due(&input, || self.rng.random());
+        address(notices, own, None)
+    }
+
+    /// Returns the peer to fetch records from now, if there is one.
+    pub(crate) fn next_fetch(&mut self, now: MonoMs) -> Option<IpAddr> {
+        let input = FanOutInput {
+            own: self.view.revision(),
+            is_small: false,
+            is_watching: self.is_watching,
+            peers: &self.peers,
+            now,
+        };
+        self.fan_out.next_fetch(&input, || self.rng.random())
+    }
+
+    /// Returns the update for a notice; none if none is small enough.
+    fn small_update(&self, now: MonoMs) -> Option<StoreUpdate> {
+        let mut bases = self.fan_out.update_bases(self.view.revision(), now);
+        let base = bases.find(|it| self.view.update_size(*it) <= ChangeNotice::MAX_UPDATE_BYTES)?;
+        Some(self.view.update_since(base, now))
+    }
+}
+
+fn address(
+    notices: Vec<NoticeTo>,
+    position: u64,
+    update: Option<&StoreUpdate>,
+) -> Vec<AddressedNotice> {
+    let notice = |it: NoticeTo| {
+        let update = update.filter(|_| it.has_update).cloned();
+        (it.to, ChangeNotice { position, relay_to: it.relay_to, update })
+    };
+    notices.into_iter().map(notice).collect()
+}
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod digests;
+mod fan_out;
 mod records;
 mod streams;
 
@@ -13,16 +14,17 @@
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
     Admission, AdmissionInput, AdmissionSettings, Choice, CrashTracker, DurationTracker,
-    EndpointDirectory, EndpointLimits, EndpointPauses, FirstByteTimeout, FleetView, HealthSettings,
-    HealthTracker, IdleLimit, LimitReport, LoadTracker, NoChoice, PeerTable, PickRequest, Picker,
-    PrefixMap, Rank, RecordsAge, RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown,
-    ShutdownSettings, StartupRecords, StoreEra, StoreView, StreamHolders, StreamVersions,
-    WaitingTime, WorkspaceShares, count_weight,
+    EndpointDirectory, EndpointLimits, EndpointPauses, FanOut, FirstByteTimeout, FleetView,
+    HealthSettings, HealthTracker, IdleLimit, LimitReport, LoadTracker, NoChoice, PeerTable,
+    PickRequest, Picker, PrefixMap, Rank, RecordsAge, RetryWindow, RouteTable, ServedVersions,
+    ServiceRetries, Shutdown, ShutdownSettings, StartupRecords, StoreEra, StoreView, StreamHolders,
+    StreamVersions, WaitingTime, WorkspaceShares, count_weight,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
+pub(crate) use self::fan_out::AddressedNotice;
 pub(crate) use self::records::Applied;
 use crate::settings::GatewaySettings;
 
@@ -36,8 +38,8 @@
     pub(crate) startup: StartupRecords,
     /// Age of the records in force.
     pub(crate) records_age: RecordsAge,
-    /// Whether later records are being fetched from a peer.
-    pub(crate) is_fetching: bool,
+    /// How changes of the records are passed on.
+    pub(crate) fan_out: FanOut,
     pub(crate) directory: EndpointDirectory,
     pub(crate) routes: Option<Rc<RouteTable>>,
     /// Value of the record of `routes`.
@@ -95,7 +97,7 @@
             view: StoreView::new().with_heartbeat_ms(settings.heartbeat_ms),
             startup: StartupRecords::new(),
             records_age: RecordsAge::new(),
-            is_fetching: false,
+            fan_out: FanOut::new(),
             directory: EndpointDirectory::new(),
             routes: None,
             routes_value: None,
--- a/crates/persimmon_gateway/src/control/records.rs
+++ b/crates/persimmon_gateway/src/control/records.rs
@@ -6,7 +6,7 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Endpoint, RecordsVersion, RouteTable, StoreChange, StoreDelta, StoreRecord, StoreView,
+    Endpoint, RecordsVersion, RouteTable, StoreChange, StoreRecord, StoreView,
 };
 
 use super::Control;
@@ -148,10 +148,14 @@
     }
 
     /// Adopts the routes of a peer that are later than those in force. Returns whether there are any.
-    pub(crate) fn adopt_routes<P: Platform>(&mut self, platform: &P, delta: StoreDelta) -> bool {
+    pub(crate) fn adopt_routes<P: Platform>(
+        &mut self,
+        platform: &P,
+        records: Vec<StoreRecord>,
+    ) -> bool {
         let in_force = self.routes_version();
         let mut is_adopted = false;
-        for record in delta.records {
+        for record in records {
             let value = record.value.as_deref().unwrap_or_default();
             if let Ok(DecodedRecord::Routes(routes)) = platform.decode(&record.key, value)
                 && routes.version > in_force
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -1,9 +1,11 @@
 //! State shared by all tasks of a gateway, which run on one thread.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 
 use persimmon_decide::forward::Quarantined;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -13,6 +15,7 @@
 use crate::metrics::Metrics;
 use crate::open_requests::OpenRequests;
 use crate::platform::Platform;
+use crate::record_answers::RecordAnswers;
 use crate::settings::GatewaySettings;
 use crate::stream_versions::StreamExchange;
 use crate::upstream::Upstream;
@@ -48,6 +51,12 @@
     pub(crate) newcomer: Notify,
     /// Notified when a peer has later records.
     pub(crate) peer_ahead: Notify,
+    /// Notified when a peer has later routes.
+    pub(crate) routes_ahead: Notify,
+    /// Answers to peers that fetch records.
+    pub(crate) record_answers: RecordAnswers,
+    /// Socket for messages to other gateways; none before it is bound.
+    pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) streams: StreamExchange,
 }
 
@@ -73,6 +82,9 @@
             digest_due: Notify::new(),
             newcomer: Notify::new(),
             peer_ahead: Notify::new(),
+            routes_ahead: Notify::new(),
+            record_answers: RecordAnswers::default(),
+            socket: OnceCell::new(),
             streams: StreamExchange::default(),
         }
     }
--- a/crates/persimmon_gateway/src/http.rs
+++ b/crates/persimmon_gateway/src/http.rs
@@ -6,16 +6,16 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::StatusCode;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HOST, HeaderMap, HeaderValue};
-use hyper::{Request, StatusCode};
+use hyper::header::HeaderMap;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
-use crate::read_body::{ReadError, read_body};
+use crate::read_body::ReadError;
 
 /// Host header of the gateway's own requests; their receivers serve only one host.
 pub(crate) const OWN_HOST: &str = "gateway";
@@ -96,6 +96,9 @@
     /// The path isn't a valid URI.
     #[error("invalid request path: {0}")]
     Path(#[from] hyper::http::uri::InvalidUri),
+    /// The answer stopped for too long before its end.
+    #[error("the answer stopped before its end")]
+    Stalled,
     /// No answer arrived before the timeout.
     #[error("no answer before the timeout")]
     TimedOut,
@@ -108,24 +111,6 @@
     pub(crate) body: Bytes,
 }
 
-/// Gets a page of at most `max_bytes` over an open connection.
-pub(crate) async fn get_over(
-    sender: &mut SendRequest<Full<Bytes>>,
-    path: &str,
-    max_bytes: usize,
-) -> Result<Page, GetError> {
-    let mut req = Request::new(Full::new(Bytes::new()));
-    *req.uri_mut() = path.parse()?;
-    req.headers_mut().insert(HOST, HeaderValue::from_static(OWN_HOST));
-    let response = sender.send_request(req).await?;
-    let (head, mut body) = response.into_parts();
-    let body = read_body(&mut body, max_bytes).await?;
-    match head.status {
-        StatusCode::OK => Ok(Page { headers: head.headers, body }),
-        status => Err(GetError::Refused(status)),
-    }
-}
-
 /// Starts HTTP on a connection. Returns the sender for requests and the task that drives the
 /// connection.
 pub(crate) async fn client_handshake(
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -133,6 +133,10 @@
     pub(crate) age_reason: IntGaugeVec,
     /// Fetches from peers by result.
     pub(crate) fetches: IntCounterVec,
+    /// Answers to peers that fetch records, by result.
+    pub(crate) answers: IntCounterVec,
+    /// Notices of changed records by direction.
+    pub(crate) notices: IntCounterVec,
     /// Bytes of records exchanged with peers by direction.
     pub(crate) bytes: IntCounterVec,
     /// Duration of fetches from peers by result.
@@ -156,6 +160,16 @@
                 "Fetches of records from peers by result.",
                 &["result"],
             )?,
+            answers: set.counters(
+                "persimmon_gateway_record_answers_total",
+                "Answers to peers that fetch records.",
+                &["result"],
+            )?,
+            notices: set.counters(
+                "persimmon_gateway_record_notices_total",
+                "Notices of changed records between gateways.",
+                &["direction"],
+            )?,
             bytes: set.counters(
                 "persimmon_gateway_record_bytes_total",
                 "Bytes of records exchanged with peers.",
--- a/crates/persimmon_gateway/src/peer_records.rs
+++ b/crates/persimmon_gateway/src/peer_records.rs
@@ -1,99 +1,205 @@
 //! Fetches records from peers that have later ones.
 
-use std::net::SocketAddr;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use persimmon_decide::forward::{StoreDelta, StoreEra};
+use bytes::Bytes;
+use hyper::StatusCode;
+use persimmon_decide::forward::{
+    FetchEnd, RecordContent, RecordUpdate, StoreChange, StoreDelta, StoreEra, StoreRecord,
+    StoreUpdate, UpdateError,
+};
 use thiserror::Error;
+use tokio::task::JoinSet;
 
+use crate::body::AbortOnDrop;
 use crate::gateway::Gateway;
-use crate::http;
-use crate::ops::{RECORDS_PATH, SINCE};
+use crate::http::{self, GetError};
+use crate::notices;
+use crate::ops::{CHANGES_PATH, RECORDS_PATH, SINCE, VALUES};
 use crate::platform::Platform;
 use crate::store_reader;
-use crate::transfer::{self, Progress};
-
-/// Maximum interval at which a gateway checks whether a peer is ahead.
-const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which a peer must be ahead before a gateway that watches the store itself fetches the
-/// peer's records, in milliseconds. The gateway's own watch usually returns the change sooner.
-const MIN_AHEAD_MS: u64 = 250;
-/// Divisor of the interval between digests; the quotient is the mean pause between two fetches, so that
-/// the gateways of a large fleet don't fetch each of many changes by itself.
-const PAUSE_DIVISOR: u64 = 4;
-/// Timeout for fetching records from a peer.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Maximum size of a peer's answer, in bytes.
-const MAX_DELTA_BYTES: usize = 16 * 1024 * 1024;
-
-/// Fetches records whenever a peer has later ones, until the process ends.
+use crate::transfer::{self, Limits, Progress};
+use crate::update_codec::{self, CodecError};
+
+/// Maximum interval at which a gateway checks whether a peer is ahead, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 1_000;
+/// Minimum time until a check that is due, in milliseconds.
+const MIN_CHECK_MS: u64 = 5;
+/// Timeout for opening a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Limits of a fetch.
+const FETCH_LIMITS: Limits = Limits {
+    bytes: 64 * 1024 * 1024,
+    head: Duration::from_millis(1_000),
+    piece: Duration::from_millis(1_000),
+};
+
+/// The reason why fetching records from a peer failed.
+#[derive(Debug, Error)]
+enum FetchError {
+    #[error("{0}")]
+    Get(#[from] GetError),
+    #[error("{0}")]
+    Codec(#[from] CodecError),
+    #[error("invalid records: {0}")]
+    Format(#[from] postcard::Error),
+    #[error("{0}")]
+    Update(#[from] UpdateError),
+    #[error("the peer's records aren't later")]
+    NothingLater,
+}
+
+impl FetchError {
+    fn end(&self) -> FetchEnd {
+        match self {
+            Self::Get(GetError::Refused(StatusCode::SERVICE_UNAVAILABLE)) => FetchEnd::Busy,
+            Self::Update(UpdateError::Patch(_) | UpdateError::NoRecord) => FetchEnd::OtherBase,
+            _ => FetchEnd::Failed,
+        }
+    }
+}
+
+/// Fetches records whenever a peer has later ones, and repeats notices to others, until the process ends.
 pub(crate) async fn follow<P: Platform>(gw: Rc<Gateway<P>>) {
+    let mut fetches = JoinSet::new();
     loop {
+        let now = gw.clock.now();
+        let next = gw.control.borrow().fan_out.next_at();
+        let next = next.unwrap_or(now.plus_ms(CHECK_INTERVAL_MS)).max(now.plus_ms(MIN_CHECK_MS));
         tokio::select! {
-            () = tokio::time::sleep(CHECK_INTERVAL) => {}
+            () = tokio::time::sleep_until(gw.clock.instant(next).into()) => {}
             () = gw.peer_ahead.notified() => {}
+            Some(ended) = fetches.join_next() => {
+                if let Err(err) = ended {
+                    tracing::error!(target: "records", %err, "fetching records panicked");
+                }
+            }
         }
-        adopt_routes(&gw).await;
-        if gw.control.borrow().is_watching {
-            tokio::time::sleep(Duration::from_millis(MIN_AHEAD_MS)).await;
+        notices::send_due(&gw);
+        let (own, is_ahead) = {
+            let control = gw.control.borrow();
+            let own = control.view.revision();
+            (own, control.fan_out.is_behind(own) || control.peers.is_ahead_of(own, gw.clock.now()))
+        };
+        if !is_ahead && !fetches.is_empty() {
+            tracing::debug!(target: "records", revision = StoreEra::revision(own),
+                fetches = fetches.len(), "fetches given up: the records have arrived otherwise");
+            fetches = JoinSet::new();
+            gw.control.borrow_mut().fan_out.record_fetches_dropped();
         }
-        while fetch_later(&gw).await {
-            pause(&gw).await;
+        while let Some(peer) = next_fetch(&gw) {
+            fetches.spawn_local(fetch(gw.clone(), peer));
         }
     }
 }
 
-async fn pause<P: Platform>(gw: &Gateway<P>) {
-    let pause_ms = {
-        let mut control = gw.control.borrow_mut();
-        let mean_ms = control.peers.interval_ms(false) / PAUSE_DIVISOR;
-        mean_ms / 2 + control.draw() % mean_ms.max(1)
-    };
-    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+fn next_fetch<P: Platform>(gw: &Gateway<P>) -> Option<IpAddr> {
+    gw.control.borrow_mut().next_fetch(gw.clock.now())
 }
 
-/// Fetches the records of a peer that has later ones. Returns whether there was one.
-async fn fetch_later<P: Platform>(gw: &Rc<Gateway<P>>) -> bool {
-    let (known, peer) = {
-        let mut control = gw.control.borrow_mut();
-        let known = control.view.revision();
-        let draw = control.draw();
-        let Some(peer) = control.peers.ahead_of(known, draw, gw.clock.now()) else { return false };
-        (known, peer)
-    };
+/// Fetches what a peer has later than this gateway, and puts it in force.
+async fn fetch<P: Platform>(gw: Rc<Gateway<P>>, peer: IpAddr) {
     let progress = Progress::start();
-    gw.control.borrow_mut().is_fetching = true;
-    let fetched = fetch(gw.peer_address(peer), known, &progress).await;
-    gw.control.borrow_mut().is_fetching = false;
-    record_fetch(gw, &progress, fetched.is_ok());
-    match fetched {
-        Ok(delta) => {
-            let now = gw.clock.now();
-            tracing::info!(target: "records", %peer, revision = StoreEra::revision(delta.revision),
-                era = StoreEra::of(delta.revision).0, known = StoreEra::revision(known),
-                is_whole = delta.is_whole, bytes = progress.bytes(),
-                connected_ms = progress.connected_ms(), answered_ms = progress.answered_ms(),
-                took_ms = progress.elapsed_ms(), "fetched records from a peer");
-            let changes = gw.control.borrow_mut().view.apply_peer(delta, now);
-            store_reader::apply(gw, changes);
-        }
-        Err(err) => {
-            tracing::warn!(target: "records", %peer, %err, known = StoreEra::revision(known),
+    let known = gw.control.borrow().view.revision();
+    let fetched = fetch_changes(&gw, peer, known, &progress).await;
+    record_fetch(&gw, &progress, &fetched);
+    let end = match fetched {
+        Ok((changes, revision)) => {
+            tracing::info!(target: "records", %peer, revision = StoreEra::revision(revision),
+                era = StoreEra::of(revision).0, known = StoreEra::revision(known),
                 bytes = progress.bytes(), connected_ms = progress.connected_ms(),
                 answered_ms = progress.answered_ms(), took_ms = progress.elapsed_ms(),
-                "fetching records from a peer failed");
+                "fetched records from a peer");
+            store_reader::apply(&gw, changes, false);
+            FetchEnd::Applied
         }
+        Err(err) => {
+            let end = err.end();
+            if end != FetchEnd::Busy {
+                tracing::warn!(target: "records", %peer, %err, known = StoreEra::revision(known),
+                    bytes = progress.bytes(), connected_ms = progress.connected_ms(),
+                    answered_ms = progress.answered_ms(), took_ms = progress.elapsed_ms(),
+                    "fetching records from a peer failed");
+            }
+            end
+        }
+    };
+    let now = gw.clock.now();
+    let mut control = gw.control.borrow_mut();
+    if control.fan_out.record_fetch_end(peer, end, now) {
+        control.peers.record_fetch_failed(peer, now);
+    }
+}
+
+/// Fetches what a peer has later than `known` into the view. Returns the changes to put in force, and the
+/// peer's revision.
+async fn fetch_changes<P: Platform>(
+    gw: &Gateway<P>,
+    peer: IpAddr,
+    known: u64,
+    progress: &Progress,
+) -> Result<(Vec<StoreChange>, u64), FetchError> {
+    let (has_patches, needs_values) = {
+        let control = gw.control.borrow();
+        (control.peers.reads_notices(peer), control.fan_out.needs_values())
+    };
+    let values = if needs_values { VALUES } else { "" };
+    let bytes = match has_patches {
+        true => get(gw, peer, &format!("{CHANGES_PATH}?{SINCE}{known}{values}"), progress).await?,
+        false => get(gw, peer, &format!("{RECORDS_PATH}?{SINCE}{known}"), progress).await?,
+    };
+    let now = gw.clock.now();
+    if !has_patches {
+        let delta = StoreDelta::from_bytes(&bytes)?;
+        let mut control = gw.control.borrow_mut();
+        let revision = later(delta.revision, known)?;
+        return Ok((control.view.apply_peer(delta, now), revision));
     }
+    let update = update_codec::decode(&bytes)?;
+    let revision = later(update.revision, known)?;
+    let may_keep = !needs_values && update.grace_ms == 0 && update.deferred.is_empty();
     let mut control = gw.control.borrow_mut();
-    if control.view.revision() <= known {
-        control.peers.record_fetch_failed(peer, gw.clock.now());
+    let changes = control.view.apply_update(update, now)?;
+    if may_keep && control.view.revision() == revision {
+        gw.record_answers.keep(known, revision, &bytes);
     }
-    true
+    Ok((changes, revision))
+}
+
+fn later(revision: u64, known: u64) -> Result<u64, FetchError> {
+    if revision > known { Ok(revision) } else { Err(FetchError::NothingLater) }
 }
 
-fn record_fetch<P: Platform>(gw: &Gateway<P>, progress: &Progress, is_ok: bool) {
-    let result = if is_ok { "ok" } else { "failed" };
+async fn get<P: Platform>(
+    gw: &Gateway<P>,
+    peer: IpAddr,
+    path: &str,
+    progress: &Progress,
+) -> Result<Bytes, GetError> {
+    let stream = http::connect(gw.peer_address(peer), CONNECT_TIMEOUT).await?;
+    progress.record_connected();
+    let (mut sender, driver) = http::client_handshake(stream).await?;
+    let _driver = AbortOnDrop(driver);
+    let page = transfer::get_over(&mut sender, path, &FETCH_LIMITS, |bytes| {
+        progress.record_bytes(bytes);
+        let now = gw.clock.now();
+        gw.control.borrow_mut().fan_out.record_fetch_progress(peer, now);
+    });
+    Ok(page.await?.body)
+}
+
+fn record_fetch<P: Platform, T>(
+    gw: &Gateway<P>,
+    progress: &Progress,
+    fetched: &Result<T, FetchError>,
+) {
+    let result = match fetched {
+        Ok(_) => "ok",
+        Err(err) if err.end() == FetchEnd::Busy => "busy",
+        Err(_) => "failed",
+    };
     let metrics = &gw.metrics.records;
     metrics.fetches.with_label_values(&[result]).inc();
     metrics.bytes.with_label_values(&["received"]).inc_by(progress.bytes() as u64);
@@ -101,25 +207,35 @@
     metrics.fetch_seconds.with_label_values(&[result]).observe(seconds);
 }
 
-/// Fetches the routes of a peer that has later ones. Gateways keep routes that a store has lost by coming
-/// back from an older copy, until they are written again.
+/// Fetches the routes of a peer that has later ones, until the process ends. Gateways keep routes that a store
+/// has lost by coming back from an older copy, until they are written again.
+pub(crate) async fn follow_routes<P: Platform>(gw: Rc<Gateway<P>>) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)) => {}
+            () = gw.routes_ahead.notified() => {}
+        }
+        adopt_routes(&gw).await;
+    }
+}
+
 async fn adopt_routes<P: Platform>(gw: &Rc<Gateway<P>>) {
     let (own, peer) = {
-        let control = gw.control.borrow();
+        let mut control = gw.control.borrow_mut();
         // Before the era of the store's first restoration, positions tell who is ahead.
         if StoreEra::of(control.view.revision()) == StoreEra::default() {
             return;
         }
-        let own = control.routes_version();
-        let Some(peer) = control.peers.ahead_in_routes(own, gw.clock.now()) else { return };
+        let (own, draw) = (control.routes_version(), control.draw());
+        let Some(peer) = control.peers.ahead_in_routes(own, draw, gw.clock.now()) else { return };
         (own, peer)
     };
     let progress = Progress::start();
-    let fetched = fetch(gw.peer_address(peer), 0, &progress).await;
-    record_fetch(gw, &progress, fetched.is_ok());
+    let fetched = fetch_all(gw, peer, &progress).await;
+    record_fetch(gw, &progress, &fetched);
     match fetched {
-        Ok(delta) => {
-            if gw.control.borrow_mut().adopt_routes(&gw.platform, delta) {
+        Ok(records) => {
+            if gw.control.borrow_mut().adopt_routes(&gw.platform, records) {
                 let version = gw.control.borrow().routes_version();
                 tracing::info!(target: "records", %peer, own, version, "adopted a peer's routes");
                 gw.digest_due.notify_one();
@@ -131,21 +247,24 @@
     }
 }
 
-/// The reason why fetching records from a peer failed.
-#[derive(Debug, Error)]
-enum FetchError {
-    #[error("{0}")]
-    Get(#[from] http::GetError),
-    #[error("invalid records: {0}")]
-    Format(#[from] postcard::Error),
-}
-
-async fn fetch(
-    address: SocketAddr,
-    known: u64,
+/// Fetches all records of a peer.
+async fn fetch_all<P: Platform>(
+    gw: &Gateway<P>,
+    peer: IpAddr,
     progress: &Progress,
-) -> Result<StoreDelta, FetchError> {
-    let path = format!("{RECORDS_PATH}?{SINCE}{known}");
-    let body = transfer::get(address, &path, MAX_DELTA_BYTES, FETCH_TIMEOUT, progress).await?;
-    Ok(StoreDelta::from_bytes(&body)?)
+) -> Result<Vec<StoreRecord>, FetchError> {
+    if !gw.control.borrow().peers.reads_notices(peer) {
+        let bytes = get(gw, peer, &format!("{RECORDS_PATH}?{SINCE}0"), progress).await?;
+        return Ok(StoreDelta::from_bytes(&bytes)?.records);
+    }
+    let bytes = get(gw, peer, &format!("{CHANGES_PATH}?{SINCE}0{VALUES}"), progress).await?;
+    let StoreUpdate { records, .. } = update_codec::decode(&bytes)?;
+    let record = |RecordUpdate { key, revision, content }| {
+        let value = match content {
+            RecordContent::Written(value) => Some(value),
+            RecordContent::Deleted | RecordContent::Patched(_) => None,
+        };
+        StoreRecord { key, revision, value }
+    };
+    Ok(records.into_iter().map(record).collect())
 }
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -4,10 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use persimmon_decide::forward::{AgeReason, Digest, DigestFreshness, StoreEra, StreamMessage};
+use persimmon_decide::forward::{
+    AgeReason, ChangeNotice, Digest, DigestFreshness, StoreEra, StreamMessage,
+};
 use tokio::net::UdpSocket;
 
 use crate::gateway::Gateway;
+use crate::notices;
 use crate::platform::Platform;
 use crate::store_reader;
 use crate::stream_versions;
@@ -40,6 +43,10 @@
                 continue;
             }
         };
+        if let Some(notice) = ChangeNotice::from_bytes(&buf[..length]) {
+            notices::receive(&gw, from, length, notice);
+            continue;
+        }
         if let Some(message) = StreamMessage::from_bytes(&buf[..length]) {
             receive_message(&gw, from, message);
             continue;
@@ -49,11 +56,12 @@
             Ok(digest) => {
                 gw.metrics.digests.with_label_values(&["received"]).inc();
                 let mut control = gw.control.borrow_mut();
-                if digest.revision > control.view.revision()
-                    || digest.routes_version > control.routes_version()
-                {
+                if digest.revision > control.view.revision() {
                     gw.peer_ahead.notify_one();
                 }
+                if digest.routes_version > control.routes_version() {
+                    gw.routes_ahead.notify_one();
+                }
                 let freshness = control.apply_digest(from.ip(), digest, now);
                 drop(control);
                 if freshness == DigestFreshness::NewIncarnation {
@@ -201,7 +209,7 @@
     let now = gw.clock.now();
     let control = gw.control.borrow();
     let age_ms = control.records_age.age_ms(now);
-    let reason = control.records_age.reason(control.is_fetching, now);
+    let reason = control.records_age.reason(control.fan_out.is_fetching(), now);
     let metrics = &gw.metrics.records;
     // Without a confirmation, the records are as old as the process.
     let shown_ms = age_ms.unwrap_or(now.0);
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -120,7 +120,10 @@
             store_era: StoreEra::of(control.view.revision()).0,
             store_age_ms: control.store_contact.map(|at| now.ms_since(at)),
             records_age_ms: control.records_age.age_ms(now),
-            records_age_reason: control.records_age.reason(control.is_fetching, now).name(),
+            records_age_reason: control
+                .records_age
+                .reason(control.fan_out.is_fetching(), now)
+                .name(),
             gateways: control.peers.gateways(now),
             retries: control.retry_counts(now).map(RetryStatus::of).collect(),
             endpoints,
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -15,8 +15,10 @@
 use crate::control::Applied;
 use crate::gateway::Gateway;
 use crate::http::{self, GetError, Page};
+use crate::notices;
 use crate::platform::{DecodeError, Platform, RecordPage};
 use crate::read_body::ReadError;
+use crate::transfer::{self, Limits};
 
 /// Time that one watch waits for a change, in milliseconds. Its answer shows that the gateway
 /// reaches the store, so it must arrive well before the peers assume that it doesn't.
@@ -24,7 +26,8 @@
 /// Interval at which a gateway that doesn't watch the store checks whether it should, in
 /// milliseconds.
 const WATCH_CHECK_INTERVAL_MS: u64 = 100;
-/// Timeout for an answer of the store, in milliseconds; a watch's own wait is added to it.
+/// Timeout for the beginning of an answer of the store, and for each further piece, in milliseconds; a
+/// watch's own wait is added to the first.
 const ANSWER_TIMEOUT_MS: u64 = 2_000;
 /// Timeout for opening a connection to the store, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 500;
@@ -48,7 +51,7 @@
 /// Pause of the other gateways before each further page, in milliseconds.
 const LIST_PAUSE_MS: u64 = 200;
 /// Maximum size of an answer of the store, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// Maximum number of pages in one list, in case the store never reports the last page.
 const MAX_PAGES: usize = 1_000;
 
@@ -238,7 +241,7 @@
             let view = &mut gw.control.borrow_mut().view;
             page.records.into_iter().flat_map(|it| view.apply(it, now)).collect()
         };
-        apply(gw, changes);
+        apply(gw, changes, true);
         reader.revision = known.max(as_of);
     }
     Ok(())
@@ -297,7 +300,7 @@
         }
         let after = records.last().map(|it| &*it.key);
         let path = gw.platform.list_path(after);
-        let body = match call(connection, &path, ANSWER_TIMEOUT_MS).await {
+        let body = match call(gw, connection, &path, ANSWER_TIMEOUT_MS).await {
             // The pages read so far stay valid: the watch returns changes made since.
             Err(StoreError::Get(GetError::Refused(StatusCode::TOO_MANY_REQUESTS)))
                 if !records.is_empty() =>
@@ -334,7 +337,8 @@
     let changes = control.view.apply_list(records, as_of, now);
     control.startup.record_list(StoreEra::of(as_of) > StoreEra::default(), now);
     drop(control);
-    apply(gw, changes);
+    // All gateways of a fleet that starts list the records at once.
+    apply(gw, changes, known > 0);
     // Peers may have sent the same records before.
     gw.configured.notify_waiters();
     Ok(as_of)
@@ -349,7 +353,7 @@
     limit_ms: u64,
 ) -> Result<RecordPage, StoreError> {
     let path = gw.platform.watch_path(StoreEra::revision(revision), wait_ms);
-    let body = call(connection, &path, limit_ms).await?;
+    let body = call(gw, connection, &path, limit_ms).await?;
     let page = read_page(gw, &body, revision, P::read_changes)?;
     if StoreEra::of(page.as_of) > StoreEra::of(revision) {
         return Err(StoreError::Restored);
@@ -383,32 +387,53 @@
     Ok(page)
 }
 
-async fn call(
+/// Gets a page whose answer begins within `limit_ms`. However long it is, it may go on as long as bytes
+/// come.
+async fn call<P: Platform>(
+    gw: &Gateway<P>,
     connection: &mut StoreConnection,
     path: &str,
     limit_ms: u64,
 ) -> Result<Page, StoreError> {
-    let answered = http::get_over(&mut connection.sender, path, MAX_ANSWER_BYTES);
-    let limit = Duration::from_millis(limit_ms);
-    let answered = tokio::time::timeout(limit, answered).await;
-    Ok(answered.map_err(|_| GetError::TimedOut)??)
+    let limits = Limits {
+        bytes: MAX_ANSWER_BYTES,
+        head: Duration::from_millis(limit_ms),
+        piece: Duration::from_millis(ANSWER_TIMEOUT_MS),
+    };
+    let record_progress = |_| {
+        // An answer that takes long on a narrow link is no loss of the store.
+        let now = gw.clock.now();
+        let mut control = gw.control.borrow_mut();
+        if control.store_contact.is_some_and(|at| at > MonoMs(0)) {
+            control.store_contact = Some(now);
+            control.peers.record_store_contact(now);
+        }
+    };
+    Ok(transfer::get_over(&mut connection.sender, path, &limits, record_progress).await?)
 }
 
 /// Applies removals that were deferred after an outage and are now due.
 pub(crate) fn apply_due<P: Platform>(gw: &Rc<Gateway<P>>) {
     let due = gw.control.borrow_mut().take_due_removals(&gw.platform, gw.clock.now());
-    apply(gw, due);
+    apply(gw, due, false);
 }
 
-/// Applies changes and logs their effects.
-pub(crate) fn apply<P: Platform>(gw: &Rc<Gateway<P>>, changes: Vec<StoreChange>) {
+/// Passes changes of the view on, puts them in force and logs their effects. `is_from_store` says whether the
+/// store sent them to this gateway.
+pub(crate) fn apply<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    changes: Vec<StoreChange>,
+    is_from_store: bool,
+) {
+    // Others needn't wait until the change is in force here.
+    notices::spread(gw, is_from_store);
     let mut control = gw.control.borrow_mut();
     let position = control.view.revision();
     control.records_age.record_position(position);
     if changes.is_empty() {
         return;
     }
-    if control.peers.announces_changes(control.is_watching) {
+    if control.peers.announces_changes(control.is_watching, gw.clock.now()) {
         gw.digest_due.notify_one();
     }
     let started = Instant::now();
--- a/crates/persimmon_gateway/src/transfer.rs
+++ b/crates/persimmon_gateway/src/transfer.rs
@@ -1,16 +1,15 @@
-//! Transfers of records from a peer.
+//! Transfers of records from the store and from peers.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 
-use crate::body::AbortOnDrop;
-use crate::http::{self, GetError, OWN_HOST};
+use crate::http::{GetError, OWN_HOST, Page};
 use crate::read_body::ReadError;
 
 /// How far a transfer has got.
@@ -33,6 +32,19 @@
         }
     }
 
+    /// Records that the connection is open.
+    pub(crate) fn record_connected(&self) {
+        self.connected_ms.set(Some(self.elapsed_ms()));
+    }
+
+    /// Records that the answer has begun, and that `bytes` of its body have arrived.
+    pub(crate) fn record_bytes(&self, bytes: usize) {
+        if self.answered_ms.get().is_none() {
+            self.answered_ms.set(Some(self.elapsed_ms()));
+        }
+        self.bytes.set(bytes);
+    }
+
     /// Returns the time since the start, in milliseconds.
     pub(crate) fn elapsed_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -54,38 +66,49 @@
     }
 }
 
-/// Gets a page of at most `max_bytes` over a new connection within `limit`.
-pub(crate) async fn get(
-    address: SocketAddr,
+/// Limits of a transfer. A page may take however long it needs, as long as bytes come.
+#[derive(Debug)]
+pub(crate) struct Limits {
+    /// Maximum size of the page, in bytes.
+    pub(crate) bytes: usize,
+    /// Timeout for the head of the answer.
+    pub(crate) head: Duration,
+    /// Timeout for each further piece.
+    pub(crate) piece: Duration,
+}
+
+/// Gets a page over an open connection. `record_progress` is called with the number of bytes of the body that
+/// have arrived, at its head and at each piece, unless the request is refused.
+///
+/// # Errors
+///
+/// The connection fails or makes no progress, or the answer has another status than 200 or is too long.
+pub(crate) async fn get_over(
+    sender: &mut SendRequest<Full<Bytes>>,
     path: &str,
-    max_bytes: usize,
-    limit: Duration,
-    progress: &Progress,
-) -> Result<Bytes, GetError> {
-    let answered = async {
-        let stream = http::connect(address, limit).await?;
-        progress.connected_ms.set(Some(progress.elapsed_ms()));
-        let (mut sender, driver) = http::client_handshake(stream).await?;
-        let _driver = AbortOnDrop(driver);
-        let mut req = Request::new(Full::new(Bytes::new()));
-        *req.uri_mut() = path.parse()?;
-        req.headers_mut().insert(HOST, HeaderValue::from_static(OWN_HOST));
-        let response = sender.send_request(req).await?;
-        progress.answered_ms.set(Some(progress.elapsed_ms()));
-        let (head, mut body) = response.into_parts();
-        let mut read = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(piece) = frame.map_err(ReadError::from)?.into_data() else { continue };
-            if read.len() + piece.len() > max_bytes {
-                return Err(ReadError::TooLong.into());
-            }
-            read.extend_from_slice(&piece);
-            progress.bytes.set(read.len());
-        }
-        match head.status {
-            StatusCode::OK => Ok(read.freeze()),
-            status => Err(GetError::Refused(status)),
+    limits: &Limits,
+    record_progress: impl Fn(usize),
+) -> Result<Page, GetError> {
+    let mut req = Request::new(Full::new(Bytes::new()));
+    *req.uri_mut() = path.parse()?;
+    req.headers_mut().insert(HOST, HeaderValue::from_static(OWN_HOST));
+    let response = tokio::time::timeout(limits.head, sender.send_request(req)).await;
+    let response = response.map_err(|_| GetError::TimedOut)??;
+    let (head, mut body) = response.into_parts();
+    if head.status != StatusCode::OK {
+        return Err(GetError::Refused(head.status));
+    }
+    record_progress(0);
+    let mut read = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(limits.piece, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| GetError::Stalled)? else { break };
+        let Ok(piece) = frame.map_err(ReadError::from)?.into_data() else { continue };
+        if read.len() + piece.len() > limits.bytes {
+            return Err(ReadError::TooLong.into());
         }
-    };
-    tokio::time::timeout(limit, answered).await.map_err(|_| GetError::TimedOut)?
+        read.extend_from_slice(&piece);
+        record_progress(read.len());
+    }
+    Ok(Page { headers: head.headers, body: read.freeze() })
 }
