--- a/crates/persimmon_decide/src/forward/patch_log.rs
+++ b/crates/persimmon_decide/src/forward/patch_log.rs
@@ -48,9 +48,9 @@
         is_known.then(|| patches.iter().skip(first))
     }
 
-    /// Returns the position of the latest value to which the stored patches lead.
-    pub(super) fn latest(&self, key: &str) -> Option<u64> {
-        self.records.get(key)?.back().map(|it| it.to)
+    /// Returns the stored patch that leads to the value at position `to`, if it is the latest one.
+    pub(super) fn latest_to(&self, key: &str, to: u64) -> Option<&RecordPatch> {
+        self.records.get(key)?.back().filter(|it| it.to == to)
     }
 
     /// Removes the patches of a record whose value was replaced by one that follows from none of them.
--- a/crates/persimmon_decide/src/forward/route.rs
+++ b/crates/persimmon_decide/src/forward/route.rs
@@ -161,16 +161,22 @@
     pub fn new(
         version: u64,
         limits: CallerLimits,
-        routes: Vec<Route>,
+        routes: impl IntoIterator<Item = impl Into<Arc<Route>>>,
         services: Vec<ServiceSpec>,
     ) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         let mut route_priorities: HashMap<Arc<str>, BTreeSet<u8>> = HashMap::new();
-        for route in routes {
+        for route in routes.into_iter().map(Into::into) {
             for share in &route.services {
-                route_priorities.entry(share.service.clone()).or_default().insert(route.priority);
+                match route_priorities.get_mut(&share.service) {
+                    Some(priorities) => priorities.insert(route.priority),
+                    None => {
+                        let service = share.service.clone();
+                        route_priorities.insert(service, [route.priority].into()).is_none()
+                    }
+                };
             }
-            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+            by_host.entry(route.host.clone()).or_default().push(route);
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
--- a/crates/persimmon_decide/src/forward/store_view.rs
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -286,7 +286,7 @@
         revision: u64,
     ) -> Option<impl Iterator<Item = &RecordPatch>> {
         let known = self.records.get(key)?.revision;
-        self.patches.since(key, revision).filter(|_| self.patches.latest(key) == Some(known))
+        self.patches.since(key, revision).filter(|_| self.patches.latest_to(key, known).is_some())
     }
 
     /// Records that the store answers again, and that it last answered a gateway of the fleet at
@@ -484,8 +484,13 @@
         let record = self.records.get(key).ok_or(UpdateError::NoRecord)?;
         let mut value = record.value.clone().ok_or(UpdateError::NoRecord)?;
         patches.retain(|it| it.to > record.revision);
+        let mut previous = self.patches.latest_to(key, record.revision);
         for it in &patches {
-            value = it.patch.apply(&value)?;
+            value = match previous {
+                Some(previous) => it.patch.apply_after(&previous.patch, &value)?,
+                None => it.patch.apply(&value)?,
+            };
+            previous = Some(it);
         }
         Ok((value, patches))
     }
@@ -493,7 +498,7 @@
     /// Stores how the value of a large record changes.
     fn log_patch(&mut self, record: &StoreRecord) {
         let key = &record.key;
-        if self.patches.latest(key) == Some(record.revision) {
+        if self.patches.latest_to(key, record.revision).is_some() {
             return;
         }
         let is_large = |it: &&Vec<u8>| it.len() >= PatchLog::MIN_VALUE_BYTES;
--- a/crates/persimmon_decide/src/forward/value_patch.rs
+++ b/crates/persimmon_decide/src/forward/value_patch.rs
@@ -78,6 +78,22 @@
         if hash(earlier) != self.base {
             return Err(PatchError::OtherBase);
         }
+        self.assemble(earlier)
+    }
+
+    /// Returns the later value; `earlier` is the result of the patch `previous`.
+    ///
+    /// # Errors
+    ///
+    /// This patch doesn't follow the previous one, or is invalid.
+    pub fn apply_after(&self, previous: &Self, earlier: &[u8]) -> Result<Vec<u8>, PatchError> {
+        if previous.result != self.base {
+            return Err(PatchError::OtherBase);
+        }
+        self.assemble(earlier)
+    }
+
+    fn assemble(&self, earlier: &[u8]) -> Result<Vec<u8>, PatchError> {
         let mut later = Vec::with_capacity(earlier.len());
         for piece in &self.pieces {
             let bytes = match piece {
