FanOut: repeated notices go on in a series of changes; no checks in vain

Cause, found by reading: each change put the rounds of repeated notices off by 150 ms, so that a series of changes with shorter gaps had none until its end, and a notice that was lost was repaired by digests only. And while a peer was ahead that couldn't be asked, the next check was due in the past, every 5 ms.

Change: a change renews the rounds but doesn't put the next one off; the next check lies after the last one.

Evidence: rounds_go_on_in_a_series_of_changes (40 changes, one every 80 ms: no round before, one at least every 320 ms now) and next_check_lies_ahead_though_nobody_can_be_asked.

--- a/crates/persimmon_decide/src/forward/fan_out.rs
+++ b/crates/persimmon_decide/src/forward/fan_out.rs
@@ -182,8 +182,10 @@
         self.offers.retain(|_, position| *position > own);
         self.ahead_since = None;
         self.needs_values = false;
-        self.rounds =
-            Some(Rounds { next_at: now.plus_ms(Self::FIRST_ROUND_MS), left: Self::ROUNDS });
+        // A series of changes doesn't put the rounds off.
+        let next_at = now.plus_ms(Self::FIRST_ROUND_MS);
+        let next_at = self.rounds.as_ref().map_or(next_at, |it| it.next_at.min(next_at));
+        self.rounds = Some(Rounds { next_at, left: Self::ROUNDS });
         let mut notices = Vec::new();
         let (reached, waiting) =
             std::mem::take(&mut self.relays).into_iter().partition(|it| it.position <= own);
@@ -323,16 +325,16 @@
         self.fetches.clear();
     }
 
-    /// Returns the time at which [`Self::due`] or [`Self::next_fetch`] may have something new, if time
-    /// alone brings it.
-    pub fn next_at(&self) -> Option<MonoMs> {
+    /// Returns the time after `checked_at` at which [`Self::due`] or [`Self::next_fetch`] may have something new,
+    /// if time alone brings it.
+    pub fn next_at(&self, checked_at: MonoMs) -> Option<MonoMs> {
         let round = self.rounds.as_ref().map(|it| it.next_at);
         let ahead =
             self.ahead_since.map(|it| it.plus_ms(Self::UNNOTIFIED_MS.max(Self::WATCHER_MS)));
         let hedge = self.fetches.values().max().map(|it| it.plus_ms(Self::HEDGE_MS));
         let fetch = if self.fetches.is_empty() { ahead } else { hedge };
         let busy = self.busy_until.values().min().copied();
-        [round, fetch, busy].into_iter().flatten().min()
+        [round, fetch, busy].into_iter().flatten().filter(|at| *at > checked_at).min()
     }
 }
 
--- a/crates/persimmon_decide/tests/forward_fan_out.rs
+++ b/crates/persimmon_decide/tests/forward_fan_out.rs
@@ -145,6 +145,35 @@
     }
 }
 
+/// Guards against notices that are never repeated while changes follow each other.
+#[test]
+fn rounds_go_on_in_a_series_of_changes() {
+    let (mut fan_out, peers) = (FanOut::new(), peers(103, 1));
+    let mut rounds = 0;
+    for change in 0..40 {
+        let input = input(&peers, 10 + change, change * 80);
+        fan_out.record_position(&input, false, || 0);
+        rounds += usize::from(!fan_out.due(&input, || 0).is_empty());
+    }
+    assert!(rounds >= 10, "{rounds} rounds in 3.2 s");
+}
+
+/// Guards against checks without a pause while nobody can be asked.
+#[test]
+fn next_check_lies_ahead_though_nobody_can_be_asked() {
+    let (mut fan_out, mut peers) = (FanOut::new(), peers(9, 7));
+    for number in 1..9 {
+        peers.record_fetch_failed(ip(number), START);
+    }
+    fan_out.record_notice(ip(99), 7, Vec::new(), &input(&peers, 6, 0));
+    assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(99)));
+    for ms in (0..2_000).step_by(50) {
+        next(&mut fan_out, &peers, ms);
+        let checked_at = START.plus_ms(ms);
+        assert!(fan_out.next_at(checked_at).is_none_or(|at| at > checked_at));
+    }
+}
+
 fn next(fan_out: &mut FanOut, peers: &PeerTable, ms: u64) -> Option<IpAddr> {
     fan_out.next_fetch(&input(peers, 6, ms), || 0)
 }
--- a/crates/persimmon_gateway/src/peer_records.rs
+++ b/crates/persimmon_gateway/src/peer_records.rs
@@ -25,8 +25,6 @@
 
 /// Maximum interval at which a gateway checks whether a peer is ahead, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 1_000;
-/// Minimum time until a check that is due, in milliseconds.
-const MIN_CHECK_MS: u64 = 5;
 /// Timeout for opening a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Limits of a fetch.
@@ -64,10 +62,10 @@
 /// Fetches records whenever a peer has later ones, and repeats notices to others, until the process ends.
 pub(crate) async fn follow<P: Platform>(gw: Rc<Gateway<P>>) {
     let mut fetches = JoinSet::new();
+    let mut checked_at = gw.clock.now();
     loop {
-        let now = gw.clock.now();
-        let next = gw.control.borrow().fan_out.next_at();
-        let next = next.unwrap_or(now.plus_ms(CHECK_INTERVAL_MS)).max(now.plus_ms(MIN_CHECK_MS));
+        let next = gw.control.borrow().fan_out.next_at(checked_at);
+        let next = next.unwrap_or(checked_at.plus_ms(CHECK_INTERVAL_MS));
         tokio::select! {
             () = tokio::time::sleep_until(gw.clock.instant(next).into()) => {}
             () = gw.peer_ahead.notified() => {}
@@ -77,6 +75,7 @@
                 }
             }
         }
+        checked_at = gw.clock.now();
         notices::send_due(&gw);
         let (own, is_ahead) = {
             let control = gw.control.borrow();
