Records: what a review of the fan-out found

- Whole sets after a list: a list made the view send all records to every gateway that had less than the list, and so did each receiver.
Only a gateway strictly between the view's position before and the list needs all; these gaps are stored, and passed on in updates.
- In each era after the first, a change on its way made gateways fetch all records to adopt routes; only a peer whose position isn't later has kept routes.
- The limit of four large answers counted none that the system had taken: an answer counts while its connection is open.
- The sender of a notice counted as an earlier build until its first digest.
- Progress of an answer of the store counted as contact without a bound, and as a confirmation of records: bounded to 2 s, and digests say when the store last confirmed the sender's records.

--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -98,9 +98,12 @@
     /// Version of the routes in force; zero if none are. Encoded after `content_answers`.
     #[serde(skip)]
     pub routes_version: u64,
-    /// Whether the gateway reads notices of changes. Encoded after `routes_version`.
+    /// Whether the gateway reads notices of changes. Encoded after `routes_version`, with the next field.
     #[serde(skip)]
     pub reads_notices: bool,
+    /// Time since the store last confirmed the gateway's records, in milliseconds; none if it never has.
+    #[serde(skip)]
+    pub records_age_ms: Option<u32>,
 }
 
 impl Digest {
@@ -116,7 +119,7 @@
         bytes.extend(postcard::to_allocvec(&self.limits)?);
         bytes.extend(postcard::to_allocvec(&(&self.crash_details, &self.content_answers))?);
         bytes.extend(postcard::to_allocvec(&self.routes_version)?);
-        bytes.extend(postcard::to_allocvec(&self.reads_notices)?);
+        bytes.extend(postcard::to_allocvec(&(self.reads_notices, self.records_age_ms))?);
         Ok(bytes)
     }
 
@@ -133,7 +136,7 @@
         let limits = take_section(&mut rest)?;
         let (crash_details, content_answers) = take_section(&mut rest)?;
         let routes_version = take_section(&mut rest)?;
-        let reads_notices = take_section(&mut rest)?;
+        let (reads_notices, records_age_ms) = take_section(&mut rest)?;
         Ok(Self {
             leaving,
             part_crashes,
@@ -143,6 +146,7 @@
             content_answers,
             routes_version,
             reads_notices,
+            records_age_ms,
             ..digest
         })
     }
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -74,7 +74,7 @@
 pub use health::{HealthSettings, HealthTracker, Outcomes};
 pub use idle_limit::IdleLimit;
 pub use load_tracker::{EndpointLoad, LoadTracker};
-pub use peer_table::{DigestFreshness, PeerTable};
+pub use peer_table::{DigestFreshness, NotifiedPeer, PeerTable};
 pub use picker::{Choice, FleetView, NoChoice, PickRequest, Picker, PickerSettings, count_weight};
 pub use prefix_map::{PrefixMap, PromptPart};
 pub use records_age::{AgeReason, RecordsAge};
--- a/crates/persimmon_decide/src/forward/records_age.rs
+++ b/crates/persimmon_decide/src/forward/records_age.rs
@@ -44,12 +44,10 @@
 #[derive(Debug, Default)]
 pub struct RecordsAge {
     confirmed_at: Option<MonoMs>,
-    /// Last answer of the store to any gateway.
-    answered_at: Option<MonoMs>,
     /// Last report of a gateway that watches the store.
     heard_at: Option<MonoMs>,
-    /// Positions that this gateway doesn't have yet, each with the time of an answer of the store that
-    /// had them, in the order of positions.
+    /// Positions that this gateway doesn't have yet, each with the time at which the store confirmed them, in
+    /// their order.
     unreached: VecDeque<(u64, MonoMs)>,
 }
 
@@ -65,11 +63,14 @@
         Self::default()
     }
 
-    /// Records that the store answered a gateway at `at` that had every change up to `position` then; this
-    /// gateway has them up to `own`.
-    pub fn record_answer(&mut self, position: u64, at: MonoMs, own: u64, now: MonoMs) {
+    /// Records that a gateway that watches the store was heard.
+    pub fn record_watcher(&mut self, now: MonoMs) {
         self.heard_at = self.heard_at.max(Some(now));
-        self.answered_at = self.answered_at.max(Some(at));
+    }
+
+    /// Records that the store confirmed at `at` that a gateway had every change up to `position`; this gateway
+    /// has them up to `own`.
+    pub fn record_confirmed(&mut self, position: u64, at: MonoMs, own: u64) {
         if position <= own {
             self.confirmed_at = self.confirmed_at.max(Some(at));
             return;
--- a/crates/persimmon_decide/src/forward/store_update.rs
+++ b/crates/persimmon_decide/src/forward/store_update.rs
@@ -63,6 +63,8 @@
     pub deferred: Vec<Arc<str>>,
     /// The records that have changed.
     pub records: Vec<RecordUpdate>,
+    /// Positions between which the sender, or one before it, doesn't know every removal.
+    pub gaps: Vec<(u64, u64)>,
 }
 
 impl StoreUpdate {
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -3,7 +3,9 @@
 use std::net::IpAddr;
 
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{Digest, DigestFreshness, PeerAddress, PeerTable, ServiceRetries};
+use persimmon_decide::forward::{
+    Digest, DigestFreshness, PeerAddress, PeerTable, RecordsVersion, ServiceRetries,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
@@ -37,6 +39,7 @@
         content_answers: Vec::new(),
         routes_version: 0,
         reads_notices: false,
+        records_age_ms: None,
     }
 }
 
@@ -267,6 +270,31 @@
     assert_eq!(peers.ahead_of(7, rng.random(), excluded, MonoMs(1_200)), Some(ip(7)));
 }
 
+/// Guards against gateways that fetch all records of a peer because a change is on its way.
+#[test]
+fn change_on_its_way_is_no_reason_to_adopt_routes() {
+    let mut peers = PeerTable::new(ip(250), Vec::new());
+    let own = RecordsVersion { position: 6, routes: 7 };
+    let later = Digest { routes_version: 8, revision: 7, ..digest(1) };
+    peers.record_digest(ip(1), &later, MonoMs(1_000));
+    assert_eq!(peers.ahead_in_routes(own, 0, MonoMs(1_000)), None);
+    let kept = Digest { routes_version: 8, revision: 6, ..digest(1) };
+    peers.record_digest(ip(2), &kept, MonoMs(1_000));
+    assert_eq!(peers.ahead_in_routes(own, 0, MonoMs(1_000)), Some(ip(2)));
+    peers.record_fetch_failed(ip(2), MonoMs(1_100));
+    assert_eq!(peers.ahead_in_routes(own, 0, MonoMs(1_100)), None);
+}
+
+#[test]
+fn sender_of_notice_reads_notices() {
+    let mut peers = PeerTable::new(ip(250), Vec::new());
+    peers.record_digest(ip(1), &digest(1), MonoMs(1_000));
+    assert!(!peers.reads_notices(ip(1)));
+    peers.record_notice(ip(1), 7, MonoMs(1_100));
+    assert!(peers.reads_notices(ip(1)));
+    assert_eq!(peers.position(ip(1)), Some(7));
+}
+
 /// Peers that have ended still count as live for seconds in a large fleet.
 #[test]
 fn ahead_of_prefers_peers_that_were_heard_last() {
--- a/crates/persimmon_gateway/src/holder.rs
+++ b/crates/persimmon_gateway/src/holder.rs
@@ -20,6 +20,7 @@
 use crate::http;
 use crate::log_limiter::LogLimiter;
 use crate::ops;
+use crate::record_answers::ConnectionAnswer;
 
 /// Maximum size of a message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024;
@@ -168,7 +169,7 @@
 }
 
 async fn serve_metrics(holder: Rc<Holder>, listener: TcpListener) {
-    let answer = move |req: &Request<Incoming>| match req.uri().path() {
+    let answer = move |req: &Request<Incoming>, _: &ConnectionAnswer| match req.uri().path() {
         "/metrics" => ops::metrics_page(holder.metrics.encode()),
         _ => ops::no_such_page(),
     };
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -29,6 +29,8 @@
 mod platform;
 mod read_body;
 mod record_answers;
+#[cfg(test)]
+mod record_answers_tests;
 mod refusal;
 mod relay;
 mod run;
@@ -39,6 +41,8 @@
 mod stream_versions;
 mod transfer;
 mod update_codec;
+#[cfg(test)]
+mod update_codec_tests;
 mod upstream;
 
 pub use holder::{HolderSettings, run_holder};
