Records: a late answer of the store doesn't bring back a record that was removed

A gateway that watches the store kept a small record for good which the store had removed.

Cause: an answer of the store arrives late, on a link that was cut off or is narrow, and by then peers have sent its changes and later ones, among them the removal of a record that the answer writes. StoreView::apply compared the write only with what the view has of the record, which was nothing, and put it back; the position was later than the removal already, so that nothing removed it again.

Unit test apply_of_late_write_keeps_removal fails before.

Change: StoreView::apply ignores a change before the view's position, which includes it. Changes of one position, as of a transaction of the store, are still applied one after the other.

--- a/crates/persimmon_decide/src/forward/store_view.rs
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -317,8 +317,12 @@
         self.grace_until.is_some_and(|until| until > now)
     }
 
-    /// Applies one change from a watch, which delivers changes in order.
+    /// Applies one change from a watch, which delivers changes in order. Ignores one that came so late that
+    /// peers have sent it and later ones before: the record may have been removed since.
     pub fn apply(&mut self, record: StoreRecord, now: MonoMs) -> Vec<StoreChange> {
+        if record.revision < self.revision {
+            return Vec::new();
+        }
         self.revision = self.revision.max(record.revision);
         self.put(record, now >= self.expiry_from, now)
     }
--- a/crates/persimmon_decide/tests/forward_store_peers.rs
+++ b/crates/persimmon_decide/tests/forward_store_peers.rs
@@ -60,6 +60,18 @@
     assert_eq!(changes, [StoreChange::Removed("short".into())]);
 }
 
+/// Guards against a late answer of the store that brings back a record which peers say was removed.
+#[test]
+fn apply_of_late_write_keeps_removal() {
+    let (mut watcher, mut late) = (StoreView::new(), StoreView::new());
+    watcher.apply(written("a", 1), NOW);
+    watcher.apply(record("a", 2, false), NOW);
+    watcher.apply(written("b", 3), NOW);
+    late.apply_peer(watcher.since(0, NOW), NOW);
+    assert_eq!(late.apply(written("a", 1), NOW), []);
+    assert_eq!(late.since(0, NOW), watcher.since(0, NOW));
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Write(u8),
