--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -68,7 +68,7 @@
 pub use endpoint_pauses::EndpointPauses;
 pub use event_numbers::{EventNumbers, SoundEvents};
 pub use event_position::EventPosition;
-pub use fan_out::{FanOut, FanOutInput, FetchEnd, NoticeTo};
+pub use fan_out::{FanOut, FanOutInput, FetchEnd, NoticeTo, Relay};
 pub use first_byte_timeout::FirstByteTimeout;
 use gateway_shares::GatewayShares;
 pub use health::{HealthSettings, HealthTracker, Outcomes};
--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -96,6 +96,11 @@
         self.store_age_ms.is_some() && is_heard
     }
 
+    /// Reports whether the peer may have ended, or is shutting down.
+    fn is_doubtful(&self, max_silent_ms: u64, now: MonoMs) -> bool {
+        now.ms_since(self.contact_at) > max_silent_ms || self.leaving_since.is_some()
+    }
+
     /// Reports whether records later than `revision` can be fetched from the peer, as far as it is known.
     fn is_ahead_of(&self, revision: u64) -> bool {
         self.revision > revision && !self.has_failed()
@@ -287,12 +292,17 @@
         let readers = self.live(now).filter(|(_, peer)| peer.reads_notices);
         let max_silent_ms = self.interval_ms(false) * Self::MAX_EXPECTED_DIGESTS;
         readers.map(move |(ip, peer)| {
-            let is_silent = now.ms_since(peer.contact_at) > max_silent_ms;
-            let is_doubtful = is_silent || peer.leaving_since.is_some();
+            let is_doubtful = peer.is_doubtful(max_silent_ms, now);
             NotifiedPeer { ip: *ip, position: peer.revision, is_doubtful }
         })
     }
 
+    /// Reports whether a gateway may have ended, is shutting down, or isn't known.
+    pub fn is_doubtful(&self, ip: IpAddr, now: MonoMs) -> bool {
+        let max_silent_ms = self.interval_ms(false) * Self::MAX_EXPECTED_DIGESTS;
+        self.peers.get(&ip).is_none_or(|peer| peer.is_doubtful(max_silent_ms, now))
+    }
+
     /// Returns the position up to which a peer is known to have every change.
     pub fn position(&self, ip: IpAddr) -> Option<u64> {
         self.peers.get(&ip).map(|peer| peer.revision)
