Records: damaged notices and patches that copy much are refused

Cause: a notice had no protection beside that of UDP, so that a flipped bit could become a position that no gateway has; every gateway would then hold that every further change is an earlier one. A patch could make 64 MB of a value of any size, for each record that an update names and for each time that it names it. Patches that don't lead to the position of their record put the old value in force at the new position, and a record without patches did too.

Evidence: forward_change_notice, 8 of 13 tests failed before the change: a notice with one flipped bit is read with position 7 in place of 6; 200 copies of a value of 4 KB in a patch of 1 KB are applied; a record with no patches gets position 8 with the value of position 5.

A patch copies at most four times the size of the earlier value (the maker writes what goes beyond as new bytes, so that each patch it makes can be applied), and a series of patches makes at most four times the known value and the new bytes. An update with patches that don't end at the record's position, or with a record that is patched twice, is refused as a whole, and the view stays as it was.

Result: 13 of 13 tests of forward_change_notice pass; forward_value_patch, forward_store_view, forward_store_eras, forward_store_peers and forward_fan_out pass unchanged (72 tests).

--- a/crates/persimmon_decide/src/forward/change_notice.rs
+++ b/crates/persimmon_decide/src/forward/change_notice.rs
@@ -20,6 +20,8 @@
 impl ChangeNotice {
     /// Maximum size of an update in a notice, in bytes: the notice then fits into one packet.
     pub const MAX_UPDATE_BYTES: usize = 1_000;
+    /// Size of the hash of the encoded notice that follows the prefix, in bytes. Detects damage.
+    const HASH_BYTES: usize = 8;
     /// First bytes of each notice. Neither a digest nor another message begins with them.
     const PREFIX: [u8; 10] = [0xfe; 10];
 
@@ -29,17 +31,31 @@
     ///
     /// The notice can't be encoded.
     pub fn to_bytes(&self) -> postcard::Result<Vec<u8>> {
-        let mut bytes = Self::PREFIX.to_vec();
-        bytes.extend(postcard::to_allocvec(self)?);
-        Ok(bytes)
+        let encoded = postcard::to_allocvec(self)?;
+        let hash = hash(&encoded);
+        Ok([&Self::PREFIX[..], &hash, &encoded].concat())
     }
 
     /// Decodes a datagram; none if it is of another kind.
     ///
     /// # Errors
     ///
-    /// The bytes aren't a notice.
+    /// The bytes aren't a notice, or are damaged.
     pub fn from_bytes(bytes: &[u8]) -> Option<postcard::Result<Self>> {
-        bytes.strip_prefix(&Self::PREFIX).map(postcard::from_bytes)
+        bytes.strip_prefix(&Self::PREFIX).map(Self::decode)
     }
+
+    fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        let parts = bytes.split_first_chunk::<{ Self::HASH_BYTES }>();
+        let (expected, encoded) = parts.ok_or(postcard::Error::DeserializeUnexpectedEnd)?;
+        if hash(encoded) != *expected {
+            return Err(postcard::Error::DeserializeBadCrc);
+        }
+        postcard::from_bytes(encoded)
+    }
+}
+
+fn hash(encoded: &[u8]) -> [u8; ChangeNotice::HASH_BYTES] {
+    let hash = blake3::hash(encoded);
+    *hash.as_bytes().first_chunk().expect("a hash has 32 bytes")
 }
--- a/crates/persimmon_decide/src/forward/store_update.rs
+++ b/crates/persimmon_decide/src/forward/store_update.rs
@@ -84,4 +84,7 @@
     /// A patch is for a record that this gateway doesn't have.
     #[error("a patch is for a record that this gateway doesn't have")]
     NoRecord,
+    /// A record's patches don't lead to the position that the update names, or it is patched twice.
+    #[error("a record's patches don't lead to its position")]
+    WrongPatches,
 }
--- a/crates/persimmon_decide/src/forward/store_view.rs
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -8,7 +8,8 @@
 use super::digest::take_section;
 use super::patch_log::PatchLog;
 use super::{
-    RecordContent, RecordPatch, RecordUpdate, StoreEra, StoreUpdate, UpdateError, ValuePatch,
+    PatchError, RecordContent, RecordPatch, RecordUpdate, StoreEra, StoreUpdate, UpdateError,
+    ValuePatch,
 };
 use crate::MonoMs;
 
@@ -445,13 +446,18 @@
         if !update.is_whole && update.since > self.revision {
             return Err(UpdateError::Gap);
         }
-        let (mut records, mut logged) = (Vec::new(), Vec::new());
+        let mut records = Vec::new();
+        let mut logged: Vec<(Arc<str>, usize, Vec<RecordPatch>)> = Vec::new();
         for RecordUpdate { key, revision, content } in update.records {
             let value = match content {
                 RecordContent::Deleted => None,
                 RecordContent::Written(value) => Some(value),
                 RecordContent::Patched(_) if self.known_revision(&key) >= revision => continue,
                 RecordContent::Patched(patches) => {
+                    let is_patched = logged.iter().any(|(it, ..)| *it == key);
+                    if is_patched || patches.last().is_none_or(|it| it.to != revision) {
+                        return Err(UpdateError::WrongPatches);
+                    }
                     let (value, patches) = self.patch(&key, patches)?;
                     logged.push((key.clone(), value.len(), patches));
                     Some(value)
@@ -484,8 +490,13 @@
         let record = self.records.get(key).ok_or(UpdateError::NoRecord)?;
         let mut value = record.value.clone().ok_or(UpdateError::NoRecord)?;
         patches.retain(|it| it.to > record.revision);
+        let max_bytes =
+            ValuePatch::max_result_bytes(value.len(), patches.iter().map(|it| &it.patch));
         for it in &patches {
             value = it.patch.apply(&value)?;
+            if value.len() > max_bytes {
+                return Err(PatchError::TooLong.into());
+            }
         }
         Ok((value, patches))
     }
--- a/crates/persimmon_decide/src/forward/value_patch.rs
+++ b/crates/persimmon_decide/src/forward/value_patch.rs
@@ -12,7 +12,7 @@
     /// The patch copies bytes that the value doesn't have.
     #[error("the patch copies bytes beyond the value's end")]
     OutOfRange,
-    /// The result would exceed [`ValuePatch::MAX_RESULT_BYTES`].
+    /// The result would be larger than [`ValuePatch::max_result_bytes`].
     #[error("the result is too long")]
     TooLong,
     /// The result isn't the value that the patch was made of.
@@ -48,8 +48,9 @@
 }
 
 impl ValuePatch {
-    /// Maximum size of a patched value, in bytes. Bounds what a wrong patch can make of a small value.
-    pub const MAX_RESULT_BYTES: usize = 64 * 1024 * 1024;
+    /// Maximum number of bytes that a patch copies, as a multiple of the earlier value's size. Bounds what a
+    /// small patch, which may copy the same bytes many times, can make of a value.
+    pub const MAX_COPIES: usize = 4;
     /// Estimated overhead of a piece in its encoding, in bytes.
     const PIECE_BYTES: usize = 8;
 
@@ -62,11 +63,23 @@
 
     /// Returns the approximate size of the encoded patch, in bytes.
     pub fn size(&self) -> usize {
+        self.new_bytes() + (self.pieces.len() + 2) * Self::PIECE_BYTES
+    }
+
+    /// Returns the number of bytes of the later value that the earlier one doesn't have.
+    fn new_bytes(&self) -> usize {
         let new = self.pieces.iter().map(|it| match it {
             Piece::Copied { .. } => 0,
             Piece::New(bytes) => bytes.len(),
         });
-        new.sum::<usize>() + (self.pieces.len() + 2) * Self::PIECE_BYTES
+        new.sum()
+    }
+
+    /// Returns the maximum size of what patches, one after the other, may make of a value of `bytes`, in
+    /// bytes.
+    pub fn max_result_bytes<'a>(bytes: usize, patches: impl Iterator<Item = &'a Self>) -> usize {
+        let new: usize = patches.map(Self::new_bytes).sum();
+        bytes.saturating_mul(Self::MAX_COPIES).saturating_add(new)
     }
 
     /// Returns the later value.
@@ -78,6 +91,7 @@
         if hash(earlier) != self.base {
             return Err(PatchError::OtherBase);
         }
+        let max_bytes = Self::max_result_bytes(earlier.len(), [self].into_iter());
         let mut later = Vec::with_capacity(earlier.len());
         for piece in &self.pieces {
             let bytes = match piece {
@@ -88,7 +102,7 @@
                 }
                 Piece::New(bytes) => bytes,
             };
-            if later.len() + bytes.len() > Self::MAX_RESULT_BYTES {
+            if later.len() + bytes.len() > max_bytes {
                 return Err(PatchError::TooLong);
             }
             later.extend_from_slice(bytes);
@@ -188,6 +202,8 @@
     pending: usize,
     /// End of the last copied bytes in `earlier`.
     copied_to: usize,
+    /// Number of bytes copied.
+    copied: usize,
 }
 
 /// Bytes that both values have.
@@ -204,7 +220,7 @@
 
     fn new(earlier: &'a [u8], later: &'a [u8]) -> Self {
         let index = BlockIndex::new(earlier);
-        Self { earlier, later, index, pieces: Vec::new(), pending: 0, copied_to: 0 }
+        Self { earlier, later, index, pieces: Vec::new(), pending: 0, copied_to: 0, copied: 0 }
     }
 
     fn run(&mut self) {
@@ -215,6 +231,9 @@
                 at += 1;
                 continue;
             };
+            if self.copied + found.length > ValuePatch::MAX_COPIES * self.earlier.len() {
+                break;
+            }
             self.copy(found);
             at = self.pending;
             window = None;
@@ -262,6 +281,7 @@
         self.pieces.push(Piece::Copied { offset, length });
         self.pending = found.start + found.length;
         self.copied_to = found.offset + found.length;
+        self.copied += found.length;
     }
 
     fn push_new(&mut self, end: usize) {
