Soak: a release plays beside the other faults

Cause: during a release, gateways of two builds run side by side, which exchange records in different ways. Nothing played that under faults.

Change: `--earlier-program PATH` makes a part of the gateways run an earlier build, drawn from the seed, and each restart draws one of the two builds, also with `--stops`. Seeds without the option play as before.

--- a/crates/persimmon_soak/src/lib.rs
+++ b/crates/persimmon_soak/src/lib.rs
@@ -1,5 +1,6 @@
 //! A seeded soak test of gateways under injected faults.
 
+mod builds;
 mod callers;
 mod checks;
 mod schedule;
--- a/crates/persimmon_soak/src/main.rs
+++ b/crates/persimmon_soak/src/main.rs
@@ -15,6 +15,8 @@
     let mut options = Options::new();
     options.optflag("h", "help", "print this help");
     options.optopt("", "program", "path of the daemon's program", "PATH");
+    let earlier = "path of an earlier build's program, which gateways run as well";
+    options.optopt("", "earlier-program", earlier, "PATH");
     options.optopt("", "first", "first seed, 1 by default", "SEED");
     options.optopt("", "seeds", "number of seeds to run, 1 by default", "COUNT");
     options.optopt("", "seconds", "length of a run in seconds, 10 by default", "SECONDS");
@@ -61,6 +63,9 @@
         .with_endpoints(endpoints.max(1))
         .with_callers(4 * u64::from(gateways.max(1)))
         .with_length(Duration::from_secs(number("seconds", 10)?));
+    if let Some(earlier) = matches.opt_str("earlier-program") {
+        soak = soak.with_earlier_program(&earlier);
+    }
     if matches.opt_present("stops") {
         let warm = Duration::from_secs(number("warm", 2)?);
         let settings = StopSettings { grace_s: number("grace", 8)?, warm };
--- a/crates/persimmon_soak/src/soak.rs
+++ b/crates/persimmon_soak/src/soak.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::builds::Builds;
 use crate::callers::{Call, CallerControls, CallerSpec, run_caller};
 use crate::checks::{Finding, Observations, is_whole};
 use crate::schedule::Schedule;
@@ -21,6 +22,8 @@
 #[derive(Debug, Clone)]
 pub struct Soak {
     program: String,
+    /// Program of an earlier build that gateways run as well.
+    earlier_program: Option<String>,
     gateways: u8,
     endpoints: usize,
     callers: u64,
@@ -55,6 +58,7 @@
     pub fn new(program: &str) -> Self {
         Self {
             program: program.to_owned(),
+            earlier_program: None,
             gateways: 3,
             endpoints: 6,
             callers: 12,
@@ -63,6 +67,13 @@
         }
     }
 
+    /// Makes some gateways run an earlier build at first. Each restart draws one of the two.
+    #[must_use]
+    pub fn with_earlier_program(mut self, program: &str) -> Self {
+        self.earlier_program = Some(program.to_owned());
+        self
+    }
+
     /// Sets the number of gateways.
     #[must_use]
     pub fn with_gateways(mut self, gateways: u8) -> Self {
@@ -104,14 +115,15 @@
     ///
     /// Returns an error if a process or a stand-in can't be started or controlled.
     pub fn run(&self, seed: u64) -> io::Result<SoakReport> {
+        let builds = self.earlier_program.as_deref().map(|it| Builds::new(it, &self.program, seed));
         if let Some(settings) = self.stops {
             let Self { gateways, endpoints, callers, length, .. } = *self;
             let size = RunSize { gateways, endpoints, callers, length };
-            return run_stops(&self.program, size, settings, seed);
+            return run_stops((&self.program, builds), size, settings, seed);
         }
         let length_ms = u64::try_from(self.length.as_millis()).unwrap_or(u64::MAX);
         let schedule = Schedule::new(seed, length_ms, self.gateways.into(), self.endpoints);
-        let mut testbed = Testbed::start(&self.program, self.gateways, self.endpoints)?;
+        let mut testbed = Testbed::start(&self.program, self.gateways, self.endpoints, builds)?;
         let started = Instant::now();
         let controls = CallerControls::default();
         let addresses: Vec<_> =
--- a/crates/persimmon_soak/src/stops.rs
+++ b/crates/persimmon_soak/src/stops.rs
@@ -8,6 +8,7 @@
 
 use persimmon_platform::standin::{Behaviour, Deployment, ReceivedRequest, Tail};
 
+use crate::builds::Builds;
 use crate::callers::{Call, CallerControls};
 use crate::checks::{Finding, is_whole};
 use crate::schedule::{Fault, Schedule};
@@ -80,7 +81,7 @@
 
 /// Runs one seed with planned stops.
 pub(crate) fn run_stops(
-    program: &str,
+    (program, builds): (&str, Option<Builds>),
     size: RunSize,
     settings: StopSettings,
     seed: u64,
@@ -92,8 +93,12 @@
     deployment.set_grace_s(settings.grace_s);
     let tail = settings.tail(seed);
     let timeouts = settings.timeouts();
-    let mut testbed =
-        Testbed::start_on(deployment, size.endpoints, &Behaviour::Tailed(tail), timeouts)?;
+    let mut testbed = Testbed::start_on(
+        deployment,
+        size.endpoints,
+        &Behaviour::Tailed(tail),
+        (timeouts, builds),
+    )?;
     let started = Instant::now();
     let controls = CallerControls::default();
     let addresses: Vec<_> =
--- a/crates/persimmon_soak/src/testbed/mod.rs
+++ b/crates/persimmon_soak/src/testbed/mod.rs
@@ -15,6 +15,7 @@
 };
 use persimmon_standins::{Direction, Relay};
 
+use crate::builds::Builds;
 use crate::callers::{CallKind, CallerControls};
 use crate::schedule::{Fault, Step};
 
@@ -59,6 +60,8 @@
     logs: Vec<String>,
     /// Gateways that were restarted, each with the time.
     restarts: Vec<(usize, Instant)>,
+    /// Builds that the gateways run; none if all run the same.
+    builds: Option<Builds>,
     /// Longest time by which the loop that injects faults overslept: a sign of a busy machine.
     pub(crate) longest_stall: Duration,
 }
@@ -96,12 +99,18 @@
 }
 
 impl Testbed {
-    /// Starts gateways, which run `program`, and endpoints, all with the usual behaviour.
-    pub(crate) fn start(program: &str, gateways: u8, endpoint_count: usize) -> io::Result<Self> {
+    /// Starts gateways, and endpoints with the usual behaviour. The gateways run `program`, unless there
+    /// are `builds`.
+    pub(crate) fn start(
+        program: &str,
+        gateways: u8,
+        endpoint_count: usize,
+        builds: Option<Builds>,
+    ) -> io::Result<Self> {
         let usual =
             Behaviour::Mixed { events: STREAM_EVENTS, pause: EVENT_PAUSE, body: "done".into() };
         let deployment = Deployment::new(program, gateways)?;
-        Self::start_on(deployment, endpoint_count, &usual, Timeouts::default())
+        Self::start_on(deployment, endpoint_count, &usual, (Timeouts::default(), builds))
     }
 
     /// Starts gateways before endpoints with this behaviour.
@@ -109,8 +118,12 @@
         mut deployment: Deployment,
         endpoint_count: usize,
         usual: &Behaviour,
-        timeouts: Timeouts,
+        (timeouts, mut builds): (Timeouts, Option<Builds>),
     ) -> io::Result<Self> {
+        let programs = builds.as_mut().map(|it| it.draw_first(deployment.capacity()));
+        for (gateway, program) in programs.into_iter().flatten().enumerate() {
+            deployment.set_program_of(gateway, &program);
+        }
         let (mut endpoints, mut relays) = (Vec::new(), Vec::new());
         for number in 0..endpoint_count {
             let endpoint =
@@ -133,6 +146,7 @@
             timeouts,
             logs: Vec::new(),
             restarts: Vec::new(),
+            builds,
             longest_stall: Duration::ZERO,
         })
     }
@@ -357,6 +371,9 @@
         for gateway in std::mem::take(&mut self.restarting) {
             if self.deployment.has_ended(gateway) {
                 self.keep_log(gateway);
+                if let Some(builds) = &mut self.builds {
+                    self.deployment.set_program_of(gateway, builds.draw());
+                }
                 self.deployment.restart(gateway)?;
                 self.restarts.push((gateway, Instant::now()));
             } else {
