Gateways: a source of wrong patches isn't asked again at once

Cause: when patches don't fit a gateway's values, it asks the same peer again, for values. If patches that don't fit came again, it asked again without a pause, each time with a log line.

Evidence: process_gateway_record_exchange, bad_source_delays_no_change::case_5_sends_wrong_patch: 454 fetches by four gateways in 0.5 s.

Change: FanOut stores with each fetch whether it asks for values; patches that don't fit in answer to it count as a failure, so that the peer isn't asked until it is heard again. The unit test asked for a state that is now one of each fetch; it checks the same at the fetches.

--- a/crates/persimmon_decide/src/forward/fan_out.rs
+++ b/crates/persimmon_decide/src/forward/fan_out.rs
@@ -60,6 +60,15 @@
     OtherBase,
 }
 
+/// A fetch in progress.
+#[derive(Debug, Clone, Copy)]
+struct Fetch {
+    /// Time at which bytes last arrived.
+    at: MonoMs,
+    /// Whether it asks for values in place of patches.
+    asks_for_values: bool,
+}
+
 /// Gateways that wait for a change which this gateway doesn't have yet.
 #[derive(Debug)]
 struct Relay {
@@ -93,8 +102,8 @@
     offers: BTreeMap<IpAddr, u64>,
     /// Time since which a peer has been ahead.
     ahead_since: Option<MonoMs>,
-    /// Fetches in progress, each with the time at which bytes last arrived.
-    fetches: BTreeMap<IpAddr, MonoMs>,
+    /// Fetches in progress, by peer.
+    fetches: BTreeMap<IpAddr, Fetch>,
     /// Peers that were busy, each with the time until which they aren't asked.
     busy_until: BTreeMap<IpAddr, MonoMs>,
     needs_values: bool,
@@ -252,7 +261,7 @@
             self.ahead_since = None;
         }
         let ahead_ms = now.ms_since(self.ahead_since?);
-        let is_stalled = |at: &MonoMs| now.ms_since(*at) >= Self::HEDGE_MS;
+        let is_stalled = |it: &Fetch| now.ms_since(it.at) >= Self::HEDGE_MS;
         let may_start = self.fetches.len() < Self::MAX_FETCHES
             && self.fetches.values().all(is_stalled)
             && !(input.is_watching && ahead_ms < Self::WATCHER_MS);
@@ -272,7 +281,7 @@
             }
             peers.ahead_of(own, draw(), is_asked, now)
         })?;
-        self.fetches.insert(source, now);
+        self.fetches.insert(source, Fetch { at: now, asks_for_values: self.needs_values });
         Some(source)
     }
 
@@ -286,20 +295,21 @@
         !self.fetches.is_empty()
     }
 
-    /// Reports whether fetches must ask for values in place of patches.
-    pub fn needs_values(&self) -> bool {
-        self.needs_values
+    /// Reports whether the fetch from a peer asks for values in place of patches.
+    pub fn asks_for_values(&self, from: IpAddr) -> bool {
+        self.fetches.get(&from).is_some_and(|it| it.asks_for_values)
     }
 
     /// Records that bytes of a fetch have arrived.
     pub fn record_fetch_progress(&mut self, from: IpAddr, now: MonoMs) {
-        if let Some(at) = self.fetches.get_mut(&from) {
-            *at = now;
+        if let Some(fetch) = self.fetches.get_mut(&from) {
+            fetch.at = now;
         }
     }
 
     /// Records the end of a fetch. Returns whether the peer isn't to be asked until it is heard again.
     pub fn record_fetch_end(&mut self, from: IpAddr, end: FetchEnd, now: MonoMs) -> bool {
+        let asked_for_values = self.asks_for_values(from);
         self.fetches.remove(&from);
         match end {
             FetchEnd::Applied => false,
@@ -307,11 +317,12 @@
                 self.busy_until.insert(from, now.plus_ms(Self::BUSY_MS));
                 false
             }
-            FetchEnd::OtherBase => {
+            FetchEnd::OtherBase if !asked_for_values => {
                 self.needs_values = true;
                 false
             }
-            FetchEnd::Failed => {
+            // A peer that sends patches though values were asked for is of no use.
+            FetchEnd::Failed | FetchEnd::OtherBase => {
                 self.offers.remove(&from);
                 true
             }
@@ -329,7 +340,8 @@
         let round = self.rounds.as_ref().map(|it| it.next_at);
         let ahead =
             self.ahead_since.map(|it| it.plus_ms(Self::UNNOTIFIED_MS.max(Self::WATCHER_MS)));
-        let hedge = self.fetches.values().max().map(|it| it.plus_ms(Self::HEDGE_MS));
+        let hedge =
+            self.fetches.values().map(|it| it.at).max().map(|it| it.plus_ms(Self::HEDGE_MS));
         let fetch = if self.fetches.is_empty() { ahead } else { hedge };
         let busy = self.busy_until.values().min().copied();
         [round, fetch, busy].into_iter().flatten().min()
--- a/crates/persimmon_decide/tests/forward_fan_out.rs
+++ b/crates/persimmon_decide/tests/forward_fan_out.rs
@@ -231,10 +231,24 @@
     fan_out.record_notice(ip(1), 7, Vec::new(), &input(&peers, 6, 0));
     assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
     assert!(!fan_out.record_fetch_end(ip(1), FetchEnd::OtherBase, START));
-    assert!(fan_out.needs_values());
     assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
+    assert!(fan_out.asks_for_values(ip(1)));
     fan_out.record_position(&input(&peers, 7, 0), false, || 0);
-    assert!(!fan_out.needs_values());
+    fan_out.record_fetch_end(ip(1), FetchEnd::Applied, START);
+    fan_out.record_notice(ip(1), 8, Vec::new(), &input(&peers, 7, 0));
+    assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
+    assert!(!fan_out.asks_for_values(ip(1)));
+}
+
+#[test]
+fn source_that_sends_patches_in_place_of_values_is_not_asked_again() {
+    let (mut fan_out, peers) = (FanOut::new(), peers(103, 6));
+    fan_out.record_notice(ip(1), 7, Vec::new(), &input(&peers, 6, 0));
+    assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
+    assert!(!fan_out.record_fetch_end(ip(1), FetchEnd::OtherBase, START));
+    assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
+    assert!(fan_out.record_fetch_end(ip(1), FetchEnd::OtherBase, START));
+    assert_eq!(next(&mut fan_out, &peers, 1_000), None);
 }
 
 #[test]
--- a/crates/persimmon_gateway/src/peer_records.rs
+++ b/crates/persimmon_gateway/src/peer_records.rs
@@ -143,7 +143,7 @@
 ) -> Result<(Vec<StoreChange>, u64), FetchError> {
     let (has_patches, needs_values) = {
         let control = gw.control.borrow();
-        (control.peers.reads_notices(peer), control.fan_out.needs_values())
+        (control.peers.reads_notices(peer), control.fan_out.asks_for_values(peer))
     };
     let values = if needs_values { VALUES } else { "" };
     let bytes = match has_patches {
