Gateways: a notice that names gateways many times is passed on to each once

Cause: gateways pass a notice on to the addresses that it names, however often it names one. A wrong or damaged list made them send it to each other as often.

Change: a gateway passes a notice on to each address once.

--- a/crates/persimmon_decide/src/forward/fan_out.rs
+++ b/crates/persimmon_decide/src/forward/fan_out.rs
@@ -1,6 +1,6 @@
 //! How a change of the records reaches every gateway.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
 
 use super::PeerTable;
@@ -217,6 +217,7 @@
         input: &FanOutInput<'_>,
     ) -> Vec<NoticeTo> {
         let now = input.now;
+        let relay_to = distinct(relay_to);
         if input.own >= position {
             return spread(relay_to, input.fan_out());
         }
@@ -359,6 +360,14 @@
     notices
 }
 
+/// Returns each address of a group once. A damaged or wrong notice that names gateways many times would make
+/// them send it to each other as often.
+fn distinct(mut group: Vec<IpAddr>) -> Vec<IpAddr> {
+    let mut found = BTreeSet::new();
+    group.retain(|it| found.insert(*it));
+    group
+}
+
 fn shuffle(group: &mut [IpAddr], mut draw: impl FnMut() -> u64) {
     for end in (1..group.len()).rev() {
         group.swap(end, (draw() % (end as u64 + 1)) as usize);
--- a/crates/persimmon_decide/tests/forward_fan_out.rs
+++ b/crates/persimmon_decide/tests/forward_fan_out.rs
@@ -97,6 +97,15 @@
     assert!(hops <= max_hops, "{hops} hops");
 }
 
+#[test]
+fn notice_that_names_gateways_many_times_reaches_each_once() {
+    let peers = peers(4, 6);
+    let group = (1..4).map(ip).collect::<Vec<_>>().repeat(500);
+    let first = FanOut::new().record_notice(ip(9), 7, group, &input(&peers, 7, 0));
+    let (reached, _) = deliver(first, true);
+    assert_eq!(reached, [ip(1), ip(2), ip(3)]);
+}
+
 /// Two gateways that read the store choose different ways, so that one broken way leaves the other.
 #[test]
 fn notices_take_ways_drawn_at_random() {
