--- a/crates/persimmon_soak/src/testbed/mod.rs
+++ b/crates/persimmon_soak/src/testbed/mod.rs
@@ -22,6 +22,9 @@
 /// Interval between two copies of the store, and the age of the oldest one that is kept.
 const COPY_INTERVAL: Duration = Duration::from_millis(250);
 const COPY_AGE: Duration = Duration::from_millis(2_500);
+/// Number of routes that no caller uses when gateways of two builds run: the configuration is large enough
+/// that gateways pass on changes as patches.
+const UNUSED_ROUTES: usize = 200;
 /// Pause of the loop that injects faults.
 const LOOP_PAUSE: Duration = Duration::from_millis(5);
 /// Number of events of every stream.
@@ -120,6 +123,9 @@
         usual: &Behaviour,
         (timeouts, mut builds): (Timeouts, Option<Builds>),
     ) -> io::Result<Self> {
+        if builds.is_some() {
+            deployment.add_unused_routes(UNUSED_ROUTES);
+        }
         let programs = builds.as_mut().map(|it| it.draw_first(deployment.capacity()));
         for (gateway, program) in programs.into_iter().flatten().enumerate() {
             deployment.set_program_of(gateway, &program);
