--- a/crates/persimmon_decide/src/forward/fan_out.rs
+++ b/crates/persimmon_decide/src/forward/fan_out.rs
@@ -34,6 +34,9 @@
 
     /// Returns the notices by which a gateway passes the last change on to a group.
     fn relay(&self, mut group: Vec<IpAddr>, draw: impl FnMut() -> u64) -> Vec<NoticeTo> {
+        // A wrong notice may name gateways many times, which would then send it to each other as often.
+        group.sort_unstable();
+        group.dedup();
         shuffle(&mut group, draw);
         group.sort_by_cached_key(|ip| self.peers.is_doubtful(*ip, self.now));
         spread(group, self.fan_out())
@@ -86,6 +89,8 @@
     started_at: MonoMs,
     /// Time at which bytes last arrived.
     progress_at: MonoMs,
+    /// Whether it asks for values in place of patches.
+    asks_for_values: bool,
 }
 
 impl Fetch {
@@ -311,7 +316,9 @@
         })?;
         let target = self.offers.get(&source).copied().or(peers.position(source));
         let target = target.unwrap_or(own);
-        self.fetches.insert(source, Fetch { target, started_at: now, progress_at: now });
+        let asks_for_values = self.needs_values;
+        let fetch = Fetch { target, started_at: now, progress_at: now, asks_for_values };
+        self.fetches.insert(source, fetch);
         Some(source)
     }
 
@@ -347,9 +354,9 @@
         !self.fetches.is_empty()
     }
 
-    /// Reports whether fetches must ask for values in place of patches.
-    pub fn needs_values(&self) -> bool {
-        self.needs_values
+    /// Reports whether the fetch from a peer asks for values in place of patches.
+    pub fn asks_for_values(&self, from: IpAddr) -> bool {
+        self.fetches.get(&from).is_some_and(|it| it.asks_for_values)
     }
 
     /// Records that bytes of a fetch have arrived.
@@ -361,6 +368,7 @@
 
     /// Records the end of a fetch. Returns whether the peer isn't to be asked until it is heard again.
     pub fn record_fetch_end(&mut self, from: IpAddr, end: FetchEnd, now: MonoMs) -> bool {
+        let asked_for_values = self.asks_for_values(from);
         self.fetches.remove(&from);
         match end {
             FetchEnd::Applied => false,
@@ -368,11 +376,12 @@
                 self.busy_until.insert(from, now.plus_ms(Self::BUSY_MS));
                 false
             }
-            FetchEnd::OtherBase => {
+            FetchEnd::OtherBase if !asked_for_values => {
                 self.needs_values = true;
                 false
             }
-            FetchEnd::Failed => {
+            // A peer that sends patches though values were asked for is of no use.
+            FetchEnd::Failed | FetchEnd::OtherBase => {
                 self.offers.remove(&from);
                 true
             }
--- a/crates/persimmon_decide/src/forward/store_view.rs
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -221,13 +221,21 @@
     /// Applies one change from a watch, which delivers changes in order. Ignores one that came so late that
     /// peers have sent it and later ones before: the record may have been removed since.
     pub fn apply(&mut self, record: StoreRecord, now: MonoMs) -> Vec<StoreChange> {
-        if record.revision < self.revision {
+        if record.value.is_some() && self.may_be_removed_since(&record) {
             return Vec::new();
         }
         self.revision = self.revision.max(record.revision);
         self.put(record, now >= self.expiry_from, now)
     }
 
+    /// Reports whether a written record may have been removed after its change, at a position that the view
+    /// has reached.
+    fn may_be_removed_since(&self, record: &StoreRecord) -> bool {
+        let is_removed = |(at, key): &(u64, Arc<str>)| *at > record.revision && *key == record.key;
+        record.revision < self.revision
+            && (self.needs_all(record.revision) || self.removals.iter().any(is_removed))
+    }
+
     /// Applies a record that is newer than the known one. `may_defer` says whether a removal is deferred
     /// during a grace period.
     fn put(&mut self, record: StoreRecord, may_defer: bool, now: MonoMs) -> Vec<StoreChange> {
--- a/crates/persimmon_decide/src/forward/store_view/updates.rs
+++ b/crates/persimmon_decide/src/forward/store_view/updates.rs
@@ -6,7 +6,8 @@
 use crate::MonoMs;
 use crate::forward::patch_log::PatchLog;
 use crate::forward::{
-    RecordContent, RecordPatch, RecordUpdate, StoreEra, StoreUpdate, UpdateError, ValuePatch,
+    PatchError, RecordContent, RecordPatch, RecordUpdate, StoreEra, StoreUpdate, UpdateError,
+    ValuePatch,
 };
 
 /// Key, position and value of a record that has changed; no value if it was deleted.
@@ -39,7 +40,7 @@
     }
 
     /// Reports whether a gateway that has all changes up to `revision` needs all records.
-    fn needs_all(&self, revision: u64) -> bool {
+    pub(super) fn needs_all(&self, revision: u64) -> bool {
         let is_in_gap = |(from, to): &(u64, u64)| *from < revision && revision < *to;
         revision == 0
             || revision < self.removals_complete_after
@@ -175,13 +176,18 @@
         if !update.is_whole && update.since > self.revision {
             return Err(UpdateError::Gap);
         }
-        let (mut records, mut logged) = (Vec::new(), Vec::new());
+        let mut records = Vec::new();
+        let mut logged: Vec<(Arc<str>, usize, Vec<RecordPatch>)> = Vec::new();
         for RecordUpdate { key, revision, content } in update.records {
             let value = match content {
                 RecordContent::Deleted => None,
                 RecordContent::Written(value) => Some(value),
                 RecordContent::Patched(_) if self.known_revision(&key) >= revision => continue,
                 RecordContent::Patched(patches) => {
+                    let is_patched = logged.iter().any(|(it, ..)| *it == key);
+                    if is_patched || patches.last().is_none_or(|it| it.to != revision) {
+                        return Err(UpdateError::WrongPatches);
+                    }
                     let (value, patches) = self.patch(&key, patches)?;
                     logged.push((key.clone(), value.len(), patches));
                     Some(value)
@@ -203,7 +209,9 @@
         };
         let gaps = if update.is_whole { Vec::new() } else { update.gaps };
         let changes = self.apply_peer(delta, now);
-        gaps.into_iter().for_each(|(from, to)| self.record_gap(from, to));
+        let revision = self.revision;
+        let gaps = gaps.into_iter().filter(|(_, to)| *to <= revision);
+        gaps.for_each(|(from, to)| self.record_gap(from, to));
         Ok(changes)
     }
 
@@ -217,12 +225,17 @@
         let record = self.records.get(key).ok_or(UpdateError::NoRecord)?;
         let mut value = record.value.clone().ok_or(UpdateError::NoRecord)?;
         patches.retain(|it| it.to > record.revision);
+        let max_bytes =
+            ValuePatch::max_result_bytes(value.len(), patches.iter().map(|it| &it.patch));
         let mut previous = self.patches.latest_to(key, record.revision);
         for it in &patches {
             value = match previous {
                 Some(previous) => it.patch.apply_after(&previous.patch, &value)?,
                 None => it.patch.apply(&value)?,
             };
+            if value.len() > max_bytes {
+                return Err(PatchError::TooLong.into());
+            }
             previous = Some(it);
         }
         Ok((value, patches))
--- a/crates/persimmon_decide/tests/fan_out_model/gateway.rs
+++ b/crates/persimmon_decide/tests/fan_out_model/gateway.rs
@@ -329,7 +329,7 @@
         let needless = self.fan_out.take_needless(own);
         net.calls.retain(|it| it.client != self.number || !needless.contains(&ip(it.server)));
         while let Some(peer) = self.fan_out.next_fetch(&input, || self.rng.random()) {
-            let needs_values = self.fan_out.needs_values();
+            let needs_values = self.fan_out.asks_for_values(peer);
             let has_patches = self.peers.reads_notices(peer) || self.fan_out.has_offered(peer);
             let request = match has_patches {
                 true => Request::Changes { since: own, needs_values },
--- a/crates/persimmon_decide/tests/forward_fan_out.rs
+++ b/crates/persimmon_decide/tests/forward_fan_out.rs
@@ -105,6 +105,16 @@
     assert!(hops <= max_hops, "{hops} hops");
 }
 
+#[test]
+fn notice_that_names_gateways_many_times_reaches_each_once() {
+    let peers = peers(4, 6);
+    let group = (1..4).map(ip).collect::<Vec<_>>().repeat(500);
+    let first = FanOut::new().record_notice(ip(9), relay(7, group), &input(&peers, 7, 0), || 0);
+    let (mut reached, _) = deliver(first, true);
+    reached.sort_unstable();
+    assert_eq!(reached, [ip(1), ip(2), ip(3)]);
+}
+
 /// What the first notices name of a fleet grows far slower than the fleet.
 #[test]
 fn notice_names_hundreds_of_gateways_in_few_bytes() {
@@ -333,10 +343,24 @@
     fan_out.record_notice(ip(1), relay(7, Vec::new()), &input(&peers, 6, 0), || 0);
     assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
     assert!(!fan_out.record_fetch_end(ip(1), FetchEnd::OtherBase, START));
-    assert!(fan_out.needs_values());
     assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
+    assert!(fan_out.asks_for_values(ip(1)));
     fan_out.record_position(&input(&peers, 7, 0), false, || 0);
-    assert!(!fan_out.needs_values());
+    fan_out.record_fetch_end(ip(1), FetchEnd::Applied, START);
+    fan_out.record_notice(ip(1), relay(8, Vec::new()), &input(&peers, 7, 0), || 0);
+    assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
+    assert!(!fan_out.asks_for_values(ip(1)));
+}
+
+#[test]
+fn source_that_sends_patches_in_place_of_values_is_not_asked_again() {
+    let (mut fan_out, peers) = (FanOut::new(), peers(103, 6));
+    fan_out.record_notice(ip(1), relay(7, Vec::new()), &input(&peers, 6, 0), || 0);
+    assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
+    assert!(!fan_out.record_fetch_end(ip(1), FetchEnd::OtherBase, START));
+    assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
+    assert!(fan_out.record_fetch_end(ip(1), FetchEnd::OtherBase, START));
+    assert_eq!(next(&mut fan_out, &peers, 1_000), None);
 }
 
 #[test]
--- a/crates/persimmon_gateway/src/peer_records.rs
+++ b/crates/persimmon_gateway/src/peer_records.rs
@@ -161,7 +161,7 @@
     let (has_patches, needs_values) = {
         let control = gw.control.borrow();
         let has_patches = control.peers.reads_notices(peer) || control.fan_out.has_offered(peer);
-        (has_patches, control.fan_out.needs_values())
+        (has_patches, control.fan_out.asks_for_values(peer))
     };
     let values = if needs_values { VALUES } else { "" };
     let bytes = match has_patches {
