Gateways: all buffered answers together fit a quarter of the memory

Cause: each answer of an endpoint was limited (1 MB for a call, 256 KB for an event), and their sum wasn't. A complete answer was handed to the caller's connection at once, so that its memory counted nowhere while the caller was slow.

Evidence: process_gateway_answer_memory, new here, on: with 300 answers at one moment, calls with bodies in each framing took 228 to 342 MB and sound answers of 900 KB whose callers read late 237 to 303 MB, on a VM of 160 MB. Heads (31 to 57 MB), streams (35 to 141 MB) and streams whose callers read nothing (71 to 126 MB) weren't over it. One run of each case.

Change: the decision AnswerMemory holds the sum within a quarter of Limits.MemoryMb, which is read now (160 if missing). - When the sum is exceeded, the answer that holds most gives way: short answers are served whatever the others do. The request is retried if it may be, or else gets 502, never 503; what has begun is cut visibly. It counts neither against the endpoint's health nor as a crash. - Above half of it, successful answers to calls of at least 32 KB are passed on with back pressure instead of buffered: sound ones are served, at the price of the retry, and of a truncated answer where a 502 was possible. - Complete answers count until their caller has taken them. Pieces queued for callers of streams are at most 4 KB. Refusals' bodies are discarded as they are read. Connections to endpoints have a receive buffer of 32 KB.

Result: the same test, 26 cases, peaks 26 to 103 MB with the bytes in sockets counted; all sound calls served; 300 of 300 late callers get their 900 KB whole. Also green: process_gateway_{endless_answers,answers,broken_answers, wrong_answers,stop,input}, forward_answer_memory, forward_attempt_end, platform's settings.

--- a/crates/persimmon_decide/src/forward/attempt_end.rs
+++ b/crates/persimmon_decide/src/forward/attempt_end.rs
@@ -44,6 +44,8 @@
     Unsigned,
     /// The answer has a transfer coding that can't be decoded.
     UnsupportedCoding,
+    /// The answer was given up for lack of memory.
+    NoMemory,
 }
 
 impl FailureReason {
@@ -69,6 +71,7 @@
             Self::UnnamedAnswer => "unnamed_answer",
             Self::Unsigned => "unsigned",
             Self::UnsupportedCoding => "unsupported_coding",
+            Self::NoMemory => "no_memory",
         }
     }
 
@@ -127,6 +130,7 @@
             Self::Failed(FailureReason::Silent | FailureReason::Deadline) => {
                 CrashEvidence::StayedAway
             }
+            Self::Failed(FailureReason::NoMemory) => CrashEvidence::None,
             Self::Failed(reason) if reason.outcome() == AttemptOutcome::Unknown => {
                 CrashEvidence::Unanswered
             }
@@ -151,8 +155,9 @@
         match self {
             Self::Answered { .. } => Some(true),
             Self::Failed(reason) if reason.outcome() == AttemptOutcome::NotRun => None,
+            // Which answer is given up depends on all the others.
+            Self::Failed(FailureReason::NoMemory) | Self::Abandoned => None,
             Self::Failed(_) => Some(false),
-            Self::Abandoned => None,
         }
     }
 }
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -2,6 +2,7 @@
 //! that the gateways of a fleet exchange.
 
 mod admission;
+mod answer_memory;
 mod answer_owner;
 mod answer_type;
 mod attempt;
@@ -52,6 +53,7 @@
 mod workspace_shares;
 
 pub use admission::{Admission, AdmissionInput, AdmissionSettings};
+pub use answer_memory::{AnswerKey, AnswerMemory};
 pub use answer_owner::AnswerOwner;
 pub use answer_type::AnswerType;
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
--- a/crates/persimmon_decide/tests/forward_attempt_end.rs
+++ b/crates/persimmon_decide/tests/forward_attempt_end.rs
@@ -76,3 +76,10 @@
 fn looks_like_crash(#[case] reason: FailureReason, #[case] expected: bool) {
     assert_eq!(reason.looks_like_crash(), expected);
 }
+
+#[test]
+fn failure_reason_no_memory_says_nothing_of_the_endpoint() {
+    let end = AttemptEnd::Failed(FailureReason::NoMemory);
+    assert_eq!(FailureReason::NoMemory.outcome(), AttemptOutcome::Unknown);
+    assert_eq!((end.crash_evidence(), end.is_healthy()), (CrashEvidence::None, None));
+}
--- a/crates/persimmon_gateway/src/answer.rs
+++ b/crates/persimmon_gateway/src/answer.rs
@@ -54,7 +54,7 @@
     let mut response = match opened.unwrap_or_else(|| Err(exchange.cut_off())) {
         Ok(Answered::Complete(response)) => {
             exchange.record_end("answered");
-            response.map(AnswerBody::complete)
+            response.map(AnswerBody::buffered)
         }
         Ok(Answered::Stream(stream)) => start_relay(exchange, *stream),
         Err(refusal) => {
--- a/crates/persimmon_gateway/src/body.rs
+++ b/crates/persimmon_gateway/src/body.rs
@@ -9,6 +9,7 @@
 use persimmon_process::{PieceReceiver, TruncatedAnswer};
 use tokio::task::AbortHandle;
 
+use crate::answer_buffer::BufferedAnswer;
 use crate::callers::CallerConnection;
 
 /// Aborts a task when dropped.
@@ -24,6 +25,7 @@
 #[derive(Debug)]
 enum Content {
     Complete(Option<Bytes>),
+    Buffered(BufferedAnswer),
     Stream { rx: PieceReceiver, _relay: AbortOnDrop },
 }
 
@@ -41,6 +43,11 @@
         Self { content: Content::Complete(Some(bytes)), connection: None }
     }
 
+    /// Creates a body from an answer that has been read.
+    pub(crate) fn buffered(answer: BufferedAnswer) -> Self {
+        Self { content: Content::Buffered(answer), connection: None }
+    }
+
     /// Creates a body from the pieces that the task `relay` sends to the channel.
     pub(crate) fn stream(rx: PieceReceiver, relay: AbortHandle) -> Self {
         Self { content: Content::Stream { rx, _relay: AbortOnDrop(relay) }, connection: None }
@@ -79,6 +86,9 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
+            Content::Buffered(answer) => {
+                Poll::Ready(answer.next_piece().transpose().map(|it| it.map(Frame::data)))
+            }
             Content::Stream { rx, .. } => Pin::new(rx).poll_frame(cx),
         }
     }
@@ -86,6 +96,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.content {
             Content::Complete(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Content::Buffered(answer) => answer.left_bytes() == 0,
             Content::Stream { .. } => false,
         }
     }
@@ -95,6 +106,7 @@
             Content::Complete(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
+            Content::Buffered(answer) => SizeHint::with_exact(answer.left_bytes() as u64),
             Content::Stream { .. } => SizeHint::default(),
         }
     }
--- a/crates/persimmon_gateway/src/events.rs
+++ b/crates/persimmon_gateway/src/events.rs
@@ -31,6 +31,11 @@
         Self { partial: BytesMut::new(), numbers: EventNumbers::increasing() }
     }
 
+    /// Returns the memory of the buffered part of an event, in bytes.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Returns the number of the last event that was passed on.
     pub(crate) fn last(&self) -> Option<u64> {
         self.numbers.last()
@@ -44,7 +49,7 @@
     /// Prepares for the part that another endpoint sends. Discards the buffered part of an event, which it
     /// will send again completely.
     pub(crate) fn begin_next_part(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
         self.numbers = self.numbers.at_next_part();
     }
 
@@ -65,6 +70,11 @@
         }
         let end = end.map(|end| self.partial.len() + end);
         self.partial.extend_from_slice(bytes);
-        end.map(|end| self.partial.copy_to_bytes(end)).unwrap_or_default()
+        let complete = end.map(|end| self.partial.copy_to_bytes(end)).unwrap_or_default();
+        if self.partial.is_empty() {
+            // The memory belongs to the complete events.
+            self.partial = BytesMut::new();
+        }
+        complete
     }
 }
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -15,12 +15,13 @@
 use thiserror::Error;
 
 use super::{Answered, Exchange, FailedAttempt, MIN_ATTEMPT_MS, OpenStream, keep_alive_timeout_s};
+use crate::answer_buffer::{BufferedAnswer, GivenUp};
 use crate::framing::Framing;
 use crate::head::number;
 use crate::in_flight::InFlight;
 use crate::open_requests::RequestStage;
 use crate::platform::Platform;
-use crate::read_body::{ReadError, read_body};
+use crate::read_body::{ReadError, discard_body, read_pieces};
 use crate::upstream::{Connection, SendError};
 
 /// Maximum size of an answer that is buffered before it is forwarded, in bytes. If a buffered
@@ -52,6 +53,17 @@
     /// without a body.
     #[error("the answer ended after its head")]
     Empty,
+    #[error(transparent)]
+    GivenUp(#[from] GivenUp),
+}
+
+/// How reading an answer ended.
+#[derive(Debug)]
+enum ReadEnd {
+    /// The answer is complete.
+    Whole,
+    /// Memory is short: this beginning and the rest are passed on as they arrive.
+    PassedOn(Bytes),
 }
 
 impl From<FailureReason> for SendFailure {
@@ -366,12 +378,20 @@
         let has_events = answer_type.has_events();
         let is_end_framed = framing.is_end_framed() || response.body().is_end_stream();
         let may_be_empty = answer_type.may_be_empty(is_end_framed, is_continued);
-        let stream =
-            OpenStream { response, framing, has_events, may_be_empty, connection, in_flight };
-        Ok(Answered::Stream(Box::new(stream)))
+        Ok(Answered::Stream(Box::new(OpenStream {
+            response,
+            framing,
+            has_events,
+            may_be_empty,
+            read: None,
+            max_bytes: None,
+            connection,
+            in_flight,
+        })))
     }
 
-    /// Reads an answer completely before it is forwarded. Fails if the endpoint reports an error.
+    /// Reads an answer completely before it is forwarded, unless memory is short. Fails if the
+    /// endpoint reports an error.
     async fn read_complete_answer(
         &self,
         response: Response<Incoming>,
@@ -384,13 +404,35 @@
         let may_be_empty =
             framing.is_end_framed() || body.is_end_stream() || !parts.status.is_success();
         let deadline = self.gw.clock.instant(self.plan.deadline).into();
-        let read = read_answer(&mut body, may_be_empty);
+        let mut answer =
+            BufferedAnswer::begin(&self.gw.answers).with_passing_on(parts.status.is_success());
+        let read = read_answer(&mut body, may_be_empty, &mut answer);
         let read = tokio::time::timeout_at(deadline, read).await;
         let record_end = |end| {
             self.gw.metrics.answer_parts.with_label_values(&[framing.name(), end]).inc();
         };
-        let bytes = match read {
-            Ok(Ok(body)) => body,
+        match read {
+            Ok(Ok(ReadEnd::Whole)) => {}
+            Ok(Ok(ReadEnd::PassedOn(read))) => {
+                record_end("passed_on");
+                let response = Response::from_parts(parts, body);
+                let max_bytes = Some(MAX_BUFFERED_BYTES as u64);
+                return Ok(Answered::Stream(Box::new(OpenStream {
+                    response,
+                    framing,
+                    has_events: false,
+                    may_be_empty: true,
+                    read: Some(read),
+                    max_bytes,
+                    connection,
+                    in_flight,
+                })));
+            }
+            Ok(Err(err @ AnswerError::GivenUp(_))) => {
+                record_end("no_memory");
+                self.log_read_error(&err);
+                return Err(fail(in_flight, FailureReason::NoMemory));
+            }
             Ok(Err(err)) => {
                 record_end("broken");
                 self.log_read_error(&err);
@@ -403,11 +445,11 @@
                 record_end("deadline");
                 return Err(fail(in_flight, FailureReason::Deadline));
             }
-        };
+        }
         record_end("complete");
         self.gw.upstream.put_idle(in_flight.endpoint().hash, connection, keep_alive_s);
         let status = parts.status;
-        let response = Response::from_parts(parts, bytes);
+        let response = Response::from_parts(parts, answer);
         if status.is_server_error() {
             let failed = fail(in_flight, FailureReason::Failed);
             return Err(FailedAttempt { failure: Some(response), ..failed });
@@ -434,7 +476,7 @@
     ) {
         let keep_alive_s = keep_alive_timeout_s(response.headers());
         let mut body = response.into_body();
-        let rest = read_body(&mut body, MAX_BUFFERED_BYTES);
+        let rest = discard_body(&mut body, MAX_BUFFERED_BYTES);
         let limit = Duration::from_millis(MIN_ATTEMPT_MS);
         if let Ok(Ok(_)) = tokio::time::timeout(limit, rest).await {
             self.gw.upstream.put_idle(in_flight.endpoint().hash, connection, keep_alive_s);
@@ -442,13 +484,24 @@
     }
 }
 
-/// Reads the body of an answer that is forwarded whole.
-async fn read_answer(body: &mut Incoming, may_be_empty: bool) -> Result<Bytes, AnswerError> {
-    let bytes = read_body(body, MAX_BUFFERED_BYTES).await?;
-    if bytes.is_empty() && !may_be_empty {
+/// Reads the body of an answer that is forwarded whole, or its beginning if memory is short.
+async fn read_answer(
+    body: &mut Incoming,
+    may_be_empty: bool,
+    answer: &mut BufferedAnswer,
+) -> Result<ReadEnd, AnswerError> {
+    let mut read = Vec::new();
+    let given_up = answer.given_up();
+    let reading = read_pieces(body, MAX_BUFFERED_BYTES, |piece| answer.append(&mut read, piece));
+    let end = given_up.run_until_cancelled(reading).await.ok_or(GivenUp)??;
+    if end.is_break() {
+        return Ok(ReadEnd::PassedOn(read.into()));
+    }
+    if read.is_empty() && !may_be_empty {
         return Err(AnswerError::Empty);
     }
-    Ok(bytes)
+    answer.complete(read)?;
+    Ok(ReadEnd::Whole)
 }
 
 /// Ends an attempt that brought no usable answer.
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -17,6 +17,7 @@
 };
 use persimmon_decide::load::EndpointHash;
 
+use crate::answer_buffer::BufferedAnswer;
 use crate::control::Control;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
@@ -55,6 +56,10 @@
     pub(crate) has_events: bool,
     /// Whether the answer may be complete without any byte.
     pub(crate) may_be_empty: bool,
+    /// Beginning of the body that has been read.
+    pub(crate) read: Option<Bytes>,
+    /// Maximum size of the body, in bytes; none if it has no limit.
+    pub(crate) max_bytes: Option<u64>,
     pub(crate) connection: Connection,
     pub(crate) in_flight: InFlight<P>,
 }
@@ -75,7 +80,7 @@
 #[derive(Debug)]
 pub(crate) enum Answered<P: Platform> {
     /// A complete answer, forwarded unchanged.
-    Complete(Response<Bytes>),
+    Complete(Response<BufferedAnswer>),
     /// A stream that has started.
     Stream(Box<OpenStream<P>>),
 }
@@ -85,7 +90,7 @@
 struct FailedAttempt {
     reason: FailureReason,
     /// The endpoint's error response, if it sent one.
-    failure: Option<Response<Bytes>>,
+    failure: Option<Response<BufferedAnswer>>,
 }
 
 impl From<FailureReason> for FailedAttempt {
@@ -386,7 +391,7 @@
         &mut self,
         endpoint: &Arc<Endpoint>,
         failed: FailedAttempt,
-    ) -> Result<Option<Response<Bytes>>, Refusal> {
+    ) -> Result<Option<Response<BufferedAnswer>>, Refusal> {
         match (self.record_failure(endpoint, failed.reason), failed.failure) {
             (NextStep::Retry, _) => Ok(None),
             (NextStep::Deliver, Some(response)) => Ok(Some(response)),
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::answer_buffer::AnswerBuffers;
 use crate::callers::Connections;
 use crate::control::Control;
 use crate::log_limiter::LogLimiter;
@@ -40,6 +41,8 @@
     pub(crate) cut_off: CancellationToken,
     /// Callers' requests in progress.
     pub(crate) requests: OpenRequests,
+    /// Answers of endpoints that are being buffered.
+    pub(crate) answers: Rc<AnswerBuffers>,
     /// Memory reserved for callers' bodies, in bytes.
     pub(crate) body_bytes: Cell<usize>,
     /// Notified after changes to the records while routes and endpoints are known.
@@ -65,6 +68,7 @@
     pub(crate) fn new(platform: P, settings: GatewaySettings, metrics: Metrics) -> Self {
         let clock = Clock::start();
         let control = Control::new(&settings, clock.now());
+        let answers = Rc::new(AnswerBuffers::new(settings.memory_bytes));
         Self {
             platform,
             control: RefCell::new(control),
@@ -77,6 +81,7 @@
             callers: Connections::default(),
             cut_off: CancellationToken::new(),
             requests: OpenRequests::default(),
+            answers,
             body_bytes: Cell::new(0),
             configured: Notify::new(),
             digest_due: Notify::new(),
--- a/crates/persimmon_gateway/src/http.rs
+++ b/crates/persimmon_gateway/src/http.rs
@@ -32,6 +32,10 @@
 /// is far smaller, and bodies are read in pieces.
 const CLIENT_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Size of the system's receive buffer of a connection to an endpoint, in bytes, of which about half is for
+/// data. It counts towards the process's memory.
+const RECEIVE_BUFFER_BYTES: u32 = 32 * 1024;
+
 /// Sets the options of a connection, so that a dead peer is detected and small writes are sent
 /// without delay.
 pub(crate) fn configure(stream: &TcpStream) -> io::Result<()> {
@@ -54,6 +58,21 @@
     Ok(stream)
 }
 
+/// Opens a connection to an endpoint within `limit`. The system buffers little of what it sends, whatever
+/// the rate at which the answer is read.
+pub(crate) async fn connect_to_endpoint(
+    address: SocketAddr,
+    limit: Duration,
+) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    let stream = tokio::time::timeout(limit, socket.connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    configure(&stream)?;
+    Ok(stream)
+}
+
 /// Opens a connection within `limit` from `own`, the address by which the other end identifies this
 /// VM.
 pub(crate) async fn connect_from(
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! `persimmon_decide::forward` makes all decisions; this crate does the I/O and reads the clock.
 
 mod answer;
+mod answer_buffer;
 mod body;
 #[cfg(test)]
 mod body_tests;
--- a/crates/persimmon_gateway/src/read_body.rs
+++ b/crates/persimmon_gateway/src/read_body.rs
@@ -1,5 +1,7 @@
 //! Reads bodies of limited size into memory.
 
+use std::ops::ControlFlow;
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -30,18 +32,50 @@
 /// The body is too long or incomplete.
 pub(crate) async fn read_body(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, ReadError> {
     let mut read = BytesMut::new();
-    let mut pieces = 0;
+    read_pieces(body, max_bytes, |piece| {
+        read.extend_from_slice(piece);
+        ControlFlow::Continue(())
+    })
+    .await
+    .map(|_| ())?;
+    Ok(read.freeze())
+}
+
+/// Reads a body of at most `max_bytes` without keeping it.
+///
+/// # Errors
+///
+/// The body is too long or incomplete.
+pub(crate) async fn discard_body(body: &mut Incoming, max_bytes: usize) -> Result<(), ReadError> {
+    read_pieces(body, max_bytes, |_| ControlFlow::Continue(())).await.map(|_| ())
+}
+
+/// Reads a body of at most `max_bytes`, and passes its pieces to `append` until that stops. Returns whether
+/// it did.
+///
+/// # Errors
+///
+/// The body is too long or incomplete.
+pub(crate) async fn read_pieces(
+    body: &mut Incoming,
+    max_bytes: usize,
+    mut append: impl FnMut(&[u8]) -> ControlFlow<()>,
+) -> Result<ControlFlow<()>, ReadError> {
+    let (mut bytes, mut pieces) = (0, 0);
     while let Some(frame) = body.frame().await {
         // Trailers aren't forwarded.
         let Ok(piece) = frame?.into_data() else { continue };
+        bytes += piece.len();
         pieces += 1;
-        if read.len() + piece.len() > max_bytes {
+        if bytes > max_bytes {
             return Err(ReadError::TooLong);
         }
         if pieces > MAX_PIECES {
             return Err(ReadError::TooManyPieces);
         }
-        read.extend_from_slice(&piece);
+        if append(&piece).is_break() {
+            return Ok(ControlFlow::Break(()));
+        }
     }
-    Ok(read.freeze())
+    Ok(ControlFlow::Continue(()))
 }
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -9,6 +9,7 @@
 };
 use persimmon_process::PieceSender;
 
+use crate::answer_buffer::BufferedAnswer;
 use crate::events::EventSplitter;
 use crate::exchange::{Answered, Exchange, OpenStream, keep_alive_timeout_s};
 use crate::platform::Platform;
@@ -16,6 +17,9 @@
 /// Interval at which a silent stream is checked, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 400;
 
+/// Maximum size of a piece in the queue to a caller, in bytes.
+const MAX_PIECE_BYTES: usize = 4 * 1024;
+
 /// How the part of a stream from one endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PartEnd {
@@ -25,6 +29,8 @@
     Broken(FailureReason),
     /// The request's deadline has passed.
     Deadline,
+    /// The answer was given up for lack of memory while the caller was slow to read.
+    NoMemory,
     /// The caller stopped reading.
     CallerGone,
 }
@@ -36,6 +42,7 @@
             Self::Complete => "complete",
             Self::Broken(reason) => reason.name(),
             Self::Deadline => "deadline",
+            Self::NoMemory => "no_memory",
             Self::CallerGone => "caller_gone",
         }
     }
@@ -45,7 +52,7 @@
         match self {
             Self::Complete => "part_complete",
             Self::Broken(_) => "part_broken",
-            Self::Deadline | Self::CallerGone => "part_stopped",
+            Self::Deadline | Self::NoMemory | Self::CallerGone => "part_stopped",
         }
     }
 }
@@ -55,6 +62,8 @@
 struct PartProgress {
     received: StreamProgress,
     sent_bytes: u64,
+    /// Memory of what has been received and not yet passed on.
+    buffer: BufferedAnswer,
 }
 
 /// Relays a stream to its end. If it returns without completing `tx`, the caller sees that the
@@ -73,7 +82,11 @@
     });
     loop {
         let received = StreamProgress::new(has_events, stream.may_be_empty);
-        let mut progress = PartProgress { received, sent_bytes: 0 };
+        let mut progress = PartProgress {
+            received,
+            sent_bytes: 0,
+            buffer: BufferedAnswer::begin(&exchange.gw.answers),
+        };
         let end = forward_part(&mut exchange, &mut stream, &mut events, &mut progress, &tx).await;
         record_part_end(&exchange, &stream, &progress, end);
         let endpoint = stream.in_flight.endpoint().clone();
@@ -88,6 +101,7 @@
             }
             PartEnd::CallerGone => return exchange.record_cut("caller_gone"),
             PartEnd::Deadline => return exchange.record_cut("timed_out"),
+            PartEnd::NoMemory => return exchange.record_cut("no_memory"),
             PartEnd::Broken(reason) => {
                 stream.close(AttemptEnd::Failed(reason));
                 if reason.looks_like_crash() {
@@ -162,13 +176,18 @@
     tx: &PieceSender,
 ) -> PartEnd {
     loop {
-        let piece = match next_piece(exchange, stream).await {
+        let given_up = progress.buffer.given_up();
+        let next = given_up.run_until_cancelled(next_piece(exchange, stream)).await;
+        let piece = match next.unwrap_or(Err(PartEnd::Broken(FailureReason::NoMemory))) {
             Ok(piece) => piece,
             Err(PartEnd::Complete) => return check_end(&progress.received),
             Err(end) => return end,
         };
         stream.in_flight.record_received();
         let end = progress.received.record(&piece);
+        if stream.max_bytes.is_some_and(|max| progress.received.bytes() > max) {
+            return PartEnd::Broken(FailureReason::BodyBroken);
+        }
         // Sound events are passed on before what follows them ends the part.
         let broken = progress.received.is_event_too_long().then_some(FailureReason::EventTooLong);
         let (piece, numbers, broken) = match events {
@@ -179,6 +198,8 @@
             }
             None => (piece, None, broken),
         };
+        let partial_bytes = events.as_ref().map_or(0, EventSplitter::buffered_bytes);
+        progress.buffer.hold(partial_bytes + piece.len());
         if !piece.is_empty() {
             if let Err(end) = send_piece(exchange, stream, progress, tx, piece).await {
                 return end;
@@ -204,13 +225,19 @@
     piece: Bytes,
 ) -> Result<(), PartEnd> {
     let deadline = exchange.gw.clock.instant(exchange.plan.deadline).into();
-    let length = piece.len() as u64;
-    match tokio::time::timeout_at(deadline, tx.send(piece)).await {
-        Ok(Ok(())) => {}
-        Ok(Err(_)) => return Err(PartEnd::CallerGone),
-        Err(_) => return Err(PartEnd::Deadline),
+    let given_up = progress.buffer.given_up();
+    for part in piece.chunks(MAX_PIECE_BYTES) {
+        // A copy, since a slice keeps the whole buffer into which it was read.
+        let sending = given_up.run_until_cancelled(tx.send(Bytes::copy_from_slice(part)));
+        match tokio::time::timeout_at(deadline, sending).await {
+            Ok(Some(Ok(()))) => {}
+            Ok(Some(Err(_))) => return Err(PartEnd::CallerGone),
+            Ok(None) => return Err(PartEnd::NoMemory),
+            Err(_) => return Err(PartEnd::Deadline),
+        }
     }
-    progress.sent_bytes += length;
+    progress.sent_bytes += piece.len() as u64;
+    progress.buffer.hold(progress.buffer.held_bytes() - piece.len());
     exchange.record_events(stream.in_flight.endpoint());
     Ok(())
 }
@@ -231,6 +258,9 @@
 ) -> Result<Bytes, PartEnd> {
     let since = exchange.gw.clock.now();
     let endpoint = stream.in_flight.endpoint().hash;
+    if let Some(read) = stream.read.take() {
+        return Ok(read);
+    }
     let body: &mut Incoming = stream.response.body_mut();
     loop {
         let now = exchange.gw.clock.now();
--- a/crates/persimmon_gateway/src/settings.rs
+++ b/crates/persimmon_gateway/src/settings.rs
@@ -34,9 +34,14 @@
     pub picker: PickerSettings,
     /// Maximum number of file descriptors that the process may open.
     pub max_descriptors: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: u64,
 }
 
 impl GatewaySettings {
+    /// Memory that the process may use unless it is stated, in bytes: that of the smallest VM.
+    const DEFAULT_MEMORY_BYTES: u64 = 160 * 1024 * 1024;
+
     /// Creates settings with default values and with free ports for the other addresses.
     pub fn new(name: &str, zone: &str, callers: SocketAddr, store: SocketAddr) -> Self {
         let any_port = SocketAddr::new(callers.ip(), 0);
@@ -54,6 +59,7 @@
             retries: RetryWindowSettings { window_ms: 10_000, ratio: 0.1, slack: 10.0 },
             picker: PickerSettings::default(),
             max_descriptors: 1_024,
+            memory_bytes: Self::DEFAULT_MEMORY_BYTES,
         }
     }
 
@@ -107,6 +113,13 @@
         self
     }
 
+    /// Sets the memory that the process may use, in bytes.
+    #[must_use]
+    pub fn with_memory_bytes(mut self, bytes: u64) -> Self {
+        self.memory_bytes = bytes;
+        self
+    }
+
     /// Sets the maximum number of file descriptors that the process may open.
     #[must_use]
     pub fn with_max_descriptors(mut self, max_descriptors: usize) -> Self {
--- a/crates/persimmon_gateway/src/upstream.rs
+++ b/crates/persimmon_gateway/src/upstream.rs
@@ -132,7 +132,7 @@
 
     /// Opens a new connection.
     pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        let stream = http::connect(address, Duration::from_millis(CONNECT_TIMEOUT_MS))
+        let stream = http::connect_to_endpoint(address, Duration::from_millis(CONNECT_TIMEOUT_MS))
             .await
             .map_err(SendError::NoConnection)?;
         let (sender, driver) =
