--- a/crates/persimmon_measure/src/record_spread/plot.rs
+++ b/crates/persimmon_measure/src/record_spread/plot.rs
@@ -36,12 +36,11 @@
         bytes.push(curve("received", routes, |it| it.single.bytes_received.busiest));
     }
     let drawn = [
-        ("first gateway to last, ms", times),
-        ("bytes of the busiest gateway for one change", bytes),
+        ("first gateway to last, ms", times, SeriesLabelPosition::UpperLeft),
+        ("bytes of the busiest gateway for one change", bytes, SeriesLabelPosition::MiddleRight),
     ];
     let panels = root.split_evenly((1, 2));
-    for (panel, (title, curves)) in panels.iter().zip(drawn) {
-        let legend = SeriesLabelPosition::UpperLeft;
+    for (panel, (title, curves, legend)) in panels.iter().zip(drawn) {
         draw_panel(panel, PanelLabels { title, sizes: "gateways", legend }, &curves)?;
     }
     root.present().map_err(PlotError::new)
