--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -48,7 +48,7 @@
 }
 
 /// The state of one gateway, small enough for a datagram.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Digest {
     /// Random number for each run of a gateway process.
     pub incarnation: u64,
--- a/crates/persimmon_decide/src/forward/fan_out.rs
+++ b/crates/persimmon_decide/src/forward/fan_out.rs
@@ -6,7 +6,7 @@
 use super::PeerTable;
 use crate::MonoMs;
 
-/// What a gateway knows when it decides how a change is passed on.
+/// The state of a gateway that decides how a change is passed on.
 #[derive(Debug, Clone, Copy)]
 pub struct FanOutInput<'a> {
     /// Position up to which this gateway has every change.
--- a/crates/persimmon_decide/src/forward/patch_log.rs
+++ b/crates/persimmon_decide/src/forward/patch_log.rs
@@ -35,8 +35,8 @@
         }
     }
 
-    /// Returns the patches from the value that a gateway has which knows all changes up to `position`; none
-    /// if they aren't stored.
+    /// Returns the patches from the value of a gateway that has all changes up to `position`; none if they
+    /// aren't stored.
     pub(super) fn since(
         &self,
         key: &str,
--- a/crates/persimmon_decide/src/forward/records_age.rs
+++ b/crates/persimmon_decide/src/forward/records_age.rs
@@ -39,8 +39,8 @@
 /// Tracks the time at which the store last confirmed the records in force: it answered a gateway that had
 /// no later ones then.
 ///
-/// An age of the last change says little, as nothing may have changed since. A gateway that is cut off
-/// doesn't learn of changes, so its records age although it knows of no later ones.
+/// The age of the last change says little, as nothing may have changed since. The records of a gateway that is
+/// cut off age although it has received no sign of later ones.
 #[derive(Debug, Default)]
 pub struct RecordsAge {
     confirmed_at: Option<MonoMs>,
--- a/crates/persimmon_decide/tests/fan_out_model/gateway.rs
+++ b/crates/persimmon_decide/tests/fan_out_model/gateway.rs
@@ -127,23 +127,9 @@
             sequence: self.sequence,
             revision: self.view.revision(),
             store_age_ms: self.store_contact.map(|at| MonoMs(now).ms_since(at) as u32),
-            is_leaving: false,
-            loads: Vec::new(),
-            ejections: Vec::new(),
-            outcomes: Vec::new(),
-            retries: Vec::new(),
-            crashes: Vec::new(),
-            holders: Vec::new(),
             peers: self.peers.addresses(self.rng.random(), MonoMs(now)),
-            leaving: Vec::new(),
-            part_crashes: Vec::new(),
-            part_answers: Vec::new(),
-            limits: Vec::new(),
-            crash_details: Vec::new(),
-            content_answers: Vec::new(),
-            routes_version: 0,
             reads_notices: !self.is_earlier_build,
-            records_age_ms: None,
+            ..Digest::default()
         }
     }
 
--- a/crates/persimmon_decide/tests/forward_fan_out.rs
+++ b/crates/persimmon_decide/tests/forward_fan_out.rs
@@ -18,29 +18,7 @@
 }
 
 fn digest(revision: u64) -> Digest {
-    Digest {
-        incarnation: 1,
-        sequence: 1,
-        revision,
-        store_age_ms: None,
-        is_leaving: false,
-        loads: Vec::new(),
-        ejections: Vec::new(),
-        outcomes: Vec::new(),
-        retries: Vec::new(),
-        crashes: Vec::new(),
-        holders: Vec::new(),
-        peers: Vec::new(),
-        leaving: Vec::new(),
-        part_crashes: Vec::new(),
-        part_answers: Vec::new(),
-        limits: Vec::new(),
-        crash_details: Vec::new(),
-        content_answers: Vec::new(),
-        routes_version: 0,
-        reads_notices: true,
-        records_age_ms: None,
-    }
+    Digest { incarnation: 1, sequence: 1, revision, reads_notices: true, ..Digest::default() }
 }
 
 /// Returns the table of gateway 0 of a fleet whose other gateways are at `revision`.
--- a/crates/persimmon_decide/tests/forward_peers.rs
+++ b/crates/persimmon_decide/tests/forward_peers.rs
@@ -18,29 +18,7 @@
 }
 
 fn digest(sequence: u64) -> Digest {
-    Digest {
-        incarnation: 1,
-        sequence,
-        revision: 0,
-        store_age_ms: None,
-        is_leaving: false,
-        loads: Vec::new(),
-        ejections: Vec::new(),
-        outcomes: Vec::new(),
-        retries: Vec::new(),
-        crashes: Vec::new(),
-        holders: Vec::new(),
-        peers: Vec::new(),
-        leaving: Vec::new(),
-        part_crashes: Vec::new(),
-        part_answers: Vec::new(),
-        limits: Vec::new(),
-        crash_details: Vec::new(),
-        content_answers: Vec::new(),
-        routes_version: 0,
-        reads_notices: false,
-        records_age_ms: None,
-    }
+    Digest { incarnation: 1, sequence, ..Digest::default() }
 }
 
 /// Milliseconds between two checks of the gateways whether to watch the store, and from the cut to the
--- a/crates/persimmon_gateway/src/control/fan_out.rs
+++ b/crates/persimmon_gateway/src/control/fan_out.rs
@@ -4,7 +4,8 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    ChangeNotice, FanOutInput, NoticeTo, Relay, StoreChange, StoreUpdate, UpdateError,
+    ChangeNotice, FanOutInput, NoticeTo, PeerTable, Relay, StoreChange, StoreUpdate, StoreView,
+    UpdateError,
 };
 use rand::RngExt;
 
@@ -22,11 +23,8 @@
         }
         let update = self.small_update(now);
         let input = FanOutInput {
-            own: self.view.revision(),
             is_small: update.is_some(),
-            is_watching: self.is_watching,
-            peers: &self.peers,
-            now,
+            ..input(&self.view, &self.peers, self.is_watching, now)
         };
         let own = input.own;
         let draw = || self.rng.random();
@@ -49,11 +47,8 @@
         };
         let update = (!notice.relay_to.is_empty()).then(|| self.small_update(now)).flatten();
         let input = FanOutInput {
-            own: self.view.revision(),
             is_small: update.is_some(),
-            is_watching: self.is_watching,
-            peers: &self.peers,
-            now,
+            ..input(&self.view, &self.peers, self.is_watching, now)
         };
         let own = input.own;
         let relay = Relay { position: notice.position, group: notice.relay_to };
@@ -64,13 +59,7 @@
 
     /// Returns the notices of a round that is due.
     pub(crate) fn due_notices(&mut self, now: MonoMs) -> Vec<AddressedNotice> {
-        let input = FanOutInput {
-            own: self.view.revision(),
-            is_small: false,
-            is_watching: self.is_watching,
-            peers: &self.peers,
-            now,
-        };
+        let input = input(&self.view, &self.peers, self.is_watching, now);
         let own = input.own;
         let notices = self.fan_out.due(&input, || self.rng.random());
         address(notices, own, None)
@@ -78,13 +67,7 @@
 
     /// Returns the peer to fetch records from now, if there is one.
     pub(crate) fn next_fetch(&mut self, now: MonoMs) -> Option<IpAddr> {
-        let input = FanOutInput {
-            own: self.view.revision(),
-            is_small: false,
-            is_watching: self.is_watching,
-            peers: &self.peers,
-            now,
-        };
+        let input = input(&self.view, &self.peers, self.is_watching, now);
         self.fan_out.next_fetch(&input, || self.rng.random())
     }
 
@@ -96,6 +79,16 @@
     }
 }
 
+/// Returns the input of the fan-out for a change that doesn't fit into a notice.
+fn input<'a>(
+    view: &StoreView,
+    peers: &'a PeerTable,
+    is_watching: bool,
+    now: MonoMs,
+) -> FanOutInput<'a> {
+    FanOutInput { own: view.revision(), is_small: false, is_watching, peers, now }
+}
+
 fn address(
     notices: Vec<NoticeTo>,
     position: u64,
--- a/crates/persimmonmountd/tests/record_peer/mod.rs
+++ b/crates/persimmonmountd/tests/record_peer/mod.rs
@@ -146,24 +146,8 @@
             incarnation: 7,
             sequence,
             revision: shared.claimed.load(Ordering::Relaxed),
-            store_age_ms: None,
-            is_leaving: false,
-            loads: Vec::new(),
-            ejections: Vec::new(),
-            outcomes: Vec::new(),
-            retries: Vec::new(),
-            crashes: Vec::new(),
-            holders: Vec::new(),
-            peers: Vec::new(),
-            leaving: Vec::new(),
-            part_crashes: Vec::new(),
-            part_answers: Vec::new(),
-            limits: Vec::new(),
-            crash_details: Vec::new(),
-            content_answers: Vec::new(),
-            routes_version: 0,
             reads_notices,
-            records_age_ms: None,
+            ..Digest::default()
         };
         let mut bytes = digest.to_bytes().unwrap();
         if !reads_notices {
