Records and buffered answers: what a second review of the joined code found

A reviewer who hadn't seen the work read the joined code; nothing of it was reproduced by a run before the mends.

- Each fetch that ended in order was recorded as failed, too, so that a busy source wasn't asked again until it was heard: a fetch ends once (fetch_that_has_ended_is_not_ended_again).
- Progress of the first answer after an outage hid how long the outage was, by which removals are deferred: it counts as contact only while the store isn't lost.
- An update that starts before a gap, applied by a gateway inside the gap, lost a removal: it is refused, and all records are fetched (update_over_a_gap_is_refused_inside_it).
- A removal could lower the position before which all records are sent (update_inside_an_old_gap_contains_all_records).
- Pieces of a buffered answer kept the whole of it in memory while they waited for the caller: they are copied.
- An answer that is passed on for lack of memory was cut off when its endpoint paused; it can't be continued, so it is waited for.
- Repeated requests for one update pushed the other kept updates out.

--- a/crates/persimmon_decide/src/forward/fan_out.rs
+++ b/crates/persimmon_decide/src/forward/fan_out.rs
@@ -366,17 +366,17 @@
         }
     }
 
-    /// Records the end of a fetch. Returns whether the peer isn't to be asked until it is heard again.
+    /// Records the end of a fetch; does nothing if it has ended before. Returns whether the peer isn't to be asked
+    /// until it is heard again.
     pub fn record_fetch_end(&mut self, from: IpAddr, end: FetchEnd, now: MonoMs) -> bool {
-        let asked_for_values = self.asks_for_values(from);
-        self.fetches.remove(&from);
+        let Some(Fetch { asks_for_values, .. }) = self.fetches.remove(&from) else { return false };
         match end {
             FetchEnd::Applied => false,
             FetchEnd::Busy => {
                 self.busy_until.insert(from, now.plus_ms(Self::BUSY_MS));
                 false
             }
-            FetchEnd::OtherBase if !asked_for_values => {
+            FetchEnd::OtherBase if !asks_for_values => {
                 self.needs_values = true;
                 false
             }
--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -118,7 +118,7 @@
     /// Time without an answer after which a watcher counts as cut off from the store, in
     /// milliseconds. It covers a watch that returns after 600 ms, a slow answer and the age of a
     /// digest.
-    const STORE_LOST_MS: u64 = 1_100;
+    pub const STORE_LOST_MS: u64 = 1_100;
     /// Maximum interval between the digests of a gateway that watches the store, in milliseconds. It
     /// bounds the time until the others notice that it has ended.
     const WATCHER_INTERVAL_MS: u64 = 500;
--- a/crates/persimmon_decide/src/forward/store_view.rs
+++ b/crates/persimmon_decide/src/forward/store_view.rs
@@ -425,7 +425,7 @@
         if self.removals.len() == Self::MAX_REMOVALS
             && let Some((oldest, _)) = self.removals.pop_front()
         {
-            self.removals_complete_after = oldest;
+            self.removals_complete_after = self.removals_complete_after.max(oldest);
         }
         self.removals.push_back((revision, key.clone()));
     }
--- a/crates/persimmon_decide/src/forward/store_view/updates.rs
+++ b/crates/persimmon_decide/src/forward/store_view/updates.rs
@@ -50,7 +50,7 @@
 
     /// Records that this view got to position `to` from `from` without every change between them.
     pub(super) fn record_gap(&mut self, from: u64, to: u64) {
-        if to.saturating_sub(from) > 1 {
+        if to.saturating_sub(from) > 1 && !self.gaps.contains(&(from, to)) {
             self.gaps.push((from, to));
         }
         if self.gaps.len() > Self::MAX_GAPS {
@@ -173,7 +173,10 @@
         if update.revision <= self.revision {
             return Ok(Vec::new());
         }
-        if !update.is_whole && update.since > self.revision {
+        // Inside a gap, the sender can't name every removal of what this view has.
+        let is_in_gap = |(from, to): &(u64, u64)| *from < self.revision && self.revision < *to;
+        let has_gap = update.since > self.revision || update.gaps.iter().any(is_in_gap);
+        if !update.is_whole && has_gap {
             return Err(UpdateError::Gap);
         }
         let mut records = Vec::new();
--- a/crates/persimmon_decide/tests/forward_fan_out.rs
+++ b/crates/persimmon_decide/tests/forward_fan_out.rs
@@ -306,6 +306,17 @@
     assert!(next(&mut fan_out, &peers, 100).is_some());
 }
 
+/// Guards against a source that is taken for failed since its fetch was ended once more.
+#[test]
+fn fetch_that_has_ended_is_not_ended_again() {
+    let (mut fan_out, peers) = (FanOut::new(), peers(103, 6));
+    fan_out.record_notice(ip(1), relay(7, Vec::new()), &input(&peers, 6, 0), || 0);
+    assert_eq!(next(&mut fan_out, &peers, 0), Some(ip(1)));
+    fan_out.record_fetch_end(ip(1), FetchEnd::Busy, START);
+    assert!(!fan_out.record_fetch_end(ip(1), FetchEnd::Failed, START));
+    assert_eq!(next(&mut fan_out, &peers, 100), Some(ip(1)));
+}
+
 #[test]
 fn failed_source_is_not_asked_again() {
     let (mut fan_out, peers) = (FanOut::new(), peers(103, 6));
--- a/crates/persimmon_decide/tests/forward_store_update.rs
+++ b/crates/persimmon_decide/tests/forward_store_update.rs
@@ -68,6 +68,41 @@
     assert!(!lister.update_since(100, NOW).is_whole);
 }
 
+/// Guards against a removal that is lost since an update starts before a gap in which its receiver is.
+#[test]
+fn update_over_a_gap_is_refused_inside_it() {
+    let write = |key: &str, revision| record(key, revision, 200);
+    let (mut lister, mut follower) = (StoreView::new(), StoreView::new());
+    for view in [&mut lister, &mut follower] {
+        view.apply_list(vec![write("servers/a", 6)], 100, NOW);
+    }
+    follower.apply(write("servers/short", 105), NOW);
+    follower.apply(write("servers/b", 109), NOW);
+    // The store removes `short` at 110.
+    lister.apply_list(vec![write("servers/a", 6), write("servers/b", 109)], 110, NOW);
+    let refused = follower.apply_update(lister.update_since(100, NOW), NOW);
+    assert_eq!(refused, Err(UpdateError::Gap));
+    follower.apply_update(lister.update_since(109, NOW), NOW).unwrap();
+    assert!(follower.since(0, NOW).records.iter().all(|it| &*it.key != "servers/short"));
+}
+
+#[test]
+fn update_inside_an_old_gap_contains_all_records() {
+    let mut view = StoreView::new();
+    view.apply_list(vec![record("servers/a", 6, 200)], 10, NOW);
+    for list in 2..30 {
+        view.apply_list(vec![record("servers/a", 6, 200)], list * 10, NOW);
+    }
+    for revision in 0..400 {
+        let key = format!("servers/{revision}");
+        view.apply(
+            StoreRecord { key: key.as_str().into(), revision: 300 + revision, value: None },
+            NOW,
+        );
+        assert!(view.update_since(25, NOW).is_whole);
+    }
+}
+
 #[test]
 fn update_of_earlier_era_contains_all_records() {
     let mut view = StoreView::new();
--- a/crates/persimmon_gateway/src/answer_buffer.rs
+++ b/crates/persimmon_gateway/src/answer_buffer.rs
@@ -4,7 +4,7 @@
 use std::ops::ControlFlow;
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use persimmon_decide::forward::{AnswerKey, AnswerMemory};
 use persimmon_process::TruncatedAnswer;
 use slotmap::SecondaryMap;
@@ -168,8 +168,10 @@
             return Err(TruncatedAnswer);
         }
         let length = rest.len().min(MAX_PIECE_BYTES);
-        let piece = rest.split_to(length);
-        self.left_bytes -= piece.len();
+        // A copy, since a slice keeps the whole answer while it waits for the caller.
+        let piece = Bytes::copy_from_slice(&rest[..length]);
+        rest.advance(length);
+        self.left_bytes -= length;
         Ok(Some(piece))
     }
 }
--- a/crates/persimmon_gateway/src/ops.rs
+++ b/crates/persimmon_gateway/src/ops.rs
@@ -146,13 +146,18 @@
         let busy = Bytes::from_static(b"busy with other peers\n");
         return reply(StatusCode::SERVICE_UNAVAILABLE, busy);
     }
-    let bytes = match kept.map_or_else(|| encode_changes(gw, revision, values.is_some()), Ok) {
-        Ok(bytes) => bytes,
-        Err(err) => return failure("changes", &err),
+    let bytes = match kept {
+        Some(bytes) => bytes,
+        None => match encode_changes(gw, revision, values.is_some()) {
+            Ok(bytes) => {
+                if may_keep {
+                    gw.record_answers.keep(content, &bytes);
+                }
+                bytes
+            }
+            Err(err) => return failure("changes", &err),
+        },
     };
-    if may_keep {
-        gw.record_answers.keep(content, &bytes);
-    }
     gw.metrics.records.answers.with_label_values(&["sent"]).inc();
     record_sent(gw, bytes.len(), revision, started);
     let body = match FanOut::is_large(bytes.len()) {
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -279,7 +279,8 @@
                 return Err(PartEnd::Broken(FailureReason::Broken));
             }
             Ok(None) => return Err(PartEnd::Complete),
-            Err(_) if exchange.should_fail_over(endpoint, since) => {
+            // An answer that is passed on for lack of memory can't be continued elsewhere.
+            Err(_) if stream.max_bytes.is_none() && exchange.should_fail_over(endpoint, since) => {
                 return Err(PartEnd::Broken(FailureReason::Silent));
             }
             Err(_) => {}
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -9,7 +9,7 @@
 use hyper::StatusCode;
 use hyper::client::conn::http1::SendRequest;
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{EndpointState, StoreChange, StoreEra, StoreRecord};
+use persimmon_decide::forward::{EndpointState, PeerTable, StoreChange, StoreEra, StoreRecord};
 use thiserror::Error;
 
 use crate::body::AbortOnDrop;
@@ -420,7 +420,9 @@
         begun_at.set(Some(begun));
         let is_moving = now.ms_since(begun) <= MAX_PROGRESS_MS;
         let mut control = gw.control.borrow_mut();
-        if is_moving && control.store_contact.is_some_and(|at| at > MonoMs(0)) {
+        // The first complete answer after an outage tells how long it was.
+        let is_reached = |at: MonoMs| now.ms_since(at) <= PeerTable::STORE_LOST_MS;
+        if is_moving && control.store_contact.is_some_and(is_reached) {
             control.store_contact = Some(now);
             control.peers.record_store_contact(now);
         }
--- a/crates/persimmonmountd/tests/process_gateway_answer_memory.rs
+++ b/crates/persimmonmountd/tests/process_gateway_answer_memory.rs
@@ -297,3 +297,12 @@
     let whole = play.check(&played, Some(&body));
     assert_eq!(whole, ANSWERS);
 }
+
+/// Failures aren't passed on before they are complete. Guards against pieces that keep whole answers in memory.
+#[rstest]
+#[case::late(Reading::Late)]
+#[case::never(Reading::Never)]
+fn hundreds_of_slowly_read_failures_fit_the_memory(#[case] reading: Reading) {
+    let body = "y".repeat(LONG_BODY_BYTES);
+    play_endless(&Behaviour::Answer { status: 500, body }, "/commit/x", reading);
+}
