Records: no patch is looked for between values of very different sizes

Cause, by reading and timing: each gateway that gets a value in place of patches looks for the patch itself, to pass it on, between 13 KB and 4 MB: 45 to 62 ms on a full core (release build, the machine loaded), 0.5 s and more on 0.09 of one, before it answers others. Such a patch is dropped, as it is as large as the value.

Change: values of which one is more than twice as long as the other are sent whole without a search. Test: value_that_grows_many_times_is_sent_whole.

--- a/crates/persimmon_decide/src/forward/patch_log.rs
+++ b/crates/persimmon_decide/src/forward/patch_log.rs
@@ -17,9 +17,18 @@
 impl PatchLog {
     /// Minimum size of a value whose changes are worth a patch, in bytes.
     pub(super) const MIN_VALUE_BYTES: usize = 2 * 1024;
+    /// Maximum factor between the sizes of two values of which a patch is made.
+    const MAX_GROWTH: usize = 2;
     /// Maximum number of patches stored for a record.
     const MAX_PATCHES: usize = 64;
 
+    /// Reports whether a patch from one value to another is worth finding: most of the longer one must be in the
+    /// other. Every gateway that gets a value in place of patches looks for one.
+    pub(super) fn is_worth(earlier: &[u8], later: &[u8]) -> bool {
+        let (a, b) = (earlier.len(), later.len());
+        a <= Self::MAX_GROWTH * b && b <= Self::MAX_GROWTH * a
+    }
+
     /// Records a change to a value of `value_bytes`.
     pub(super) fn record(&mut self, key: &Arc<str>, patch: RecordPatch, value_bytes: usize) {
         let patches = self.records.entry(key.clone()).or_default();
--- a/crates/persimmon_decide/src/forward/store_view/updates.rs
+++ b/crates/persimmon_decide/src/forward/store_view/updates.rs
@@ -256,7 +256,7 @@
         let earlier = known.and_then(|it| it.value.as_ref()).filter(is_large);
         let later = record.value.as_ref().filter(is_large);
         match (known, earlier, later) {
-            (Some(known), Some(earlier), Some(later)) => {
+            (Some(known), Some(earlier), Some(later)) if PatchLog::is_worth(earlier, later) => {
                 let patch = ValuePatch::between(earlier, later);
                 let patch = RecordPatch { from: known.revision, to: record.revision, patch };
                 self.patches.record(key, patch, later.len());
--- a/crates/persimmon_decide/tests/forward_store_update.rs
+++ b/crates/persimmon_decide/tests/forward_store_update.rs
@@ -124,6 +124,21 @@
     assert_eq!((behind.revision(), behind.since(0, NOW).records.len()), (80, 1));
 }
 
+/// Guards against a search for common bytes, at each gateway, in values that have little in common.
+#[test]
+fn value_that_grows_many_times_is_sent_whole() {
+    let write = |revision, bytes: usize| record("routes", revision, bytes);
+    let (mut source, mut receiver) = (StoreView::new(), StoreView::new());
+    for view in [&mut source, &mut receiver] {
+        view.apply_list(vec![write(6, 4_000)], 90, NOW);
+    }
+    source.apply(write(91, 40_000), NOW);
+    let update = source.update_since(90, NOW);
+    assert!(matches!(update.records[0].content, RecordContent::Written(_)));
+    receiver.apply_update(update, NOW).unwrap();
+    assert_eq!(receiver.since(0, NOW).records, source.since(0, NOW).records);
+}
+
 #[test]
 fn change_of_large_record_is_sent_as_patches() {
     let write = |revision, timeout: u64| {
