Records: one test of whether a position lies in a gap

The last read of the change found the same condition twice, where an update is made and where it is applied; one function serves both.

--- a/crates/persimmon_decide/src/forward/store_view/updates.rs
+++ b/crates/persimmon_decide/src/forward/store_view/updates.rs
@@ -41,11 +41,10 @@
 
     /// Reports whether a gateway that has all changes up to `revision` needs all records.
     pub(super) fn needs_all(&self, revision: u64) -> bool {
-        let is_in_gap = |(from, to): &(u64, u64)| *from < revision && revision < *to;
         revision == 0
             || revision < self.removals_complete_after
             || StoreEra::of(revision) < StoreEra::of(self.revision)
-            || self.gaps.iter().any(is_in_gap)
+            || is_in_gap(&self.gaps, revision)
     }
 
     /// Records that this view got to position `to` from `from` without every change between them.
@@ -174,8 +173,7 @@
             return Ok(Vec::new());
         }
         // Inside a gap, the sender can't name every removal of what this view has.
-        let is_in_gap = |(from, to): &(u64, u64)| *from < self.revision && self.revision < *to;
-        let has_gap = update.since > self.revision || update.gaps.iter().any(is_in_gap);
+        let has_gap = update.since > self.revision || is_in_gap(&update.gaps, self.revision);
         if !update.is_whole && has_gap {
             return Err(UpdateError::Gap);
         }
@@ -265,3 +263,8 @@
         }
     }
 }
+
+/// Reports whether a position lies strictly between the ends of a gap.
+fn is_in_gap(gaps: &[(u64, u64)], position: u64) -> bool {
+    gaps.iter().any(|(from, to)| *from < position && position < *to)
+}
