Forward: limit requests to cold endpoints, and leave evacuated zones

Cause: endpoints that have just started crash well above the rate that their service states, and 30 to 32 requests in one second reached a cold endpoint whose bound is 26. Evacuations of zones weren't known at all.

Change: `ColdEndpoints` divides the rate of a cold endpoint among the gateways by their rank, so that the quotas add up to it whoever is heard. A gateway that has just started sends cold endpoints nothing until it has heard most of the gateways that it knows, and no further ones have become known for 2 s. One that hears at most half divides a smaller rate. While the store doesn't confirm the records, each endpoint may be cold, and gets the share of the full bound; no gateway is forgotten meanwhile. The window covers 400 ms by which a request may be sent after the choice of its endpoint. An endpoint that is reached again, or whose zone is taken back, counts as cold until its second record since then. Endpoints in a zone with a record `op/evacuate/ZONE` aren't ready until that is deleted; the record is kept and passed on like all others.

No fleet of processes has been played with it yet.

--- a/crates/persimmon_decide/src/forward/directory.rs
+++ b/crates/persimmon_decide/src/forward/directory.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{Endpoint, EndpointId, EndpointState};
+use super::{Endpoint, EndpointId, EndpointState, EvacuatedZones};
 use crate::MonoMs;
 use crate::load::EndpointHash;
 
@@ -26,6 +26,8 @@
     replaced: HashMap<EndpointHash, MonoMs>,
     /// Published endpoints at whose address one that started later is published.
     succeeded: HashSet<EndpointHash>,
+    /// Zones whose endpoints get no requests.
+    evacuated: EvacuatedZones,
     /// Services of the routes in force; none until there are routes.
     services: Option<HashSet<Arc<str>>>,
 }
@@ -117,10 +119,21 @@
             it.state == EndpointState::Ready
                 && !self.is_leaving(it.hash)
                 && !self.succeeded.contains(&it.hash)
+                && !self.evacuated.contains(&it.zone)
         };
         self.of_service(service).iter().filter(accepts)
     }
 
+    /// Returns the evacuated zones.
+    pub fn evacuated(&self) -> &EvacuatedZones {
+        &self.evacuated
+    }
+
+    /// Returns the evacuated zones, to change them.
+    pub fn evacuated_mut(&mut self) -> &mut EvacuatedZones {
+        &mut self.evacuated
+    }
+
     /// Marks an endpoint at whose address another process has answered.
     pub fn mark_replaced(&mut self, endpoint: EndpointHash, now: MonoMs) {
         self.replaced.insert(endpoint, now);
--- a/crates/persimmon_decide/src/forward/endpoint.rs
+++ b/crates/persimmon_decide/src/forward/endpoint.rs
@@ -36,6 +36,8 @@
     pub slots: u32,
     /// Whether the endpoint accepts new requests.
     pub state: EndpointState,
+    /// Time for which the endpoint stayed cold when it wrote its record, in milliseconds.
+    pub cold_ms: u64,
     /// Unix time of the endpoint's start, in milliseconds, if published.
     started_unix_ms: Option<u64>,
     /// Number of the endpoint's record since its start, if published.
@@ -64,6 +66,7 @@
             version: "".into(),
             slots: 1,
             state: EndpointState::Ready,
+            cold_ms: 0,
             started_unix_ms,
             sequence: None,
         }
@@ -112,6 +115,13 @@
         self
     }
 
+    /// Sets the time for which the endpoint stays cold, in milliseconds.
+    #[must_use]
+    pub fn with_cold_ms(mut self, ms: u64) -> Self {
+        self.cold_ms = ms;
+        self
+    }
+
     /// Sets whether the endpoint accepts new requests.
     #[must_use]
     pub fn with_state(mut self, state: EndpointState) -> Self {
--- a/crates/persimmon_decide/src/forward/gateway_rank.rs
+++ b/crates/persimmon_decide/src/forward/gateway_rank.rs
@@ -47,6 +47,11 @@
         1 + self.others.len()
     }
 
+    /// Returns the addresses of the other gateways.
+    pub(super) fn others(&self) -> impl Iterator<Item = IpAddr> {
+        self.others.iter().map(|(ip, _)| *ip)
+    }
+
     /// Returns the number of gateways that rank before this one for the subject with this hash.
     pub(super) fn before_own(&self, subject: u64) -> usize {
         let Some((_, own)) = self.own else { return 0 };
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod attempt_end;
 mod caller_room;
 mod change_notice;
+mod cold_endpoints;
 mod crash_reports;
 mod crash_suspects;
 mod crash_tracker;
@@ -19,6 +20,7 @@
 mod endpoint;
 mod endpoint_limits;
 mod endpoint_pauses;
+mod evacuated_zones;
 mod event_numbers;
 mod event_position;
 mod fan_out;
@@ -60,6 +62,7 @@
 pub use attempt_end::{AttemptEnd, CrashEvidence, FailureReason};
 pub use caller_room::{CallerActivity, OpenConnection, connection_to_close};
 pub use change_notice::ChangeNotice;
+pub use cold_endpoints::{ColdBound, ColdEndpoints, KnownGateways};
 pub use crash_reports::{AnswerReport, CrashReport, CrashReports};
 pub use crash_tracker::{CrashTracker, CrashVerdict};
 pub use digest::{CrashDetail, Digest, PartHolder, PeerAddress, ServiceRetries};
@@ -68,6 +71,7 @@
 pub use endpoint::{Endpoint, EndpointId, EndpointState};
 pub use endpoint_limits::{EndpointLimits, LimitReport, NamedLimit};
 pub use endpoint_pauses::EndpointPauses;
+pub use evacuated_zones::EvacuatedZones;
 pub use event_numbers::{EventNumbers, SoundEvents};
 pub use event_position::EventPosition;
 pub use fan_out::{FanOut, FanOutInput, FetchEnd, NoticeTo, Relay};
@@ -83,8 +87,8 @@
 pub use request_signature::{Quarantined, RequestSignature};
 pub use retry_window::{RetryWindow, RetryWindowSettings};
 pub use route::{
-    CallerLimits, CallerLookup, EngineSpec, Rank, Repeatable, Route, RouteTable, ServiceSpec,
-    ServiceWeight, Workspace,
+    CallerLimits, CallerLookup, ColdTerms, EngineSpec, Rank, Repeatable, Route, RouteTable,
+    ServiceSpec, ServiceWeight, Workspace,
 };
 pub use served_versions::ServedVersions;
 pub use shutdown::{Shutdown, ShutdownSettings, ShutdownStage, UnsentRequest};
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use super::{
-    Endpoint, EndpointDirectory, EndpointLimits, EndpointLoad, EndpointPauses, HealthTracker,
-    LoadTracker, PrefixMap, PromptPart,
+    ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointLoad, EndpointPauses,
+    HealthTracker, LoadTracker, PrefixMap, PromptPart,
 };
 use crate::MonoMs;
 use crate::load::{ChatKey, EndpointHash, rendezvous_score};
@@ -81,6 +81,10 @@
     pub pauses: &'a EndpointPauses,
     /// Limits that endpoints name on the rate of requests.
     pub limits: &'a EndpointLimits,
+    /// Endpoints that are cold, and how much of them this gateway may use.
+    pub cold: &'a ColdEndpoints,
+    /// Time since the store last confirmed the records in force, in milliseconds.
+    pub records_age_ms: Option<u64>,
     /// Endpoints that have cached parts of prompts.
     pub prefixes: &'a PrefixMap,
     /// Current time.
@@ -88,12 +92,33 @@
 }
 
 impl FleetView<'_> {
-    /// Reports whether an endpoint takes a request now: it hasn't paused, and the limit that it names
-    /// isn't reached.
-    pub fn is_open(&self, endpoint: EndpointHash) -> bool {
-        self.pauses.left_ms(endpoint, self.now).is_none()
-            && self.limits.wait_ms(endpoint, self.now).is_none()
+    /// Reports whether an endpoint takes a request now: it hasn't paused, the limit that it names isn't
+    /// reached, and neither is what it bears while it is cold.
+    pub fn is_open(&self, endpoint: &Endpoint) -> bool {
+        self.closed(endpoint).is_none()
     }
+
+    /// Returns why an endpoint takes no request now and for how long; none if it does.
+    fn closed(&self, endpoint: &Endpoint) -> Option<(u64, Closed)> {
+        let paused_ms = self.pauses.left_ms(endpoint.hash, self.now);
+        let limited_ms = self.limits.wait_ms(endpoint.hash, self.now);
+        let cold_ms = self.cold.wait_ms(endpoint, self.records_age_ms, self.now);
+        let left_ms = paused_ms.max(limited_ms).max(cold_ms)?;
+        let why = match (limited_ms, cold_ms) {
+            (Some(_), _) => Closed::Limited,
+            (None, Some(_)) => Closed::Cold,
+            (None, None) => Closed::Paused,
+        };
+        Some((left_ms, why))
+    }
+}
+
+/// Why an endpoint takes no request for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Closed {
+    Paused,
+    Cold,
+    Limited,
 }
 
 /// The request for which [`Picker::pick`] chooses an endpoint.
@@ -170,6 +195,11 @@
         /// Time until the first of them takes a request, in milliseconds.
         left_ms: u64,
     },
+    /// Every endpoint that the request hasn't tried is cold and has got what it bears, or has paused.
+    Cold {
+        /// Time until the first of them takes a request, in milliseconds.
+        left_ms: u64,
+    },
     /// No endpoint with room for the request.
     Full {
         /// Fill of the least full endpoint, as a multiple of its slots.
@@ -251,7 +281,7 @@
             let load = view.loads.total(endpoint.hash);
             Candidate { endpoint: endpoint.clone(), load, expected: f64::from(load.requests) }
         };
-        let is_open = |it: &&Arc<Endpoint>| view.is_open(it.hash);
+        let is_open = |it: &&Arc<Endpoint>| view.is_open(it);
         let open = view.endpoints.ready(req.service).filter(is_open);
         let mut ready: Vec<_> = open.map(candidate).collect();
         if !ready.iter().any(|it| req.allows(&it.endpoint)) {
@@ -287,15 +317,11 @@
     /// Returns why no untried endpoint can be picked.
     fn none_left(req: &PickRequest<'_>, view: FleetView<'_>) -> NoChoice {
         let untried = view.endpoints.ready(req.service).filter(|it| req.allows(it));
-        let waits = untried.filter_map(|it| {
-            let paused_ms = view.pauses.left_ms(it.hash, view.now);
-            let limited_ms = view.limits.wait_ms(it.hash, view.now);
-            Some((paused_ms.max(limited_ms)?, limited_ms.is_some()))
-        });
-        match waits.min() {
+        match untried.filter_map(|it| view.closed(it)).min() {
             None => NoChoice::NoEndpoint,
-            Some((left_ms, false)) => NoChoice::Paused { left_ms },
-            Some((left_ms, true)) => NoChoice::Limited { left_ms },
+            Some((left_ms, Closed::Paused)) => NoChoice::Paused { left_ms },
+            Some((left_ms, Closed::Limited)) => NoChoice::Limited { left_ms },
+            Some((left_ms, Closed::Cold)) => NoChoice::Cold { left_ms },
         }
     }
 
--- a/crates/persimmon_decide/src/forward/route.rs
+++ b/crates/persimmon_decide/src/forward/route.rs
@@ -85,8 +85,17 @@
     pub shares_cache: bool,
 }
 
+/// What a cold endpoint of a service bears.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdTerms {
+    /// Requests per second that a cold endpoint takes from all gateways together.
+    pub per_s: f64,
+    /// Time for which an endpoint is cold after its start, in milliseconds.
+    pub start_ms: u64,
+}
+
 /// A service provided by endpoints.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSpec {
     /// Name of the service.
     pub name: Arc<str>,
@@ -94,6 +103,8 @@
     pub max_connections: u32,
     /// Model engine of the service, if it runs models.
     pub engine: Option<EngineSpec>,
+    /// What its cold endpoints bear; none if they bear as much as others.
+    pub cold: Option<ColdTerms>,
 }
 
 /// A customer's workspace.
@@ -130,7 +141,7 @@
 }
 
 /// One version of the published routes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouteTable {
     /// Version of the table.
     pub version: u64,
@@ -258,6 +269,11 @@
         Rank { position: keys.iter().filter(|it| **it < own).count(), count: keys.len() }
     }
 
+    /// Returns what the cold endpoints of each service bear, where that is less than usual.
+    pub fn cold_terms(&self) -> impl Iterator<Item = (Arc<str>, ColdTerms)> {
+        self.services.iter().filter_map(|(name, spec)| Some((name.clone(), spec.cold?)))
+    }
+
     /// Returns the published figures of a service.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/crates/persimmon_decide/tests/forward_endpoint_limits.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_limits.rs
@@ -5,9 +5,9 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings,
-    HealthTracker, LimitReport, LoadTracker, NamedLimit, NoChoice, PickRequest, Picker,
-    PickerSettings, PrefixMap,
+    ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView,
+    HealthSettings, HealthTracker, LimitReport, LoadTracker, NamedLimit, NoChoice, PickRequest,
+    Picker, PickerSettings, PrefixMap,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -173,6 +173,8 @@
             health: &HealthTracker::new(HealthSettings::default()),
             pauses: &pauses,
             limits: &limits,
+            cold: &ColdEndpoints::new(None),
+            records_age_ms: Some(0),
             prefixes: &PrefixMap::new(),
             now,
         };
--- a/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
@@ -4,9 +4,9 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Choice, Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings,
-    HealthTracker, LoadTracker, NoChoice, PickRequest, Picker, PickerSettings, PrefixMap,
-    PromptPart,
+    Choice, ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView,
+    HealthSettings, HealthTracker, LoadTracker, NoChoice, PickRequest, Picker, PickerSettings,
+    PrefixMap, PromptPart,
 };
 use persimmon_decide::load::EndpointHash;
 use proptest::prelude::*;
@@ -49,6 +49,8 @@
             health: &HealthTracker::new(HealthSettings::default()),
             pauses: &self.pauses,
             limits: &EndpointLimits::new(),
+            cold: &ColdEndpoints::new(None),
+            records_age_ms: Some(0),
             prefixes: &PrefixMap::new(),
             now,
         };
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -6,8 +6,8 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings, HealthTracker,
-    LoadTracker, Outcomes, PickRequest, Picker, PickerSettings, PrefixMap,
+    ColdEndpoints, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings,
+    HealthTracker, LoadTracker, Outcomes, PickRequest, Picker, PickerSettings, PrefixMap,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -60,6 +60,8 @@
             loads: &LoadTracker::new(),
             pauses: &EndpointPauses::new(),
             limits: &EndpointLimits::new(),
+            cold: &ColdEndpoints::new(None),
+            records_age_ms: Some(0),
             health: &self.trackers[gateway],
             prefixes: &PrefixMap::new(),
             now,
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -8,9 +8,9 @@
 use forward_common::prompt;
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Choice, Endpoint, EndpointDirectory, EndpointLimits, EndpointLoad, EndpointPauses,
-    EndpointState, FleetView, HealthSettings, HealthTracker, LoadTracker, NoChoice, PickRequest,
-    Picker, PickerSettings, PrefixMap, PromptPart,
+    Choice, ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointLoad,
+    EndpointPauses, EndpointState, FleetView, HealthSettings, HealthTracker, LoadTracker, NoChoice,
+    PickRequest, Picker, PickerSettings, PrefixMap, PromptPart,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -85,6 +85,8 @@
             health: &self.health,
             pauses: &EndpointPauses::new(),
             limits: &EndpointLimits::new(),
+            cold: &ColdEndpoints::new(None),
+            records_age_ms: Some(0),
             prefixes: &self.prefixes,
             now: MonoMs(1_000),
         };
--- a/crates/persimmon_decide/tests/forward_short_calls.rs
+++ b/crates/persimmon_decide/tests/forward_short_calls.rs
@@ -9,8 +9,8 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings, HealthTracker,
-    LoadTracker, PickRequest, Picker, PickerSettings, PrefixMap, count_weight,
+    ColdEndpoints, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings,
+    HealthTracker, LoadTracker, PickRequest, Picker, PickerSettings, PrefixMap, count_weight,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -67,6 +67,8 @@
             loads: &self.loads[gateway],
             pauses: &EndpointPauses::new(),
             limits: &EndpointLimits::new(),
+            cold: &ColdEndpoints::new(None),
+            records_age_ms: Some(0),
             health: &HealthTracker::new(HealthSettings::default()),
             prefixes: &PrefixMap::new(),
             now: MonoMs(now),
--- a/crates/persimmon_gateway/src/control/digests.rs
+++ b/crates/persimmon_gateway/src/control/digests.rs
@@ -5,8 +5,8 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    CrashDetail, CrashReport, Digest, DigestFreshness, Endpoint, EndpointState, LimitReport,
-    PartHolder, StoreEra,
+    CrashDetail, CrashReport, Digest, DigestFreshness, Endpoint, EndpointState, KnownGateways,
+    LimitReport, PartHolder, StoreEra,
 };
 
 use super::Control;
@@ -171,6 +171,8 @@
         let own = self.settings.peers.ip();
         let (fleet, heard) = (self.peers.fleet(), self.peers.gateways(now));
         self.limits.set_gateways(own, &fleet, heard, now);
+        let gateways = KnownGateways { own, all: &fleet, heard };
+        self.cold.set_gateways(gateways, self.records_age.age_ms(now), now);
         self.crashes.set_gateways(own, self.peers.heard(now));
     }
 }
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -13,12 +13,12 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Admission, AdmissionInput, AdmissionSettings, Choice, CrashTracker, DurationTracker,
-    EndpointDirectory, EndpointLimits, EndpointPauses, FanOut, FirstByteTimeout, FleetView,
-    HealthSettings, HealthTracker, IdleLimit, LimitReport, LoadTracker, NoChoice, PeerTable,
-    PickRequest, Picker, PrefixMap, Rank, RecordsAge, RetryWindow, RouteTable, ServedVersions,
-    ServiceRetries, Shutdown, ShutdownSettings, StartupRecords, StoreEra, StoreView, StreamHolders,
-    StreamVersions, WaitingTime, WorkspaceShares, count_weight,
+    Admission, AdmissionInput, AdmissionSettings, Choice, ColdEndpoints, CrashTracker,
+    DurationTracker, EndpointDirectory, EndpointLimits, EndpointPauses, FanOut, FirstByteTimeout,
+    FleetView, HealthSettings, HealthTracker, IdleLimit, LimitReport, LoadTracker, NoChoice,
+    PeerTable, PickRequest, Picker, PrefixMap, Rank, RecordsAge, RetryWindow, RouteTable,
+    ServedVersions, ServiceRetries, Shutdown, ShutdownSettings, StartupRecords, StoreEra,
+    StoreView, StreamHolders, StreamVersions, WaitingTime, WorkspaceShares, count_weight,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
@@ -48,6 +48,7 @@
     pub(crate) health: HealthTracker,
     pub(crate) pauses: EndpointPauses,
     pub(crate) limits: EndpointLimits,
+    pub(crate) cold: ColdEndpoints,
     /// What began the streams that callers may take up again.
     pub(crate) streams: StreamVersions,
     pub(crate) holders: StreamHolders,
@@ -105,6 +106,7 @@
             health: HealthTracker::new(HealthSettings::default()),
             pauses: EndpointPauses::new(),
             limits: EndpointLimits::new(),
+            cold: ColdEndpoints::new(settings.cold),
             streams: StreamVersions::new(),
             holders: StreamHolders::new(),
             served: ServedVersions::new(),
@@ -159,6 +161,8 @@
             health: &self.health,
             pauses: &self.pauses,
             limits: &self.limits,
+            cold: &self.cold,
+            records_age_ms: self.records_age.age_ms(now),
             prefixes: &self.prefixes,
             now,
         }
@@ -250,6 +254,7 @@
         self.directory.expire_marks(now);
         self.pauses.retain(|endpoint| published.contains(&endpoint), now);
         self.limits.retain(|endpoint| published.contains(&endpoint), now);
+        self.cold.retain(|endpoint| published.contains(&endpoint), now);
         self.crashes.expire(now);
         self.streams.expire(now);
         let addresses: HashSet<_> = self.directory.iter().map(|it| it.address.ip()).collect();
--- a/crates/persimmon_gateway/src/control/records.rs
+++ b/crates/persimmon_gateway/src/control/records.rs
@@ -25,6 +25,10 @@
     OutdatedEndpoint(Arc<Endpoint>),
     /// An endpoint was removed.
     EndpointRemoved(Arc<Endpoint>),
+    /// A zone is evacuated.
+    ZoneEvacuated(Arc<str>),
+    /// A zone that was evacuated is taken back.
+    ZoneTakenBack(Arc<str>),
     /// The record with this key can't be read.
     Unreadable(Arc<str>, DecodeError),
 }
@@ -86,6 +90,9 @@
                         }
                         // Only a store that lost them has no routes.
                         RecordSubject::Routes => self.view.keep(&key, self.routes_value.clone()),
+                        RecordSubject::EvacuatedZone(zone) => {
+                            applied.extend(self.take_back(zone, now));
+                        }
                         RecordSubject::Other => {}
                     }
                 }
@@ -104,6 +111,10 @@
         match platform.decode(&record.key, value) {
             Ok(DecodedRecord::Endpoint(endpoint)) => vec![self.put_endpoint(endpoint, now)],
             Ok(DecodedRecord::Routes(routes)) => vec![self.put_routes(routes, record.value)],
+            Ok(DecodedRecord::EvacuatedZone(zone)) => {
+                let is_new = self.directory.evacuated_mut().insert(&zone, now);
+                is_new.then_some(Applied::ZoneEvacuated(zone)).into_iter().collect()
+            }
             Ok(DecodedRecord::Other) => Vec::new(),
             Err(err) => {
                 // Without a readable record, the endpoint's address and state are unknown.
@@ -168,6 +179,18 @@
         is_adopted
     }
 
+    /// Puts the endpoints of an evacuated zone into use again.
+    fn take_back(&mut self, zone: Arc<str>, now: MonoMs) -> Option<Applied> {
+        if !self.directory.evacuated_mut().remove(&zone) {
+            return None;
+        }
+        for endpoint in self.directory.iter().filter(|it| it.zone == zone) {
+            // It may have become cold shortly before, and its record may be from before that.
+            self.cold.record_suspected(endpoint, now);
+        }
+        Some(Applied::ZoneTakenBack(zone))
+    }
+
     fn put_endpoint(&mut self, endpoint: Endpoint, now: MonoMs) -> Applied {
         let id = endpoint.id.clone();
         let hash = endpoint.hash;
@@ -182,6 +205,7 @@
         self.record_predecessors_ended(&id, now);
         self.crashes.record_published(hash);
         let endpoint = self.directory.get(&id).cloned().expect("the endpoint was just inserted");
+        self.cold.record_published(&endpoint, now);
         self.served.record(&endpoint.service, &endpoint.version, now);
         Applied::Endpoint(endpoint)
     }
@@ -214,6 +238,7 @@
             return Applied::StaleRoutes(version);
         }
         self.directory.set_services(routes.service_names());
+        self.cold.set_terms(routes.cold_terms());
         let routes = match &self.routes {
             Some(previous) => routes.replacing(previous),
             None => routes,
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -163,11 +163,13 @@
     }
 
     async fn connect(&self, endpoint: &Arc<Endpoint>) -> Result<Connection, FailureReason> {
-        match self.gw.upstream.connect(endpoint.address).await {
+        let result = self.gw.upstream.connect(endpoint.address).await;
+        let now = self.gw.clock.now();
+        let mut control = self.gw.control.borrow_mut();
+        control.cold.record_connection(endpoint, result.is_ok(), now);
+        match result {
             Ok(connection) => Ok(connection),
             Err(err) => {
-                let now = self.gw.clock.now();
-                let mut control = self.gw.control.borrow_mut();
                 let ejected_ms = control.health.record_unreachable(endpoint.hash, now);
                 // Without a route to the endpoint, nothing says that its process has ended.
                 let is_blamed =
@@ -214,6 +216,9 @@
         let result = match tokio::time::timeout(limit, self.connect(endpoint)).await {
             Ok(Ok(connection)) => {
                 self.gw.upstream.put_idle(endpoint.hash, connection, None);
+                // It may have started again within that time.
+                let now = self.gw.clock.now();
+                self.gw.control.borrow_mut().cold.record_suspected(endpoint, now);
                 "accepted"
             }
             // `connect` has recorded the failure.
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -284,6 +284,10 @@
                 let retry_after_ms = EndpointPauses::retry_after_ms(left_ms, draw);
                 return Err(Refusal::Paused { retry_after_ms });
             }
+            Err(NoChoice::Cold { left_ms }) => {
+                let retry_after_ms = EndpointPauses::retry_after_ms(left_ms, draw);
+                return Err(Refusal::Cold { retry_after_ms });
+            }
             Err(NoChoice::Limited { left_ms }) => {
                 let retry_after_ms = EndpointPauses::retry_after_ms(left_ms, draw);
                 return Err(Refusal::Limited { retry_after_ms });
@@ -303,6 +307,7 @@
         let verdict = control.crashes.verdict(&plan.signature, choice.endpoint.hash, now);
         self.check_verdict(verdict, &choice.endpoint)?;
         control.limits.record_sent(choice.endpoint.hash, now);
+        control.cold.record_sent(&choice.endpoint, now);
         Ok(choice)
     }
 
@@ -427,7 +432,7 @@
         let view = control.fleet_view(now);
         let is_other = |it: &Endpoint| {
             let is_untried = !self.tried.contains(&it.hash) && it.hash != endpoint;
-            is_untried && view.is_open(it.hash) && self.allows_version(it)
+            is_untried && view.is_open(it) && self.allows_version(it)
         };
         let has_others = control.directory.ready(&self.plan.service).any(|it| is_other(it));
         is_long
--- a/crates/persimmon_gateway/src/platform.rs
+++ b/crates/persimmon_gateway/src/platform.rs
@@ -56,12 +56,14 @@
 }
 
 /// The content of a record.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum DecodedRecord {
     /// An endpoint.
     Endpoint(Endpoint),
     /// The routes in force.
     Routes(RouteTable),
+    /// An availability zone that is evacuated as long as the record exists.
+    EvacuatedZone(Arc<str>),
     /// A record that gateways don't use.
     Other,
 }
@@ -73,6 +75,8 @@
     Endpoint(Arc<str>),
     /// The routes.
     Routes,
+    /// The evacuation of this availability zone.
+    EvacuatedZone(Arc<str>),
     /// A subject that gateways don't use.
     Other,
 }
--- a/crates/persimmon_gateway/src/refusal.rs
+++ b/crates/persimmon_gateway/src/refusal.rs
@@ -50,6 +50,11 @@
         /// Delay until the first of them takes a request, in milliseconds.
         retry_after_ms: u64,
     },
+    /// Every endpoint of the service is cold and has got the requests that it bears.
+    Cold {
+        /// Delay until the first of them takes a request, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The caller takes up a stream, and which software version began it isn't known.
     UnknownStream,
     /// The caller takes up a stream that began at a software version which no endpoint serves.
@@ -84,6 +89,7 @@
             | Self::Overloaded { .. }
             | Self::Paused { .. }
             | Self::Limited { .. }
+            | Self::Cold { .. }
             | Self::UnknownStream
             | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -105,6 +111,7 @@
             Self::Overloaded { .. } => "overloaded",
             Self::Paused { .. } => "paused",
             Self::Limited { .. } => "limited",
+            Self::Cold { .. } => "cold",
             Self::UnknownStream => "unknown_stream",
             Self::VersionGone => "version_gone",
             Self::Unknown => "unknown_outcome",
@@ -129,6 +136,7 @@
             Self::Limited { .. } => {
                 "every endpoint is at its limit; request not run, retry it later"
             }
+            Self::Cold { .. } => "every endpoint is cold; request not run, retry it later",
             Self::UnknownStream => {
                 "the stream's origin isn't known; request not run, begin it anew"
             }
@@ -150,7 +158,8 @@
             | Self::NoEndpoint { retry_after_ms }
             | Self::Overloaded { retry_after_ms }
             | Self::Paused { retry_after_ms }
-            | Self::Limited { retry_after_ms } => Some(retry_after_ms),
+            | Self::Limited { retry_after_ms }
+            | Self::Cold { retry_after_ms } => Some(retry_after_ms),
             _ => None,
         }
     }
--- a/crates/persimmon_gateway/src/settings.rs
+++ b/crates/persimmon_gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
-use persimmon_decide::forward::{PickerSettings, RetryWindowSettings};
+use persimmon_decide::forward::{ColdBound, PickerSettings, RetryWindowSettings};
 
 /// Settings of a gateway, provided by the adapter of a platform.
 #[derive(Debug, Clone)]
@@ -32,6 +32,8 @@
     pub retries: RetryWindowSettings,
     /// Settings for picking an endpoint for each request.
     pub picker: PickerSettings,
+    /// Bound on the requests to a cold endpoint; none if there is no such bound.
+    pub cold: Option<ColdBound>,
     /// Maximum number of file descriptors that the process may open.
     pub max_descriptors: usize,
     /// Memory that the process may use, in bytes.
@@ -58,6 +60,7 @@
             heartbeat_ms: 1_200,
             retries: RetryWindowSettings { window_ms: 10_000, ratio: 0.1, slack: 10.0 },
             picker: PickerSettings::default(),
+            cold: None,
             max_descriptors: 1_024,
             memory_bytes: Self::DEFAULT_MEMORY_BYTES,
         }
@@ -113,6 +116,13 @@
         self
     }
 
+    /// Sets the bound on the requests to a cold endpoint.
+    #[must_use]
+    pub fn with_cold(mut self, bound: ColdBound) -> Self {
+        self.cold = Some(bound);
+        self
+    }
+
     /// Sets the memory that the process may use, in bytes.
     #[must_use]
     pub fn with_memory_bytes(mut self, bytes: u64) -> Self {
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -132,7 +132,7 @@
 }
 
 /// Outcomes of requests that weren't run.
-const NOT_RUN: [&str; 10] = [
+const NOT_RUN: [&str; 11] = [
     "not_configured",
     "crashing",
     "leaving",
@@ -140,6 +140,7 @@
     "overloaded",
     "paused",
     "limited",
+    "cold",
     "unknown_stream",
     "version_gone",
     "body_too_slow",
@@ -171,10 +172,14 @@
             "leaving"
         } else if control.directory.is_replaced(hash) {
             "replaced"
+        } else if control.directory.evacuated().contains(&endpoint.zone) {
+            "evacuated"
         } else if control.pauses.left_ms(hash, now).is_some() {
             "paused"
         } else if control.limits.wait_ms(hash, now).is_some() {
             "limited"
+        } else if control.cold.cold_ms(endpoint, now).is_some() {
+            "cold"
         } else if control.health.is_ejected(hash, now) {
             "unreachable"
         } else if failing.contains(&hash) {
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -498,6 +498,14 @@
             tracing::info!(target: "records", endpoint = &*endpoint.id, revision, suppressed,
                 "endpoint removed");
         }
+        Applied::ZoneEvacuated(zone) => {
+            tracing::info!(target: "records", zone = &**zone, revision, suppressed,
+                "zone evacuated: its endpoints get no new requests");
+        }
+        Applied::ZoneTakenBack(zone) => {
+            tracing::info!(target: "records", zone = &**zone, revision, suppressed,
+                "zone taken back: its endpoints get requests again");
+        }
         Applied::Unreadable(key, err) => {
             tracing::warn!(target: "records", key = &**key, %err, suppressed, "invalid record");
         }
