Gateway: show operators how far an evacuation has got

Cause: an operator who evacuates a zone has to know when no request runs there any more, and whether the other zones carry the load. A cached prompt could be fetched from a zone that is about to be lost although another endpoint has it.

Endpoints in evacuated zones are the last source of cached prompts.

--- a/crates/persimmon_decide/src/forward/cold_endpoints.rs
+++ b/crates/persimmon_decide/src/forward/cold_endpoints.rs
@@ -311,9 +311,4 @@
             is_published(*endpoint) || is_cold || !record.sent.is_empty()
         });
     }
-
-    /// Returns the number of endpoints that are cold, or count as cold.
-    pub fn count(&self, now: MonoMs) -> usize {
-        self.records.values().filter(|it| it.cold_until(now).is_some()).count()
-    }
 }
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -485,7 +485,8 @@
     /// Returns the endpoint from which the chosen one should fetch the prompt's prefix: the one
     /// that has cached most of it. If none is known, returns the other endpoint that ranks first,
     /// since prompts with this prefix went there before the set of endpoints or gateways changed.
-    /// If that endpoint has cached nothing, the request to it transfers nothing.
+    /// If that endpoint has cached nothing, the request to it transfers nothing. Endpoints in evacuated zones
+    /// are the last choice.
     fn fetch_source(&self, chosen: &Endpoint, cached_tokens: u32) -> Option<Arc<Endpoint>> {
         let others = || {
             let of_service = self.view.endpoints.of_service(self.service).iter();
@@ -495,14 +496,18 @@
                     && self.view.pauses.left_ms(it.hash, self.view.now).is_none()
             })
         };
-        let known = self
-            .cached
-            .iter()
-            .find_map(|(hash, tokens)| Some((others().find(|it| it.hash == *hash)?, *tokens)));
-        let (source, tokens) = match known {
-            Some((source, tokens)) if tokens * 2 >= self.shared_tokens => (source, tokens),
-            _ => {
-                let first = others().min_by(|a, b| self.rank(a).total_cmp(&self.rank(b)))?;
+        let is_left = |it: &Endpoint| self.view.endpoints.evacuated().contains(&it.zone);
+        let known = |in_left| {
+            let find = |hash| others().find(|it| it.hash == hash && is_left(it) == in_left);
+            let mut cached = self.cached.iter().filter(|it| it.1 * 2 >= self.shared_tokens);
+            cached.find_map(|(hash, tokens)| Some((find(*hash)?, *tokens)))
+        };
+        let (source, tokens) = match known(false).or_else(|| known(true)) {
+            Some(known) => known,
+            None => {
+                let by_rank = |a: &Endpoint, b: &Endpoint| self.rank(a).total_cmp(&self.rank(b));
+                let first = others()
+                    .min_by(|a, b| is_left(a).cmp(&is_left(b)).then_with(|| by_rank(a, b)))?;
                 (first, self.shared_tokens)
             }
         };
--- a/crates/persimmon_decide/tests/forward_cold_endpoints.rs
+++ b/crates/persimmon_decide/tests/forward_cold_endpoints.rs
@@ -121,7 +121,6 @@
     cold.record_suspected(&endpoint(1), STARTED);
     cold.record_published(&endpoint(1), STARTED.plus_ms(100));
     assert_eq!(cold.cold_ms(&endpoint(1), STARTED.plus_ms(100)), Some(2_900));
-    assert_eq!(cold.count(STARTED.plus_ms(100)), 1);
     cold.record_published(&endpoint(1), STARTED.plus_ms(1_300));
     assert_eq!(cold.cold_ms(&endpoint(1), STARTED.plus_ms(1_300)), None);
     cold.record_suspected(&endpoint(1), STARTED);
@@ -150,7 +149,7 @@
     let now = STARTED.plus_ms(200);
     assert_eq!(send_all(&mut cold, &cold_endpoint(), CONFIRMED, now), 0);
     cold.retain(|_| false, STARTED.plus_ms(10_000));
-    assert_eq!(cold.count(STARTED), 0, "forgotten");
+    assert_eq!(cold.cold_ms(&cold_endpoint(), STARTED), None, "forgotten");
 }
 
 /// At the start, a gateway knows its seeds at most, and one of the seeds not even those.
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -334,6 +334,25 @@
     assert_eq!(choice.fetch_from.expect("a source").hash, holder);
 }
 
+/// An evacuated zone may be lost while a prompt is fetched from it.
+#[rstest::rstest]
+#[case::only_holder(false)]
+#[case::another_holder(true)]
+fn pick_fetches_from_an_evacuated_zone_last(#[case] has_other: bool) {
+    let mut gateway = Gateway::new(0);
+    let zone = |number| if number == 1 { "zone-b" } else { "zone-a" };
+    (1..=3).for_each(|it| drop(gateway.directory.insert(endpoint(it).with_zone(zone(it)))));
+    let parts = prompt(5, 1);
+    let holders = [endpoint(1).hash, endpoint(2).hash];
+    let known = if has_other { 2 } else { 1 };
+    holders[..known].iter().for_each(|it| gateway.prefixes.record(&parts, *it, MonoMs(1_000)));
+    (0..30).for_each(|_| gateway.loads.begin(holders[1], 0));
+    gateway.directory.evacuated_mut().insert(&"zone-b".into(), MonoMs(0));
+    let choice = gateway.pick(&prompt(5, 2), &[], 2).expect("an endpoint");
+    assert_eq!(choice.endpoint.hash, endpoint(3).hash);
+    assert_eq!(choice.fetch_from.expect("a source").hash, holders[known - 1]);
+}
+
 #[test]
 fn pick_unreachable_holder_is_no_source() {
     let mut gateway = Gateway::new(4);
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use crate::answer_buffer::AnswerBuffers;
 use crate::callers::Connections;
 use crate::control::Control;
+use crate::evacuation::EvacuationReports;
 use crate::log_limiter::LogLimiter;
 use crate::metrics::Metrics;
 use crate::open_requests::OpenRequests;
@@ -61,6 +62,8 @@
     /// Socket for messages to other gateways; none before it is bound.
     pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) streams: StreamExchange,
+    /// What is reported of evacuated zones.
+    pub(crate) evacuations: EvacuationReports,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -91,6 +94,7 @@
             record_answers: RecordAnswers::default(),
             socket: OnceCell::new(),
             streams: StreamExchange::default(),
+            evacuations: EvacuationReports::default(),
         }
     }
 
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod body_tests;
 mod callers;
 mod control;
+mod evacuation;
 mod events;
 mod exchange;
 mod framing;
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -131,6 +131,8 @@
     pub(crate) age_ms: IntGauge,
     /// 1 for the reason of that age, 0 for all others.
     pub(crate) age_reason: IntGaugeVec,
+    /// What the records say of evacuated zones and cold endpoints.
+    pub(crate) evacuation: EvacuationMetrics,
     /// Fetches from peers by result.
     pub(crate) fetches: IntCounterVec,
     /// Answers to peers that fetch records, by result.
@@ -155,6 +157,7 @@
                 "1 for the reason of the age of the records in force, 0 for all others.",
                 &["reason"],
             )?,
+            evacuation: EvacuationMetrics::new(set)?,
             fetches: set.counters(
                 "persimmon_gateway_record_fetches_total",
                 "Fetches of records from peers by result.",
@@ -185,6 +188,34 @@
     }
 }
 
+/// Evacuated zones and cold endpoints.
+#[derive(Debug, Clone)]
+pub(crate) struct EvacuationMetrics {
+    /// Number of evacuated zones.
+    pub(crate) zones: IntGauge,
+    /// This gateway's requests in progress in each of them.
+    pub(crate) requests: IntGaugeVec,
+    /// Number of endpoints that are cold, or count as cold.
+    pub(crate) cold_endpoints: IntGauge,
+}
+
+impl EvacuationMetrics {
+    fn new(set: &MetricSet) -> prometheus::Result<Self> {
+        Ok(Self {
+            zones: set.gauge("persimmon_gateway_evacuated_zones", "Evacuated zones.")?,
+            requests: set.gauges(
+                "persimmon_gateway_evacuated_requests",
+                "This gateway's requests in progress in evacuated zones.",
+                &["zone"],
+            )?,
+            cold_endpoints: set.gauge(
+                "persimmon_gateway_cold_endpoints",
+                "Endpoints that are cold, or count as cold.",
+            )?,
+        })
+    }
+}
+
 /// Counters of callers' connections and of the shutdown.
 #[derive(Debug, Clone)]
 pub(crate) struct CallerMetrics {
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -9,6 +9,7 @@
 };
 use tokio::net::UdpSocket;
 
+use crate::evacuation;
 use crate::gateway::Gateway;
 use crate::notices;
 use crate::platform::Platform;
@@ -234,5 +235,6 @@
     let published = control.forget_unpublished(now);
     drop(control);
     report_records_age(gw);
+    evacuation::report(gw);
     gw.upstream.sweep(|endpoint| published.contains(&endpoint));
 }
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::control::Control;
+use crate::evacuation::{self, EvacuationStatus};
 use crate::gateway::Gateway;
 use crate::platform::Platform;
 
@@ -39,6 +40,8 @@
     gateways: usize,
     endpoints: Vec<EndpointStatus>,
     retries: Vec<RetryStatus>,
+    /// Zones that the operator has evacuated.
+    evacuated_zones: Vec<EvacuationStatus>,
 }
 
 #[derive(Debug, Serialize)]
@@ -127,6 +130,7 @@
             gateways: control.peers.gateways(now),
             retries: control.retry_counts(now).map(RetryStatus::of).collect(),
             endpoints,
+            evacuated_zones: evacuation::status(gw, &control, now),
         }
     }
 }
