Gateway: own share of an overloaded service, with a queue by outcomes

Cause: the counts of the other gateways' requests are older than a short call takes. When they say that endpoints are full, all gateways refuse for an interval between digests while slots run empty; when they say that endpoints have room, all accept for an interval. Calls are late and refused at the same time, and callers that come back late take the place of those that could be on time.

Change: from the time at which the counts say that a service is full, or an answer is late while requests queue, each gateway limits its own short requests to its share: its part of the fleet's recent requests, times the slots of open endpoints, times the fill with which the target is met. A fractional share is kept on average over time. QueueAllowance adjusts the fill so that one served call in ten is late. Requests that can't be on time any more (their caller came back, which shows in the stated deadline) have a smaller part of the share. Within the share, the endpoint is chosen by this gateway's own counts where the others' are old. Requests with prompts, streams, and services with free slots are decided as before, and so is everything at a gateway that hasn't heard most of its fleet.

--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -341,7 +341,7 @@
 
     /// Reports whether this gateway hears more than half of the fleet, itself included. Otherwise it
     /// is probably cut off.
-    fn hears_most(&self, now: MonoMs) -> bool {
+    pub fn hears_most(&self, now: MonoMs) -> bool {
         2 * self.gateways(now) > 1 + self.contacts.len()
     }
 
--- a/crates/persimmon_decide/src/forward/waiting_time.rs
+++ b/crates/persimmon_decide/src/forward/waiting_time.rs
@@ -67,11 +67,18 @@
         let Some(mean_ms) = self.mean_ms.get(service).copied().filter(|ms| *ms > 0.0) else {
             return f64::INFINITY;
         };
-        let is_reachable = target_ms as f64 >= mean_ms * Self::MIN_TARGET_RATIO;
-        let limit_ms = if is_reachable { target_ms } else { deadline_ms } as f64;
+        let limit_ms = self.limit_ms(service, target_ms, deadline_ms) as f64;
         1.0 + (limit_ms - mean_ms).max(0.0) * Self::QUEUE_FRACTION / mean_ms
     }
 
+    /// Returns the time within which a request should be answered: `target_ms`, or `deadline_ms` if the
+    /// target is too short even without a queue.
+    pub fn limit_ms(&self, service: &str, target_ms: u64, deadline_ms: u64) -> u64 {
+        let mean_ms = self.mean_ms.get(service).copied().unwrap_or(0.0);
+        let is_reachable = target_ms as f64 >= mean_ms * Self::MIN_TARGET_RATIO;
+        if is_reachable { target_ms } else { deadline_ms }
+    }
+
     /// Returns the retry delay for a caller that found no free slot, in milliseconds: one to three
     /// times the mean duration of a request, since an overload usually lasts longer than one
     /// request. The random number `draw` spreads the retries.
--- a/crates/persimmon_gateway/src/control/attempts.rs
+++ b/crates/persimmon_gateway/src/control/attempts.rs
@@ -62,6 +62,7 @@
         if matches!(end, AttemptEnd::Answered { .. }) && attempt.had_free_slot {
             self.waiting_time.record(&endpoint.service, now.ms_since(*began));
         }
+        self.record_share_end(&endpoint.service, now);
         self.loads.end(hash, attempt.unread_tokens);
         // Further requests have to tell that the endpoint was silent before them.
         if self.loads.own(hash) == 0 && !is_silent {
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod digests;
 mod fan_out;
+mod overload;
 mod records;
 mod streams;
 
@@ -16,15 +17,17 @@
     Admission, AdmissionInput, AdmissionSettings, Choice, ColdEndpoints, CrashTracker,
     DurationTracker, EndpointDirectory, EndpointLimits, EndpointPauses, FanOut, FirstByteTimeout,
     FleetView, HealthSettings, HealthTracker, IdleLimit, LimitReport, LoadTracker, NoChoice,
-    PeerTable, PickRequest, Picker, PrefixMap, Rank, RecordsAge, RetryWindow, RouteTable,
-    ServedVersions, ServiceRetries, Shutdown, ShutdownSettings, StartupRecords, StoreEra,
-    StoreView, StreamHolders, StreamVersions, WaitingTime, WorkspaceShares, count_weight,
+    OverloadControl, PeerTable, PickRequest, Picker, PrefixMap, Rank, RecordsAge, RetryWindow,
+    RouteTable, ServedVersions, ServiceRetries, Shutdown, ShutdownSettings, StartupRecords,
+    StatedDeadlines, StoreEra, StoreView, StreamHolders, StreamVersions, WaitingTime,
+    WorkspaceShares, count_weight,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
 pub(crate) use self::fan_out::AddressedNotice;
+pub(crate) use self::overload::ShortRequest;
 pub(crate) use self::records::Applied;
 use crate::settings::GatewaySettings;
 
@@ -63,6 +66,8 @@
     pub(crate) first_byte_timeout: FirstByteTimeout,
     pub(crate) waiting_time: WaitingTime,
     pub(crate) shares: WorkspaceShares,
+    pub(crate) stated_deadlines: StatedDeadlines,
+    overload: HashMap<Arc<str>, OverloadControl>,
     /// Time of the store's last answer; none while this gateway doesn't watch the store.
     pub(crate) store_contact: Option<MonoMs>,
     /// Whether this gateway reads the store, or tries to.
@@ -119,6 +124,8 @@
             first_byte_timeout: FirstByteTimeout::new(),
             waiting_time: WaitingTime::new(),
             shares: WorkspaceShares::new(),
+            stated_deadlines: StatedDeadlines::new(),
+            overload: HashMap::new(),
             admission: Admission::new(AdmissionSettings::default()),
             store_contact: None,
             is_watching: true,
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -1,5 +1,6 @@
 //! The attempts of one request at endpoints, until one succeeds or no further attempt is allowed.
 
+mod admission;
 mod answer_headers;
 mod attempt;
 
@@ -12,13 +13,13 @@
 use hyper::header::{HeaderMap, HeaderName};
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    AdmissionInput, AttemptEnd, AttemptLog, Choice, CrashVerdict, Endpoint, EndpointPauses,
-    FailureKind, FailureReason, NextStep, NoChoice, PickRequest, Repeatable, StreamOrigin,
+    AttemptEnd, AttemptLog, Choice, CrashVerdict, Endpoint, EndpointPauses, FailureKind,
+    FailureReason, NextStep, NoChoice, PickRequest, Repeatable, StreamOrigin,
 };
 use persimmon_decide::load::EndpointHash;
 
+use self::admission::FillLimit;
 use crate::answer_buffer::BufferedAnswer;
-use crate::control::Control;
 use crate::framing::Framing;
 use crate::gateway::Gateway;
 use crate::in_flight::{InFlight, InWorkspace};
@@ -258,7 +259,8 @@
         let parts = if plan.route.has_prompt { &plan.head.parts[..] } else { &[] };
         // A stream that has already started continues regardless of load.
         let is_new = self.sends == 0 && plan.head.last_event.is_none();
-        let max_fill = if is_new { self.max_fill(&mut control) } else { f64::INFINITY };
+        let fill = if is_new { self.fill_limit(&mut control) } else { FillLimit::NONE };
+        let max_fill = fill.max_fill();
         let req = PickRequest {
             service: &plan.service,
             parts,
@@ -271,7 +273,11 @@
             draw,
         };
         let now = self.gw.clock.now();
-        let choice = match control.pick(&req, now) {
+        let picked = match is_new && self.is_short() {
+            true => self.pick_short(&mut control, &req, fill, now),
+            false => control.pick(&req, now),
+        };
+        let choice = match picked {
             Ok(choice) => choice,
             Err(_) if self.log.may_have_run() => return Err(Refusal::Unknown),
             Err(NoChoice::Full { least_fill }) => {
@@ -279,19 +285,7 @@
                 let retry_after_ms = control.waiting_time.retry_after_ms(&plan.service, draw);
                 return Err(Refusal::Overloaded { retry_after_ms });
             }
-            Err(NoChoice::NoEndpoint) => return Err(self.no_endpoint()),
-            Err(NoChoice::Paused { left_ms }) => {
-                let retry_after_ms = EndpointPauses::retry_after_ms(left_ms, draw);
-                return Err(Refusal::Paused { retry_after_ms });
-            }
-            Err(NoChoice::Cold { left_ms }) => {
-                let retry_after_ms = EndpointPauses::retry_after_ms(left_ms, draw);
-                return Err(Refusal::Cold { retry_after_ms });
-            }
-            Err(NoChoice::Limited { left_ms }) => {
-                let retry_after_ms = EndpointPauses::retry_after_ms(left_ms, draw);
-                return Err(Refusal::Limited { retry_after_ms });
-            }
+            Err(other) => return Err(self.none_open(other, draw)),
         };
         let slots = choice.endpoint.slots;
         let wait_ms = control.waiting_time.wait_ms(&plan.service, choice.load, slots);
@@ -311,6 +305,21 @@
         Ok(choice)
     }
 
+    /// Returns the refusal of a request for which no endpoint takes requests now.
+    fn none_open(&self, why: NoChoice, draw: u64) -> Refusal {
+        let retry_after_ms = |left_ms| EndpointPauses::retry_after_ms(left_ms, draw);
+        match why {
+            NoChoice::NoEndpoint | NoChoice::Full { .. } => self.no_endpoint(),
+            NoChoice::Paused { left_ms } => {
+                Refusal::Paused { retry_after_ms: retry_after_ms(left_ms) }
+            }
+            NoChoice::Cold { left_ms } => Refusal::Cold { retry_after_ms: retry_after_ms(left_ms) },
+            NoChoice::Limited { left_ms } => {
+                Refusal::Limited { retry_after_ms: retry_after_ms(left_ms) }
+            }
+        }
+    }
+
     /// Returns the refusal of a request for which no endpoint is left that it hasn't tried.
     fn no_endpoint(&self) -> Refusal {
         if self.version.is_some() && self.tried.is_empty() {
@@ -337,33 +346,6 @@
         if self.log.may_have_run() { Refusal::Unknown } else { Refusal::Crashing }
     }
 
-    /// Returns the fill up to which an endpoint accepts this request, as a multiple of its slots.
-    /// Requests with prompts and streams occupy a slot for a long time, so hardly any may queue;
-    /// short calls may queue for as long as their target latency allows.
-    fn max_fill(&self, control: &mut Control) -> f64 {
-        let plan = &self.plan;
-        let fill = control.max_fill(self.admission_input(control));
-        if plan.route.has_prompt || plan.route.is_stream {
-            return fill;
-        }
-        let target_ms = plan.route.target_ms;
-        fill * control.waiting_time.max_fill(&plan.service, target_ms, self.left_ms())
-    }
-
-    fn admission_input(&self, control: &Control) -> AdmissionInput {
-        control.admission_input(&self.plan.service, self.plan.rank, self.in_workspace.name())
-    }
-
-    fn log_endpoints_full(&self, control: &Control, max_fill: f64, least_fill: f64, now: MonoMs) {
-        let Some(suppressed) = self.gw.log_limiter.admit("full", now) else { return };
-        let AdmissionInput { rank, share, workspaces } = self.admission_input(control);
-        tracing::info!(target: "request", id = &*self.plan.head.id,
-            route = &*self.plan.route.name, service = &*self.plan.service,
-            workspace = self.in_workspace.name(), rank = rank.position, ranks = rank.count,
-            share, workspaces, max_fill, least_fill,
-            suppressed, "all endpoints are too full");
-    }
-
     /// Counts a failed attempt and returns the next step.
     pub(crate) fn record_failure(
         &mut self,
@@ -492,6 +474,7 @@
             let route = &self.plan.route.name;
             self.gw.metrics.whole_answer.with_label_values(&[route]).observe(ms as f64 / 1_000.0);
             self.gw.control.borrow_mut().durations.record(route, ms);
+            self.record_short_answer();
         }
     }
 }
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -41,6 +41,8 @@
     _reservation: BodyReservation<P>,
     pub(crate) signature: RequestSignature,
     pub(crate) arrived: MonoMs,
+    /// Time that the caller has probably spent on the request before, in milliseconds.
+    pub(crate) spent_ms: u64,
     /// Time at which the caller's deadline or the route's timeout expires, whichever is earlier.
     pub(crate) deadline: MonoMs,
 }
@@ -97,6 +99,8 @@
     let service = route.service_for(draw).cloned();
     let service = service.ok_or(Refusal::NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_MS })?;
     control.record_request(&service, now);
+    let stated_ms = head.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let spent_ms = control.stated_deadlines.spent_ms(&route.name, stated_ms, arrived);
     let own_priority = workspace.as_ref().and_then(|it| it.priority);
     let rank = routes.rank(&service, own_priority, route.priority);
     Ok(Plan {
@@ -109,6 +113,7 @@
         _reservation: reservation,
         signature,
         arrived,
+        spent_ms,
         deadline,
     })
 }
