Gateway: callers that can still be on time come back at once in overload

Cause: a caller that an overloaded service refuses is told to come back after one to three turnovers. Where gateways limit their requests to their shares, another gateway often has an unused one, but then the caller is late.

Change: RetryDelay tells callers of short requests that can still be on time to come back after 0.2 to 0.6 turnovers. One that can't comes back after one to three turnovers, and with the pressure (refused for each admitted request in the last second) up to a third of its remaining time, spread over half of it.

--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -41,6 +41,7 @@
 mod queue_allowance;
 mod records_age;
 mod request_signature;
+mod retry_delay;
 mod retry_window;
 mod route;
 mod served_versions;
@@ -92,6 +93,7 @@
 pub use queue_allowance::QueueAllowance;
 pub use records_age::{AgeReason, RecordsAge};
 pub use request_signature::{Quarantined, RequestSignature};
+pub use retry_delay::{RetryDelay, RetryInput};
 pub use retry_window::{RetryWindow, RetryWindowSettings};
 pub use route::{
     CallerLimits, CallerLookup, ColdTerms, EngineSpec, Rank, Repeatable, Route, RouteTable,
--- a/crates/persimmon_decide/src/forward/overload_control.rs
+++ b/crates/persimmon_decide/src/forward/overload_control.rs
@@ -1,6 +1,6 @@
 //! Admission of short requests to an overloaded service.
 
-use super::{OwnShare, QueueAllowance, ServiceLoad};
+use super::{OwnShare, QueueAllowance, RetryDelay, ServiceLoad};
 use crate::MonoMs;
 
 /// What the admission of a request is decided by.
@@ -51,6 +51,8 @@
     pub share: OwnShare,
     /// Length of the queue with which answers are on time.
     pub allowance: QueueAllowance,
+    /// Time after which refused callers should come back.
+    pub retry_delay: RetryDelay,
 }
 
 impl OverloadControl {
@@ -68,6 +70,17 @@
 
     /// Decides whether to admit a request.
     pub fn decide(&mut self, input: &OverloadInput) -> OverloadDecision {
+        let decision = self.decide_by_share(input);
+        let is_admitted = match decision {
+            OverloadDecision::ByCounts => input.has_room,
+            OverloadDecision::Admitted => true,
+            OverloadDecision::Refused => false,
+        };
+        self.retry_delay.record(is_admitted, input.now);
+        decision
+    }
+
+    fn decide_by_share(&mut self, input: &OverloadInput) -> OverloadDecision {
         let OverloadInput { load, mean_ms, interval_ms, draw, now, .. } = *input;
         if !input.has_room {
             self.share.record_full(interval_ms, draw, now);
--- a/crates/persimmon_decide/tests/forward_own_share.rs
+++ b/crates/persimmon_decide/tests/forward_own_share.rs
@@ -1,7 +1,9 @@
-//! A gateway's share of an overloaded service, and the queue allowed there.
+//! A gateway's share of an overloaded service, the queue allowed there, and when refused callers come back.
 
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{OwnShare, QueueAllowance, RecentRequests, ServiceLoad};
+use persimmon_decide::forward::{
+    OwnShare, QueueAllowance, RecentRequests, RetryDelay, RetryInput, ServiceLoad,
+};
 use rstest::rstest;
 
 const MEAN_MS: u64 = 50;
@@ -74,3 +76,37 @@
     assert_eq!(allowance.factor() > 1.0, grows);
     assert!(allowance.fill(2.0) > 1.0 && allowance.fill(2.0) < 3.0);
 }
+
+/// Guards against callers that wait so long that they are late, and against late ones that come back into a
+/// full system, or later than they are willing to.
+#[rstest]
+#[case::on_time_first(0, 1, 10, 30)]
+#[case::late_without_pressure(200, 0, 50, 150)]
+#[case::late_under_pressure(200, 3, 450, 900)]
+fn delay_ms_by_time_spent_and_pressure(
+    #[case] spent_ms: u64,
+    #[case] refused: u32,
+    #[case] shortest_ms: u64,
+    #[case] longest_ms: u64,
+) {
+    let mut delay = RetryDelay::new();
+    let now = MonoMs(5_000);
+    delay.record(true, now);
+    for _ in 0..refused {
+        delay.record(false, now);
+    }
+    let input = |draw| RetryInput {
+        turnover_ms: MEAN_MS,
+        spent_ms,
+        target_ms: 300,
+        left_ms: 2_700,
+        draw,
+        now: now.plus_ms(500),
+    };
+    assert_eq!(delay.delay_ms(input(0.0)), shortest_ms);
+    assert_eq!(delay.delay_ms(input(1.0)), longest_ms);
+    // A caller with little time left isn't told to wait longer than it would.
+    assert!(delay.delay_ms(RetryInput { left_ms: 60, ..input(1.0) }) <= 20);
+    // What was refused more than a second ago is no pressure.
+    assert!(delay.pressure(now.plus_ms(1_100)) < f64::EPSILON);
+}
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -124,6 +124,32 @@
     }
 }
 
+/// Admission of short requests.
+#[derive(Debug, Clone)]
+pub(crate) struct AdmissionMetrics {
+    /// Decisions by service and by what decided.
+    pub(crate) decisions: IntCounterVec,
+    /// Factor on the queue at each service, in percent.
+    pub(crate) queue_allowance: IntGaugeVec,
+}
+
+impl AdmissionMetrics {
+    fn new(set: &MetricSet) -> prometheus::Result<Self> {
+        Ok(Self {
+            decisions: set.counters(
+                "persimmon_gateway_admission_total",
+                "Decisions on requests without a prompt and stream, by what decided.",
+                &["service", "decision"],
+            )?,
+            queue_allowance: set.gauges(
+                "persimmon_gateway_queue_allowance",
+                "Factor on the queue with which a service should meet the target, in percent.",
+                &["service"],
+            )?,
+        })
+    }
+}
+
 /// Age of the records in force, and their exchange with peers.
 #[derive(Debug, Clone)]
 pub(crate) struct RecordMetrics {
@@ -223,6 +249,8 @@
     pub(crate) closed: IntCounterVec,
     /// Decisions on requests during the shutdown, by the step before which they are made.
     pub(crate) shutdown_decisions: IntCounterVec,
+    /// Admission of short requests.
+    pub(crate) admission: AdmissionMetrics,
 }
 
 impl CallerMetrics {
@@ -237,7 +265,7 @@
             "Decisions on requests during the shutdown, by the step before which they are made.",
             &["at", "decision"],
         )?;
-        Ok(Self { closed, shutdown_decisions })
+        Ok(Self { closed, shutdown_decisions, admission: AdmissionMetrics::new(set)? })
     }
 }
 
