Gateway: one memory budget for callers' bodies and endpoints' answers

Cause: a body in chunks counted with 64 KB until its end, while up to MaxBodyBytes of it were read into a buffer that doubles; after its end its size was added without a check. Bodies with a stated length could hold 48 MB whatever Limits.MemoryMb says, and answers a quarter of it beside them.

Change: MemoryBudget, made of AnswerMemory and the new BodyMemory, divides the memory: 5/16 for bodies, a quarter for answers, half for both. Memory is reserved before it is allocated: a stated length as a whole, a body in chunks in segments of 4 to 64 KB that are never moved, and 32 KB for each body that is being read. If bodies need more, one that is still arriving is given up: of the address that holds most, the one that has stalled for longest (2 s or more), then the largest, then the latest. Its memory is free at once, its caller gets 503 with Retry-After or 408, and its connection is closed. Complete bodies are never given up. The fingerprint of a request needs no copy of its body. Plan has no type parameter any more, since it no longer holds the gateway. The metric held_bytes{of} shows what is reserved.

--- a/crates/persimmon_decide/src/forward/answer_memory.rs
+++ b/crates/persimmon_decide/src/forward/answer_memory.rs
@@ -65,15 +65,19 @@
         self.held_bytes = self.held_bytes - before + bytes;
         let mut given_up = Vec::new();
         while self.held_bytes > self.max_bytes {
-            let Some((largest, _)) = self.answers.iter().max_by_key(|(_, bytes)| **bytes) else {
-                break;
-            };
-            self.end(largest);
+            let Some(largest) = self.give_up_largest() else { break };
             given_up.push(largest);
         }
         given_up
     }
 
+    /// Gives up the answer that holds most; none if there is no answer.
+    pub(super) fn give_up_largest(&mut self) -> Option<AnswerKey> {
+        let (largest, _) = self.answers.iter().max_by_key(|(_, bytes)| **bytes)?;
+        self.end(largest);
+        Some(largest)
+    }
+
     /// Ends an answer, whose memory is free. Does nothing if it has been given up.
     pub fn end(&mut self, answer: AnswerKey) {
         self.held_bytes -= self.answers.remove(answer).unwrap_or(0);
--- /dev/null
+++ b/crates/persimmon_decide/src/forward/memory_budget.rs
@@ -0,0 +1,128 @@
+//! Divides the memory of a gateway among callers' bodies and endpoints' answers.
+
+use std::net::IpAddr;
+
+use super::answer_memory::{AnswerKey, AnswerMemory};
+use super::body_memory::{BodyKey, BodyMemory, LostBody};
+use crate::MonoMs;
+
+/// What a gateway has to free.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct GivenUp {
+    /// Answers that are given up.
+    pub answers: Vec<AnswerKey>,
+    /// Bodies that are given up.
+    pub bodies: Vec<LostBody>,
+}
+
+/// The memory of all bodies and answers that a gateway holds.
+///
+/// Handles crowds of callers and endpoints that fill the memory from both sides. Bodies and answers have a
+/// maximum each, and a lower one together. A body that is still arriving gives way before an answer does,
+/// since its request hasn't run.
+#[derive(Debug)]
+pub struct MemoryBudget {
+    max_bytes: usize,
+    max_body_bytes: usize,
+    answers: AnswerMemory,
+    bodies: BodyMemory,
+}
+
+impl MemoryBudget {
+    /// Part of the process's memory for bodies and answers together. The rest is for the process itself,
+    /// the buffers of connections, and the copy that is made when a body in chunks is complete.
+    const PART: (u64, u64) = (1, 2);
+    /// Part of the process's memory for bodies: 50 MB of the 160 MB of the smallest VM.
+    const BODY_PART: (u64, u64) = (5, 16);
+    /// Memory of a body that is being read beside its bytes: the buffers of its connection, its head and
+    /// its task.
+    const READING_BYTES: usize = 32 * 1024;
+
+    /// Creates the state for a process that may use `bytes` of memory.
+    pub fn for_process(bytes: u64) -> Self {
+        let part = |(part, whole)| usize::try_from(bytes / whole * part).unwrap_or(usize::MAX);
+        Self {
+            max_bytes: part(Self::PART),
+            max_body_bytes: part(Self::BODY_PART),
+            answers: AnswerMemory::for_process(bytes),
+            bodies: BodyMemory::default(),
+        }
+    }
+
+    /// Returns the maximum of bodies and answers together, in bytes.
+    pub fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
+    /// Returns the memory of bodies and answers together, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.bodies.held_bytes() + self.answers.held_bytes()
+    }
+
+    /// Returns the memory of answers.
+    pub fn answers(&self) -> &AnswerMemory {
+        &self.answers
+    }
+
+    /// Returns the memory of bodies.
+    pub fn bodies(&self) -> &BodyMemory {
+        &self.bodies
+    }
+
+    /// Returns the maximum of all bodies beside the present answers, in bytes.
+    pub fn max_body_bytes(&self) -> usize {
+        self.max_body_bytes.min(self.max_bytes.saturating_sub(self.answers.held_bytes()))
+    }
+
+    /// Begins a body of the caller at this address that holds nothing.
+    pub fn begin_body(&mut self, address: IpAddr, now: MonoMs) -> BodyKey {
+        self.bodies.begin(address, now)
+    }
+
+    /// Records that bytes of a body have arrived.
+    pub fn record_progress(&mut self, body: BodyKey, now: MonoMs) {
+        self.bodies.record_progress(body, now);
+    }
+
+    /// Sets the bytes that are about to be allocated for a body that is being read. Returns the bodies to
+    /// give up; this one may be among them.
+    #[must_use]
+    pub fn hold_body(&mut self, body: BodyKey, bytes: usize, now: MonoMs) -> Vec<LostBody> {
+        self.bodies.set(body, bytes + Self::READING_BYTES);
+        self.bodies.shrink_to(self.max_body_bytes(), now)
+    }
+
+    /// Records that a body of `bytes` is complete. It isn't given up from now on.
+    pub fn complete_body(&mut self, body: BodyKey, bytes: usize) {
+        self.bodies.set(body, bytes);
+        self.bodies.complete(body);
+    }
+
+    /// Ends a body, whose memory is free. Does nothing if it has been given up.
+    pub fn end_body(&mut self, body: BodyKey) {
+        self.bodies.end(body);
+    }
+
+    /// Begins an answer that holds nothing.
+    pub fn begin_answer(&mut self) -> AnswerKey {
+        self.answers.begin()
+    }
+
+    /// Sets the number of bytes that an answer is about to hold. Returns what to give up; this answer may be
+    /// among it.
+    #[must_use]
+    pub fn hold_answer(&mut self, answer: AnswerKey, bytes: usize, now: MonoMs) -> GivenUp {
+        let mut answers = self.answers.hold(answer, bytes);
+        let bodies = self.bodies.shrink_to(self.max_body_bytes(), now);
+        while self.held_bytes() > self.max_bytes {
+            let Some(largest) = self.answers.give_up_largest() else { break };
+            answers.push(largest);
+        }
+        GivenUp { answers, bodies }
+    }
+
+    /// Ends an answer, whose memory is free. Does nothing if it has been given up.
+    pub fn end_answer(&mut self, answer: AnswerKey) {
+        self.answers.end(answer);
+    }
+}
--- a/crates/persimmon_decide/src/ids.rs
+++ b/crates/persimmon_decide/src/ids.rs
@@ -68,7 +68,16 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request's body as the caller sent it.
     pub fn of(body: &[u8]) -> Self {
-        let hash = blake3::hash(body);
+        Self::of_parts(&[body])
+    }
+
+    /// Computes the fingerprint of parts one after the other, without a copy of the whole.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(part);
+        }
+        let hash = hasher.finalize();
         let mut prefix = [0; 8];
         prefix.copy_from_slice(&hash.as_bytes()[..8]);
         Self(u64::from_le_bytes(prefix))
--- /dev/null
+++ b/crates/persimmon_decide/tests/forward_memory_budget.rs
@@ -0,0 +1,178 @@
+//! Memory of the bodies and answers that a gateway holds.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr};
+
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{BodyKey, BodyLoss, BodyMemory, LostBody, MemoryBudget};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+/// Memory of the smallest VM, and the parts of it for bodies and for bodies and answers together, in bytes.
+const PROCESS_BYTES: u64 = 160 * 1024 * 1024;
+const MAX_BODIES_BYTES: usize = 50 * 1024 * 1024;
+const MAX_BYTES: usize = 80 * 1024 * 1024;
+/// Memory of a body that is being read beside its bytes.
+const READING_BYTES: usize = 32 * 1024;
+/// Limit of a single body, and bytes that arrive at once.
+const BODY_BYTES: usize = 4 * 1024 * 1024;
+const PIECE_BYTES: usize = 64 * 1024;
+const START: MonoMs = MonoMs(1_000);
+
+fn address(number: u8) -> IpAddr {
+    Ipv4Addr::new(10, 0, 0, number).into()
+}
+
+/// Bodies that grow as their bytes arrive.
+struct Load {
+    budget: MemoryBudget,
+    open: HashMap<BodyKey, usize>,
+    now: MonoMs,
+}
+
+impl Load {
+    fn new() -> Self {
+        let budget = MemoryBudget::for_process(PROCESS_BYTES);
+        Self { budget, open: HashMap::new(), now: START }
+    }
+
+    /// Begins a body of this size, which may be given up at once.
+    fn begin(&mut self, from: u8, bytes: usize) -> (BodyKey, Vec<LostBody>) {
+        let key = self.budget.begin_body(address(from), self.now);
+        self.open.insert(key, 0);
+        let lost = self.grow(key, bytes);
+        (key, lost)
+    }
+
+    /// Adds bytes to a body that is open, and checks the sums.
+    fn grow(&mut self, key: BodyKey, bytes: usize) -> Vec<LostBody> {
+        let held = self.open.get_mut(&key).unwrap();
+        *held += bytes;
+        self.budget.record_progress(key, self.now);
+        let lost = self.budget.hold_body(key, *held, self.now);
+        self.remove(&lost);
+        lost
+    }
+
+    fn remove(&mut self, lost: &[LostBody]) {
+        lost.iter().for_each(|it| assert!(self.open.remove(&it.key).is_some(), "{it:?}"));
+        let sum: usize = self.open.values().map(|held| held + READING_BYTES).sum();
+        assert_eq!(self.budget.bodies().held_bytes(), sum);
+        assert!(sum <= MAX_BODIES_BYTES, "{sum}");
+    }
+}
+
+/// Guards against crowds whose sum exceeds the memory, and against loads from which no body gets through.
+#[rstest]
+#[case::few(12, 12)]
+#[case::hundreds(300, 12)]
+#[case::thousands(3_000, 12)]
+fn hold_body_crowd_stays_within_the_limit(#[case] bodies: usize, #[case] left: usize) {
+    let mut load = Load::new();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    for number in 0..bodies {
+        load.begin((number % 250) as u8, PIECE_BYTES);
+    }
+    loop {
+        let growing = load.open.iter().filter(|(_, held)| **held < BODY_BYTES);
+        let mut growing: Vec<_> = growing.map(|(key, _)| *key).collect();
+        growing.sort_unstable();
+        if growing.is_empty() {
+            break;
+        }
+        load.grow(growing[rng.random_range(0..growing.len())], PIECE_BYTES);
+    }
+    assert!(load.open.len() >= left, "{}", load.open.len());
+}
+
+/// The crowd's address holds most, so that a body of any other one gets through whatever its size.
+#[rstest]
+#[case::short(1_000)]
+#[case::long(BODY_BYTES)]
+fn hold_body_other_addresses_are_served_beside_a_crowd(#[case] bytes: usize) {
+    let mut load = Load::new();
+    for _ in 0..100 {
+        load.begin(1, 700_000);
+    }
+    for from in 2..50 {
+        let (key, _) = load.begin(from, bytes);
+        assert!(load.open.contains_key(&key), "a sound body was given up");
+        load.budget.complete_body(key, 0);
+        load.budget.end_body(key);
+        load.open.remove(&key);
+    }
+}
+
+#[test]
+fn hold_body_stalled_body_goes_before_larger_and_later_ones() {
+    let mut load = Load::new();
+    let (first, _) = load.begin(1, 10 * 1024 * 1024);
+    load.now = load.now.plus_ms(100);
+    let (second, _) = load.begin(1, 10 * 1024 * 1024);
+    let (large, _) = load.begin(1, 20 * 1024 * 1024);
+    load.now = load.now.plus_ms(BodyMemory::STALL_MS);
+    load.grow(large, 1);
+    let (newest, lost) = load.begin(1, 12 * 1024 * 1024);
+    assert_eq!(lost, [LostBody { key: first, loss: BodyLoss::Stalled }]);
+    // Without a stalled one, the largest goes.
+    load.grow(second, 1);
+    let lost = load.grow(newest, 9 * 1024 * 1024);
+    assert_eq!(lost, [LostBody { key: newest, loss: BodyLoss::NoMemory }]);
+}
+
+/// Guards against requests that displace equal ones which arrive, so that none gets through.
+#[test]
+fn hold_body_stated_length_doesnt_displace_an_equal_body() {
+    let mut load = Load::new();
+    let begun: Vec<_> = (0..80).map(|_| load.begin(1, 1_999_000)).collect();
+    for (number, (key, lost)) in begun.iter().enumerate() {
+        let refused = [LostBody { key: *key, loss: BodyLoss::NoMemory }];
+        assert_eq!(&lost[..], if number < 25 { &[][..] } else { &refused });
+    }
+}
+
+/// A request whose body has been sent to an endpoint may have run.
+#[test]
+fn hold_body_complete_body_is_never_given_up() {
+    let mut load = Load::new();
+    let (complete, _) = load.begin(1, 40 * 1024 * 1024);
+    load.budget.complete_body(complete, 40 * 1024 * 1024);
+    load.now = load.now.plus_ms(60_000);
+    let other = load.budget.begin_body(address(2), load.now);
+    let lost = load.budget.hold_body(other, 11 * 1024 * 1024, load.now);
+    assert_eq!(lost, [LostBody { key: other, loss: BodyLoss::NoMemory }]);
+    assert!(load.budget.hold_body(other, 1, load.now).is_empty());
+    load.budget.end_body(other);
+    load.budget.end_body(complete);
+    assert_eq!(load.budget.held_bytes(), 0);
+}
+
+#[test]
+fn hold_answer_arriving_body_gives_way() {
+    let mut load = Load::new();
+    let (body, _) = load.begin(1, 45 * 1024 * 1024);
+    let answer = load.budget.begin_answer();
+    let given_up = load.budget.hold_answer(answer, 36 * 1024 * 1024, load.now);
+    assert!(given_up.answers.is_empty());
+    load.remove(&given_up.bodies);
+    assert!(!load.open.contains_key(&body));
+    assert_eq!(load.budget.max_body_bytes(), 44 * 1024 * 1024);
+}
+
+#[test]
+fn hold_answer_gives_way_to_complete_bodies() {
+    let mut load = Load::new();
+    let (body, _) = load.begin(1, 45 * 1024 * 1024);
+    load.budget.complete_body(body, 45 * 1024 * 1024);
+    let [short, long] = [4, 30].map(|mb| {
+        let answer = load.budget.begin_answer();
+        assert_eq!(load.budget.hold_answer(answer, mb * 1024 * 1024, load.now).answers, []);
+        answer
+    });
+    let given_up = load.budget.hold_answer(short, 6 * 1024 * 1024, load.now);
+    assert_eq!(given_up.answers, [long]);
+    assert!(given_up.bodies.is_empty());
+    assert!(load.budget.held_bytes() <= MAX_BYTES);
+    assert_eq!(load.budget.max_bytes(), MAX_BYTES);
+}
--- a/crates/persimmon_gateway/src/answer_buffer.rs
+++ b/crates/persimmon_gateway/src/answer_buffer.rs
@@ -5,12 +5,14 @@
 use std::rc::Rc;
 
 use bytes::{Buf, Bytes};
-use persimmon_decide::forward::{AnswerKey, AnswerMemory};
-use persimmon_process::TruncatedAnswer;
+use persimmon_decide::forward::{AnswerKey, MemoryBudget};
+use persimmon_process::{Clock, TruncatedAnswer};
 use slotmap::SecondaryMap;
 use thiserror::Error;
 use tokio_util::sync::CancellationToken;
 
+use crate::body_buffer::BodyBuffers;
+
 /// Maximum size of a piece of a buffered answer that is passed to the caller's connection, in bytes.
 const MAX_PIECE_BYTES: usize = 16 * 1024;
 /// Initial memory of an answer, in bytes.
@@ -32,26 +34,32 @@
 /// All buffered answers of a gateway.
 #[derive(Debug)]
 pub(crate) struct AnswerBuffers {
-    memory: RefCell<AnswerMemory>,
+    clock: Clock,
+    memory: Rc<RefCell<MemoryBudget>>,
+    /// Bodies that give way to answers.
+    bodies: Rc<BodyBuffers>,
     shared: RefCell<SecondaryMap<AnswerKey, Rc<Shared>>>,
 }
 
 impl AnswerBuffers {
-    /// Creates the state for a process that may use `bytes` of memory.
-    pub(crate) fn new(bytes: u64) -> Self {
-        let memory = RefCell::new(AnswerMemory::for_process(bytes));
-        Self { memory, shared: RefCell::default() }
+    pub(crate) fn new(
+        clock: Clock,
+        memory: Rc<RefCell<MemoryBudget>>,
+        bodies: Rc<BodyBuffers>,
+    ) -> Self {
+        Self { clock, memory, bodies, shared: RefCell::default() }
     }
 
     /// Reports whether an answer that holds `bytes` is passed on before it is complete.
     fn passes_on(&self, bytes: usize) -> bool {
-        self.memory.borrow().passes_on(bytes)
+        self.memory.borrow().answers().passes_on(bytes)
     }
 
-    /// Sets what an answer holds. Gives answers up if they need too much memory together.
+    /// Sets what an answer holds. Gives bodies and answers up if they need too much memory together.
     fn hold(&self, key: AnswerKey, bytes: usize) {
-        let given_up = self.memory.borrow_mut().hold(key, bytes);
-        for key in given_up {
+        let given_up = self.memory.borrow_mut().hold_answer(key, bytes, self.clock.now());
+        self.bodies.give_up(given_up.bodies);
+        for key in given_up.answers {
             if let Some(shared) = self.shared.borrow_mut().remove(key) {
                 shared.given_up.cancel();
                 let left_bytes = shared.rest.take().len();
@@ -80,7 +88,7 @@
 impl BufferedAnswer {
     /// Begins an answer that holds nothing.
     pub(crate) fn begin(buffers: &Rc<AnswerBuffers>) -> Self {
-        let key = buffers.memory.borrow_mut().begin();
+        let key = buffers.memory.borrow_mut().begin_answer();
         let shared = Rc::new(Shared::default());
         buffers.shared.borrow_mut().insert(key, shared.clone());
         let (buffers, held_bytes) = (buffers.clone(), Cell::new(0));
@@ -178,7 +186,7 @@
 
 impl Drop for BufferedAnswer {
     fn drop(&mut self) {
-        self.buffers.memory.borrow_mut().end(self.key);
+        self.buffers.memory.borrow_mut().end_answer(self.key);
         self.buffers.shared.borrow_mut().remove(self.key);
     }
 }
--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -260,7 +260,7 @@
             async move {
                 connection.record_head();
                 let version = req.version();
-                let (response, rest) = answer(&gw, req).await;
+                let (response, rest) = answer(&gw, req, connection.address).await;
                 if let Some(rest) = rest {
                     discard_rest(connection.clone(), rest);
                 }
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -104,7 +104,7 @@
 #[derive(Debug)]
 pub(crate) struct Exchange<P: Platform> {
     pub(crate) gw: Rc<Gateway<P>>,
-    pub(crate) plan: Rc<Plan<P>>,
+    pub(crate) plan: Rc<Plan>,
     log: AttemptLog,
     tried: Vec<EndpointHash>,
     /// Software version that began the stream; none before its first event.
@@ -124,7 +124,7 @@
     /// the request takes one up again.
     pub(crate) fn new(
         gw: Rc<Gateway<P>>,
-        plan: Rc<Plan<P>>,
+        plan: Rc<Plan>,
         version: Option<Arc<str>>,
         in_progress: InProgress<P>,
     ) -> Self {
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -1,15 +1,16 @@
 //! State shared by all tasks of a gateway, which run on one thread.
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{OnceCell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
-use persimmon_decide::forward::Quarantined;
+use persimmon_decide::forward::{MemoryBudget, Quarantined};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::answer_buffer::AnswerBuffers;
+use crate::body_buffer::BodyBuffers;
 use crate::callers::Connections;
 use crate::control::Control;
 use crate::evacuation::EvacuationReports;
@@ -44,8 +45,10 @@
     pub(crate) requests: OpenRequests,
     /// Answers of endpoints that are being buffered.
     pub(crate) answers: Rc<AnswerBuffers>,
-    /// Memory reserved for callers' bodies, in bytes.
-    pub(crate) body_bytes: Cell<usize>,
+    /// Bodies of callers' requests in progress.
+    pub(crate) bodies: Rc<BodyBuffers>,
+    /// Memory of bodies and answers.
+    pub(crate) memory: Rc<RefCell<MemoryBudget>>,
     /// Notified after changes to the records while routes and endpoints are known.
     pub(crate) configured: Notify,
     /// Notified when a change should be sent to the other gateways without waiting for the next
@@ -71,7 +74,9 @@
     pub(crate) fn new(platform: P, settings: GatewaySettings, metrics: Metrics) -> Self {
         let clock = Clock::start();
         let control = Control::new(&settings, clock.now());
-        let answers = Rc::new(AnswerBuffers::new(settings.memory_bytes));
+        let memory = Rc::new(RefCell::new(MemoryBudget::for_process(settings.memory_bytes)));
+        let bodies = Rc::new(BodyBuffers::new(clock, memory.clone()));
+        let answers = Rc::new(AnswerBuffers::new(clock, memory.clone(), bodies.clone()));
         Self {
             platform,
             control: RefCell::new(control),
@@ -85,7 +90,8 @@
             cut_off: CancellationToken::new(),
             requests: OpenRequests::default(),
             answers,
-            body_bytes: Cell::new(0),
+            bodies,
+            memory,
             configured: Notify::new(),
             digest_due: Notify::new(),
             newcomer: Notify::new(),
--- a/crates/persimmon_gateway/src/in_flight.rs
+++ b/crates/persimmon_gateway/src/in_flight.rs
@@ -96,41 +96,6 @@
     }
 }
 
-/// Memory reserved for a caller's body while a retry may need it.
-#[derive(Debug)]
-pub(crate) struct BodyReservation<P: Platform> {
-    gw: Rc<Gateway<P>>,
-    bytes: usize,
-}
-
-impl<P: Platform> BodyReservation<P> {
-    /// Maximum memory for all bodies together, in bytes: a small part of the memory of a
-    /// gateway's VM, and many times what usual concurrent requests need.
-    const MAX_BYTES: usize = 48 * 1024 * 1024;
-
-    /// Reserves memory for a body, or returns `None` if too little is available.
-    pub(crate) fn reserve(gw: &Rc<Gateway<P>>, bytes: usize) -> Option<Self> {
-        let reserved = gw.body_bytes.get() + bytes;
-        if reserved > Self::MAX_BYTES {
-            return None;
-        }
-        gw.body_bytes.set(reserved);
-        Some(Self { gw: gw.clone(), bytes })
-    }
-
-    /// Changes the reservation to the body's actual size.
-    pub(crate) fn resize(&mut self, bytes: usize) {
-        self.gw.body_bytes.set(self.gw.body_bytes.get() - self.bytes + bytes);
-        self.bytes = bytes;
-    }
-}
-
-impl<P: Platform> Drop for BodyReservation<P> {
-    fn drop(&mut self) {
-        self.gw.body_bytes.set(self.gw.body_bytes.get() - self.bytes);
-    }
-}
-
 /// Counts a request for its workspace while it is in progress.
 #[derive(Debug)]
 pub(crate) struct InWorkspace<P: Platform> {
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod answer_buffer;
 mod body;
+mod body_buffer;
 #[cfg(test)]
 mod body_tests;
 mod callers;
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -251,6 +251,8 @@
     pub(crate) shutdown_decisions: IntCounterVec,
     /// Admission of short requests.
     pub(crate) admission: AdmissionMetrics,
+    /// Memory of callers' bodies and of answers for them, in bytes.
+    held: IntGaugeVec,
 }
 
 impl CallerMetrics {
@@ -266,6 +268,17 @@
             &["at", "decision"],
         )?;
         Ok(Self { closed, shutdown_decisions, admission: AdmissionMetrics::new(set)? })
+        let held = set.gauges(
+            "persimmon_gateway_held_bytes",
+            "Memory reserved for callers' bodies and for answers of endpoints.",
+            &["of"],
+        )?;
+        Ok(Self { closed, shutdown_decisions, held })
+    }
+
+    /// Sets the memory of all bodies or answers, in bytes.
+    pub(crate) fn record_held(&self, bytes: usize, of: &str) {
+        self.held.with_label_values(&[of]).set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 }
 
--- a/crates/persimmon_gateway/src/ops.rs
+++ b/crates/persimmon_gateway/src/ops.rs
@@ -85,7 +85,12 @@
     let query = req.uri().query().unwrap_or_default();
     match req.uri().path() {
         "/ready" => ready(gw),
-        "/metrics" => metrics_page(gw.metrics.encode()),
+        "/metrics" => {
+            let memory = gw.memory.borrow();
+            gw.metrics.callers.record_held(memory.bodies().held_bytes(), "bodies");
+            gw.metrics.callers.record_held(memory.answers().held_bytes(), "answers");
+            metrics_page(gw.metrics.encode())
+        }
         "/status" => match serde_json::to_vec(&Status::of(gw)) {
             Ok(text) => reply(StatusCode::OK, text.into()),
             Err(err) => failure("status", &err),
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -1,26 +1,29 @@
 //! Decisions about a request before it is sent: its route, its caller and whether to accept it.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use persimmon_decide::forward::{
-    CallerLookup, Rank, RequestSignature, Route, RouteTable, StreamKey, Workspace,
+    BodyLoss, CallerLookup, EndpointPauses, Rank, RequestSignature, Route, RouteTable, StreamKey,
+    Workspace,
 };
 use persimmon_decide::{Fingerprint, MonoMs};
 
+use crate::body_buffer::{BodyBuffer, BodyError};
 use crate::exchange::NO_ENDPOINT_RETRY_MS;
 use crate::gateway::Gateway;
 use crate::head::RequestHead;
-use crate::in_flight::BodyReservation;
 use crate::platform::Platform;
-use crate::read_body::{ReadError, read_body};
+use crate::read_body::ReadError;
 use crate::refusal::Refusal;
 use crate::shutdown::{self, Step};
 
-/// Memory reserved for a body of unknown length, in bytes.
-const UNSTATED_BODY_BYTES: usize = 64 * 1024;
+/// Delay after which a caller whose body didn't fit into the memory may return, in milliseconds. It is
+/// spread out. Bodies that hold the memory are sent to endpoints, or given up as stalled, meanwhile.
+const NO_MEMORY_RETRY_MS: u64 = 300;
 /// Maximum time that a request waits for the routes after the gateway's start, in milliseconds.
 const START_WAIT_MS: u64 = 1_000;
 /// Divisor of the time until the caller's deadline; the wait doesn't exceed the quotient.
@@ -31,14 +34,15 @@
 
 /// The data of a request that all its attempts share.
 #[derive(Debug)]
-pub(crate) struct Plan<P: Platform> {
+pub(crate) struct Plan {
     pub(crate) head: RequestHead,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) workspace: Option<Workspace>,
     pub(crate) rank: Rank,
     pub(crate) body: Bytes,
-    _reservation: BodyReservation<P>,
+    /// Keeps the memory of the body reserved while a retry may need it.
+    _buffer: BodyBuffer,
     pub(crate) signature: RequestSignature,
     pub(crate) arrived: MonoMs,
     /// Time that the caller has probably spent on the request before, in milliseconds.
@@ -47,7 +51,7 @@
     pub(crate) deadline: MonoMs,
 }
 
-impl<P: Platform> Plan<P> {
+impl Plan {
     /// Sends the request to this service if its route allows it.
     pub(crate) fn prefer_service(&mut self, service: &Arc<str>) {
         if self.route.services.iter().any(|share| share.service == *service) {
@@ -72,22 +76,22 @@
     }
 }
 
-/// Routes a request, reads its body and decides whether to accept it.
+/// Routes a request of the caller at the address `from`, reads its body and decides whether to accept it.
 pub(crate) async fn plan<P: Platform>(
     gw: &Rc<Gateway<P>>,
     head: RequestHead,
     body: &mut Incoming,
+    from: IpAddr,
     arrived: MonoMs,
-) -> Result<Plan<P>, Refusal> {
+) -> Result<Plan, Refusal> {
     wait_until_configured(gw, head.deadline_ms).await;
     let routes = gw.control.borrow().routes_in_force().ok_or(Refusal::NotConfigured)?;
     let (route, workspace) = find_route(&routes, &head)?;
     let deadline = deadline_of(&head, &route, arrived);
     shutdown::check(gw, Step::Arrival, &head.id, &route, deadline)?;
     let max_bytes = routes.limits.max_body_bytes;
-    let mut reservation = reserve_body(gw, body, max_bytes)?;
-    let body = read_request_body(gw, body, max_bytes, deadline).await?;
-    reservation.resize(body.len());
+    let buffer = BodyBuffer::begin(&gw.bodies, from);
+    let body = read_request_body(gw, &buffer, body, max_bytes, deadline).await?;
     let content = content_of(&head, workspace.as_ref(), &body);
     let signature = RequestSignature::new(content, &head.parts);
     let now = gw.clock.now();
@@ -110,7 +114,7 @@
         workspace,
         rank,
         body,
-        _reservation: reservation,
+        _buffer: buffer,
         signature,
         arrived,
         spent_ms,
@@ -150,49 +154,37 @@
     arrived.plus_ms(caller_ms.min(route.timeout_ms))
 }
 
-/// Reserves memory for a body of the stated length, or for [`UNSTATED_BODY_BYTES`] without one.
-fn reserve_body<P: Platform>(
-    gw: &Rc<Gateway<P>>,
-    body: &Incoming,
-    max_bytes: usize,
-) -> Result<BodyReservation<P>, Refusal> {
-    let stated = body.size_hint().upper().and_then(|it| usize::try_from(it).ok());
-    let bytes = stated.unwrap_or(UNSTATED_BODY_BYTES).min(max_bytes);
-    let full = Refusal::Overloaded { retry_after_ms: NO_ENDPOINT_RETRY_MS };
-    BodyReservation::reserve(gw, bytes).ok_or(full)
-}
-
 /// Reads the whole body, so that a retry can send it again.
 async fn read_request_body<P: Platform>(
     gw: &Rc<Gateway<P>>,
+    buffer: &BodyBuffer,
     body: &mut Incoming,
     max_bytes: usize,
     deadline: MonoMs,
 ) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let reading = read_body(body, max_bytes);
-    match tokio::time::timeout_at(gw.clock.instant(deadline).into(), reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(ReadError::TooLong)) => Err(Refusal::BodyTooLarge),
-        Ok(Err(ReadError::TooManyPieces)) => {
+    let reading = buffer.read(body, max_bytes);
+    let read = tokio::time::timeout_at(gw.clock.instant(deadline).into(), reading).await;
+    match read.map_err(|_| Refusal::BodyTooSlow)? {
+        Ok(body) => Ok(body),
+        Err(BodyError::Read(ReadError::TooLong)) => Err(Refusal::BodyTooLarge),
+        Err(BodyError::Read(ReadError::TooManyPieces)) => {
             Err(Refusal::BadRequest("the body consists of too many small chunks"))
         }
-        Ok(Err(ReadError::Broken(_))) => {
+        Err(BodyError::Read(ReadError::Broken(_))) => {
             Err(Refusal::BadRequest("the body is incomplete or malformed"))
         }
-        Err(_) => Err(Refusal::BodyTooSlow),
+        Err(BodyError::GivenUp(BodyLoss::Stalled)) => Err(Refusal::BodyStalled),
+        Err(BodyError::GivenUp(BodyLoss::NoMemory)) => {
+            let draw = gw.control.borrow_mut().draw();
+            let retry_after_ms = EndpointPauses::retry_after_ms(NO_MEMORY_RETRY_MS, draw);
+            Err(Refusal::NoMemory { retry_after_ms })
+        }
     }
 }
 
 /// Returns a fingerprint that is equal for a request and its repetitions by the caller.
 fn content_of(head: &RequestHead, workspace: Option<&Workspace>, body: &[u8]) -> Fingerprint {
-    let mut all = Vec::with_capacity(body.len() + 128);
-    all.extend_from_slice(head.target.to_string().as_bytes());
-    all.push(0);
-    all.extend_from_slice(workspace.map_or("", |it| &it.name).as_bytes());
-    all.push(0);
-    all.extend_from_slice(body);
-    Fingerprint::of(&all)
+    let target = head.target.to_string();
+    let workspace = workspace.map_or("", |it| &it.name);
+    Fingerprint::of_parts(&[target.as_bytes(), &[0], workspace.as_bytes(), &[0], body])
 }
--- a/crates/persimmon_gateway/src/read_body.rs
+++ b/crates/persimmon_gateway/src/read_body.rs
@@ -1,8 +1,7 @@
-//! Reads bodies of limited size into memory.
+//! Reads bodies of limited size.
 
 use std::ops::ControlFlow;
 
-use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use thiserror::Error;
@@ -25,22 +24,6 @@
     Broken(#[from] hyper::Error),
 }
 
-/// Reads a body of at most `max_bytes`.
-///
-/// # Errors
-///
-/// The body is too long or incomplete.
-pub(crate) async fn read_body(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, ReadError> {
-    let mut read = BytesMut::new();
-    read_pieces(body, max_bytes, |piece| {
-        read.extend_from_slice(piece);
-        ControlFlow::Continue(())
-    })
-    .await
-    .map(|_| ())?;
-    Ok(read.freeze())
-}
-
 /// Reads a body of at most `max_bytes` without keeping it.
 ///
 /// # Errors
--- a/crates/persimmon_gateway/src/refusal.rs
+++ b/crates/persimmon_gateway/src/refusal.rs
@@ -21,6 +21,13 @@
     BodyTooLarge,
     /// The body didn't arrive before the deadline.
     BodyTooSlow,
+    /// The body had stopped before its end and was given up for lack of memory.
+    BodyStalled,
+    /// The body was given up, or not begun, for lack of memory.
+    NoMemory {
+        /// Delay until memory may be free, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No routes are known yet.
     NotConfigured,
     /// Endpoints crashed while processing the same content.
@@ -35,7 +42,7 @@
         /// Delay until an endpoint may be available, in milliseconds.
         retry_after_ms: u64,
     },
-    /// Endpoints are too full to answer in time, or no memory is left for the body.
+    /// Endpoints are too full to answer in time.
     Overloaded {
         /// Delay until the request may be accepted, in milliseconds.
         retry_after_ms: u64,
@@ -81,7 +88,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTooSlow | Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
             Self::NotConfigured
             | Self::Crashing
             | Self::Leaving { .. }
@@ -90,6 +97,7 @@
             | Self::Paused { .. }
             | Self::Limited { .. }
             | Self::Cold { .. }
+            | Self::NoMemory { .. }
             | Self::UnknownStream
             | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -116,6 +124,8 @@
             Self::VersionGone => "version_gone",
             Self::Unknown => "unknown_outcome",
             Self::BodyTooSlow => "body_too_slow",
+            Self::BodyStalled => "body_stalled",
+            Self::NoMemory { .. } => "no_memory",
             Self::TimedOut => "timed_out",
         }
     }
@@ -144,6 +154,8 @@
                 "no endpoint can go on with the stream; request not run, begin it anew"
             }
             Self::Unknown => "answer lost; the request may have run, so check before a retry",
+            Self::BodyStalled => "the body stopped before its end; request not run, retry it",
+            Self::NoMemory { .. } => "no memory for the body; request not run, retry it later",
             Self::BodyTooSlow => "the body didn't arrive in time; request not run, retry it",
             Self::TimedOut => "deadline passed; the request may have run, so check before a retry",
         }
@@ -159,7 +171,8 @@
             | Self::Overloaded { retry_after_ms }
             | Self::Paused { retry_after_ms }
             | Self::Limited { retry_after_ms }
-            | Self::Cold { retry_after_ms } => Some(retry_after_ms),
+            | Self::Cold { retry_after_ms }
+            | Self::NoMemory { retry_after_ms } => Some(retry_after_ms),
             _ => None,
         }
     }
@@ -178,7 +191,15 @@
             }
         }
         // The bytes after an incompletely read request may belong to it.
-        if matches!(self, Self::BadRequest(_) | Self::BodyTooLarge | Self::BodyTooSlow) {
+        let is_cut = matches!(
+            self,
+            Self::BadRequest(_)
+                | Self::BodyTooLarge
+                | Self::BodyTooSlow
+                | Self::BodyStalled
+                | Self::NoMemory { .. }
+        );
+        if is_cut {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -199,7 +199,7 @@
 /// The origin isn't known, so that the stream might go on at another one.
 pub(crate) async fn find_origin<P: Platform>(
     gw: &Rc<Gateway<P>>,
-    plan: &Plan<P>,
+    plan: &Plan,
 ) -> Result<Option<Arc<StreamOrigin>>, Refusal> {
     if !plan.route.is_stream || !plan.head.takes_up_stream {
         return Ok(None);
@@ -228,7 +228,7 @@
 
 /// Looks up what began a stream. Nothing is concluded from which versions have served, unless the caller
 /// names no first attempt: on a gateway that is cut off, the records and contacts may be out of date.
-async fn look_up<P: Platform>(gw: &Rc<Gateway<P>>, plan: &Plan<P>) -> Lookup {
+async fn look_up<P: Platform>(gw: &Rc<Gateway<P>>, plan: &Plan) -> Lookup {
     if plan.head.first_id.is_none() {
         return look_up_only_version(gw, plan);
     }
@@ -243,7 +243,7 @@
     Lookup { origin, source, query: Some(query) }
 }
 
-fn look_up_only_version<P: Platform>(gw: &Gateway<P>, plan: &Plan<P>) -> Lookup {
+fn look_up_only_version<P: Platform>(gw: &Gateway<P>, plan: &Plan) -> Lookup {
     let only = gw.control.borrow().served.only(&plan.service).cloned();
     let service = plan.service.clone();
     let origin = only.map(|version| Arc::new(StreamOrigin { service, version }));
@@ -252,7 +252,7 @@
 }
 
 /// Asks the gateways and holders that may remember a stream what began it.
-async fn ask<P: Platform>(gw: &Gateway<P>, plan: &Plan<P>, stream: StreamKey) -> Rc<Query> {
+async fn ask<P: Platform>(gw: &Gateway<P>, plan: &Plan, stream: StreamKey) -> Rc<Query> {
     let asked = {
         let control = gw.control.borrow();
         let fleet = control.peers.fleet();
