Gateways: read the speed that endpoints state, and tell peers

Cause: endpoints of some services add their load and speed to all responses; gateways ignored it, so that a slow VM looked like any other.

Change: EndpointSpeeds keeps the latest value of each endpoint and its long-term mean. A value loses weight as fast as the values have proved to change (ValueLifetime), and the estimate approaches the mean. A new section at the end of the digest tells the peers; builds that don't know it ignore it. Implausible values are clamped, unreadable ones ignored, both logged and counted. The status page and metrics show the speeds. Nothing decides by them yet.

A digest with all crashes, limits and 32 speeds still fits the largest datagram (forward_digest).

--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -6,7 +6,9 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::{AnswerReport, CrashReport, CrashReports, EndpointLoad, LimitReport, Outcomes};
+use super::{
+    AnswerReport, CrashReport, CrashReports, EndpointLoad, LimitReport, Outcomes, SpeedReport,
+};
 use crate::load::EndpointHash;
 
 /// An endpoint that has read one part of a prompt.
@@ -104,6 +106,9 @@
     /// Time since the store last confirmed the gateway's records, in milliseconds; none if it never has.
     #[serde(skip)]
     pub records_age_ms: Option<u32>,
+    /// Speeds that endpoints stated to the gateway. Encoded after `records_age_ms`.
+    #[serde(skip)]
+    pub speeds: Vec<SpeedReport>,
 }
 
 impl Digest {
@@ -120,11 +125,12 @@
         bytes.extend(postcard::to_allocvec(&(&self.crash_details, &self.content_answers))?);
         bytes.extend(postcard::to_allocvec(&self.routes_version)?);
         bytes.extend(postcard::to_allocvec(&(self.reads_notices, self.records_age_ms))?);
+        bytes.extend(postcard::to_allocvec(&self.speeds)?);
         Ok(bytes)
     }
 
     /// Decodes a datagram, also one of a build that doesn't name leaving endpoints, prompt parts,
-    /// limits, the details of crashes, the version of routes or notices.
+    /// limits, the details of crashes, the version of routes, notices or speeds.
     ///
     /// # Errors
     ///
@@ -137,6 +143,7 @@
         let (crash_details, content_answers) = take_section(&mut rest)?;
         let routes_version = take_section(&mut rest)?;
         let (reads_notices, records_age_ms) = take_section(&mut rest)?;
+        let speeds = take_section(&mut rest)?;
         Ok(Self {
             leaving,
             part_crashes,
@@ -147,6 +154,7 @@
             routes_version,
             reads_notices,
             records_age_ms,
+            speeds,
             ..digest
         })
     }
--- a/crates/persimmon_decide/tests/forward_digest.rs
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -4,7 +4,7 @@
 
 use persimmon_decide::forward::{
     AnswerReport, CrashDetail, CrashReport, Digest, EndpointLoad, LimitReport, Outcomes,
-    PartHolder, PeerAddress, ServiceRetries, StoreDelta, StoreRecord,
+    PartHolder, PeerAddress, ServiceRetries, SpeedReport, StoreDelta, StoreRecord,
 };
 use persimmon_decide::load::EndpointHash;
 use proptest::prelude::*;
@@ -41,6 +41,7 @@
         routes_version: 0,
         reads_notices: false,
         records_age_ms: None,
+        speeds: Vec::new(),
     }
 }
 
@@ -100,10 +101,11 @@
 }
 
 /// Returns the encoded sections that follow those on crashes.
-fn version_and_notices(digest: &Digest) -> Vec<u8> {
+fn version_and_later(digest: &Digest) -> Vec<u8> {
     let version = postcard::to_allocvec(&digest.routes_version).unwrap();
     let notices = postcard::to_allocvec(&(digest.reads_notices, digest.records_age_ms)).unwrap();
-    [version, notices].concat()
+    let speeds = postcard::to_allocvec(&digest.speeds).unwrap();
+    [version, notices, speeds].concat()
 }
 
 /// A digest cut off inside a section is an error; one that lacks whole sections is an earlier build's.
@@ -118,6 +120,7 @@
         postcard::to_allocvec(&details).unwrap().len(),
         postcard::to_allocvec(&digest.routes_version).unwrap().len(),
         postcard::to_allocvec(&(digest.reads_notices, digest.records_age_ms)).unwrap().len(),
+        postcard::to_allocvec(&digest.speeds).unwrap().len(),
     ];
     let ends: Vec<usize> = (1..=sections.len()).map(|it| sections[..it].iter().sum()).collect();
     let bytes = digest.to_bytes().unwrap();
@@ -175,7 +178,7 @@
     let limits = postcard::to_allocvec(&digest.limits).unwrap();
     let details = postcard::to_allocvec(&(&digest.crash_details, &digest.content_answers)).unwrap();
     let earlier = Digest { limits: Vec::new(), ..digest.clone() };
-    let version = version_and_notices(&digest);
+    let version = version_and_later(&digest);
     let from_earlier = &bytes[..bytes.len() - version.len() - details.len() - limits.len()];
     assert_eq!(Digest::from_bytes(from_earlier).unwrap(), earlier);
     assert_decodes_only_whole_sections(&digest);
@@ -198,7 +201,7 @@
     let crash = CrashReport { suspect: 7, endpoint, age_ms: 1_200, ran_ms: 40, requests: 3 };
     assert_eq!(read.crash_reports().contents, [crash]);
     let details = postcard::to_allocvec(&(&digest.crash_details, &digest.content_answers)).unwrap();
-    let version = version_and_notices(&digest);
+    let version = version_and_later(&digest);
     let without_version = &bytes[..bytes.len() - version.len()];
     let expected = Digest { routes_version: 0, ..digest.clone() };
     assert_eq!(Digest::from_bytes(without_version).unwrap(), expected);
@@ -220,12 +223,27 @@
     let bytes = digest.to_bytes().unwrap();
     assert_eq!(Digest::from_bytes(&bytes).unwrap(), digest);
     let notices = postcard::to_allocvec(&(true, Some(7_u32))).unwrap();
-    let from_earlier = &bytes[..bytes.len() - notices.len()];
+    let speeds = postcard::to_allocvec(&digest.speeds).unwrap();
+    let from_earlier = &bytes[..bytes.len() - notices.len() - speeds.len()];
     let earlier = Digest { reads_notices: false, records_age_ms: None, ..digest.clone() };
     assert_eq!(Digest::from_bytes(from_earlier).unwrap(), earlier);
     assert_decodes_only_whole_sections(&digest);
 }
 
+/// In a fleet of two builds, the earlier one would otherwise lose the whole digest.
+#[test]
+fn builds_that_dont_know_speeds_read_the_rest() {
+    let report = SpeedReport { endpoint: EndpointHash(9), percent: 250, age_ms: 120 };
+    let digest = Digest { records_age_ms: Some(7), speeds: vec![report], ..digest(18) };
+    let bytes = digest.to_bytes().unwrap();
+    assert_eq!(Digest::from_bytes(&bytes).unwrap(), digest);
+    let speeds = postcard::to_allocvec(&digest.speeds).unwrap();
+    let from_earlier = &bytes[..bytes.len() - speeds.len()];
+    let earlier = Digest { speeds: Vec::new(), ..digest.clone() };
+    assert_eq!(Digest::from_bytes(from_earlier).unwrap(), earlier);
+    assert_decodes_only_whole_sections(&digest);
+}
+
 /// An endpoint crashes under as many requests as a gateway tells of.
 #[test]
 fn digest_with_all_crashes_fits_the_largest_datagram() {
@@ -251,6 +269,9 @@
         limits: (0..128)
             .map(|it| LimitReport { endpoint: hash(it), per_s: Some(4.3), age_ms: 100_000 })
             .collect(),
+        speeds: (0..32)
+            .map(|it| SpeedReport { endpoint: hash(it), percent: 1_000, age_ms: 3_000 })
+            .collect(),
         ..digest(52)
     };
     let length = digest.to_bytes().unwrap().len();
--- a/crates/persimmon_decide/tests/forward_endpoint_limits.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_limits.rs
@@ -175,6 +175,7 @@
             limits: &limits,
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            records_age_ms: None,
             prefixes: &PrefixMap::new(),
             now,
         };
--- a/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
@@ -51,6 +51,7 @@
             limits: &EndpointLimits::new(),
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            records_age_ms: None,
             prefixes: &PrefixMap::new(),
             now,
         };
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -62,6 +62,7 @@
             limits: &EndpointLimits::new(),
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            records_age_ms: None,
             health: &self.trackers[gateway],
             prefixes: &PrefixMap::new(),
             now,
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -87,6 +87,7 @@
             limits: &EndpointLimits::new(),
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            records_age_ms: None,
             prefixes: &self.prefixes,
             now: MonoMs(1_000),
         };
--- a/crates/persimmon_decide/tests/forward_short_calls.rs
+++ b/crates/persimmon_decide/tests/forward_short_calls.rs
@@ -69,6 +69,7 @@
             limits: &EndpointLimits::new(),
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            records_age_ms: None,
             health: &HealthTracker::new(HealthSettings::default()),
             prefixes: &PrefixMap::new(),
             now: MonoMs(now),
--- a/crates/persimmon_gateway/src/control/digests.rs
+++ b/crates/persimmon_gateway/src/control/digests.rs
@@ -23,6 +23,10 @@
 /// Maximum number of limits in one digest.
 const MAX_DIGEST_LIMITS: usize = 128;
 
+/// Maximum number of speeds in one digest. Values that have outlived their lifetime aren't reported, so
+/// that digests of large fleets, which are far apart, contain few.
+const MAX_DIGEST_SPEEDS: usize = 32;
+
 /// Maximum number of endpoints with outcomes in one digest, which contains only endpoints at which
 /// some gateway's requests have recently failed.
 const MAX_DIGEST_OUTCOMES: usize = 64;
@@ -112,6 +116,7 @@
             part_answers: reports.part_answers,
             peers: self.peers.addresses(draw, now),
             limits: self.limits.reports(MAX_DIGEST_LIMITS, now),
+            speeds: self.speeds.reports(MAX_DIGEST_SPEEDS, now),
             leaving: self.directory.leaving().take(MAX_DIGEST_LEAVING).collect(),
         }
     }
@@ -152,6 +157,9 @@
         }
         let changed = digest.limits.iter().filter(|it| self.limits.record_peer(it, now));
         self.changed_limits.extend(changed);
+        for report in &digest.speeds {
+            self.speeds.record_peer(report, now);
+        }
         for holder in &digest.holders {
             self.prefixes.record_peer_holder(*holder, now);
         }
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -20,6 +20,11 @@
     OverloadControl, PeerTable, PickRequest, Picker, PrefixMap, Rank, RecordsAge, RetryWindow,
     RouteTable, ServedVersions, ServiceRetries, Shutdown, ShutdownSettings, StartupRecords,
     StatedDeadlines, StoreEra, StoreView, StreamHolders, StreamVersions, WaitingTime,
+    DurationTracker, EndpointDirectory, EndpointLimits, EndpointPauses, EndpointSpeeds, FanOut,
+    FirstByteTimeout, FleetView, HealthSettings, HealthTracker, IdleLimit, LimitReport,
+    LoadTracker, NoChoice, PeerTable, PickRequest, Picker, PrefixMap, Rank, RecordsAge,
+    RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown, ShutdownSettings,
+    StartupRecords, StoreEra, StoreView, StreamHolders, StreamVersions, WaitingTime,
     WorkspaceShares, count_weight,
 };
 use persimmon_decide::load::EndpointHash;
@@ -51,6 +56,7 @@
     pub(crate) health: HealthTracker,
     pub(crate) pauses: EndpointPauses,
     pub(crate) limits: EndpointLimits,
+    pub(crate) speeds: EndpointSpeeds,
     pub(crate) cold: ColdEndpoints,
     /// What began the streams that callers may take up again.
     pub(crate) streams: StreamVersions,
@@ -111,6 +117,7 @@
             health: HealthTracker::new(HealthSettings::default()),
             pauses: EndpointPauses::new(),
             limits: EndpointLimits::new(),
+            speeds: EndpointSpeeds::new(),
             cold: ColdEndpoints::new(settings.cold),
             streams: StreamVersions::new(),
             holders: StreamHolders::new(),
@@ -261,6 +268,7 @@
         self.directory.expire_marks(now);
         self.pauses.retain(|endpoint| published.contains(&endpoint), now);
         self.limits.retain(|endpoint| published.contains(&endpoint), now);
+        self.speeds.retain(|endpoint| published.contains(&endpoint), now);
         self.cold.retain(|endpoint| published.contains(&endpoint), now);
         self.crashes.expire(now);
         self.streams.expire(now);
--- a/crates/persimmon_gateway/src/exchange/answer_headers.rs
+++ b/crates/persimmon_gateway/src/exchange/answer_headers.rs
@@ -1,9 +1,9 @@
-//! What an answer's headers say of the endpoint itself: that it leaves, wants a pause, or takes only so
-//! many requests.
+//! What an answer's headers say of the endpoint itself: that it leaves, wants a pause, takes only so many
+//! requests, or how fast it works.
 
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
-use persimmon_decide::forward::{Endpoint, NamedLimit};
+use persimmon_decide::forward::{Endpoint, NamedLimit, StatedLoad};
 
 use super::Exchange;
 use crate::in_flight::InFlight;
@@ -29,6 +29,7 @@
             return self.record_replaced(endpoint);
         }
         self.record_limit(in_flight, headers);
+        self.record_load(endpoint, headers);
         if status == StatusCode::SERVICE_UNAVAILABLE {
             self.record_pause(endpoint, headers.get(RETRY_AFTER));
         }
@@ -71,6 +72,30 @@
         }
     }
 
+    /// Records the load and speed that an answer states.
+    fn record_load(&self, endpoint: &Endpoint, headers: &HeaderMap) {
+        let Some(value) = headers.get(&self.gw.platform.headers().stated_load) else { return };
+        let now = self.gw.clock.now();
+        let load = value.to_str().ok().and_then(StatedLoad::parse);
+        let metrics = &self.gw.metrics.endpoint;
+        let service = [&*endpoint.service];
+        if let Some(load) = load {
+            self.gw.control.borrow_mut().speeds.record_answer(endpoint.hash, &load, now);
+            if let Some(slowdown) = load.slowdown() {
+                metrics.slowdown.with_label_values(&service).observe(slowdown);
+            }
+        }
+        if load.is_some_and(|it| it.is_plausible()) {
+            return;
+        }
+        metrics.invalid_loads.with_label_values(&service).inc();
+        if let Some(suppressed) = self.gw.log_limiter.admit("stated_load", now) {
+            tracing::warn!(target: "endpoint", endpoint = &*endpoint.id,
+                id = &*self.plan.head.id, ?value, ?load, suppressed,
+                "endpoint states an invalid load");
+        }
+    }
+
     /// Records the limit that an answer names, or that it names none any more, and tells the other
     /// gateways at once that a limit begins or ends.
     fn record_limit(&self, in_flight: &InFlight<P>, headers: &HeaderMap) {
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -7,6 +7,9 @@
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0];
 
+/// Upper bounds of buckets of the factor by which endpoints say that their work takes longer.
+const SLOWDOWN_BUCKETS: [f64; 9] = [0.5, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0];
+
 /// All metrics of a gateway.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
@@ -291,6 +294,12 @@
     pub(crate) pauses: IntCounterVec,
     /// Answers in which endpoints named a limit on the rate of requests, by service.
     pub(crate) limits: IntCounterVec,
+    /// Factor by which work takes longer than usual, as answers state it, by service.
+    pub(crate) slowdown: HistogramVec,
+    /// Answers whose stated load can't be read or has an implausible speed, by service.
+    pub(crate) invalid_loads: IntCounterVec,
+    /// Time in which a stated speed loses most of its weight, in milliseconds.
+    pub(crate) speed_lifetime_ms: IntGauge,
     /// Checks whether an endpoint that broke an answer off still accepts connections, by result.
     pub(crate) checks: IntCounterVec,
     /// What was refused because endpoints crashed while they ran it, by kind.
@@ -315,6 +324,21 @@
                 "Answers in which endpoints named a limit on the rate of requests.",
                 &["service"],
             )?,
+            slowdown: set.histograms(
+                "persimmon_gateway_endpoint_slowdown",
+                "Factor by which work takes longer than usual, as answers of endpoints state it.",
+                "service",
+                &SLOWDOWN_BUCKETS,
+            )?,
+            invalid_loads: set.counters(
+                "persimmon_gateway_invalid_loads_total",
+                "Answers whose stated load can't be read or has an implausible speed.",
+                &["service"],
+            )?,
+            speed_lifetime_ms: set.gauge(
+                "persimmon_gateway_speed_lifetime_ms",
+                "Time in which a stated speed loses most of its weight.",
+            )?,
             checks: set.counters(
                 "persimmon_gateway_endpoint_checks_total",
                 "Checks of endpoints that broke an answer off.",
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -233,7 +233,10 @@
     let mut control = gw.control.borrow_mut();
     control.expire(now);
     let published = control.forget_unpublished(now);
+    let lifetime_ms = control.speeds.lifetime_ms();
     drop(control);
+    let shown_ms = i64::try_from(lifetime_ms).unwrap_or(i64::MAX);
+    gw.metrics.endpoint.speed_lifetime_ms.set(shown_ms);
     report_records_age(gw);
     evacuation::report(gw);
     gw.upstream.sweep(|endpoint| published.contains(&endpoint));
--- a/crates/persimmon_gateway/src/platform.rs
+++ b/crates/persimmon_gateway/src/platform.rs
@@ -38,6 +38,9 @@
     pub leaving: HeaderName,
     /// Requests per second that an endpoint takes from all gateways together, a decimal number.
     pub rate_limit: HeaderName,
+    /// Requests that run and wait at an endpoint, its slots, and the current duration of work there in
+    /// percent of the usual one; integers separated by commas.
+    pub stated_load: HeaderName,
     /// Headers that only the gateway may set; those of callers are removed.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -70,6 +70,10 @@
     usage: &'static str,
     /// Limit that the endpoint names, in requests per second.
     limit_per_s: Option<f32>,
+    /// Factor by which work there usually takes longer; none if the endpoint doesn't state its speed.
+    lasting_slowdown: Option<f64>,
+    /// The same factor as expected now.
+    slowdown: Option<f64>,
     version: Arc<str>,
     requests: u32,
     own_requests: u32,
@@ -191,6 +195,7 @@
         } else {
             "in"
         };
+        let lasting_slowdown = control.speeds.lasting(hash);
         Self {
             id: endpoint.id.clone(),
             service: endpoint.service.clone(),
@@ -198,6 +203,8 @@
             zone: endpoint.zone.clone(),
             usage,
             limit_per_s: control.limits.per_s(hash),
+            lasting_slowdown,
+            slowdown: lasting_slowdown.map(|_| control.speeds.slowdown(hash, now)),
             version: endpoint.version.clone(),
             requests: control.loads.total(hash).requests,
             own_requests: control.loads.own(hash),
