Gateways: place prompts and load by the speed that endpoints state

Cause: of 148 pauses above 300 ms in streams, 105 were on endpoints that stated 2.5 times the usual duration, mostly while 7,000 or more unread prompt tokens had been sent there within half a second. Endpoints with a slower model got as many requests as the others.

Change: where endpoints of a service state their speed, prompts with 2,048 or more unread tokens avoid endpoints that are probably slow now, and those that have more than 4,096 other tokens to read. Shorter prompts, and those whose prefix is cached, stay. Endpoints that are always slower get load in proportion to their speed (fill, load bound, rank); none gets more than the bound before. A delay is rounded at random for each request, so that not all gateways avoid, or take back, an endpoint at once. Peers' counts of unread tokens weigh less where digests are far apart.

--- a/crates/persimmon_decide/src/forward/endpoint_speeds.rs
+++ b/crates/persimmon_decide/src/forward/endpoint_speeds.rs
@@ -94,6 +94,8 @@
     mean: f64,
     /// Sum of the squared deviations of these values from the mean.
     squares: f64,
+    /// Long-term mean as far as it is certain.
+    lasting: f64,
     /// Last time at which the endpoint was published or heard of.
     seen_at: MonoMs,
 }
@@ -110,8 +112,14 @@
     const MIN_ERRORS: f64 = 2.0;
 
     fn new(latest: Statement, now: MonoMs) -> Self {
-        let mut record =
-            Self { latest, weight: Self::START_WEIGHT, mean: 1.0, squares: 0.0, seen_at: now };
+        let mut record = Self {
+            latest,
+            weight: Self::START_WEIGHT,
+            mean: 1.0,
+            squares: 0.0,
+            lasting: 1.0,
+            seen_at: now,
+        };
         record.add(latest.slowdown(), 1.0);
         record
     }
@@ -127,10 +135,10 @@
             self.squares *= Self::MAX_WEIGHT / self.weight;
             self.weight = Self::MAX_WEIGHT;
         }
+        self.lasting = self.certain_mean();
     }
 
-    /// Returns the long-term mean as far as it is certain.
-    fn lasting(&self) -> f64 {
+    fn certain_mean(&self) -> f64 {
         let error = (self.squares / self.weight / self.weight).max(0.0).sqrt();
         let difference = self.mean - 1.0;
         let certain = (difference.abs() - Self::MIN_ERRORS * error).max(0.0);
@@ -151,6 +159,8 @@
 }
 
 impl EndpointSpeeds {
+    /// Age up to which a value is reported, whatever its lifetime, in milliseconds.
+    const MIN_REPORTED_MS: u64 = 500;
     /// Age above which a peer's report is ignored, in milliseconds.
     const MAX_REPORT_AGE_MS: u32 = 10_000;
     /// Time for which an endpoint that isn't published is kept, in milliseconds. An outage of the store
@@ -206,7 +216,7 @@
     /// known.
     pub fn slowdown(&self, endpoint: EndpointHash, now: MonoMs) -> f64 {
         let Some(record) = self.records.get(&endpoint) else { return 1.0 };
-        let lasting = record.lasting();
+        let lasting = record.lasting;
         let left = self.lifetime.left_after(now.ms_since(record.latest.at));
         lasting + left * (record.latest.slowdown() - lasting)
     }
@@ -214,14 +224,14 @@
     /// Returns the factor by which work at an endpoint usually takes longer; none if it has never stated
     /// its speed.
     pub fn lasting(&self, endpoint: EndpointHash) -> Option<f64> {
-        Some(self.records.get(&endpoint)?.lasting())
+        Some(self.records.get(&endpoint)?.lasting)
     }
 
     /// Returns what this gateway was told itself and no peer later, for its digest: at most `count`
     /// reports, the newest and most unusual first. A value that has outlived its lifetime isn't
-    /// reported.
+    /// reported, unless it is young enough to tell peers how fast values change.
     pub fn reports(&self, count: usize, now: MonoMs) -> Vec<SpeedReport> {
-        let max_age_ms = self.lifetime.ms() as u64;
+        let max_age_ms = self.lifetime_ms().max(Self::MIN_REPORTED_MS);
         let own = self.records.iter().filter_map(|(endpoint, record)| {
             let Statement { percent, at, is_own } = record.latest;
             let age_ms = now.ms_since(at);
--- a/crates/persimmon_decide/src/forward/load_tracker.rs
+++ b/crates/persimmon_decide/src/forward/load_tracker.rs
@@ -94,6 +94,11 @@
         self.own.get(&endpoint).map_or(0, |load| load.requests)
     }
 
+    /// Returns the unread tokens of this gateway's requests at an endpoint.
+    pub fn own_unread(&self, endpoint: EndpointHash) -> u32 {
+        self.own.get(&endpoint).map_or(0, |load| load.unread_tokens)
+    }
+
     /// Returns the load from this gateway's requests by endpoint, for its digest.
     pub fn own_loads(&self) -> impl Iterator<Item = (EndpointHash, EndpointLoad)> {
         self.own.iter().map(|(endpoint, load)| (*endpoint, *load))
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -2,72 +2,14 @@
 
 use std::sync::Arc;
 
+use super::service_speeds::ServiceSpeeds;
 use super::{
     ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointLoad, EndpointPauses,
-    HealthTracker, LoadTracker, PrefixMap, PromptPart,
+    EndpointSpeeds, HealthTracker, LoadTracker, PickerSettings, PrefixMap, PromptPart,
 };
 use crate::MonoMs;
 use crate::load::{ChatKey, EndpointHash, rendezvous_score};
 
-/// Limits on uneven load, and the costs by which endpoints are compared.
-#[derive(Debug, Clone, Copy)]
-pub struct PickerSettings {
-    /// Requests at an endpoint, as a multiple of the service's mean, up to which an endpoint with
-    /// the prompt's prefix in its cache is preferred. It lies below the deployment's bound because
-    /// the counts of other gateways are slightly out of date.
-    pub max_load_factor: f64,
-    /// Requests allowed on top of the multiple. When a service has few requests, a single one
-    /// exceeds any multiple of the mean.
-    pub load_floor: f64,
-    /// Minimum number of cached tokens for which an endpoint is asked to copy a prefix from another
-    /// endpoint. An endpoint computes fewer tokens faster than it fetches them.
-    pub min_fetch_tokens: u32,
-    /// Prompt tokens that an engine reads per millisecond. Engines don't publish this figure; only
-    /// its order of magnitude matters.
-    pub tokens_per_ms: f64,
-    /// Unread tokens at an endpoint that are ignored, so that gateways with slightly different
-    /// counts choose the same endpoint.
-    pub tolerated_unread_tokens: u32,
-    /// Load, as a multiple of the mean, up to which an endpoint's load costs nothing.
-    pub tolerated_load_factor: f64,
-    /// Cost in milliseconds of a certain failure, for a request that can't be repeated. Only the
-    /// failure rate above the service's mean is charged. The cost is about that of reading a long
-    /// prompt again.
-    pub failure_cost_ms: f64,
-    /// Cost in milliseconds of load that exceeds the tolerated load by one mean: roughly how much
-    /// longer the endpoint takes to generate a whole answer.
-    pub load_cost_ms: f64,
-}
-
-impl PickerSettings {
-    /// Fraction of the deployment's bound up to which endpoints are filled. The rest allows for the
-    /// age of the other gateways' counts.
-    const BOUND_FRACTION: f64 = 0.85;
-
-    /// Returns the settings for a load bound, given as a multiple of the service's mean.
-    pub fn for_bound(bound: f64) -> Self {
-        let max_load_factor = (bound * Self::BOUND_FRACTION).max(1.0);
-        let defaults = Self::default();
-        let tolerated_load_factor = defaults.tolerated_load_factor.min(max_load_factor);
-        Self { max_load_factor, tolerated_load_factor, ..defaults }
-    }
-}
-
-impl Default for PickerSettings {
-    fn default() -> Self {
-        Self {
-            max_load_factor: 1.7,
-            load_floor: 2.0,
-            min_fetch_tokens: 64,
-            tokens_per_ms: 80.0,
-            tolerated_unread_tokens: 30_000,
-            tolerated_load_factor: 1.15,
-            failure_cost_ms: 1_000.0,
-            load_cost_ms: 40.0,
-        }
-    }
-}
-
 /// A gateway's view of the fleet when it picks an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct FleetView<'a> {
@@ -75,12 +17,16 @@
     pub endpoints: &'a EndpointDirectory,
     /// Requests in progress at each endpoint.
     pub loads: &'a LoadTracker,
+    /// Time between the digests in which a peer reports its requests, in milliseconds.
+    pub load_interval_ms: u64,
     /// Health of each endpoint.
     pub health: &'a HealthTracker,
     /// Endpoints that want no requests for a while.
     pub pauses: &'a EndpointPauses,
     /// Limits that endpoints name on the rate of requests.
     pub limits: &'a EndpointLimits,
+    /// Speeds that endpoints state.
+    pub speeds: &'a EndpointSpeeds,
     /// Endpoints that are cold, and how much of them this gateway may use.
     pub cold: &'a ColdEndpoints,
     /// Time since the store last confirmed the records in force, in milliseconds.
@@ -210,7 +156,8 @@
 /// Picks an endpoint for each request.
 ///
 /// A request with a prompt goes to the endpoint expected to start answering first, within a bound
-/// on load. Any other request goes to the least loaded endpoint.
+/// on load. Any other request goes to the least loaded endpoint. Where endpoints state their speed,
+/// those that are always slower get less load, and long prompts avoid those that are slow now.
 #[derive(Debug)]
 pub struct Picker {
     settings: PickerSettings,
@@ -228,7 +175,7 @@
     ///
     /// Returns [`NoChoice`] if no endpoint can be picked for the request.
     pub fn pick(&self, req: &PickRequest<'_>, view: FleetView<'_>) -> Result<Choice, NoChoice> {
-        let candidates = Candidates::new(req, view)?.with_room(req.max_fill)?;
+        let candidates = Candidates::new(&self.settings, req, view)?.with_room(req.max_fill)?;
         let choice = match req.parts.is_empty() {
             true => candidates.least_loaded(req, view).map(Candidate::to_choice),
             false => PromptPlacement::new(&self.settings, req, view, &candidates).pick(&candidates),
@@ -244,12 +191,33 @@
     load: EndpointLoad,
     /// Requests that are probably in progress now, given the age of the peers' counts.
     expected: f64,
+    /// Factor by which work there usually takes longer; none if the endpoint doesn't state its speed.
+    lasting: Option<f64>,
+    /// Load that the endpoint should get for its speed, as a multiple of the mean.
+    share: f64,
 }
 
 impl Candidate {
-    /// Returns the requests in progress as a multiple of the endpoint's slots.
+    /// Returns the slots, weighted by the endpoint's speed.
+    fn capacity(&self) -> f64 {
+        f64::from(self.endpoint.slots) * self.share
+    }
+
+    /// Returns the requests in progress as a multiple of the endpoint's capacity.
     fn fill(&self) -> f64 {
-        self.expected / f64::from(self.endpoint.slots)
+        self.expected / self.capacity()
+    }
+
+    /// Reports whether one more request stays within `max_fill`. The slots of a slow endpoint are filled as
+    /// those of any other, since an idle one serves nobody; what waits there takes longer.
+    fn has_room(&self, max_fill: f64) -> bool {
+        let max_fill = match self.share < 1.0 && max_fill > 1.0 {
+            true => 1.0 + (max_fill - 1.0) * self.share,
+            false => max_fill,
+        };
+        // Rounds so that a fractional limit doesn't leave slots of small endpoints idle.
+        let max_requests = (max_fill * f64::from(self.endpoint.slots)).round().max(1.0);
+        self.expected + 1.0 <= max_requests
     }
 
     fn to_choice(&self) -> Choice {
@@ -265,21 +233,28 @@
 
 /// The endpoints of a service that may be picked, and the mean load of the service.
 #[derive(Debug)]
-struct Candidates {
+struct Candidates<'a> {
     usable: Vec<Candidate>,
     mean: f64,
+    speeds: ServiceSpeeds<'a>,
 }
 
-impl Candidates {
+impl<'a> Candidates<'a> {
     /// Collects the healthy endpoints that the request hasn't tried. If these are less than half of
     /// the untried ones, endpoints with a high failure rate are included; if every untried endpoint
     /// is ejected, all untried ones are. Endpoints at whose addresses other processes have answered
     /// are included only if no other is left. Endpoints that want no requests now are never included, and
     /// the mean is that of the others.
-    fn new(req: &PickRequest<'_>, view: FleetView<'_>) -> Result<Self, NoChoice> {
+    fn new(
+        settings: &'a PickerSettings,
+        req: &PickRequest<'_>,
+        view: FleetView<'a>,
+    ) -> Result<Self, NoChoice> {
         let candidate = |endpoint: &Arc<Endpoint>| {
             let load = view.loads.total(endpoint.hash);
-            Candidate { endpoint: endpoint.clone(), load, expected: f64::from(load.requests) }
+            let expected = f64::from(load.requests);
+            let lasting = view.speeds.lasting(endpoint.hash);
+            Candidate { endpoint: endpoint.clone(), load, expected, lasting, share: 1.0 }
         };
         let is_open = |it: &&Arc<Endpoint>| view.is_open(it);
         let open = view.endpoints.ready(req.service).filter(is_open);
@@ -288,6 +263,11 @@
             let replaced = view.endpoints.replaced(req.service).filter(is_open);
             ready.extend(replaced.map(candidate));
         }
+        let lasting = ready.iter().filter_map(|it| it.lasting);
+        let speeds = ServiceSpeeds::new(view.speeds, settings, lasting, req.draw, view.now);
+        for it in &mut ready {
+            it.share = speeds.share(it.lasting);
+        }
         let requests: u32 = ready.iter().map(|it| it.load.requests).sum();
         let mean = f64::from(requests) / ready.len().max(1) as f64;
         if req.count_weight < 1.0 {
@@ -311,7 +291,7 @@
         } else {
             reachable
         };
-        Ok(Self { usable, mean })
+        Ok(Self { usable, mean, speeds })
     }
 
     /// Returns why no untried endpoint can be picked.
@@ -329,10 +309,7 @@
     fn with_room(mut self, max_fill: f64) -> Result<Self, NoChoice> {
         let least_fill = self.usable.iter().map(Candidate::fill).min_by(f64::total_cmp);
         let least_fill = least_fill.ok_or(NoChoice::NoEndpoint)?;
-        // Rounds so that a fractional limit doesn't leave slots of small endpoints idle.
-        let max_requests = |slots: u32| (max_fill * f64::from(slots)).round().max(1.0);
-        let has_room = |it: &Candidate| it.expected + 1.0 <= max_requests(it.endpoint.slots);
-        self.usable.retain(has_room);
+        self.usable.retain(|it| it.has_room(max_fill));
         if self.usable.is_empty() { Err(NoChoice::Full { least_fill }) } else { Ok(self) }
     }
 
@@ -357,7 +334,7 @@
             step => (it.expected / step + start).floor() * step,
         };
         let cost = |it: &Candidate| {
-            let fill = rounded(it) / f64::from(it.endpoint.slots);
+            let fill = rounded(it) / it.capacity();
             fill + view.health.failure_rate(it.endpoint.hash, view.now)
         };
         let is_other_zone = |it: &Candidate| *it.endpoint.zone != *req.zone;
@@ -389,6 +366,7 @@
 struct PromptPlacement<'a> {
     settings: &'a PickerSettings,
     view: FleetView<'a>,
+    speeds: ServiceSpeeds<'a>,
     service: &'a str,
     /// Key of the rendezvous hash, which places prompts with the same prefix at the same endpoint.
     key: ChatKey,
@@ -409,11 +387,12 @@
         settings: &'a PickerSettings,
         req: &PickRequest<'a>,
         view: FleetView<'a>,
-        candidates: &Candidates,
+        candidates: &Candidates<'a>,
     ) -> Self {
         Self {
             settings,
             view,
+            speeds: candidates.speeds,
             service: req.service,
             key: ChatKey(placement_key(req.parts)),
             total_tokens: req.parts.iter().map(|part| part.tokens).sum(),
@@ -426,14 +405,15 @@
 
     /// Returns the cheapest endpoint within the load bound; rendezvous rank breaks ties. If every
     /// endpoint exceeds the bound, returns the one with the lowest fill.
-    fn pick(&self, candidates: &Candidates) -> Option<Choice> {
-        let bound = self.settings.max_load_factor * self.mean + self.settings.load_floor;
+    fn pick(&self, candidates: &Candidates<'_>) -> Option<Choice> {
+        let factor = self.settings.max_load_factor * self.mean;
+        let bound = |it: &Candidate| factor * it.share + self.settings.load_floor;
         let usable = &candidates.usable;
-        let under = usable.iter().filter(|it| f64::from(it.load.requests + 1) <= bound);
+        let under = usable.iter().filter(|it| f64::from(it.load.requests + 1) <= bound(it));
         let costs = under.map(|it| (it, self.cost_ms(it)));
         let cheapest = costs.min_by(|(a, cost_a), (b, cost_b)| {
             let by_cost = cost_a.total_cmp(cost_b);
-            by_cost.then_with(|| self.rank(&a.endpoint).total_cmp(&self.rank(&b.endpoint)))
+            by_cost.then_with(|| self.rank(a).total_cmp(&self.rank(b)))
         });
         let least_filled = || usable.iter().min_by(|a, b| a.fill().total_cmp(&b.fill()));
         let chosen = cheapest.map(|(it, _)| it).or_else(least_filled)?;
@@ -460,22 +440,54 @@
         let cached = self.cached_at(it.endpoint.hash);
         let saved = if cached * 2 >= self.shared_tokens { cached } else { 0 };
         let unread = self.total_tokens.saturating_sub(saved);
-        let waiting = it.load.unread_tokens.saturating_sub(self.settings.tolerated_unread_tokens);
-        let reading_ms = f64::from(waiting + unread) / self.settings.tokens_per_ms;
-        let tolerated = self.mean * self.settings.tolerated_load_factor + 1.0;
+        let reading_ms = self.reading_ms(it, unread);
+        let tolerated = self.mean * it.share * self.settings.tolerated_load_factor + 1.0;
         let excess = (f64::from(it.load.requests) - tolerated).max(0.0);
         let load_ms = excess / self.mean.max(1.0) * self.settings.load_cost_ms;
         reading_ms + load_ms + self.failure_ms(it.endpoint.hash)
     }
 
+    /// Returns the time to read `unread` tokens of this prompt, and what is queued before them.
+    ///
+    /// Handles long prompts beside running streams, where endpoints state their speed: engines read
+    /// prompts between the events of streams, so that these pause for as long as the endpoint is slow and
+    /// has much to read. Short prompts stay where their prefix is cached.
+    fn reading_ms(&self, it: &Candidate, unread: u32) -> f64 {
+        let settings = self.settings;
+        let is_long = self.speeds.is_stated() && unread >= settings.long_unread_tokens;
+        let waiting = match is_long {
+            true => self.waiting_now(it) - f64::from(settings.tolerated_long_tokens),
+            false => f64::from(it.load.unread_tokens) - f64::from(settings.tolerated_unread_tokens),
+        };
+        let waiting = waiting.max(0.0);
+        let needs_delay = self.speeds.is_stated() && (is_long || waiting > 0.0);
+        let delay = if needs_delay { self.speeds.delay(it.endpoint.hash) } else { 1.0 };
+        let own_delay = if is_long { delay } else { 1.0 };
+        let tokens = waiting * delay + f64::from(unread) * own_delay;
+        tokens / settings.tokens_per_ms
+    }
+
+    /// Returns the tokens that an endpoint probably still has to read, given the age of the peers' counts.
+    /// When a digest of a large fleet arrives, most of the prompts that it counted have been read.
+    fn waiting_now(&self, it: &Candidate) -> f64 {
+        let own = f64::from(self.view.loads.own_unread(it.endpoint.hash));
+        let of_peers = f64::from(it.load.unread_tokens) - own;
+        let weight = count_weight(self.settings.long_reading_ms, self.view.load_interval_ms);
+        own + of_peers * weight
+    }
+
     fn failure_ms(&self, endpoint: EndpointHash) -> f64 {
         let Some(mean_rate) = self.mean_failure_rate else { return 0.0 };
         let rate = self.view.health.failure_rate(endpoint, self.view.now);
         (rate - mean_rate).max(0.0) * self.settings.failure_cost_ms
     }
 
-    fn rank(&self, endpoint: &Endpoint) -> f64 {
-        rendezvous_score(self.key, endpoint.hash, endpoint.slots)
+    fn rank(&self, it: &Candidate) -> f64 {
+        self.rank_with(&it.endpoint, it.share)
+    }
+
+    fn rank_with(&self, endpoint: &Endpoint, share: f64) -> f64 {
+        rendezvous_score(self.key, endpoint.hash, endpoint.slots) / share
     }
 
     fn cached_at(&self, endpoint: EndpointHash) -> u32 {
@@ -508,6 +520,17 @@
                 let by_rank = |a: &Endpoint, b: &Endpoint| self.rank(a).total_cmp(&self.rank(b));
                 let first = others()
                     .min_by(|a, b| is_left(a).cmp(&is_left(b)).then_with(|| by_rank(a, b)))?;
+        let known = self
+            .cached
+            .iter()
+            .find_map(|(hash, tokens)| Some((others().find(|it| it.hash == *hash)?, *tokens)));
+        let (source, tokens) = match known {
+            Some((source, tokens)) if tokens * 2 >= self.shared_tokens => (source, tokens),
+            _ => {
+                let rank = |it: &Endpoint| {
+                    self.rank_with(it, self.speeds.share(self.view.speeds.lasting(it.hash)))
+                };
+                let first = others().min_by(|a, b| rank(a).total_cmp(&rank(b)))?;
                 (first, self.shared_tokens)
             }
         };
--- a/crates/persimmon_decide/src/forward/value_lifetime.rs
+++ b/crates/persimmon_decide/src/forward/value_lifetime.rs
@@ -49,6 +49,9 @@
     const KEPT_PER_PAIR: f64 = 0.999;
     /// Sum of squared deviations from which an estimate is used: about ten changes by a factor of two.
     const MIN_SQUARES: f64 = 4.0;
+    /// Weight of the default. It decides where values are so far apart that they only say that the
+    /// lifetime is shorter, as at a gateway that hears no peer.
+    const DEFAULT_WEIGHT: f64 = 0.2;
 
     /// Records the deviations of two successive values from the mean.
     pub(super) fn record(&mut self, earlier: f64, later: f64, gap_ms: u64) {
@@ -87,7 +90,8 @@
                 let expected = (-(it.weighted_gap_ms / it.square) / ms).exp();
                 it.square * (it.product / it.square - expected).powi(2)
             };
-            self.bins.iter().filter(|it| it.square > 0.0).map(of_bin).sum()
+            let of_bins: f64 = self.bins.iter().filter(|it| it.square > 0.0).map(of_bin).sum();
+            of_bins + Self::DEFAULT_WEIGHT * (ms / Self::DEFAULT_MS).ln().powi(2)
         };
         let tried = (0..Self::FITTED).map(|it| Self::MIN_MS * 2.0_f64.powf(f64::from(it) / 2.0));
         tried.min_by(|a, b| error(a).total_cmp(&error(b)))
--- a/crates/persimmon_decide/tests/forward_endpoint_limits.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_limits.rs
@@ -5,9 +5,9 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView,
-    HealthSettings, HealthTracker, LimitReport, LoadTracker, NamedLimit, NoChoice, PickRequest,
-    Picker, PickerSettings, PrefixMap,
+    ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses, EndpointSpeeds,
+    FleetView, HealthSettings, HealthTracker, LimitReport, LoadTracker, NamedLimit, NoChoice,
+    PickRequest, Picker, PickerSettings, PrefixMap,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -175,7 +175,9 @@
             limits: &limits,
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            speeds: &EndpointSpeeds::new(),
             records_age_ms: None,
+            load_interval_ms: 100,
             prefixes: &PrefixMap::new(),
             now,
         };
--- a/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
@@ -4,9 +4,9 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    Choice, ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView,
-    HealthSettings, HealthTracker, LoadTracker, NoChoice, PickRequest, Picker, PickerSettings,
-    PrefixMap, PromptPart,
+    Choice, ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointPauses,
+    EndpointSpeeds, FleetView, HealthSettings, HealthTracker, LoadTracker, NoChoice, PickRequest,
+    Picker, PickerSettings, PrefixMap, PromptPart,
 };
 use persimmon_decide::load::EndpointHash;
 use proptest::prelude::*;
@@ -51,7 +51,9 @@
             limits: &EndpointLimits::new(),
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            speeds: &EndpointSpeeds::new(),
             records_age_ms: None,
+            load_interval_ms: 100,
             prefixes: &PrefixMap::new(),
             now,
         };
--- a/crates/persimmon_decide/tests/forward_endpoint_speeds.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_speeds.rs
@@ -119,6 +119,22 @@
     }
 }
 
+/// A gateway that hears no peer gets answers too seldom to see how fast they change. It must neither trust
+/// them for seconds nor take them for worthless.
+#[test]
+fn lifetime_of_rare_values_is_bounded() {
+    let mut rng = Pcg64Mcg::seed_from_u64(6);
+    let mut speeds = EndpointSpeeds::new();
+    for now in (0..300_000).step_by(2_600) {
+        for number in 0..30 {
+            let percent = if rng.random_bool(0.15) { 250 } else { 100 };
+            speeds.record_answer(EndpointHash(number), &load(percent), MonoMs(now));
+        }
+    }
+    let lifetime_ms = speeds.lifetime_ms();
+    assert!((250..=1_000).contains(&lifetime_ms), "{lifetime_ms} ms");
+}
+
 /// A slower model must count as such also when nothing was heard of its endpoint for a while.
 #[test]
 fn slowdown_of_steady_endpoint_stays() {
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -6,8 +6,9 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    ColdEndpoints, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings,
-    HealthTracker, LoadTracker, Outcomes, PickRequest, Picker, PickerSettings, PrefixMap,
+    ColdEndpoints, EndpointDirectory, EndpointLimits, EndpointPauses, EndpointSpeeds, FleetView,
+    HealthSettings, HealthTracker, LoadTracker, Outcomes, PickRequest, Picker, PickerSettings,
+    PrefixMap,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -62,7 +63,9 @@
             limits: &EndpointLimits::new(),
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            speeds: &EndpointSpeeds::new(),
             records_age_ms: None,
+            load_interval_ms: 100,
             health: &self.trackers[gateway],
             prefixes: &PrefixMap::new(),
             now,
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -9,8 +9,8 @@
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
     Choice, ColdEndpoints, Endpoint, EndpointDirectory, EndpointLimits, EndpointLoad,
-    EndpointPauses, EndpointState, FleetView, HealthSettings, HealthTracker, LoadTracker, NoChoice,
-    PickRequest, Picker, PickerSettings, PrefixMap, PromptPart,
+    EndpointPauses, EndpointSpeeds, EndpointState, FleetView, HealthSettings, HealthTracker,
+    LoadTracker, NoChoice, PickRequest, Picker, PickerSettings, PrefixMap, PromptPart,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -87,7 +87,9 @@
             limits: &EndpointLimits::new(),
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            speeds: &EndpointSpeeds::new(),
             records_age_ms: None,
+            load_interval_ms: 100,
             prefixes: &self.prefixes,
             now: MonoMs(1_000),
         };
--- a/crates/persimmon_decide/tests/forward_short_calls.rs
+++ b/crates/persimmon_decide/tests/forward_short_calls.rs
@@ -9,8 +9,9 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    ColdEndpoints, EndpointDirectory, EndpointLimits, EndpointPauses, FleetView, HealthSettings,
-    HealthTracker, LoadTracker, PickRequest, Picker, PickerSettings, PrefixMap, count_weight,
+    ColdEndpoints, EndpointDirectory, EndpointLimits, EndpointPauses, EndpointSpeeds, FleetView,
+    HealthSettings, HealthTracker, LoadTracker, PickRequest, Picker, PickerSettings, PrefixMap,
+    count_weight,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::{RngExt, SeedableRng};
@@ -69,7 +70,9 @@
             limits: &EndpointLimits::new(),
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
+            speeds: &EndpointSpeeds::new(),
             records_age_ms: None,
+            load_interval_ms: self.interval_ms,
             health: &HealthTracker::new(HealthSettings::default()),
             prefixes: &PrefixMap::new(),
             now: MonoMs(now),
--- a/crates/persimmon_gateway/src/control/digests.rs
+++ b/crates/persimmon_gateway/src/control/digests.rs
@@ -174,7 +174,8 @@
         changed.map(|it| (it, self.directory.by_hash(it.endpoint).cloned())).collect()
     }
 
-    /// Divides limits, and the turns to try what is refused, among the gateways that are known now.
+    /// Divides limits, and the turns to try what is refused, among the gateways that are known now, and
+    /// determines how far apart their digests are.
     pub(crate) fn update_gateways(&mut self, now: MonoMs) {
         let own = self.settings.peers.ip();
         let (fleet, heard) = (self.peers.fleet(), self.peers.gateways(now));
@@ -182,5 +183,6 @@
         let gateways = KnownGateways { own, all: &fleet, heard };
         self.cold.set_gateways(gateways, self.records_age.age_ms(now), now);
         self.crashes.set_gateways(own, self.peers.heard(now));
+        self.load_interval_ms = self.peers.interval_ms(false);
     }
 }
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -53,6 +53,8 @@
     /// Value of the record of `routes`.
     routes_value: Option<Vec<u8>>,
     pub(crate) loads: LoadTracker,
+    /// Time between the digests of each peer when the gateways were last counted, in milliseconds.
+    load_interval_ms: u64,
     pub(crate) health: HealthTracker,
     pub(crate) pauses: EndpointPauses,
     pub(crate) limits: EndpointLimits,
@@ -105,6 +107,7 @@
                 "the system provides no random seed; using a fixed one");
         }
         let mut rng = Pcg64Mcg::new(u128::from_le_bytes(seed));
+        let peers = PeerTable::new(settings.peers.ip(), settings.seeds.clone());
         Self {
             view: StoreView::new().with_heartbeat_ms(settings.heartbeat_ms),
             startup: StartupRecords::new(),
@@ -114,6 +117,7 @@
             routes: None,
             routes_value: None,
             loads: LoadTracker::new(),
+            load_interval_ms: peers.interval_ms(false),
             health: HealthTracker::new(HealthSettings::default()),
             pauses: EndpointPauses::new(),
             limits: EndpointLimits::new(),
@@ -124,7 +128,7 @@
             served: ServedVersions::new(),
             prefixes: PrefixMap::new(),
             crashes: CrashTracker::new(),
-            peers: PeerTable::new(settings.peers.ip(), settings.seeds.clone()),
+            peers,
             shutdown: Shutdown::new(ShutdownSettings { grace_ms: settings.grace_ms }),
             durations: DurationTracker::new(),
             idle_limit: IdleLimit::new(),
@@ -172,9 +176,11 @@
         FleetView {
             endpoints: &self.directory,
             loads: &self.loads,
+            load_interval_ms: self.load_interval_ms,
             health: &self.health,
             pauses: &self.pauses,
             limits: &self.limits,
+            speeds: &self.speeds,
             cold: &self.cold,
             records_age_ms: self.records_age.age_ms(now),
             prefixes: &self.prefixes,
