--- a/crates/persimmon_decide/tests/forward_speed_fleet.rs
+++ b/crates/persimmon_decide/tests/forward_speed_fleet.rs
@@ -4,7 +4,7 @@
 mod forward_endpoints;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::net::IpAddr;
 
 use persimmon_decide::MonoMs;
@@ -59,7 +59,7 @@
     speeds: EndpointSpeeds,
     /// What a gateway that takes values for fresh picks by, and the last value of each endpoint.
     fresh: EndpointSpeeds,
-    last: HashMap<EndpointHash, u32>,
+    last: BTreeMap<EndpointHash, u32>,
 }
 
 #[derive(Debug, Default)]
@@ -103,7 +103,7 @@
             loads: LoadTracker::new(),
             speeds: EndpointSpeeds::new(),
             fresh: EndpointSpeeds::new(),
-            last: HashMap::new(),
+            last: BTreeMap::new(),
         };
         Self {
             gateways: (0..gateways).map(|_| gateway()).collect(),
