Gateways: a status that no answer has is no answer

Cause: the HTTP library takes every status from 100 to 999, and skips only interim ones other than 101. So 101 and 600 to 999 reached callers as answers. Where such a message said that the request wasn't run, a request that runs once was sent again. An answer without a length whose endpoint ended its side in order, before it had taken the request, passed for a whole one.

Change: `AnswerStatus` in persimmon_decide says which status is an answer's. It is asked before anything else of a response is read: for endpoints, the store, peers, and in the sidecar's HTTP client. The attempt fails with `invalid_status`, its outcome is unknown, it counts against the endpoint's health, and the connection is closed. A success without a length that ends while its request waits to be written is broken. Stand-ins can answer before they have read a request.

--- a/crates/persimmon_decide/src/forward/attempt_end.rs
+++ b/crates/persimmon_decide/src/forward/attempt_end.rs
@@ -36,6 +36,8 @@
     BadEvent,
     /// The answer is a success, but not the next part of the stream that has begun.
     NotContinued,
+    /// What came has a status that no answer has.
+    InvalidStatus,
     /// The answer names another request.
     ForeignAnswer,
     /// The answer names no request.
@@ -67,6 +69,7 @@
             Self::EventTooLong => "event_too_long",
             Self::BadEvent => "bad_event",
             Self::NotContinued => "not_continued",
+            Self::InvalidStatus => "invalid_status",
             Self::ForeignAnswer => "foreign_answer",
             Self::UnnamedAnswer => "unnamed_answer",
             Self::Unsigned => "unsigned",
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod answer_memory;
 mod answer_owner;
+mod answer_status;
 mod answer_type;
 mod attempt;
 mod attempt_end;
@@ -68,6 +69,7 @@
 pub use admission::{Admission, AdmissionInput, AdmissionSettings};
 pub use answer_memory::{AnswerKey, AnswerMemory};
 pub use answer_owner::AnswerOwner;
+pub use answer_status::AnswerStatus;
 pub use answer_type::AnswerType;
 pub use attempt::{AttemptLog, AttemptOutcome, FailureKind, NextStep};
 pub use attempt_end::{AttemptEnd, CrashEvidence, FailureReason};
--- a/crates/persimmon_decide/tests/forward_attempt_end.rs
+++ b/crates/persimmon_decide/tests/forward_attempt_end.rs
@@ -22,6 +22,11 @@
 )]
 #[case::no_event(FailureReason::NoEvent, AttemptOutcome::Unknown, CrashEvidence::Unanswered)]
 #[case::bad_event(FailureReason::BadEvent, AttemptOutcome::Unknown, CrashEvidence::Unanswered)]
+#[case::invalid_status(
+    FailureReason::InvalidStatus,
+    AttemptOutcome::Unknown,
+    CrashEvidence::Unanswered
+)]
 #[case::foreign(FailureReason::ForeignAnswer, AttemptOutcome::Unknown, CrashEvidence::Unanswered)]
 fn failure_reason_says(
     #[case] reason: FailureReason,
@@ -72,6 +77,7 @@
 #[case::partial_event(FailureReason::PartialEvent, true)]
 #[case::silent(FailureReason::Silent, false)]
 #[case::bad_event(FailureReason::BadEvent, false)]
+#[case::invalid_status(FailureReason::InvalidStatus, false)]
 #[case::refused(FailureReason::Refused, false)]
 fn looks_like_crash(#[case] reason: FailureReason, #[case] expected: bool) {
     assert_eq!(reason.looks_like_crash(), expected);
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -53,6 +53,9 @@
     /// without a body.
     #[error("the answer ended after its head")]
     Empty,
+    /// The answer of unknown length ended before the endpoint had taken its request.
+    #[error("the answer ended while its request was being written")]
+    BeforeRequest,
     #[error(transparent)]
     GivenUp(#[from] GivenUp),
 }
@@ -143,11 +146,24 @@
                 Err(HeadError::Send(SendError::Broken(_))) => {
                     return Err(SendFailure::Broken { idle_ms: connection.idle_ms() });
                 }
+                Err(HeadError::Send(SendError::InvalidStatus(status))) => {
+                    self.log_invalid_status(&choice.endpoint, status);
+                    return Err(FailureReason::InvalidStatus.into());
+                }
                 Err(HeadError::Silent) => return Err(FailureReason::Silent.into()),
             }
         }
     }
 
+    fn log_invalid_status(&self, endpoint: &Endpoint, status: Option<StatusCode>) {
+        let now = self.gw.clock.now();
+        if let Some(suppressed) = self.gw.log_limiter.admit("invalid_status", now) {
+            tracing::warn!(target: "endpoint", endpoint = &*endpoint.id, id = &*self.plan.head.id,
+                status = status.map(|it| it.as_u16()), suppressed,
+                "endpoint sent a status that no answer has");
+        }
+    }
+
     fn record_send(&mut self, choice: &Choice) {
         self.in_progress.set_stage(RequestStage::Sent);
         self.is_attempt_sent = true;
@@ -411,7 +427,8 @@
         let deadline = self.gw.clock.instant(self.plan.deadline).into();
         let mut answer =
             BufferedAnswer::begin(&self.gw.answers).with_passing_on(parts.status.is_success());
-        let read = read_answer(&mut body, may_be_empty, &mut answer);
+        let is_cut = || parts.status.is_success() && connection.has_cut(framing);
+        let read = read_answer(&mut body, may_be_empty, is_cut, &mut answer);
         let read = tokio::time::timeout_at(deadline, read).await;
         let record_end = |end| {
             self.gw.metrics.answer_parts.with_label_values(&[framing.name(), end]).inc();
@@ -453,9 +470,8 @@
         }
         record_end("complete");
         self.gw.upstream.put_idle(in_flight.endpoint().hash, connection, keep_alive_s);
-        let status = parts.status;
         let response = Response::from_parts(parts, answer);
-        if status.is_server_error() {
+        if response.status().is_server_error() {
             let failed = fail(in_flight, FailureReason::Failed);
             return Err(FailedAttempt { failure: Some(response), ..failed });
         }
@@ -493,6 +509,7 @@
 async fn read_answer(
     body: &mut Incoming,
     may_be_empty: bool,
+    is_cut: impl FnOnce() -> bool,
     answer: &mut BufferedAnswer,
 ) -> Result<ReadEnd, AnswerError> {
     let mut read = Vec::new();
@@ -505,6 +522,9 @@
     if read.is_empty() && !may_be_empty {
         return Err(AnswerError::Empty);
     }
+    if is_cut() {
+        return Err(AnswerError::BeforeRequest);
+    }
     answer.complete(read)?;
     Ok(ReadEnd::Whole)
 }
--- a/crates/persimmon_gateway/src/http.rs
+++ b/crates/persimmon_gateway/src/http.rs
@@ -6,12 +6,14 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::StatusCode;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use persimmon_decide::forward::AnswerStatus;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
@@ -109,6 +111,9 @@
     /// The answer is truncated or too long.
     #[error("the answer is truncated or too long: {0}")]
     Body(#[from] ReadError),
+    /// What came is no answer; contains its status if that can be read.
+    #[error("the status isn't one of an answer: {0:?}")]
+    InvalidStatus(Option<StatusCode>),
     /// The answer has another status than 200.
     #[error("the request was refused with status {0}")]
     Refused(StatusCode),
@@ -123,6 +128,17 @@
     TimedOut,
 }
 
+/// Returns a response, unless its status isn't one of an answer. Its connection must not be used again then: after
+/// 101 the other end may speak another protocol.
+pub(crate) fn check_status<B>(response: Response<B>) -> Result<Response<B>, StatusCode> {
+    let status = response.status();
+    // The library skips interim responses, so that one that arrives here is the last on its connection.
+    match AnswerStatus::of(status.as_u16()) {
+        AnswerStatus::Final => Ok(response),
+        AnswerStatus::Interim | AnswerStatus::Invalid => Err(status),
+    }
+}
+
 /// A page and its headers.
 #[derive(Debug)]
 pub(crate) struct Page {
@@ -133,7 +149,7 @@
 /// Starts HTTP on a connection. Returns the sender for requests and the task that drives the
 /// connection.
 pub(crate) async fn client_handshake(
-    stream: TcpStream,
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
 ) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(CLIENT_BUFFER_BYTES)
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -43,10 +43,13 @@
 mod store_reader;
 mod stream_versions;
 mod transfer;
+#[cfg(test)]
+mod transfer_tests;
 mod update_codec;
 #[cfg(test)]
 mod update_codec_tests;
 mod upstream;
+mod watched_stream;
 
 pub use holder::{HolderSettings, run_holder};
 pub use logging::Logging;
--- a/crates/persimmon_gateway/src/relay.rs
+++ b/crates/persimmon_gateway/src/relay.rs
@@ -278,6 +278,9 @@
                 exchange.log_read_error(&err);
                 return Err(PartEnd::Broken(FailureReason::Broken));
             }
+            Ok(None) if stream.connection.has_cut(stream.framing) => {
+                return Err(PartEnd::Broken(FailureReason::BodyBroken));
+            }
             Ok(None) => return Err(PartEnd::Complete),
             // An answer that is passed on for lack of memory can't be continued elsewhere.
             Err(_) if stream.max_bytes.is_none() && exchange.should_fail_over(endpoint, since) => {
--- a/crates/persimmon_gateway/src/transfer.rs
+++ b/crates/persimmon_gateway/src/transfer.rs
@@ -9,7 +9,7 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 
-use crate::http::{GetError, OWN_HOST, Page};
+use crate::http::{self, GetError, OWN_HOST, Page};
 use crate::read_body::ReadError;
 
 /// How far a transfer has got.
@@ -93,7 +93,11 @@
     *req.uri_mut() = path.parse()?;
     req.headers_mut().insert(HOST, HeaderValue::from_static(OWN_HOST));
     let response = tokio::time::timeout(limits.head, sender.send_request(req)).await;
-    let response = response.map_err(|_| GetError::TimedOut)??;
+    let response = match response.map_err(|_| GetError::TimedOut)? {
+        Err(err) if err.is_parse_status() => return Err(GetError::InvalidStatus(None)),
+        response => response?,
+    };
+    let response = http::check_status(response).map_err(|it| GetError::InvalidStatus(Some(it)))?;
     let (head, mut body) = response.into_parts();
     if head.status != StatusCode::OK {
         return Err(GetError::Refused(head.status));
--- a/crates/persimmon_gateway/src/upstream.rs
+++ b/crates/persimmon_gateway/src/upstream.rs
@@ -9,13 +9,15 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use persimmon_decide::MonoMs;
 use persimmon_decide::load::EndpointHash;
 use thiserror::Error;
 
 use crate::body::AbortOnDrop;
+use crate::framing::Framing;
 use crate::http;
+use crate::watched_stream::{WatchedStream, WriteState};
 use persimmon_process::Clock;
 
 /// Timeout for opening a connection to an endpoint, in milliseconds: many round trips between
@@ -41,6 +43,9 @@
     /// The connection broke after at least part of the request was sent.
     #[error("the connection broke: {0}")]
     Broken(#[source] hyper::Error),
+    /// What came is no answer; contains its status if that can be read.
+    #[error("the status isn't one of an answer: {0:?}")]
+    InvalidStatus(Option<StatusCode>),
 }
 
 impl SendError {
@@ -54,6 +59,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    writes: WriteState,
     _driver: AbortOnDrop,
     /// Idle time before the connection was reused, in milliseconds; none for a new connection.
     idle_ms: Option<u64>,
@@ -66,14 +72,23 @@
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         match self.sender.try_send_request(req).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                http::check_status(response).map_err(|it| SendError::InvalidStatus(Some(it)))
+            }
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(SendError::NotSent),
+                None if err.error().is_parse_status() => Err(SendError::InvalidStatus(None)),
                 None => Err(SendError::Broken(err.into_error())),
             },
         }
     }
 
+    /// Reports whether an answer in this framing that ended on the connection is a part of one. The end of the
+    /// connection doesn't tell that of an answer if the endpoint hasn't even taken the whole request.
+    pub(crate) fn has_cut(&self, framing: Framing) -> bool {
+        !framing.is_end_framed() && self.writes.is_writing()
+    }
+
     /// Returns the idle time before the connection was reused, in milliseconds; none for a new
     /// connection.
     pub(crate) fn idle_ms(&self) -> Option<u64> {
@@ -135,9 +150,10 @@
         let stream = http::connect_to_endpoint(address, Duration::from_millis(CONNECT_TIMEOUT_MS))
             .await
             .map_err(SendError::NoConnection)?;
+        let (stream, writes) = WatchedStream::new(stream);
         let (sender, driver) =
             http::client_handshake(stream).await.map_err(SendError::NoConnection)?;
-        Ok(Connection { sender, _driver: AbortOnDrop(driver), idle_ms: None })
+        Ok(Connection { sender, writes, _driver: AbortOnDrop(driver), idle_ms: None })
     }
 
     /// Stores a connection for reuse after its answer has been read completely. `keep_alive_s` is
--- a/crates/persimmonmountd/src/common/http_client.rs
+++ b/crates/persimmonmountd/src/common/http_client.rs
@@ -15,6 +15,7 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use persimmon_decide::forward::AnswerStatus;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -39,6 +40,9 @@
     /// The connection broke before the end of the answer.
     #[error("the connection broke before the end of the answer: {0}")]
     Broken(#[from] hyper::Error),
+    /// What came has a status that no answer has. The request may have been processed.
+    #[error("the status {0} isn't one of an answer")]
+    InvalidStatus(StatusCode),
     /// The answer isn't complete by the deadline.
     #[error("no complete answer in time")]
     TimedOut,
@@ -137,7 +141,13 @@
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         // Its errors reach the answer's reader too.
         tokio::spawn(connection);
-        Ok(sender.send_request(req).await?)
+        let response = sender.send_request(req).await?;
+        match AnswerStatus::of(response.status().as_u16()) {
+            AnswerStatus::Final => Ok(response),
+            AnswerStatus::Interim | AnswerStatus::Invalid => {
+                Err(HttpError::InvalidStatus(response.status()))
+            }
+        }
     }
 }
 
--- a/crates/persimmonmountd/src/common/http_client_tests.rs
+++ b/crates/persimmonmountd/src/common/http_client_tests.rs
@@ -52,6 +52,22 @@
     assert!(matches!(result, Err(HttpError::Broken(_))), "{result:?}");
 }
 
+/// Guards against a status that HTTP doesn't define and that passes for an answer's.
+#[rstest]
+#[case::below_all("000")]
+#[case::switching_protocols("101")]
+#[case::last_interim("199")]
+#[case::above_all("600")]
+#[case::highest("999")]
+fn invalid_status_is_an_error(#[case] status: &str) {
+    let answer = format!("HTTP/1.1 {status} x\r\nContent-Length: 5\r\n\r\nwhole");
+    let result = get(serve(answer.leak(), false));
+    assert!(
+        matches!(result, Err(HttpError::InvalidStatus(_) | HttpError::Broken(_))),
+        "{result:?}"
+    );
+}
+
 #[rstest]
 #[case::length("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")]
 #[case::chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")]
