persimmonctl: check a gateways' configuration before it is sent

Cause: gateways take any configuration that they can read. A route that another one hides, a key that two workspaces hold, a limit that no request can keep or a version that isn't higher show only in what callers get.

Change: `check-routes FILE [--against FILE] [--json] [--memory-mb MB]`. The checks and the comparison are in `persimmon_decide::forward::configuration_check`, with typed findings; `platform/` reads the entries one by one, names those that can't be read without quoting their values, and reads the whole with the gateways' decoder. Exit code 0 for nothing but changes, 1 for warnings only, 2 for errors. Keys appear as counts only.

The test of unreadable keys failed first: the JSON library's message quoted a key.

--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod caller_room;
 mod change_notice;
 mod cold_endpoints;
+pub mod configuration_check;
 mod crash_reports;
 mod crash_suspects;
 mod crash_tracker;
--- a/crates/persimmonctl/src/main.rs
+++ b/crates/persimmonctl/src/main.rs
@@ -3,6 +3,7 @@
 
 mod args;
 mod check;
+mod check_routes;
 mod command;
 mod diff;
 mod digest;
@@ -25,8 +26,9 @@
 use command::{Command, CommandError};
 use report::{Exit, Report};
 
-const COMMANDS: [&Command; 9] = [
+const COMMANDS: [&Command; 10] = [
     &check::COMMAND,
+    &check_routes::COMMAND,
     &diff::COMMAND,
     &explain::COMMAND,
     &digest::COMMAND,
--- a/crates/persimmonctl/src/records_file.rs
+++ b/crates/persimmonctl/src/records_file.rs
@@ -60,7 +60,7 @@
 
 /// Reads at most one byte more than the size limit of a set, which is enough for the parser to
 /// reject a larger file.
-fn read_text(path: &Path) -> Result<String, CommandError> {
+pub(crate) fn read_text(path: &Path) -> Result<String, CommandError> {
     let read = || {
         let mut text = String::new();
         let limit = MAX_SET_BYTES as u64 + 1;
--- a/crates/persimmonctl/src/report.rs
+++ b/crates/persimmonctl/src/report.rs
@@ -6,6 +6,7 @@
 pub(crate) const EXIT_CODES: &str = "\
 Exit codes: 0 all is well; 1 there are findings (faults, differences, disagreement);
 2 the command line is invalid or a file can't be used; 3 a process can't be reached.
+For check-routes: 0 nothing but changes; 1 warnings only; 2 errors.
 ";
 
 /// The exit code of a command, in order of severity.
@@ -13,9 +14,9 @@
 pub(crate) enum Exit {
     /// All is well.
     Ok,
-    /// There are findings.
+    /// There are findings, or warnings only where errors have a code of their own.
     Findings,
-    /// The command line is invalid or a file can't be used.
+    /// The command line is invalid, or a file can't be used, also for errors in a configuration.
     Usage,
     /// A process can't be reached.
     Unreachable,
