Cold endpoints: the stated rate times the bound's factor is divided, a request waits for a cold endpoint while it can be on time

It now starts after 1 s once no further gateway has become known for 0.6 s, sends endpoints of unknown state one request in each window before that, and waits within the route's target. The bound still holds for what gateways divide: the slack is left to those that learn late.

--- a/crates/persimmon_decide/src/forward/cold_endpoints.rs
+++ b/crates/persimmon_decide/src/forward/cold_endpoints.rs
@@ -108,10 +108,10 @@
     const SEND_DELAY_MS: u64 = 400;
     /// Minimum time from a gateway's start in which it sends cold endpoints nothing, in milliseconds: at first
     /// it knows only its seeds, and would take their shares for its own.
-    pub const STARTUP_MS: u64 = 3_000;
+    pub const STARTUP_MS: u64 = 1_000;
     /// Time without further gateways after which a gateway that has just started knows the fleet, in
     /// milliseconds.
-    pub const SETTLED_MS: u64 = 2_000;
+    pub const SETTLED_MS: u64 = 600;
     /// Age from which records don't show which endpoints are cold, in milliseconds: an endpoint writes its
     /// record about every 1.2 s.
     pub const UNCONFIRMED_MS: u64 = 2_000;
@@ -238,12 +238,15 @@
             None => Certainty::Unknown,
         };
         let left_ms = until.map_or(Self::UNKNOWN_WAIT_MS, |until| until.ms_since(now));
-        if !self.has_started {
+        if !self.has_started && certainty == Certainty::Cold {
             let startup_ms = Self::STARTUP_MS.saturating_sub(now.0).max(Self::UNKNOWN_WAIT_MS);
             return Some(left_ms.min(startup_ms));
         }
         let quota = match certainty {
-            Certainty::Cold => self.quota(endpoint.hash, record, self.divided_per_s(terms)),
+            // A starting gateway knows neither the fleet nor, during an outage of the store, the cold endpoints.
+            // Refusing everything would make each restart in an outage a loss of the service.
+            Certainty::Unknown if !self.has_started => 1,
+            Certainty::Cold => self.quota(endpoint.hash, record, self.divided(terms, bound)),
             Certainty::Unknown => self.quota(endpoint.hash, record, bound.per_s(terms)),
         };
         if quota == 0 {
@@ -258,14 +261,17 @@
         Some(if until.is_some() { window_ms.min(left_ms) } else { window_ms })
     }
 
-    /// Returns the requests per second that the gateways which are known divide at a cold endpoint.
-    fn divided_per_s(&self, terms: &ColdTerms) -> f64 {
+    /// Returns the requests in one window that the gateways which are known divide at a cold endpoint. The
+    /// window is longer than a second, so that this is about the stated rate; the slack of the bound is left
+    /// to gateways that learn late of the cold endpoint.
+    fn divided(&self, terms: &ColdTerms, bound: ColdBound) -> f64 {
+        let all = terms.per_s * bound.factor;
         if !self.is_cut_off() {
-            return terms.per_s;
+            return all;
         }
         let heard_share = self.heard as f64 / self.rank.gateways() as f64;
         // The first gateway sends, as it does in every other group.
-        (terms.per_s * heard_share * Self::CUT_OFF_FACTOR).max(terms.per_s.min(1.0))
+        (all * heard_share * Self::CUT_OFF_FACTOR).max(all.min(1.0))
     }
 
     /// Returns the number of requests that this gateway may send an endpoint in one window, if all gateways
--- a/crates/persimmon_decide/src/forward/picker.rs
+++ b/crates/persimmon_decide/src/forward/picker.rs
@@ -517,20 +517,12 @@
         let (source, tokens) = match known(false).or_else(|| known(true)) {
             Some(known) => known,
             None => {
-                let by_rank = |a: &Endpoint, b: &Endpoint| self.rank(a).total_cmp(&self.rank(b));
-                let first = others()
-                    .min_by(|a, b| is_left(a).cmp(&is_left(b)).then_with(|| by_rank(a, b)))?;
-        let known = self
-            .cached
-            .iter()
-            .find_map(|(hash, tokens)| Some((others().find(|it| it.hash == *hash)?, *tokens)));
-        let (source, tokens) = match known {
-            Some((source, tokens)) if tokens * 2 >= self.shared_tokens => (source, tokens),
-            _ => {
                 let rank = |it: &Endpoint| {
                     self.rank_with(it, self.speeds.share(self.view.speeds.lasting(it.hash)))
                 };
-                let first = others().min_by(|a, b| rank(a).total_cmp(&rank(b)))?;
+                let first = others().min_by(|a, b| {
+                    is_left(a).cmp(&is_left(b)).then_with(|| rank(a).total_cmp(&rank(b)))
+                })?;
                 (first, self.shared_tokens)
             }
         };
--- a/crates/persimmon_decide/tests/forward_endpoint_limits.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_limits.rs
@@ -176,7 +176,6 @@
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
             speeds: &EndpointSpeeds::new(),
-            records_age_ms: None,
             load_interval_ms: 100,
             prefixes: &PrefixMap::new(),
             now,
--- a/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
+++ b/crates/persimmon_decide/tests/forward_endpoint_pauses.rs
@@ -52,7 +52,6 @@
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
             speeds: &EndpointSpeeds::new(),
-            records_age_ms: None,
             load_interval_ms: 100,
             prefixes: &PrefixMap::new(),
             now,
--- a/crates/persimmon_decide/tests/forward_fleet_health.rs
+++ b/crates/persimmon_decide/tests/forward_fleet_health.rs
@@ -64,7 +64,6 @@
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
             speeds: &EndpointSpeeds::new(),
-            records_age_ms: None,
             load_interval_ms: 100,
             health: &self.trackers[gateway],
             prefixes: &PrefixMap::new(),
--- a/crates/persimmon_decide/tests/forward_picker.rs
+++ b/crates/persimmon_decide/tests/forward_picker.rs
@@ -88,7 +88,6 @@
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
             speeds: &EndpointSpeeds::new(),
-            records_age_ms: None,
             load_interval_ms: 100,
             prefixes: &self.prefixes,
             now: MonoMs(1_000),
--- a/crates/persimmon_decide/tests/forward_short_calls.rs
+++ b/crates/persimmon_decide/tests/forward_short_calls.rs
@@ -71,7 +71,6 @@
             cold: &ColdEndpoints::new(None),
             records_age_ms: Some(0),
             speeds: &EndpointSpeeds::new(),
-            records_age_ms: None,
             load_interval_ms: self.interval_ms,
             health: &HealthTracker::new(HealthSettings::default()),
             prefixes: &PrefixMap::new(),
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -15,17 +15,12 @@
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
     Admission, AdmissionInput, AdmissionSettings, Choice, ColdEndpoints, CrashTracker,
-    DurationTracker, EndpointDirectory, EndpointLimits, EndpointPauses, FanOut, FirstByteTimeout,
-    FleetView, HealthSettings, HealthTracker, IdleLimit, LimitReport, LoadTracker, NoChoice,
-    OverloadControl, PeerTable, PickRequest, Picker, PrefixMap, Rank, RecordsAge, RetryWindow,
-    RouteTable, ServedVersions, ServiceRetries, Shutdown, ShutdownSettings, StartupRecords,
-    StatedDeadlines, StoreEra, StoreView, StreamHolders, StreamVersions, WaitingTime,
     DurationTracker, EndpointDirectory, EndpointLimits, EndpointPauses, EndpointSpeeds, FanOut,
     FirstByteTimeout, FleetView, HealthSettings, HealthTracker, IdleLimit, LimitReport,
-    LoadTracker, NoChoice, PeerTable, PickRequest, Picker, PrefixMap, Rank, RecordsAge,
-    RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown, ShutdownSettings,
-    StartupRecords, StoreEra, StoreView, StreamHolders, StreamVersions, WaitingTime,
-    WorkspaceShares, count_weight,
+    LoadTracker, NoChoice, OverloadControl, PeerTable, PickRequest, Picker, PrefixMap, Rank,
+    RecordsAge, RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown,
+    ShutdownSettings, StartupRecords, StatedDeadlines, StoreEra, StoreView, StreamHolders,
+    StreamVersions, WaitingTime, WorkspaceShares, count_weight,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -42,6 +42,8 @@
 const ENDPOINT_WAIT_MS: u64 = 2_000;
 /// Divisor of the request's remaining time; the wait for an endpoint doesn't exceed the quotient.
 const ENDPOINT_WAIT_DIVISOR: u64 = 2;
+/// Interval at which a request that waits for a cold endpoint looks for one, in milliseconds.
+const COLD_CHECK_INTERVAL_MS: u64 = 50;
 /// Time without an answer after which a repeatable request goes to another endpoint, as a multiple
 /// of its route's target latency.
 const SILENCE_TIMEOUT_FACTOR: u64 = 2;
@@ -163,7 +165,14 @@
                 self.wait_for_endpoint().await;
             }
             self.check_shutdown()?;
-            let choice = self.choose()?;
+            let choice = match self.choose() {
+                Err(Refusal::Cold { .. }) if self.may_be_on_time() => {
+                    let delay = std::time::Duration::from_millis(COLD_CHECK_INTERVAL_MS);
+                    tokio::time::sleep(delay).await;
+                    continue;
+                }
+                choice => choice?,
+            };
             let failed = match self.attempt(&choice, last_event).await {
                 Ok(answered) => {
                     self.record_first_answer(&choice);
@@ -230,6 +239,13 @@
         !self.log.may_have_run() && (is_settling || now.0 < STARTUP_MS || is_replaced())
     }
 
+    /// Reports whether an answer that starts now would still meet the target. Until then, a request waits for a
+    /// cold endpoint that accepts it: an endpoint is cold for seconds, and a caller that is refused has only one
+    /// more try.
+    fn may_be_on_time(&self) -> bool {
+        self.gw.clock.now().ms_since(self.plan.arrived) < self.plan.route.target_ms
+    }
+
     fn has_ready_endpoint(&self) -> bool {
         let control = self.gw.control.borrow();
         control.directory.ready(&self.plan.service).any(|it| self.allows_version(it))
--- a/crates/persimmon_gateway/src/metrics.rs
+++ b/crates/persimmon_gateway/src/metrics.rs
@@ -270,13 +270,12 @@
             "Decisions on requests during the shutdown, by the step before which they are made.",
             &["at", "decision"],
         )?;
-        Ok(Self { closed, shutdown_decisions, admission: AdmissionMetrics::new(set)? })
         let held = set.gauges(
             "persimmon_gateway_held_bytes",
             "Memory reserved for callers' bodies and for answers of endpoints.",
             &["of"],
         )?;
-        Ok(Self { closed, shutdown_decisions, held })
+        Ok(Self { closed, shutdown_decisions, admission: AdmissionMetrics::new(set)?, held })
     }
 
     /// Sets the memory of all bodies or answers, in bytes.
