Gateway: an overload begins with a queue, not with slots that are taken

Cause: at three quarters of what the slots bear, an endpoint that is slow for a moment makes an answer late while the old counts say that all slots are taken. The gateway then kept to its share and refused calls that the others' free slots would have served. Where a route's target is below what its requests take, every request also counted as late.

Change: a late answer begins an overload from 1.5 requests for each slot on, and it lasts from 1.2 on. Requests are judged by the time within which they should be answered, which is the deadline where the target can't be met. Tests of the decision by itself.

--- a/crates/persimmon_decide/src/forward/overload_control.rs
+++ b/crates/persimmon_decide/src/forward/overload_control.rs
@@ -59,6 +59,12 @@
     /// Factor on the share for requests that can't be on time any more: they are worth less than those that
     /// can, but some are served when those use up less than the share.
     const LATE_FACTOR: f64 = 0.3;
+    /// Fill by the counts from which a late answer begins an overload. At less, the answer was probably late
+    /// because its endpoint is slow.
+    const LATE_ANSWER_FILL: f64 = 1.5;
+    /// Fill by the counts from which an overload lasts. It is less than what the shares allow with a short
+    /// queue, and more than a usual load reaches for a moment.
+    const LASTING_FILL: f64 = 1.2;
     /// Weight by age from which the peers' counts of one endpoint's load are used in overload: requests take
     /// at least half the time between two counts.
     const MIN_COUNT_WEIGHT: f64 = 0.5;
@@ -100,7 +106,7 @@
         }
         // The counts don't say that endpoints are full while the shares hold, so the overload lasts as long
         // as requests queue.
-        if load.total >= load.slots {
+        if load.fill() >= Self::LASTING_FILL {
             self.share.record_full(interval_ms, draw, now);
             return OverloadDecision::Refused;
         }
@@ -129,7 +135,7 @@
     pub fn record_answer(&mut self, answer: &AnswerInput, load: ServiceLoad) {
         let AnswerInput { began, target_ms, interval_ms, draw, now } = *answer;
         let is_on_time = now.ms_since(began) <= target_ms;
-        if !is_on_time && load.total >= load.slots {
+        if !is_on_time && load.fill() >= Self::LATE_ANSWER_FILL {
             self.share.record_full(interval_ms, draw, now);
         }
         if self.share.overloaded_since(now).is_some_and(|since| began > since.plus_ms(target_ms)) {
--- a/crates/persimmon_decide/src/forward/own_share.rs
+++ b/crates/persimmon_decide/src/forward/own_share.rs
@@ -25,6 +25,11 @@
             total: sum.total + view.loads.total(it.hash).requests,
         })
     }
+
+    /// Returns the requests of all gateways as a multiple of the slots.
+    pub fn fill(self) -> f64 {
+        f64::from(self.total) / f64::from(self.slots.max(1))
+    }
 }
 
 /// Requests to a service in the fleet's recent past, by which gateways divide its capacity.
--- a/crates/persimmon_gateway/src/control/overload.rs
+++ b/crates/persimmon_gateway/src/control/overload.rs
@@ -23,7 +23,7 @@
     pub(crate) rank_factor: f64,
     /// Time that the caller has already spent on the request, in milliseconds.
     pub(crate) spent_ms: u64,
-    /// Target latency of the route, in milliseconds.
+    /// Time within which the request should be answered, in milliseconds.
     pub(crate) target_ms: u64,
 }
 
--- a/crates/persimmon_gateway/src/exchange/admission.rs
+++ b/crates/persimmon_gateway/src/exchange/admission.rs
@@ -62,7 +62,8 @@
             return picked;
         }
         let has_room = picked.is_ok();
-        let decision = control.decide_overload(&self.short_request(fill, has_room), now);
+        let short = self.short_request(control, fill, has_room);
+        let decision = control.decide_overload(&short, now);
         self.count_decision(decision, has_room);
         match decision {
             OverloadDecision::ByCounts => picked,
@@ -71,21 +72,27 @@
                 control.pick(&PickRequest { max_fill: f64::INFINITY, count_weight, ..*req }, now)
             }
             OverloadDecision::Refused => {
-                let load = control.service_load(&plan.service, now);
-                let least_fill = f64::from(load.total) / f64::from(load.slots.max(1));
+                let least_fill = control.service_load(&plan.service, now).fill();
                 Err(NoChoice::Full { least_fill })
             }
         }
     }
 
-    fn short_request(&self, fill: FillLimit, has_room: bool) -> ShortRequest<'_> {
+    fn short_request(
+        &self,
+        control: &Control,
+        fill: FillLimit,
+        has_room: bool,
+    ) -> ShortRequest<'_> {
+        let Plan { service, route, .. } = &*self.plan;
+        let target_ms = control.waiting_time.limit_ms(service, route.target_ms, route.timeout_ms);
         ShortRequest {
             service: &self.plan.service,
             has_room,
             queue_fill: fill.queue_fill,
             rank_factor: fill.rank_factor,
             spent_ms: self.plan.spent_ms,
-            target_ms: self.plan.route.target_ms,
+            target_ms,
         }
     }
 
@@ -103,7 +110,8 @@
     /// Returns the delay after which the caller should come back because endpoints are full, in milliseconds.
     pub(super) fn full_retry_ms(&self, control: &mut Control, fill: FillLimit, now: MonoMs) -> u64 {
         if self.is_short() {
-            return control.short_retry_ms(&self.short_request(fill, false), self.left_ms(), now);
+            let short = self.short_request(control, fill, false);
+            return control.short_retry_ms(&short, self.left_ms(), now);
         }
         let draw = control.draw();
         control.waiting_time.retry_after_ms(&self.plan.service, draw)
