Gateway: open connections lower what bodies and answers may hold

Cause: the budget left half of the memory to the process and its connections, however many there are. Buffers of connections take about 28 KB each; 512 callers on 48 MB, or some 2,100 on 160 MB, need nearly all of that half.

Change: MemoryBudget knows the number of callers' connections. Bodies and answers together hold at most half of the memory, and at most what 24 MB and 32 KB for each connection leave, but an eighth in any case. On 160 MB, the limit is lower from 1,792 connections on.

--- a/crates/persimmon_decide/src/forward/memory_budget.rs
+++ b/crates/persimmon_decide/src/forward/memory_budget.rs
@@ -22,28 +22,39 @@
 /// since its request hasn't run.
 #[derive(Debug)]
 pub struct MemoryBudget {
-    max_bytes: usize,
+    process_bytes: usize,
     max_body_bytes: usize,
+    connections: usize,
     answers: AnswerMemory,
     bodies: BodyMemory,
 }
 
 impl MemoryBudget {
-    /// Part of the process's memory for bodies and answers together. The rest is for the process itself,
-    /// the buffers of connections, and the copy that is made when a body in chunks is complete.
-    const PART: (u64, u64) = (1, 2);
+    /// Divisor of the process's memory; bodies and answers together hold at most the quotient. The rest is
+    /// for the process itself, the buffers of connections, and the copy that is made when a body in chunks
+    /// is complete.
+    const DIVISOR: usize = 2;
+    /// Divisor of the process's memory; bodies and answers together may hold the quotient however many
+    /// connections are open.
+    const MIN_DIVISOR: usize = 8;
     /// Part of the process's memory for bodies: 50 MB of the 160 MB of the smallest VM.
-    const BODY_PART: (u64, u64) = (5, 16);
+    const BODY_PART: (usize, usize) = (5, 16);
+    /// Memory of the process without callers, and what the allocator keeps after large bodies, in bytes.
+    const IDLE_BYTES: usize = 24 * 1024 * 1024;
+    /// Memory of a caller's connection, whose buffers hold a head and the beginning of an answer, in bytes.
+    const CONNECTION_BYTES: usize = 32 * 1024;
     /// Memory of a body that is being read beside its bytes and its head: the buffers of its connection and
     /// its task.
     const READING_BYTES: usize = 32 * 1024;
 
     /// Creates the state for a process that may use `bytes` of memory.
     pub fn for_process(bytes: u64) -> Self {
-        let part = |(part, whole)| usize::try_from(bytes / whole * part).unwrap_or(usize::MAX);
+        let process_bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        let (part, whole) = Self::BODY_PART;
         Self {
-            max_bytes: part(Self::PART),
-            max_body_bytes: part(Self::BODY_PART),
+            process_bytes,
+            max_body_bytes: process_bytes / whole * part,
+            connections: 0,
             answers: AnswerMemory::for_process(bytes),
             bodies: BodyMemory::default(),
         }
@@ -51,7 +62,15 @@
 
     /// Returns the maximum of bodies and answers together, in bytes.
     pub fn max_bytes(&self) -> usize {
-        self.max_bytes
+        let connections = self.connections.saturating_mul(Self::CONNECTION_BYTES);
+        let left = self.process_bytes.saturating_sub(Self::IDLE_BYTES).saturating_sub(connections);
+        left.clamp(self.process_bytes / Self::MIN_DIVISOR, self.process_bytes / Self::DIVISOR)
+    }
+
+    /// Sets the number of callers' connections that are open. Many of them leave less for bodies and
+    /// answers.
+    pub fn set_connections(&mut self, connections: usize) {
+        self.connections = connections;
     }
 
     /// Returns the memory of bodies and answers together, in bytes.
@@ -71,7 +90,7 @@
 
     /// Returns the maximum of all bodies beside the present answers, in bytes.
     pub fn max_body_bytes(&self) -> usize {
-        self.max_body_bytes.min(self.max_bytes.saturating_sub(self.answers.held_bytes()))
+        self.max_body_bytes.min(self.max_bytes().saturating_sub(self.answers.held_bytes()))
     }
 
     /// Begins a body of the caller at this address, of which only the request's head is held. A request
@@ -115,7 +134,7 @@
     pub fn hold_answer(&mut self, answer: AnswerKey, bytes: usize, now: MonoMs) -> GivenUp {
         let mut answers = self.answers.hold(answer, bytes);
         let bodies = self.bodies.shrink_to(self.max_body_bytes(), now);
-        while self.held_bytes() > self.max_bytes {
+        while self.held_bytes() > self.max_bytes() {
             let Some(largest) = self.answers.give_up_largest() else { break };
             answers.push(largest);
         }
--- a/crates/persimmon_decide/tests/forward_memory_budget.rs
+++ b/crates/persimmon_decide/tests/forward_memory_budget.rs
@@ -202,3 +202,19 @@
     heads.into_iter().for_each(|key| load.budget.end_body(key));
     assert_eq!(load.budget.held_bytes(), 0);
 }
+
+/// Guards against limits that leave no memory for the buffers of thousands of connections.
+#[rstest]
+#[case::hundreds(160, 512, 80)]
+#[case::thousands(160, 2_560, 56)]
+#[case::hundreds_in_little_memory(48, 512, 8)]
+#[case::more_than_the_memory_bears(48, 10_000, 6)]
+fn max_bytes_leaves_room_for_connections(
+    #[case] process_mb: usize,
+    #[case] connections: usize,
+    #[case] expected_mb: usize,
+) {
+    let mut budget = MemoryBudget::for_process(process_mb as u64 * 1024 * 1024);
+    budget.set_connections(connections);
+    assert_eq!(budget.max_bytes(), expected_mb * 1024 * 1024);
+}
--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -211,10 +211,12 @@
         }
         let connection = Rc::new(CallerConnection::new(gw.clock, from.ip()));
         let key = connections.open.borrow_mut().insert(connection.clone());
+        gw.memory.borrow_mut().set_connections(connections.len());
         let gw = gw.clone();
         tokio::task::spawn_local(async move {
             serve(gw.clone(), stream, connection).await;
             gw.callers.open.borrow_mut().remove(key);
+            gw.memory.borrow_mut().set_connections(gw.callers.len());
         });
     }
 }
