Tests: frozen gateways before cold endpoints

Cause: the model of cold endpoints had no gateways that stand still, and passed also if an endpoint got nothing.

Change: a third of the gateways, or all, stand still for some seconds, and send then what they had chosen before. Each endpoint must get something, unless all gateways have restarted without hearing one another.

--- a/crates/persimmon_decide/tests/cold_model/mod.rs
+++ b/crates/persimmon_decide/tests/cold_model/mod.rs
@@ -1,6 +1,7 @@
 //! Model of a zone whose endpoints come back together, under more load than they bear while they are cold.
 
 use std::net::IpAddr;
+use std::ops::Range;
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{ColdEndpoints, Endpoint, KnownGateways};
@@ -50,6 +51,10 @@
     SomeUnaware,
     /// No gateway has other records than those.
     AllUnaware,
+    /// A third of the gateways stand still for some seconds, and send then what they had chosen before.
+    SomeFrozen,
+    /// All gateways stand still for the same seconds.
+    AllFrozen,
     /// A third of the gateways restart, and half of the others have old records and hear only each other.
     RestartsBesideUnaware,
 }
@@ -80,6 +85,8 @@
     origin: u64,
     /// Time at which it ends, and begins again with the other number.
     restart: Option<(u64, u64)>,
+    /// Time for which it stands still.
+    frozen: Range<u64>,
     /// Time of the last digest of each gateway; none if its address is unknown.
     known: Vec<Option<u64>>,
     /// Gateways that hear each other have the same number.
@@ -114,6 +121,14 @@
                 let at = BACK_MS - 1_000 + rng.random_range(0..2_000);
                 (at, at + rng.random_range(100..1_000))
             });
+            let frozen = match trouble {
+                Trouble::SomeFrozen if number % 3 == 0 => {
+                    let from = BACK_MS + rng.random_range(0..2_000);
+                    from..from + rng.random_range(2_500..4_000)
+                }
+                Trouble::AllFrozen => BACK_MS + 1_500..BACK_MS + 4_000,
+                _ => 0..0,
+            };
             let (group, is_unaware) = match trouble {
                 Trouble::PartCutOff => (u16::from(number % 5 < 2), false),
                 Trouble::AllCutOff | Trouble::AllRestartCutOff => (number, false),
@@ -128,6 +143,7 @@
                 cold,
                 origin: 0,
                 restart,
+                frozen,
                 known: vec![Some(0); all],
                 group,
                 is_unaware,
@@ -147,7 +163,8 @@
         for now in (0..END_MS).step_by(TICK_MS as usize) {
             for number in 0..self.gateways.len() {
                 self.restart(number, now);
-                if self.gateways[number].origin > now {
+                let gateway = &self.gateways[number];
+                if gateway.origin > now || gateway.frozen.contains(&now) {
                     continue;
                 }
                 self.send_digest(number, now);
@@ -199,7 +216,7 @@
 
     fn hears(&self, from: usize, to: usize, now: u64) -> bool {
         let (from, to) = (&self.gateways[from], &self.gateways[to]);
-        to.origin <= now && (now < CUT_MS || from.group == to.group)
+        to.origin <= now && !to.frozen.contains(&now) && (now < CUT_MS || from.group == to.group)
     }
 
     fn interval_ms(&self, number: usize) -> u64 {
@@ -260,6 +277,10 @@
 
     fn records_age_ms(&self, number: usize, now: u64) -> Option<u64> {
         let gateway = &self.gateways[number];
+        let frozen = &gateway.frozen;
+        if (frozen.end..frozen.end + LIST_MS).contains(&now) && frozen.end > 0 {
+            return Some(now - frozen.start);
+        }
         match (gateway.is_unaware && now >= CUT_MS, self.fault) {
             (true, Some(Fault::OldRecordsTrusted)) => Some(0),
             (true, _) => (gateway.origin == 0).then_some(now - CUT_MS),
@@ -302,7 +323,10 @@
             }
             while gateway.cold.wait_ms(endpoint, age, clock).is_none() {
                 gateway.cold.record_sent(endpoint, clock);
-                let at = now + self.rng.random_range(0..=SEND_DELAY_MS);
+                let mut at = now + self.rng.random_range(0..=SEND_DELAY_MS);
+                if gateway.frozen.contains(&at) {
+                    at = gateway.frozen.end;
+                }
                 self.arrivals[index].push(at);
                 let is_warm = now >= self.back_at[index] + COLD_MS;
                 let is_broken = self.fault.is_some() && self.arrivals[index].len() > 10_000;
--- a/crates/persimmon_decide/tests/forward_cold_endpoints.rs
+++ b/crates/persimmon_decide/tests/forward_cold_endpoints.rs
@@ -280,6 +280,8 @@
         Trouble::AllCutOff,
         Trouble::SomeUnaware,
         Trouble::AllUnaware,
+        Trouble::SomeFrozen,
+        Trouble::AllFrozen,
         Trouble::RestartsBesideUnaware
     )]
     trouble: Trouble,
@@ -287,6 +289,9 @@
 ) {
     let outcome = Model::new(gateways, trouble, None, seed).play();
     assert!(outcome.most_per_s <= MAX_PER_S, "{outcome:?}");
+    // Gateways that start without hearing their peers send nothing, if they did so before.
+    let may_be_silent = trouble == Trouble::AllRestartCutOff;
+    assert!(outcome.least_sent > 0 || may_be_silent, "{outcome:?}");
     if trouble == Trouble::None {
         assert!(outcome.most_per_s <= 13, "{outcome:?}");
         // What the rule leaves in windows that allow for requests sent late, less the last window.
