Picker: the fleet's view stands by itself; a decision doesn't collect the gateways' addresses

Each admission in overload, each short answer and each pick of a call sorted the addresses of all gateways for the interval between digests, so that its cost grew with the fleet; they use the interval that is kept with the gateways. Behaviour is unchanged but for its age of a second at most.

--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -187,7 +187,7 @@
     pub(crate) fn count_weight(&self, service: &str) -> f64 {
         match self.waiting_time.mean_ms(service) {
             0 => 1.0,
-            answer_ms => count_weight(answer_ms, self.peers.interval_ms(false)),
+            answer_ms => count_weight(answer_ms, self.load_interval_ms),
         }
     }
 
--- a/crates/persimmon_gateway/src/control/overload.rs
+++ b/crates/persimmon_gateway/src/control/overload.rs
@@ -44,7 +44,7 @@
             spent_ms: req.spent_ms,
             target_ms: req.target_ms,
             mean_ms: self.waiting_time.mean_ms(req.service),
-            interval_ms: self.peers.interval_ms(false),
+            interval_ms: self.load_interval_ms,
             draw: self.rng.random(),
             now,
         };
@@ -119,7 +119,7 @@
         now: MonoMs,
     ) {
         let load = self.service_load(service, now);
-        let interval_ms = self.peers.interval_ms(false);
+        let interval_ms = self.load_interval_ms;
         let draw = self.rng.random();
         let answer = AnswerInput { began, target_ms, interval_ms, draw, now };
         self.overload(service).record_answer(&answer, load);
