Slots of all endpoints are summed without overflow; the stand-in for an earlier build ends its digest before the new section

The stand-in cut two bytes of the digest, of which one is the new list of speeds now, so that its digests couldn't be read; the checks are as they were.

--- a/crates/persimmon_decide/src/forward/own_share.rs
+++ b/crates/persimmon_decide/src/forward/own_share.rs
@@ -20,9 +20,10 @@
         let is_usable = |hash| !view.health.is_ejected(hash, view.now);
         let open = view.endpoints.ready(service).filter(|it| view.is_open(it));
         open.filter(|it| is_usable(it.hash)).fold(Self::default(), |sum, it| Self {
-            slots: sum.slots + it.slots,
-            own: sum.own + view.loads.own(it.hash),
-            total: sum.total + view.loads.total(it.hash).requests,
+            // Anyone may have written an endpoint's record, with any number of slots.
+            slots: sum.slots.saturating_add(it.slots),
+            own: sum.own.saturating_add(view.loads.own(it.hash)),
+            total: sum.total.saturating_add(view.loads.total(it.hash).requests),
         })
     }
 
--- a/crates/persimmon_gateway/src/evacuation.rs
+++ b/crates/persimmon_gateway/src/evacuation.rs
@@ -55,17 +55,17 @@
 struct RemainingSlots {
     service: Arc<str>,
     /// Requests of all gateways at all of its endpoints.
-    load: u32,
+    load: u64,
     /// Slots of the endpoints that accept requests.
-    slots: u32,
+    slots: u64,
     is_enough: bool,
 }
 
 impl RemainingSlots {
     fn of(control: &Control, service: &Arc<str>) -> Self {
         let all = control.directory.of_service(service).iter();
-        let load = all.map(|it| control.loads.total(it.hash).requests).sum();
-        let slots = control.directory.ready(service).map(|it| it.slots).sum();
+        let load = all.map(|it| u64::from(control.loads.total(it.hash).requests)).sum();
+        let slots = control.directory.ready(service).map(|it| u64::from(it.slots)).sum();
         Self { service: service.clone(), load, slots, is_enough: load <= slots }
     }
 }
--- a/crates/persimmonmountd/tests/record_peer/mod.rs
+++ b/crates/persimmonmountd/tests/record_peer/mod.rs
@@ -151,8 +151,8 @@
         };
         let mut bytes = digest.to_bytes().unwrap();
         if !reads_notices {
-            // Earlier builds don't send the last section, which is two bytes.
-            bytes.truncate(bytes.len() - 2);
+            // Earlier builds don't send the last two sections: two bytes, and one of an empty list.
+            bytes.truncate(bytes.len() - 3);
         }
         for gateway in to {
             socket.send_to(&bytes, gateway).unwrap();
