Gateway: connections with unfinished bodies give way to new ones

What callers saw: a crowd that holds all connections with bodies that stop short of their end, or with chunk sizes that don't end, shut all others out. New connections were reset until the crowd's deadlines.

Cause: only idle connections and unfinished heads gave way to a new connection. A request whose body is still arriving counted as one in progress, although no endpoint has received anything of it. Besides, a connection that was chosen as idle and then got the beginning of a last request stayed open for that request and was never chosen again, so that more connections were open than Limits.MaxFds allows.

Change: an unfinished body is an activity of its own. Bodies that have stalled for 2 s give way before idle connections, others after everything else; of these the one without progress for longest, of the address that has most. Their callers get 408 or 503 with Retry-After (not run), and the connection is closed. Connections with an answered request whose rest is discarded give way before. A complete request never does. What a connection that is being closed receives still gives way, and a new connection waits while too many are being closed. /status counts body_stalled, no_memory and no_connection as requests that weren't run.

Evidence (x86_64, debug build): process_gateway_connections, 200 callers at a gateway with 128 descriptors. On 20 of 24 cases fail: in 16 the next ordinary request is reset, in 4 the gateway has 151 to 165 descriptors open. The other 4 (requests refused at once) pass. With this change 24 of 24 pass, with 67 to 80 descriptors (17 for refused requests). A steady upload from the crowd's address isn't cut, nor a request that an endpoint runs. forward_caller_room plays 5,000 connections of callers that stop or trickle beside such an upload. process_gateway_body_memory passes as it is.

--- a/crates/persimmon_decide/src/forward/body_memory.rs
+++ b/crates/persimmon_decide/src/forward/body_memory.rs
@@ -19,6 +19,8 @@
     Stalled,
     /// It was still arriving.
     NoMemory,
+    /// It was still arriving, and its connection gave way to a new one.
+    NoConnection,
 }
 
 /// A body that was given up.
@@ -103,6 +105,22 @@
         }
     }
 
+    /// Returns the arrival of a body's last bytes; none if the body is complete or isn't known.
+    pub fn arriving_since(&self, key: BodyKey) -> Option<MonoMs> {
+        self.bodies.get(key).filter(|body| !body.is_complete).map(|body| body.progress_at)
+    }
+
+    /// Gives up a body whose connection has to give way; none if the body is complete or isn't known.
+    pub(super) fn give_up(&mut self, key: BodyKey, now: MonoMs) -> Option<LostBody> {
+        self.arriving_since(key)?;
+        let loss = match self.stalled_ms(key, now) {
+            0 => BodyLoss::NoConnection,
+            _ => BodyLoss::Stalled,
+        };
+        self.end(key);
+        Some(LostBody { key, loss })
+    }
+
     /// Ends a body, whose memory is free. Does nothing if it has been given up.
     pub fn end(&mut self, key: BodyKey) {
         self.held_bytes -= self.bodies.remove(key).map_or(0, |body| body.bytes);
--- a/crates/persimmon_decide/src/forward/caller_room.rs
+++ b/crates/persimmon_decide/src/forward/caller_room.rs
@@ -1,9 +1,10 @@
-//! Which open connection gives way when a gateway has no room for a new one.
+//! Which open connection gives way when a process has no room for a new one.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::IpAddr;
 
+use super::body_memory::BodyMemory;
 use crate::MonoMs;
 
 /// What a caller does on an open connection.
@@ -13,6 +14,11 @@
     Idle,
     /// It has sent a part of a request's head.
     PartialHead,
+    /// It has sent a part of a request's body, of which no endpoint has received anything. Begins with the
+    /// last bytes.
+    PartialBody,
+    /// Its request has been answered before the body was complete, and the rest is discarded.
+    Answered,
     /// It has a request in progress.
     Request,
 }
@@ -34,20 +40,32 @@
 /// caller's head arrives within a few round trips.
 const MIN_HEAD_AGE_MS: u64 = 500;
 
-/// Returns the connection that gives way to a new one; none if each has a request in progress.
+/// Returns the connection that gives way to a new one; none if each has a complete request in progress.
 ///
-/// Handles callers that open more connections than the gateway can hold and send only parts of heads, or
-/// nothing: a new connection usually has a request. Unfinished heads give way first, then idle
-/// connections, the longest first, and then heads that have only just begun. Of unfinished heads, the
-/// oldest one of the address with most of them gives way, so that a slow caller isn't cut for the
-/// connections of another.
+/// Handles callers that open more connections than the process can hold and send only parts of requests,
+/// or nothing: a new connection usually has a request. These give way, in this order:
+///
+/// 1. heads that are unfinished for long,
+/// 2. connections with an answer to a request whose rest is discarded, the longest first,
+/// 3. bodies that have stalled,
+/// 4. idle connections, the longest first,
+/// 5. heads that have only just begun,
+/// 6. bodies that are still arriving.
+///
+/// Of unfinished heads and bodies, the one without progress for longest of the address with most of them
+/// gives way, so that a slow caller isn't cut for the connections of another.
 pub fn connection_to_close<K: Copy>(open: &[OpenConnection<K>], now: MonoMs) -> Option<K> {
     let of = |activity| open.iter().filter(move |it| it.activity == activity);
-    let is_old = |it: &&OpenConnection<K>| now.ms_since(it.since) >= MIN_HEAD_AGE_MS;
+    let older_than = |ms| move |it: &&OpenConnection<K>| now.ms_since(it.since) >= ms;
     let heads = || of(CallerActivity::PartialHead);
-    let chosen = oldest_of_most(heads().filter(is_old))
-        .or_else(|| of(CallerActivity::Idle).min_by_key(|it| it.since))
-        .or_else(|| oldest_of_most(heads()));
+    let bodies = || of(CallerActivity::PartialBody);
+    let longest = |activity| of(activity).min_by_key(|it| it.since);
+    let chosen = oldest_of_most(heads().filter(older_than(MIN_HEAD_AGE_MS)))
+        .or_else(|| longest(CallerActivity::Answered))
+        .or_else(|| oldest_of_most(bodies().filter(older_than(BodyMemory::STALL_MS))))
+        .or_else(|| longest(CallerActivity::Idle))
+        .or_else(|| oldest_of_most(heads()))
+        .or_else(|| oldest_of_most(bodies()));
     chosen.map(|it| it.key)
 }
 
--- a/crates/persimmon_decide/src/forward/memory_budget.rs
+++ b/crates/persimmon_decide/src/forward/memory_budget.rs
@@ -118,6 +118,13 @@
         self.bodies.complete(body);
     }
 
+    /// Gives up a body whose connection has to give way to a new one. Returns none if the body is complete,
+    /// or isn't known.
+    #[must_use]
+    pub fn give_up_body(&mut self, body: BodyKey, now: MonoMs) -> Option<LostBody> {
+        self.bodies.give_up(body, now)
+    }
+
     /// Ends a body, whose memory is free. Does nothing if it has been given up.
     pub fn end_body(&mut self, body: BodyKey) {
         self.bodies.end(body);
--- a/crates/persimmon_gateway/src/answer.rs
+++ b/crates/persimmon_gateway/src/answer.rs
@@ -1,6 +1,5 @@
 //! Handles a caller's request: plans it, sends it to endpoints and forwards the answer.
 
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -15,6 +14,7 @@
 use persimmon_process::piece_channel;
 
 use crate::body::AnswerBody;
+use crate::callers::CallerConnection;
 use crate::exchange::{Answered, Exchange, KEEP_ALIVE, OpenStream, keep_alive_timeout_s};
 use crate::gateway::Gateway;
 use crate::head::RequestHead;
@@ -30,11 +30,11 @@
 /// endpoint has to wait until the caller reads.
 const MAX_QUEUED_PIECES: usize = 8;
 
-/// Handles the request of the caller at the address `from`, and returns the response, and the request's body if it wasn't read.
+/// Handles a caller's request, and returns the response, and the request's body if it wasn't read.
 pub(crate) async fn answer<P: Platform>(
     gw: &Rc<Gateway<P>>,
     req: Request<Incoming>,
-    from: IpAddr,
+    caller: &CallerConnection,
 ) -> (Response<AnswerBody>, Option<Incoming>) {
     let arrived = gw.clock.now();
     let in_progress = InProgress::begin(gw, arrived);
@@ -45,7 +45,8 @@
     };
     let id = head.id.clone();
     in_progress.set_id(&id);
-    let accepted = gw.cut_off.run_until_cancelled(accept(gw, head, &mut body, from, arrived)).await;
+    let accepted =
+        gw.cut_off.run_until_cancelled(accept(gw, head, &mut body, caller, arrived)).await;
     let (plan, version) = match accepted.unwrap_or_else(|| Err(shutdown::refusal(gw))) {
         Ok(accepted) => accepted,
         Err(refusal) => return (refuse(gw, &id, refusal), Some(body)),
@@ -77,10 +78,10 @@
     gw: &Rc<Gateway<P>>,
     head: RequestHead,
     body: &mut Incoming,
-    from: IpAddr,
+    caller: &CallerConnection,
     arrived: MonoMs,
 ) -> Result<(Plan, Option<Arc<str>>), Refusal> {
-    let mut plan = plan(gw, head, body, from, arrived).await?;
+    let mut plan = plan(gw, head, body, caller, arrived).await?;
     let origin = find_origin(gw, &plan).await?;
     if let Some(origin) = &origin {
         plan.prefer_service(&origin.service);
--- a/crates/persimmon_gateway/src/body_buffer.rs
+++ b/crates/persimmon_gateway/src/body_buffer.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
+use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{BodyKey, BodyLoss, LostBody, MemoryBudget};
 use persimmon_process::Clock;
 use slotmap::SecondaryMap;
@@ -27,8 +28,8 @@
     /// The body is too long or broke off.
     #[error(transparent)]
     Read(#[from] ReadError),
-    /// Memory is short, and this body was given up.
-    #[error("the body was given up for lack of memory")]
+    /// Memory or connections are short, and this body was given up.
+    #[error("the body was given up for lack of memory or connections")]
     GivenUp(BodyLoss),
 }
 
@@ -53,6 +54,19 @@
         Self { clock, budget, shared: RefCell::default() }
     }
 
+    /// Returns the arrival of a body's last bytes; none if the body is complete or isn't known.
+    pub(crate) fn arriving_since(&self, key: BodyKey) -> Option<MonoMs> {
+        self.budget.borrow().bodies().arriving_since(key)
+    }
+
+    /// Gives up a body that is still arriving, since its connection has to give way to a new one. Returns
+    /// whether it was arriving.
+    pub(crate) fn give_up_arriving(&self, key: BodyKey) -> bool {
+        let lost = self.budget.borrow_mut().give_up_body(key, self.clock.now());
+        self.give_up(lost.into_iter().collect());
+        lost.is_some()
+    }
+
     /// Frees the memory of bodies, whose requests are refused.
     pub(crate) fn give_up(&self, lost: Vec<LostBody>) {
         for body in lost {
@@ -85,6 +99,11 @@
         Self { buffers: buffers.clone(), key, shared, allocated_bytes: Cell::new(0) }
     }
 
+    /// Returns the key by which the body can be given up.
+    pub(crate) fn key(&self) -> BodyKey {
+        self.key
+    }
+
     /// Reads a body of at most `max_bytes`. A stated length is reserved as a whole, so that a request that
     /// doesn't fit is refused before its caller sends it; other bodies reserve memory as they arrive.
     ///
--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -13,13 +13,16 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use persimmon_decide::MonoMs;
-use persimmon_decide::forward::{CallerActivity, OpenConnection, Shutdown, connection_to_close};
+use persimmon_decide::forward::{
+    BodyKey, CallerActivity, OpenConnection, Shutdown, connection_to_close,
+};
 use slotmap::{SlotMap, new_key_type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio_util::io::InspectReader;
 
 use crate::answer::answer;
+use crate::body_buffer::BodyBuffers;
 use crate::gateway::Gateway;
 use crate::http;
 use crate::platform::Platform;
@@ -46,6 +49,11 @@
 /// File descriptors of the process per connection of a caller; those left over are for connections
 /// to endpoints.
 const DESCRIPTORS_PER_CALLER: usize = 2;
+/// Divisor of the maximum number of connections; the quotient may be open in addition while others are
+/// being closed.
+const CLOSING_DIVISOR: usize = 4;
+/// Maximum time that a new connection waits for one that is being closed.
+const CLOSING_WAIT: Duration = Duration::from_millis(20);
 
 new_key_type! {
     struct ConnectionKey;
@@ -66,6 +74,10 @@
     has_answered: Cell<bool>,
     /// Whether the rest of a refused request's body is being read.
     is_discarding: Cell<bool>,
+    /// Whether the body of the request in progress was given up, so that the connection gives way to a new one.
+    gives_way: Cell<bool>,
+    /// Body of the last request; none before its first byte.
+    body: Cell<Option<BodyKey>>,
     answers: AnswerState,
     stop: Notify,
 }
@@ -81,11 +93,23 @@
             is_closing: Cell::new(false),
             has_answered: Cell::new(false),
             is_discarding: Cell::new(false),
+            gives_way: Cell::new(false),
+            body: Cell::new(None),
             answers: AnswerState::default(),
             stop: Notify::new(),
         }
     }
 
+    /// Returns the caller's address.
+    pub(crate) fn address(&self) -> IpAddr {
+        self.address
+    }
+
+    /// Records that the body of the request in progress has begun.
+    pub(crate) fn record_body(&self, body: BodyKey) {
+        self.body.set(Some(body));
+    }
+
     fn record_read(&self) {
         if !self.is_busy() && self.head_since.get().is_none() {
             self.head_since.set(Some(self.clock.now()));
@@ -95,6 +119,7 @@
     fn record_head(&self) {
         self.has_request.set(true);
         self.head_since.set(None);
+        self.body.set(None);
     }
 
     /// Reports whether a request is in progress, or a part of its body or answer still on its way.
@@ -111,11 +136,34 @@
     }
 
     /// Returns what the caller does, and since when.
-    fn activity(&self) -> (CallerActivity, MonoMs) {
+    fn activity(&self, bodies: &BodyBuffers) -> (CallerActivity, MonoMs) {
+        let since = self.idle_since.get();
+        if self.has_request.get() {
+            let arriving_since = self.body.get().and_then(|it| bodies.arriving_since(it));
+            return match arriving_since {
+                Some(since) => (CallerActivity::PartialBody, since),
+                None => (CallerActivity::Request, since),
+            };
+        }
         match self.head_since.get() {
-            _ if self.is_busy() => (CallerActivity::Request, self.idle_since.get()),
+            _ if self.answers.is_unwritten() => (CallerActivity::Request, since),
+            _ if self.is_discarding.get() => (CallerActivity::Answered, since),
             Some(since) => (CallerActivity::PartialHead, since),
-            None => (CallerActivity::Idle, self.idle_since.get()),
+            None => (CallerActivity::Idle, since),
+        }
+    }
+
+    /// Reports whether the connection stays open until it is closed, or for a request that has arrived
+    /// before its close.
+    fn is_lasting(&self) -> bool {
+        !self.gives_way.get() && (!self.is_closing.get() || self.has_request.get())
+    }
+
+    /// Closes the connection for a new one, after the answer in progress.
+    fn give_way(&self, bodies: &BodyBuffers) {
+        match self.body.get() {
+            Some(body) if bodies.give_up_arriving(body) => self.gives_way.set(true),
+            _ => self.close(),
         }
     }
 
@@ -138,32 +186,36 @@
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
     open: RefCell<SlotMap<ConnectionKey, Rc<CallerConnection>>>,
+    /// Notified when a connection has been closed.
+    closed: Notify,
 }
 
 impl Connections {
     /// Closes a connection that gives way to a new one, and returns what its caller was doing; none if
-    /// each has a request in progress.
-    fn close_one(&self, now: MonoMs) -> Option<CallerActivity> {
+    /// each has a complete request in progress.
+    fn close_one(&self, bodies: &BodyBuffers, now: MonoMs) -> Option<CallerActivity> {
         let open = self.open.borrow();
         let candidates: Vec<_> = open
             .iter()
-            .filter(|(_, connection)| !connection.is_closing.get())
+            .filter(|(_, connection)| connection.is_lasting())
             .map(|(key, connection)| {
-                let (activity, since) = connection.activity();
+                let (activity, since) = connection.activity(bodies);
                 OpenConnection { key, address: connection.address, activity, since }
             })
             .collect();
         let closed = open.get(connection_to_close(&candidates, now)?)?;
-        let (activity, _) = closed.activity();
-        closed.close();
+        let (activity, _) = closed.activity(bodies);
+        closed.give_way(bodies);
         Some(activity)
     }
 
     /// Closes the connections that a shutdown closes now, each after the answer in progress.
-    pub(crate) fn close_unused(&self, shutdown: &Shutdown, now: MonoMs) {
+    pub(crate) fn close_unused(&self, bodies: &BodyBuffers, shutdown: &Shutdown, now: MonoMs) {
         for connection in self.open.borrow().values() {
-            let (activity, since) = connection.activity();
-            let is_used = activity == CallerActivity::Request || connection.has_answered.get();
+            let (activity, since) = connection.activity(bodies);
+            let has_request =
+                matches!(activity, CallerActivity::Request | CallerActivity::PartialBody);
+            let is_used = has_request || connection.has_answered.get();
             // While the rest of a refused body is read, a close would reset the connection. One with a
             // partial head is closed after its answer, or when the head takes too long.
             let is_kept = connection.is_closing.get()
@@ -177,9 +229,15 @@
 
     /// Returns the number of connections that an exit waits for: those with an unfinished answer, and idle
     /// ones that aren't closed yet.
-    pub(crate) fn awaited(&self) -> usize {
+    pub(crate) fn awaited(&self, bodies: &BodyBuffers) -> usize {
         let open = self.open.borrow();
-        open.values().filter(|it| it.activity().0 != CallerActivity::PartialHead).count()
+        open.values().filter(|it| it.activity(bodies).0 != CallerActivity::PartialHead).count()
+    }
+
+    /// Returns the number of connections that aren't about to be closed.
+    fn lasting(&self) -> usize {
+        let open = self.open.borrow();
+        open.values().filter(|it| it.is_lasting()).count()
     }
 
     /// Returns the number of open connections.
@@ -202,7 +260,7 @@
             }
         };
         let max_connections = gw.settings.max_descriptors / DESCRIPTORS_PER_CALLER;
-        if connections.len() >= max_connections && !make_room(&gw, connections) {
+        if connections.len() >= max_connections && !make_room(&gw, max_connections).await {
             continue;
         }
         if let Err(err) = http::configure(&stream) {
@@ -216,17 +274,41 @@
         tokio::task::spawn_local(async move {
             serve(gw.clone(), stream, connection).await;
             gw.callers.open.borrow_mut().remove(key);
+            gw.callers.closed.notify_one();
             gw.memory.borrow_mut().set_connections(gw.callers.len());
         });
     }
 }
 
-/// Makes room for a new connection, and logs and counts what gave way. Returns whether there is room.
-fn make_room<P: Platform>(gw: &Gateway<P>, connections: &Connections) -> bool {
+/// Makes room for a new connection. Returns whether there is room.
+async fn make_room<P: Platform>(gw: &Gateway<P>, max_connections: usize) -> bool {
+    let connections = &gw.callers;
+    // Requests that have arrived on other new connections are read first.
+    tokio::task::yield_now().await;
+    while connections.lasting() >= max_connections {
+        if !close_one(gw, connections) {
+            return false;
+        }
+    }
+    // A connection that gives way keeps its descriptor until its task has ended.
+    while connections.len() > max_connections + max_connections / CLOSING_DIVISOR {
+        let closed = connections.closed.notified();
+        if tokio::time::timeout(CLOSING_WAIT, closed).await.is_err() && !close_one(gw, connections)
+        {
+            return false;
+        }
+    }
+    true
+}
+
+/// Closes a connection that gives way to a new one, and logs and counts it. Returns whether one does.
+fn close_one<P: Platform>(gw: &Gateway<P>, connections: &Connections) -> bool {
     let now = gw.clock.now();
-    let gave_way = connections.close_one(now);
+    let gave_way = connections.close_one(&gw.bodies, now);
     let closed = match gave_way {
         Some(CallerActivity::PartialHead) => "unfinished_head",
+        Some(CallerActivity::PartialBody) => "unfinished_body",
+        Some(CallerActivity::Answered) => "answered",
         Some(CallerActivity::Idle) => "idle",
         Some(CallerActivity::Request) | None => "new",
     };
@@ -262,8 +344,8 @@
             async move {
                 connection.record_head();
                 let version = req.version();
-                let (response, rest) = answer(&gw, req, connection.address).await;
-                if let Some(rest) = rest {
+                let (response, rest) = answer(&gw, req, &connection).await;
+                if let Some(rest) = rest.filter(|_| !connection.gives_way.get()) {
                     discard_rest(connection.clone(), rest);
                 }
                 let is_until_close = version < Version::HTTP_11 && response.body().is_stream();
@@ -280,15 +362,18 @@
     // Requests that have arrived before the connection is closed are read first.
     let stopped = async {
         connection.stop.notified().await;
-        tokio::time::sleep(CLOSE_DELAY).await;
+        if !connection.is_discarding.get() {
+            tokio::time::sleep(CLOSE_DELAY).await;
+        }
     };
     let result = tokio::select! {
         biased;
         result = served.as_mut() => result,
         () = stopped => {
             served.as_mut().graceful_shutdown();
-            // Waiting for the rest of a head could keep the connection open forever.
+            // Waiting for the rest of a head or of a refused body could keep the connection open for long.
             match connection.head_since.get() {
+                _ if connection.is_discarding.get() => Ok(()),
                 Some(_) => Ok(()),
                 None => served.await,
             }
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -1,6 +1,5 @@
 //! Decisions about a request before it is sent: its route, its caller and whether to accept it.
 
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -13,6 +12,7 @@
 use persimmon_decide::{Fingerprint, MonoMs};
 
 use crate::body_buffer::{BodyBuffer, BodyError};
+use crate::callers::CallerConnection;
 use crate::exchange::NO_ENDPOINT_RETRY_MS;
 use crate::gateway::Gateway;
 use crate::head::RequestHead;
@@ -21,9 +21,9 @@
 use crate::refusal::Refusal;
 use crate::shutdown::{self, Step};
 
-/// Delay after which a caller whose body didn't fit into the memory may return, in milliseconds. It is
-/// spread out. Bodies that hold the memory are sent to endpoints, or given up as stalled, meanwhile.
-const NO_MEMORY_RETRY_MS: u64 = 300;
+/// Delay after which a caller whose body was given up for lack of memory or connections may return, in
+/// milliseconds. It is spread out. Other bodies are sent to endpoints, or given up as stalled, meanwhile.
+const GIVEN_UP_RETRY_MS: u64 = 300;
 /// Maximum time that a request waits for the routes after the gateway's start, in milliseconds.
 const START_WAIT_MS: u64 = 1_000;
 /// Divisor of the time until the caller's deadline; the wait doesn't exceed the quotient.
@@ -76,12 +76,12 @@
     }
 }
 
-/// Routes a request of the caller at the address `from`, reads its body and decides whether to accept it.
+/// Routes a request of a caller, reads its body and decides whether to accept it.
 pub(crate) async fn plan<P: Platform>(
     gw: &Rc<Gateway<P>>,
     head: RequestHead,
     body: &mut Incoming,
-    from: IpAddr,
+    caller: &CallerConnection,
     arrived: MonoMs,
 ) -> Result<Plan, Refusal> {
     wait_until_configured(gw, head.deadline_ms).await;
@@ -90,7 +90,8 @@
     let deadline = deadline_of(&head, &route, arrived);
     shutdown::check(gw, Step::Arrival, &head.id, &route, deadline)?;
     let max_bytes = routes.limits.max_body_bytes;
-    let buffer = BodyBuffer::begin(&gw.bodies, from, head.bytes);
+    let buffer = BodyBuffer::begin(&gw.bodies, caller.address(), head.bytes);
+    caller.record_body(buffer.key());
     let body = read_request_body(gw, &buffer, body, max_bytes, deadline).await?;
     let content = content_of(&head, workspace.as_ref(), &body);
     let signature = RequestSignature::new(content, &head.parts);
@@ -177,21 +178,21 @@
     }
 }
 
-/// Logs that memory is short, and returns the refusal of a request whose body was given up.
+/// Logs that a body was given up, and returns the refusal of its request.
 fn refuse_given_up<P: Platform>(gw: &Gateway<P>, loss: BodyLoss) -> Refusal {
-    if let Some(suppressed) = gw.log_limiter.admit("memory_full", gw.clock.now()) {
+    if let Some(suppressed) = gw.log_limiter.admit("body_given_up", gw.clock.now()) {
         let memory = gw.memory.borrow();
         tracing::warn!(target: "request", bodies = memory.bodies().held_bytes(),
             max_bodies = memory.max_body_bytes(), answers = memory.answers().held_bytes(),
-            suppressed, "memory is short; a body was given up");
+            connections = gw.callers.len(), suppressed,
+            "memory is short or too many connections are open; a body was given up");
     }
+    let draw = gw.control.borrow_mut().draw();
+    let retry_after_ms = EndpointPauses::retry_after_ms(GIVEN_UP_RETRY_MS, draw);
     match loss {
         BodyLoss::Stalled => Refusal::BodyStalled,
-        BodyLoss::NoMemory => {
-            let draw = gw.control.borrow_mut().draw();
-            let retry_after_ms = EndpointPauses::retry_after_ms(NO_MEMORY_RETRY_MS, draw);
-            Refusal::NoMemory { retry_after_ms }
-        }
+        BodyLoss::NoMemory => Refusal::NoMemory { retry_after_ms },
+        BodyLoss::NoConnection => Refusal::NoConnection { retry_after_ms },
     }
 }
 
--- a/crates/persimmon_gateway/src/refusal.rs
+++ b/crates/persimmon_gateway/src/refusal.rs
@@ -28,6 +28,11 @@
         /// Delay until memory may be free, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The body was still arriving when its connection had to give way to a new one.
+    NoConnection {
+        /// Delay until connections may be free, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No routes are known yet.
     NotConfigured,
     /// Endpoints crashed while processing the same content.
@@ -98,6 +103,7 @@
             | Self::Limited { .. }
             | Self::Cold { .. }
             | Self::NoMemory { .. }
+            | Self::NoConnection { .. }
             | Self::UnknownStream
             | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -126,6 +132,7 @@
             Self::BodyTooSlow => "body_too_slow",
             Self::BodyStalled => "body_stalled",
             Self::NoMemory { .. } => "no_memory",
+            Self::NoConnection { .. } => "no_connection",
             Self::TimedOut => "timed_out",
         }
     }
@@ -156,6 +163,9 @@
             Self::Unknown => "answer lost; the request may have run, so check before a retry",
             Self::BodyStalled => "the body stopped before its end; request not run, retry it",
             Self::NoMemory { .. } => "no memory for the body; request not run, retry it later",
+            Self::NoConnection { .. } => {
+                "too many connections are open; request not run, retry it later"
+            }
             Self::BodyTooSlow => "the body didn't arrive in time; request not run, retry it",
             Self::TimedOut => "deadline passed; the request may have run, so check before a retry",
         }
@@ -172,7 +182,8 @@
             | Self::Paused { retry_after_ms }
             | Self::Limited { retry_after_ms }
             | Self::Cold { retry_after_ms }
-            | Self::NoMemory { retry_after_ms } => Some(retry_after_ms),
+            | Self::NoMemory { retry_after_ms }
+            | Self::NoConnection { retry_after_ms } => Some(retry_after_ms),
             _ => None,
         }
     }
@@ -198,6 +209,7 @@
                 | Self::BodyTooSlow
                 | Self::BodyStalled
                 | Self::NoMemory { .. }
+                | Self::NoConnection { .. }
         );
         if is_cut {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/persimmon_gateway/src/status.rs
+++ b/crates/persimmon_gateway/src/status.rs
@@ -140,7 +140,7 @@
 }
 
 /// Outcomes of requests that weren't run.
-const NOT_RUN: [&str; 11] = [
+const NOT_RUN: [&str; 14] = [
     "not_configured",
     "crashing",
     "leaving",
@@ -152,6 +152,9 @@
     "unknown_stream",
     "version_gone",
     "body_too_slow",
+    "body_stalled",
+    "no_memory",
+    "no_connection",
 ];
 /// Outcomes of requests that may have run.
 const UNKNOWN: [&str; 3] = ["unknown_outcome", "timed_out", "stream_cut"];
--- a/crates/persimmon_standins/src/lib.rs
+++ b/crates/persimmon_standins/src/lib.rs
@@ -6,18 +6,22 @@
 
 pub mod fleet;
 
+mod crowd;
 mod engine;
 mod http;
 mod platform;
+mod process_usage;
 mod relay;
 mod relay_control;
 mod service;
 
+pub use crowd::{Crowd, CrowdMessage};
 pub use engine::{
     Admission, Engine, EngineBuilder, EngineCounts, EngineSwitch, Fence, MAX_ANSWER_TOKENS,
     Message, expected_answer, prompt_tokens,
 };
 pub use platform::{Platform, PlatformBuilder, PlatformCounts, PlatformSwitch};
+pub use process_usage::{ProcessUsage, SocketBytes};
 pub use relay::{Direction, Relay, RelaySwitch, rebind, reset_on_close};
 pub use relay_control::RelayControl;
 pub use service::{Service, ServiceCounts, ServiceSwitch};
