Process: connections and bodies of callers in the crate that roles share

The router needs the same bookkeeping as the gateway: which bodies it reads, what a caller does on its connection, and which connection gives way. BodyBuffers, read_pieces, CallerConnection and CallerConnections move from persimmon_gateway to persimmon_process; serve_caller is what the gateway did for each connection. No behaviour changes.

--- a/crates/persimmon_decide/src/forward/caller_room.rs
+++ b/crates/persimmon_decide/src/forward/caller_room.rs
@@ -23,6 +23,19 @@
     Request,
 }
 
+impl CallerActivity {
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::PartialHead => "unfinished_head",
+            Self::PartialBody => "unfinished_body",
+            Self::Answered => "answered",
+            Self::Request => "request",
+        }
+    }
+}
+
 /// An open connection of a caller.
 #[derive(Debug, Clone, Copy)]
 pub struct OpenConnection<K> {
--- a/crates/persimmon_gateway/src/answer.rs
+++ b/crates/persimmon_gateway/src/answer.rs
@@ -14,7 +14,6 @@
 use persimmon_process::piece_channel;
 
 use crate::body::AnswerBody;
-use crate::callers::CallerConnection;
 use crate::exchange::{Answered, Exchange, KEEP_ALIVE, OpenStream, keep_alive_timeout_s};
 use crate::gateway::Gateway;
 use crate::head::RequestHead;
@@ -25,6 +24,7 @@
 use crate::relay;
 use crate::shutdown;
 use crate::stream_versions::find_origin;
+use persimmon_process::CallerConnection;
 
 /// Maximum number of pieces of a stream buffered for a caller. When the buffer is full, the
 /// endpoint has to wait until the caller reads.
--- a/crates/persimmon_gateway/src/answer_buffer.rs
+++ b/crates/persimmon_gateway/src/answer_buffer.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 use tokio_util::sync::CancellationToken;
 
-use crate::body_buffer::BodyBuffers;
+use persimmon_process::BodyBuffers;
 
 /// Maximum size of a piece of a buffered answer that is passed to the caller's connection, in bytes.
 const MAX_PIECE_BYTES: usize = 16 * 1024;
--- a/crates/persimmon_gateway/src/body.rs
+++ b/crates/persimmon_gateway/src/body.rs
@@ -1,7 +1,6 @@
 //! Bodies of responses to callers.
 
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -10,7 +9,6 @@
 use tokio::task::AbortHandle;
 
 use crate::answer_buffer::BufferedAnswer;
-use crate::callers::CallerConnection;
 
 /// Aborts a task when dropped.
 #[derive(Debug)]
@@ -33,44 +31,28 @@
 #[derive(Debug)]
 pub(crate) struct AnswerBody {
     content: Content,
-    /// The caller's connection, marked idle when the body is dropped.
-    connection: Option<Rc<CallerConnection>>,
 }
 
 impl AnswerBody {
     /// Creates a body from complete bytes.
     pub(crate) fn complete(bytes: Bytes) -> Self {
-        Self { content: Content::Complete(Some(bytes)), connection: None }
+        Self { content: Content::Complete(Some(bytes)) }
     }
 
     /// Creates a body from an answer that has been read.
     pub(crate) fn buffered(answer: BufferedAnswer) -> Self {
-        Self { content: Content::Buffered(answer), connection: None }
+        Self { content: Content::Buffered(answer) }
     }
 
     /// Creates a body from the pieces that the task `relay` sends to the channel.
     pub(crate) fn stream(rx: PieceReceiver, relay: AbortHandle) -> Self {
-        Self { content: Content::Stream { rx, _relay: AbortOnDrop(relay) }, connection: None }
+        Self { content: Content::Stream { rx, _relay: AbortOnDrop(relay) } }
     }
 
     /// Reports whether the body is a stream of unknown length.
     pub(crate) fn is_stream(&self) -> bool {
         matches!(self.content, Content::Stream { .. })
     }
-
-    /// Sets the caller's connection, which is marked idle when the body is dropped.
-    pub(crate) fn with_connection(mut self, connection: Rc<CallerConnection>) -> Self {
-        self.connection = Some(connection);
-        self
-    }
-}
-
-impl Drop for AnswerBody {
-    fn drop(&mut self) {
-        if let Some(connection) = &self.connection {
-            connection.record_answered();
-        }
-    }
 }
 
 impl Body for AnswerBody {
--- a/crates/persimmon_gateway/src/exchange/attempt.rs
+++ b/crates/persimmon_gateway/src/exchange/attempt.rs
@@ -21,8 +21,8 @@
 use crate::in_flight::InFlight;
 use crate::open_requests::RequestStage;
 use crate::platform::Platform;
-use crate::read_body::{ReadError, discard_body, read_pieces};
 use crate::upstream::{Connection, SendError};
+use persimmon_process::{ReadError, discard_body, read_pieces};
 
 /// Maximum size of an answer that is buffered before it is forwarded, in bytes. If a buffered
 /// answer is cut off, the request can still be retried.
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -10,8 +10,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer_buffer::AnswerBuffers;
-use crate::body_buffer::BodyBuffers;
-use crate::callers::Connections;
 use crate::control::Control;
 use crate::evacuation::EvacuationReports;
 use crate::log_limiter::LogLimiter;
@@ -22,7 +20,8 @@
 use crate::settings::GatewaySettings;
 use crate::stream_versions::StreamExchange;
 use crate::upstream::Upstream;
-use persimmon_process::Clock;
+use persimmon_process::BodyBuffers;
+use persimmon_process::{CallerConnections, Clock};
 
 /// A running gateway.
 #[derive(Debug)]
@@ -37,7 +36,7 @@
     /// Notified when the known records may be stale and the store has to be listed again.
     pub(crate) resync: Notify,
     /// Open connections of callers.
-    pub(crate) callers: Connections,
+    pub(crate) callers: CallerConnections,
     /// Cancelled shortly before the process exits; requests without an answer are then answered with an
     /// error.
     pub(crate) cut_off: CancellationToken,
@@ -86,7 +85,7 @@
             metrics,
             log_limiter: LogLimiter::new(),
             resync: Notify::new(),
-            callers: Connections::default(),
+            callers: CallerConnections::new(bodies.clone()),
             cut_off: CancellationToken::new(),
             requests: OpenRequests::default(),
             answers,
--- a/crates/persimmon_gateway/src/http.rs
+++ b/crates/persimmon_gateway/src/http.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
-use crate::read_body::ReadError;
+use persimmon_process::ReadError;
 
 /// Host header of the gateway's own requests; their receivers serve only one host.
 pub(crate) const OWN_HOST: &str = "gateway";
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -6,7 +6,6 @@
 mod answer;
 mod answer_buffer;
 mod body;
-mod body_buffer;
 #[cfg(test)]
 mod body_tests;
 mod callers;
@@ -30,7 +29,6 @@
 mod peers;
 mod plan;
 mod platform;
-mod read_body;
 mod record_answers;
 #[cfg(test)]
 mod record_answers_tests;
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -11,15 +11,15 @@
 };
 use persimmon_decide::{Fingerprint, MonoMs};
 
-use crate::body_buffer::{BodyBuffer, BodyError};
-use crate::callers::CallerConnection;
 use crate::exchange::NO_ENDPOINT_RETRY_MS;
 use crate::gateway::Gateway;
 use crate::head::RequestHead;
 use crate::platform::Platform;
-use crate::read_body::ReadError;
 use crate::refusal::Refusal;
 use crate::shutdown::{self, Step};
+use persimmon_process::CallerConnection;
+use persimmon_process::ReadError;
+use persimmon_process::{BodyBuffer, BodyError};
 
 /// Delay after which a caller whose body was given up for lack of memory or connections may return, in
 /// milliseconds. It is spread out. Other bodies are sent to endpoints, or given up as stalled, meanwhile.
--- a/crates/persimmon_gateway/src/shutdown.rs
+++ b/crates/persimmon_gateway/src/shutdown.rs
@@ -40,22 +40,18 @@
         let now = gw.clock.now();
         let shutdown = gw.control.borrow().shutdown;
         let stage = shutdown.stage(now);
-        gw.callers.close_unused(&gw.bodies, &shutdown, now);
+        gw.callers.close_unused(&shutdown, now);
         if stage >= ShutdownStage::Ending && !gw.cut_off.is_cancelled() {
             // The answers are sent before the next check, however late this one is.
             gw.cut_off.cancel();
-        } else if shutdown.may_exit(
-            gw.callers.awaited(&gw.bodies),
-            gw.control.borrow().idle_since,
-            now,
-        ) {
+        } else if shutdown.may_exit(gw.callers.awaited(), gw.control.borrow().idle_since, now) {
             break;
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
     log_requests_cut(gw);
     tracing::info!(target: "gateway", in_progress = gw.requests.len(),
-        connections = gw.callers.len(), awaited = gw.callers.awaited(&gw.bodies), "stopped");
+        connections = gw.callers.len(), awaited = gw.callers.awaited(), "stopped");
 }
 
 /// Counts and logs the requests that end because the process exits.
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -18,8 +18,8 @@
 use crate::http::{self, GetError, Page};
 use crate::notices;
 use crate::platform::{DecodeError, Platform, RecordPage};
-use crate::read_body::ReadError;
 use crate::transfer::{self, Limits};
+use persimmon_process::ReadError;
 
 /// Time that one watch waits for a change, in milliseconds. Its answer shows that the gateway
 /// reaches the store, so it must arrive well before the peers assume that it doesn't.
--- a/crates/persimmon_gateway/src/transfer.rs
+++ b/crates/persimmon_gateway/src/transfer.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, StatusCode};
 
 use crate::http::{self, GetError, OWN_HOST, Page};
-use crate::read_body::ReadError;
+use persimmon_process::ReadError;
 
 /// How far a transfer has got.
 #[derive(Debug)]
--- a/crates/persimmon_gateway/src/body_buffer.rs
+++ b/crates/persimmon_process/src/body_buffer.rs
@@ -9,12 +9,11 @@
 use hyper::body::{Body, Incoming};
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{BodyKey, BodyLoss, LostBody, MemoryBudget};
-use persimmon_process::Clock;
 use slotmap::SecondaryMap;
 use thiserror::Error;
 use tokio_util::sync::CancellationToken;
 
-use crate::read_body::{ReadError, read_pieces};
+use crate::{Clock, ReadError, read_pieces};
 
 /// Size of the first and of the largest segments of a body without a stated length, in bytes. A segment is
 /// as large as those before it together, within these bounds, and is never moved: a growing buffer would
@@ -24,7 +23,7 @@
 
 /// The reason why a caller's body isn't complete.
 #[derive(Debug, Error)]
-pub(crate) enum BodyError {
+pub enum BodyError {
     /// The body is too long or broke off.
     #[error(transparent)]
     Read(#[from] ReadError),
@@ -43,32 +42,38 @@
 
 /// All bodies of callers' requests in progress.
 #[derive(Debug)]
-pub(crate) struct BodyBuffers {
+pub struct BodyBuffers {
     clock: Clock,
     budget: Rc<RefCell<MemoryBudget>>,
     shared: RefCell<SecondaryMap<BodyKey, Rc<Shared>>>,
 }
 
 impl BodyBuffers {
-    pub(crate) fn new(clock: Clock, budget: Rc<RefCell<MemoryBudget>>) -> Self {
+    /// Creates a set without bodies, which count in `budget`.
+    pub fn new(clock: Clock, budget: Rc<RefCell<MemoryBudget>>) -> Self {
         Self { clock, budget, shared: RefCell::default() }
     }
 
     /// Returns the arrival of a body's last bytes; none if the body is complete or isn't known.
-    pub(crate) fn arriving_since(&self, key: BodyKey) -> Option<MonoMs> {
+    pub fn arriving_since(&self, key: BodyKey) -> Option<MonoMs> {
         self.budget.borrow().bodies().arriving_since(key)
     }
 
     /// Gives up a body that is still arriving, since its connection has to give way to a new one. Returns
     /// whether it was arriving.
-    pub(crate) fn give_up_arriving(&self, key: BodyKey) -> bool {
+    pub fn give_up_arriving(&self, key: BodyKey) -> bool {
         let lost = self.budget.borrow_mut().give_up_body(key, self.clock.now());
         self.give_up(lost.into_iter().collect());
         lost.is_some()
     }
 
+    /// Sets the number of callers' connections that are open.
+    pub(crate) fn set_connections(&self, connections: usize) {
+        self.budget.borrow_mut().set_connections(connections);
+    }
+
     /// Frees the memory of bodies, whose requests are refused.
-    pub(crate) fn give_up(&self, lost: Vec<LostBody>) {
+    pub fn give_up(&self, lost: Vec<LostBody>) {
         for body in lost {
             if let Some(shared) = self.shared.borrow_mut().remove(body.key) {
                 shared.segments.take();
@@ -81,7 +86,7 @@
 
 /// One caller's body. Its memory is free when it is dropped.
 #[derive(Debug)]
-pub(crate) struct BodyBuffer {
+pub struct BodyBuffer {
     buffers: Rc<BodyBuffers>,
     key: BodyKey,
     shared: Rc<Shared>,
@@ -91,7 +96,7 @@
 
 impl BodyBuffer {
     /// Begins a body of the caller at this address, whose request has a head of `head_bytes`.
-    pub(crate) fn begin(buffers: &Rc<BodyBuffers>, address: IpAddr, head_bytes: usize) -> Self {
+    pub fn begin(buffers: &Rc<BodyBuffers>, address: IpAddr, head_bytes: usize) -> Self {
         let now = buffers.clock.now();
         let key = buffers.budget.borrow_mut().begin_body(address, head_bytes, now);
         let shared = Rc::new(Shared::default());
@@ -100,7 +105,7 @@
     }
 
     /// Returns the key by which the body can be given up.
-    pub(crate) fn key(&self) -> BodyKey {
+    pub fn key(&self) -> BodyKey {
         self.key
     }
 
@@ -110,11 +115,7 @@
     /// # Errors
     ///
     /// The body is too long or incomplete, or was given up.
-    pub(crate) async fn read(
-        &self,
-        body: &mut Incoming,
-        max_bytes: usize,
-    ) -> Result<Bytes, BodyError> {
+    pub async fn read(&self, body: &mut Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
         if body.is_end_stream() {
             return Ok(self.complete());
         }
--- a/crates/persimmon_gateway/src/read_body.rs
+++ b/crates/persimmon_process/src/read_body.rs
@@ -15,7 +15,7 @@
 
 /// The reason why a body couldn't be read to its end.
 #[derive(Debug, Error)]
-pub(crate) enum ReadError {
+pub enum ReadError {
     /// The body exceeds the size limit.
     #[error("the body exceeds the size limit")]
     TooLong,
@@ -32,7 +32,7 @@
 /// # Errors
 ///
 /// The body is too long or incomplete.
-pub(crate) async fn discard_body(body: &mut Incoming, max_bytes: usize) -> Result<(), ReadError> {
+pub async fn discard_body(body: &mut Incoming, max_bytes: usize) -> Result<(), ReadError> {
     read_pieces(body, max_bytes, |_| ControlFlow::Continue(())).await.map(|_| ())
 }
 
@@ -42,7 +42,7 @@
 /// # Errors
 ///
 /// The body is too long or incomplete.
-pub(crate) async fn read_pieces(
+pub async fn read_pieces(
     body: &mut Incoming,
     max_bytes: usize,
     mut append: impl FnMut(&[u8]) -> ControlFlow<()>,
