Router: bodies of all callers together fit the router's memory

What callers saw: with enough callers that send bodies, a router takes more memory than its VM has and is killed, and every request in progress is lost.

Cause: each body was bounded, their sum wasn't. A body was kept as a list of pieces, each with a buffer of its own, so that bodies in small chunks took several times their size. The body, its parsed form and the text for sidecars were all kept until the answer began.

A body counts twice while its request is in progress, and what isn't needed any more is dropped before the request waits.

--- a/crates/persimmon_decide/src/forward/memory_budget.rs
+++ b/crates/persimmon_decide/src/forward/memory_budget.rs
@@ -1,4 +1,4 @@
-//! Divides the memory of a gateway among callers' bodies and endpoints' answers.
+//! Divides the memory of a process among callers' bodies and endpoints' answers.
 
 use std::net::IpAddr;
 
@@ -15,7 +15,7 @@
     pub bodies: Vec<LostBody>,
 }
 
-/// The memory of all bodies and answers that a gateway holds.
+/// The memory of all bodies and answers that a process holds, or one of its threads.
 ///
 /// Handles crowds of callers and endpoints that fill the memory from both sides. Bodies and answers have a
 /// maximum each, and a lower one together. A body that is still arriving gives way before an answer does,
@@ -23,6 +23,7 @@
 #[derive(Debug)]
 pub struct MemoryBudget {
     process_bytes: usize,
+    idle_bytes: usize,
     max_body_bytes: usize,
     connections: usize,
     answers: AnswerMemory,
@@ -49,10 +50,18 @@
 
     /// Creates the state for a process that may use `bytes` of memory.
     pub fn for_process(bytes: u64) -> Self {
+        Self::for_thread(bytes, 1)
+    }
+
+    /// Creates the state for one of `threads` threads with the same load, which share a process that may use
+    /// `bytes` of memory.
+    pub fn for_thread(bytes: u64, threads: usize) -> Self {
+        let bytes = bytes / threads.max(1) as u64;
         let process_bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
         let (part, whole) = Self::BODY_PART;
         Self {
             process_bytes,
+            idle_bytes: Self::IDLE_BYTES / threads.max(1),
             max_body_bytes: process_bytes / whole * part,
             connections: 0,
             answers: AnswerMemory::for_process(bytes),
@@ -63,7 +72,7 @@
     /// Returns the maximum of bodies and answers together, in bytes.
     pub fn max_bytes(&self) -> usize {
         let connections = self.connections.saturating_mul(Self::CONNECTION_BYTES);
-        let left = self.process_bytes.saturating_sub(Self::IDLE_BYTES).saturating_sub(connections);
+        let left = self.process_bytes.saturating_sub(self.idle_bytes).saturating_sub(connections);
         left.clamp(self.process_bytes / Self::MIN_DIVISOR, self.process_bytes / Self::DIVISOR)
     }
 
--- a/crates/persimmon_gateway/src/head.rs
+++ b/crates/persimmon_gateway/src/head.rs
@@ -8,6 +8,7 @@
 };
 use hyper::http::request::Parts;
 use persimmon_decide::forward::PromptPart;
+use persimmon_process::header_bytes;
 
 use crate::platform::HeaderNames;
 use crate::refusal::Refusal;
@@ -91,11 +92,6 @@
     }
 }
 
-/// Returns the size of all headers, in bytes.
-fn header_bytes(headers: &HeaderMap) -> usize {
-    headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
-}
-
 /// Refuses heads with ambiguous framing, which the gateway and an endpoint could read as bodies of
 /// different lengths.
 fn check_framing(headers: &HeaderMap) -> Result<(), Refusal> {
--- a/crates/persimmon_process/src/body_buffer.rs
+++ b/crates/persimmon_process/src/body_buffer.rs
@@ -45,13 +45,21 @@
 pub struct BodyBuffers {
     clock: Clock,
     budget: Rc<RefCell<MemoryBudget>>,
+    /// Number of copies of a body that count while its request is in progress.
+    copies: usize,
     shared: RefCell<SecondaryMap<BodyKey, Rc<Shared>>>,
 }
 
 impl BodyBuffers {
     /// Creates a set without bodies, which count in `budget`.
     pub fn new(clock: Clock, budget: Rc<RefCell<MemoryBudget>>) -> Self {
-        Self { clock, budget, shared: RefCell::default() }
+        Self { clock, budget, copies: 1, shared: RefCell::default() }
+    }
+
+    /// Sets how many copies of a body its request needs. Each counts.
+    #[must_use]
+    pub fn with_copies(self, copies: usize) -> Self {
+        Self { copies, ..self }
     }
 
     /// Returns the arrival of a body's last bytes; none if the body is complete or isn't known.
@@ -147,7 +155,11 @@
     fn add_segment(&self, bytes: usize) -> Result<(), BodyError> {
         let allocated = self.allocated_bytes.get() + bytes;
         let now = self.buffers.clock.now();
-        let lost = self.buffers.budget.borrow_mut().hold_body(self.key, allocated, now);
+        let lost = self.buffers.budget.borrow_mut().hold_body(
+            self.key,
+            allocated * self.buffers.copies,
+            now,
+        );
         self.buffers.give_up(lost);
         self.check()?;
         self.allocated_bytes.set(allocated);
@@ -187,7 +199,7 @@
             }
         };
         let whole = whole.into_boxed_slice();
-        self.buffers.budget.borrow_mut().complete_body(self.key, whole.len());
+        self.buffers.budget.borrow_mut().complete_body(self.key, whole.len() * self.buffers.copies);
         self.allocated_bytes.set(whole.len());
         whole.into()
     }
--- a/crates/persimmon_process/src/caller_connection.rs
+++ b/crates/persimmon_process/src/caller_connection.rs
@@ -2,13 +2,13 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::error::Error;
 use std::net::IpAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
@@ -21,7 +21,7 @@
 use tokio::sync::Notify;
 use tokio_util::io::InspectReader;
 
-use crate::{AnswerSocket, AnswerState, BodyBuffers, Clock, TruncatedAnswer};
+use crate::{AnswerSocket, AnswerState, BodyBuffers, Clock};
 
 /// Time between the decision to close a connection and its close, within which the runtime receives what
 /// has arrived.
@@ -53,17 +53,14 @@
     }
 }
 
-impl<B> Body for TrackedBody<B>
-where
-    B: Body<Data = Bytes, Error = TruncatedAnswer> + Unpin,
-{
-    type Data = Bytes;
-    type Error = TruncatedAnswer;
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
@@ -230,7 +227,8 @@
     answer: impl Fn(Request<Incoming>, Rc<CallerConnection>) -> F,
 ) -> hyper::Result<()>
 where
-    B: Body<Data = Bytes, Error = TruncatedAnswer> + Unpin + 'static,
+    B: Body + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
     F: Future<Output = CallerAnswer<B>>,
 {
     let socket = AnswerSocket::new(stream, connection.answers.clone());
--- a/crates/persimmon_process/src/lib.rs
+++ b/crates/persimmon_process/src/lib.rs
@@ -17,4 +17,4 @@
 pub use caller_connections::{CallerConnections, ConnectionKey};
 pub use clock::Clock;
 pub use metric_set::MetricSet;
-pub use read_body::{ReadError, discard_body, read_pieces};
+pub use read_body::{ReadError, discard_body, header_bytes, read_pieces};
--- a/crates/persimmon_process/src/read_body.rs
+++ b/crates/persimmon_process/src/read_body.rs
@@ -1,9 +1,10 @@
-//! Reads bodies of limited size.
+//! Reads bodies of limited size, and measures heads.
 
 use std::ops::ControlFlow;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use thiserror::Error;
 
 /// Number of pieces from which a body's pieces must have [`MIN_MEAN_PIECE_BYTES`] on average. A piece costs far
@@ -65,3 +66,8 @@
     }
     Ok(ControlFlow::Continue(()))
 }
+
+/// Returns the size of all headers, in bytes.
+pub fn header_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
+}
--- a/crates/persimmonmountd/src/common/settings.rs
+++ b/crates/persimmonmountd/src/common/settings.rs
@@ -11,6 +11,13 @@
 /// flags.
 const FLEET_KEY_VARIABLE: &str = "PERSIMMON_FLEET_KEY";
 
+const BYTES_PER_MB: u64 = 1024 * 1024;
+/// Memory that a router needs without callers, and for the largest body on each traffic thread, in megabytes.
+const IDLE_MEMORY_MB: u64 = 24;
+const BODY_MEMORY_MB: u64 = 3;
+/// Minimum share of a traffic thread in the memory, of which a part is for bodies, in megabytes.
+const MIN_THREAD_MEMORY_MB: u64 = 8;
+
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LogFormat {
@@ -76,11 +83,17 @@
     "maximum number of open connections from callers, 1 to 100000",
 )
 .with_default("4096");
+const MEMORY_MB: Setting = Setting::new(
+    "memory-mb",
+    "MEGABYTES",
+    "memory that the router may use; at least 24 and 3 for each traffic thread, and 8 for each",
+)
+.with_default("160");
 const ENDPOINT: Setting =
     Setting::new("endpoint", "ADDRESS", "HTTP address of the endpoint beside this sidecar");
 
 /// Settings of the router role.
-pub(crate) const ROUTER_SPECS: [Setting; 12] = [
+pub(crate) const ROUTER_SPECS: [Setting; 13] = [
     NAME,
     ZONE,
     PEER_LISTEN,
@@ -93,6 +106,7 @@
     LISTEN,
     TRAFFIC_THREADS,
     MAX_CONNECTIONS,
+    MEMORY_MB,
 ];
 
 /// Settings of the sidecar role.
@@ -121,6 +135,8 @@
     pub(crate) listen: SocketAddr,
     pub(crate) traffic_threads: usize,
     pub(crate) max_connections: usize,
+    /// Memory that the process may use, in bytes.
+    pub(crate) memory_bytes: u64,
 }
 
 /// Settings of a sidecar.
@@ -144,12 +160,14 @@
         let listen = settings.required(LISTEN.name());
         let traffic_threads = read_count(&mut settings, TRAFFIC_THREADS.name(), 64);
         let max_connections = read_count(&mut settings, MAX_CONNECTIONS.name(), 100_000);
+        let memory_bytes = read_memory(&mut settings, traffic_threads);
         let values = (|| {
             Some(Self {
                 common: common?,
                 listen: listen?,
                 traffic_threads: traffic_threads?,
                 max_connections: max_connections?,
+                memory_bytes: memory_bytes?,
             })
         })();
         finish(settings, values)
@@ -226,6 +244,21 @@
     }
 }
 
+/// Reads the memory of a router in bytes, which must be enough for the largest body on each thread.
+fn read_memory(settings: &mut Settings, threads: Option<usize>) -> Option<u64> {
+    let megabytes = settings.required::<u64>(MEMORY_MB.name())?;
+    let threads = threads? as u64;
+    let needed = (IDLE_MEMORY_MB + BODY_MEMORY_MB * threads).max(MIN_THREAD_MEMORY_MB * threads);
+    if megabytes >= needed {
+        return Some(megabytes.saturating_mul(BYTES_PER_MB));
+    }
+    settings.add_fault(format!(
+        "--{} is {megabytes}; give at least {needed} for the traffic threads",
+        MEMORY_MB.name()
+    ));
+    None
+}
+
 fn read_count(settings: &mut Settings, name: &'static str, max: usize) -> Option<usize> {
     let count = settings.required::<usize>(name)?;
     if (1..=max).contains(&count) {
--- a/crates/persimmonmountd/src/router/answers.rs
+++ b/crates/persimmonmountd/src/router/answers.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use persimmon_decide::outcome::{Dispatch, DispatchLimits, Repeatability};
 use persimmon_decide::{Fingerprint, Offset};
@@ -26,7 +25,7 @@
 /// longer retains the answer.
 pub(crate) async fn resume(
     cx: &Rc<TrafficCx>,
-    req: &Request<Incoming>,
+    req: &Request<()>,
     head: &Head,
     token: &str,
 ) -> Result<Response<Reply>, Failure> {
@@ -53,6 +52,7 @@
         deadline: cx.clock.now().plus_ms(head.deadline_ms(plan.class)),
         endpoints: plan.endpoints.clone(),
         out,
+        _memory: None,
     };
     let exchange = Exchange::new(cx.clone(), parts);
     let in_progress = cx.in_progress.enter();
--- a/crates/persimmonmountd/src/router/chat.rs
+++ b/crates/persimmonmountd/src/router/chat.rs
@@ -3,14 +3,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use persimmon_decide::outcome::{Dispatch, DispatchLimits, Repeatability, Stamp};
 use persimmon_decide::{Attempt, Fingerprint, Incarnation, MonoMs};
 use persimmon_wire::{ModelRequest, RequestRef};
 
 use super::api::{ChatRequest, MAX_MESSAGES, MAX_TOKENS_LIMIT};
-use super::body::{self, Reply};
+use super::body::{Reply, RequestBody};
 use super::command::{Plan, RequestKind};
 use super::context::TrafficCx;
 use super::credit;
@@ -32,12 +31,15 @@
 /// Returns a failure if the request is invalid or failed before the first piece of the answer.
 pub(crate) async fn complete(
     cx: &Rc<TrafficCx>,
-    req: Request<Incoming>,
+    req: &Request<()>,
+    body: &mut RequestBody,
     head: Head,
 ) -> Result<Response<Reply>, Failure> {
     let token = head::text(req.headers(), head::CHAT)?.map(str::to_owned);
-    let bytes = body::read_body(req.into_body()).await?;
+    let (bytes, memory) = body.read(cx).await?;
     let chat = parse(&bytes)?;
+    let fingerprint = Fingerprint::of(&bytes);
+    drop(bytes);
     let prompt_tokens = prompt_tokens(&chat);
     let kind = RequestKind::Chat {
         model: chat.model.as_str().into(),
@@ -45,11 +47,12 @@
         token,
         prompt_tokens,
         max_tokens: chat.max_tokens,
-        fingerprint: Fingerprint::of(&bytes),
+        fingerprint,
     };
     let plan = cx.plan(head.plan_request(kind)).await?;
     credit::charge_request(cx, &plan).await?;
-    let template = template(&head, &plan, &chat, prompt_tokens, Fingerprint::of(&bytes))?;
+    let template = template(&head, &plan, &chat, prompt_tokens, fingerprint)?;
+    let ChatRequest { model, stream, .. } = chat;
     let (out, progress) = flume::bounded(MAX_QUEUED_PIECES);
     let parts = ExchangeParts {
         workspace: plan.workspace.clone(),
@@ -62,6 +65,7 @@
         endpoints: plan.endpoints.clone(),
         template,
         out,
+        _memory: Some(memory),
     };
     let started = cx.clock.now();
     let exchange = Exchange::new(cx.clone(), parts);
@@ -69,8 +73,8 @@
     tokio::task::spawn_local(exchange.run());
     let render = RenderParts {
         request_id: head.request_id.to_string(),
-        model: chat.model,
-        is_streamed: chat.stream,
+        model,
+        is_streamed: stream,
         started,
         _in_progress: in_progress,
     };
--- a/crates/persimmonmountd/src/router/context.rs
+++ b/crates/persimmonmountd/src/router/context.rs
@@ -1,9 +1,14 @@
 //! The state that the requests of one traffic thread share.
 
+use std::cell::RefCell;
+use std::rc::Rc;
+
 use flume::Sender;
 use persimmon_decide::Sealer;
+use persimmon_decide::forward::MemoryBudget;
 use persimmon_decide::load::TokenKey;
 use persimmon_decide::outcome::ClaimSealer;
+use persimmon_process::{BodyBuffers, CallerConnections};
 use persimmon_wire::FleetKey;
 
 use super::command::{Command, Plan, PlanRequest, PlannedEndpoint};
@@ -15,6 +20,10 @@
 /// Context string for deriving the key that seals answer tokens.
 const ANSWER_KEY_PURPOSE: &str = "persimmonmount 2026-12-03 answer token v1";
 
+/// Number of copies of a request's body that the request needs: one in the form that sidecars get, and one
+/// that is being sent or read.
+const BODY_COPIES: usize = 2;
+
 /// The parts from which each traffic thread creates its [`TrafficCx`].
 #[derive(Clone)]
 pub(crate) struct TrafficParts {
@@ -23,6 +32,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) key: FleetKey,
     pub(crate) in_progress: InProgress,
+    /// Number of traffic threads.
+    pub(crate) threads: usize,
+    /// Memory that the process may use, in bytes.
+    pub(crate) memory_bytes: u64,
 }
 
 /// The state that the requests of one traffic thread share.
@@ -34,6 +47,10 @@
     pub(crate) claim_sealer: ClaimSealer,
     pub(crate) answer_sealer: Sealer,
     pub(crate) in_progress: InProgress,
+    /// Bodies of the thread's requests.
+    pub(crate) bodies: Rc<BodyBuffers>,
+    /// Connections that the thread serves.
+    pub(crate) callers: CallerConnections,
     commands: Sender<Command>,
 }
 
@@ -41,6 +58,9 @@
     /// Creates the state of a new thread.
     pub(crate) fn new(parts: TrafficParts) -> Self {
         let secret = parts.key.secret().to_owned();
+        let budget = MemoryBudget::for_thread(parts.memory_bytes, parts.threads);
+        let bodies = BodyBuffers::new(parts.clock, Rc::new(RefCell::new(budget)));
+        let bodies = Rc::new(bodies.with_copies(BODY_COPIES));
         Self {
             pool: Pool::new(parts.key, parts.clock),
             clock: parts.clock,
@@ -49,6 +69,8 @@
             claim_sealer: ClaimSealer::new(&secret),
             answer_sealer: Sealer::new(&secret, ANSWER_KEY_PURPOSE),
             in_progress: parts.in_progress,
+            callers: CallerConnections::new(bodies.clone()),
+            bodies,
             commands: parts.commands,
         }
     }
--- a/crates/persimmonmountd/src/router/exchange/mod.rs
+++ b/crates/persimmonmountd/src/router/exchange/mod.rs
@@ -15,6 +15,7 @@
     HeartbeatLimits, HeartbeatStatus, Stamp, StreamEnd,
 };
 use persimmon_decide::{Attempt, MonoMs, Offset};
+use persimmon_process::BodyBuffer;
 use persimmon_records::{EndpointName, WorkspaceName};
 use persimmon_wire::fleet_capnp::frame_sink;
 use persimmon_wire::{Frame, FrameBody, ModelRequest};
@@ -66,6 +67,8 @@
     pub(crate) dispatch: Dispatch,
     pub(crate) deadline: MonoMs,
     pub(crate) out: Sender<Progress>,
+    /// Memory of the request's body; none for an answer that is resumed.
+    pub(crate) _memory: Option<BodyBuffer>,
 }
 
 /// The open answer stream of one attempt.
--- a/crates/persimmonmountd/src/router/front.rs
+++ b/crates/persimmonmountd/src/router/front.rs
@@ -1,9 +1,8 @@
 //! The HTTP front end of a router: accepts callers' connections and distributes them over the
 //! traffic threads.
 
-use std::convert::Infallible;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,14 +10,11 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
-use hyper::Version;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use persimmon_process::{AnswerSocket, AnswerState};
+use hyper_util::rt::TokioTimer;
+use persimmon_process::{CallerConnection, serve_caller};
 use tokio::task::LocalSet;
 
-use super::body;
 use super::context::{TrafficCx, TrafficParts};
 use super::routes;
 
@@ -45,7 +41,6 @@
     /// Returns an error if the address can't be bound or a thread can't be started.
     pub(crate) fn start(
         listen: SocketAddr,
-        threads: usize,
         max_connections: usize,
         parts: &TrafficParts,
     ) -> io::Result<Self> {
@@ -53,7 +48,7 @@
         let address = listener.local_addr()?;
         let open = Arc::new(AtomicUsize::new(0));
         let mut streams = Vec::new();
-        for number in 0..threads {
+        for number in 0..parts.threads {
             let (tx, rx) = flume::bounded(max_connections);
             streams.push(tx);
             start_thread(number, rx, parts.clone())?;
@@ -73,6 +68,8 @@
 /// A caller's connection with the counter of open connections, in which it is included.
 struct AcceptedConnection {
     stream: TcpStream,
+    /// Address of the caller.
+    address: IpAddr,
     open: Arc<AtomicUsize>,
 }
 
@@ -94,8 +91,8 @@
     max_connections: usize,
 ) {
     for thread in threads.iter().cycle() {
-        let stream = match listener.accept() {
-            Ok((stream, _)) => stream,
+        let (stream, from) = match listener.accept() {
+            Ok(accepted) => accepted,
             Err(err) => {
                 tracing::warn!("router: accepting a connection failed: {err}.");
                 thread::sleep(ACCEPT_RETRY_DELAY);
@@ -107,7 +104,8 @@
             continue;
         }
         open.fetch_add(1, Ordering::AcqRel);
-        if thread.send(AcceptedConnection { stream, open: open.clone() }).is_err() {
+        let address = from.ip();
+        if thread.send(AcceptedConnection { stream, address, open: open.clone() }).is_err() {
             return;
         }
     }
@@ -139,31 +137,22 @@
     }
 }
 
-async fn serve(cx: Rc<TrafficCx>, connection: AcceptedConnection) {
-    let _open = OpenGuard(connection.open);
-    let stream = connection.stream;
+async fn serve(cx: Rc<TrafficCx>, accepted: AcceptedConnection) {
+    let _open = OpenGuard(accepted.open);
+    let stream = accepted.stream;
     let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
     let Ok(stream) = ready.and_then(|()| tokio::net::TcpStream::from_std(stream)) else {
         return;
     };
-    let state = AnswerState::default();
-    let socket = AnswerSocket::new(stream, state.clone());
-    let service = service_fn(|req| {
-        let (cx, state) = (cx.clone(), state.clone());
-        async move {
-            let version = req.version();
-            let response = routes::handle(cx, req).await?;
-            state.set_until_close(version < Version::HTTP_11 && body::is_stream(response.body()));
-            Ok::<_, Infallible>(response)
-        }
+    let connection = Rc::new(CallerConnection::new(cx.clock, accepted.address));
+    let key = cx.callers.insert(connection.clone());
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
+    let served = serve_caller(&connection, stream, &builder, |req, connection| {
+        routes::handle(cx.clone(), req, connection)
     });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(socket), service)
-        .await;
-    if let Err(err) = served {
+    if let Err(err) = served.await {
         tracing::debug!("router: a caller's connection failed: {err}.");
     }
+    cx.callers.remove(key);
 }
--- a/crates/persimmonmountd/src/router/mod.rs
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -76,9 +76,10 @@
         metrics: metrics.clone(),
         key: common.fleet_key.clone(),
         in_progress,
+        threads: settings.traffic_threads,
+        memory_bytes: settings.memory_bytes,
     };
-    let (threads, connections) = (settings.traffic_threads, settings.max_connections);
-    let front = Front::start(settings.listen, threads, connections, &parts)?;
+    let front = Front::start(settings.listen, settings.max_connections, &parts)?;
 
     let status_commands = commands.clone();
     let status = move || ask(&status_commands, |reply| Command::Status { reply });
--- a/crates/persimmonmountd/src/router/routes.rs
+++ b/crates/persimmonmountd/src/router/routes.rs
@@ -1,16 +1,16 @@
 //! Dispatches callers' requests by method and path.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 
 use hyper::body::Incoming;
-use hyper::header::HeaderValue;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use persimmon_process::{CallerAnswer, CallerConnection, header_bytes};
 use persimmon_records::ServiceName;
 use tracing::Instrument;
 
 use super::api::{ModelEntry, ModelList};
-use super::body::{self, Reply};
+use super::body::{self, Reply, RequestBody};
 use super::command::RequestKind;
 use super::context::TrafficCx;
 use super::failure::Failure;
@@ -30,11 +30,16 @@
     Call(ServiceName),
 }
 
-/// Handles one request. Failures become responses.
+/// Handles one request on `connection`. Failures become responses.
 pub(crate) async fn handle(
     cx: Rc<TrafficCx>,
     req: Request<Incoming>,
-) -> Result<Response<Reply>, Infallible> {
+    connection: Rc<CallerConnection>,
+) -> CallerAnswer<Reply> {
+    let (parts, incoming) = req.into_parts();
+    let head_bytes = parts.uri.path().len() + header_bytes(&parts.headers);
+    let req = Request::from_parts(parts, ());
+    let mut request_body = RequestBody::new(incoming, connection, head_bytes);
     let response = match prepare(&req) {
         Ok((route, head)) => {
             let span = tracing::info_span!(
@@ -43,36 +48,44 @@
                 trace_id = %head.trace.trace_id(),
                 request_id = %head.request_id,
             );
-            answer(&cx, req, route, head).instrument(span).await
+            answer(&cx, &req, &mut request_body, route, head).instrument(span).await
         }
         Err(failure) => Err(failure),
     };
-    Ok(response.unwrap_or_else(|failure| {
+    let unread = request_body.into_unread();
+    let mut response = response.unwrap_or_else(|failure| {
         tracing::info!("router: a request failed: {}.", failure.kind());
         let mut response = body::failure(&failure);
         let outcome = HeaderValue::from_static(failure.outcome().as_str());
         response.headers_mut().insert(head::OUTCOME, outcome);
         response
-    }))
+    });
+    if unread.is_some() {
+        // The bytes after an incompletely read request belong to it.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let is_stream = body::is_stream(response.body());
+    CallerAnswer { response, unread, is_stream }
 }
 
-fn prepare(req: &Request<Incoming>) -> Result<(Route, Head), Failure> {
+fn prepare(req: &Request<()>) -> Result<(Route, Head), Failure> {
     let route = Route::of(req.method(), req.uri().path(), req.uri().to_string().len())?;
     Ok((route, Head::of(req)?))
 }
 
 async fn answer(
     cx: &Rc<TrafficCx>,
-    req: Request<Incoming>,
+    req: &Request<()>,
+    body: &mut RequestBody,
     route: Route,
     head: Head,
 ) -> Result<Response<Reply>, Failure> {
     match route {
-        Route::Chat => chat::complete(cx, req, head).await,
+        Route::Chat => chat::complete(cx, req, body, head).await,
         Route::Models => models(cx, &head).await,
-        Route::Answer(token) => answers::resume(cx, &req, &head, &token).await,
-        Route::Claim(service) => services::claim(cx, &req, &head, service).await,
-        Route::Call(service) => services::call(cx, req, &head, service).await,
+        Route::Answer(token) => answers::resume(cx, req, &head, &token).await,
+        Route::Claim(service) => services::claim(cx, req, &head, service).await,
+        Route::Call(service) => services::call(cx, req, body, &head, service).await,
     }
 }
 
--- a/crates/persimmonmountd/src/router/services.rs
+++ b/crates/persimmonmountd/src/router/services.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use persimmon_decide::outcome::{Claim, IdempotencyKey, Outcome, Refusal, Stamp};
@@ -14,7 +13,7 @@
 use tokio::time::timeout;
 
 use super::api::{ClaimBody, ServiceRequest};
-use super::body::{self, Reply};
+use super::body::{self, Reply, RequestBody};
 use super::call_exchange::CallExchange;
 use super::command::{Command, Plan, PlannedEndpoint, RequestKind};
 use super::context::TrafficCx;
@@ -32,7 +31,7 @@
 /// Returns a failure if the request is invalid or no worker issues a claim. Nothing was run.
 pub(crate) async fn claim(
     cx: &Rc<TrafficCx>,
-    req: &Request<Incoming>,
+    req: &Request<()>,
     head: &Head,
     service: ServiceName,
 ) -> Result<Response<Reply>, Failure> {
@@ -70,22 +69,21 @@
 /// answer.
 pub(crate) async fn call(
     cx: &Rc<TrafficCx>,
-    req: Request<Incoming>,
+    req: &Request<()>,
+    body: &mut RequestBody,
     head: &Head,
     service: ServiceName,
 ) -> Result<Response<Reply>, Failure> {
-    let claim = read_claim(cx, &req)?;
-    let key = idempotency_key(&req)?;
-    let bytes = body::read_body(req.into_body()).await?;
-    let request: ServiceRequest = serde_json::from_slice(&bytes).map_err(|err| {
-        let message = format!("the body isn't a valid call: {err}; send operation and body");
-        Failure::not_run(StatusCode::BAD_REQUEST, "bad-body", message)
-    })?;
+    let claim = read_claim(cx, req)?;
+    let key = idempotency_key(req)?;
+    let (bytes, _memory) = body.read(cx).await?;
+    let request = parse(&bytes)?;
+    drop(bytes);
     let _in_progress = cx.in_progress.enter();
     let owner = claim.as_ref().map(|(_, claim)| claim.owner.clone());
     let spread_key =
         key.as_ref().map_or_else(|| head.request_id.to_string(), |key| key.as_str().into());
-    let fingerprint = Fingerprint::of_call(&request.operation, &request.body.to_string());
+    let fingerprint = Fingerprint::of_call(&request.operation, &request.body);
     let kind =
         RequestKind::Service { service: service.clone(), key: spread_key, owner, fingerprint };
     let plan = cx.plan(head.plan_request(kind)).await?;
@@ -94,17 +92,31 @@
     if claim.is_none() && plan.endpoints.iter().any(|endpoint| !endpoint.repeatable) {
         return Err(Failure::refused(Refused { refusal: Refusal::NeedsClaim, retry_after_ms: 0 }));
     }
-    let call = service_call(head, &plan, service, &request, claim);
+    let call = service_call(head, &plan, service, request, claim);
     let exchange = CallExchange::new(cx.clone(), head, plan.endpoints, call);
     Ok(with_trace(exchange.run().await?, head))
 }
 
+/// A call as its caller sent it, with its body as text in a form that doesn't depend on white space or order.
+struct ParsedCall {
+    operation: String,
+    body: Arc<str>,
+}
+
+fn parse(bytes: &[u8]) -> Result<ParsedCall, Failure> {
+    let request: ServiceRequest = serde_json::from_slice(bytes).map_err(|err| {
+        let message = format!("the body isn't a valid call: {err}; send operation and body");
+        Failure::not_run(StatusCode::BAD_REQUEST, "bad-body", message)
+    })?;
+    Ok(ParsedCall { operation: request.operation, body: request.body.to_string().into() })
+}
+
 /// Returns the call without the fields that differ between sends.
 fn service_call(
     head: &Head,
     plan: &Plan,
     service: ServiceName,
-    request: &ServiceRequest,
+    request: ParsedCall,
     claim: Option<String>,
 ) -> ServiceCall {
     ServiceCall {
@@ -115,8 +127,8 @@
         },
         service,
         claim,
-        operation: request.operation.clone(),
-        body: Arc::from(request.body.to_string()),
+        operation: request.operation,
+        body: request.body,
         deadline_ms: 0,
         traceparent: head.trace.child().to_string(),
     }
@@ -139,7 +151,7 @@
     ClaimReply::read(reply.get().ok()?.get_reply().ok()?).ok()
 }
 
-fn idempotency_key(req: &Request<Incoming>) -> Result<Option<IdempotencyKey>, Failure> {
+fn idempotency_key(req: &Request<()>) -> Result<Option<IdempotencyKey>, Failure> {
     let Some(text) = head::text(req.headers(), head::IDEMPOTENCY_KEY)? else { return Ok(None) };
     let key = IdempotencyKey::try_from(text.to_owned());
     key.map(Some)
@@ -147,7 +159,7 @@
 }
 
 /// Reads the claim from its header. Returns both its sealed text and its content.
-fn read_claim(cx: &TrafficCx, req: &Request<Incoming>) -> Result<Option<(String, Claim)>, Failure> {
+fn read_claim(cx: &TrafficCx, req: &Request<()>) -> Result<Option<(String, Claim)>, Failure> {
     let Some(text) = head::text(req.headers(), head::CLAIM)? else { return Ok(None) };
     let claim = cx
         .claim_sealer
