Router: unfinished requests and idle connections give way to new ones

Callers that sent nothing, half a head or half a body kept all others out.

Cause: the thread that accepts connections knew only their number.

Change: the traffic threads keep what each caller does, as gateways do, and close a connection of their own when more are open than allowed; the order is forward::connection_to_close. A new connection waits at most 20 ms for others that are being closed. Lines about it are limited in rate, so that a crowd can't fill the log; LogLimiter moves to the crate that roles share.

--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -12,7 +12,6 @@
 use crate::answer_buffer::AnswerBuffers;
 use crate::control::Control;
 use crate::evacuation::EvacuationReports;
-use crate::log_limiter::LogLimiter;
 use crate::metrics::Metrics;
 use crate::open_requests::OpenRequests;
 use crate::platform::Platform;
@@ -21,7 +20,7 @@
 use crate::stream_versions::StreamExchange;
 use crate::upstream::Upstream;
 use persimmon_process::BodyBuffers;
-use persimmon_process::{CallerConnections, Clock};
+use persimmon_process::{CallerConnections, Clock, LogLimiter};
 
 /// A running gateway.
 #[derive(Debug)]
--- a/crates/persimmon_gateway/src/holder.rs
+++ b/crates/persimmon_gateway/src/holder.rs
@@ -18,9 +18,9 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::http;
-use crate::log_limiter::LogLimiter;
 use crate::ops;
 use crate::record_answers::ConnectionAnswer;
+use persimmon_process::LogLimiter;
 
 /// Maximum size of a message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024;
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -19,7 +19,6 @@
 mod holder;
 mod http;
 mod in_flight;
-mod log_limiter;
 mod logging;
 mod metrics;
 mod notices;
--- a/crates/persimmon_process/src/lib.rs
+++ b/crates/persimmon_process/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller_connection;
 mod caller_connections;
 mod clock;
+mod log_limiter;
 mod metric_set;
 mod read_body;
 
@@ -16,5 +17,6 @@
 pub use caller_connection::{CallerAnswer, CallerConnection, serve_caller};
 pub use caller_connections::{CallerConnections, ConnectionKey};
 pub use clock::Clock;
+pub use log_limiter::LogLimiter;
 pub use metric_set::MetricSet;
 pub use read_body::{ReadError, discard_body, header_bytes, read_pieces};
--- a/crates/persimmon_gateway/src/log_limiter.rs
+++ b/crates/persimmon_process/src/log_limiter.rs
@@ -18,19 +18,19 @@
 
 /// Limits the rate of log lines of each kind and counts the suppressed ones.
 #[derive(Debug, Default)]
-pub(crate) struct LogLimiter {
+pub struct LogLimiter {
     kinds: RefCell<HashMap<&'static str, KindCounts>>,
 }
 
 impl LogLimiter {
     /// Creates a limiter that has admitted no lines yet.
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         Self::default()
     }
 
     /// Returns the number of lines of this kind suppressed since the last admitted one, if a line
     /// may be written now; none if it is suppressed.
-    pub(crate) fn admit(&self, kind: &'static str, now: MonoMs) -> Option<u64> {
+    pub fn admit(&self, kind: &'static str, now: MonoMs) -> Option<u64> {
         let mut kinds = self.kinds.borrow_mut();
         let it = kinds.entry(kind).or_default();
         if now.ms_since(it.window_start) >= WINDOW_MS {
--- a/crates/persimmonmountd/src/router/body.rs
+++ b/crates/persimmonmountd/src/router/body.rs
@@ -58,7 +58,7 @@
         let read = timeout(BODY_TIMEOUT, buffer.read(&mut self.incoming, MAX_BODY_BYTES)).await;
         match read {
             Ok(Ok(bytes)) => Ok((bytes, buffer)),
-            Ok(Err(err)) => Err(failure_of(&err)),
+            Ok(Err(err)) => Err(failure_of(cx, &err)),
             Err(_) => Err(Failure::not_run(
                 StatusCode::REQUEST_TIMEOUT,
                 "body-too-slow",
@@ -74,9 +74,11 @@
 }
 
 /// Returns the failure of a request whose body couldn't be read.
-fn failure_of(err: &BodyError) -> Failure {
+fn failure_of(cx: &TrafficCx, err: &BodyError) -> Failure {
     let given_up = |kind, message| {
-        tracing::warn!("router: a body was given up: {kind}.");
+        if let Some(suppressed) = cx.log_limiter.admit(kind, cx.clock.now()) {
+            tracing::warn!("router: a body was given up: {kind}. Lines left out: {suppressed}.");
+        }
         let after_ms = GIVEN_UP_RETRY_MS + random_u64() % GIVEN_UP_RETRY_MS;
         Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, message)
             .with_retry_after_ms(after_ms)
--- a/crates/persimmonmountd/src/router/context.rs
+++ b/crates/persimmonmountd/src/router/context.rs
@@ -8,7 +8,7 @@
 use persimmon_decide::forward::MemoryBudget;
 use persimmon_decide::load::TokenKey;
 use persimmon_decide::outcome::ClaimSealer;
-use persimmon_process::{BodyBuffers, CallerConnections};
+use persimmon_process::{BodyBuffers, CallerConnections, LogLimiter};
 use persimmon_wire::FleetKey;
 
 use super::command::{Command, Plan, PlanRequest, PlannedEndpoint};
@@ -34,6 +34,8 @@
     pub(crate) in_progress: InProgress,
     /// Number of traffic threads.
     pub(crate) threads: usize,
+    /// Maximum number of callers' connections that are open on all threads.
+    pub(crate) max_connections: usize,
     /// Memory that the process may use, in bytes.
     pub(crate) memory_bytes: u64,
 }
@@ -47,8 +49,11 @@
     pub(crate) claim_sealer: ClaimSealer,
     pub(crate) answer_sealer: Sealer,
     pub(crate) in_progress: InProgress,
+    /// Maximum number of callers' connections that are open on all threads.
+    pub(crate) max_connections: usize,
     /// Bodies of the thread's requests.
     pub(crate) bodies: Rc<BodyBuffers>,
+    pub(crate) log_limiter: LogLimiter,
     /// Connections that the thread serves.
     pub(crate) callers: CallerConnections,
     commands: Sender<Command>,
@@ -69,6 +74,8 @@
             claim_sealer: ClaimSealer::new(&secret),
             answer_sealer: Sealer::new(&secret, ANSWER_KEY_PURPOSE),
             in_progress: parts.in_progress,
+            max_connections: parts.max_connections,
+            log_limiter: LogLimiter::new(),
             callers: CallerConnections::new(bodies.clone()),
             bodies,
             commands: parts.commands,
--- a/crates/persimmonmountd/src/router/front.rs
+++ b/crates/persimmonmountd/src/router/front.rs
@@ -7,11 +7,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flume::{Receiver, Sender};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioTimer;
+use persimmon_decide::forward::CallerActivity;
 use persimmon_process::{CallerConnection, serve_caller};
 use tokio::task::LocalSet;
 
@@ -27,6 +28,13 @@
 /// Delay before the next accept after one has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Divisor of the maximum number of connections; the quotient may be open in addition while others are
+/// being closed.
+const CLOSING_DIVISOR: usize = 4;
+/// Maximum time that a new connection waits for others that are being closed.
+const CLOSING_WAIT: Duration = Duration::from_millis(20);
+const CLOSING_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// The threads that process callers' requests, and the one that accepts their connections.
 #[derive(Debug)]
 pub(crate) struct Front {
@@ -39,14 +47,11 @@
     /// # Errors
     ///
     /// Returns an error if the address can't be bound or a thread can't be started.
-    pub(crate) fn start(
-        listen: SocketAddr,
-        max_connections: usize,
-        parts: &TrafficParts,
-    ) -> io::Result<Self> {
+    pub(crate) fn start(listen: SocketAddr, parts: &TrafficParts) -> io::Result<Self> {
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let open = Arc::new(AtomicUsize::new(0));
+        let max_connections = parts.max_connections;
         let mut streams = Vec::new();
         for number in 0..parts.threads {
             let (tx, rx) = flume::bounded(max_connections);
@@ -65,31 +70,45 @@
     }
 }
 
-/// A caller's connection with the counter of open connections, in which it is included.
+/// A caller's connection that no thread serves yet.
 struct AcceptedConnection {
     stream: TcpStream,
     /// Address of the caller.
     address: IpAddr,
-    open: Arc<AtomicUsize>,
+    open: OpenGuard,
 }
 
-/// Guard that removes a connection from the counter of open connections when it is dropped.
+/// Guard that counts a connection as open until it is dropped.
 struct OpenGuard(Arc<AtomicUsize>);
 
+impl OpenGuard {
+    fn enter(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::AcqRel);
+        Self(open.clone())
+    }
+
+    /// Returns the number of open connections.
+    fn count(&self) -> usize {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
 impl Drop for OpenGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
-/// Distributes connections over the traffic threads in turn. While `max_connections` are open, new
-/// connections are closed immediately.
+/// Distributes connections over the traffic threads in turn, which close others while more than
+/// `max_connections` are open. A new connection that finds too many being closed waits, and is closed if
+/// that lasts.
 fn accept_all(
     listener: &TcpListener,
     threads: &[Sender<AcceptedConnection>],
     open: &Arc<AtomicUsize>,
     max_connections: usize,
 ) {
+    let most = max_connections + max_connections / CLOSING_DIVISOR;
     for thread in threads.iter().cycle() {
         let (stream, from) = match listener.accept() {
             Ok(accepted) => accepted,
@@ -99,13 +118,16 @@
                 continue;
             }
         };
-        if open.load(Ordering::Acquire) >= max_connections {
+        let until = Instant::now() + CLOSING_WAIT;
+        while open.load(Ordering::Acquire) > most && Instant::now() < until {
+            thread::sleep(CLOSING_CHECK_INTERVAL);
+        }
+        if open.load(Ordering::Acquire) > most {
             tracing::warn!("router: too many connections are open; closing a new one.");
             continue;
         }
-        open.fetch_add(1, Ordering::AcqRel);
-        let address = from.ip();
-        if thread.send(AcceptedConnection { stream, address, open: open.clone() }).is_err() {
+        let (address, open) = (from.ip(), OpenGuard::enter(open));
+        if thread.send(AcceptedConnection { stream, address, open }).is_err() {
             return;
         }
     }
@@ -122,14 +144,44 @@
         let local = LocalSet::new();
         local.block_on(&runtime, async move {
             tokio::task::spawn_local(close_idle_links(cx.clone()));
-            while let Ok(connection) = streams.recv_async().await {
-                tokio::task::spawn_local(serve(cx.clone(), connection));
+            while let Ok(accepted) = streams.recv_async().await {
+                if has_room(&cx, &accepted.open).await {
+                    tokio::task::spawn_local(serve(cx.clone(), accepted));
+                }
             }
         });
     })?;
     Ok(())
 }
 
+/// Returns whether there is room for a new connection, for which others of this thread give way.
+async fn has_room(cx: &TrafficCx, open: &OpenGuard) -> bool {
+    if open.count() <= cx.max_connections {
+        return true;
+    }
+    // Requests that have arrived on other new connections are read first.
+    tokio::task::yield_now().await;
+    loop {
+        let excess = open.count().saturating_sub(cx.max_connections);
+        let closing = cx.callers.len() - cx.callers.lasting();
+        if closing >= excess {
+            return true;
+        }
+        let now = cx.clock.now();
+        let gave_way = cx.callers.close_one(now);
+        let closed = gave_way.map_or("new", CallerActivity::name);
+        if let Some(suppressed) = cx.log_limiter.admit("callers_full", now) {
+            tracing::warn!(
+                "router: too many connections are open; closing one: {closed}. Lines left out: {suppressed}."
+            );
+        }
+        if gave_way.is_none() {
+            // The others belong to other threads, or run requests.
+            return closing > 0;
+        }
+    }
+}
+
 async fn close_idle_links(cx: Rc<TrafficCx>) {
     loop {
         tokio::time::sleep(IDLE_SWEEP_INTERVAL).await;
@@ -138,13 +190,12 @@
 }
 
 async fn serve(cx: Rc<TrafficCx>, accepted: AcceptedConnection) {
-    let _open = OpenGuard(accepted.open);
-    let stream = accepted.stream;
+    let AcceptedConnection { stream, address, open: _open } = accepted;
     let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
     let Ok(stream) = ready.and_then(|()| tokio::net::TcpStream::from_std(stream)) else {
         return;
     };
-    let connection = Rc::new(CallerConnection::new(cx.clock, accepted.address));
+    let connection = Rc::new(CallerConnection::new(cx.clock, address));
     let key = cx.callers.insert(connection.clone());
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
--- a/crates/persimmonmountd/src/router/mod.rs
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -77,9 +77,10 @@
         key: common.fleet_key.clone(),
         in_progress,
         threads: settings.traffic_threads,
+        max_connections: settings.max_connections,
         memory_bytes: settings.memory_bytes,
     };
-    let front = Front::start(settings.listen, settings.max_connections, &parts)?;
+    let front = Front::start(settings.listen, &parts)?;
 
     let status_commands = commands.clone();
     let status = move || ask(&status_commands, |reply| Command::Status { reply });
