Callers' receive windows shrink as more connections are open

What callers saw: bytes that a process has received and not read count towards the memory of its VM. Callers that send megabytes behind a request in progress, or that don't read their answers, fill the kernel's buffers and get the process killed.

Cause: nothing bounded the receive buffers of callers' connections. The kernel lets each grow on its own.

Change: MemoryBudget::receive_window_bytes divides 1/20 of the memory among the open connections (for 64 at least), and bodies and answers leave room for what connections received before their windows shrank. The window is set on the listening socket too, since callers send before they are accepted, and on all open connections when it changes, which is at most once for each doubling.

There is no test of a router's unread bytes: its admission refused the crowd before its windows mattered.

--- a/crates/persimmon_decide/src/forward/memory_budget.rs
+++ b/crates/persimmon_decide/src/forward/memory_budget.rs
@@ -48,6 +48,14 @@
     /// its task.
     const READING_BYTES: usize = 32 * 1024;
 
+    /// Divisor of the process's memory; the receive windows of all callers' connections are the quotient together.
+    const RECEIVE_DIVISOR: usize = 20;
+    /// Number of connections up to which receive windows have their full size.
+    const FULL_RECEIVE_CONNECTIONS: usize = 64;
+    /// Minimum and maximum receive window of a connection, in bytes.
+    const MIN_RECEIVE_BYTES: usize = 4 * 1024;
+    const MAX_RECEIVE_BYTES: usize = 128 * 1024;
+
     /// Creates the state for a process that may use `bytes` of memory.
     pub fn for_process(bytes: u64) -> Self {
         Self::for_thread(bytes, 1)
@@ -72,7 +80,9 @@
     /// Returns the maximum of bodies and answers together, in bytes.
     pub fn max_bytes(&self) -> usize {
         let connections = self.connections.saturating_mul(Self::CONNECTION_BYTES);
-        let left = self.process_bytes.saturating_sub(self.idle_bytes).saturating_sub(connections);
+        let others =
+            self.idle_bytes.saturating_add(connections).saturating_add(self.unread_bytes());
+        let left = self.process_bytes.saturating_sub(others);
         left.clamp(self.process_bytes / Self::MIN_DIVISOR, self.process_bytes / Self::DIVISOR)
     }
 
@@ -82,6 +92,30 @@
         self.connections = connections;
     }
 
+    /// Returns the receive window of each caller's connection, in bytes: how much may have arrived that the
+    /// process hasn't read.
+    ///
+    /// Handles callers that send on while the process doesn't read, since a request is in progress or its
+    /// answer isn't read: what has arrived counts towards the memory. Windows shrink in steps as more
+    /// connections are open. What a connection received before stays, so that all may hold more than the
+    /// quotient: half of it for each step.
+    pub fn receive_window_bytes(&self) -> usize {
+        let bytes = self.process_bytes / Self::RECEIVE_DIVISOR / self.receive_shares();
+        bytes.clamp(Self::MIN_RECEIVE_BYTES, Self::MAX_RECEIVE_BYTES)
+    }
+
+    /// Returns the memory for bytes that have arrived and that the process hasn't read.
+    fn unread_bytes(&self) -> usize {
+        let steps = (self.receive_shares() / Self::FULL_RECEIVE_CONNECTIONS).ilog2() as usize;
+        let full = self.process_bytes / Self::RECEIVE_DIVISOR;
+        full + full / 2 * steps
+    }
+
+    /// Returns the number of connections among which receive windows are divided, which grows in steps.
+    fn receive_shares(&self) -> usize {
+        self.connections.max(Self::FULL_RECEIVE_CONNECTIONS).next_power_of_two()
+    }
+
     /// Returns the memory of bodies and answers together, in bytes.
     pub fn held_bytes(&self) -> usize {
         self.bodies.held_bytes() + self.answers.held_bytes()
--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -5,7 +5,7 @@
 
 use hyper::server::conn::http1;
 use persimmon_decide::forward::CallerActivity;
-use persimmon_process::{CallerAnswer, CallerConnection, serve_caller};
+use persimmon_process::{CallerAnswer, CallerConnection, limit_unread_bytes, serve_caller};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::answer::answer;
@@ -38,7 +38,13 @@
 /// Accepts callers' connections until the process ends.
 pub(crate) async fn accept_callers<P: Platform>(gw: Rc<Gateway<P>>, listener: TcpListener) {
     tokio::task::spawn_local(sweep(gw.clone()));
+    let mut window_bytes = 0;
     loop {
+        // New connections receive before they are accepted.
+        if window_bytes != gw.callers.window_bytes() {
+            window_bytes = gw.callers.window_bytes();
+            limit_unread_bytes(&listener, window_bytes);
+        }
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(err) => {
--- a/crates/persimmon_process/src/answer_socket.rs
+++ b/crates/persimmon_process/src/answer_socket.rs
@@ -2,9 +2,10 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -45,21 +46,21 @@
 /// socket is set to be reset, until it is shut down after the complete answer.
 #[derive(Debug)]
 pub struct AnswerSocket {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     state: AnswerState,
     resets_on_close: bool,
 }
 
 impl AnswerSocket {
     /// Creates a socket whose answers have this state.
-    pub fn new(stream: TcpStream, state: AnswerState) -> Self {
+    pub fn new(stream: Rc<TcpStream>, state: AnswerState) -> Self {
         Self { stream, state, resets_on_close: false }
     }
 
     fn set_resets_on_close(&mut self, resets_on_close: bool) -> io::Result<()> {
         if self.resets_on_close != resets_on_close {
             let linger = resets_on_close.then_some(Duration::ZERO);
-            SockRef::from(&self.stream).set_linger(linger)?;
+            SockRef::from(&*self.stream).set_linger(linger)?;
             self.resets_on_close = resets_on_close;
         }
         Ok(())
@@ -68,35 +69,42 @@
 
 impl AsyncRead for AnswerSocket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                read => {
+                    buf.advance(read?);
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
     }
 }
 
 impl AsyncWrite for AnswerSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let is_until_close = self.state.0.is_until_close.get();
-        self.set_resets_on_close(is_until_close)?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        self.poll_write_vectored(cx, &[io::IoSlice::new(buf)])
     }
 
     /// An HTTP library flushes the socket when it has written all that it holds.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.state.0.is_unwritten.set(false);
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Poll::Ready(Ok(()))
     }
 
     /// Closes the connection in order. An HTTP library does so only after a complete answer.
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.set_resets_on_close(false)?;
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 
     fn poll_write_vectored(
@@ -106,10 +114,16 @@
     ) -> Poll<io::Result<usize>> {
         let is_until_close = self.state.0.is_until_close.get();
         self.set_resets_on_close(is_until_close)?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 }
--- a/crates/persimmon_process/src/body_buffer.rs
+++ b/crates/persimmon_process/src/body_buffer.rs
@@ -67,6 +67,11 @@
         self.budget.borrow().bodies().arriving_since(key)
     }
 
+    /// Returns the receive window of each connection, in bytes.
+    pub(crate) fn receive_window_bytes(&self) -> usize {
+        self.budget.borrow().receive_window_bytes()
+    }
+
     /// Gives up a body that is still arriving, since its connection has to give way to a new one. Returns
     /// whether it was arriving.
     pub fn give_up_arriving(&self, key: BodyKey) -> bool {
--- a/crates/persimmon_process/src/caller_connection.rs
+++ b/crates/persimmon_process/src/caller_connection.rs
@@ -1,11 +1,12 @@
 //! A connection of a caller: what the caller does on it, and how it is served and closed.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::error::Error;
 use std::net::IpAddr;
+use std::os::fd::AsFd;
 use std::pin::{Pin, pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{BodyKey, CallerActivity};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio_util::io::InspectReader;
@@ -94,6 +96,10 @@
     body: Cell<Option<BodyKey>>,
     answers: AnswerState,
     stop: Notify,
+    /// Receive window, in bytes; none before it is set.
+    window_bytes: Cell<Option<usize>>,
+    /// The socket while the connection is served.
+    socket: RefCell<Weak<TcpStream>>,
 }
 
 impl CallerConnection {
@@ -112,6 +118,8 @@
             body: Cell::new(None),
             answers: AnswerState::default(),
             stop: Notify::new(),
+            window_bytes: Cell::new(None),
+            socket: RefCell::default(),
         }
     }
 
@@ -125,6 +133,22 @@
         self.body.set(Some(body));
     }
 
+    /// Sets the receive window, in bytes.
+    pub(crate) fn set_window(&self, bytes: usize) {
+        self.window_bytes.set(Some(bytes));
+        if let Some(socket) = self.socket.borrow().upgrade() {
+            limit_unread_bytes(&*socket, bytes);
+        }
+    }
+
+    /// Sets the socket that is served from now on.
+    fn set_socket(&self, socket: &Rc<TcpStream>) {
+        *self.socket.borrow_mut() = Rc::downgrade(socket);
+        if let Some(bytes) = self.window_bytes.get() {
+            limit_unread_bytes(&**socket, bytes);
+        }
+    }
+
     /// Returns what the caller does, and since when.
     pub(crate) fn activity(&self, bodies: &BodyBuffers) -> (CallerActivity, MonoMs) {
         let since = self.idle_since.get();
@@ -215,6 +239,14 @@
     }
 }
 
+/// Limits the bytes that may have arrived on a socket and weren't read, or on sockets that are accepted from it.
+pub fn limit_unread_bytes<S: AsFd>(socket: &S, bytes: usize) {
+    // The kernel reserves twice this size, half of it for its own bookkeeping.
+    if let Err(err) = SockRef::from(socket).set_recv_buffer_size(bytes) {
+        tracing::debug!(target: "callers", %err, "setting the receive buffer of a socket failed");
+    }
+}
+
 /// Serves a connection until either side closes it: answers its requests with `answer`.
 ///
 /// # Errors
@@ -231,6 +263,8 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
     F: Future<Output = CallerAnswer<B>>,
 {
+    let stream = Rc::new(stream);
+    connection.set_socket(&stream);
     let socket = AnswerSocket::new(stream, connection.answers.clone());
     let arriving = connection.clone();
     let io = TokioIo::new(InspectReader::new(socket, move |bytes: &[u8]| {
--- a/crates/persimmon_process/src/caller_connections.rs
+++ b/crates/persimmon_process/src/caller_connections.rs
@@ -1,6 +1,6 @@
 //! The open connections of callers, and those that give way to new ones.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +11,10 @@
 
 use crate::{BodyBuffers, CallerConnection};
 
+/// Factor from which on receive windows grow. They shrink by half, so that they don't change with each
+/// connection that is opened or closed.
+const GROWTH_FACTOR: usize = 4;
+
 new_key_type! {
     /// Key of a connection in [`CallerConnections`].
     pub struct ConnectionKey;
@@ -21,6 +25,8 @@
 pub struct CallerConnections {
     bodies: Rc<BodyBuffers>,
     open: RefCell<SlotMap<ConnectionKey, Rc<CallerConnection>>>,
+    /// Receive window of each connection, in bytes.
+    window_bytes: Cell<usize>,
     /// Notified when a connection has been closed.
     closed: Notify,
 }
@@ -28,13 +34,15 @@
 impl CallerConnections {
     /// Creates a set without connections. `bodies` holds the bodies of their requests.
     pub fn new(bodies: Rc<BodyBuffers>) -> Self {
-        Self { bodies, open: RefCell::default(), closed: Notify::new() }
+        let window_bytes = Cell::new(bodies.receive_window_bytes());
+        Self { bodies, open: RefCell::default(), window_bytes, closed: Notify::new() }
     }
 
     /// Adds a connection.
     pub fn insert(&self, connection: Rc<CallerConnection>) -> ConnectionKey {
-        let key = self.open.borrow_mut().insert(connection);
+        let key = self.open.borrow_mut().insert(connection.clone());
         self.record_len();
+        connection.set_window(self.window_bytes.get());
         key
     }
 
@@ -104,6 +112,11 @@
         open.values().filter(|it| activity(it) != CallerActivity::PartialHead).count()
     }
 
+    /// Returns the receive window that new connections need, in bytes.
+    pub fn window_bytes(&self) -> usize {
+        self.window_bytes.get()
+    }
+
     /// Returns the number of connections that aren't about to be closed.
     pub fn lasting(&self) -> usize {
         self.open.borrow().values().filter(|it| it.is_lasting()).count()
@@ -121,5 +134,10 @@
 
     fn record_len(&self) {
         self.bodies.set_connections(self.len());
+        let (bytes, before) = (self.bodies.receive_window_bytes(), self.window_bytes.get());
+        if bytes < before || bytes >= GROWTH_FACTOR * before {
+            self.window_bytes.set(bytes);
+            self.open.borrow().values().for_each(|it| it.set_window(bytes));
+        }
     }
 }
--- a/crates/persimmon_process/src/lib.rs
+++ b/crates/persimmon_process/src/lib.rs
@@ -14,7 +14,7 @@
 pub use answer_body::{PieceReceiver, PieceSender, TruncatedAnswer, piece_channel};
 pub use answer_socket::{AnswerSocket, AnswerState};
 pub use body_buffer::{BodyBuffer, BodyBuffers, BodyError};
-pub use caller_connection::{CallerAnswer, CallerConnection, serve_caller};
+pub use caller_connection::{CallerAnswer, CallerConnection, limit_unread_bytes, serve_caller};
 pub use caller_connections::{CallerConnections, ConnectionKey};
 pub use clock::Clock;
 pub use log_limiter::LogLimiter;
