Crowd: sending and receiving apart; a connection is lent to its set

The linter found a loop whose condition doesn't change, a fold with side effects, and an argument that isn't consumed.

--- a/crates/persimmon_gateway/src/callers.rs
+++ b/crates/persimmon_gateway/src/callers.rs
@@ -62,7 +62,7 @@
             continue;
         }
         let connection = Rc::new(CallerConnection::new(gw.clock, from.ip()));
-        let key = gw.callers.insert(connection.clone());
+        let key = gw.callers.insert(&connection);
         let gw = gw.clone();
         tokio::task::spawn_local(async move {
             serve(&gw, stream, connection).await;
--- a/crates/persimmon_process/src/caller_connections.rs
+++ b/crates/persimmon_process/src/caller_connections.rs
@@ -39,7 +39,7 @@
     }
 
     /// Adds a connection.
-    pub fn insert(&self, connection: Rc<CallerConnection>) -> ConnectionKey {
+    pub fn insert(&self, connection: &Rc<CallerConnection>) -> ConnectionKey {
         let key = self.open.borrow_mut().insert(connection.clone());
         self.record_len();
         connection.set_window(self.window_bytes.get());
--- a/crates/persimmon_standins/src/crowd.rs
+++ b/crates/persimmon_standins/src/crowd.rs
@@ -83,8 +83,11 @@
 
     /// Sends and reads on all connections once. Returns whether bytes were sent or received.
     pub fn step(&mut self) -> bool {
-        let reads = self.reads;
-        self.members.iter_mut().fold(false, |moved, member| member.step(reads) || moved)
+        let mut moved = false;
+        for member in &mut self.members {
+            moved |= member.step(self.reads);
+        }
+        moved
     }
 
     /// Returns the number of open connections.
@@ -104,43 +107,51 @@
 }
 
 impl Member {
+    /// Sends and, if the caller reads, receives once. Returns whether bytes were sent or received.
     fn step(&mut self, reads: bool) -> bool {
-        let Some(stream) = &mut self.stream else { return false };
+        let (sent, is_writable) = self.send();
+        // An answer may have arrived before the connection was closed.
+        let (received, is_readable) = if reads { self.receive() } else { (false, true) };
+        if !is_writable || !is_readable {
+            self.stream = None;
+        }
+        sent || received
+    }
+
+    /// Returns whether bytes were sent, and whether the connection is still open.
+    fn send(&mut self) -> (bool, bool) {
+        let Some(stream) = &mut self.stream else { return (false, true) };
         let mut moved = false;
-        let mut is_open = true;
-        while is_open {
+        loop {
             let left = self.message.left(self.sent);
             if left.is_empty() {
-                break;
+                return (moved, true);
             }
             match stream.write(left) {
                 Ok(sent) => {
                     self.sent += sent;
                     moved = true;
                 }
-                Err(err) if err.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => is_open = false,
+                Err(err) => return (moved, err.kind() == ErrorKind::WouldBlock),
             }
         }
-        // An answer may have arrived before the connection was closed.
+    }
+
+    /// Returns whether bytes were received, and whether the connection is still open.
+    fn receive(&mut self) -> (bool, bool) {
+        let Some(stream) = &mut self.stream else { return (false, true) };
+        let mut moved = false;
         let mut buf = [0; 4 * 1024];
-        while reads {
+        loop {
             match stream.read(&mut buf) {
-                Ok(0) => is_open = false,
+                Ok(0) => return (moved, false),
                 Ok(length) => {
                     self.received.extend_from_slice(&buf[..length]);
                     moved = true;
-                    continue;
                 }
-                Err(err) if err.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => is_open = false,
+                Err(err) => return (moved, err.kind() == ErrorKind::WouldBlock),
             }
-            break;
         }
-        if !is_open {
-            self.stream = None;
-        }
-        moved
     }
 }
 
--- a/crates/persimmonmountd/src/router/front.rs
+++ b/crates/persimmonmountd/src/router/front.rs
@@ -205,7 +205,7 @@
         return;
     };
     let connection = Rc::new(CallerConnection::new(cx.clock, address));
-    let key = cx.callers.insert(connection.clone());
+    let key = cx.callers.insert(&connection);
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
     let served = serve_caller(&connection, stream, &builder, |req, connection| {
