Router: a call's body becomes text while it is read

What callers saw: calls whose bodies have many small values need many times the memory of their text, so that a router can exceed its memory.

Cause: the body of a call was read into a tree of values, of which each takes 32 bytes, to write it again without white space and with its members in order.

Change: CanonicalJson writes the text while the value is read.

--- a/crates/persimmonmountd/src/router/api.rs
+++ b/crates/persimmonmountd/src/router/api.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::canonical_json::CanonicalJson;
+
 /// Default of a request's `max_tokens`, the maximum number of tokens to generate.
 const DEFAULT_MAX_TOKENS: u32 = 1_024;
 /// Upper limit of a request's `max_tokens`.
@@ -37,7 +39,7 @@
 pub(crate) struct ServiceRequest {
     pub(crate) operation: String,
     #[serde(default)]
-    pub(crate) body: serde_json::Value,
+    pub(crate) body: CanonicalJson,
 }
 
 /// One line of an engine's answer.
--- a/crates/persimmonmountd/src/router/mod.rs
+++ b/crates/persimmonmountd/src/router/mod.rs
@@ -6,6 +6,9 @@
 #[cfg(test)]
 mod body_tests;
 mod call_exchange;
+mod canonical_json;
+#[cfg(test)]
+mod canonical_json_tests;
 mod chat;
 mod command;
 mod context;
--- a/crates/persimmonmountd/src/router/services.rs
+++ b/crates/persimmonmountd/src/router/services.rs
@@ -77,13 +77,18 @@
     let claim = read_claim(cx, req)?;
     let key = idempotency_key(req)?;
     let (bytes, _memory) = body.read(cx).await?;
-    let request = parse(&bytes)?;
+    let request: ServiceRequest = serde_json::from_slice(&bytes).map_err(|err| {
+        let message = format!("the body isn't a valid call: {err}; send operation and body");
+        Failure::not_run(StatusCode::BAD_REQUEST, "bad-body", message)
+    })?;
     drop(bytes);
+    let ServiceRequest { operation, body } = request;
+    let call_body: Arc<str> = body.into_text().into();
     let _in_progress = cx.in_progress.enter();
     let owner = claim.as_ref().map(|(_, claim)| claim.owner.clone());
     let spread_key =
         key.as_ref().map_or_else(|| head.request_id.to_string(), |key| key.as_str().into());
-    let fingerprint = Fingerprint::of_call(&request.operation, &request.body);
+    let fingerprint = Fingerprint::of_call(&operation, &call_body);
     let kind =
         RequestKind::Service { service: service.clone(), key: spread_key, owner, fingerprint };
     let plan = cx.plan(head.plan_request(kind)).await?;
@@ -92,31 +97,17 @@
     if claim.is_none() && plan.endpoints.iter().any(|endpoint| !endpoint.repeatable) {
         return Err(Failure::refused(Refused { refusal: Refusal::NeedsClaim, retry_after_ms: 0 }));
     }
-    let call = service_call(head, &plan, service, request, claim);
+    let call = service_call(head, &plan, service, (operation, call_body), claim);
     let exchange = CallExchange::new(cx.clone(), head, plan.endpoints, call);
     Ok(with_trace(exchange.run().await?, head))
 }
 
-/// A call as its caller sent it, with its body as text in a form that doesn't depend on white space or order.
-struct ParsedCall {
-    operation: String,
-    body: Arc<str>,
-}
-
-fn parse(bytes: &[u8]) -> Result<ParsedCall, Failure> {
-    let request: ServiceRequest = serde_json::from_slice(bytes).map_err(|err| {
-        let message = format!("the body isn't a valid call: {err}; send operation and body");
-        Failure::not_run(StatusCode::BAD_REQUEST, "bad-body", message)
-    })?;
-    Ok(ParsedCall { operation: request.operation, body: request.body.to_string().into() })
-}
-
 /// Returns the call without the fields that differ between sends.
 fn service_call(
     head: &Head,
     plan: &Plan,
     service: ServiceName,
-    request: ParsedCall,
+    (operation, body): (String, Arc<str>),
     claim: Option<String>,
 ) -> ServiceCall {
     ServiceCall {
@@ -127,8 +118,8 @@
         },
         service,
         claim,
-        operation: request.operation,
-        body: request.body,
+        operation,
+        body,
         deadline_ms: 0,
         traceparent: head.trace.child().to_string(),
     }
--- a/crates/persimmonmountd/tests/process_router_body_memory.rs
+++ b/crates/persimmonmountd/tests/process_router_body_memory.rs
@@ -44,6 +44,10 @@
     Length { body_bytes: usize },
     /// A complete request for a stream with a long prompt.
     Prompt,
+    /// A complete call whose body has half a million values of one digit each.
+    ManyValues,
+    /// A complete call whose body has a hundred thousand members with short names.
+    ManyMembers,
 }
 
 const LARGE_CHUNKS: Sending = Sending::Chunks { chunk_bytes: 64 * 1024, body_bytes: 950_000 };
@@ -64,6 +68,11 @@
             Self::Length { body_bytes } => {
                 (format!("Content-Length: {body_bytes}"), vec![b' '; body_bytes - 1])
             }
+            Self::ManyValues => call(&format!("[0{}]", ",0".repeat(500_000))),
+            Self::ManyMembers => {
+                let members: Vec<_> = (0..100_000).map(|it| format!("\"{it:x}\":0")).collect();
+                call(&format!("{{{}}}", members.join(",")))
+            }
             Self::Prompt => {
                 let request = ChatRequest::new(MODEL, &"x".repeat(PROMPT_BYTES));
                 let body = request.with_max_tokens(MAX_TOKENS).body(true);
@@ -80,6 +89,12 @@
     }
 }
 
+/// Returns the framing and the body of a call with this JSON value.
+fn call(value: &str) -> (String, Vec<u8>) {
+    let body = format!("{{\"operation\":\"book\",\"body\":{value}}}").into_bytes();
+    (format!("Content-Length: {}", body.len()), body)
+}
+
 fn start_fleet() -> Fleet {
     let engine = Engine::builder(MODEL).with_slots(2 * CROWD).with_token_interval(TOKEN_INTERVAL);
     Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
@@ -173,6 +188,22 @@
     fleet.close();
 }
 
+/// Guards against requests whose parsed form is far larger than their text.
+#[rstest]
+#[case::many_values(Sending::ManyValues)]
+#[case::many_members(Sending::ManyMembers)]
+fn parsed_calls_fit_the_memory(#[case] sending: Sending) {
+    let _one = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let fleet = start_fleet();
+    let address = fleet.daemons.listen("router-1").unwrap();
+    let crowd = Crowd::send(address, sending.messages(CALLS_PATH));
+    assert!(crowd.received().any(|it| !it.is_empty()), "no call was answered");
+    assert_serves(&fleet);
+    check_process(&fleet);
+    crowd.close();
+    fleet.close();
+}
+
 /// Guards against limits that refuse a single body of the maximum size.
 #[rstest]
 #[case::length(None)]
