Router: unfinished heads on all connections fit the memory

What callers saw: a router on a thin VM can be killed by callers that each send 30 KB of a head and stop, with far fewer bytes than bodies need.

Cause: a connection's buffer holds up to 32 KB of a head, and the number of connections (--max-connections, 4,096) didn't depend on the memory.

Change: MemoryBudget::max_connections returns how many connections the memory bears beside the minimum for bodies and what hasn't been read; a router keeps no more open than that, and says so at its start. Others give way by the same order as before.

--- a/crates/persimmon_decide/src/forward/memory_budget.rs
+++ b/crates/persimmon_decide/src/forward/memory_budget.rs
@@ -24,6 +24,8 @@
 pub struct MemoryBudget {
     process_bytes: usize,
     idle_bytes: usize,
+    /// Memory of a caller's connection, whose buffers hold a head and the beginning of an answer, in bytes.
+    connection_bytes: usize,
     max_body_bytes: usize,
     connections: usize,
     answers: AnswerMemory,
@@ -42,8 +44,10 @@
     const BODY_PART: (usize, usize) = (5, 16);
     /// Memory of the process without callers, and what the allocator keeps after large bodies, in bytes.
     const IDLE_BYTES: usize = 24 * 1024 * 1024;
-    /// Memory of a caller's connection, whose buffers hold a head and the beginning of an answer, in bytes.
-    const CONNECTION_BYTES: usize = 32 * 1024;
+    /// Memory of a caller's connection beside the largest head, in bytes.
+    const CONNECTION_BYTES: usize = 16 * 1024;
+    /// Limit on a head unless it is set, in bytes.
+    const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
     /// Memory of a body that is being read beside its bytes and its head: the buffers of its connection and
     /// its task.
     const READING_BYTES: usize = 32 * 1024;
@@ -70,6 +74,7 @@
         Self {
             process_bytes,
             idle_bytes: Self::IDLE_BYTES / threads.max(1),
+            connection_bytes: Self::CONNECTION_BYTES + Self::DEFAULT_HEAD_BYTES,
             max_body_bytes: process_bytes / whole * part,
             connections: 0,
             answers: AnswerMemory::for_process(bytes),
@@ -77,11 +82,28 @@
         }
     }
 
+    /// Sets the maximum size of a request's head, in bytes.
+    #[must_use]
+    pub fn with_head_bytes(self, bytes: usize) -> Self {
+        Self { connection_bytes: Self::CONNECTION_BYTES + bytes, ..self }
+    }
+
+    /// Returns the number of callers' connections that the memory bears beside the minimum for bodies and
+    /// answers, if each holds an unfinished head.
+    pub fn max_connections(&self) -> usize {
+        let left = self.process_bytes.saturating_sub(self.idle_bytes);
+        let unread = self.unread_bytes(left / self.connection_bytes);
+        let left = left.saturating_sub(self.process_bytes / Self::MIN_DIVISOR + unread);
+        (left / self.connection_bytes).max(Self::FULL_RECEIVE_CONNECTIONS)
+    }
+
     /// Returns the maximum of bodies and answers together, in bytes.
     pub fn max_bytes(&self) -> usize {
-        let connections = self.connections.saturating_mul(Self::CONNECTION_BYTES);
-        let others =
-            self.idle_bytes.saturating_add(connections).saturating_add(self.unread_bytes());
+        let connections = self.connections.saturating_mul(self.connection_bytes);
+        let others = self
+            .idle_bytes
+            .saturating_add(connections)
+            .saturating_add(self.unread_bytes(self.connections));
         let left = self.process_bytes.saturating_sub(others);
         left.clamp(self.process_bytes / Self::MIN_DIVISOR, self.process_bytes / Self::DIVISOR)
     }
@@ -100,20 +122,22 @@
     /// connections are open. What a connection received before stays, so that all may hold more than the
     /// quotient: half of it for each step.
     pub fn receive_window_bytes(&self) -> usize {
-        let bytes = self.process_bytes / Self::RECEIVE_DIVISOR / self.receive_shares();
+        let bytes =
+            self.process_bytes / Self::RECEIVE_DIVISOR / Self::receive_shares(self.connections);
         bytes.clamp(Self::MIN_RECEIVE_BYTES, Self::MAX_RECEIVE_BYTES)
     }
 
-    /// Returns the memory for bytes that have arrived and that the process hasn't read.
-    fn unread_bytes(&self) -> usize {
-        let steps = (self.receive_shares() / Self::FULL_RECEIVE_CONNECTIONS).ilog2() as usize;
+    /// Returns the memory for bytes that have arrived on connections and that the process hasn't read.
+    fn unread_bytes(&self, connections: usize) -> usize {
+        let steps =
+            (Self::receive_shares(connections) / Self::FULL_RECEIVE_CONNECTIONS).ilog2() as usize;
         let full = self.process_bytes / Self::RECEIVE_DIVISOR;
         full + full / 2 * steps
     }
 
     /// Returns the number of connections among which receive windows are divided, which grows in steps.
-    fn receive_shares(&self) -> usize {
-        self.connections.max(Self::FULL_RECEIVE_CONNECTIONS).next_power_of_two()
+    fn receive_shares(connections: usize) -> usize {
+        connections.max(Self::FULL_RECEIVE_CONNECTIONS).next_power_of_two()
     }
 
     /// Returns the memory of bodies and answers together, in bytes.
--- a/crates/persimmon_decide/tests/forward_memory_budget.rs
+++ b/crates/persimmon_decide/tests/forward_memory_budget.rs
@@ -245,6 +245,22 @@
     }
 }
 
+/// Unfinished heads on all connections leave bodies their minimum.
+#[rstest]
+#[case::smallest_vm(160, 16, 2_560)]
+#[case::long_heads(160, 32, 1_792)]
+#[case::more_memory(260, 16, 4_640)]
+#[case::less_than_the_process_needs(16, 16, 64)]
+fn max_connections_fit_the_memory(
+    #[case] process_mb: u64,
+    #[case] head_kb: usize,
+    #[case] expected: usize,
+) {
+    let budget =
+        MemoryBudget::for_process(process_mb * 1024 * 1024).with_head_bytes(head_kb * 1024);
+    assert_eq!(budget.max_connections(), expected);
+}
+
 /// Guards against long uploads that become slow because of others' connections.
 #[test]
 fn receive_window_is_full_while_few_connections_are_open() {
--- a/crates/persimmonmountd/src/router/context.rs
+++ b/crates/persimmonmountd/src/router/context.rs
@@ -14,6 +14,7 @@
 use super::command::{Command, Plan, PlanRequest, PlannedEndpoint};
 use super::control::InProgress;
 use super::failure::Failure;
+use super::front::MAX_HEAD_BYTES;
 use super::pool::{Link, Pool, PoolError};
 use crate::common::{Clock, Metrics};
 
@@ -63,7 +64,8 @@
     /// Creates the state of a new thread.
     pub(crate) fn new(parts: TrafficParts) -> Self {
         let secret = parts.key.secret().to_owned();
-        let budget = MemoryBudget::for_thread(parts.memory_bytes, parts.threads);
+        let budget = MemoryBudget::for_thread(parts.memory_bytes, parts.threads)
+            .with_head_bytes(MAX_HEAD_BYTES);
         let bodies = BodyBuffers::new(parts.clock, Rc::new(RefCell::new(budget)));
         let bodies = Rc::new(bodies.with_copies(BODY_COPIES));
         Self {
--- a/crates/persimmonmountd/src/router/front.rs
+++ b/crates/persimmonmountd/src/router/front.rs
@@ -22,7 +22,7 @@
 /// Timeout for receiving a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum size of a request's head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Interval for closing idle connections to sidecars.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 /// Delay before the next accept after one has failed.
@@ -52,7 +52,15 @@
         let address = listener.local_addr()?;
         let open = Arc::new(AtomicUsize::new(0));
         let max_connections = parts.max_connections;
-        let budget = MemoryBudget::for_process(parts.memory_bytes);
+        let budget = MemoryBudget::for_process(parts.memory_bytes).with_head_bytes(MAX_HEAD_BYTES);
+        if budget.max_connections() < max_connections {
+            let most = budget.max_connections();
+            tracing::warn!(
+                "router: its memory bears {most} connections; more than these aren't kept open."
+            );
+        }
+        let max_connections = max_connections.min(budget.max_connections());
+        let parts = TrafficParts { max_connections, ..parts.clone() };
         let mut streams = Vec::new();
         for number in 0..parts.threads {
             let (tx, rx) = flume::bounded(max_connections);
--- a/crates/persimmonmountd/tests/process_router_connections.rs
+++ b/crates/persimmonmountd/tests/process_router_connections.rs
@@ -105,3 +105,31 @@
     crowd.close();
     fleet.close();
 }
+
+/// Guards against connections whose buffers take more memory than the settings allow.
+#[test]
+fn unfinished_heads_fit_the_memory() {
+    const CROWD: usize = 1_000;
+    const HEAD_BYTES: usize = 30_000;
+    const MEMORY_MB: u64 = 48;
+    let _one = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    let fleet = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
+        .with_variable("PERSIMMON_MEMORY_MB", &MEMORY_MB.to_string())
+        .with_router("router-1", "zone-a")
+        .with_engine("engine-1", "zone-a", Engine::builder(MODEL))
+        .start()
+        .unwrap();
+    let address = fleet.daemons.listen("router-1").unwrap();
+    let head = b"POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nX-Long: ".to_vec();
+    let message = CrowdMessage { head, rest: vec![b'x'; HEAD_BYTES].into(), from: None };
+    let crowd = Crowd::send(address, vec![message; CROWD]);
+
+    let request = ChatRequest::new(MODEL, "an ordinary prompt").with_max_tokens(2);
+    let reply = fleet.caller("router-1").unwrap().chat(&request).unwrap();
+    assert_eq!((reply.status, reply.text()), (200, request.expected_answer()), "{reply:?}");
+    let usage = ProcessUsage::of(fleet.daemons.id("router-1").unwrap()).unwrap();
+    println!("{usage:?}, {} open", crowd.open());
+    assert!(usage.peak_bytes <= MEMORY_MB * 1024 * 1024, "{usage:?}");
+    crowd.close();
+    fleet.close();
+}
