--- a/crates/persimmon_process/src/caller_connections.rs
+++ b/crates/persimmon_process/src/caller_connections.rs
@@ -11,8 +11,8 @@
 
 use crate::{BodyBuffers, CallerConnection};
 
-/// Factor from which on receive windows grow. They shrink by half, so that they don't change with each
-/// connection that is opened or closed.
+/// Minimum factor by which receive windows grow. They shrink by half at once, so that they don't change with
+/// each connection that is opened or closed.
 const GROWTH_FACTOR: usize = 4;
 
 new_key_type! {
--- a/crates/persimmonmountd/src/router/front.rs
+++ b/crates/persimmonmountd/src/router/front.rs
@@ -27,7 +27,6 @@
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 /// Delay before the next accept after one has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Divisor of the maximum number of connections; the quotient may be open in addition while others are
 /// being closed.
 const CLOSING_DIVISOR: usize = 4;
@@ -55,7 +54,7 @@
         let budget = MemoryBudget::for_process(parts.memory_bytes).with_head_bytes(MAX_HEAD_BYTES);
         if budget.max_connections() < max_connections {
             let most = budget.max_connections();
-            tracing::warn!(
+            tracing::info!(
                 "router: its memory bears {most} connections; more than these aren't kept open."
             );
         }
@@ -193,7 +192,7 @@
             );
         }
         if gave_way.is_none() {
-            // The others belong to other threads, or run requests.
+            // The others are served by other threads, or run complete requests.
             return closing > 0;
         }
     }
