Router: a request whose body isn't needed keeps its connection

Only requests whose bodies couldn't be read get it now; the rest of others is read and discarded, so that the connection can be used again. Besides, the parsed messages of a chat stayed until its answer began, since a pattern that moves some fields leaves the others in place; they are dropped now.

Run (x86_64, debug build): process_router_connections unneeded_body_keeps_its_connection passes; it sends three claims with bodies on one connection.

--- a/crates/persimmonmountd/src/router/body.rs
+++ b/crates/persimmonmountd/src/router/body.rs
@@ -34,6 +34,8 @@
     incoming: Incoming,
     connection: Rc<CallerConnection>,
     head_bytes: usize,
+    /// Whether reading the body failed, so that its rest may still arrive.
+    is_cut: bool,
 }
 
 impl RequestBody {
@@ -43,7 +45,7 @@
         connection: Rc<CallerConnection>,
         head_bytes: usize,
     ) -> Self {
-        Self { incoming, connection, head_bytes }
+        Self { incoming, connection, head_bytes, is_cut: false }
     }
 
     /// Reads the body. Its memory counts until the returned buffer is dropped.
@@ -56,15 +58,22 @@
         let buffer = BodyBuffer::begin(&cx.bodies, self.connection.address(), self.head_bytes);
         self.connection.record_body(buffer.key());
         let read = timeout(BODY_TIMEOUT, buffer.read(&mut self.incoming, MAX_BODY_BYTES)).await;
-        match read {
-            Ok(Ok(bytes)) => Ok((bytes, buffer)),
-            Ok(Err(err)) => Err(failure_of(cx, &err)),
-            Err(_) => Err(Failure::not_run(
+        let failure = match read {
+            Ok(Ok(bytes)) => return Ok((bytes, buffer)),
+            Ok(Err(err)) => failure_of(cx, &err),
+            Err(_) => Failure::not_run(
                 StatusCode::REQUEST_TIMEOUT,
                 "body-too-slow",
                 "the body wasn't received in time; send it faster",
-            )),
-        }
+            ),
+        };
+        self.is_cut = true;
+        Err(failure)
+    }
+
+    /// Reports whether reading the body failed.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.is_cut
     }
 
     /// Returns the rest of the body if it wasn't read to its end.
--- a/crates/persimmonmountd/src/router/chat.rs
+++ b/crates/persimmonmountd/src/router/chat.rs
@@ -52,7 +52,8 @@
     let plan = cx.plan(head.plan_request(kind)).await?;
     credit::charge_request(cx, &plan).await?;
     let template = template(&head, &plan, &chat, prompt_tokens, fingerprint)?;
-    let ChatRequest { model, stream, .. } = chat;
+    let ChatRequest { model, stream, messages, .. } = chat;
+    drop(messages);
     let (out, progress) = flume::bounded(MAX_QUEUED_PIECES);
     let parts = ExchangeParts {
         workspace: plan.workspace.clone(),
--- a/crates/persimmonmountd/src/router/routes.rs
+++ b/crates/persimmonmountd/src/router/routes.rs
@@ -52,6 +52,7 @@
         }
         Err(failure) => Err(failure),
     };
+    let is_cut = request_body.is_cut();
     let unread = request_body.into_unread();
     let mut response = response.unwrap_or_else(|failure| {
         tracing::info!("router: a request failed: {}.", failure.kind());
@@ -60,8 +61,8 @@
         response.headers_mut().insert(head::OUTCOME, outcome);
         response
     });
-    if unread.is_some() {
-        // The bytes after an incompletely read request belong to it.
+    if is_cut {
+        // The bytes after an incompletely read request may belong to it.
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     let is_stream = body::is_stream(response.body());
--- a/crates/persimmonmountd/tests/process_router_connections.rs
+++ b/crates/persimmonmountd/tests/process_router_connections.rs
@@ -1,7 +1,9 @@
 //! Tests of a router whose connections are taken by a crowd of callers that don't end their requests.
 
-use std::net::{IpAddr, Ipv4Addr};
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use persimmon_standins::fleet::{CALLER_KEY, ChatRequest, Fleet};
 use persimmon_standins::{Crowd, CrowdMessage, Engine, ProcessUsage};
@@ -18,6 +20,7 @@
 /// Memory that the router may use, in megabytes.
 const MEMORY_MB: u64 = 64;
 const MODEL: &str = "chat-large";
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// One test at a time, since each measures a process under load.
 static RUNNING: Mutex<()> = Mutex::new(());
@@ -106,6 +109,36 @@
     fleet.close();
 }
 
+/// Guards against connections that are closed because a request has a body which isn't needed.
+#[test]
+fn unneeded_body_keeps_its_connection() {
+    let fleet = Fleet::builder(env!("CARGO_BIN_EXE_persimmonmountd"))
+        .with_router("router-1", "zone-a")
+        .with_service("booking-1", "zone-a", "booking")
+        .start()
+        .unwrap();
+    let mut stream = TcpStream::connect(fleet.daemons.listen("router-1").unwrap()).unwrap();
+    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    for number in 0..3 {
+        let request = format!(
+            "POST /v1/services/booking/claims HTTP/1.1\r\nHost: router\r\nIdempotency-Key: k{number}\r\n\
+             Authorization: Bearer {CALLER_KEY}\r\nContent-Length: 2\r\n\r\n{{}}"
+        );
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"}") {
+            let mut buf = [0; 1_024];
+            let length = stream.read(&mut buf).unwrap();
+            assert_ne!(length, 0, "closed after {}", String::from_utf8_lossy(&answer));
+            answer.extend_from_slice(&buf[..length]);
+        }
+        let answer = String::from_utf8(answer).unwrap().to_ascii_lowercase();
+        assert!(answer.starts_with("http/1.1 200 "), "{answer}");
+        assert!(!answer.contains("connection: close"), "{answer}");
+    }
+    fleet.close();
+}
+
 /// Guards against connections whose buffers take more memory than the settings allow.
 #[test]
 fn unfinished_heads_fit_the_memory() {
