--- a/review/harness-2/harness.rs
+++ b/review/harness-2/harness.rs
@@ -153,6 +153,8 @@
     deaf: bool,
     /// Number that rises when waiting watches are cut.
     cut: u64,
+    /// Whether the store is down: calls get no answer, and writes fail.
+    down: bool,
     calls: u64,
     gone: u64,
     lists: u64,
@@ -180,6 +182,7 @@
             compacted: 0,
             deaf: false,
             cut: 0,
+            down: false,
             calls: 0,
             gone: 0,
             lists: 0,
@@ -242,6 +245,18 @@
         self.state.1.notify_all();
     }
 
+    /// `platform_down`: while it lasts, calls get no answer, waiting watches included, and workers can't write.
+    pub fn set_down(&self, down: bool) {
+        let mut state = self.state();
+        state.down = down;
+        state.cut += 1;
+        self.state.1.notify_all();
+    }
+
+    pub fn is_down(&self) -> bool {
+        self.state().down
+    }
+
     /// Calls, lists begun, answers with 410, and the last page of a list that was asked for.
     pub fn counts(&self) -> (u64, u64, u64, u64) {
         let state = self.state();
@@ -261,6 +276,9 @@
                 pairs.find(|(it, _)| *it == name).map_or(String::new(), |(_, value)| decode(value))
             };
             self.state().calls += 1;
+            while self.is_down() {
+                thread::sleep(ms(10));
+            }
             let answer = match path {
                 "/kv-range" => {
                     let after = parameter("After");
@@ -295,6 +313,10 @@
         let cut = state.cut;
         loop {
             if state.cut != cut {
+                // A call that was waiting as the store went down gets no answer.
+                while state.down {
+                    state = self.state.1.wait_timeout(state, ms(50)).unwrap_or_else(PoisonError::into_inner).0;
+                }
                 return None;
             }
             if after < state.compacted || after > state.revision {
@@ -464,6 +486,7 @@
     born: u64,
     seq: u64,
     state: &'static str,
+    version: String,
     streams: HashMap<u64, TcpStream>,
 }
 
@@ -507,6 +530,7 @@
             born: unix_ms(),
             seq: 0,
             state: "ready",
+            version: version.to_owned(),
             streams: HashMap::new(),
         };
         let worker = Self {
@@ -547,12 +571,16 @@
         format!("servers/{}", self.id())
     }
 
+    /// Writes the entry, again and again while the store is down.
     pub fn publish(&self) {
+        while self.store.is_down() {
+            thread::sleep(ms(50));
+        }
         let (id, value) = {
             let mut state = lock(&self.state);
             state.seq += 1;
             let value = entry(
-                &self.service, self.address, &self.version, self.slots, state.state, state.seq, state.born,
+                &self.service, self.address, &state.version, self.slots, state.state, state.seq, state.born,
             );
             (state.id.clone(), value)
         };
@@ -665,7 +693,17 @@
         self.record.line(&format!("worker {} crashes", self.id()));
     }
 
-    /// The worker starts again at its address, as a new incarnation with a new id.
+    /// The software's version of the present incarnation.
+    pub fn present_version(&self) -> String {
+        lock(&self.state).version.clone()
+    }
+
+    /// Sets the version of the software from the next start on.
+    pub fn set_version(&self, version: &str) {
+        lock(&self.state).version = version.to_owned();
+    }
+
+    /// The worker starts again at its address, as a new incarnation, under this id.
     pub fn start_again(&self, id: &str) -> io::Result<()> {
         let until = Instant::now() + ms(3_000);
         let listener = loop {
@@ -686,8 +724,10 @@
         if old != id {
             self.store.delete(&format!("servers/{old}"));
         }
-        self.publish();
         self.listen(listener);
+        // It serves at once, and registers as soon as the store takes its entry.
+        let registering = self.clone();
+        thread::spawn(move || registering.publish());
         self.record.line(&format!("worker {old} is back as {id}"));
         Ok(())
     }
