--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -201,8 +201,10 @@
             }));
             thread::sleep(ms(2_000));
         }
-        for it in stopping {
-            gateways.push(it.join().map_err(|_| io::Error::other("a thread panicked"))??);
+        // All are joined first, so that each process is in hand, and ended, if one couldn't be started.
+        let stopped: Vec<_> = stopping.into_iter().map(thread::JoinHandle::join).collect();
+        for it in stopped {
+            gateways.push(it.map_err(|_| io::Error::other("a thread panicked"))??);
         }
         gateways.sort_by_key(|it| it.ip);
         record.say(&format!("rolling restart {number} has ended, {} crashes", lock(&crashed).len()));
