--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use harness::*;
 
@@ -20,7 +20,7 @@
 const DOWN: Duration = Duration::from_millis(600);
 /// Time from the break of a stream until its client takes it up again. The machines are in touch by then: `ContactMs`
 /// is 3,000.
-const COMES_BACK: Duration = Duration::from_millis(4_600);
+const COMES_BACK: Duration = Duration::from_millis(4_900);
 
 fn serve(arrival: &Arrival, writer: &mut TcpStream) -> io::Result<Next> {
     let head = format!(
@@ -139,6 +139,7 @@
         }));
     }
     thread::sleep(KILL_AFTER);
+    let killed_at = Instant::now();
     if has_trouble() {
         for process in gateways.iter().chain(holders.iter().filter(|_| !spares_holders)) {
             process.signal("KILL")?;
@@ -151,6 +152,10 @@
         for gateway in &gateways {
             gateway.wait_ready(ms(3_000))?;
         }
+        // A machine is in touch once it has run for `ContactMs`.
+        if killed_at.elapsed() + ms(3_000) > COMES_BACK {
+            return Err(io::Error::other("the gateways were ready too late to be in touch"));
+        }
         record.say("all processes have started again, and all gateways are ready");
     } else {
         thread::sleep(DOWN);
