Streams go on after all gateways and holders have ended, if the store shows one version

Cause: what began a stream was kept in the memory of gateways and holders only, which may all end at one moment. The logs show that every peer and holder replied that it doesn't know the stream, so that neither lost replies nor missing records were at fault.

Change: a gateway that is told by nobody reads the store's history, which outlives all processes and shows deletions. It concludes an origin only if all endpoints that can have begun the stream are known and of one version, by records read after the request has arrived: the history is whole, or endpoints' heartbeats in it bound its time from below; no change is left out; the routes haven't changed. Otherwise it refuses as before, and the log says why. Requests that aren't taken up again, or whose stream is remembered, cost nothing more.

--- a/crates/persimmon_decide/src/forward/endpoint.rs
+++ b/crates/persimmon_decide/src/forward/endpoint.rs
@@ -77,6 +77,12 @@
         self.started_unix_ms
     }
 
+    /// Returns the Unix time of the endpoint's start in milliseconds, and the number of its record since then, if
+    /// published.
+    pub fn write(&self) -> Option<(u64, u64)> {
+        self.started_unix_ms.zip(self.sequence)
+    }
+
     /// Reports whether an endpoint published this record before the other one.
     pub fn is_older_than(&self, other: &Self) -> bool {
         let starts = self.started_unix_ms.zip(other.started_unix_ms);
--- a/crates/persimmon_decide/src/forward/route.rs
+++ b/crates/persimmon_decide/src/forward/route.rs
@@ -228,6 +228,11 @@
         self
     }
 
+    /// Returns the longest timeout of all routes, in milliseconds.
+    pub fn max_timeout_ms(&self) -> u64 {
+        self.by_host.values().flatten().map(|it| it.timeout_ms).max().unwrap_or(0)
+    }
+
     /// Returns the names of the services that are configured or that routes lead to.
     pub fn service_names(&self) -> HashSet<Arc<str>> {
         self.services.keys().chain(self.route_priorities.keys()).cloned().collect()
--- a/crates/persimmon_decide/src/forward/stream_versions.rs
+++ b/crates/persimmon_decide/src/forward/stream_versions.rs
@@ -38,7 +38,7 @@
 
 /// What began a stream. What two services, or two software versions of one, write doesn't fit
 /// together.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StreamOrigin {
     /// Name of the service.
     pub service: Arc<str>,
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::settings::GatewaySettings;
 use crate::stream_versions::StreamExchange;
 use crate::upstream::Upstream;
+use crate::version_history::HistoryReader;
 use persimmon_process::BodyBuffers;
 use persimmon_process::{CallerConnections, Clock, LogLimiter};
 
@@ -63,6 +64,8 @@
     /// Socket for messages to other gateways; none before it is bound.
     pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) streams: StreamExchange,
+    /// The store's history, for streams that neither gateways nor holders remember.
+    pub(crate) history: HistoryReader,
     /// What is reported of evacuated zones.
     pub(crate) evacuations: EvacuationReports,
 }
@@ -98,6 +101,7 @@
             record_answers: RecordAnswers::default(),
             socket: OnceCell::new(),
             streams: StreamExchange::default(),
+            history: HistoryReader::default(),
             evacuations: EvacuationReports::default(),
         }
     }
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -46,6 +46,7 @@
 #[cfg(test)]
 mod update_codec_tests;
 mod upstream;
+mod version_history;
 mod watched_stream;
 
 pub use holder::{HolderSettings, run_holder};
--- a/crates/persimmon_gateway/src/platform.rs
+++ b/crates/persimmon_gateway/src/platform.rs
@@ -50,8 +50,12 @@
 pub struct RecordPage {
     /// The records. One whose value can't be read has an empty value.
     pub records: Vec<StoreRecord>,
+    /// Revisions at which records among them were created, in the order of the records.
+    pub created: Vec<u64>,
     /// Faults of items that can't be read, wholly or in their value.
     pub unreadable: Vec<DecodeError>,
+    /// Number of items, including those that can't be read.
+    pub items: usize,
     /// Whether another page follows.
     pub has_more: bool,
     /// Revision of the store when it created the page.
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -54,6 +54,8 @@
 const FAST_LISTER_RATIO: u64 = 16;
 /// Pause of the other gateways before each further page, in milliseconds.
 const LIST_PAUSE_MS: u64 = 200;
+/// Key after which a page has no items, or few.
+const AFTER_ALL_KEYS: &str = "~";
 /// Maximum size of an answer of the store, in bytes.
 const MAX_ANSWER_BYTES: usize = 48 * 1024 * 1024;
 /// Maximum number of pages in one list, in case the store never reports the last page.
@@ -61,7 +63,7 @@
 
 /// The reason why a call to the store failed.
 #[derive(Debug, Error)]
-enum StoreError {
+pub(crate) enum StoreError {
     #[error("{0}")]
     Get(GetError),
     #[error("the store no longer has the history since the last known revision; list again")]
@@ -70,6 +72,8 @@
     Restored,
     #[error("the answer is older than what is known: era {0}")]
     EarlierEra(u64),
+    #[error("a watch left out changes up to position {0}")]
+    Incomplete(u64),
     #[error("{0}")]
     Decode(#[from] DecodeError),
 }
@@ -97,7 +101,7 @@
 }
 
 /// An open connection to the store.
-struct StoreConnection {
+pub(crate) struct StoreConnection {
     sender: SendRequest<Full<Bytes>>,
     _driver: AbortOnDrop,
 }
@@ -213,12 +217,7 @@
     if reader.is_synced && !gw.control.borrow_mut().should_watch(gw.clock.now()) {
         return Ok(());
     }
-    let own = gw.settings.peers.ip();
-    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let stream = http::connect_from(own, gw.settings.store, limit).await;
-    let stream = stream.map_err(GetError::Io)?;
-    let (sender, driver) = http::client_handshake(stream).await.map_err(GetError::Io)?;
-    let mut connection = StoreConnection { sender, _driver: AbortOnDrop(driver) };
+    let mut connection = connect(gw).await?;
     if !reader.is_synced {
         let listed = list(gw, &mut connection, reader).await;
         record_call(gw, "list", &listed);
@@ -234,7 +233,9 @@
         if reader.takeover == Takeover::Due {
             reader.takeover = Takeover::Tried;
         }
-        let watched = watch(gw, &mut connection, known, wait_ms, limit_ms).await;
+        let max_bytes = MAX_ANSWER_BYTES;
+        let call = WatchCall { after: known, wait_ms, limit_ms, max_bytes };
+        let watched = watch(gw, &mut connection, &call).await;
         record_call(gw, "watch", &watched);
         let page = watched?;
         // Whether removals are deferred depends on how long the store couldn't be reached.
@@ -252,7 +253,21 @@
     Ok(())
 }
 
-fn record_call<P: Platform, T>(gw: &Gateway<P>, kind: &str, result: &Result<T, StoreError>) {
+/// Opens a connection to the store.
+pub(crate) async fn connect<P: Platform>(gw: &Gateway<P>) -> Result<StoreConnection, StoreError> {
+    let own = gw.settings.peers.ip();
+    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let stream = http::connect_from(own, gw.settings.store, limit).await;
+    let stream = stream.map_err(GetError::Io)?;
+    let (sender, driver) = http::client_handshake(stream).await.map_err(GetError::Io)?;
+    Ok(StoreConnection { sender, _driver: AbortOnDrop(driver) })
+}
+
+pub(crate) fn record_call<P: Platform, T>(
+    gw: &Gateway<P>,
+    kind: &str,
+    result: &Result<T, StoreError>,
+) {
     let outcome = if result.is_ok() { "ok" } else { "failed" };
     gw.metrics.store_calls.with_label_values(&[kind, outcome]).inc();
 }
@@ -311,16 +326,17 @@
         }
         let after = records.last().map(|it| &*it.key);
         let path = gw.platform.list_path(after);
-        let body = match call(gw, connection, &path, ANSWER_TIMEOUT_MS).await {
-            // The pages read so far stay valid: the watch returns changes made since.
-            Err(StoreError::Get(GetError::Refused(StatusCode::TOO_MANY_REQUESTS)))
-                if !records.is_empty() =>
-            {
-                tokio::time::sleep(Duration::from_millis(LIST_PAUSE_MS)).await;
-                continue;
-            }
-            body => body?,
-        };
+        let body =
+            match call(gw, connection, &path, limits(ANSWER_TIMEOUT_MS, MAX_ANSWER_BYTES)).await {
+                // The pages read so far stay valid: the watch returns changes made since.
+                Err(StoreError::Get(GetError::Refused(StatusCode::TOO_MANY_REQUESTS)))
+                    if !records.is_empty() =>
+                {
+                    tokio::time::sleep(Duration::from_millis(LIST_PAUSE_MS)).await;
+                    continue;
+                }
+                body => body?,
+            };
         let page = read_page(gw, &body, as_of.unwrap_or(known), P::read_page)?;
         let as_of_era = as_of.map(StoreEra::of);
         if as_of_era.is_some_and(|era| era < StoreEra::of(page.as_of)) {
@@ -356,18 +372,40 @@
     Ok(as_of)
 }
 
-/// Waits up to `wait_ms` for changes after `revision`, and up to `limit_ms` for the answer.
-async fn watch<P: Platform>(
-    gw: &Rc<Gateway<P>>,
+/// Returns the store's current position.
+pub(crate) async fn read_position<P: Platform>(
+    gw: &Gateway<P>,
     connection: &mut StoreConnection,
-    revision: u64,
-    wait_ms: u64,
-    limit_ms: u64,
+    known: u64,
+) -> Result<u64, StoreError> {
+    let path = gw.platform.list_path(Some(AFTER_ALL_KEYS));
+    let body = call(gw, connection, &path, limits(ANSWER_TIMEOUT_MS, MAX_ANSWER_BYTES)).await?;
+    Ok(read_page(gw, &body, known, P::read_page)?.as_of)
+}
+
+/// A call that waits for changes.
+#[derive(Debug)]
+pub(crate) struct WatchCall {
+    /// Position after which to return changes.
+    pub(crate) after: u64,
+    /// Maximum time that the store waits for a change, in milliseconds.
+    pub(crate) wait_ms: u64,
+    /// Timeout for the beginning of the answer, in milliseconds.
+    pub(crate) limit_ms: u64,
+    /// Maximum size of the answer, in bytes.
+    pub(crate) max_bytes: usize,
+}
+
+/// Waits for changes.
+pub(crate) async fn watch<P: Platform>(
+    gw: &Gateway<P>,
+    connection: &mut StoreConnection,
+    watch: &WatchCall,
 ) -> Result<RecordPage, StoreError> {
-    let path = gw.platform.watch_path(StoreEra::revision(revision), wait_ms);
-    let body = call(gw, connection, &path, limit_ms).await?;
-    let page = read_page(gw, &body, revision, P::read_changes)?;
-    if StoreEra::of(page.as_of) > StoreEra::of(revision) {
+    let path = gw.platform.watch_path(StoreEra::revision(watch.after), watch.wait_ms);
+    let body = call(gw, connection, &path, limits(watch.limit_ms, watch.max_bytes)).await?;
+    let page = read_page(gw, &body, watch.after, P::read_changes)?;
+    if StoreEra::of(page.as_of) > StoreEra::of(watch.after) {
         return Err(StoreError::Restored);
     }
     Ok(page)
@@ -396,22 +434,23 @@
     for record in &mut page.records {
         record.revision = era.position(record.revision);
     }
+    page.created.iter_mut().for_each(|it| *it = era.position(*it));
     Ok(page)
 }
 
-/// Gets a page whose answer begins within `limit_ms`. However long it is, it may go on as long as bytes
-/// come.
+/// Returns the limits of an answer of up to `bytes` that begins within `limit_ms`. However long it is, it may go on
+/// as long as bytes come.
+fn limits(limit_ms: u64, bytes: usize) -> Limits {
+    let piece = Duration::from_millis(ANSWER_TIMEOUT_MS);
+    Limits { bytes, head: Duration::from_millis(limit_ms), piece }
+}
+
 async fn call<P: Platform>(
     gw: &Gateway<P>,
     connection: &mut StoreConnection,
     path: &str,
-    limit_ms: u64,
+    limits: Limits,
 ) -> Result<Page, StoreError> {
-    let limits = Limits {
-        bytes: MAX_ANSWER_BYTES,
-        head: Duration::from_millis(limit_ms),
-        piece: Duration::from_millis(ANSWER_TIMEOUT_MS),
-    };
     let begun_at = Cell::new(None);
     let record_progress = |_| {
         // An answer that takes long on a narrow link is no loss of the store; one that trickles is.
--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_decide::forward::{StoreEra, StreamKey, StreamMessage, StreamOrigin, StreamVersions};
+use persimmon_decide::forward::{
+    StoreEra, StreamKey, StreamMessage, StreamOrigin, StreamVersions, Undetermined,
+};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -34,6 +36,8 @@
     Peer,
     /// The caller names no first attempt, and the service has had one version only.
     OnlyVersion,
+    /// The store's history shows only one.
+    History,
     /// It wasn't found.
     Unknown,
 }
@@ -45,6 +49,7 @@
             Self::Own => "own",
             Self::Peer => "peer",
             Self::OnlyVersion => "only_version",
+            Self::History => "history",
             Self::Unknown => "unknown",
         }
     }
@@ -57,6 +62,8 @@
     source: Source,
     /// The question to others, if there was one.
     query: Option<Rc<Query>>,
+    /// Why the store's history doesn't show the origin, if it was read.
+    undetermined: Option<Undetermined>,
 }
 
 /// A question to peers and holders that is waiting for replies.
@@ -205,7 +212,7 @@
         return Ok(None);
     }
     let started = gw.clock.now();
-    let Lookup { origin, source, query } = look_up(gw, plan).await;
+    let Lookup { origin, source, query, undetermined } = look_up(gw, plan).await;
     gw.metrics.stream_lookups.with_label_values(&[source.name()]).inc();
     let now = gw.clock.now();
     if let Some(suppressed) = gw.log_limiter.admit("stream_version", now) {
@@ -216,7 +223,7 @@
             first_id = plan.head.first_id.as_deref(),
             service = origin.as_ref().map(|it| &*it.service),
             version = origin.as_ref().map(|it| &*it.version),
-            source = source.name(), ms = now.ms_since(started), ?asked, ?silent,
+            source = source.name(), undetermined = undetermined.map(|it| it.to_string()), ms = now.ms_since(started), ?asked, ?silent,
             heard = control.peers.gateways(now), gateways = control.peers.fleet().len(),
             revision = StoreEra::revision(control.view.revision()), suppressed, "version that began a stream");
     }
@@ -226,8 +233,8 @@
     origin.map(Some).ok_or(Refusal::UnknownStream)
 }
 
-/// Looks up what began a stream. Nothing is concluded from which versions have served, unless the caller
-/// names no first attempt: on a gateway that is cut off, the records and contacts may be out of date.
+/// Looks up what began a stream. Nothing is concluded from the versions that this gateway has seen, unless the
+/// caller names no first attempt: on a gateway that is cut off, the records and contacts may be out of date.
 async fn look_up<P: Platform>(gw: &Rc<Gateway<P>>, plan: &Plan) -> Lookup {
     if plan.head.first_id.is_none() {
         return look_up_only_version(gw, plan);
@@ -235,12 +242,18 @@
     let stream = plan.stream();
     let origin = gw.control.borrow().streams.origin(stream).cloned();
     if origin.is_some() {
-        return Lookup { origin, source: Source::Own, query: None };
+        return Lookup { origin, source: Source::Own, query: None, undetermined: None };
     }
     let query = ask(gw, plan, stream).await;
     let origin = query.origin.borrow().clone();
-    let source = if origin.is_some() { Source::Peer } else { Source::Unknown };
-    Lookup { origin, source, query: Some(query) }
+    if origin.is_some() {
+        return Lookup { origin, source: Source::Peer, query: Some(query), undetermined: None };
+    }
+    let (origin, source, undetermined) = match gw.history.find_origin(gw, plan).await {
+        Ok(origin) => (Some(origin), Source::History, None),
+        Err(undetermined) => (None, Source::Unknown, Some(undetermined)),
+    };
+    Lookup { origin, source, query: Some(query), undetermined }
 }
 
 fn look_up_only_version<P: Platform>(gw: &Gateway<P>, plan: &Plan) -> Lookup {
@@ -248,7 +261,7 @@
     let service = plan.service.clone();
     let origin = only.map(|version| Arc::new(StreamOrigin { service, version }));
     let source = if origin.is_some() { Source::OnlyVersion } else { Source::Unknown };
-    Lookup { origin, source, query: None }
+    Lookup { origin, source, query: None, undetermined: None }
 }
 
 /// Asks the gateways and holders that may remember a stream what began it.
--- a/crates/persimmonmountd/tests/process_gateway_holders.rs
+++ b/crates/persimmonmountd/tests/process_gateway_holders.rs
@@ -12,7 +12,7 @@
 
 use version_streams::{
     BREAK_AT, ENDPOINTS, EVENTS, GATEWAYS, MIN_TAKEN_UP, PROGRAM, STREAMS, Stream, TakenUp, begin,
-    publish_versions, read_stream, take_up, wait_until_published,
+    publish_versions, read_stream, streaming, take_up, wait_until_published,
 };
 
 /// Time in which the last streams that have begun reach the holders.
@@ -27,12 +27,19 @@
 impl Fleet {
     /// Starts gateways before endpoints of two versions; each endpoint has a holder beside it.
     fn start() -> Self {
+        let fleet = Self::start_with_one_version();
+        publish_versions(&fleet.fixture, 0..GATEWAYS.into());
+        fleet
+    }
+
+    /// Starts gateways before endpoints of one version; each has a holder beside it.
+    fn start_with_one_version() -> Self {
         let deployment = Deployment::new(PROGRAM, GATEWAYS).unwrap();
         let holders = (0..ENDPOINTS.len())
             .map(|number| Some(deployment.start_holder(deployment.endpoint_ip(number)).unwrap()))
             .collect();
         let fixture = GatewayFixture::start_on(deployment, &ENDPOINTS).unwrap();
-        publish_versions(&fixture, 0..GATEWAYS.into());
+        fixture.set_behaviours(&streaming(None));
         Self { fixture, holders }
     }
 
@@ -46,6 +53,21 @@
         streams
     }
 
+    /// Begins streams at every gateway, whatever the names of the endpoints.
+    fn begin_of_any_version(&self) -> Vec<Stream> {
+        let begin = |gateway: usize, number| {
+            let mut stream = Stream::new(&format!("stream-{gateway}-{number}"));
+            let id = stream.first_id.clone();
+            let begun = read_stream(&self.fixture, gateway, &id, &mut stream, BREAK_AT).unwrap();
+            assert!(matches!(begun, TakenUp::GoesOn), "{begun:?}");
+            stream
+        };
+        let at = |gateway: &usize| (0..STREAMS).map(|it| begin(*gateway, it)).collect::<Vec<_>>();
+        let streams = ALL.iter().flat_map(at).collect();
+        thread::sleep(STORED_WITHIN);
+        streams
+    }
+
     fn kill(&mut self, gateways: &[usize]) {
         gateways.iter().for_each(|it| self.fixture.deployment.kill(*it).unwrap());
     }
@@ -69,6 +91,21 @@
         self.wait_restarted(gateways);
     }
 
+    /// Kills all gateways and holders.
+    fn kill_all(&mut self) {
+        self.kill(ALL);
+        self.close_holders(&[0, 1, 2, 3]);
+    }
+
+    /// Starts all gateways and holders again.
+    fn restart_all(&mut self) {
+        self.restart(ALL);
+        let deployment = &self.fixture.deployment;
+        for (number, holder) in self.holders.iter_mut().enumerate() {
+            *holder = Some(deployment.start_holder(deployment.endpoint_ip(number)).unwrap());
+        }
+    }
+
     fn close_holders(&mut self, numbers: &[usize]) {
         for number in numbers {
             if let Some(holder) = self.holders[*number].take() {
@@ -82,6 +119,18 @@
     }
 }
 
+/// Takes streams up at a gateway and returns the share that went on, whatever the names of the endpoints.
+fn share_that_goes_on(fleet: &Fleet, gateway: usize, streams: &mut [Stream]) -> f64 {
+    let goes_on = |stream: &mut Stream| {
+        let id = format!("{}-again", stream.first_id);
+        let end = read_stream(&fleet.fixture, gateway, &id, stream, EVENTS).unwrap();
+        matches!(end, TakenUp::GoesOn)
+    };
+    let count = streams.len();
+    let went_on = streams.iter_mut().map(goes_on).filter(|it| *it).count();
+    went_on as f64 / count as f64
+}
+
 #[test]
 fn stream_goes_on_after_all_gateways_were_killed() {
     let mut fleet = Fleet::start();
@@ -258,3 +307,123 @@
     assert_eq!(stored, 3 * streams.len(), "each stream is stored three times");
     fleet.close();
 }
+
+/// Guards against the refusal of all streams once nobody remembers what began them, although the service has had one
+/// version only. The second kill comes right after the first.
+#[rstest]
+#[case::once(1)]
+#[case::twice(2)]
+fn stream_goes_on_after_all_processes_were_killed(#[case] kills: u32) {
+    let mut fleet = Fleet::start_with_one_version();
+    let mut streams = fleet.begin_of_any_version();
+    for _ in 0..kills {
+        fleet.kill_all();
+        fleet.restart_all();
+    }
+    fleet.wait_restarted(ALL);
+    let share = share_that_goes_on(&fleet, 1, &mut streams);
+    assert!(share >= MIN_TAKEN_UP, "{share} went on: {:#?}", fleet.fixture.deployment.log(1));
+    fleet.fixture.wait_for_log(1, "\"source\":\"history\"").unwrap();
+    fleet.close();
+}
+
+/// What becomes of the endpoints while all processes are away.
+#[derive(Debug, Clone, Copy)]
+enum Meanwhile {
+    /// All start again with the next version, under their IDs.
+    Upgraded,
+    /// Those of one of two versions leave for good.
+    VersionLeft,
+    /// Nothing, and the routes lead to another service for a moment.
+    RoutesChanged,
+}
+
+/// How the store behaves when the processes are back.
+#[derive(Debug, Clone, Copy)]
+enum Store {
+    Serving,
+    HistoryDropped,
+    Away,
+}
+
+/// Guards against streams that are joined from two versions, or from two services.
+#[rstest]
+fn stream_of_uncertain_origin_is_refused_after_all_processes_were_killed(
+    #[values(Meanwhile::Upgraded, Meanwhile::VersionLeft, Meanwhile::RoutesChanged)]
+    meanwhile: Meanwhile,
+    #[values(Store::Serving, Store::HistoryDropped, Store::Away)] store: Store,
+) {
+    let mut fleet = match meanwhile {
+        Meanwhile::VersionLeft => Fleet::start(),
+        Meanwhile::Upgraded | Meanwhile::RoutesChanged => Fleet::start_with_one_version(),
+    };
+    let mut streams = fleet.begin_of_any_version();
+    fleet.kill_all();
+    match meanwhile {
+        Meanwhile::Upgraded => {
+            for endpoint in &fleet.fixture.endpoints {
+                endpoint.set_version("next");
+                fleet.fixture.deployment.publish_restarted_endpoint(endpoint, 1_700_000_000_000);
+            }
+        }
+        Meanwhile::VersionLeft => {
+            let of_old = &fleet.fixture.endpoints[..2];
+            of_old.iter().for_each(|it| fleet.fixture.deployment.withdraw_endpoint(it));
+        }
+        Meanwhile::RoutesChanged => fleet.fixture.publish_routes_again(),
+    }
+    let is_dropped = matches!(store, Store::HistoryDropped);
+    if is_dropped {
+        fleet.fixture.deployment.store.compact_history();
+    }
+    fleet.restart_all();
+    for gateway in ALL {
+        fleet.fixture.deployment.wait_ready(*gateway).unwrap();
+        fleet.fixture.wait_for_log(*gateway, "\"endpoint\":\"v2-b\"").unwrap();
+    }
+    if matches!(store, Store::Away) {
+        fleet.fixture.deployment.store.set_mode(StoreMode::Silent);
+    }
+    // A silent store is waited for, so that not all are tried.
+    let tried = if matches!(store, Store::Away) { 3 } else { streams.len() };
+    share_that_goes_on(&fleet, 1, &mut streams[..tried]);
+    assert!(streams.iter().all(|it| it.last_event == BREAK_AT), "a stream went on");
+    fleet.close();
+}
+
+/// A gateway that reads the history again learns of a version that has come and gone since.
+#[test]
+fn stream_is_refused_after_another_version_came_and_left() {
+    let mut fleet = Fleet::start_with_one_version();
+    let mut streams = fleet.begin_of_any_version();
+    fleet.kill_all();
+    fleet.restart_all();
+    fleet.wait_restarted(ALL);
+    let share = share_that_goes_on(&fleet, 1, &mut streams[..4]);
+    assert!(share >= MIN_TAKEN_UP, "{share} went on");
+    let deployment = &fleet.fixture.deployment;
+    let endpoint = &fleet.fixture.endpoints[0];
+    endpoint.set_version("next");
+    deployment.publish_restarted_endpoint(endpoint, 1_700_000_000_000);
+    deployment.withdraw_endpoint(endpoint);
+    deployment.store.compact_history();
+    let later = &mut streams[4..8];
+    share_that_goes_on(&fleet, 1, later);
+    assert!(later.iter().all(|it| it.last_event == BREAK_AT), "a stream went on");
+    fleet.close();
+}
+
+/// The versions of several services don't count for one another.
+#[test]
+fn stream_goes_on_beside_other_versions_of_another_service() {
+    let mut fleet = Fleet::start_with_one_version();
+    let other = fleet.fixture.start_unrelated("other", "next").unwrap();
+    let mut streams = fleet.begin_of_any_version();
+    fleet.kill_all();
+    fleet.restart_all();
+    fleet.wait_restarted(ALL);
+    let share = share_that_goes_on(&fleet, 2, &mut streams);
+    assert!(share >= MIN_TAKEN_UP, "{share} went on");
+    drop(other);
+    fleet.close();
+}
