Streams in progress are told again, so that they can be taken up however long they last

Cause: peers and holders were told once what began a stream, at its first event, and forgot it 60 s later, whether it was still in progress or not. The same class without the minute: whoever had been told and had started again since was never told again.

Change: OpenStreams tells others again every 4 s of what is in progress, many streams in one message, and a gateway that has just started at once. A stream is remembered for 60 s after the last message, lookup or end. Too many are forgotten in the order in which they were last told, not begun. No message changes its form, so that builds mix. Streams that end within 4 s cost nothing more.

--- a/crates/persimmon_decide/src/forward/stream_versions.rs
+++ b/crates/persimmon_decide/src/forward/stream_versions.rs
@@ -1,6 +1,6 @@
 //! The service and software version that began each resumable stream.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 use crate::{Fingerprint, MonoMs};
 
 /// Identifies a stream by its workspace and the attempt that brought its first event.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct StreamKey(pub u64);
 
@@ -54,8 +54,8 @@
 #[derive(Debug, Default)]
 pub struct StreamVersions {
     origins: HashMap<StreamKey, (Arc<StreamOrigin>, MonoMs)>,
-    /// Keys in the order in which they were last recorded, with the time.
-    order: VecDeque<(MonoMs, StreamKey)>,
+    /// Streams by the time at which they were last recorded.
+    order: BTreeSet<(MonoMs, StreamKey)>,
     /// Streams of this gateway that peers haven't been told of.
     untold: Vec<StreamKey>,
 }
@@ -63,10 +63,11 @@
 impl StreamVersions {
     /// Number of other gateways that remember a stream.
     pub const HOLDERS: usize = 4;
-    /// Time for which a stream is remembered after its caller's last attempt, in milliseconds: longer
-    /// than callers go on with a stream.
+    /// Time for which a stream is remembered after it was last recorded, in milliseconds: longer than callers wait
+    /// before they go on with a stream. One in progress is recorded again and again.
     pub const KEPT_MS: u64 = 60_000;
-    /// Maximum number of remembered streams; the oldest ones are forgotten.
+    /// Maximum number of remembered streams; those that were recorded longest ago, and thus have probably ended, are
+    /// forgotten.
     pub const MAX_STREAMS: usize = 32_768;
 
     /// Creates a record without streams.
@@ -83,13 +84,23 @@
 
     /// Records what a peer told of a stream.
     pub fn record(&mut self, stream: StreamKey, origin: &Arc<StreamOrigin>, now: MonoMs) {
-        self.origins.insert(stream, (origin.clone(), now));
-        self.order.push_back((now, stream));
-        while self.order.len() > Self::MAX_STREAMS {
+        if let Some((_, before)) = self.origins.insert(stream, (origin.clone(), now)) {
+            self.order.remove(&(before, stream));
+        }
+        self.order.insert((now, stream));
+        if self.order.len() > Self::MAX_STREAMS {
             self.forget_first();
         }
     }
 
+    /// Returns what began a stream that a caller takes up, if known, and remembers it for as long as one that has
+    /// just been recorded.
+    pub fn look_up(&mut self, stream: StreamKey, now: MonoMs) -> Option<Arc<StreamOrigin>> {
+        let origin = self.origin(stream)?.clone();
+        self.record(stream, &origin, now);
+        Some(origin)
+    }
+
     /// Returns what began a stream, if known.
     pub fn origin(&self, stream: StreamKey) -> Option<&Arc<StreamOrigin>> {
         self.origins.get(&stream).map(|(origin, _)| origin)
@@ -103,14 +114,13 @@
 
     /// Forgets streams that ended long ago.
     pub fn expire(&mut self, now: MonoMs) {
-        while self.order.front().is_some_and(|(at, _)| now.ms_since(*at) >= Self::KEPT_MS) {
+        while self.order.first().is_some_and(|(at, _)| now.ms_since(*at) >= Self::KEPT_MS) {
             self.forget_first();
         }
     }
 
     fn forget_first(&mut self) {
-        let Some((at, stream)) = self.order.pop_front() else { return };
-        if self.origins.get(&stream).is_some_and(|(_, last)| *last == at) {
+        if let Some((_, stream)) = self.order.pop_first() {
             self.origins.remove(&stream);
         }
     }
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -17,8 +17,8 @@
     Admission, AdmissionInput, AdmissionSettings, Choice, ColdEndpoints, CrashTracker,
     DurationTracker, EndpointDirectory, EndpointLimits, EndpointPauses, EndpointSpeeds, FanOut,
     FirstByteTimeout, FleetView, HealthSettings, HealthTracker, IdleLimit, LimitReport,
-    LoadTracker, NoChoice, OverloadControl, PeerTable, PickRequest, Picker, PrefixMap, Rank,
-    RecordsAge, RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown,
+    LoadTracker, NoChoice, OpenStreams, OverloadControl, PeerTable, PickRequest, Picker, PrefixMap,
+    Rank, RecordsAge, RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown,
     ShutdownSettings, StartupRecords, StatedDeadlines, StoreEra, StoreView, StreamHolders,
     StreamVersions, WaitingTime, WorkspaceShares, count_weight,
 };
@@ -58,6 +58,8 @@
     /// What began the streams that callers may take up again.
     pub(crate) streams: StreamVersions,
     pub(crate) holders: StreamHolders,
+    /// Streams in progress that callers may take up again.
+    pub(crate) open_streams: OpenStreams,
     /// Software versions of each service, for streams of unknown origin.
     pub(crate) served: ServedVersions,
     pub(crate) prefixes: PrefixMap,
@@ -120,6 +122,7 @@
             cold: ColdEndpoints::new(settings.cold),
             streams: StreamVersions::new(),
             holders: StreamHolders::new(),
+            open_streams: OpenStreams::new(),
             served: ServedVersions::new(),
             prefixes: PrefixMap::new(),
             crashes: CrashTracker::new(),
--- a/crates/persimmon_gateway/src/exchange/mod.rs
+++ b/crates/persimmon_gateway/src/exchange/mod.rs
@@ -28,6 +28,7 @@
 use crate::platform::Platform;
 use crate::refusal::Refusal;
 use crate::shutdown::{self, Step};
+use crate::stream_versions::StreamInProgress;
 use crate::upstream::Connection;
 
 pub(crate) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -119,6 +120,8 @@
     is_answered: bool,
     in_workspace: InWorkspace<P>,
     in_progress: InProgress<P>,
+    /// The stream, once its caller gets events that another attempt may go on with.
+    stream_in_progress: Option<StreamInProgress<P>>,
 }
 
 impl<P: Platform> Exchange<P> {
@@ -144,6 +147,7 @@
             is_answered: false,
             in_workspace,
             in_progress,
+            stream_in_progress: None,
         }
     }
 
@@ -217,11 +221,10 @@
         }
         let version = self.version.get_or_insert_with(|| endpoint.version.clone()).clone();
         if self.plan.route.repeatable == Repeatable::FromLastEvent {
-            let now = self.gw.clock.now();
             let service = self.plan.service.clone();
             let origin = Arc::new(StreamOrigin { service, version });
-            self.gw.control.borrow_mut().streams.record_own(self.plan.stream(), &origin, now);
-            self.gw.streams.begun.notify_one();
+            let stream = StreamInProgress::begin(&self.gw, self.plan.stream(), &origin);
+            self.stream_in_progress = Some(stream);
         }
     }
 
--- a/crates/persimmon_gateway/src/holder.rs
+++ b/crates/persimmon_gateway/src/holder.rs
@@ -137,7 +137,7 @@
                 ("begun", Some(StreamMessage::Stored))
             }
             Some(Ok(StreamMessage::Query { stream })) => {
-                let origin = streams.origin(stream).cloned();
+                let origin = streams.look_up(stream, now);
                 let kind = if origin.is_some() { "found" } else { "not_found" };
                 (kind, Some(StreamMessage::Reply { stream, origin }))
             }
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -152,6 +152,7 @@
         if !newcomers.is_empty() {
             let digest = gw.control.borrow_mut().newcomer_digest(now);
             send_digest(&gw, &socket, &digest, &newcomers).await;
+            stream_versions::tell_newcomers(&gw, &newcomers);
         }
         if is_due || now.ms_since(sent) >= interval_ms {
             sent = now;
--- a/crates/persimmon_gateway/src/run.rs
+++ b/crates/persimmon_gateway/src/run.rs
@@ -72,7 +72,7 @@
     spawn_local(ops::serve_ops(gw.clone(), records));
     gw.streams.set_socket(socket.clone());
     gw.socket.set(socket.clone()).expect("the socket is bound once");
-    spawn_local(stream_versions::tell_begun(gw.clone()));
+    spawn_local(stream_versions::tell_streams(gw.clone()));
     spawn_local(peers::receive(gw.clone(), socket.clone()));
     spawn_local(peers::send(gw.clone(), socket));
     spawn_local(peer_records::follow(gw.clone()));
--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use persimmon_decide::forward::{
-    StoreEra, StreamKey, StreamMessage, StreamOrigin, StreamVersions, Undetermined,
+    OpenStreams, StoreEra, StreamKey, StreamMessage, StreamOrigin, StreamVersions, Undetermined,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -156,7 +156,7 @@
             }
         }
         StreamMessage::Query { stream } => {
-            let origin = gw.control.borrow().streams.origin(stream).cloned();
+            let origin = gw.control.borrow_mut().streams.look_up(stream, now);
             gw.streams.send(&StreamMessage::Reply { stream, origin }, from);
         }
         StreamMessage::Reply { stream, origin } => {
@@ -167,19 +167,58 @@
     }
 }
 
-/// Sends the streams that have begun to peers and holders, until the process ends.
-pub(crate) async fn tell_begun<P: Platform>(gw: Rc<Gateway<P>>) {
+/// A stream that brings a caller events, until it is dropped. Others are told of it in the meantime.
+#[derive(Debug)]
+pub(crate) struct StreamInProgress<P: Platform> {
+    gw: Rc<Gateway<P>>,
+    stream: StreamKey,
+}
+
+impl<P: Platform> StreamInProgress<P> {
+    pub(crate) fn begin(
+        gw: &Rc<Gateway<P>>,
+        stream: StreamKey,
+        origin: &Arc<StreamOrigin>,
+    ) -> Self {
+        let now = gw.clock.now();
+        let mut control = gw.control.borrow_mut();
+        control.streams.record_own(stream, origin, now);
+        control.open_streams.begin(stream, origin, now);
+        gw.streams.begun.notify_one();
+        Self { gw: gw.clone(), stream }
+    }
+}
+
+impl<P: Platform> Drop for StreamInProgress<P> {
+    fn drop(&mut self) {
+        let now = self.gw.clock.now();
+        let mut control = self.gw.control.borrow_mut();
+        if let Some(origin) = control.open_streams.end(self.stream) {
+            control.streams.record(self.stream, &origin, now);
+        }
+    }
+}
+
+/// Sends the streams that have begun, and those that are still in progress, to peers and holders until the process
+/// ends.
+pub(crate) async fn tell_streams<P: Platform>(gw: Rc<Gateway<P>>) {
     loop {
-        gw.streams.begun.notified().await;
-        tokio::time::sleep(BEGUN_DELAY).await;
+        let check = Duration::from_millis(OpenStreams::CHECK_INTERVAL_MS);
+        let is_begun = tokio::time::timeout(check, gw.streams.begun.notified()).await.is_ok();
+        if is_begun {
+            tokio::time::sleep(BEGUN_DELAY).await;
+        }
         let mut control = gw.control.borrow_mut();
-        let untold = control.streams.take_untold();
+        let now = gw.clock.now();
+        let due = control.open_streams.take_due(now);
+        due.iter().for_each(|(stream, origin)| control.streams.record(*stream, origin, now));
+        let mut told = control.streams.take_untold();
+        told.extend(due);
         let fleet = control.peers.fleet();
         let own = gw.settings.peers.ip();
-        let now = gw.clock.now();
-        let mut messages: BTreeMap<(IpAddr, Arc<StreamOrigin>), Vec<StreamKey>> = BTreeMap::new();
+        let mut messages = Messages::new();
         let mut holders = BTreeSet::new();
-        for (stream, origin) in untold {
+        for (stream, origin) in told {
             let peers = stream.holders(own, &fleet, StreamVersions::HOLDERS);
             let selected = control.select_holders(stream, &origin, now);
             holders.extend(selected.iter().copied());
@@ -189,12 +228,35 @@
         }
         holders.into_iter().for_each(|it| control.holders.record_sent(it, now));
         drop(control);
-        for ((ip, origin), streams) in messages {
-            let to = gw.peer_address(ip);
-            for streams in streams.chunks(StreamMessage::MAX_STREAMS) {
-                let (origin, streams) = (origin.clone(), streams.to_vec());
-                gw.streams.send(&StreamMessage::Begun { origin, streams }, to);
-            }
+        send_begun(&gw, messages);
+    }
+}
+
+/// Sends the streams in progress to gateways that have just started and are to remember them.
+pub(crate) fn tell_newcomers<P: Platform>(gw: &Gateway<P>, newcomers: &[IpAddr]) {
+    let control = gw.control.borrow();
+    let fleet = control.peers.fleet();
+    let own = gw.settings.peers.ip();
+    let mut messages = Messages::new();
+    for (stream, origin) in control.open_streams.iter() {
+        let peers = stream.holders(own, &fleet, StreamVersions::HOLDERS);
+        for ip in peers.into_iter().filter(|it| newcomers.contains(it)) {
+            messages.entry((ip, origin.clone())).or_default().push(stream);
+        }
+    }
+    drop(control);
+    send_begun(gw, messages);
+}
+
+/// Streams by receiver and origin.
+type Messages = BTreeMap<(IpAddr, Arc<StreamOrigin>), Vec<StreamKey>>;
+
+fn send_begun<P: Platform>(gw: &Gateway<P>, messages: Messages) {
+    for ((ip, origin), streams) in messages {
+        let to = gw.peer_address(ip);
+        for streams in streams.chunks(StreamMessage::MAX_STREAMS) {
+            let (origin, streams) = (origin.clone(), streams.to_vec());
+            gw.streams.send(&StreamMessage::Begun { origin, streams }, to);
         }
     }
 }
@@ -240,7 +302,7 @@
         return look_up_only_version(gw, plan);
     }
     let stream = plan.stream();
-    let origin = gw.control.borrow().streams.origin(stream).cloned();
+    let origin = gw.control.borrow_mut().streams.look_up(stream, gw.clock.now());
     if origin.is_some() {
         return Lookup { origin, source: Source::Own, query: None, undetermined: None };
     }
--- a/crates/persimmonmountd/tests/process_gateway_holders.rs
+++ b/crates/persimmonmountd/tests/process_gateway_holders.rs
@@ -7,7 +7,9 @@
 use std::thread;
 use std::time::Duration;
 
-use persimmon_platform::standin::{Deployment, GatewayFixture, HolderProcess, StoreMode};
+use persimmon_platform::standin::{
+    Behaviour, Deployment, GatewayFixture, HolderProcess, RouteSpec, StoreMode,
+};
 use rstest::rstest;
 
 use version_streams::{
@@ -17,6 +19,10 @@
 
 /// Time in which the last streams that have begun reach the holders.
 const STORED_WITHIN: Duration = Duration::from_millis(200);
+/// Time within which others are told again of streams in progress.
+const RENEWED_WITHIN: Duration = Duration::from_millis(5_000);
+/// Duration of long streams, and timeout of their route, in milliseconds.
+const LONG_TIMEOUT_MS: u64 = 30_000;
 const ALL: &[usize] = &[0, 1, 2];
 
 struct Fleet {
@@ -100,6 +106,10 @@
     /// Starts all gateways and holders again.
     fn restart_all(&mut self) {
         self.restart(ALL);
+        self.restart_holders();
+    }
+
+    fn restart_holders(&mut self) {
         let deployment = &self.fixture.deployment;
         for (number, holder) in self.holders.iter_mut().enumerate() {
             *holder = Some(deployment.start_holder(deployment.endpoint_ip(number)).unwrap());
@@ -427,3 +437,45 @@
     drop(other);
     fleet.close();
 }
+
+/// Guards against the loss of streams in progress when all that were told of them start again one after the other, so
+/// that only their own gateway knows them, and then this one is killed.
+#[test]
+fn stream_goes_on_after_those_that_were_told_and_its_gateway_were_killed_in_turn() {
+    let mut fleet = Fleet::start();
+    let route = RouteSpec::stream("draft", true).with_timeout_ms(LONG_TIMEOUT_MS);
+    fleet.fixture.deployment.publish_routes(&[route], &[GatewayFixture::KEY]);
+    for gateway in ALL {
+        fleet.fixture.wait_for_log(*gateway, "\"version\":2").unwrap();
+    }
+    let pause = Duration::from_millis(LONG_TIMEOUT_MS) / 60;
+    let slow = Behaviour::Stream { events: 60, pause, cut_after: None };
+    fleet.fixture.set_behaviours(&slow);
+    let mut callers = Vec::new();
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        let mut stream = Stream::new(&format!("long-{number}"));
+        let caller = fleet.fixture.deployment.caller(0).unwrap();
+        let caller = caller.request("POST", "/draft/x", &stream.first_id);
+        let caller = caller.with_key(GatewayFixture::KEY);
+        let mut caller = caller.with_deadline_ms(LONG_TIMEOUT_MS);
+        caller.send("the body").unwrap();
+        let event = caller.wait_for("data: ").unwrap();
+        stream.endpoints.push(event.trim().rsplit(' ').next().unwrap().to_owned());
+        stream.last_event = 1;
+        streams.push(stream);
+        callers.push(caller);
+    }
+    for gateway in [1, 2] {
+        fleet.replace(&[gateway]);
+    }
+    fleet.close_holders(&[0, 1, 2, 3]);
+    fleet.restart_holders();
+    thread::sleep(RENEWED_WITHIN);
+    fleet.kill(&[0]);
+    fleet.fixture.set_behaviours(&streaming(None));
+    let share = take_up(&fleet.fixture, 1, &mut streams, EVENTS, "again");
+    assert!(share >= MIN_TAKEN_UP, "{share} went on: {:#?}", fleet.fixture.deployment.log(1));
+    drop(callers);
+    fleet.close();
+}
