Trials of what crashes endpoints are counted by the fleet, and outlive gateways that start again

Causes: each process counted its own trials, and crashes only since its own refusal. And a process's clock begins at its start, so that it recorded all crashes that peers told it of at one moment, and only one of several that must follow one another counted: it didn't refuse the part although it knew the crashes. That it isn't told of them is ruled out by its log. Besides, all gateways that end at one moment lost what is refused, and it was forgotten five minutes after the last crash although callers still sent it.

Change: a trial has a number and is told as it is sent; at most two count in five minutes, whoever sent them. The tracker's own time begins an hour before the process. What is refused stays known while requests are refused for it. Gateways store it at four holders and ask these when they start. Digests have one more section, which earlier builds ignore; holders' messages are of their own kind.

--- a/crates/persimmon_decide/src/forward/crash_reports.rs
+++ b/crates/persimmon_decide/src/forward/crash_reports.rs
@@ -28,8 +28,30 @@
     pub age_ms: u32,
 }
 
-/// Crashes, and answers that show that a suspect isn't the cause.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+/// A trial of a refused suspect: a request with it that was sent all the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialReport {
+    /// Number that no other trial of the suspect has.
+    pub number: u64,
+    /// Time since it was sent, in milliseconds.
+    pub age_ms: u32,
+    /// Whether it ended without showing anything.
+    pub is_void: bool,
+}
+
+/// A suspect that is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusalReport {
+    /// Fingerprint of the content, or ID of the part.
+    pub suspect: u64,
+    /// Time since a request was last refused for it, in milliseconds.
+    pub refused_ms: u32,
+    /// Trials since its last answer.
+    pub trials: Vec<TrialReport>,
+}
+
+/// Crashes, what is refused for them, and answers that show that a suspect isn't the cause.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct CrashReports {
     /// Contents that were in progress at endpoints that crashed.
     pub contents: Vec<CrashReport>,
@@ -39,4 +61,8 @@
     pub content_answers: Vec<AnswerReport>,
     /// Suspected parts that were answered since.
     pub part_answers: Vec<AnswerReport>,
+    /// Contents that are refused.
+    pub content_refusals: Vec<RefusalReport>,
+    /// Prompt parts that are refused.
+    pub part_refusals: Vec<RefusalReport>,
 }
--- a/crates/persimmon_decide/src/forward/crash_suspects.rs
+++ b/crates/persimmon_decide/src/forward/crash_suspects.rs
@@ -1,7 +1,7 @@
 //! Content or prompt parts that were in progress at endpoints that crashed.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::MonoMs;
 use crate::load::EndpointHash;
@@ -70,12 +70,14 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashSuspects {
     crashes: HashMap<u64, Vec<Crash>>,
+    /// Time at which a request with each suspect was last refused.
+    refused_at: HashMap<u64, MonoMs>,
     answered: Answered,
 }
 
 impl CrashSuspects {
-    /// Time for which the crashes of a suspect are stored after the last one, in milliseconds.
-    /// Callers repeat a request that crashed an endpoint within minutes.
+    /// Time for which the crashes of a suspect are stored after the last one, or after a request was last refused
+    /// for them, in milliseconds. Callers repeat a request that crashed an endpoint within minutes.
     const CRASH_TTL_MS: u64 = 300_000;
     /// Age up to which crashes count as recent in digests, in milliseconds: all gateways receive
     /// several digests within it.
@@ -102,10 +104,29 @@
         let is_cleared = crashes.len() < count;
         if crashes.is_empty() {
             self.crashes.remove(&suspect);
+            self.refused_at.remove(&suspect);
         }
         is_cleared
     }
 
+    /// Records that a request with a suspect was refused at the time `at`, so that its crashes stay known.
+    pub(super) fn record_refused(&mut self, suspect: u64, at: MonoMs) {
+        if self.crashes.contains_key(&suspect) {
+            let known = self.refused_at.entry(suspect).or_insert(at);
+            *known = at.max(*known);
+        }
+    }
+
+    /// Returns the time at which a request with a suspect was last refused, or of its last crash.
+    pub(super) fn last_refused(&self, suspect: u64) -> MonoMs {
+        let crash = self.crashes.get(&suspect).map_or(MonoMs(0), |it| last_crash(it));
+        self.refused_at.get(&suspect).copied().unwrap_or_default().max(crash)
+    }
+
+    fn is_live(&self, suspect: u64, now: MonoMs) -> bool {
+        now.ms_since(self.last_refused(suspect)) < Self::CRASH_TTL_MS
+    }
+
     /// Records a crash under one more request with the suspect. Returns whether it adds to what is
     /// known of the endpoints.
     pub(super) fn record_crash(&mut self, suspect: u64, crash: Crash, now: MonoMs) -> bool {
@@ -152,7 +173,7 @@
         if self.crashes.len() < Self::MAX_SUSPECTS {
             return;
         }
-        self.crashes.retain(|_, crashes| is_live(crashes, now));
+        self.expire(now);
         if self.crashes.len() < Self::MAX_SUSPECTS {
             return;
         }
@@ -160,12 +181,20 @@
         let least = self.crashes.iter().min_by_key(|(_, crashes)| order(crashes));
         if let Some(suspect) = least.map(|(suspect, _)| *suspect) {
             self.crashes.remove(&suspect);
+            self.refused_at.remove(&suspect);
         }
     }
 
+    fn expire(&mut self, now: MonoMs) {
+        let live: HashSet<_> =
+            self.crashes.keys().copied().filter(|it| self.is_live(*it, now)).collect();
+        self.crashes.retain(|suspect, _| live.contains(suspect));
+        self.refused_at.retain(|suspect, _| live.contains(suspect));
+    }
+
     /// Returns the crashes of a suspect since its last complete answer, oldest first.
     pub(super) fn crashes(&self, suspect: u64, now: MonoMs) -> &[Crash] {
-        let crashes = self.crashes.get(&suspect).filter(|crashes| is_live(crashes, now));
+        let crashes = self.crashes.get(&suspect).filter(|_| self.is_live(suspect, now));
         crashes.map_or(&[], Vec::as_slice)
     }
 
@@ -191,7 +220,7 @@
     pub(super) fn most_urgent(&self, count: usize, now: MonoMs) -> Vec<(u64, Crash)> {
         let is_recent = |crashes: &[Crash]| now.ms_since(last_crash(crashes)) <= Self::RECENT_MS;
         let mut live: Vec<_> =
-            self.crashes.iter().filter(|(_, crashes)| is_live(crashes, now)).collect();
+            self.crashes.iter().filter(|(suspect, _)| self.is_live(**suspect, now)).collect();
         live.sort_by_cached_key(|(suspect, crashes)| {
             let likelihood = likelihood(crashes, self.is_answered(**suspect, now));
             (Reverse((likelihood, last_crash(crashes))), **suspect)
@@ -233,7 +262,3 @@
 fn last_crash(crashes: &[Crash]) -> MonoMs {
     crashes.last().map_or(MonoMs(0), |crash| crash.at)
 }
-
-fn is_live(crashes: &[Crash], now: MonoMs) -> bool {
-    !crashes.is_empty() && now.ms_since(last_crash(crashes)) < CrashSuspects::CRASH_TTL_MS
-}
--- a/crates/persimmon_decide/src/forward/crash_tracker/known_suspects.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker/known_suspects.rs
@@ -34,6 +34,18 @@
         records.crashes(id, now)
     }
 
+    /// Returns the time at which a request with a suspect was last refused, or of its last crash.
+    pub(super) fn last_refused(&self, suspect: Quarantined) -> MonoMs {
+        let (records, id) = self.records(suspect);
+        records.last_refused(id)
+    }
+
+    /// Returns the time of a suspect's last complete answer in the last minute or so.
+    pub(super) fn last_answer(&self, suspect: Quarantined, now: MonoMs) -> Option<MonoMs> {
+        let (records, id) = self.records(suspect);
+        records.last_answer(id, now)
+    }
+
     /// Reports whether there was a complete answer in the last minute or so.
     pub(super) fn is_answered(&self, suspect: Quarantined, now: MonoMs) -> bool {
         let (records, id) = self.records(suspect);
--- a/crates/persimmon_decide/src/forward/crash_tracker/mod.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker/mod.rs
@@ -88,6 +88,8 @@
     const CLEARED_MS: u64 = 5_000;
     /// Maximum number of cleared contents, and of parts, of which the other gateways are told.
     const MAX_CLEARED: usize = 32;
+    /// Maximum number of refused contents, and of parts, of which the other gateways are told.
+    const MAX_REFUSALS: usize = 8;
     /// Time for which an endpoint's last sign of life is kept, in milliseconds: it spans the turns in
     /// which refused requests are tried again.
     const ALIVE_KEPT_MS: u64 = 60_000;
@@ -102,23 +104,46 @@
         self.trials.set_gateways(own, heard);
     }
 
-    /// Records that a request is sent to an endpoint.
-    pub fn begin(&mut self, request: &RequestSignature, endpoint: EndpointHash, now: MonoMs) {
+    /// Records that a request is sent to an endpoint. Returns whether it tries something again that is refused; the
+    /// caller must then notify the other gateways immediately.
+    pub fn begin(
+        &mut self,
+        request: &RequestSignature,
+        endpoint: EndpointHash,
+        now: MonoMs,
+    ) -> bool {
+        let now = with_past(now);
+        let mut is_trial = false;
         for suspect in suspects_of(request).filter(|it| self.quarantined.contains(it)) {
-            self.trials.record_trial(suspect, now);
+            self.trials.record_trial(suspect, endpoint, now);
+            is_trial = true;
         }
         self.lost.begin(request, endpoint, now);
+        is_trial
+    }
+
+    /// Records that a request was refused, so that what it was refused for stays known as long as callers send it.
+    pub fn record_turned_away(&mut self, request: &RequestSignature, now: MonoMs) {
+        let now = with_past(now);
+        for suspect in suspects_of(request).filter(|it| self.quarantined.contains(it)) {
+            let (records, id) = self.suspects.records_mut(suspect);
+            records.record_refused(id, now);
+        }
     }
 
     /// Records that the gateway no longer waits for an answer to a request sent at `sent_at`.
     pub fn end(&mut self, request: &RequestSignature, endpoint: EndpointHash, sent_at: MonoMs) {
-        self.lost.end(request, endpoint, sent_at);
+        self.lost.end(request, endpoint, with_past(sent_at));
     }
 
     /// Records a complete answer to a request, which shows that neither its content nor its parts
     /// alone crash an endpoint. Returns whether any of them was refused; the caller must then notify
     /// the other gateways immediately.
     pub fn record_answered(&mut self, request: &RequestSignature, now: MonoMs) -> bool {
+        self.accept_answer(request, with_past(now))
+    }
+
+    fn accept_answer(&mut self, request: &RequestSignature, now: MonoMs) -> bool {
         let was_refused = suspects_of(request).any(|it| self.quarantined.contains(&it));
         let mut is_cleared = false;
         for suspect in suspects_of(request) {
@@ -158,6 +183,7 @@
         sent_at: MonoMs,
         now: MonoMs,
     ) {
+        let (sent_at, now) = (with_past(sent_at), with_past(now));
         let lost = self.lost.add(LostRequest::closed(request, sent_at, now), endpoint, now);
         self.blame(lost, endpoint, now);
     }
@@ -172,6 +198,7 @@
         sent_at: MonoMs,
         now: MonoMs,
     ) -> bool {
+        let (sent_at, now) = (with_past(sent_at), with_past(now));
         let lost = self.lost.add(LostRequest::broken(request, sent_at, now), endpoint, now);
         self.blame(lost, endpoint, now)
     }
@@ -186,6 +213,7 @@
         sent_at: MonoMs,
         silent_since: MonoMs,
     ) {
+        let (sent_at, silent_since) = (with_past(sent_at), with_past(silent_since));
         if let Some(request) = LostRequest::silent(request, sent_at, silent_since) {
             let at = request.at;
             let lost = self.lost.add(request, endpoint, at);
@@ -196,7 +224,7 @@
     /// Records that an endpoint sent data or has just started, so that it was only slow to answer requests
     /// that were given up.
     pub fn record_alive(&mut self, endpoint: EndpointHash, now: MonoMs) {
-        self.alive.insert(endpoint, now);
+        self.alive.insert(endpoint, with_past(now));
         self.lost.record_alive(endpoint);
     }
 
@@ -204,6 +232,7 @@
     /// an answer just before. Returns whether any request is blamed; the caller must then notify the
     /// other gateways immediately.
     pub fn record_refused(&mut self, endpoint: EndpointHash, now: MonoMs) -> bool {
+        let now = with_past(now);
         let lost = self.lost.take_refused(endpoint, now);
         self.blame(lost, endpoint, now)
     }
@@ -219,6 +248,7 @@
         silent_since: Option<MonoMs>,
         now: MonoMs,
     ) -> bool {
+        let (silent_since, now) = (silent_since.map(with_past), with_past(now));
         let lost = self.lost.take_ended(endpoint, silent_since, now);
         self.blame(lost, endpoint, now)
     }
@@ -305,6 +335,7 @@
     /// Reports whether a request is refused at any endpoint. It isn't if it is this gateway's turn to
     /// try again what the request would be refused for.
     pub fn refuses(&self, request: &RequestSignature, now: MonoMs) -> bool {
+        let now = with_past(now);
         let is_refused = |it| self.is_refused(it, now) && !self.is_trial(it, request, now);
         suspects_of(request).any(is_refused)
     }
@@ -316,6 +347,7 @@
         endpoint: EndpointHash,
         now: MonoMs,
     ) -> CrashVerdict {
+        let now = with_past(now);
         let alive_at = self.alive.get(&endpoint).copied();
         let mut verdict = CrashVerdict::Sound;
         for suspect in suspects_of(request).filter(|it| self.is_refused(*it, now)) {
@@ -354,9 +386,15 @@
 
     /// Returns all that is refused.
     pub fn refused(&self, now: MonoMs) -> impl Iterator<Item = Quarantined> {
+        let now = with_past(now);
         self.by_likelihood(now).into_iter().filter(move |suspect| self.is_refused(*suspect, now))
     }
 
+    /// Reports whether anything is refused, or was cleared lately.
+    pub fn has_refused_or_cleared(&self) -> bool {
+        !self.quarantined.is_empty() || !self.cleared.is_empty()
+    }
+
     /// Returns what is refused since the last call, for the log.
     pub fn take_newly_refused(&mut self) -> Vec<Quarantined> {
         std::mem::take(&mut self.newly_refused)
@@ -364,17 +402,25 @@
 
     /// Accepts the answers whose endpoints have outlived them, and removes old entries.
     pub fn expire(&mut self, now: MonoMs) {
+        let now = with_past(now);
         for request in self.lost.expire(now) {
-            self.record_answered(&request, now);
+            self.accept_answer(&request, now);
         }
         self.cleared.retain(|(_, at)| now.ms_since(*at) <= Self::CLEARED_MS);
         self.alive.retain(|_, at| now.ms_since(*at) < Self::ALIVE_KEPT_MS);
         self.find_causes(now);
         let suspects = &self.suspects;
-        self.trials.retain(|it| !suspects.crashes(it, now).is_empty());
+        self.trials.expire(|it| suspects.crashes(it, now), now);
     }
 }
 
+/// Returns a time by the tracker's own clock, which begins earlier than that of the process: others tell a process that
+/// has just started of what came before, and the order of these crashes matters.
+fn with_past(at: MonoMs) -> MonoMs {
+    const PAST_MS: u64 = 3_600_000;
+    at.plus_ms(PAST_MS)
+}
+
 /// Returns what may make a request crash endpoints: its content, and each part of its prompt.
 fn suspects_of(request: &RequestSignature) -> impl Iterator<Item = Quarantined> {
     let parts = request.parts.iter().map(|part| Quarantined::Part(*part));
--- a/crates/persimmon_decide/src/forward/digest.rs
+++ b/crates/persimmon_decide/src/forward/digest.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    AnswerReport, CrashReport, CrashReports, EndpointLoad, LimitReport, Outcomes, SpeedReport,
+    AnswerReport, CrashReport, CrashReports, EndpointLoad, LimitReport, Outcomes, RefusalReport,
+    SpeedReport,
 };
 use crate::load::EndpointHash;
 
@@ -109,6 +110,12 @@
     /// Speeds that endpoints stated to the gateway. Encoded after `records_age_ms`.
     #[serde(skip)]
     pub speeds: Vec<SpeedReport>,
+    /// Contents that are refused. Encoded after `speeds`, with the next field.
+    #[serde(skip)]
+    pub content_refusals: Vec<RefusalReport>,
+    /// Prompt parts that are refused.
+    #[serde(skip)]
+    pub part_refusals: Vec<RefusalReport>,
 }
 
 impl Digest {
@@ -126,11 +133,12 @@
         bytes.extend(postcard::to_allocvec(&self.routes_version)?);
         bytes.extend(postcard::to_allocvec(&(self.reads_notices, self.records_age_ms))?);
         bytes.extend(postcard::to_allocvec(&self.speeds)?);
+        bytes.extend(postcard::to_allocvec(&(&self.content_refusals, &self.part_refusals))?);
         Ok(bytes)
     }
 
     /// Decodes a datagram, also one of a build that doesn't name leaving endpoints, prompt parts,
-    /// limits, the details of crashes, the version of routes, notices or speeds.
+    /// limits, the details of crashes, the version of routes, notices, speeds or refusals.
     ///
     /// # Errors
     ///
@@ -144,6 +152,7 @@
         let routes_version = take_section(&mut rest)?;
         let (reads_notices, records_age_ms) = take_section(&mut rest)?;
         let speeds = take_section(&mut rest)?;
+        let (content_refusals, part_refusals) = take_section(&mut rest)?;
         Ok(Self {
             leaving,
             part_crashes,
@@ -155,6 +164,8 @@
             reads_notices,
             records_age_ms,
             speeds,
+            content_refusals,
+            part_refusals,
             ..digest
         })
     }
@@ -173,6 +184,8 @@
             parts: self.part_crashes.clone(),
             content_answers: self.content_answers.clone(),
             part_answers: self.part_answers.clone(),
+            content_refusals: self.content_refusals.clone(),
+            part_refusals: self.part_refusals.clone(),
         }
     }
 }
--- a/crates/persimmon_decide/src/forward/gateway_rank.rs
+++ b/crates/persimmon_decide/src/forward/gateway_rank.rs
@@ -42,6 +42,11 @@
         true
     }
 
+    /// Returns the address of this gateway, once it is set.
+    pub(super) fn own(&self) -> Option<IpAddr> {
+        self.own.map(|(ip, _)| ip)
+    }
+
     /// Returns the number of gateways, including this one.
     pub(super) fn gateways(&self) -> usize {
         1 + self.others.len()
--- a/crates/persimmon_decide/src/forward/stream_holders.rs
+++ b/crates/persimmon_decide/src/forward/stream_holders.rs
@@ -55,6 +55,13 @@
     pub const MAX_ASKED: usize = 16;
     /// Maximum number of holders that are asked as they ranked first when fewer endpoints had started.
     pub const MAX_EARLIER: usize = 24;
+    /// Number of holders that store what is refused because endpoints crashed.
+    pub const OF_CRASHES: usize = 4;
+    /// Number of holders that are asked for it: more than store it, since endpoints come and go and silent holders are
+    /// passed over.
+    pub const ASKED_FOR_CRASHES: usize = 16;
+    /// Subject of the order of holders for crashes. A gateway that asks doesn't know the suspects.
+    const CRASHES: StreamKey = StreamKey(0);
     /// Number of messages in a row without a reply after which a holder counts as absent.
     const MAX_UNANSWERED: u32 = 8;
     /// Interval at which an absent holder is tried again, in milliseconds.
@@ -114,6 +121,20 @@
         ranked.chain(in_order(earlier, Self::MAX_EARLIER)).collect()
     }
 
+    /// Returns the holders to store at what is refused because endpoints crashed.
+    pub fn select_for_crashes(
+        &self,
+        candidates: impl Iterator<Item = IpAddr>,
+        now: MonoMs,
+    ) -> Vec<IpAddr> {
+        Self::CRASHES.rank(candidates.filter(|it| self.is_present(*it, now)), Self::OF_CRASHES)
+    }
+
+    /// Returns the holders that may have stored it.
+    pub fn asked_for_crashes(candidates: impl Iterator<Item = IpAddr>) -> Vec<IpAddr> {
+        Self::CRASHES.rank(candidates, Self::ASKED_FOR_CRASHES)
+    }
+
     /// Returns the candidates of one version that were among the first in rank until others started, those
     /// that were displaced last first.
     fn displaced(stream: StreamKey, mut of_version: Vec<HolderCandidate>) -> Vec<IpAddr> {
--- a/crates/persimmon_decide/tests/forward_digest.rs
+++ b/crates/persimmon_decide/tests/forward_digest.rs
@@ -4,7 +4,8 @@
 
 use persimmon_decide::forward::{
     AnswerReport, CrashDetail, CrashReport, Digest, EndpointLoad, LimitReport, Outcomes,
-    PartHolder, PeerAddress, ServiceRetries, SpeedReport, StoreDelta, StoreRecord,
+    PartHolder, PeerAddress, RefusalReport, ServiceRetries, SpeedReport, StoreDelta, StoreRecord,
+    TrialReport,
 };
 use persimmon_decide::load::EndpointHash;
 use proptest::prelude::*;
@@ -42,6 +43,8 @@
         reads_notices: false,
         records_age_ms: None,
         speeds: Vec::new(),
+        content_refusals: Vec::new(),
+        part_refusals: Vec::new(),
     }
 }
 
@@ -104,8 +107,16 @@
 fn version_and_later(digest: &Digest) -> Vec<u8> {
     let version = postcard::to_allocvec(&digest.routes_version).unwrap();
     let notices = postcard::to_allocvec(&(digest.reads_notices, digest.records_age_ms)).unwrap();
+    [version, notices, speeds_and_later(digest)].concat()
+}
+
+fn speeds_and_later(digest: &Digest) -> Vec<u8> {
     let speeds = postcard::to_allocvec(&digest.speeds).unwrap();
-    [version, notices, speeds].concat()
+    [speeds, refusals(digest)].concat()
+}
+
+fn refusals(digest: &Digest) -> Vec<u8> {
+    postcard::to_allocvec(&(&digest.content_refusals, &digest.part_refusals)).unwrap()
 }
 
 /// A digest cut off inside a section is an error; one that lacks whole sections is an earlier build's.
@@ -121,6 +132,7 @@
         postcard::to_allocvec(&digest.routes_version).unwrap().len(),
         postcard::to_allocvec(&(digest.reads_notices, digest.records_age_ms)).unwrap().len(),
         postcard::to_allocvec(&digest.speeds).unwrap().len(),
+        refusals(digest).len(),
     ];
     let ends: Vec<usize> = (1..=sections.len()).map(|it| sections[..it].iter().sum()).collect();
     let bytes = digest.to_bytes().unwrap();
@@ -223,8 +235,8 @@
     let bytes = digest.to_bytes().unwrap();
     assert_eq!(Digest::from_bytes(&bytes).unwrap(), digest);
     let notices = postcard::to_allocvec(&(true, Some(7_u32))).unwrap();
-    let speeds = postcard::to_allocvec(&digest.speeds).unwrap();
-    let from_earlier = &bytes[..bytes.len() - notices.len() - speeds.len()];
+    let later = speeds_and_later(&digest);
+    let from_earlier = &bytes[..bytes.len() - notices.len() - later.len()];
     let earlier = Digest { reads_notices: false, records_age_ms: None, ..digest.clone() };
     assert_eq!(Digest::from_bytes(from_earlier).unwrap(), earlier);
     assert_decodes_only_whole_sections(&digest);
@@ -237,13 +249,35 @@
     let digest = Digest { records_age_ms: Some(7), speeds: vec![report], ..digest(18) };
     let bytes = digest.to_bytes().unwrap();
     assert_eq!(Digest::from_bytes(&bytes).unwrap(), digest);
-    let speeds = postcard::to_allocvec(&digest.speeds).unwrap();
-    let from_earlier = &bytes[..bytes.len() - speeds.len()];
+    let later = speeds_and_later(&digest);
+    let from_earlier = &bytes[..bytes.len() - later.len()];
     let earlier = Digest { speeds: Vec::new(), ..digest.clone() };
     assert_eq!(Digest::from_bytes(from_earlier).unwrap(), earlier);
     assert_decodes_only_whole_sections(&digest);
 }
 
+#[test]
+fn builds_that_dont_know_refusals_read_the_rest() {
+    let digest = Digest {
+        content_refusals: vec![refusal(1)],
+        part_refusals: vec![refusal(2), refusal(3)],
+        ..digest(18)
+    };
+    let bytes = digest.to_bytes().unwrap();
+    assert_eq!(Digest::from_bytes(&bytes).unwrap(), digest);
+    let from_earlier = &bytes[..bytes.len() - refusals(&digest).len()];
+    let (content_refusals, part_refusals) = (Vec::new(), Vec::new());
+    let earlier = Digest { content_refusals, part_refusals, ..digest.clone() };
+    assert_eq!(Digest::from_bytes(from_earlier).unwrap(), earlier);
+    assert_decodes_only_whole_sections(&digest);
+}
+
+/// Returns a refusal with as many trials as are stored.
+fn refusal(suspect: u64) -> RefusalReport {
+    let trial = TrialReport { number: u64::MAX, age_ms: 300_000, is_void: true };
+    RefusalReport { suspect: u64::MAX - suspect, refused_ms: 300_000, trials: vec![trial; 8] }
+}
+
 /// An endpoint crashes under as many requests as a gateway tells of.
 #[test]
 fn digest_with_all_crashes_fits_the_largest_datagram() {
@@ -272,6 +306,8 @@
         speeds: (0..32)
             .map(|it| SpeedReport { endpoint: hash(it), percent: 1_000, age_ms: 3_000 })
             .collect(),
+        content_refusals: (0..8).map(refusal).collect(),
+        part_refusals: (0..8).map(refusal).collect(),
         ..digest(52)
     };
     let length = digest.to_bytes().unwrap().len();
--- a/crates/persimmon_gateway/src/control/digests.rs
+++ b/crates/persimmon_gateway/src/control/digests.rs
@@ -114,6 +114,8 @@
                 .map(|ms| u32::try_from(ms).unwrap_or(u32::MAX)),
             part_crashes: reports.parts,
             part_answers: reports.part_answers,
+            content_refusals: reports.content_refusals,
+            part_refusals: reports.part_refusals,
             peers: self.peers.addresses(draw, now),
             limits: self.limits.reports(MAX_DIGEST_LIMITS, now),
             speeds: self.speeds.reports(MAX_DIGEST_SPEEDS, now),
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -64,6 +64,8 @@
     pub(crate) served: ServedVersions,
     pub(crate) prefixes: PrefixMap,
     pub(crate) crashes: CrashTracker,
+    /// Whether a holder has told what gateways refused before this one started.
+    pub(crate) has_crashes_of_holders: bool,
     pub(crate) peers: PeerTable,
     pub(crate) shutdown: Shutdown,
     pub(crate) durations: DurationTracker,
@@ -126,6 +128,7 @@
             served: ServedVersions::new(),
             prefixes: PrefixMap::new(),
             crashes: CrashTracker::new(),
+            has_crashes_of_holders: false,
             peers,
             shutdown: Shutdown::new(ShutdownSettings { grace_ms: settings.grace_ms }),
             durations: DurationTracker::new(),
--- a/crates/persimmon_gateway/src/gateway.rs
+++ b/crates/persimmon_gateway/src/gateway.rs
@@ -64,6 +64,8 @@
     /// Socket for messages to other gateways; none before it is bound.
     pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) streams: StreamExchange,
+    /// Notified when holders should be told of what is refused without waiting for the next regular message.
+    pub(crate) crashes_changed: Notify,
     /// The store's history, for streams that neither gateways nor holders remember.
     pub(crate) history: HistoryReader,
     /// What is reported of evacuated zones.
@@ -101,6 +103,7 @@
             record_answers: RecordAnswers::default(),
             socket: OnceCell::new(),
             streams: StreamExchange::default(),
+            crashes_changed: Notify::new(),
             history: HistoryReader::default(),
             evacuations: EvacuationReports::default(),
         }
@@ -116,6 +119,7 @@
     pub(crate) fn log_newly_refused(&self) {
         let now = self.clock.now();
         for refused in self.control.borrow_mut().crashes.take_newly_refused() {
+            self.crashes_changed.notify_one();
             let kind = match refused {
                 Quarantined::Content(_) => "content",
                 Quarantined::Part(_) => "part",
--- a/crates/persimmon_gateway/src/holder.rs
+++ b/crates/persimmon_gateway/src/holder.rs
@@ -1,5 +1,5 @@
-//! The holder role: stores what began streams, on a VM of an endpoint, for gateways that may all end at
-//! one moment.
+//! The holder role: stores what began streams, and what is refused because endpoints crashed, on a VM of an
+//! endpoint, for gateways that may all end at one moment.
 
 use std::cell::RefCell;
 use std::io;
@@ -10,7 +10,8 @@
 
 use hyper::Request;
 use hyper::body::Incoming;
-use persimmon_decide::forward::{StreamMessage, StreamVersions};
+use persimmon_decide::MonoMs;
+use persimmon_decide::forward::{CrashMessage, CrashTracker, StreamMessage, StreamVersions};
 use persimmon_process::{Clock, MetricSet};
 use prometheus::{IntCounterVec, IntGauge};
 use tokio::net::{TcpListener, UdpSocket};
@@ -23,7 +24,7 @@
 use persimmon_process::LogLimiter;
 
 /// Maximum size of a message, in bytes.
-const MAX_MESSAGE_BYTES: usize = 2 * 1024;
+const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -44,6 +45,7 @@
 struct Holder {
     clock: Clock,
     streams: RefCell<StreamVersions>,
+    crashes: RefCell<CrashTracker>,
     log_limiter: LogLimiter,
     metrics: MetricSet,
     /// Messages of gateways by kind.
@@ -93,7 +95,7 @@
         match socket.recv_from(&mut buf).await {
             Ok((length, from)) => {
                 let reply = holder.handle(&buf[..length], from);
-                if let Some(reply) = reply.and_then(|it| holder.encode(&it))
+                if let Some(reply) = reply
                     && let Err(err) = socket.try_send_to(&reply, from)
                 {
                     tracing::debug!(target: "holder", %from, %err, "sending a reply failed");
@@ -119,6 +121,7 @@
         Ok(Self {
             clock: Clock::start(),
             streams: RefCell::default(),
+            crashes: RefCell::default(),
             log_limiter: LogLimiter::new(),
             metrics,
             messages,
@@ -126,8 +129,47 @@
         })
     }
 
-    /// Handles a datagram and returns the reply, if it gets one.
-    fn handle(&self, bytes: &[u8], from: SocketAddr) -> Option<StreamMessage> {
+    /// Handles a datagram and returns the encoded reply, if it gets one.
+    fn handle(&self, bytes: &[u8], from: SocketAddr) -> Option<Vec<u8>> {
+        if let Some(message) = CrashMessage::from_bytes(bytes) {
+            let reply = self.handle_crashes(message, from)?;
+            return self.check_encoded(reply.to_bytes());
+        }
+        let reply = self.handle_streams(bytes, from)?;
+        self.check_encoded(reply.to_bytes())
+    }
+
+    fn handle_crashes(
+        &self,
+        message: postcard::Result<CrashMessage>,
+        from: SocketAddr,
+    ) -> Option<CrashMessage> {
+        let now = self.clock.now();
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.expire(now);
+        let (kind, reply) = match message {
+            Ok(CrashMessage::Store(reports)) => {
+                crashes.record_peer_reports(&reports, now);
+                for refused in crashes.take_newly_refused() {
+                    tracing::info!(target: "holder", %refused, "gateways refuse requests");
+                }
+                ("crashes", Some(CrashMessage::Stored))
+            }
+            Ok(CrashMessage::Query) => {
+                let reports = crashes.reports(CrashMessage::MAX_CRASHES, now);
+                ("crash_query", Some(CrashMessage::Reply(reports)))
+            }
+            Ok(CrashMessage::Reply(_) | CrashMessage::Stored) => ("unexpected", None),
+            Err(err) => {
+                self.log_invalid(from, &err, now);
+                ("invalid", None)
+            }
+        };
+        self.messages.with_label_values(&[kind]).inc();
+        reply
+    }
+
+    fn handle_streams(&self, bytes: &[u8], from: SocketAddr) -> Option<StreamMessage> {
         let now = self.clock.now();
         let mut streams = self.streams.borrow_mut();
         streams.expire(now);
@@ -145,9 +187,7 @@
                 ("unexpected", None)
             }
             Some(Err(err)) => {
-                if let Some(suppressed) = self.log_limiter.admit("bad_message", now) {
-                    tracing::warn!(target: "holder", %from, %err, suppressed, "invalid message");
-                }
+                self.log_invalid(from, &err, now);
                 ("invalid", None)
             }
         };
@@ -156,9 +196,14 @@
         reply
     }
 
-    fn encode(&self, message: &StreamMessage) -> Option<Vec<u8>> {
-        message
-            .to_bytes()
+    fn log_invalid(&self, from: SocketAddr, err: &postcard::Error, now: MonoMs) {
+        if let Some(suppressed) = self.log_limiter.admit("bad_message", now) {
+            tracing::warn!(target: "holder", %from, %err, suppressed, "invalid message");
+        }
+    }
+
+    fn check_encoded(&self, encoded: postcard::Result<Vec<u8>>) -> Option<Vec<u8>> {
+        encoded
             .inspect_err(|err| {
                 if let Some(suppressed) = self.log_limiter.admit("encoding", self.clock.now()) {
                     tracing::warn!(target: "holder", %err, suppressed, "encoding a reply failed");
--- a/crates/persimmon_gateway/src/in_flight.rs
+++ b/crates/persimmon_gateway/src/in_flight.rs
@@ -43,7 +43,10 @@
         let mut control = gw.control.borrow_mut();
         control.loads.begin(endpoint.hash, unread_tokens);
         let began = gw.clock.now();
-        control.crashes.begin(signature, endpoint.hash, began);
+        if control.crashes.begin(signature, endpoint.hash, began) {
+            gw.digest_due.notify_one();
+            gw.crashes_changed.notify_one();
+        }
         control.health.record_sent(endpoint.hash, began);
         let had_free_slot = choice.load < endpoint.slots;
         let signature = signature.clone();
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod body_tests;
 mod callers;
 mod control;
+mod crash_holders;
 mod evacuation;
 mod events;
 mod exchange;
--- a/crates/persimmon_gateway/src/peers.rs
+++ b/crates/persimmon_gateway/src/peers.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use persimmon_decide::forward::{
-    AgeReason, ChangeNotice, Digest, DigestFreshness, StoreEra, StreamMessage,
+    AgeReason, ChangeNotice, CrashMessage, Digest, DigestFreshness, StoreEra, StreamMessage,
 };
 use tokio::net::UdpSocket;
 
+use crate::crash_holders;
 use crate::evacuation;
 use crate::gateway::Gateway;
 use crate::notices;
@@ -52,6 +53,13 @@
             receive_message(&gw, from, message);
             continue;
         }
+        if let Some(message) = CrashMessage::from_bytes(&buf[..length]) {
+            match message {
+                Ok(message) => crash_holders::receive(&gw, from, message),
+                Err(err) => log_invalid_message(&gw, from, &err),
+            }
+            continue;
+        }
         let now = gw.clock.now();
         match Digest::from_bytes(&buf[..length]) {
             Ok(digest) => {
@@ -109,11 +117,13 @@
 ) {
     match message {
         Ok(message) => stream_versions::receive(gw, from, message),
-        Err(err) => {
-            if let Some(suppressed) = gw.log_limiter.admit("bad_message", gw.clock.now()) {
-                tracing::warn!(target: "peers", %from, %err, suppressed, "invalid message");
-            }
-        }
+        Err(err) => log_invalid_message(gw, from, &err),
+    }
+}
+
+fn log_invalid_message<P: Platform>(gw: &Gateway<P>, from: SocketAddr, err: &postcard::Error) {
+    if let Some(suppressed) = gw.log_limiter.admit("bad_message", gw.clock.now()) {
+        tracing::warn!(target: "peers", %from, %err, suppressed, "invalid message");
     }
 }
 
--- a/crates/persimmon_gateway/src/plan.rs
+++ b/crates/persimmon_gateway/src/plan.rs
@@ -98,6 +98,7 @@
     let now = gw.clock.now();
     let mut control = gw.control.borrow_mut();
     if control.crashes.refuses(&signature, now) {
+        control.crashes.record_turned_away(&signature, now);
         return Err(Refusal::Crashing);
     }
     let draw = control.draw();
--- a/crates/persimmon_gateway/src/run.rs
+++ b/crates/persimmon_gateway/src/run.rs
@@ -8,6 +8,7 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::callers;
+use crate::crash_holders;
 use crate::gateway::Gateway;
 use crate::http;
 use crate::metrics::Metrics;
@@ -73,6 +74,7 @@
     gw.streams.set_socket(socket.clone());
     gw.socket.set(socket.clone()).expect("the socket is bound once");
     spawn_local(stream_versions::tell_streams(gw.clone()));
+    spawn_local(crash_holders::exchange(gw.clone()));
     spawn_local(peers::receive(gw.clone(), socket.clone()));
     spawn_local(peers::send(gw.clone(), socket));
     spawn_local(peer_records::follow(gw.clone()));
