Trials that have failed no longer count after five minutes

What is refused stays known while callers request it, so that a part whose two trials had failed was never tried again, however long it had been sound: the failed crashes, and each gateway's own trials, counted without end. Both now count for five minutes, as the trials that are told do.

forward_crash_restarts::part_that_is_sound_again_is_cleared failed before (all requests still refused after 460 s), and passes.

--- a/crates/persimmon_decide/src/forward/crash_trials.rs
+++ b/crates/persimmon_decide/src/forward/crash_trials.rs
@@ -37,6 +37,14 @@
     tried_at: MonoMs,
 }
 
+impl Refusal {
+    /// Returns the number of this gateway's trials that count.
+    fn counted_tries(&self, now: MonoMs) -> usize {
+        let is_recent = now.ms_since(self.tried_at) < CrashTrials::COUNTED_MS;
+        if is_recent { self.tries } else { 0 }
+    }
+}
+
 /// Decides when a gateway sends one request with a refused suspect all the same.
 ///
 /// Handles endpoints that fail for other reasons while most requests share a part: what is refused is no
@@ -102,7 +110,7 @@
             Fingerprint::of(format!("{own}/{}/{}", endpoint.0, now.0).as_bytes()).0
         });
         if let Some(refusal) = self.refusals.get_mut(&suspect) {
-            refusal.tries += 1;
+            refusal.tries = refusal.counted_tries(now) + 1;
             refusal.tried_at = now;
         }
         let trials = self.trials.entry(suspect).or_default();
@@ -175,7 +183,8 @@
         now: MonoMs,
     ) -> bool {
         let Some(refusal) = self.refusals.get(&suspect) else { return false };
-        let Refusal { since, tries, tried_at } = *refusal;
+        let Refusal { since, tried_at, .. } = *refusal;
+        let tries = refusal.counted_tries(now);
         let first = since.plus_ms(Self::FIRST_MS);
         if now < first {
             return false;
@@ -184,7 +193,8 @@
         let is_tried = tried_at >= first && turn(tried_at) == turn(now);
         // Other gateways refuse the suspect up to some hundred milliseconds earlier.
         let trials_from = since.plus_ms(Self::FIRST_MS / 2);
-        let failed = sent_at.filter(|at| *at > trials_from).count();
+        let counts = |at: &MonoMs| *at > trials_from && now.ms_since(*at) < Self::COUNTED_MS;
+        let failed = sent_at.filter(counts).count();
         let (rank, gateways) =
             (self.rank.before_own(Self::SUBJECT) as u64, self.rank.gateways() as u64);
         let failed = failed.max(self.counted(suspect, now));
--- a/crates/persimmon_decide/tests/forward_crash_restarts.rs
+++ b/crates/persimmon_decide/tests/forward_crash_restarts.rs
@@ -32,6 +32,8 @@
 /// What the gateways go through once the part is refused.
 #[derive(Debug, Clone, Copy)]
 enum Restarts {
+    /// Nothing.
+    None,
     /// One after the other, again and again.
     InTurn,
     /// One at a time, in any order, at any moment.
@@ -58,6 +60,8 @@
     /// Times at which requests with the part reached endpoints, by gateways in touch.
     arrivals: Vec<u64>,
     refused: usize,
+    /// Whether endpoints answer requests with the part from now on.
+    is_sound: bool,
 }
 
 impl Fleet {
@@ -75,6 +79,7 @@
             crashes: Vec::new(),
             arrivals: Vec::new(),
             refused: 0,
+            is_sound: false,
         };
         (0..gateways).for_each(|it| fleet.set_gateways(it));
         fleet
@@ -156,6 +161,13 @@
             self.send_digest(gateway);
             self.store(gateway);
         }
+        if self.is_sound {
+            let tracker = &mut self.gateways[gateway];
+            tracker.end(&request, endpoint, now);
+            tracker.record_alive(endpoint, now);
+            tracker.record_answered(&request, now);
+            return self.send_digest(gateway);
+        }
         if self.now - self.started[gateway] > CONTACT_MS {
             self.arrivals.push(self.now);
         }
@@ -276,6 +288,19 @@
     assert!((0..3).all(refuses));
 }
 
+/// A part that is sound again, although its trials have failed, is served after some minutes.
+#[test]
+fn part_that_is_sound_again_is_cleared() {
+    let mut fleet = Fleet::new(3, 0.0, 1);
+    fleet.play(Restarts::None, 60);
+    assert!(fleet.crashes.len() >= 5, "both trials have failed");
+    fleet.is_sound = true;
+    fleet.play(Restarts::None, 400);
+    fleet.refused = 0;
+    fleet.play(Restarts::None, 60);
+    assert_eq!(fleet.refused, 0);
+}
+
 #[test]
 fn part_is_forgotten_once_nobody_requests_it() {
     let mut fleet = Fleet::new(3, 0.0, 1);
