One type for the kinds of messages beside digests

The messages on crashes repeated the encoding of those on streams, and their first bytes were at first those of a third kind, which took them for its own. MessageKind holds the first bytes of both, and encodes and decodes.

--- a/crates/persimmon_decide/src/forward/crash_message.rs
+++ b/crates/persimmon_decide/src/forward/crash_message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::CrashReports;
+use super::message_kind::MessageKind;
 
 /// A message on crashes, and on what is refused for them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,9 +21,6 @@
 impl CrashMessage {
     /// Maximum number of crashes of contents, and of prompt parts, in one message, beside older ones.
     pub const MAX_CRASHES: usize = 32;
-    /// First bytes of each message. No digest begins with them, as they aren't a number in its encoding, nor a message
-    /// on streams, nor a notice of changes.
-    const PREFIX: [u8; 10] = [0xfd; 10];
 
     /// Encodes the message for a datagram.
     ///
@@ -30,9 +28,7 @@
     ///
     /// The message can't be encoded.
     pub fn to_bytes(&self) -> postcard::Result<Vec<u8>> {
-        let mut bytes = Self::PREFIX.to_vec();
-        bytes.extend(postcard::to_allocvec(self)?);
-        Ok(bytes)
+        MessageKind::CRASHES.encode(self)
     }
 
     /// Decodes a datagram; none if it is of another kind.
@@ -41,6 +37,6 @@
     ///
     /// The bytes aren't a message.
     pub fn from_bytes(bytes: &[u8]) -> Option<postcard::Result<Self>> {
-        bytes.strip_prefix(&Self::PREFIX).map(postcard::from_bytes)
+        MessageKind::CRASHES.decode(bytes)
     }
 }
--- a/crates/persimmon_decide/src/forward/mod.rs
+++ b/crates/persimmon_decide/src/forward/mod.rs
@@ -39,6 +39,7 @@
 mod load_tracker;
 mod lost_requests;
 mod memory_budget;
+mod message_kind;
 mod open_streams;
 mod overload_control;
 mod own_share;
--- a/crates/persimmon_decide/src/forward/stream_message.rs
+++ b/crates/persimmon_decide/src/forward/stream_message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::message_kind::MessageKind;
 use super::{StreamKey, StreamOrigin};
 
 /// A message on what began streams.
@@ -35,9 +36,6 @@
 impl StreamMessage {
     /// Maximum number of streams in one message.
     pub const MAX_STREAMS: usize = 128;
-    /// First bytes of each message. No digest begins with them, as they aren't a number in its
-    /// encoding, so that earlier builds ignore the message.
-    const PREFIX: [u8; 10] = [0xff; 10];
 
     /// Encodes the message for a datagram.
     ///
@@ -45,9 +43,7 @@
     ///
     /// The message can't be encoded.
     pub fn to_bytes(&self) -> postcard::Result<Vec<u8>> {
-        let mut bytes = Self::PREFIX.to_vec();
-        bytes.extend(postcard::to_allocvec(self)?);
-        Ok(bytes)
+        MessageKind::STREAMS.encode(self)
     }
 
     /// Decodes a datagram; none if it is of another kind.
@@ -56,6 +52,6 @@
     ///
     /// The bytes aren't a message.
     pub fn from_bytes(bytes: &[u8]) -> Option<postcard::Result<Self>> {
-        bytes.strip_prefix(&Self::PREFIX).map(postcard::from_bytes)
+        MessageKind::STREAMS.decode(bytes)
     }
 }
--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -285,7 +285,8 @@
             first_id = plan.head.first_id.as_deref(),
             service = origin.as_ref().map(|it| &*it.service),
             version = origin.as_ref().map(|it| &*it.version),
-            source = source.name(), undetermined = undetermined.map(|it| it.to_string()), ms = now.ms_since(started), ?asked, ?silent,
+            source = source.name(), undetermined = undetermined.map(|it| it.to_string()),
+            ms = now.ms_since(started), ?asked, ?silent,
             heard = control.peers.gateways(now), gateways = control.peers.fleet().len(),
             revision = StoreEra::revision(control.view.revision()), suppressed, "version that began a stream");
     }
--- a/crates/persimmon_gateway/src/version_history.rs
+++ b/crates/persimmon_gateway/src/version_history.rs
@@ -140,6 +140,7 @@
 }
 
 /// The endpoints that this gateway knows, and the position of the store up to which it has every change.
+#[derive(Debug)]
 struct View {
     position: u64,
     endpoints: Vec<Arc<Endpoint>>,
