--- a/crates/persimmon_decide/src/forward/crash_reports.rs
+++ b/crates/persimmon_decide/src/forward/crash_reports.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::MonoMs;
 use crate::load::EndpointHash;
 
 /// An endpoint that crashed while it ran requests with the same content or prompt part.
@@ -66,3 +67,13 @@
     /// Prompt parts that are refused.
     pub part_refusals: Vec<RefusalReport>,
 }
+
+/// Returns the time of something with this age, in milliseconds.
+pub(super) fn before(now: MonoMs, age_ms: u32) -> MonoMs {
+    MonoMs(now.0.saturating_sub(u64::from(age_ms)))
+}
+
+/// Returns the age of something in milliseconds, as reports hold it.
+pub(super) fn age_ms(at: MonoMs, now: MonoMs) -> u32 {
+    u32::try_from(now.ms_since(at)).unwrap_or(u32::MAX)
+}
--- a/crates/persimmon_decide/src/forward/crash_suspects.rs
+++ b/crates/persimmon_decide/src/forward/crash_suspects.rs
@@ -1,7 +1,7 @@
 //! Content or prompt parts that were in progress at endpoints that crashed.
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use crate::MonoMs;
 use crate::load::EndpointHash;
@@ -66,12 +66,30 @@
     }
 }
 
+/// What is known of a suspect since its last complete answer.
+#[derive(Debug, Default)]
+struct Suspect {
+    /// Crashes, oldest first; at least one.
+    crashes: Vec<Crash>,
+    /// Time at which a request with the suspect was last refused; zero if none was.
+    refused_at: MonoMs,
+}
+
+impl Suspect {
+    /// Returns the time at which a request with the suspect was last refused, or of its last crash.
+    fn last_refused(&self) -> MonoMs {
+        last_crash(&self.crashes).max(self.refused_at)
+    }
+
+    fn is_live(&self, now: MonoMs) -> bool {
+        now.ms_since(self.last_refused()) < CrashSuspects::CRASH_TTL_MS
+    }
+}
+
 /// Crashes since the last complete answer, by suspect.
 #[derive(Debug, Default)]
 pub(super) struct CrashSuspects {
-    crashes: HashMap<u64, Vec<Crash>>,
-    /// Time at which a request with each suspect was last refused.
-    refused_at: HashMap<u64, MonoMs>,
+    suspects: HashMap<u64, Suspect>,
     answered: Answered,
 }
 
@@ -98,33 +116,26 @@
     /// Returns whether there were any.
     pub(super) fn record_answered(&mut self, suspect: u64, at: MonoMs, now: MonoMs) -> bool {
         self.answered.record(suspect, at, now);
-        let Some(crashes) = self.crashes.get_mut(&suspect) else { return false };
-        let count = crashes.len();
-        crashes.retain(|it| it.at > at);
-        let is_cleared = crashes.len() < count;
-        if crashes.is_empty() {
-            self.crashes.remove(&suspect);
-            self.refused_at.remove(&suspect);
+        let Some(known) = self.suspects.get_mut(&suspect) else { return false };
+        let count = known.crashes.len();
+        known.crashes.retain(|it| it.at > at);
+        let is_cleared = known.crashes.len() < count;
+        if known.crashes.is_empty() {
+            self.suspects.remove(&suspect);
         }
         is_cleared
     }
 
     /// Records that a request with a suspect was refused at the time `at`, so that its crashes stay known.
     pub(super) fn record_refused(&mut self, suspect: u64, at: MonoMs) {
-        if self.crashes.contains_key(&suspect) {
-            let known = self.refused_at.entry(suspect).or_insert(at);
-            *known = at.max(*known);
+        if let Some(known) = self.suspects.get_mut(&suspect) {
+            known.refused_at = at.max(known.refused_at);
         }
     }
 
     /// Returns the time at which a request with a suspect was last refused, or of its last crash.
     pub(super) fn last_refused(&self, suspect: u64) -> MonoMs {
-        let crash = self.crashes.get(&suspect).map_or(MonoMs(0), |it| last_crash(it));
-        self.refused_at.get(&suspect).copied().unwrap_or_default().max(crash)
-    }
-
-    fn is_live(&self, suspect: u64, now: MonoMs) -> bool {
-        now.ms_since(self.last_refused(suspect)) < Self::CRASH_TTL_MS
+        self.suspects.get(&suspect).map_or(MonoMs(0), Suspect::last_refused)
     }
 
     /// Records a crash under one more request with the suspect. Returns whether it adds to what is
@@ -150,10 +161,10 @@
         if self.answered.last(suspect, now).is_some_and(|answered| crash.at < answered) {
             return false;
         }
-        if !self.crashes.contains_key(&suspect) {
+        if !self.suspects.contains_key(&suspect) {
             self.make_room(now);
         }
-        let crashes = self.crashes.entry(suspect).or_default();
+        let crashes = &mut self.suspects.entry(suspect).or_default().crashes;
         if let Some(known) = crashes.iter_mut().find(|it| it.endpoint == crash.endpoint) {
             let is_later = crash.sent_at > known.sent_at;
             known.sent_at = crash.sent_at.max(known.sent_at);
@@ -170,32 +181,24 @@
 
     /// Removes expired suspects, and then the least suspect one, if there are too many.
     fn make_room(&mut self, now: MonoMs) {
-        if self.crashes.len() < Self::MAX_SUSPECTS {
+        if self.suspects.len() < Self::MAX_SUSPECTS {
             return;
         }
-        self.expire(now);
-        if self.crashes.len() < Self::MAX_SUSPECTS {
+        self.suspects.retain(|_, known| known.is_live(now));
+        if self.suspects.len() < Self::MAX_SUSPECTS {
             return;
         }
-        let order = |crashes: &Vec<Crash>| (crashes.len(), crashes.last().map(|it| it.at));
-        let least = self.crashes.iter().min_by_key(|(_, crashes)| order(crashes));
+        let order = |crashes: &[Crash]| (crashes.len(), crashes.last().map(|it| it.at));
+        let least = self.suspects.iter().min_by_key(|(_, known)| order(&known.crashes));
         if let Some(suspect) = least.map(|(suspect, _)| *suspect) {
-            self.crashes.remove(&suspect);
-            self.refused_at.remove(&suspect);
+            self.suspects.remove(&suspect);
         }
     }
 
-    fn expire(&mut self, now: MonoMs) {
-        let live: HashSet<_> =
-            self.crashes.keys().copied().filter(|it| self.is_live(*it, now)).collect();
-        self.crashes.retain(|suspect, _| live.contains(suspect));
-        self.refused_at.retain(|suspect, _| live.contains(suspect));
-    }
-
     /// Returns the crashes of a suspect since its last complete answer, oldest first.
     pub(super) fn crashes(&self, suspect: u64, now: MonoMs) -> &[Crash] {
-        let crashes = self.crashes.get(&suspect).filter(|_| self.is_live(suspect, now));
-        crashes.map_or(&[], Vec::as_slice)
+        let known = self.suspects.get(&suspect).filter(|it| it.is_live(now));
+        known.map_or(&[], |it| &it.crashes)
     }
 
     /// Reports whether there was a complete answer in the last minute or so.
@@ -210,7 +213,7 @@
 
     /// Returns the suspects with at least `count` crashes.
     pub(super) fn with_crashes(&self, count: usize) -> impl Iterator<Item = u64> {
-        let suspects = self.crashes.iter().filter(move |(_, crashes)| crashes.len() >= count);
+        let suspects = self.suspects.iter().filter(move |(_, it)| it.crashes.len() >= count);
         suspects.map(|(suspect, _)| *suspect)
     }
 
@@ -219,8 +222,8 @@
     /// come first, so that what most requests have in common doesn't crowd out the cause.
     pub(super) fn most_urgent(&self, count: usize, now: MonoMs) -> Vec<(u64, Crash)> {
         let is_recent = |crashes: &[Crash]| now.ms_since(last_crash(crashes)) <= Self::RECENT_MS;
-        let mut live: Vec<_> =
-            self.crashes.iter().filter(|(suspect, _)| self.is_live(**suspect, now)).collect();
+        let live = self.suspects.iter().filter(|(_, it)| it.is_live(now));
+        let mut live: Vec<_> = live.map(|(suspect, it)| (suspect, &it.crashes)).collect();
         live.sort_by_cached_key(|(suspect, crashes)| {
             let likelihood = likelihood(crashes, self.is_answered(**suspect, now));
             (Reverse((likelihood, last_crash(crashes))), **suspect)
--- a/crates/persimmon_decide/src/forward/crash_tracker/exchange.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker/exchange.rs
@@ -1,5 +1,6 @@
 //! What gateways tell each other of crashes, and what they make of it.
 
+use super::super::crash_reports::{age_ms, before};
 use super::super::crash_suspects::Crash;
 use super::super::{AnswerReport, CrashReport, CrashReports, Quarantined, RefusalReport};
 use super::{CrashTracker, with_past};
@@ -76,22 +77,10 @@
         CrashReports {
             contents: contents.map(report).collect(),
             parts: parts.map(report).collect(),
-            content_answers: self.recent_answers(now, |suspect| match suspect {
-                Quarantined::Content(content) => Some(content.0),
-                Quarantined::Part(_) => None,
-            }),
-            part_answers: self.recent_answers(now, |suspect| match suspect {
-                Quarantined::Part(part) => Some(part),
-                Quarantined::Content(_) => None,
-            }),
-            content_refusals: self.refusals(now, |suspect| match suspect {
-                Quarantined::Content(content) => Some(content.0),
-                Quarantined::Part(_) => None,
-            }),
-            part_refusals: self.refusals(now, |suspect| match suspect {
-                Quarantined::Part(part) => Some(part),
-                Quarantined::Content(_) => None,
-            }),
+            content_answers: self.recent_answers(now, content_id),
+            part_answers: self.recent_answers(now, part_id),
+            content_refusals: self.refusals(now, content_id),
+            part_refusals: self.refusals(now, part_id),
         }
     }
 
@@ -122,10 +111,18 @@
     }
 }
 
-fn before(now: MonoMs, age_ms: u32) -> MonoMs {
-    MonoMs(now.0.saturating_sub(u64::from(age_ms)))
+/// Returns the fingerprint of a content.
+fn content_id(suspect: Quarantined) -> Option<u64> {
+    match suspect {
+        Quarantined::Content(content) => Some(content.0),
+        Quarantined::Part(_) => None,
+    }
 }
 
-fn age_ms(at: MonoMs, now: MonoMs) -> u32 {
-    u32::try_from(now.ms_since(at)).unwrap_or(u32::MAX)
+/// Returns the ID of a part.
+fn part_id(suspect: Quarantined) -> Option<u64> {
+    match suspect {
+        Quarantined::Part(part) => Some(part),
+        Quarantined::Content(_) => None,
+    }
 }
--- a/crates/persimmon_decide/src/forward/crash_tracker/known_suspects.rs
+++ b/crates/persimmon_decide/src/forward/crash_tracker/known_suspects.rs
@@ -48,8 +48,7 @@
 
     /// Reports whether there was a complete answer in the last minute or so.
     pub(super) fn is_answered(&self, suspect: Quarantined, now: MonoMs) -> bool {
-        let (records, id) = self.records(suspect);
-        records.is_answered(id, now)
+        self.last_answer(suspect, now).is_some()
     }
 
     /// Returns the contents and the parts with at least these numbers of crashes.
--- a/crates/persimmon_decide/src/forward/crash_trials.rs
+++ b/crates/persimmon_decide/src/forward/crash_trials.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 
+use super::crash_reports::{age_ms, before};
 use super::crash_suspects::Crash;
 use super::gateway_rank::GatewayRank;
 use super::{Quarantined, TrialReport};
@@ -126,7 +127,7 @@
         answered_at: Option<MonoMs>,
         now: MonoMs,
     ) {
-        let sent_at = MonoMs(now.0.saturating_sub(u64::from(report.age_ms)));
+        let sent_at = before(now, report.age_ms);
         if answered_at.is_none_or(|at| sent_at > at) {
             let trial = Trial { number: report.number, sent_at, is_void: report.is_void };
             self.trials.entry(suspect).or_default().add(trial);
@@ -162,7 +163,7 @@
         let trials = self.trials.get(&suspect).into_iter().flat_map(|it| &it.all);
         let report = |it: &Trial| TrialReport {
             number: it.number,
-            age_ms: u32::try_from(now.ms_since(it.sent_at)).unwrap_or(u32::MAX),
+            age_ms: age_ms(it.sent_at, now),
             is_void: it.is_void,
         };
         trials.map(report).collect()
--- a/crates/persimmon_gateway/src/stream_versions.rs
+++ b/crates/persimmon_gateway/src/stream_versions.rs
@@ -214,6 +214,9 @@
         due.iter().for_each(|(stream, origin)| control.streams.record(*stream, origin, now));
         let mut told = control.streams.take_untold();
         told.extend(due);
+        if told.is_empty() {
+            continue;
+        }
         let fleet = control.peers.fleet();
         let own = gw.settings.peers.ip();
         let mut messages = Messages::new();
--- a/crates/persimmon_gateway/src/version_history.rs
+++ b/crates/persimmon_gateway/src/version_history.rs
@@ -57,8 +57,6 @@
         }
         let timeout_ms = plan.route.timeout_ms.max(plan.head.deadline_ms.unwrap_or(0));
         let needed_ms = VersionHistory::needed_ms(timeout_ms);
-        let longest_ms = gw.control.borrow().routes.as_ref().map_or(0, |it| it.max_timeout_ms());
-        let read_ms = VersionHistory::needed_ms(longest_ms).max(needed_ms);
         let asked_at = gw.clock.now();
         let mut state = self.state.lock().await;
         if state.failed_at.is_some_and(|it| it >= asked_at) {
@@ -71,7 +69,7 @@
             }
             let started_at = gw.clock.now();
             state.started_at = Some(started_at);
-            let read = tokio::time::timeout(READ_TIMEOUT, read(gw, &mut state.history, read_ms));
+            let read = tokio::time::timeout(READ_TIMEOUT, read(gw, &mut state.history, needed_ms));
             let result = match read.await {
                 Ok(result) => result.map_err(|err| err.to_string()),
                 Err(_) => Err("timed out".to_owned()),
@@ -93,8 +91,8 @@
     }
 }
 
-/// Brings a history up to the store's present state. If nothing is known, reads back until it covers `needed_ms`, or
-/// as far as the store has it.
+/// Brings a history up to the store's present state. If nothing is known, reads back until it covers `needed_ms` and
+/// what the other routes need, or as far as the store has it.
 async fn read<P: Platform>(
     gw: &Gateway<P>,
     history: &mut VersionHistory,
@@ -113,6 +111,8 @@
             Err(err) => return Err(err),
         }
     }
+    let longest_ms = gw.control.borrow().routes.as_ref().map_or(0, |it| it.max_timeout_ms());
+    let needed_ms = VersionHistory::needed_ms(longest_ms).max(needed_ms);
     let (era, revision) = (StoreEra::of(view.position), StoreEra::revision(view.position));
     let (endpoints, heartbeat_ms) = (view.endpoints.len(), gw.settings.heartbeat_ms);
     let mut search = HistorySearch::new(revision, endpoints, needed_ms, heartbeat_ms);
--- a/crates/persimmonmountd/tests/process_gateway_holders.rs
+++ b/crates/persimmonmountd/tests/process_gateway_holders.rs
@@ -344,7 +344,7 @@
     Upgraded,
     /// Those of one of two versions leave for good.
     VersionLeft,
-    /// Nothing, and the routes lead to another service for a moment.
+    /// Nothing, and the routes are published again, so that they may have led to another service before.
     RoutesChanged,
 }
 
