Gateways read from the store what their peers don't send

Cause: a gateway that doesn't watch the store had one way to a change, a connection to a peer that has it, and took peers that it hears for ones that it can reach. Evidence: the log of edge-qc-east-b-5 shows the first fetch 3 ms after the notices, and then one timeout of 500 ms after the other. Ruled out: that the zone didn't know, that it wasn't notified at first. Small changes didn't come either, since seven of them exceed a notice's 1,000 bytes, and later notices begin at a position that the zone doesn't have.

Change: StoreFallback. Changes that have been known and lacking for 600 ms are read from the store, once, whatever the reason; after 1 s also if peers send bytes. Those that lack them go in turn and pass them on, so that the store isn't called by all at once. It bounds the time by what is lacking, not by why.

The fan-out model learns cuts of single directions; the code before (Broken::NeverReadsStore) breaks its bound of 2 s.

--- a/crates/persimmon_decide/src/forward/fan_out.rs
+++ b/crates/persimmon_decide/src/forward/fan_out.rs
@@ -134,6 +134,8 @@
     fetches: BTreeMap<IpAddr, Fetch>,
     /// Peers that were busy, each with the time until which they aren't asked.
     busy_until: BTreeMap<IpAddr, MonoMs>,
+    /// Time at which a peer last sent a part of its records, or answered that it is busy.
+    progress_at: Option<MonoMs>,
     needs_values: bool,
 }
 
@@ -363,9 +365,15 @@
     pub fn record_fetch_progress(&mut self, from: IpAddr, now: MonoMs) {
         if let Some(fetch) = self.fetches.get_mut(&from) {
             fetch.progress_at = now;
+            self.progress_at = Some(now);
         }
     }
 
+    /// Returns the time at which a peer last sent a part of its records, or answered that it is busy.
+    pub fn progress_at(&self) -> Option<MonoMs> {
+        self.progress_at
+    }
+
     /// Records the end of a fetch; does nothing if it has ended before. Returns whether the peer isn't to be asked
     /// until it is heard again.
     pub fn record_fetch_end(&mut self, from: IpAddr, end: FetchEnd, now: MonoMs) -> bool {
@@ -374,6 +382,7 @@
             FetchEnd::Applied => false,
             FetchEnd::Busy => {
                 self.busy_until.insert(from, now.plus_ms(Self::BUSY_MS));
+                self.progress_at = Some(now);
                 false
             }
             FetchEnd::OtherBase if !asks_for_values => {
--- a/crates/persimmon_decide/src/forward/peer_table.rs
+++ b/crates/persimmon_decide/src/forward/peer_table.rs
@@ -173,6 +173,11 @@
         Self { own, seeds, peers, contacts, reported, watched_at, store_contact, store_gap }
     }
 
+    /// Returns the address of this gateway.
+    pub fn own(&self) -> IpAddr {
+        self.own
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<IpAddr>) {
         self.seeds = seeds;
--- a/crates/persimmon_decide/tests/fan_out_model/gateway.rs
+++ b/crates/persimmon_decide/tests/fan_out_model/gateway.rs
@@ -6,7 +6,7 @@
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
     ChangeNotice, Digest, DigestFreshness, FanOut, FanOutInput, FetchEnd, NoticeTo, PeerTable,
-    Relay, StoreChange, StoreUpdate, StoreView, UpdateError,
+    Relay, StoreChange, StoreFallback, StoreFallbackInput, StoreUpdate, StoreView, UpdateError,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -28,17 +28,27 @@
 pub(crate) enum Broken {
     /// An update is applied although it follows changes that the view lacks.
     IgnoresGaps,
-    /// Lost notices aren't repaired.
+    /// Lost notices aren't repaired, neither from peers nor from the store.
     NeverRepairs,
+    /// Lost notices aren't repaired from peers.
+    NeverFetches,
     /// A gateway waits for the end of a fetch before it begins another.
     WaitsForFetch,
+    /// A gateway that doesn't watch the store never reads it.
+    NeverReadsStore,
 }
 
 #[derive(Debug, Clone, Copy)]
 enum Reader {
-    Idle { check_at: u64 },
-    Due { at: u64 },
+    Idle {
+        check_at: u64,
+    },
+    Due {
+        at: u64,
+    },
     Calling,
+    /// It reads, once, what it can't get from peers.
+    Reading,
 }
 
 pub(crate) struct Gateway {
@@ -47,7 +57,10 @@
     pub(crate) peers: PeerTable,
     pub(crate) is_earlier_build: bool,
     pub(crate) broken: Option<Broken>,
+    /// Number of reads of the store in place of peers.
+    pub(crate) store_reads: usize,
     fan_out: FanOut,
+    fallback: StoreFallback,
     incarnation: u64,
     sequence: u64,
     rng: Pcg64Mcg,
@@ -86,7 +99,9 @@
             peers: PeerTable::new(ip(number), seeds),
             is_earlier_build: false,
             broken: None,
+            store_reads: 0,
             fan_out: FanOut::new(),
+            fallback: StoreFallback::new(),
             incarnation,
             sequence: 0,
             rng: Pcg64Mcg::seed_from_u64(incarnation),
@@ -304,12 +319,12 @@
             now: at,
         };
         match self.broken {
-            Some(Broken::NeverRepairs) => return,
+            Some(Broken::NeverRepairs | Broken::NeverFetches) => return,
             Some(Broken::WaitsForFetch) if self.fan_out.is_fetching() => {
                 self.wake_at = now + WATCH_CHECK_MS;
                 return;
             }
-            Some(Broken::IgnoresGaps | Broken::WaitsForFetch) | None => {}
+            Some(Broken::IgnoresGaps | Broken::WaitsForFetch | Broken::NeverReadsStore) | None => {}
         }
         let notices = self.fan_out.due(&input, || self.rng.random());
         let needless = self.fan_out.take_needless(own);
@@ -397,6 +412,9 @@
             Reader::Idle { check_at } if check_at <= now => {
                 if !self.peers.should_watch(false, self.rng.random(), at) {
                     self.reader = Reader::Idle { check_at: now + WATCH_CHECK_MS };
+                    if self.reads_store(now) {
+                        self.read_store(net, now);
+                    }
                     return;
                 }
                 self.is_watching = true;
@@ -427,8 +445,55 @@
         net.call(self.number, net.store(), request, now);
     }
 
+    /// Reports whether this gateway reads from the store what it can't get from peers.
+    fn reads_store(&mut self, now: u64) -> bool {
+        let input = StoreFallbackInput {
+            own: self.view.revision(),
+            progress_at: self.fan_out.progress_at(),
+            peers: &self.peers,
+            now: MonoMs(now),
+        };
+        let is_due = self.fallback.is_due(&input);
+        let never_reads =
+            matches!(self.broken, Some(Broken::NeverReadsStore | Broken::NeverRepairs));
+        is_due && !self.is_earlier_build && !never_reads
+    }
+
+    fn read_store(&mut self, net: &mut Network, now: u64) {
+        self.reader = Reader::Reading;
+        self.store_reads += 1;
+        let (since, until) = (self.view.revision(), now + FIRST_WATCH_WAIT_MS);
+        net.call(self.number, net.store(), Request::Watch { since, until }, now);
+    }
+
+    /// Ends the read of what peers don't send. `answer` is none if it failed.
+    fn end_store_read(&mut self, answer: Option<Body>, net: &mut Network, now: u64) {
+        let at = MonoMs(now);
+        self.reader = Reader::Idle { check_at: now + WATCH_CHECK_MS };
+        match answer {
+            Some(Body::Page(records)) => {
+                self.takes_over = true;
+                self.record_store_answer(at);
+                self.store_contact = None;
+                let changes = records.into_iter().flat_map(|it| self.view.apply(it, at)).collect();
+                self.put_in_force(changes, true, net, now);
+                self.fallback.record_read(self.view.revision());
+            }
+            // Lists the records, as a watcher does.
+            Some(_) => {
+                (self.takes_over, self.is_synced) = (true, false);
+                self.reader = Reader::Due { at: now };
+            }
+            None => self.fallback.record_failure(at),
+        }
+    }
+
     /// Ends a call of the store. `answer` is none if it failed.
     pub(crate) fn end_store_call(&mut self, answer: Option<Body>, net: &mut Network, now: u64) {
+        if matches!(self.reader, Reader::Reading) {
+            self.end_store_read(answer, net, now);
+            return;
+        }
         let at = MonoMs(now);
         self.reader = Reader::Due { at: now };
         match answer {
@@ -438,6 +503,7 @@
                 let changes = self.view.apply_list(records, as_of, at);
                 self.is_synced = true;
                 self.put_in_force(changes, known > 0, net, now);
+                self.fallback.record_read(self.view.revision());
             }
             Some(Body::Page(records)) => {
                 self.record_store_answer(at);
--- a/crates/persimmon_decide/tests/fan_out_model/mod.rs
+++ b/crates/persimmon_decide/tests/fan_out_model/mod.rs
@@ -16,7 +16,7 @@
 pub(crate) use gateway::Broken;
 use gateway::{FIRST_WATCH_WAIT_MS, Gateway, ip};
 use network::{Body, Call, Network, Request, STEP_MS};
-pub(crate) use network::{Faults, Trouble};
+pub(crate) use network::{Cut, Faults, Trouble};
 use store::Store;
 
 pub(crate) const START_MS: u64 = 10_000;
@@ -50,6 +50,9 @@
 pub(crate) enum Event {
     Begin(usize, Trouble),
     End(usize),
+    /// The cut with this number begins.
+    Cut(usize, Cut),
+    Heal(usize),
     Routes(std::ops::Range<usize>),
     Small(usize, Option<u64>),
     /// The store comes back from the copy made this number of changes before.
@@ -62,6 +65,8 @@
     pub(crate) violations: Vec<String>,
     pub(crate) fetches: usize,
     pub(crate) failed: usize,
+    /// Number of calls of the store that have ended.
+    pub(crate) store_calls: usize,
     net: Network,
     store: Store,
     gateways: Vec<Gateway>,
@@ -101,6 +106,7 @@
             violations: Vec::new(),
             fetches: 0,
             failed: 0,
+            store_calls: 0,
             setting,
             now,
             store,
@@ -174,6 +180,12 @@
                     self.gateways[number].receive(&datagram, &mut self.net, now);
                 }
             }
+            Event::Cut(number, cut) => {
+                self.net.cuts.insert(number, cut);
+            }
+            Event::Heal(number) => {
+                self.net.cuts.remove(&number);
+            }
             Event::Routes(range) => self.store.write_routes(range, now),
             Event::Small(number, value) => self.store.write(number, value, now),
             Event::Restore(changes) => self.store.restore(changes, now),
@@ -276,6 +288,7 @@
         let gateway = &mut self.gateways[call.client];
         let answer = call.answer.filter(|_| is_over);
         if call.server == self.net.store() {
+            self.store_calls += 1;
             gateway.end_store_call(answer, &mut self.net, self.now);
             return;
         }
@@ -337,6 +350,11 @@
         sound.map(|(it, _)| reached(it).map(|at| at - changed_at)).collect()
     }
 
+    /// Returns the number of reads of the store by gateways that don't watch it.
+    pub(crate) fn store_reads(&self) -> usize {
+        self.gateways.iter().map(|it| it.store_reads).sum()
+    }
+
     pub(crate) fn reset_sent(&mut self) {
         self.net.nodes.iter_mut().for_each(|it| it.sent = 0);
     }
--- a/crates/persimmon_decide/tests/fan_out_model/network.rs
+++ b/crates/persimmon_decide/tests/fan_out_model/network.rs
@@ -48,6 +48,13 @@
     ];
 }
 
+/// Paths that pass nothing, each from a gateway of one group to a gateway of the other.
+#[derive(Debug, Clone)]
+pub(crate) struct Cut {
+    pub(crate) from: Vec<usize>,
+    pub(crate) to: Vec<usize>,
+}
+
 #[derive(Debug, Clone)]
 pub(crate) enum Message {
     Digest(Rc<Digest>),
@@ -135,6 +142,8 @@
     pub(crate) nodes: Vec<Node>,
     pub(crate) faults: Faults,
     pub(crate) calls: Vec<Call>,
+    /// Cuts in force, by the number of each.
+    pub(crate) cuts: BTreeMap<usize, Cut>,
     rng: Pcg64Mcg,
     queue: BTreeMap<(u64, u64), Datagram>,
     count: u64,
@@ -147,8 +156,8 @@
         let mut nodes: Vec<_> = (0..gateways).map(|it| node(rate(it))).collect();
         nodes.push(node(STORE_LINK));
         let rng = Pcg64Mcg::seed_from_u64(seed);
-        let (queue, calls) = (BTreeMap::new(), Vec::new());
-        Self { nodes, faults, calls, rng, queue, count: 0 }
+        let (queue, calls, cuts) = (BTreeMap::new(), Vec::new(), BTreeMap::new());
+        Self { nodes, faults, calls, cuts, rng, queue, count: 0 }
     }
 
     pub(crate) fn store(&self) -> usize {
@@ -163,6 +172,7 @@
             && !self.nodes[to].is(&[Deaf, CutOff, Killed])
             && !is_cut(from)
             && !is_cut(to)
+            && !self.cuts.values().any(|it| it.from.contains(&from) && it.to.contains(&to))
     }
 
     fn delay_ms(&mut self, from: usize, to: usize) -> u64 {
--- a/crates/persimmon_decide/tests/forward_fan_out_model.rs
+++ b/crates/persimmon_decide/tests/forward_fan_out_model.rs
@@ -2,7 +2,7 @@
 
 mod fan_out_model;
 
-use fan_out_model::{Broken, Event, Faults, Fleet, Setting, Trouble};
+use fan_out_model::{Broken, Cut, Event, Faults, Fleet, Setting, Trouble};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
@@ -219,6 +219,20 @@
     assert!(found.into_iter().any(|it| it.contains(violation)));
 }
 
+/// What is lost is repaired from peers. The store, which would hide that they send nothing, isn't read.
+#[test]
+fn losses_are_repaired_without_the_store() {
+    let reads = |broken| {
+        let schedule = Schedule { troubles: &[], faults: LOSSY, restores: false };
+        let setting = Setting { broken, ..small_fleet() };
+        (0..4).map(|seed| series(setting.clone(), schedule, seed).store_reads()).sum::<usize>()
+    };
+    let (sound, broken) = (reads(None), reads(Some(Broken::NeverFetches)));
+    println!("{sound}, {broken} reads");
+    assert!(broken > 0);
+    assert_eq!(sound, 0);
+}
+
 #[test]
 fn waiting_for_the_end_of_a_fetch_is_found() {
     let broken = Some(Broken::WaitsForFetch);
@@ -229,3 +243,152 @@
     };
     assert!(BEGINS.into_iter().enumerate().any(is_found));
 }
+
+/// Returns the gateways of a zone. Gateways are numbered zone by zone, in the order of their addresses.
+fn zone(gateways: usize, zones: usize, number: usize) -> Vec<usize> {
+    (0..gateways).filter(|it| it * zones / gateways == number).collect()
+}
+
+/// Returns a fleet of this size, with large routes.
+fn fleet_of(gateways: usize) -> Setting {
+    Setting { gateways, routes: ROUTES, route_bytes: LONG, ..Setting::default() }
+}
+
+/// Runs a large change and several small ones, with a cut that begins at a time relative to the first one, in
+/// milliseconds.
+fn cut_change(setting: Setting, cut: Option<(i64, Cut)>, seed: u64) -> Fleet {
+    const LARGE_CHANGE_MS: u64 = 2_500;
+    let mut fleet = Fleet::new(setting, seed);
+    if let Some((begin, cut)) = cut {
+        fleet.plan(LARGE_CHANGE_MS.saturating_add_signed(begin), Event::Cut(0, cut));
+    }
+    fleet.plan(LARGE_CHANGE_MS, Event::Routes(0..400));
+    (0..8).for_each(|it| fleet.plan(LARGE_CHANGE_MS + 1_000, Event::Small(it, Some(7))));
+    fleet.run(LARGE_CHANGE_MS + 4_500);
+    fleet
+}
+
+/// Returns a cut from a zone to all others.
+fn mute_zone(gateways: usize, zones: usize, number: usize) -> Cut {
+    let from = zone(gateways, zones, number);
+    let to = (0..gateways).filter(|it| !from.contains(it)).collect();
+    Cut { from, to }
+}
+
+/// A zone whose packets get to no other zone hears of changes, and can't open a connection to any gateway
+/// that has them. The others count it as silent, and send it no notices.
+#[rstest]
+#[case::three_zones(22, 3, &[-2_200, -200, -10, 100])]
+#[case::five_zones(40, 5, &[-2_200, -200, -10, 100])]
+#[case::hundred(103, 4, &[-2_200, -10, 100])]
+#[case::hundreds(350, 5, &[-10])]
+fn zone_that_nobody_hears_has_changes_in_time(
+    #[case] gateways: usize,
+    #[case] zones: usize,
+    #[case] begins: &[i64],
+) {
+    for (seed, begin) in begins.iter().copied().enumerate() {
+        let cut = mute_zone(gateways, zones, 1 + seed % (zones - 1));
+        let fleet = cut_change(fleet_of(gateways), Some((begin, cut)), seed as u64);
+        let (first, last) = first_and_last(&fleet);
+        println!("{begin} ms: {first} to {last} ms, {} calls of the store", fleet.store_calls);
+        assert!(fleet.violations.is_empty(), "{begin} ms: {:#?}", fleet.violations);
+    }
+}
+
+/// Without a way past its peers, a zone that nobody hears keeps what it has.
+#[test]
+fn gateways_that_never_read_the_store_are_found() {
+    let setting = Setting { broken: Some(Broken::NeverReadsStore), ..fleet_of(22) };
+    let fleet = cut_change(setting, Some((-10, mute_zone(22, 3, 1))), 0);
+    assert!(fleet.violations.iter().any(|it| it.contains("ms after")));
+    let setting = Setting { broken: Some(Broken::NeverReadsStore), ..small_fleet() };
+    let found = (0..6).flat_map(|seed| cut_series(setting.clone(), 3, seed).violations);
+    assert!(found.into_iter().any(|it| it.contains("ms after")));
+}
+
+/// Gateways of a cut zone read the store in turn, and those that are served by the first ones don't. A fleet
+/// that isn't cut makes no call more than its watchers.
+#[rstest]
+#[case::tens(40, 5)]
+#[case::hundred(103, 4)]
+fn cut_zone_calls_the_store_once_a_gateway_for_two_changes(
+    #[case] gateways: usize,
+    #[case] zones: usize,
+) {
+    let calls = |broken, cut| {
+        let setting = Setting { broken, ..fleet_of(gateways) };
+        cut_change(setting, cut, 1).store_calls
+    };
+    let (without, calm) = (calls(Some(Broken::NeverReadsStore), None), calls(None, None));
+    let cut = calls(None, Some((-10, mute_zone(gateways, zones, 1))));
+    println!("{without}, {calm}, {cut} calls");
+    assert_eq!(calm, without);
+    assert!(cut - calm <= gateways / zones, "{calm}, {cut} calls");
+}
+
+/// Returns the gateways of one or two zones drawn at random, or some drawn from all.
+fn draw_group(gateways: usize, zones: usize, rng: &mut Pcg64Mcg) -> Vec<usize> {
+    match rng.random_range(0..4) {
+        0 => (0..gateways).filter(|_| rng.random_bool(0.4)).collect(),
+        1 => (0..2).flat_map(|_| zone(gateways, zones, rng.random_range(0..zones))).collect(),
+        _ => zone(gateways, zones, rng.random_range(0..zones)),
+    }
+}
+
+/// Runs series of changes with cuts of one direction, or both, between groups drawn at random. The store stays
+/// within reach of all.
+fn cut_series(setting: Setting, zones: usize, seed: u64) -> Fleet {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let gateways = setting.gateways;
+    let mut fleet = Fleet::new(Setting { faults: SOUND, ..setting }, seed);
+    let mut at = 500;
+    while at < SERIES_MS {
+        let from = rng.random_range(0..1_500);
+        let event = match rng.random_range(0..10) {
+            0..3 => Event::Routes(from..from + 3),
+            3 => Event::Routes(from..from + 400),
+            4..8 => Event::Small(rng.random_range(0..12), Some(rng.random())),
+            _ => Event::Small(rng.random_range(0..12), None),
+        };
+        fleet.plan(at, event);
+        at += rng.random_range(1..1_500);
+    }
+    let mut at = 800;
+    for number in 0.. {
+        let end = at + rng.random_range(300..6_000);
+        if end >= SERIES_MS {
+            break;
+        }
+        let from = draw_group(gateways, zones, &mut rng);
+        let to: Vec<_> = match rng.random_bool(0.5) {
+            true => (0..gateways).filter(|it| !from.contains(it)).collect(),
+            false => draw_group(gateways, zones, &mut rng),
+        };
+        if rng.random_bool(0.2) {
+            fleet.plan(at, Event::Cut(2 * number + 1, Cut { from: to.clone(), to: from.clone() }));
+            fleet.plan(end, Event::Heal(2 * number + 1));
+        }
+        fleet.plan(at, Event::Cut(2 * number, Cut { from, to }));
+        fleet.plan(end, Event::Heal(2 * number));
+        at += rng.random_range(200..3_000);
+    }
+    fleet.run(SERIES_MS + 3_000);
+    fleet
+}
+
+#[rstest]
+#[case::three_zones(3)]
+#[case::five_zones(5)]
+fn changes_reach_every_gateway_beside_cuts_of_single_directions(#[case] zones: usize) {
+    for seed in 0..6 {
+        let fleet = cut_series(small_fleet(), zones, seed);
+        let violations = &fleet.violations;
+        assert!(
+            violations.is_empty(),
+            "seed {seed}: {}, {:#?}",
+            violations.len(),
+            &violations[..violations.len().min(12)]
+        );
+    }
+}
--- a/crates/persimmon_gateway/src/control/fan_out.rs
+++ b/crates/persimmon_gateway/src/control/fan_out.rs
@@ -4,8 +4,8 @@
 
 use persimmon_decide::MonoMs;
 use persimmon_decide::forward::{
-    ChangeNotice, FanOutInput, NoticeTo, PeerTable, Relay, StoreChange, StoreUpdate, StoreView,
-    UpdateError,
+    ChangeNotice, FanOutInput, NoticeTo, PeerTable, Relay, StoreChange, StoreFallbackInput,
+    StoreUpdate, StoreView, UpdateError,
 };
 use rand::RngExt;
 
@@ -71,6 +71,17 @@
         self.fan_out.next_fetch(&input, || self.rng.random())
     }
 
+    /// Reports whether this gateway reads from the store now what it can't get from peers.
+    pub(crate) fn reads_store(&mut self, now: MonoMs) -> bool {
+        let input = StoreFallbackInput {
+            own: self.view.revision(),
+            progress_at: self.fan_out.progress_at(),
+            peers: &self.peers,
+            now,
+        };
+        self.store_fallback.is_due(&input)
+    }
+
     /// Returns the update for a notice; none if none is small enough.
     fn small_update(&self, now: MonoMs) -> Option<StoreUpdate> {
         let mut bases = self.fan_out.update_bases(self.view.revision(), now);
--- a/crates/persimmon_gateway/src/control/mod.rs
+++ b/crates/persimmon_gateway/src/control/mod.rs
@@ -19,8 +19,8 @@
     FirstByteTimeout, FleetView, HealthSettings, HealthTracker, IdleLimit, LimitReport,
     LoadTracker, NoChoice, OpenStreams, OverloadControl, PeerTable, PickRequest, Picker, PrefixMap,
     Rank, RecordsAge, RetryWindow, RouteTable, ServedVersions, ServiceRetries, Shutdown,
-    ShutdownSettings, StartupRecords, StatedDeadlines, StoreEra, StoreView, StreamHolders,
-    StreamVersions, WaitingTime, WorkspaceShares, count_weight,
+    ShutdownSettings, StartupRecords, StatedDeadlines, StoreEra, StoreFallback, StoreView,
+    StreamHolders, StreamVersions, WaitingTime, WorkspaceShares, count_weight,
 };
 use persimmon_decide::load::EndpointHash;
 use rand::RngExt;
@@ -43,6 +43,8 @@
     pub(crate) records_age: RecordsAge,
     /// How changes of the records are passed on.
     pub(crate) fan_out: FanOut,
+    /// When this gateway reads from the store what it can't get from peers.
+    pub(crate) store_fallback: StoreFallback,
     pub(crate) directory: EndpointDirectory,
     pub(crate) routes: Option<Rc<RouteTable>>,
     /// Value of the record of `routes`.
@@ -112,6 +114,7 @@
             startup: StartupRecords::new(),
             records_age: RecordsAge::new(),
             fan_out: FanOut::new(),
+            store_fallback: StoreFallback::new(),
             directory: EndpointDirectory::new(),
             routes: None,
             routes_value: None,
--- a/crates/persimmon_gateway/src/lib.rs
+++ b/crates/persimmon_gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod shutdown;
 mod status;
+mod store_fallback;
 mod store_reader;
 mod stream_versions;
 mod transfer;
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -13,11 +13,12 @@
 use thiserror::Error;
 
 use crate::body::AbortOnDrop;
-use crate::control::Applied;
+use crate::control::{Applied, Control};
 use crate::gateway::Gateway;
 use crate::http::{self, GetError, Page};
 use crate::notices;
 use crate::platform::{DecodeError, Platform, RecordPage};
+use crate::store_fallback::{self, AfterRead};
 use crate::transfer::{self, Limits};
 use persimmon_process::ReadError;
 
@@ -37,8 +38,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 500;
 /// Time that the first watch waits for a change if it takes over from gateways that are cut off from the
 /// store, in milliseconds, and timeout for its answer: it shows soon whether this gateway reaches the store.
-const FIRST_WATCH_WAIT_MS: u64 = 1;
-const FIRST_WATCH_TIMEOUT_MS: u64 = CONNECT_TIMEOUT_MS;
+pub(crate) const FIRST_WATCH_WAIT_MS: u64 = 1;
+pub(crate) const FIRST_WATCH_TIMEOUT_MS: u64 = CONNECT_TIMEOUT_MS;
 /// Delay before the first retry of a failed call, in milliseconds; each further failure doubles it
 /// up to [`MAX_RETRY_DELAY_MS`].
 const MIN_RETRY_DELAY_MS: u64 = 100;
@@ -57,7 +58,7 @@
 /// Key after which a page has no items, or few.
 const AFTER_ALL_KEYS: &str = "~";
 /// Maximum size of an answer of the store, in bytes.
-const MAX_ANSWER_BYTES: usize = 48 * 1024 * 1024;
+pub(crate) const MAX_ANSWER_BYTES: usize = 48 * 1024 * 1024;
 /// Maximum number of pages in one list, in case the store never reports the last page.
 const MAX_PAGES: usize = 1_000;
 
@@ -179,19 +180,31 @@
     loop {
         tokio::time::sleep(Duration::from_millis(WATCH_CHECK_INTERVAL_MS)).await;
         let now = gw.clock.now();
-        let mut control = gw.control.borrow_mut();
-        if control.should_watch(now) {
-            control.is_watching = true;
-            let is_store_lost = control.peers.is_store_lost(now);
-            if is_store_lost {
-                reader.takeover = Takeover::Due;
-            }
-            tracing::info!(target: "store", is_store_lost, "watching the store");
-            // Peers have sent every change up to the view's revision.
-            reader.is_synced = control.view.revision() > 0;
+        if begin_watch_if_due(gw, reader, now) {
             return;
         }
+        if store_fallback::read_if_due(gw).await == AfterRead::Lists {
+            (reader.is_synced, reader.takeover) = (false, Takeover::Tried);
+            return;
+        }
+    }
+}
+
+/// Begins to watch the store if this gateway should, and returns whether it has.
+fn begin_watch_if_due<P: Platform>(gw: &Gateway<P>, reader: &mut Reader, now: MonoMs) -> bool {
+    let mut control = gw.control.borrow_mut();
+    if !control.should_watch(now) {
+        return false;
     }
+    control.is_watching = true;
+    let is_store_lost = control.peers.is_store_lost(now);
+    if is_store_lost {
+        reader.takeover = Takeover::Due;
+    }
+    tracing::info!(target: "store", is_store_lost, "watching the store");
+    // Peers have sent every change up to the view's revision.
+    reader.is_synced = control.view.revision() > 0;
+    true
 }
 
 async fn back_off<P: Platform>(gw: &Rc<Gateway<P>>, reader: &mut Reader, err: &StoreError) {
@@ -240,19 +253,23 @@
         let page = watched?;
         // Whether removals are deferred depends on how long the store couldn't be reached.
         record_success(gw, reader);
-        let now = gw.clock.now();
-        let as_of = page.as_of;
-        let changes = {
-            let view = &mut gw.control.borrow_mut().view;
-            page.records.into_iter().flat_map(|it| view.apply(it, now)).collect()
-        };
-        apply(gw, changes, true);
-        record_confirmed(gw, now);
-        reader.revision = known.max(as_of);
+        reader.revision = known.max(page.as_of);
+        apply_page(gw, page);
     }
     Ok(())
 }
 
+/// Puts the changes of a watch in force.
+pub(crate) fn apply_page<P: Platform>(gw: &Rc<Gateway<P>>, page: RecordPage) {
+    let now = gw.clock.now();
+    let changes = {
+        let view = &mut gw.control.borrow_mut().view;
+        page.records.into_iter().flat_map(|it| view.apply(it, now)).collect()
+    };
+    apply(gw, changes, true);
+    record_confirmed(gw, now);
+}
+
 /// Opens a connection to the store.
 pub(crate) async fn connect<P: Platform>(gw: &Gateway<P>) -> Result<StoreConnection, StoreError> {
     let own = gw.settings.peers.ip();
@@ -290,7 +307,12 @@
     let outage_ms = now.ms_since(lost_since);
     let failing_ms = failing_since.map(|at| now.ms_since(at));
     tracing::info!(target: "store", outage_ms, failing_ms, ?takeover, "store calls succeed again");
-    if outage_ms >= MIN_OUTAGE_MS {
+    defer_removals(&mut control, lost_since, now);
+}
+
+/// Defers removals if the store has answered no gateway of the fleet since `lost_since`.
+pub(crate) fn defer_removals(control: &mut Control, lost_since: MonoMs, now: MonoMs) {
+    if now.ms_since(lost_since) >= MIN_OUTAGE_MS {
         control.view.record_reconnect(lost_since, now);
     }
 }
@@ -363,6 +385,8 @@
     let mut control = gw.control.borrow_mut();
     let changes = control.view.apply_list(records, as_of, now);
     control.startup.record_list(StoreEra::of(as_of) > StoreEra::default(), now);
+    let own = control.view.revision();
+    control.store_fallback.record_read(own);
     drop(control);
     // All gateways of a fleet that starts list the records at once.
     apply(gw, changes, known > 0);
