Lists that are read again are completed

Cause: a list of five pages or more was given up once the gateway could route, on the ground that a peer had sent all records. A gateway that lists again can route all the while, so that it went back to the position of which the store has no history, and listed without end (314 lists in the case).

Change: such a list is given up only if peers have sent all up to the position at which it began. It is read without the pauses that spread the lists of a fleet that starts.

--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -334,15 +334,15 @@
     let mut records: Vec<StoreRecord> = Vec::new();
     let mut as_of = None;
     let known = gw.control.borrow().view.revision();
-    let is_fast = gw.control.borrow_mut().draw().is_multiple_of(FAST_LISTER_RATIO);
+    // Few gateways list again: those that watch the store, and one whose VM was suspended.
+    let is_fast = known > 0 || gw.control.borrow_mut().draw().is_multiple_of(FAST_LISTER_RATIO);
     for page_number in 0..MAX_PAGES {
         if page_number >= LARGE_LIST_PAGES {
             if !is_fast {
                 tokio::time::sleep(Duration::from_millis(LIST_PAUSE_MS)).await;
             }
             let control = gw.control.borrow();
-            if !reader.is_synced && control.can_route() {
-                // A peer has sent all records in the meantime.
+            if !reader.is_synced && has_list_of_peers(&control, known, as_of) {
                 return Ok(control.view.revision());
             }
         }
@@ -396,6 +396,14 @@
     Ok(as_of)
 }
 
+/// Reports whether peers have sent all records since this gateway, then at position `known`, began a list whose
+/// first page was read at `as_of`. One that lists again since the store has dropped the history could route all
+/// the while, by records whose history the store doesn't have.
+fn has_list_of_peers(control: &Control, known: u64, as_of: Option<u64>) -> bool {
+    let is_recent = known == 0 || as_of.is_some_and(|it| control.view.revision() >= it);
+    is_recent && control.can_route()
+}
+
 /// Returns the store's current position.
 pub(crate) async fn read_position<P: Platform>(
     gw: &Gateway<P>,
