An endpoint's own data goes before ejections that peers report

Cause: the other zones' gateways can't connect to the zone's endpoints and report them as ejected in each digest.

Change: an endpoint that has sent data since peers began to report it, in the last 3 s, isn't ejected by their reports. One that has ended sends nothing, so that its first report still counts.

--- a/crates/persimmon_decide/src/forward/health.rs
+++ b/crates/persimmon_decide/src/forward/health.rs
@@ -101,10 +101,34 @@
     outcomes: DecayingOutcomes,
     unreachable_streak: u32,
     ejected_until: MonoMs,
+    /// Time at which the endpoint last sent data.
+    received_at: Option<MonoMs>,
+    /// What peers that have ejected the endpoint have said lately.
+    reports: Option<EjectionReports>,
     /// Time since which the endpoint has sent nothing although a request is waiting for it.
     silent_since: Option<MonoMs>,
 }
 
+/// Times of the first and the last of the reports that peers have ejected an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct EjectionReports {
+    first: MonoMs,
+    last: MonoMs,
+}
+
+impl EndpointRecord {
+    /// Records a peer's report that it has ejected the endpoint. Returns whether the endpoint has sent this gateway
+    /// data since the first one, a short while ago: then only the peers can't reach it.
+    fn record_ejection_report(&mut self, now: MonoMs) -> bool {
+        let is_recent =
+            |it: &EjectionReports| now.ms_since(it.last) <= HealthTracker::REPORTS_GAP_MS;
+        let first = self.reports.filter(is_recent).map_or(now, |it| it.first);
+        self.reports = Some(EjectionReports { first, last: now });
+        self.received_at
+            .is_some_and(|at| at > first && now.ms_since(at) <= HealthTracker::REACHED_MS)
+    }
+}
+
 /// Tracks the health of each endpoint.
 ///
 /// An unreachable endpoint is ejected for a short time that grows with each failure. An endpoint
@@ -126,6 +150,12 @@
     /// Time without data on any request after which an endpoint counts as unreachable, in milliseconds.
     /// A live engine sends data several times a second.
     pub const SILENT_MS: u64 = 600;
+    /// Time without a report that peers have ejected an endpoint, after which the next one is the first of others,
+    /// in milliseconds. It spans a few digests.
+    const REPORTS_GAP_MS: u64 = 1_500;
+    /// Time after an endpoint's data for which a gateway goes by it rather than by its peers' reports, in
+    /// milliseconds.
+    const REACHED_MS: u64 = 3_000;
     /// Minimum number of failures before a failure rate counts; single failures are normal.
     const MIN_FAILURES: f64 = 2.0;
     /// Factor by which an endpoint's failure rate must exceed that of the other endpoints, in
@@ -148,6 +178,7 @@
     pub fn record_received(&mut self, endpoint: EndpointHash, is_waiting: bool, now: MonoMs) {
         let record = self.endpoints.entry(endpoint).or_default();
         record.silent_since = is_waiting.then_some(now);
+        record.received_at = Some(now);
         record.unreachable_streak = 0;
         record.ejected_until = MonoMs(0);
     }
@@ -189,10 +220,14 @@
     /// Records that a peer has ejected this endpoint for `ms` more milliseconds. The ejection is
     /// limited to the first ejection time and never shortens an existing one, so that a single
     /// gateway without network access doesn't make the others avoid all endpoints for long.
+    ///
+    /// Handles paths that only some gateways have lost: peers in other zones report all endpoints of this
+    /// gateway's zone, one after another and again and again. Those that have sent data since stay in use.
     pub fn record_peer_ejection(&mut self, endpoint: EndpointHash, ms: u64, now: MonoMs) {
         let ms = ms.min(self.settings.first_ejection_ms);
         let record = self.endpoints.entry(endpoint).or_default();
-        if record.silent_since.is_none() {
+        let is_reached = record.record_ejection_report(now);
+        if record.silent_since.is_none() && !is_reached {
             record.ejected_until = record.ejected_until.max(now.plus_ms(ms));
         }
     }
--- a/crates/persimmon_decide/tests/forward_health.rs
+++ b/crates/persimmon_decide/tests/forward_health.rs
@@ -72,6 +72,57 @@
     assert!(!tracker.is_ejected(ONE, MonoMs(HealthSettings::default().first_ejection_ms)));
 }
 
+/// Reports of peers to a gateway that got data of the endpoint at these times; returns the times at which it is
+/// ejected. Peers report it every 100 ms in the given time.
+fn ejected_at(reports: std::ops::Range<u64>, data_at: &[u64], until: u64) -> Vec<u64> {
+    let mut tracker = tracker();
+    let mut ejected = Vec::new();
+    for ms in (0..until).step_by(50) {
+        if data_at.contains(&ms) {
+            tracker.record_sent(ONE, MonoMs(ms));
+            tracker.record_received(ONE, false, MonoMs(ms));
+            tracker.record_idle(ONE);
+        }
+        if reports.contains(&ms) && ms % 100 == 0 {
+            tracker.record_peer_ejection(ONE, 3_000, MonoMs(ms));
+        }
+        if tracker.is_ejected(ONE, MonoMs(ms)) {
+            ejected.push(ms);
+        }
+    }
+    ejected
+}
+
+/// Guards against gateways in a zone that no other zone reaches, which avoid the endpoints beside them because
+/// all others report these as unreachable.
+#[test]
+fn reports_of_peers_do_not_outweigh_data_of_the_endpoint() {
+    let ejected = ejected_at(1_000..9_000, &[500, 1_250, 3_000, 5_000, 7_500], 10_000);
+    assert_eq!(ejected, [1_000, 1_050, 1_100, 1_150, 1_200]);
+}
+
+#[test]
+fn reports_of_peers_outweigh_data_from_before_them() {
+    let ejected = ejected_at(1_000..2_000, &[950], 3_000);
+    assert_eq!((ejected.first(), ejected.last()), (Some(&1_000), Some(&2_250)));
+}
+
+/// An endpoint that ends while only peers have lost their paths to it sends nothing any more.
+#[test]
+fn reports_of_peers_outweigh_old_data() {
+    let ejected = ejected_at(1_000..6_000, &[1_050], 6_000);
+    assert_eq!(ejected.iter().filter(|ms| **ms > 1_050).min(), Some(&4_100));
+}
+
+#[test]
+fn reports_of_peers_count_anew_after_a_pause() {
+    let mut tracker = tracker();
+    tracker.record_peer_ejection(ONE, 400, MonoMs(0));
+    tracker.record_received(ONE, false, MonoMs(100));
+    tracker.record_peer_ejection(ONE, 400, MonoMs(2_000));
+    assert!(tracker.is_ejected(ONE, MonoMs(2_000)));
+}
+
 #[test]
 fn silent_ms_counts_from_first_unanswered_request() {
     let mut tracker = tracker();
