Tests: an unheard gateway lists records of which the store has no history

The plays with a dropped history didn't reach this path, since the stand-ins for watchers listed first.

--- a/crates/persimmonmountd/tests/process_gateway_one_way.rs
+++ b/crates/persimmonmountd/tests/process_gateway_one_way.rs
@@ -38,9 +38,26 @@
         Self { fixture, link }
     }
 
+    /// Publishes routes that don't fit into a notice.
+    fn publish_large_change(&mut self) {
+        let added = (0..ADDED_ROUTES).map(|it| RouteSpec::repeatable(&format!("route-{it}")));
+        let routes: Vec<_> = [RouteSpec::once("commit")].into_iter().chain(added).collect();
+        self.fixture.deployment.publish_routes(&routes, &[GatewayFixture::KEY]);
+    }
+
+    fn has_change(&self, gateway: usize) -> bool {
+        let status = self.fixture.deployment.status(gateway);
+        status.is_ok_and(|it| it.contains("\"generation\":2"))
+    }
+
+    /// Returns the log of the unheard gateway.
+    fn log(&self) -> Vec<String> {
+        self.fixture.deployment.log(UNHEARD)
+    }
+
     /// Returns the number of reads of the unheard gateway from the store in place of its peers.
     fn reads(&self) -> usize {
-        let lines = self.fixture.deployment.log(UNHEARD);
+        let lines = self.log();
         lines.iter().filter(|it| it.contains("read changes from the store")).count()
     }
 
@@ -59,13 +76,9 @@
     fleet.link.cut_outgoing();
     thread::sleep(silent_for);
     assert_eq!(fleet.reads(), 0);
-    let added = (0..ADDED_ROUTES).map(|it| RouteSpec::repeatable(&format!("route-{it}")));
-    let routes: Vec<_> = [RouteSpec::once("commit")].into_iter().chain(added).collect();
-    fleet.fixture.deployment.publish_routes(&routes, &[GatewayFixture::KEY]);
+    fleet.publish_large_change();
     let published_at = Instant::now();
-    let in_force =
-        || fleet.fixture.deployment.status(UNHEARD).is_ok_and(|it| it.contains("\"generation\":2"));
-    assert!(wait_until(in_force), "{:#?}", fleet.fixture.deployment.log(UNHEARD));
+    assert!(wait_until(|| fleet.has_change(UNHEARD)), "{:#?}", fleet.log());
     let took = published_at.elapsed();
     let reads = fleet.reads();
     fleet.close();
@@ -73,6 +86,28 @@
     assert_eq!(reads, 1);
 }
 
+/// Guards against a gateway that asks again and again for changes of which the store has no history.
+#[test]
+fn unheard_gateway_lists_records_without_history_in_time() {
+    let mut fleet = Fleet::start();
+    fleet.link.cut_outgoing();
+    thread::sleep(SILENT);
+    fleet.publish_large_change();
+    let published_at = Instant::now();
+    assert!(wait_until(|| fleet.has_change(0) && fleet.has_change(1)));
+    fleet.fixture.deployment.store.compact_history();
+    assert!(!fleet.has_change(UNHEARD));
+    assert!(wait_until(|| fleet.has_change(UNHEARD)), "{:#?}", fleet.log());
+    let took = published_at.elapsed();
+    let lists = fleet.log().iter().filter(|it| it.contains("peers don't send; listing")).count();
+    // Afterwards, it waits for the other gateways again.
+    let waits = |it: &&String| it.contains("other gateways watch the store");
+    assert!(wait_until(|| fleet.log().iter().filter(waits).count() == 2), "{:#?}", fleet.log());
+    fleet.close();
+    assert!(took < APPLY_LIMIT, "in force after {took:?}");
+    assert_eq!(lists, 1);
+}
+
 /// Guards against requests to an endpoint that has left, by a gateway to which nobody sends the removal.
 #[test]
 fn unheard_gateway_stops_using_removed_endpoint_in_time() {
