--- a/crates/persimmon_gateway/src/store_fallback.rs
+++ b/crates/persimmon_gateway/src/store_fallback.rs
@@ -58,8 +58,8 @@
     let mut connection = store_reader::connect(gw).await?;
     let call = WatchCall {
         after: known,
-        wait_ms: store_reader::FIRST_WATCH_WAIT_MS,
-        limit_ms: store_reader::FIRST_WATCH_TIMEOUT_MS,
+        wait_ms: store_reader::SHORT_WATCH_WAIT_MS,
+        limit_ms: store_reader::SHORT_WATCH_TIMEOUT_MS,
         max_bytes: store_reader::MAX_ANSWER_BYTES,
     };
     let page = store_reader::watch(gw, &mut connection, &call).await?;
--- a/crates/persimmon_gateway/src/store_reader.rs
+++ b/crates/persimmon_gateway/src/store_reader.rs
@@ -36,10 +36,11 @@
 const MAX_PROGRESS_MS: u64 = 2_000;
 /// Timeout for opening a connection to the store, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 500;
-/// Time that the first watch waits for a change if it takes over from gateways that are cut off from the
-/// store, in milliseconds, and timeout for its answer: it shows soon whether this gateway reaches the store.
-pub(crate) const FIRST_WATCH_WAIT_MS: u64 = 1;
-pub(crate) const FIRST_WATCH_TIMEOUT_MS: u64 = CONNECT_TIMEOUT_MS;
+/// Time that a watch waits for a change, in milliseconds, and timeout for its answer, where it has to show soon
+/// whether this gateway reaches the store: the first one that takes over from gateways that are cut off from
+/// the store, and one that reads what peers don't send.
+pub(crate) const SHORT_WATCH_WAIT_MS: u64 = 1;
+pub(crate) const SHORT_WATCH_TIMEOUT_MS: u64 = CONNECT_TIMEOUT_MS;
 /// Delay before the first retry of a failed call, in milliseconds; each further failure doubles it
 /// up to [`MAX_RETRY_DELAY_MS`].
 const MIN_RETRY_DELAY_MS: u64 = 100;
@@ -184,7 +185,9 @@
             return;
         }
         if store_fallback::read_if_due(gw).await == AfterRead::Lists {
-            (reader.is_synced, reader.takeover) = (false, Takeover::Tried);
+            reader.is_synced = false;
+            // Removals in the list are deferred if the store was away.
+            reader.takeover = Takeover::Tried;
             return;
         }
     }
@@ -240,7 +243,7 @@
     while gw.control.borrow_mut().should_watch(gw.clock.now()) {
         let known = reader.revision.max(gw.control.borrow().view.revision());
         let (wait_ms, limit_ms) = match reader.takeover {
-            Takeover::Due => (FIRST_WATCH_WAIT_MS, FIRST_WATCH_TIMEOUT_MS),
+            Takeover::Due => (SHORT_WATCH_WAIT_MS, SHORT_WATCH_TIMEOUT_MS),
             _ => (WATCH_WAIT_MS, WATCH_WAIT_MS + ANSWER_TIMEOUT_MS),
         };
         if reader.takeover == Takeover::Due {
